--- /dev/null
+++ b/internal/cmd/cmd_suite_test.go
@@ -0,0 +1,11 @@
+package cmd
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "cmd")
+}
--- /dev/null
+++ b/internal/cmd/config.go
@@ -0,0 +1,156 @@
+// Package cmd holds the command line of savorypin, one file a command.
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypindaemon"
+)
+
+// envPrefix begins the name of each environment variable that sets a flag.
+const envPrefix = "SAVORYPIN_"
+
+// Exit codes of the commands.
+const (
+	exitOK          = 0
+	exitFailure     = 1
+	exitInvalid     = 2
+	exitNotFound    = 3
+	exitConflict    = 4
+	exitUnreachable = 5
+	exitRefused     = 6
+)
+
+// Config holds the settings of all commands. Commands are its methods.
+type Config struct {
+	anonymous string
+	by        string
+	daemon    savorypindaemon.Settings
+	dryRun    bool
+	entry     string
+	files     []string
+	logFormat string
+	logLevel  string
+	output    string
+	standin   standinConfig
+	stderr    io.Writer
+	stdout    io.Writer
+	wait      bool
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	c := &Config{stderr: stderr, stdout: stdout}
+	err := c.rootCmd().Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintf(stderr, "savorypin: %v\n", err)
+	return exitCode(err)
+}
+
+// exitCode returns the exit code of an error, which says to scripts what went
+// wrong.
+func exitCode(err error) int {
+	var e *savorypin.Error
+	if !errors.As(err, &e) {
+		return exitFailure
+	}
+	switch e.Kind {
+	case savorypin.KindConflict:
+		return exitConflict
+	case savorypin.KindInvalid:
+		return exitInvalid
+	case savorypin.KindLimited, savorypin.KindNotRun, savorypin.KindUnauthorized:
+		return exitRefused
+	case savorypin.KindNotFound:
+		return exitNotFound
+	case savorypin.KindUnreachable:
+		return exitUnreachable
+	case savorypin.KindIncomplete, savorypin.KindUnknown:
+		return exitFailure
+	default:
+		return exitFailure
+	}
+}
+
+func (c *Config) rootCmd() *cli.Command {
+	return &cli.Command{
+		Commands: []*cli.Command{
+			c.agentCmd(),
+			c.applyCmd(),
+			c.demoCmd(),
+			c.entryCmd(),
+			c.getCmd(),
+			c.standinCmd(),
+			c.stateCmd(),
+			c.stopCmd(),
+		},
+		Description:           "Savorypin relays generations and plain calls between callers and endpoints that fail.",
+		EnableShellCompletion: true,
+		ErrWriter:             c.stderr,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Flags:                 c.logFlags(),
+		Name:                  "savorypin",
+		Suggest:               true,
+		Usage:                 "serve long generations on engines that fail",
+		Writer:                c.stdout,
+	}
+}
+
+func (c *Config) logFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Destination: &c.logFormat,
+			Name:        "log-format",
+			Sources:     env("LOG_FORMAT"),
+			Usage:       "format of the logs: json, logfmt or text",
+			Value:       "text",
+		},
+		&cli.StringFlag{
+			Destination: &c.logLevel,
+			Name:        "log-level",
+			Sources:     env("LOG_LEVEL"),
+			Usage:       "lowest level that is logged: debug, info, warn or error",
+			Value:       "info",
+		},
+	}
+}
+
+// logger returns the logger that the flags ask for.
+func (c *Config) logger() (*log.Logger, error) {
+	level, err := log.ParseLevel(c.logLevel)
+	if err != nil {
+		return nil, savorypin.Errorf(savorypin.KindInvalid, "--log-level", "%q is not debug, info, warn or error", c.logLevel)
+	}
+	formatters := map[string]log.Formatter{
+		"json":   log.JSONFormatter,
+		"logfmt": log.LogfmtFormatter,
+		"text":   log.TextFormatter,
+	}
+	formatter, ok := formatters[c.logFormat]
+	if !ok {
+		return nil, savorypin.Errorf(savorypin.KindInvalid, "--log-format", "%q is not json, logfmt or text", c.logFormat)
+	}
+	return log.NewWithOptions(c.stderr, log.Options{
+		Formatter:       formatter,
+		Level:           level,
+		ReportTimestamp: true,
+	}), nil
+}
+
+func env(name string) cli.ValueSourceChain {
+	return cli.EnvVars(envPrefix + name)
+}
--- /dev/null
+++ b/internal/cmd/daemonflags.go
@@ -0,0 +1,137 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"savorypin/internal/savorypin"
+)
+
+// defaultStopGrace is how long running work may take to finish at a stop.
+const defaultStopGrace = time.Minute
+
+// minKeyBytes is the shortest key that daemons accept.
+const minKeyBytes = 16
+
+// daemonFlags returns the flags that entries and agents have in common.
+func (c *Config) daemonFlags() []cli.Flag {
+	s := &c.daemon
+	return []cli.Flag{
+		&cli.StringFlag{
+			Destination: &s.Domain, Name: "domain", Sources: env("DOMAIN"),
+			Usage: "failure domain of the host",
+		},
+		&cli.StringFlag{
+			Destination: &s.HTTP, Name: "http", Sources: env("HTTP"), Value: "127.0.0.1:0",
+			Usage: "`IP:PORT` for callers, operators and scrapers",
+		},
+		&cli.StringFlag{
+			Destination: &s.Key, Name: "key", Sources: env("KEY"),
+			Usage: "key that daemons prove to know to each other; set it by the environment",
+		},
+		&cli.StringFlag{
+			Destination: &s.Listen, Name: "listen", Sources: env("LISTEN"), Value: "127.0.0.1:0",
+			Usage: "`IP:PORT` for other daemons",
+		},
+		&cli.StringFlag{
+			Destination: &s.Name, Name: "name", Sources: env("NAME"),
+			Usage: "name of the daemon, unique in the system",
+		},
+		&cli.StringFlag{
+			Destination: &s.OperatorToken, Name: "operator-token", Sources: env("OPERATOR_TOKEN"),
+			Usage: "bearer token of the operators; set it by the environment",
+		},
+		&cli.StringFlag{
+			Destination: &s.Platform, Name: "platform", Sources: env("PLATFORM"),
+			Usage: "base `URL` of the platform",
+		},
+		&cli.StringFlag{
+			Destination: &s.PlatformToken, Name: "platform-token", Sources: env("PLATFORM_TOKEN"),
+			Usage: "bearer token for the platform; set it by the environment",
+		},
+		&cli.StringFlag{
+			Destination: &s.Region, Name: "region", Sources: env("REGION"),
+			Usage: "region of the failure domain",
+		},
+		&cli.StringSliceFlag{
+			Destination: &s.Seeds, Name: "seed", Sources: env("SEEDS"),
+			Usage: "`IP:PORT` of a daemon to ask first; may be repeated",
+		},
+		&cli.DurationFlag{
+			Destination: &s.StopGrace, Name: "stop-grace", Sources: env("STOP_GRACE"), Value: defaultStopGrace,
+			Usage: "how long running work may take to finish at a stop",
+		},
+	}
+}
+
+// checkDaemon returns one error that names every bad setting of a daemon.
+func (c *Config) checkDaemon(more ...error) error {
+	s := &c.daemon
+	errs := []error{
+		checkSet("--domain", s.Domain),
+		checkAddress("--http", s.HTTP),
+		checkKey(s.Key),
+		checkAddress("--listen", s.Listen),
+		checkMemberName(s.Name),
+		checkSet("--operator-token", s.OperatorToken),
+		checkURL("--platform", s.Platform),
+		checkSet("--region", s.Region),
+		checkGrace(s.StopGrace),
+	}
+	for _, seed := range s.Seeds {
+		errs = append(errs, checkAddress("--seed", seed))
+	}
+	errs = append(errs, more...)
+	if err := errors.Join(errs...); err != nil {
+		return savorypin.Errorf(savorypin.KindInvalid, "settings", "%w", err)
+	}
+	return nil
+}
+
+func checkAddress(flag, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return fmt.Errorf("%s: %q is not an IP address and port", flag, address)
+	}
+	return nil
+}
+
+func checkGrace(d time.Duration) error {
+	if d < 0 {
+		return fmt.Errorf("--stop-grace: %s is negative", d)
+	}
+	return nil
+}
+
+func checkKey(key string) error {
+	if len(key) < minKeyBytes {
+		return fmt.Errorf("--key: is shorter than %d bytes", minKeyBytes)
+	}
+	return nil
+}
+
+func checkMemberName(name string) error {
+	if err := savorypin.CheckName(name); err != nil {
+		return fmt.Errorf("--name: %w", err)
+	}
+	return nil
+}
+
+func checkSet(flag, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s: is missing", flag)
+	}
+	return nil
+}
+
+func checkURL(flag, value string) error {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("%s: %q is not an http or https URL", flag, value)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmd/democmd.go
@@ -0,0 +1,27 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"savorypin/internal/savorypindemo"
+)
+
+func (c *Config) demoCmd() *cli.Command {
+	return &cli.Command{
+		Action: c.runDemoCmd,
+		Description: "Runs two regions with entries, agents, engines and a ledger in one process on loopback,\n" +
+			"kills an engine in mid-answer, and checks what each caller got.",
+		Name:  "demo",
+		Usage: "show the whole system at work under failure",
+	}
+}
+
+func (c *Config) runDemoCmd(ctx context.Context, _ *cli.Command) error {
+	logger, err := c.logger()
+	if err != nil {
+		return err
+	}
+	return savorypindemo.Run(ctx, savorypindemo.Config{Logger: logger, Out: c.stdout})
+}
--- /dev/null
+++ b/internal/cmd/entrycmd.go
@@ -0,0 +1,44 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"savorypin/internal/savorypincaller"
+	"savorypin/internal/savorypinentry"
+)
+
+func (c *Config) entryCmd() *cli.Command {
+	return &cli.Command{
+		Action: c.runEntryCmd,
+		Description: "Serves the callers' and the operators' API on --http and other daemons on --listen.\n" +
+			"SIGTERM begins a planned stop; a second signal ends the process at once.",
+		Flags: append(c.daemonFlags(), &cli.StringFlag{
+			Destination: &c.anonymous, Name: "anonymous-organisation", Sources: env("ANONYMOUS_ORGANISATION"),
+			Usage: "organisation of callers without a token; they are refused if it is empty",
+		}),
+		Name:  "entry",
+		Usage: "run the daemon that callers and operators talk to",
+	}
+}
+
+func (c *Config) runEntryCmd(ctx context.Context, _ *cli.Command) error {
+	if err := c.checkDaemon(); err != nil {
+		return err
+	}
+	logger, err := c.logger()
+	if err != nil {
+		return err
+	}
+	entry, err := savorypinentry.New(savorypinentry.Config{
+		AnonymousOrganisation: c.anonymous,
+		Logger:                logger,
+		Settings:              c.daemon,
+	})
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, entry.Daemon().Stop)()
+	return entry.Run(context.WithoutCancel(ctx), savorypincaller.NewHandler(entry))
+}
--- /dev/null
+++ b/internal/cmd/operatorclient.go
@@ -0,0 +1,104 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"savorypin/internal/savorypin"
+)
+
+// operatorTimeout bounds one call of the operators' API.
+const operatorTimeout = 10 * time.Second
+
+// apiObject is an object as the operators' API has it.
+type apiObject struct {
+	At      string          `json:"at,omitempty"`
+	By      string          `json:"by,omitempty"`
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Order   string          `json:"order,omitempty"`
+	Spec    json.RawMessage `json:"spec,omitempty"`
+	Status  json.RawMessage `json:"status,omitempty"`
+	Version int64           `json:"version,omitempty"`
+}
+
+// clientFlags returns the flags of commands that talk to an entry.
+func (c *Config) clientFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Destination: &c.by, Name: "by", Sources: env("OPERATOR"), Value: "operator",
+			Usage: "who gives the order",
+		},
+		&cli.StringFlag{
+			Destination: &c.entry, Name: "entry", Sources: env("ENTRY"), Value: "http://127.0.0.1:8080",
+			Usage: "base `URL` of an entry",
+		},
+		&cli.StringFlag{
+			Destination: &c.daemon.OperatorToken, Name: "operator-token", Sources: env("OPERATOR_TOKEN"),
+			Usage: "bearer token of the operators; set it by the environment",
+		},
+		&cli.StringFlag{
+			Destination: &c.output, Name: "output", Aliases: []string{"o"}, Value: "table",
+			Usage: "format of the answer: json, table or yaml",
+		},
+	}
+}
+
+// operatorCall calls the operators' API of an entry and decodes the answer
+// into out unless it is nil.
+func (c *Config) operatorCall(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return savorypin.Errorf(savorypin.KindInvalid, path, "%w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.entry+path, body)
+	if err != nil {
+		return savorypin.Errorf(savorypin.KindInvalid, "--entry", "%w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.daemon.OperatorToken)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return savorypin.Errorf(savorypin.KindUnreachable, c.entry, "%w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return savorypin.Errorf(savorypin.KindUnreachable, c.entry, "%w", err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return apiError(c.entry, resp.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return savorypin.Errorf(savorypin.KindUnreachable, c.entry, "decode answer: %w", err)
+	}
+	return nil
+}
+
+// apiError returns the typed error of an answer.
+func apiError(entry string, status int, data []byte) error {
+	var body struct {
+		Kind    savorypin.ErrorKind `json:"kind"`
+		Message string              `json:"message"`
+	}
+	if json.Unmarshal(data, &body) != nil || body.Kind == "" {
+		return savorypin.Errorf(savorypin.KindUnreachable, entry, "status %d: %s", status, bytes.TrimSpace(data))
+	}
+	return &savorypin.Error{Kind: body.Kind, Err: fmt.Errorf("%s", body.Message)}
+}
--- /dev/null
+++ b/internal/cmd/statecmd.go
@@ -0,0 +1,33 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+
+	"savorypin/internal/savorypin"
+)
+
+func (c *Config) stateCmd() *cli.Command {
+	return &cli.Command{
+		Action:    c.runStateCmd,
+		ArgsUsage: "ADDRESS",
+		Flags:     c.clientFlags(),
+		Name:      "state",
+		Usage:     "dump the state of the daemon whose HTTP address is given",
+	}
+}
+
+func (c *Config) runStateCmd(ctx context.Context, cmd *cli.Command) error {
+	address := cmd.Args().First()
+	if err := checkAddress("ADDRESS", address); err != nil {
+		return savorypin.Errorf(savorypin.KindInvalid, "state", "%w", err)
+	}
+	c.entry = "http://" + address
+	var dump any
+	if err := c.operatorCall(ctx, http.MethodGet, "/state", nil, &dump); err != nil {
+		return err
+	}
+	return c.printData(dump)
+}
--- /dev/null
+++ b/internal/savorypin/check_test.go
@@ -0,0 +1,46 @@
+package savorypin_test
+
+import (
+	"encoding/json"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+)
+
+var _ = Describe("CheckObject", func() {
+	for _, tc := range []struct {
+		name string
+		kind savorypin.Kind
+		spec string
+		want string
+	}{
+		{"a good move", savorypin.KindMove, `{"service":"s","from":"a","to":"b","by":"2026-12-04T00:00:00Z"}`, ""},
+		{"a good organisation", savorypin.KindOrganisation, `{"tokensPerSecond":10}`, ""},
+		{"a good route", savorypin.KindRoute, `{"service":"s","route":"sale","path":"/sale"}`, ""},
+		{"a good service", savorypin.KindService, `{"type":"plain"}`, ""},
+		{"a good version", savorypin.KindVersion, `{"service":"s","model":"m"}`, ""},
+		{"a bad path", savorypin.KindRoute, `{"service":"s","route":"sale","path":"sale"}`, "spec.path"},
+		{"a claim", savorypin.KindClaim, `{}`, "operators do not write"},
+		{"a missing model", savorypin.KindVersion, `{"service":"s"}`, "spec.model: is missing"},
+		{"a move to the same version", savorypin.KindMove, `{"service":"s","from":"a","to":"a","by":"2026-12-04T00:00:00Z"}`, "spec.to"},
+		{"a negative limit", savorypin.KindOrganisation, `{"concurrency":-1}`, "spec.concurrency"},
+		{"an unknown field", savorypin.KindService, `{"type":"plain","colour":"red"}`, "colour"},
+		{"an unknown kind", "shoes", `{}`, "kind"},
+		{"an unknown type", savorypin.KindService, `{"type":"queue"}`, "spec.type"},
+	} {
+		It("judges "+tc.name, func() {
+			err := savorypin.CheckObject(savorypin.Object{
+				Key:  savorypin.Key{Kind: tc.kind, Name: "thing"},
+				Spec: json.RawMessage(tc.spec),
+			})
+			if tc.want == "" {
+				Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			Expect(err).To(MatchError(ContainSubstring(tc.want)))
+			Expect(err).To(MatchError(ContainSubstring(string(tc.kind) + "/thing")))
+		})
+	}
+})
--- /dev/null
+++ b/internal/savorypin/error.go
@@ -0,0 +1,83 @@
+package savorypin
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrorKind says what the receiver of an error may do next.
+type ErrorKind string
+
+// The error kinds that callers and operators see.
+const (
+	// KindConflict means that the object has changed since it was read.
+	KindConflict ErrorKind = "conflict"
+	// KindIncomplete means that an answer began and cannot be finished.
+	KindIncomplete ErrorKind = "incomplete"
+	// KindInvalid means that the request can never succeed as it stands.
+	KindInvalid ErrorKind = "invalid"
+	// KindLimited means that the organisation is over one of its limits.
+	KindLimited ErrorKind = "limited"
+	// KindNotFound means that the named object does not exist.
+	KindNotFound ErrorKind = "not_found"
+	// KindNotRun means that no endpoint has run the request or ever will.
+	KindNotRun ErrorKind = "not_run"
+	// KindUnauthorized means that the bearer token is missing or not accepted.
+	KindUnauthorized ErrorKind = "unauthorized"
+	// KindUnknown means that an endpoint may have run the request.
+	KindUnknown ErrorKind = "unknown"
+	// KindUnreachable means that a peer did not answer.
+	KindUnreachable ErrorKind = "unreachable"
+)
+
+// Error is the typed error of the core. Packages nearer to a peer have errors
+// of their own and translate them to this type.
+type Error struct {
+	// Kind says what the receiver may do next.
+	Kind ErrorKind
+	// Object names what the error is about.
+	Object string
+	// RetryAfter is when a retry makes sense; zero if the error gives no time.
+	RetryAfter time.Duration
+	// Err is the cause.
+	Err error
+}
+
+// Error returns the text of the error, which names the object.
+func (e *Error) Error() string {
+	if e.Object == "" {
+		return fmt.Sprintf("%s: %v", e.Kind, e.Err)
+	}
+	return fmt.Sprintf("%s: %s: %v", e.Kind, e.Object, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Errorf returns an Error of a kind about an object.
+func Errorf(kind ErrorKind, object, format string, args ...any) *Error {
+	return &Error{
+		Kind:   kind,
+		Object: object,
+		Err:    fmt.Errorf(format, args...),
+	}
+}
+
+// WithRetryAfter returns a copy of e that tells when to come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// KindOf returns the kind of err, or KindUnknown if err is not an Error.
+func KindOf(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindUnknown
+}
--- /dev/null
+++ b/internal/savorypin/member.go
@@ -0,0 +1,93 @@
+package savorypin
+
+// Role is what a daemon does.
+type Role string
+
+// The roles of daemons.
+const (
+	// RoleAgent is a daemon in the slot beside endpoints.
+	RoleAgent Role = "agent"
+	// RoleEntry is a daemon that callers and operators talk to.
+	RoleEntry Role = "entry"
+)
+
+// EndpointType tells engines from plain services.
+type EndpointType string
+
+// The types of endpoints.
+const (
+	// EndpointEngine is a model engine.
+	EndpointEngine EndpointType = "engine"
+	// EndpointPlain is a plain service.
+	EndpointPlain EndpointType = "plain"
+)
+
+// EndpointState is what an agent says of one of its endpoints. Its fields are
+// exported for the codecs.
+type EndpointState struct {
+	// CachedPrefixes are hashes of prompt prefixes that the engine holds.
+	CachedPrefixes []uint64 `json:"cachedPrefixes,omitempty" msgpack:"pfx,omitempty"`
+	// Healthy says that the endpoint answers.
+	Healthy bool `json:"healthy" msgpack:"ok"`
+	// Name is the name of the endpoint, unique in the system.
+	Name string `json:"name" msgpack:"n"`
+	// Running is the number of requests that run.
+	Running int `json:"running" msgpack:"run"`
+	// Service is the service that the endpoint serves.
+	Service string `json:"service" msgpack:"svc"`
+	// Slots is the number of requests that the endpoint runs at once.
+	Slots int `json:"slots" msgpack:"slots"`
+	// TokensPerSecond is the decoding rate of one request.
+	TokensPerSecond float64 `json:"tokensPerSecond" msgpack:"tps"`
+	// PrefillPerSecond is the rate of reading prompts, in tokens a second.
+	PrefillPerSecond float64 `json:"prefillPerSecond" msgpack:"pps"`
+	// Type tells engines from plain services.
+	Type EndpointType `json:"type" msgpack:"t"`
+	// Versions are the loaded versions.
+	Versions []string `json:"versions" msgpack:"ver"`
+	// Waiting is the number of requests that wait.
+	Waiting int `json:"waiting" msgpack:"wait"`
+}
+
+// MemberState is what a daemon says of itself. Its fields are exported for the
+// codecs.
+type MemberState struct {
+	// Address is the IP address and port for other daemons.
+	Address string `json:"address" msgpack:"addr"`
+	// Applied is a digest of the configuration in force.
+	Applied Digest `json:"applied" msgpack:"app"`
+	// Domain is the failure domain.
+	Domain string `json:"domain" msgpack:"dom"`
+	// Draining says that the member takes no new work.
+	Draining bool `json:"draining" msgpack:"drain"`
+	// Endpoints are the endpoints that an agent stands beside.
+	Endpoints []EndpointState `json:"endpoints,omitempty" msgpack:"eps,omitempty"`
+	// HTTP is the IP address and port for callers, operators and scrapers.
+	HTTP string `json:"http" msgpack:"http"`
+	// Incarnation tells restarts of one name apart; newer is larger.
+	Incarnation int64 `json:"incarnation" msgpack:"inc"`
+	// Name is the name of the member.
+	Name string `json:"name" msgpack:"n"`
+	// Region is the region of the failure domain.
+	Region string `json:"region" msgpack:"reg"`
+	// Role is what the daemon does.
+	Role Role `json:"role" msgpack:"role"`
+	// Sequence grows with every change of the state in one incarnation.
+	Sequence uint64 `json:"sequence" msgpack:"seq"`
+}
+
+// Newer reports whether s supersedes o, both being states of one member.
+func (s MemberState) Newer(o MemberState) bool {
+	if s.Incarnation != o.Incarnation {
+		return s.Incarnation > o.Incarnation
+	}
+	return s.Sequence > o.Sequence
+}
+
+// Digest sums up the configuration that a member has in force.
+type Digest struct {
+	// Hash is the sum of the hashes of all objects and versions held.
+	Hash uint64 `json:"hash" msgpack:"h"`
+	// Version is the newest object version held.
+	Version int64 `json:"version" msgpack:"v"`
+}
--- /dev/null
+++ b/internal/savorypin/object.go
@@ -0,0 +1,76 @@
+package savorypin
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// Kind is the kind of an object in the platform's object API.
+type Kind string
+
+// The kinds of objects, in sorted order.
+const (
+	KindClaim        Kind = "claims"
+	KindLease        Kind = "leases"
+	KindMove         Kind = "moves"
+	KindOrganisation Kind = "organisations"
+	KindRoute        Kind = "routes"
+	KindService      Kind = "services"
+	KindVersion      Kind = "versions"
+)
+
+// ConfigKinds are the kinds that every daemon holds, in sorted order.
+var ConfigKinds = []Kind{KindMove, KindOrganisation, KindRoute, KindService, KindVersion}
+
+// Key names an object.
+type Key struct {
+	Kind Kind   `json:"kind" msgpack:"k"`
+	Name string `json:"name" msgpack:"n"`
+}
+
+// String returns the key as kind/name.
+func (k Key) String() string {
+	return string(k.Kind) + "/" + k.Name
+}
+
+// Object is a configuration object at one version. Its fields are exported
+// for the codecs.
+type Object struct {
+	Key
+	// At is when the operator gave the order.
+	At time.Time `json:"at" msgpack:"at"`
+	// By is the operator who wrote this version.
+	By string `json:"by" msgpack:"by"`
+	// Deleted marks a deletion, which keeps its version.
+	Deleted bool `json:"deleted,omitempty" msgpack:"del,omitempty"`
+	// Order is the id of the write; it settles writes whose answer was lost.
+	Order string `json:"order" msgpack:"ord"`
+	// Spec is what the operator wants.
+	Spec json.RawMessage `json:"spec" msgpack:"spec"`
+	// Status is what the system reports.
+	Status json.RawMessage `json:"status,omitempty" msgpack:"stat,omitempty"`
+	// Version is given by the platform and grows with every write of any
+	// object.
+	Version int64 `json:"version" msgpack:"v"`
+}
+
+// MaxNameLength is the longest name of an object, in bytes.
+const MaxNameLength = 63
+
+var (
+	nameRE = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+	sumRE  = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// CheckName returns an error if name cannot name an object.
+func CheckName(name string) error {
+	if len(name) > MaxNameLength {
+		return fmt.Errorf("name %q is longer than %d bytes", name, MaxNameLength)
+	}
+	if !nameRE.MatchString(name) {
+		return fmt.Errorf("name %q is not made of lower-case letters, digits, dots and hyphens", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/savorypinagent/agent.go
@@ -0,0 +1,182 @@
+// Package savorypinagent is the daemon in the slot beside endpoints. It is the
+// only one that talks to them: it runs generations and calls, keeps what they
+// produce until it is acknowledged, and reports their load.
+package savorypinagent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinoperator"
+)
+
+// Times of the agent.
+const (
+	// pollInterval is how often endpoints are asked for their load.
+	pollInterval = 250 * time.Millisecond
+	// retainFor is how long an attempt is kept after it ended, or after its
+	// last reader left.
+	retainFor = 30 * time.Second
+)
+
+// Config configures an Agent.
+type Config struct {
+	// Endpoints are the endpoints that the agent stands beside.
+	Endpoints []EndpointConfig
+	// Logger logs.
+	Logger *log.Logger
+	// Settings are the settings of the daemon.
+	Settings savorypindaemon.Settings
+}
+
+// Agent is an agent daemon.
+type Agent struct {
+	cfg       Config
+	daemon    *savorypindaemon.Daemon
+	endpoints map[string]*endpoint
+
+	mu    sync.Mutex
+	calls map[callKey]*callRecord
+	runs  map[savorypinmember.Attempt]*run
+}
+
+// New returns an agent that listens but does not serve yet.
+func New(cfg Config) (*Agent, error) {
+	a := &Agent{
+		cfg:       cfg,
+		calls:     map[callKey]*callRecord{},
+		endpoints: map[string]*endpoint{},
+		runs:      map[savorypinmember.Attempt]*run{},
+	}
+	daemon, err := savorypindaemon.New(savorypindaemon.Config{
+		Endpoints: a.states,
+		Logger:    cfg.Logger,
+		Role:      savorypin.RoleAgent,
+		Settings:  cfg.Settings,
+	})
+	if err != nil {
+		return nil, err
+	}
+	a.daemon = daemon
+	for _, e := range cfg.Endpoints {
+		a.endpoints[e.Name] = newEndpoint(e)
+	}
+	daemon.Handle(savorypinmember.FrameAttach, a.handleAttach)
+	daemon.Handle(savorypinmember.FrameBar, savorypinmember.HandleCall(a.handleBar))
+	daemon.Handle(savorypinmember.FrameCall, savorypinmember.HandleCall(a.handleCall))
+	daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
+	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
+	return a, nil
+}
+
+// Daemon returns the common part of the agent.
+func (a *Agent) Daemon() *savorypindaemon.Daemon {
+	return a.daemon
+}
+
+// Run serves until ctx ends or the planned stop is done.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, e := range a.endpoints {
+		wg.Go(func() { e.pollLoop(ctx, a.daemon.Config) })
+	}
+	wg.Go(func() { a.sweepLoop(ctx) })
+	mux := http.NewServeMux()
+	operator := savorypinoperator.NewHandler(savorypinoperator.Config{Daemon: a.daemon, State: a.state})
+	mux.Handle("/", operator)
+	err := a.daemon.Run(ctx, mux, a.idle)
+	cancel()
+	wg.Wait()
+	return err
+}
+
+// idle reports whether no attempt or call is running.
+func (a *Agent) idle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.runs {
+		if !r.finished() {
+			return false
+		}
+	}
+	for _, c := range a.calls {
+		if !c.settled {
+			return false
+		}
+	}
+	return true
+}
+
+// State is the part of the state dump that only agents have.
+type State struct {
+	Attempts  []AttemptState            `json:"attempts"`
+	Calls     int                       `json:"calls"`
+	Endpoints []savorypin.EndpointState `json:"endpoints"`
+}
+
+// AttemptState is one attempt in the state dump.
+type AttemptState struct {
+	Attempt    int                    `json:"attempt"`
+	Endpoint   string                 `json:"endpoint"`
+	Finished   bool                   `json:"finished"`
+	Generation savorypin.GenerationID `json:"generation"`
+	Produced   int                    `json:"produced"`
+	Version    string                 `json:"version"`
+}
+
+func (a *Agent) state() any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := State{Attempts: []AttemptState{}, Calls: len(a.calls), Endpoints: a.states()}
+	for _, r := range a.runs {
+		s.Attempts = append(s.Attempts, r.state())
+	}
+	return s
+}
+
+func (a *Agent) states() []savorypin.EndpointState {
+	var states []savorypin.EndpointState
+	for _, e := range a.cfg.Endpoints {
+		states = append(states, a.endpoints[e.Name].state())
+	}
+	return states
+}
+
+func (a *Agent) sweepLoop(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			a.sweep(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sweep drops what has been kept for long enough.
+func (a *Agent) sweep(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, r := range a.runs {
+		if r.abandoned(now) {
+			r.cancel()
+			delete(a.runs, id)
+		}
+	}
+	for key, c := range a.calls {
+		if c.settled && now.Sub(c.at) > callRetainFor {
+			delete(a.calls, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/savorypinagent/endpoint.go
@@ -0,0 +1,130 @@
+package savorypinagent
+
+import (
+	"context"
+	"net"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypinendpoint"
+)
+
+// EndpointConfig is what the settings say of an endpoint.
+type EndpointConfig struct {
+	// ChecksFence says that the endpoint refuses old fencing numbers itself.
+	ChecksFence bool
+	// Name is the name of the endpoint, unique in the system.
+	Name string
+	// PrefillPerSecond is the rate of reading prompts, in tokens a second.
+	PrefillPerSecond float64
+	// Service is the service that the endpoint serves.
+	Service string
+	// Slots is the number of requests that the endpoint runs at once.
+	Slots int
+	// TokensPerSecond is the decoding rate of one request.
+	TokensPerSecond float64
+	// Type tells engines from plain services.
+	Type savorypin.EndpointType
+	// URL is the base URL of the endpoint.
+	URL string
+}
+
+// endpoint is an endpoint beside the agent.
+type endpoint struct {
+	cfg    EndpointConfig
+	engine *savorypinendpoint.Engine
+	plain  *savorypinendpoint.Plain
+
+	mu       sync.Mutex
+	healthy  bool
+	load     savorypinendpoint.Load
+	versions []string
+}
+
+func newEndpoint(cfg EndpointConfig) *endpoint {
+	e := &endpoint{cfg: cfg}
+	if cfg.Type == savorypin.EndpointEngine {
+		e.engine = savorypinendpoint.NewEngine(savorypinendpoint.EngineConfig{URL: cfg.URL})
+	} else {
+		e.plain = savorypinendpoint.NewPlain(savorypinendpoint.PlainConfig{URL: cfg.URL})
+	}
+	return e
+}
+
+func (e *endpoint) pollLoop(ctx context.Context, config func() *savorypinconfig.Snapshot) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		e.poll(ctx, config())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *endpoint) poll(ctx context.Context, config *savorypinconfig.Snapshot) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if e.plain != nil {
+		e.setHealthy(e.reachable(ctx))
+		return
+	}
+	load, err := e.engine.Load(ctx)
+	if err != nil {
+		e.setHealthy(false)
+		return
+	}
+	models, err := e.engine.Models(ctx)
+	if err != nil {
+		e.setHealthy(false)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.healthy = true
+	e.load = load
+	e.versions = config.VersionsOf(e.cfg.Service, models)
+}
+
+// reachable reports whether a plain service accepts connections.
+func (e *endpoint) reachable(ctx context.Context) bool {
+	u, err := url.Parse(e.cfg.URL)
+	if err != nil {
+		return false
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", u.Host)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
+func (e *endpoint) setHealthy(healthy bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.healthy = healthy
+}
+
+func (e *endpoint) state() savorypin.EndpointState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return savorypin.EndpointState{
+		Healthy:          e.healthy,
+		Name:             e.cfg.Name,
+		PrefillPerSecond: e.cfg.PrefillPerSecond,
+		Running:          e.load.Running,
+		Service:          e.cfg.Service,
+		Slots:            e.cfg.Slots,
+		TokensPerSecond:  e.cfg.TokensPerSecond,
+		Type:             e.cfg.Type,
+		Versions:         slices.Clone(e.versions),
+		Waiting:          e.load.Waiting,
+	}
+}
--- /dev/null
+++ b/internal/savorypincaller/handler.go
@@ -0,0 +1,373 @@
+// Package savorypincaller serves the callers' API of an entry.
+package savorypincaller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"savorypin/internal/savorypin"
+	caller "savorypin/internal/savorypinapi/gen/caller"
+	callerserver "savorypin/internal/savorypinapi/gen/http/caller/server"
+	"savorypin/internal/savorypinentry"
+	"savorypin/internal/savorypinoperator"
+)
+
+// maxCallBytes bounds the body of a call.
+const maxCallBytes = 1 << 20
+
+// Types of the events of a stream.
+const (
+	eventAccepted = "accepted"
+	eventDone     = "done"
+	eventError    = "error"
+	eventToken    = "token"
+)
+
+// service implements the callers' API.
+type service struct {
+	entry *savorypinentry.Entry
+}
+
+// NewHandler returns the handler of the callers' and the operators' API.
+func NewHandler(entry *savorypinentry.Entry) http.Handler {
+	s := &service{entry: entry}
+	mux := goahttp.NewMuxer()
+	endpoints := caller.NewEndpoints(s)
+	server := callerserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
+	callerserver.Mount(mux, server)
+	savorypinoperator.Mount(mux, savorypinoperator.Config{Daemon: entry.Daemon(), State: entry.State})
+	return mux
+}
+
+func (s *service) logError(_ context.Context, _ http.ResponseWriter, err error) {
+	s.entry.Daemon().Logger().Warn("Caller's request failed", "err", err)
+}
+
+// Generate generates a whole answer.
+func (s *service) Generate(ctx context.Context, p *caller.GeneratePayload) (*caller.Generation, error) {
+	relay, err := s.start(generatePrompt(*p))
+	if err != nil {
+		return nil, failure(err)
+	}
+	answer := &caller.Generation{ID: string(relay.Generation().ID), Tokens: []int{}}
+	var text strings.Builder
+	for {
+		tokens, end, err := relay.Read(ctx, len(answer.Tokens))
+		if err != nil {
+			return nil, failure(savorypin.Errorf(savorypin.KindIncomplete, answer.ID, "%w", err))
+		}
+		if end != nil {
+			if end.Err != nil {
+				return nil, failure(end.Err)
+			}
+			answer.Attempts = relay.Attempts()
+			answer.FinishReason = string(end.Reason)
+			answer.Text = text.String()
+			answer.Version = relay.Version()
+			return answer, nil
+		}
+		for _, token := range tokens {
+			answer.Tokens = append(answer.Tokens, int(token.ID))
+			text.WriteString(token.Text)
+		}
+	}
+}
+
+// prompt is what the methods that generate have in common.
+type prompt struct {
+	Service       string
+	Route         *string
+	Prompt        string
+	MaxTokens     int
+	Seed          *int64
+	Temperature   *float64
+	TimeoutMs     *int
+	Authorization *string
+}
+
+func generatePrompt(p caller.GeneratePayload) prompt {
+	return prompt(p)
+}
+
+func streamPrompt(p caller.StreamPayload) prompt {
+	return prompt(p)
+}
+
+func (s *service) start(p prompt) (*savorypinentry.Relay, error) {
+	organisation, err := s.authorize(p.Authorization)
+	if err != nil {
+		return nil, err
+	}
+	return s.entry.Start(savorypinentry.Request{
+		Generation: savorypin.Generation{
+			MaxTokens:    p.MaxTokens,
+			Organisation: organisation,
+			Prompt:       p.Prompt,
+			Route:        deref(p.Route),
+			Seed:         deref(p.Seed),
+			Service:      p.Service,
+			Temperature:  deref(p.Temperature),
+		},
+		Timeout: time.Duration(deref(p.TimeoutMs)) * time.Millisecond,
+	})
+}
+
+// sender is the part of goa's streams that events are sent with.
+type sender func(context.Context, *caller.TokenEvent) error
+
+// Stream generates an answer and streams it.
+func (s *service) Stream(ctx context.Context, p *caller.StreamPayload, stream caller.StreamServerStream) error {
+	relay, err := s.start(streamPrompt(*p))
+	if err != nil {
+		return failure(err)
+	}
+	return s.send(ctx, relay, 0, stream.SendWithContext)
+}
+
+// Attach goes on with an answer after the last event that the caller has seen.
+func (s *service) Attach(ctx context.Context, p *caller.AttachPayload, stream caller.AttachServerStream) error {
+	organisation, err := s.authorize(p.Authorization)
+	if err != nil {
+		return failure(err)
+	}
+	next := 0
+	if last := deref(p.LastEventID); last != "" {
+		id, err := savorypin.ParseEventID(last)
+		if err != nil {
+			return failure(err)
+		}
+		next = id.Next()
+	}
+	relay, err := s.find(ctx, savorypin.GenerationID(p.ID), organisation)
+	if err != nil {
+		return failure(err)
+	}
+	return s.send(ctx, relay, next, stream.SendWithContext)
+}
+
+// find returns a generation of an organisation.
+func (s *service) find(ctx context.Context, id savorypin.GenerationID, organisation string) (*savorypinentry.Relay, error) {
+	relay, err := s.entry.Find(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if relay.Generation().Organisation != organisation {
+		return nil, savorypin.Errorf(savorypin.KindNotFound, string(id), "no such generation")
+	}
+	return relay, nil
+}
+
+// accepted, done and failed are the bodies of events.
+type accepted struct {
+	ID string `json:"id"`
+}
+
+type done struct {
+	Attempts     int                    `json:"attempts"`
+	FinishReason savorypin.FinishReason `json:"finish_reason"`
+	Tokens       int                    `json:"tokens"`
+	Version      string                 `json:"version"`
+}
+
+type failed struct {
+	Kind       savorypin.ErrorKind `json:"kind"`
+	Message    string              `json:"message"`
+	RetryAfter int                 `json:"retry_after,omitempty"`
+}
+
+func (s *service) send(ctx context.Context, relay *savorypinentry.Relay, next int, send sender) error {
+	id := relay.Generation().ID
+	if err := sendEvent(ctx, send, id, next, eventAccepted, accepted{ID: string(id)}); err != nil {
+		return err
+	}
+	for {
+		tokens, end, err := relay.Read(ctx, next)
+		if err != nil {
+			return nil //nolint:nilerr // The caller has gone; it attaches again if it lives.
+		}
+		if end != nil {
+			return sendEnd(ctx, send, relay, next, *end)
+		}
+		for _, token := range tokens {
+			next++
+			if err := sendEvent(ctx, send, id, next, eventToken, token); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func sendEnd(ctx context.Context, send sender, relay *savorypinentry.Relay, next int, end savorypinentry.End) error {
+	id := relay.Generation().ID
+	if end.Err != nil {
+		body := failed{Kind: savorypin.KindOf(end.Err), Message: end.Err.Error(), RetryAfter: retryAfter(end.Err)}
+		return sendEvent(ctx, send, id, next, eventError, body)
+	}
+	body := done{
+		Attempts:     relay.Attempts(),
+		FinishReason: end.Reason,
+		Tokens:       next,
+		Version:      relay.Version(),
+	}
+	return sendEvent(ctx, send, id, next, eventDone, body)
+}
+
+func sendEvent(ctx context.Context, send sender, id savorypin.GenerationID, next int, event string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return send(ctx, &caller.TokenEvent{
+		Data:  string(data),
+		Event: event,
+		ID:    savorypin.NewEventID(id, next).String(),
+	})
+}
+
+// Cancel cancels a generation.
+func (s *service) Cancel(ctx context.Context, p *caller.CancelPayload) error {
+	organisation, err := s.authorize(p.Authorization)
+	if err != nil {
+		return failure(err)
+	}
+	if _, err := s.find(ctx, savorypin.GenerationID(p.ID), organisation); err != nil {
+		return failure(err)
+	}
+	if err := s.entry.Cancel(ctx, savorypin.GenerationID(p.ID)); err != nil {
+		return failure(err)
+	}
+	return nil
+}
+
+// Call calls a plain service.
+func (s *service) Call(ctx context.Context, p *caller.CallPayload, body io.ReadCloser) (*caller.CallResult, io.ReadCloser, error) {
+	defer body.Close()
+	organisation, err := s.authorize(p.Authorization)
+	if err != nil {
+		return nil, nil, failure(err)
+	}
+	data, err := io.ReadAll(io.LimitReader(body, maxCallBytes+1))
+	if err != nil {
+		return nil, nil, failure(savorypin.Errorf(savorypin.KindInvalid, p.Service+"/"+p.Route, "read body: %w", err))
+	}
+	if len(data) > maxCallBytes {
+		return nil, nil, failure(savorypin.Errorf(savorypin.KindInvalid, p.Service+"/"+p.Route,
+			"body is longer than %d bytes", maxCallBytes))
+	}
+	answer, err := s.entry.Call(ctx, savorypinentry.Call{
+		Body:        data,
+		ContentType: "application/json",
+		Key:         scopedKey(organisation, deref(p.Key)),
+		Route:       p.Route,
+		Service:     p.Service,
+		Timeout:     time.Duration(deref(p.TimeoutMs)) * time.Millisecond,
+	})
+	if err != nil {
+		return nil, nil, failure(err)
+	}
+	if answer.Answer.Status >= http.StatusBadRequest {
+		return nil, nil, failure(savorypin.Errorf(savorypin.KindInvalid, p.Service+"/"+p.Route,
+			"endpoint answered with status %d: %s", answer.Answer.Status, answer.Answer.Body))
+	}
+	result := &caller.CallResult{ContentType: &answer.Answer.ContentType, Replayed: &answer.Replayed}
+	return result, io.NopCloser(bytes.NewReader(answer.Answer.Body)), nil
+}
+
+// scopedKey keeps the keys of organisations apart.
+func scopedKey(organisation, key string) string {
+	if key == "" {
+		return ""
+	}
+	return organisation + "/" + key
+}
+
+// Outcome tells the outcome of a key.
+func (s *service) Outcome(ctx context.Context, p *caller.OutcomePayload) (*caller.OutcomeResult, error) {
+	organisation, err := s.authorize(p.Authorization)
+	if err != nil {
+		return nil, failure(err)
+	}
+	outcome, err := s.entry.Outcome(ctx, p.Service, scopedKey(organisation, p.Key))
+	if err != nil {
+		return nil, failure(err)
+	}
+	switch {
+	case outcome.Answer != nil:
+		body := string(outcome.Answer.Body)
+		return &caller.OutcomeResult{Body: &body, Outcome: "done", Status: &outcome.Answer.Status}, nil
+	case outcome.NotRun:
+		return &caller.OutcomeResult{Outcome: "not_run"}, nil
+	default:
+		return &caller.OutcomeResult{Outcome: "unknown"}, nil
+	}
+}
+
+// Live says that the process serves.
+func (s *service) Live(context.Context) error {
+	return nil
+}
+
+// Ready says whether the balancer may send requests here.
+func (s *service) Ready(context.Context) error {
+	if s.entry.Daemon().Ready() {
+		return nil
+	}
+	return failure(savorypin.Errorf(savorypin.KindNotRun, s.entry.Daemon().Settings().Name, "not ready"))
+}
+
+// authorize returns the organisation of a bearer token. Tokens are looked up
+// by their SHA-256 sum, so that the time of the lookup tells nothing of them.
+func (s *service) authorize(header *string) (string, error) {
+	token := strings.TrimPrefix(deref(header), "Bearer ")
+	if token == "" {
+		if name := s.entry.AnonymousOrganisation(); name != "" {
+			return name, nil
+		}
+		return "", savorypin.Errorf(savorypin.KindUnauthorized, "caller", "bearer token is missing")
+	}
+	sum := sha256.Sum256([]byte(token))
+	name, ok := s.entry.Daemon().Config().OrganisationOf(hex.EncodeToString(sum[:]))
+	if !ok {
+		return "", savorypin.Errorf(savorypin.KindUnauthorized, "caller", "bearer token is not accepted")
+	}
+	return name, nil
+}
+
+func deref[T any](v *T) T {
+	if v == nil {
+		var none T
+		return none
+	}
+	return *v
+}
+
+func failure(err error) error {
+	var e *savorypin.Error
+	if !errors.As(err, &e) {
+		return &caller.Failure{Kind: string(savorypin.KindUnknown), Message: err.Error()}
+	}
+	f := &caller.Failure{Kind: string(e.Kind), Message: e.Error(), Object: &e.Object}
+	if seconds := retryAfter(err); seconds > 0 {
+		f.RetryAfter = &seconds
+	}
+	return f
+}
+
+// retryAfter returns after how many seconds a retry makes sense, rounded up.
+func retryAfter(err error) int {
+	var e *savorypin.Error
+	if !errors.As(err, &e) {
+		return 0
+	}
+	return int((e.RetryAfter + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/internal/savorypincluster/cluster_test.go
@@ -0,0 +1,99 @@
+package savorypincluster_test
+
+import (
+	"context"
+	"io"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypincluster"
+	"savorypin/internal/savorypinstandin"
+	"savorypin/pkg/savorypinclient"
+)
+
+// start starts a cluster with fast engines.
+func start(ctx context.Context, entries, agents int) *savorypincluster.Cluster {
+	c, err := savorypincluster.Start(context.WithoutCancel(ctx), savorypincluster.Config{
+		Agents: agents,
+		Engine: savorypinstandin.EngineConfig{
+			Models:           []string{savorypincluster.Model},
+			PrefillPerSecond: 100_000,
+			Slots:            16,
+			TokensPerSecond:  200,
+		},
+		Entries: entries,
+		Logger:  log.New(io.Discard),
+		Places: []savorypincluster.Place{
+			{Domain: "d1", Region: "r1"},
+			{Domain: "d2", Region: "r1"},
+			{Domain: "d3", Region: "r2"},
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	Expect(c.Configure()).To(Succeed())
+	return c
+}
+
+// stream runs one generation and returns the ids of its tokens.
+func stream(
+	ctx context.Context,
+	client *savorypinclient.Client,
+	n int,
+	progress func(int),
+) ([]int32, savorypinclient.Result, error) {
+	var got []int32
+	result, err := client.Stream(ctx, savorypinclient.Request{
+		MaxTokens: n,
+		Prompt:    "a prompt",
+		Seed:      7,
+		Service:   savorypincluster.Service,
+	}, func(token savorypinclient.Token) error {
+		got = append(got, token.ID)
+		progress(len(got))
+		return nil
+	})
+	return got, result, err
+}
+
+// busiest returns the agent whose engine runs most requests.
+func busiest(c *savorypincluster.Cluster) *savorypincluster.Agent {
+	best := c.Agents()[0]
+	most := -1
+	for _, a := range c.Agents() {
+		if _, running := a.Engine.Requests(); running > most {
+			best = a
+			most = running
+		}
+	}
+	return best
+}
+
+var _ = Describe("Generation", func() {
+	const tokens = 60
+	want := savorypinstandin.Answer(savorypincluster.Model, 7, "a prompt", tokens)
+
+	for _, tc := range []struct {
+		name string
+		fail func(*savorypincluster.Cluster)
+	}{
+		{"an agent is killed", func(c *savorypincluster.Cluster) { busiest(c).Kill() }},
+		{"an engine is killed", func(c *savorypincluster.Cluster) { busiest(c).Engine.Kill() }},
+		{"an engine stalls", func(c *savorypincluster.Cluster) { busiest(c).Engine.Stall(true) }},
+		{"the entry is killed", func(c *savorypincluster.Cluster) { c.Entries()[0].Kill() }},
+		{"the platform is out", func(c *savorypincluster.Cluster) { c.Platform().SetOutage(true) }},
+	} {
+		It("is whole when "+tc.name, func(ctx SpecContext) {
+			c := start(ctx, 2, 3)
+			got, _, err := stream(ctx, c.Client(), tokens, func(n int) {
+				if n == tokens/3 {
+					tc.fail(c)
+				}
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got).To(Equal(want))
+		})
+	}
+})
--- /dev/null
+++ b/internal/savorypinconfig/store_test.go
@@ -0,0 +1,68 @@
+package savorypinconfig_test
+
+import (
+	"encoding/json"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
+)
+
+func service(name string, version int64, deleted bool) savorypin.Object {
+	return savorypin.Object{
+		Deleted: deleted,
+		Key:     savorypin.Key{Kind: savorypin.KindService, Name: name},
+		Spec:    json.RawMessage(`{"type":"plain"}`),
+		Version: version,
+	}
+}
+
+var _ = Describe("Store", func() {
+	It("never goes back and does not depend on the order of arrival", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			n := rapid.IntRange(1, 20).Draw(t, "writes")
+			var history []savorypin.Object
+			newest := map[string]savorypin.Object{}
+			for i := range n {
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+				o := service(name, int64(i+1), rapid.Bool().Draw(t, "deleted"))
+				history = append(history, o)
+				newest[name] = o
+			}
+			store := savorypinconfig.NewStore()
+			seen := map[string]int64{}
+			deliveries := rapid.Permutation(append(history, history...)).Draw(t, "deliveries")
+			for _, o := range deliveries {
+				store.Apply(o)
+				for key, version := range store.Versions() {
+					if version < seen[key] {
+						t.Fatalf("%s went back from %d to %d", key, seen[key], version)
+					}
+					seen[key] = version
+				}
+			}
+			naive := savorypinconfig.NewStore()
+			for name, o := range newest {
+				naive.Apply(o)
+				_, exists := store.Snapshot().Service(name)
+				if exists == o.Deleted {
+					t.Fatalf("%s exists: %v", name, exists)
+				}
+			}
+			if naive.Snapshot().Digest() != store.Snapshot().Digest() {
+				t.Fatal("digests of the same configuration differ")
+			}
+		})
+	})
+
+	It("ignores a late copy of a deleted object", func() {
+		store := savorypinconfig.NewStore()
+		store.Apply(service("a", 2, true))
+		Expect(store.Apply(service("a", 1, false))).To(BeEmpty())
+		_, ok := store.Snapshot().Service("a")
+		Expect(ok).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/savorypindaemon/daemon.go
@@ -0,0 +1,293 @@
+// Package savorypindaemon holds what entries and agents have in common:
+// configuration in force, membership, the transport between daemons, the
+// operators' API, and the planned stop.
+package savorypindaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinmembership"
+	"savorypin/internal/savorypinplatform"
+)
+
+// Times of the daemon.
+const (
+	beatInterval     = 500 * time.Millisecond
+	deadAfter        = 4 * time.Second
+	forgetAfter      = 10 * time.Minute
+	handshakeTimeout = time.Second
+	idleProbeAfter   = 15 * time.Second
+	platformTimeout  = 2 * time.Second
+	probeAfter       = 250 * time.Millisecond
+	silentAfter      = 500 * time.Millisecond
+	suspectAfter     = 2 * time.Second
+)
+
+// Limits of the HTTP listener.
+const (
+	maxBodyBytes      = 4 << 20
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Settings are what a daemon is told by flags and environment variables.
+type Settings struct {
+	// Domain is the failure domain of the host.
+	Domain string
+	// HTTP is the address for callers, operators and scrapers.
+	HTTP string
+	// Key is the key that daemons prove to know to each other.
+	Key string
+	// Listen is the address for other daemons.
+	Listen string
+	// Name is the name of the daemon, unique in the system.
+	Name string
+	// OperatorToken is the bearer token of the operators.
+	OperatorToken string
+	// Platform is the base URL of the platform.
+	Platform string
+	// PlatformToken is the bearer token for the platform.
+	PlatformToken string
+	// Region is the region of the failure domain.
+	Region string
+	// Seeds are addresses of daemons to ask first.
+	Seeds []string
+	// StopGrace is how long running work may take to finish at a stop.
+	StopGrace time.Duration
+}
+
+// Config configures a Daemon.
+type Config struct {
+	// Endpoints returns the endpoints of an agent; nil for an entry.
+	Endpoints func() []savorypin.EndpointState
+	// Logger logs.
+	Logger *log.Logger
+	// Role is what the daemon does.
+	Role savorypin.Role
+	// Settings are the daemon's settings.
+	Settings Settings
+}
+
+// Daemon is the common part of an entry or an agent.
+type Daemon struct {
+	cfg         Config
+	config      *savorypinconfig.Store
+	draining    atomic.Bool
+	handlers    map[savorypinmember.FrameKind]savorypinmember.Handler
+	incarnation int64
+	listener    net.Listener
+	logger      *log.Logger
+	members     *savorypinmembership.Table
+	metrics     metrics.Registry
+	platform    *savorypinplatform.Client
+	sequence    atomic.Uint64
+	stopped     chan struct{}
+	stopOnce    sync.Once
+	synced      atomic.Bool
+	transport   *savorypinmember.Transport
+	web         net.Listener
+	wg          sync.WaitGroup
+}
+
+// New returns a daemon that listens but does not serve yet.
+func New(cfg Config) (*Daemon, error) {
+	d := &Daemon{
+		cfg:         cfg,
+		config:      savorypinconfig.NewStore(),
+		incarnation: time.Now().UnixNano(),
+		logger: cfg.Logger.With(
+			"domain", cfg.Settings.Domain, "host", cfg.Settings.Name, "role", cfg.Role),
+		metrics: metrics.NewRegistry(),
+		stopped: make(chan struct{}),
+	}
+	d.members = savorypinmembership.NewTable(savorypinmembership.Config{
+		DeadAfter:    deadAfter,
+		ForgetAfter:  forgetAfter,
+		Now:          time.Now,
+		SuspectAfter: suspectAfter,
+	})
+	d.platform = savorypinplatform.NewClient(savorypinplatform.Config{
+		Count:   d.countPlatformCall,
+		Timeout: platformTimeout,
+		Token:   cfg.Settings.PlatformToken,
+		URL:     cfg.Settings.Platform,
+	})
+	d.handlers = map[savorypinmember.FrameKind]savorypinmember.Handler{
+		savorypinmember.FrameBeat: savorypinmember.HandleCall(d.handleBeat),
+		savorypinmember.FramePull: savorypinmember.HandleCall(d.handlePull),
+		savorypinmember.FrameStop: savorypinmember.HandleCall(d.handleStop),
+	}
+	d.transport = savorypinmember.NewTransport(savorypinmember.TransportConfig{
+		Handlers:         d.handlers,
+		HandshakeTimeout: handshakeTimeout,
+		IdleProbeAfter:   idleProbeAfter,
+		Key:              []byte(cfg.Settings.Key),
+		ProbeAfter:       probeAfter,
+		Self: savorypinmember.Hello{
+			Domain: cfg.Settings.Domain,
+			Name:   cfg.Settings.Name,
+			Region: cfg.Settings.Region,
+			Role:   cfg.Role,
+		},
+		SilentAfter: silentAfter,
+	})
+	return d, d.listen()
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	d.listener, err = net.Listen("tcp", d.cfg.Settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for daemons on %s: %w", d.cfg.Settings.Listen, err)
+	}
+	d.web, err = net.Listen("tcp", d.cfg.Settings.HTTP)
+	if err != nil {
+		d.listener.Close()
+		return fmt.Errorf("listen for HTTP on %s: %w", d.cfg.Settings.HTTP, err)
+	}
+	return nil
+}
+
+// Handle registers the handler of streams that begin with a kind of frame. It
+// must be called before Run.
+func (d *Daemon) Handle(kind savorypinmember.FrameKind, handler savorypinmember.Handler) {
+	d.handlers[kind] = handler
+}
+
+// Config returns the configuration in force.
+func (d *Daemon) Config() *savorypinconfig.Snapshot {
+	return d.config.Snapshot()
+}
+
+// Draining reports whether the daemon takes no new work.
+func (d *Daemon) Draining() bool {
+	return d.draining.Load()
+}
+
+// HTTPAddress returns the address that the HTTP server listens on.
+func (d *Daemon) HTTPAddress() string {
+	return d.web.Addr().String()
+}
+
+// Logger returns the logger of the daemon.
+func (d *Daemon) Logger() *log.Logger {
+	return d.logger
+}
+
+// Members returns the members that the daemon knows.
+func (d *Daemon) Members() *savorypinmembership.View {
+	return d.members.View()
+}
+
+// Metrics returns the registry of the daemon's metrics.
+func (d *Daemon) Metrics() metrics.Registry {
+	return d.metrics
+}
+
+// Platform returns the client of the platform.
+func (d *Daemon) Platform() *savorypinplatform.Client {
+	return d.platform
+}
+
+// Ready reports whether the daemon has the configuration and takes work.
+func (d *Daemon) Ready() bool {
+	return d.synced.Load() && !d.Draining()
+}
+
+// Settings returns the settings of the daemon.
+func (d *Daemon) Settings() Settings {
+	return d.cfg.Settings
+}
+
+// Transport returns the transport between daemons.
+func (d *Daemon) Transport() *savorypinmember.Transport {
+	return d.transport
+}
+
+// Stop begins the planned stop. It returns at once; Run returns when the stop
+// is done.
+func (d *Daemon) Stop() {
+	d.stopOnce.Do(func() {
+		d.draining.Store(true)
+		close(d.stopped)
+	})
+}
+
+// Run serves until ctx ends or the planned stop is done. The stop is done when
+// idle reports that no work is left, or after the grace.
+func (d *Daemon) Run(ctx context.Context, handler http.Handler, idle func() bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	server := &http.Server{
+		Handler:           http.MaxBytesHandler(handler, maxBodyBytes),
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	d.wg.Go(func() { d.serve(server) })
+	d.wg.Go(func() {
+		if err := d.transport.Serve(d.listener); err != nil {
+			d.logger.Error("Transport ended", "err", err)
+		}
+	})
+	d.wg.Go(func() { d.beatLoop(ctx) })
+	for _, kind := range savorypin.ConfigKinds {
+		d.wg.Go(func() { d.watchLoop(ctx, kind) })
+	}
+	d.logger.Info("Serving", "http", d.web.Addr(), "listen", d.listener.Addr())
+	select {
+	case <-ctx.Done():
+	case <-d.stopped:
+		d.drain(ctx, idle)
+	}
+	cancel()
+	server.Close()
+	d.transport.Close()
+	d.wg.Wait()
+	return nil
+}
+
+func (d *Daemon) serve(server *http.Server) {
+	if err := server.Serve(d.web); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.logger.Error("HTTP server ended", "err", err)
+	}
+}
+
+// drain waits until no work is left or the grace is over.
+func (d *Daemon) drain(ctx context.Context, idle func() bool) {
+	const check = 50 * time.Millisecond
+	d.logger.Info("Stopping", "grace", d.cfg.Settings.StopGrace)
+	d.beat(ctx)
+	deadline := time.Now().Add(d.cfg.Settings.StopGrace)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if idle() {
+			return
+		}
+		time.Sleep(check)
+	}
+	d.logger.Warn("Stopping with work left")
+}
+
+func (d *Daemon) handleStop(_ context.Context, peer savorypinmember.Hello, req savorypinmember.Stop) (savorypinmember.Empty, error) {
+	d.logger.Info("Ordered to stop", "by", req.By, "through", peer.Name)
+	d.Stop()
+	return savorypinmember.Empty{}, nil
+}
+
+func (d *Daemon) countPlatformCall(purpose string) {
+	metrics.GetOrRegisterCounter("platform.calls."+purpose, d.metrics).Inc(1)
+}
--- /dev/null
+++ b/internal/savorypinentry/entry.go
@@ -0,0 +1,156 @@
+// Package savorypinentry is the daemon that callers and operators talk to. It
+// admits requests, chooses endpoints, and relays answers so that each caller
+// gets its whole answer once.
+package savorypinentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinclaim"
+	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinroute"
+)
+
+// defaultTimeout bounds a request if neither caller nor service states one.
+const defaultTimeout = 10 * time.Minute
+
+// Config configures an Entry.
+type Config struct {
+	// AnonymousOrganisation is the organisation of callers without a token;
+	// empty if they are refused.
+	AnonymousOrganisation string
+	// Logger logs.
+	Logger *log.Logger
+	// Rand returns a uniform number in [0, 1).
+	Rand func() float64
+	// Settings are the settings of the daemon.
+	Settings savorypindaemon.Settings
+}
+
+// Entry is an entry daemon.
+type Entry struct {
+	book   *savorypinclaim.Book
+	cfg    Config
+	daemon *savorypindaemon.Daemon
+
+	mu     sync.Mutex
+	calls  int
+	relays map[savorypin.GenerationID]*Relay
+}
+
+// New returns an entry that listens but does not serve yet.
+func New(cfg Config) (*Entry, error) {
+	if cfg.Rand == nil {
+		cfg.Rand = rand.Float64
+	}
+	daemon, err := savorypindaemon.New(savorypindaemon.Config{
+		Logger:   cfg.Logger,
+		Role:     savorypin.RoleEntry,
+		Settings: cfg.Settings,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Entry{
+		book:   savorypinclaim.NewBook(daemon.Platform()),
+		cfg:    cfg,
+		daemon: daemon,
+		relays: map[savorypin.GenerationID]*Relay{},
+	}, nil
+}
+
+// AnonymousOrganisation returns the organisation of callers without a token.
+func (e *Entry) AnonymousOrganisation() string {
+	return e.cfg.AnonymousOrganisation
+}
+
+// Daemon returns the common part of the entry.
+func (e *Entry) Daemon() *savorypindaemon.Daemon {
+	return e.daemon
+}
+
+// Run serves until ctx ends or the planned stop is done.
+func (e *Entry) Run(ctx context.Context, handler http.Handler) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go e.sweepLoop(ctx)
+	return e.daemon.Run(ctx, handler, e.idle)
+}
+
+func (e *Entry) idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.relays {
+		if !r.settled() {
+			return false
+		}
+	}
+	return e.calls == 0
+}
+
+// State is the part of the state dump that only entries have.
+type State struct {
+	Calls       int          `json:"calls"`
+	Generations []RelayState `json:"generations"`
+}
+
+// State returns the part of the state dump that only entries have.
+func (e *Entry) State() any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := State{Calls: e.calls, Generations: []RelayState{}}
+	for _, r := range e.relays {
+		s.Generations = append(s.Generations, r.state())
+	}
+	return s
+}
+
+func (e *Entry) sweepLoop(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.sweep(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sweep drops relays that nobody reads any more.
+func (e *Entry) sweep(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, r := range e.relays {
+		if r.abandoned(now) {
+			r.cancel()
+			delete(e.relays, id)
+		}
+	}
+}
+
+// pick returns the endpoint for a piece of work.
+func (e *Entry) pick(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
+	need.Region = e.cfg.Settings.Region
+	return savorypinroute.Pick(savorypinroute.Candidates(e.daemon.Members(), need), need)
+}
+
+// timeout returns how long a request may take.
+func timeout(asked time.Duration, spec savorypin.ServiceSpec) time.Duration {
+	switch {
+	case asked > 0:
+		return asked
+	case spec.TimeoutSeconds > 0:
+		return time.Duration(spec.TimeoutSeconds) * time.Second
+	default:
+		return defaultTimeout
+	}
+}
--- /dev/null
+++ b/internal/savorypinmember/handshake.go
@@ -0,0 +1,90 @@
+package savorypinmember
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// Hello is what a daemon says of itself when a connection opens.
+type Hello struct {
+	// Domain is the failure domain.
+	Domain string `msgpack:"dom"`
+	// Name is the name of the member.
+	Name string `msgpack:"n"`
+	// Nonce is what the peer has to sign.
+	Nonce []byte `msgpack:"nonce"`
+	// Region is the region.
+	Region string `msgpack:"reg"`
+	// Role is what the daemon does.
+	Role savorypin.Role `msgpack:"role"`
+}
+
+// proof shows that its sender knows the key of the daemons.
+type proof struct {
+	Sum []byte `msgpack:"sum"`
+}
+
+const nonceBytes = 16
+
+// handshake exchanges hellos and proofs. Both ends send first and then read,
+// so that it takes two one-way delays.
+func handshake(conn net.Conn, r *bufio.Reader, self Hello, key []byte, timeout time.Duration) (Hello, error) {
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return Hello{}, fmt.Errorf("%w: %w", ErrHandshake, err)
+	}
+	self.Nonce = make([]byte, nonceBytes)
+	_, _ = rand.Read(self.Nonce)
+	peer, err := exchange(conn, r, frameHello, self)
+	if err != nil {
+		return Hello{}, err
+	}
+	// A proof is bound to the name of its sender, so that it cannot be
+	// reflected to that sender.
+	theirs, err := exchange(conn, r, frameProof, proof{Sum: sign(key, peer.Nonce, self.Name)})
+	if err != nil {
+		return Hello{}, err
+	}
+	if !hmac.Equal(theirs.Sum, sign(key, self.Nonce, peer.Name)) {
+		return Hello{}, fmt.Errorf("%w: %s does not know the key of the daemons", ErrHandshake, peer.Name)
+	}
+	if peer.Name == self.Name {
+		return Hello{}, fmt.Errorf("%w: peer has the same name %s", ErrHandshake, peer.Name)
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return Hello{}, fmt.Errorf("%w: %w", ErrHandshake, err)
+	}
+	return peer, nil
+}
+
+func exchange[T any](conn net.Conn, r *bufio.Reader, kind FrameKind, mine T) (T, error) {
+	var none T
+	data, err := EncodeFrame(kind, 0, mine)
+	if err != nil {
+		return none, err
+	}
+	if _, err := conn.Write(data); err != nil {
+		return none, fmt.Errorf("%w: send %s: %w", ErrHandshake, kind, err)
+	}
+	f, err := ReadFrame(r)
+	if err != nil {
+		return none, fmt.Errorf("%w: receive %s: %w", ErrHandshake, kind, err)
+	}
+	if f.Kind != kind {
+		return none, fmt.Errorf("%w: got %q in place of %q", ErrHandshake, f.Kind, kind)
+	}
+	return Decode[T](f)
+}
+
+func sign(key, nonce []byte, name string) []byte {
+	mac := hmac.New(sha256.New, key)
+	_, _ = mac.Write(nonce)
+	_, _ = mac.Write([]byte(name))
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/internal/savorypinmember/transport.go
@@ -0,0 +1,254 @@
+package savorypinmember
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"savorypin/internal/savorypin"
+)
+
+// Handler serves one stream that a peer opened. The first frame says which
+// handler gets the stream. An error that it returns is sent to the peer.
+type Handler func(ctx context.Context, s *Stream, first Frame) error
+
+// TransportConfig configures a Transport.
+type TransportConfig struct {
+	// CountIn and CountOut count the bytes exchanged with a peer.
+	CountIn, CountOut func(peer Hello, bytes int)
+	// Handlers serve the streams that peers open, by the kind of the first
+	// frame.
+	Handlers map[FrameKind]Handler
+	// HandshakeTimeout bounds the opening of a connection.
+	HandshakeTimeout time.Duration
+	// IdleProbeAfter is how long a connection without streams may be quiet.
+	IdleProbeAfter time.Duration
+	// Key is the key that daemons prove to know.
+	Key []byte
+	// ProbeAfter is how long a connection with streams may be quiet.
+	ProbeAfter time.Duration
+	// Self is what this daemon says of itself.
+	Self Hello
+	// SilentAfter is how long a probe may stay unanswered.
+	SilentAfter time.Duration
+}
+
+// Transport keeps one connection to each peer that it talks to.
+type Transport struct {
+	cfg    TransportConfig
+	dials  singleflight.Group
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	closed bool
+	conns  map[string]*Conn
+	served map[*Conn]bool
+	ln     net.Listener
+}
+
+// NewTransport returns a transport that neither listens nor has connections.
+func NewTransport(cfg TransportConfig) *Transport {
+	return &Transport{
+		cfg:    cfg,
+		conns:  map[string]*Conn{},
+		served: map[*Conn]bool{},
+	}
+}
+
+// Close closes the listener and all connections.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.closed = true
+	if t.ln != nil {
+		t.ln.Close()
+	}
+	var conns []*Conn
+	for _, c := range t.conns {
+		conns = append(conns, c)
+	}
+	for c := range t.served {
+		conns = append(conns, c)
+	}
+	t.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+	t.wg.Wait()
+}
+
+// Connections returns the number of open connections.
+func (t *Transport) Connections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns) + len(t.served)
+}
+
+// Get returns the connection to the daemon at address, which it opens if
+// there is none.
+func (t *Transport) Get(ctx context.Context, address string) (*Conn, error) {
+	t.mu.Lock()
+	c, ok := t.conns[address]
+	t.mu.Unlock()
+	if ok && c.Err() == nil {
+		return c, nil
+	}
+	result := t.dials.DoChan(address, func() (any, error) { return t.dial(address) })
+	select {
+	case r := <-result:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*Conn), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (t *Transport) Serve(ln net.Listener) error {
+	t.mu.Lock()
+	t.ln = ln
+	t.mu.Unlock()
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept member connection: %w", err)
+		}
+		t.wg.Go(func() { t.accept(conn) })
+	}
+}
+
+func (t *Transport) accept(conn net.Conn) {
+	r := bufio.NewReaderSize(conn, writeBufferBytes)
+	peer, err := handshake(conn, r, t.cfg.Self, t.cfg.Key, t.cfg.HandshakeTimeout)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	c := newConn(t.connConfig(false, peer), conn, r, peer)
+	t.mu.Lock()
+	closed := t.closed
+	t.served[c] = true
+	t.mu.Unlock()
+	if closed {
+		c.Close()
+	}
+	<-c.Done()
+	t.mu.Lock()
+	delete(t.served, c)
+	t.mu.Unlock()
+}
+
+func (t *Transport) dial(address string) (*Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, t.cfg.HandshakeTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("%w: dial %s: %w", ErrClosed, address, err)
+	}
+	r := bufio.NewReaderSize(conn, writeBufferBytes)
+	peer, err := handshake(conn, r, t.cfg.Self, t.cfg.Key, t.cfg.HandshakeTimeout)
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("%s: %w", address, err)
+	}
+	c := newConn(t.connConfig(true, peer), conn, r, peer)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		c.fail(ErrClosed)
+		return nil, ErrClosed
+	}
+	t.conns[address] = c
+	go t.forget(address, c)
+	return c, nil
+}
+
+func (t *Transport) forget(address string, c *Conn) {
+	<-c.Done()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns[address] == c {
+		delete(t.conns, address)
+	}
+}
+
+func (t *Transport) connConfig(dialer bool, peer Hello) ConnConfig {
+	cfg := ConnConfig{
+		Accept:         t.serveStream,
+		Dialer:         dialer,
+		IdleProbeAfter: t.cfg.IdleProbeAfter,
+		Now:            time.Now,
+		ProbeAfter:     t.cfg.ProbeAfter,
+		SilentAfter:    t.cfg.SilentAfter,
+		Wait:           time.After,
+	}
+	if t.cfg.CountIn != nil {
+		cfg.CountIn = func(n int) { t.cfg.CountIn(peer, n) }
+	}
+	if t.cfg.CountOut != nil {
+		cfg.CountOut = func(n int) { t.cfg.CountOut(peer, n) }
+	}
+	return cfg
+}
+
+func (t *Transport) serveStream(ctx context.Context, s *Stream) {
+	defer s.Close()
+	first, err := s.Receive(ctx)
+	if err != nil {
+		return
+	}
+	handler, ok := t.cfg.Handlers[first.Kind]
+	if !ok {
+		err = savorypin.Errorf(savorypin.KindInvalid, string(first.Kind), "no handler for this kind of frame")
+	} else {
+		err = handler(ctx, s, first)
+	}
+	if err != nil {
+		// A peer that cannot be told has lost the stream and knows.
+		_ = s.SendError(ctx, err)
+	}
+}
+
+// Call sends a request on a stream of its own and returns the answer.
+func Call[Req, Resp any](ctx context.Context, t *Transport, address string, kind FrameKind, req Req) (Resp, error) {
+	var none Resp
+	c, err := t.Get(ctx, address)
+	if err != nil {
+		return none, err
+	}
+	s, err := c.Open()
+	if err != nil {
+		return none, err
+	}
+	defer s.Close()
+	if err := s.Send(ctx, kind, req); err != nil {
+		return none, err
+	}
+	f, err := s.Receive(ctx)
+	if err != nil {
+		return none, err
+	}
+	return Decode[Resp](f)
+}
+
+// HandleCall returns a handler that answers a request with one frame.
+func HandleCall[Req, Resp any](handle func(ctx context.Context, peer Hello, req Req) (Resp, error)) Handler {
+	return func(ctx context.Context, s *Stream, first Frame) error {
+		req, err := Decode[Req](first)
+		if err != nil {
+			return savorypin.Errorf(savorypin.KindInvalid, string(first.Kind), "%w", err)
+		}
+		resp, err := handle(ctx, s.Conn().Peer(), req)
+		if err != nil {
+			return err
+		}
+		return s.Send(ctx, frameReply, resp)
+	}
+}
--- /dev/null
+++ b/internal/savorypinmember/transport_test.go
@@ -0,0 +1,116 @@
+package savorypinmember_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinmember"
+)
+
+func FuzzReadFrame(f *testing.F) {
+	good, err := savorypinmember.EncodeFrame(savorypinmember.FrameAck, 3, savorypinmember.Ack{Next: 7})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 1, 0xc1})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		frame, err := savorypinmember.ReadFrame(bufio.NewReader(bytes.NewReader(data)))
+		if err == nil {
+			_, _ = savorypinmember.Decode[savorypinmember.Start](frame)
+		}
+	})
+}
+
+// listen returns a transport that serves handlers, and its address.
+func listen(name, key string, handlers map[savorypinmember.FrameKind]savorypinmember.Handler) (*savorypinmember.Transport, string) {
+	t := savorypinmember.NewTransport(savorypinmember.TransportConfig{
+		Handlers:         handlers,
+		HandshakeTimeout: 5 * time.Second,
+		IdleProbeAfter:   time.Minute,
+		Key:              []byte(key),
+		ProbeAfter:       time.Minute,
+		Self:             savorypinmember.Hello{Name: name},
+		SilentAfter:      time.Minute,
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer GinkgoRecover()
+		Expect(t.Serve(ln)).To(Succeed())
+	}()
+	DeferCleanup(func() {
+		t.Close()
+		<-done
+	})
+	return t, ln.Addr().String()
+}
+
+var _ = Describe("Transport", func() {
+	echo := map[savorypinmember.FrameKind]savorypinmember.Handler{
+		savorypinmember.FrameStop: savorypinmember.HandleCall(
+			func(_ context.Context, _ savorypinmember.Hello, req savorypinmember.Stop) (savorypinmember.Stop, error) {
+				if req.By == "" {
+					return req, savorypin.Errorf(savorypin.KindInvalid, "stop", "nobody ordered it").WithRetryAfter(time.Second)
+				}
+				return req, nil
+			}),
+	}
+
+	call := func(ctx context.Context, t *savorypinmember.Transport, address, by string) (savorypinmember.Stop, error) {
+		return savorypinmember.Call[savorypinmember.Stop, savorypinmember.Stop](
+			ctx, t, address, savorypinmember.FrameStop, savorypinmember.Stop{By: by})
+	}
+
+	It("carries many calls on one connection", func(ctx SpecContext) {
+		server, address := listen("server", "a key of the daemons", echo)
+		client, _ := listen("client", "a key of the daemons", nil)
+		for range 100 {
+			answer, err := call(ctx, client, address, "ops")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.By).To(Equal("ops"))
+		}
+		Expect(server.Connections()).To(Equal(1))
+	})
+
+	It("carries typed errors", func(ctx SpecContext) {
+		_, address := listen("server", "a key of the daemons", echo)
+		client, _ := listen("client", "a key of the daemons", nil)
+		_, err := call(ctx, client, address, "")
+		var e *savorypin.Error
+		Expect(errors.As(err, &e)).To(BeTrue())
+		Expect(e.Kind).To(Equal(savorypin.KindInvalid))
+		Expect(e.RetryAfter).To(Equal(time.Second))
+	})
+
+	It("refuses a peer with another key", func(ctx SpecContext) {
+		_, address := listen("server", "a key of the daemons", echo)
+		client, _ := listen("client", "some other key", nil)
+		_, err := call(ctx, client, address, "ops")
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("ends a connection that sends no frames", func() {
+		_, address := listen("server", "a key of the daemons", echo)
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write(bytes.Repeat([]byte{0xff}, 64))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, conn)
+		Expect(err).To(Or(BeNil(), MatchError(ContainSubstring("reset"))))
+	})
+})
--- /dev/null
+++ b/internal/savorypinoperator/handler.go
@@ -0,0 +1,306 @@
+// Package savorypinoperator serves the operators' API, which every daemon has.
+package savorypinoperator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"savorypin/internal/savorypin"
+	operatorserver "savorypin/internal/savorypinapi/gen/http/operator/server"
+	operator "savorypin/internal/savorypinapi/gen/operator"
+	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinplatform"
+
+	"github.com/google/uuid"
+)
+
+// Config configures the handler.
+type Config struct {
+	// Daemon is the daemon that serves.
+	Daemon *savorypindaemon.Daemon
+	// State returns the part of the state dump that the role adds.
+	State func() any
+}
+
+// service implements the operators' API.
+type service struct {
+	cfg    Config
+	daemon *savorypindaemon.Daemon
+}
+
+// NewHandler returns the handler of the operators' API.
+func NewHandler(cfg Config) http.Handler {
+	mux := goahttp.NewMuxer()
+	Mount(mux, cfg)
+	return mux
+}
+
+// Mount adds the operators' API to a muxer.
+func Mount(mux goahttp.Muxer, cfg Config) {
+	s := &service{cfg: cfg, daemon: cfg.Daemon}
+	endpoints := operator.NewEndpoints(s)
+	server := operatorserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
+	operatorserver.Mount(mux, server)
+}
+
+func (s *service) logError(_ context.Context, _ http.ResponseWriter, err error) {
+	s.daemon.Logger().Warn("Operator's request failed", "err", err)
+}
+
+// Apply creates or replaces an object.
+func (s *service) Apply(ctx context.Context, p *operator.ApplyPayload) (*operator.Object, error) {
+	if err := s.authorize(p.Authorization); err != nil {
+		return nil, err
+	}
+	o, err := fromAPI(p.Object)
+	if err != nil {
+		return nil, failure(err)
+	}
+	if err := savorypin.CheckObject(o); err != nil {
+		return nil, failure(err)
+	}
+	if p.DryRun != nil && *p.DryRun {
+		return toAPI(o), nil
+	}
+	written, err := s.write(ctx, o)
+	if err != nil {
+		return nil, failure(translatePlatform(o.Key, err))
+	}
+	return toAPI(written), nil
+}
+
+// write creates or replaces an object on the platform. A conflict with an
+// object that carries the same order id is the operator's own earlier write,
+// whose answer was lost.
+func (s *service) write(ctx context.Context, o savorypin.Object) (savorypin.Object, error) {
+	platform := s.daemon.Platform()
+	held, err := platform.Get(ctx, o.Key)
+	switch {
+	case errors.Is(err, savorypinplatform.ErrNotFound):
+		return s.settle(ctx, o, platform.Create)
+	case err != nil:
+		return savorypin.Object{}, err
+	case held.Order == o.Order:
+		return held, nil
+	case o.Version != 0 && o.Version != held.Version:
+		return savorypin.Object{}, savorypin.Errorf(savorypin.KindConflict, o.String(),
+			"the order is for version %d, and %s has written version %d", o.Version, held.By, held.Version)
+	}
+	o.Status = held.Status
+	o.Version = held.Version
+	return s.settle(ctx, o, platform.Update)
+}
+
+// settle makes a write and, if its answer is lost, reads back whether it has
+// taken effect.
+func (s *service) settle(
+	ctx context.Context,
+	o savorypin.Object,
+	write func(context.Context, savorypin.Object) (savorypin.Object, error),
+) (savorypin.Object, error) {
+	written, err := write(ctx, o)
+	if err == nil {
+		return written, nil
+	}
+	held, readErr := s.daemon.Platform().Get(ctx, o.Key)
+	if readErr == nil && held.Order == o.Order {
+		return held, nil
+	}
+	return savorypin.Object{}, err
+}
+
+// Remove deletes an object.
+func (s *service) Remove(ctx context.Context, p *operator.RemovePayload) error {
+	if err := s.authorize(p.Authorization); err != nil {
+		return err
+	}
+	key := savorypin.Key{Kind: savorypin.Kind(p.Kind), Name: p.Name}
+	if err := s.daemon.Platform().Delete(ctx, key, 0); err != nil {
+		return failure(translatePlatform(key, err))
+	}
+	return nil
+}
+
+// List returns the objects in force at this daemon.
+func (s *service) List(_ context.Context, p *operator.ListPayload) ([]*operator.Object, error) {
+	if err := s.authorize(p.Authorization); err != nil {
+		return nil, err
+	}
+	objects := []*operator.Object{}
+	for key, o := range s.daemon.Config().Objects() {
+		if o.Deleted || !matches(p.Kind, string(key.Kind)) || !matches(p.Name, key.Name) {
+			continue
+		}
+		objects = append(objects, toAPI(o))
+	}
+	return objects, nil
+}
+
+// Force tells which members have a version in force.
+func (s *service) Force(_ context.Context, p *operator.ForcePayload) (*operator.ForceResult, error) {
+	if err := s.authorize(p.Authorization); err != nil {
+		return nil, err
+	}
+	result := &operator.ForceResult{Lagging: []string{}, Unreachable: []string{}}
+	for _, m := range s.daemon.Members().All() {
+		result.Members++
+		switch {
+		case m.State().Applied.Version >= p.Version:
+			result.InForce++
+		case m.Usable():
+			result.Lagging = append(result.Lagging, m.State().Name)
+		default:
+			result.Unreachable = append(result.Unreachable, m.State().Name)
+		}
+	}
+	return result, nil
+}
+
+// Stop orders a planned stop of a member.
+func (s *service) Stop(ctx context.Context, p *operator.StopPayload) error {
+	if err := s.authorize(p.Authorization); err != nil {
+		return err
+	}
+	if p.Member == s.daemon.Settings().Name {
+		s.daemon.Stop()
+		return nil
+	}
+	m, ok := s.daemon.Members().Get(p.Member)
+	if !ok {
+		return failure(savorypin.Errorf(savorypin.KindNotFound, p.Member, "no such member"))
+	}
+	_, err := savorypinmember.Call[savorypinmember.Stop, savorypinmember.Empty](
+		ctx, s.daemon.Transport(), m.State().Address, savorypinmember.FrameStop, savorypinmember.Stop{By: deref(p.By)})
+	if err != nil {
+		return failure(savorypin.Errorf(savorypin.KindUnreachable, p.Member, "%w", err))
+	}
+	return nil
+}
+
+// Dump is the state dump of a daemon.
+type Dump struct {
+	Config  savorypin.Digest `json:"config"`
+	Members []MemberDump     `json:"members"`
+	Role    any              `json:"role"`
+	Self    any              `json:"self"`
+}
+
+// MemberDump is one member in the state dump.
+type MemberDump struct {
+	Health string                `json:"health"`
+	Heard  time.Time             `json:"heard"`
+	State  savorypin.MemberState `json:"state"`
+}
+
+// State dumps the state of the daemon.
+func (s *service) State(_ context.Context, p *operator.StatePayload) (any, error) {
+	if err := s.authorize(p.Authorization); err != nil {
+		return nil, err
+	}
+	dump := Dump{Config: s.daemon.Config().Digest(), Role: s.cfg.State(), Self: s.daemon.Self()}
+	for _, m := range s.daemon.Members().All() {
+		dump.Members = append(dump.Members, MemberDump{
+			Health: string(m.Health()),
+			Heard:  m.Heard(),
+			State:  m.State(),
+		})
+	}
+	return dump, nil
+}
+
+// authorize checks the operators' bearer token in constant time.
+func (s *service) authorize(header *string) error {
+	want := sha256.Sum256([]byte(s.daemon.Settings().OperatorToken))
+	got := sha256.Sum256([]byte(strings.TrimPrefix(deref(header), "Bearer ")))
+	if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+		return failure(savorypin.Errorf(savorypin.KindUnauthorized, "operator", "bearer token is missing or wrong"))
+	}
+	return nil
+}
+
+func matches(want *string, have string) bool {
+	return want == nil || *want == "" || *want == have
+}
+
+func deref(s *string) string {
+	if s == nil {
+		return ""
+	}
+	return *s
+}
+
+func translatePlatform(key savorypin.Key, err error) error {
+	var e *savorypin.Error
+	switch {
+	case errors.As(err, &e):
+		return e
+	case errors.Is(err, savorypinplatform.ErrConflict):
+		return savorypin.Errorf(savorypin.KindConflict, key.String(), "%w", err)
+	case errors.Is(err, savorypinplatform.ErrNotFound):
+		return savorypin.Errorf(savorypin.KindNotFound, key.String(), "%w", err)
+	case errors.Is(err, savorypinplatform.ErrRejected):
+		return savorypin.Errorf(savorypin.KindInvalid, key.String(), "%w", err)
+	default:
+		return savorypin.Errorf(savorypin.KindUnreachable, key.String(), "%w", err)
+	}
+}
+
+func failure(err error) error {
+	var e *savorypin.Error
+	if !errors.As(err, &e) {
+		return &operator.Failure{Kind: string(savorypin.KindUnknown), Message: err.Error()}
+	}
+	f := &operator.Failure{Kind: string(e.Kind), Message: e.Error(), Object: &e.Object}
+	if e.RetryAfter > 0 {
+		seconds := int((e.RetryAfter + time.Second - 1) / time.Second)
+		f.RetryAfter = &seconds
+	}
+	return f
+}
+
+func fromAPI(in *operator.Object) (savorypin.Object, error) {
+	o := savorypin.Object{
+		At:    time.Now(),
+		By:    deref(in.By),
+		Key:   savorypin.Key{Kind: savorypin.Kind(in.Kind), Name: in.Name},
+		Order: deref(in.Order),
+	}
+	if in.Version != nil {
+		o.Version = *in.Version
+	}
+	if o.Order == "" {
+		o.Order = uuid.NewString()
+	}
+	spec, err := json.Marshal(in.Spec)
+	if err != nil {
+		return o, savorypin.Errorf(savorypin.KindInvalid, o.String(), "spec: %w", err)
+	}
+	o.Spec = spec
+	return o, nil
+}
+
+func toAPI(o savorypin.Object) *operator.Object {
+	at := o.At.UTC().Format(time.RFC3339)
+	out := &operator.Object{
+		At:      &at,
+		By:      &o.By,
+		Kind:    string(o.Kind),
+		Name:    o.Name,
+		Order:   &o.Order,
+		Spec:    o.Spec,
+		Version: &o.Version,
+	}
+	if len(o.Status) > 0 {
+		out.Status = o.Status
+	}
+	return out
+}
--- /dev/null
+++ b/internal/savorypinplatform/client.go
@@ -0,0 +1,313 @@
+// Package savorypinplatform talks to the platform: its object API, which keeps
+// configuration and everything else that must last, and its list of hosts.
+//
+// The paths and bodies follow the conventions of the Kubernetes API: objects
+// have metadata with a resource version, writes are conditional on it, and a
+// watch is a response that sends one JSON event a line.
+package savorypinplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// BasePath is the path under which the object API serves the system's kinds.
+const BasePath = "/apis/savorypin/v1/"
+
+// HostsPath is the path of the list of hosts.
+const HostsPath = "/api/v1/nodes"
+
+// Annotations that the system keeps on its objects.
+const (
+	// AnnotationAt is the time of the order, RFC 3339.
+	AnnotationAt = "savorypin/at"
+	// AnnotationBy is the operator who gave the order.
+	AnnotationBy = "savorypin/by"
+	// AnnotationOrder is the order id.
+	AnnotationOrder = "savorypin/order"
+)
+
+// maxAnswerBytes bounds one answer of the platform.
+const maxAnswerBytes = 64 << 20
+
+// Errors of the object API. They are translated by the callers of the package.
+var (
+	// ErrConflict means that the object exists or has another version.
+	ErrConflict = errors.New("platform object has changed")
+	// ErrExpired means that a watch starts before what the platform still has.
+	ErrExpired = errors.New("platform watch version has expired")
+	// ErrNotFound means that there is no such object.
+	ErrNotFound = errors.New("platform object does not exist")
+	// ErrRejected means that the platform refuses the request as it stands.
+	ErrRejected = errors.New("platform rejected the request")
+	// ErrUnavailable means that nothing is known of the effect of a request.
+	ErrUnavailable = errors.New("platform is unavailable")
+)
+
+// Metadata is the metadata of a platform object.
+type Metadata struct {
+	Annotations     map[string]string `json:"annotations,omitempty"`
+	Name            string            `json:"name"`
+	ResourceVersion string            `json:"resourceVersion,omitempty"`
+}
+
+// Document is a platform object on the wire.
+type Document struct {
+	Kind     string          `json:"kind"`
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec,omitempty"`
+	Status   json.RawMessage `json:"status,omitempty"`
+}
+
+// List is a list of platform objects on the wire.
+type List struct {
+	Items    []Document `json:"items"`
+	Metadata Metadata   `json:"metadata"`
+}
+
+// EventType says what a watch event reports.
+type EventType string
+
+// The types of watch events.
+const (
+	EventAdded    EventType = "ADDED"
+	EventBookmark EventType = "BOOKMARK"
+	EventDeleted  EventType = "DELETED"
+	EventError    EventType = "ERROR"
+	EventModified EventType = "MODIFIED"
+)
+
+// Event is one event of a watch on the wire.
+type Event struct {
+	Object Document  `json:"object"`
+	Type   EventType `json:"type"`
+}
+
+// Host is one host in the platform's list of hosts.
+type Host struct {
+	// Addresses are the addresses of daemons on the host.
+	Addresses []string `json:"addresses"`
+	// Leaving says that the host is about to be taken away.
+	Leaving bool `json:"leaving"`
+	// Name is the name of the host.
+	Name string `json:"name"`
+}
+
+// Config configures a Client.
+type Config struct {
+	// Count is called before each call with what the call is for.
+	Count func(purpose string)
+	// HTTPClient makes the calls.
+	HTTPClient *http.Client
+	// Timeout bounds each call but a watch.
+	Timeout time.Duration
+	// Token is the bearer token of the system; empty if the platform wants
+	// none.
+	Token string
+	// URL is the base URL of the platform.
+	URL string
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	cfg Config
+}
+
+// NewClient returns a client of the platform.
+func NewClient(cfg Config) *Client {
+	if cfg.Count == nil {
+		cfg.Count = func(string) {}
+	}
+	if cfg.HTTPClient == nil {
+		cfg.HTTPClient = &http.Client{}
+	}
+	return &Client{cfg: cfg}
+}
+
+// Get returns the named object.
+func (c *Client) Get(ctx context.Context, key savorypin.Key) (savorypin.Object, error) {
+	var doc Document
+	if err := c.do(ctx, http.MethodGet, objectPath(key), nil, &doc); err != nil {
+		return savorypin.Object{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	return FromDocument(doc)
+}
+
+// List returns all objects of a kind and the version of the list.
+func (c *Client) List(ctx context.Context, kind savorypin.Kind) ([]savorypin.Object, int64, error) {
+	var list List
+	if err := c.do(ctx, http.MethodGet, BasePath+string(kind), nil, &list); err != nil {
+		return nil, 0, fmt.Errorf("list %s: %w", kind, err)
+	}
+	objects := make([]savorypin.Object, 0, len(list.Items))
+	for _, doc := range list.Items {
+		object, err := FromDocument(doc)
+		if err != nil {
+			return nil, 0, err
+		}
+		objects = append(objects, object)
+	}
+	version, err := parseVersion(list.Metadata.ResourceVersion)
+	return objects, version, err
+}
+
+// Create creates o and returns it with its version. It returns ErrConflict if
+// the object exists.
+func (c *Client) Create(ctx context.Context, o savorypin.Object) (savorypin.Object, error) {
+	var doc Document
+	if err := c.do(ctx, http.MethodPost, BasePath+string(o.Kind), ToDocument(o), &doc); err != nil {
+		return savorypin.Object{}, fmt.Errorf("create %s: %w", o.Key, err)
+	}
+	return FromDocument(doc)
+}
+
+// Update replaces the object if it still has the version of o. It returns
+// ErrConflict if it has another one.
+func (c *Client) Update(ctx context.Context, o savorypin.Object) (savorypin.Object, error) {
+	var doc Document
+	if err := c.do(ctx, http.MethodPut, objectPath(o.Key), ToDocument(o), &doc); err != nil {
+		return savorypin.Object{}, fmt.Errorf("update %s at version %d: %w", o.Key, o.Version, err)
+	}
+	return FromDocument(doc)
+}
+
+// Delete deletes the object if it still has the version; version 0 deletes it
+// at any version.
+func (c *Client) Delete(ctx context.Context, key savorypin.Key, version int64) error {
+	path := objectPath(key)
+	if version != 0 {
+		path += "?resourceVersion=" + strconv.FormatInt(version, 10)
+	}
+	if err := c.do(ctx, http.MethodDelete, path, nil, nil); err != nil {
+		return fmt.Errorf("delete %s: %w", key, err)
+	}
+	return nil
+}
+
+// Hosts returns the platform's list of hosts, which lags behind the truth.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var hosts []Host
+	if err := c.do(ctx, http.MethodGet, HostsPath, nil, &hosts); err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	return hosts, nil
+}
+
+// Watch calls handle for each change of a kind after version until ctx ends,
+// the connection breaks or handle returns an error. A deleted object has
+// Deleted set and the version of the deletion. A bookmark has no name.
+func (c *Client) Watch(
+	ctx context.Context,
+	kind savorypin.Kind,
+	version int64,
+	handle func(savorypin.Object) error,
+) error {
+	c.cfg.Count("watch")
+	path := fmt.Sprintf("%s%s?watch=true&resourceVersion=%d", BasePath, kind, version)
+	resp, err := c.send(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return fmt.Errorf("watch %s: %w", kind, err)
+	}
+	defer resp.Body.Close()
+	dec := json.NewDecoder(resp.Body)
+	for {
+		var event Event
+		if err := dec.Decode(&event); err != nil {
+			return fmt.Errorf("watch %s: %w: %w", kind, ErrUnavailable, err)
+		}
+		if event.Type == EventError {
+			return fmt.Errorf("watch %s: %w", kind, ErrExpired)
+		}
+		object, err := FromDocument(event.Object)
+		if err != nil {
+			return err
+		}
+		object.Kind = kind
+		object.Deleted = event.Type == EventDeleted
+		if err := handle(object); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	c.cfg.Count(method)
+	if c.cfg.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.cfg.Timeout)
+		defer cancel()
+	}
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	resp, err := c.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(out); err != nil {
+		return fmt.Errorf("%w: decode answer: %w", ErrUnavailable, err)
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRejected, err)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.cfg.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
+	}
+	resp, err := c.cfg.HTTPClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if err := statusError(resp.StatusCode); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+func statusError(status int) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusConflict:
+		return ErrConflict
+	case status == http.StatusGone:
+		return ErrExpired
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusTooManyRequests, status >= http.StatusInternalServerError:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	default:
+		return fmt.Errorf("%w: status %d", ErrRejected, status)
+	}
+}
+
+func objectPath(key savorypin.Key) string {
+	return BasePath + string(key.Kind) + "/" + url.PathEscape(key.Name)
+}
--- /dev/null
+++ b/internal/savorypintest/suite.go
@@ -0,0 +1,28 @@
+// Package savorypintest holds what the tests of several packages share.
+package savorypintest
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+// seed makes random tests take the same course in each run.
+const seed = "20261204"
+
+// RunSuite runs the specs of a package. Random tests use a fixed seed unless
+// the flag -rapid.seed states another one.
+func RunSuite(t *testing.T, name string) {
+	t.Helper()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
+		if err := f.Value.Set(seed); err != nil {
+			t.Fatal(err)
+		}
+	}
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	suite, reporter := ginkgo.GinkgoConfiguration()
+	suite.RandomSeed = 1
+	ginkgo.RunSpecs(t, name, suite, reporter)
+}
