--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -73,6 +72,11 @@
 	daemon.Handle(savorypinmember.FrameCall, savorypinmember.HandleCall(a.handleCall))
 	daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
 	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
+	daemon.RegisterState("agent", a.state)
+	daemon.Background(a.sweepLoop)
+	for _, e := range a.endpoints {
+		daemon.Background(func(ctx context.Context) { e.pollLoop(ctx, daemon.Config) })
+	}
 	return a, nil
 }
 
@@ -83,20 +87,8 @@
 
 // Run serves until ctx ends or the planned stop is done.
 func (a *Agent) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, e := range a.endpoints {
-		wg.Go(func() { e.pollLoop(ctx, a.daemon.Config) })
-	}
-	wg.Go(func() { a.sweepLoop(ctx) })
-	mux := http.NewServeMux()
-	operator := savorypinoperator.NewHandler(savorypinoperator.Config{Daemon: a.daemon, State: a.state})
-	mux.Handle("/", operator)
-	err := a.daemon.Run(ctx, mux, a.idle)
-	cancel()
-	wg.Wait()
-	return err
+	handler := savorypinoperator.NewHandler(savorypinoperator.Config{Daemon: a.daemon})
+	return a.daemon.Run(ctx, handler, a.idle)
 }
 
 // idle reports whether no attempt or call is running.
--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -45,7 +45,7 @@
 	endpoints := caller.NewEndpoints(s)
 	server := callerserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
 	callerserver.Mount(mux, server)
-	savorypinoperator.Mount(mux, savorypinoperator.Config{Daemon: entry.Daemon(), State: entry.State})
+	savorypinoperator.Mount(mux, savorypinoperator.Config{Daemon: entry.Daemon()})
 	return mux
 }
 
@@ -265,12 +265,13 @@
 			"body is longer than %d bytes", maxCallBytes))
 	}
 	answer, err := s.entry.Call(ctx, savorypinentry.Call{
-		Body:        data,
-		ContentType: "application/json",
-		Key:         scopedKey(organisation, deref(p.Key)),
-		Route:       p.Route,
-		Service:     p.Service,
-		Timeout:     time.Duration(deref(p.TimeoutMs)) * time.Millisecond,
+		Body:         data,
+		ContentType:  "application/json",
+		Key:          scopedKey(organisation, deref(p.Key)),
+		Organisation: organisation,
+		Route:        p.Route,
+		Service:      p.Service,
+		Timeout:      time.Duration(deref(p.TimeoutMs)) * time.Millisecond,
 	})
 	if err != nil {
 		return nil, nil, failure(err)
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -84,6 +84,7 @@
 
 // Daemon is the common part of an entry or an agent.
 type Daemon struct {
+	background  []func(context.Context)
 	cfg         Config
 	config      *savorypinconfig.Store
 	draining    atomic.Bool
@@ -95,6 +96,7 @@
 	metrics     metrics.Registry
 	platform    *savorypinplatform.Client
 	sequence    atomic.Uint64
+	states      map[string]func() any
 	stopped     chan struct{}
 	stopOnce    sync.Once
 	synced      atomic.Bool
@@ -112,6 +114,7 @@
 		logger: cfg.Logger.With(
 			"domain", cfg.Settings.Domain, "host", cfg.Settings.Name, "role", cfg.Role),
 		metrics: metrics.NewRegistry(),
+		states:  map[string]func() any{},
 		stopped: make(chan struct{}),
 	}
 	d.members = savorypinmembership.NewTable(savorypinmembership.Config{
@@ -168,6 +171,32 @@
 	d.handlers[kind] = handler
 }
 
+// Background registers a loop that runs until its context ends. It must be
+// called before Run.
+func (d *Daemon) Background(loop func(context.Context)) {
+	d.background = append(d.background, loop)
+}
+
+// RegisterState adds a section to the state dump. It must be called before
+// Run.
+func (d *Daemon) RegisterState(section string, state func() any) {
+	d.states[section] = state
+}
+
+// States returns the sections of the state dump.
+func (d *Daemon) States() map[string]any {
+	states := map[string]any{}
+	for section, state := range d.states {
+		states[section] = state()
+	}
+	return states
+}
+
+// Incarnation returns the number that tells restarts of the daemon apart.
+func (d *Daemon) Incarnation() int64 {
+	return d.incarnation
+}
+
 // Config returns the configuration in force.
 func (d *Daemon) Config() *savorypinconfig.Snapshot {
 	return d.config.Snapshot()
@@ -248,6 +277,9 @@
 	for _, kind := range savorypin.ConfigKinds {
 		d.wg.Go(func() { d.watchLoop(ctx, kind) })
 	}
+	for _, loop := range d.background {
+		d.wg.Go(func() { loop(ctx) })
+	}
 	d.logger.Info("Serving", "http", d.web.Addr(), "listen", d.listener.Addr())
 	select {
 	case <-ctx.Done():
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -16,8 +16,10 @@
 	Body        []byte
 	ContentType string
 	Key         string
-	Route       string
-	Service     string
+	// Organisation is the organisation of the caller.
+	Organisation string
+	Route        string
+	Service      string
 	// Timeout is how long the caller waits; zero if the caller states none.
 	Timeout time.Duration
 }
@@ -44,6 +46,11 @@
 	if !e.daemon.Ready() {
 		return none, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
 	}
+	release, err := e.admit(call.Organisation, 0)
+	if err != nil {
+		return none, err
+	}
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, timeout(call.Timeout, spec))
 	defer cancel()
 	e.countCall(1)
@@ -66,19 +73,22 @@
 
 // callIdempotent tries one endpoint after the other.
 func (e *Entry) callIdempotent(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
-	need := savorypinroute.Need{Avoid: map[string]bool{}, Service: call.Service}
+	need := e.callNeed(call.Service, savorypin.PurposeFirst, map[string]bool{})
 	var last error
 	for ctx.Err() == nil {
 		candidate, ok := e.pick(need)
 		if !ok {
 			break
 		}
+		started := time.Now()
 		answer, err := e.pass(ctx, candidate, call, route, "")
+		e.observeCall(candidate, call, need.Purpose, started, err)
 		if err == nil {
 			return CallAnswer{Answer: answer}, nil
 		}
 		last = err
 		need.Avoid[candidate.Endpoint().Name] = true
+		need.Purpose = savorypin.PurposeRetry
 	}
 	if last == nil {
 		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, call.Service, "no endpoint is live").WithRetryAfter(time.Second)
@@ -88,7 +98,7 @@
 
 // callOnce claims the key before it passes the call on.
 func (e *Entry) callOnce(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
-	candidate, ok := e.pick(savorypinroute.Need{Service: call.Service})
+	candidate, ok := e.pick(e.callNeed(call.Service, savorypin.PurposeFirst, nil))
 	if !ok {
 		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, call.Service, "no endpoint is live").WithRetryAfter(time.Second)
 	}
@@ -105,7 +115,9 @@
 	case err != nil:
 		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, call.Key, "%w", err).WithRetryAfter(time.Second)
 	}
+	started := time.Now()
 	answer, err := e.pass(ctx, candidate, call, route, call.Key)
+	e.observeCall(candidate, call, savorypin.PurposeFirst, started, err)
 	if savorypin.KindOf(err) == savorypin.KindNotRun {
 		e.release(ctx, claim, version)
 		return CallAnswer{}, err
@@ -146,6 +158,21 @@
 	return answer, savorypin.Errorf(savorypin.KindUnknown, candidate.Endpoint().Name, "%w", err)
 }
 
+func (e *Entry) observeCall(
+	candidate savorypinroute.Candidate,
+	call Call,
+	purpose savorypin.Purpose,
+	started time.Time,
+	err error,
+) {
+	o := observationOf(candidate, purpose, err)
+	o.FirstToken = time.Since(started)
+	o.Organisation = call.Organisation
+	o.Route = call.Route
+	o.Service = call.Service
+	e.observe(o)
+}
+
 // settle writes the outcome of a claim. If that fails, the agent still knows
 // the answer, and a repeated key asks it.
 func (e *Entry) settle(ctx context.Context, claim savorypinclaim.Claim, version int64, answer savorypinmember.PlainAnswer) {
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -15,7 +15,6 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypindaemon"
-	"savorypin/internal/savorypinroute"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -58,12 +57,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Entry{
+	e := &Entry{
 		book:   savorypinclaim.NewBook(daemon.Platform()),
 		cfg:    cfg,
 		daemon: daemon,
 		relays: map[savorypin.GenerationID]*Relay{},
-	}, nil
+	}
+	daemon.Background(e.sweepLoop)
+	daemon.RegisterState("entry", e.state)
+	return e, nil
 }
 
 // AnonymousOrganisation returns the organisation of callers without a token.
@@ -78,9 +80,6 @@
 
 // Run serves until ctx ends or the planned stop is done.
 func (e *Entry) Run(ctx context.Context, handler http.Handler) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go e.sweepLoop(ctx)
 	return e.daemon.Run(ctx, handler, e.idle)
 }
 
@@ -101,8 +100,7 @@
 	Generations []RelayState `json:"generations"`
 }
 
-// State returns the part of the state dump that only entries have.
-func (e *Entry) State() any {
+func (e *Entry) state() any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := State{Calls: e.calls, Generations: []RelayState{}}
@@ -137,12 +135,6 @@
 	}
 }
 
-// pick returns the endpoint for a piece of work.
-func (e *Entry) pick(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
-	need.Region = e.cfg.Settings.Region
-	return savorypinroute.Pick(savorypinroute.Candidates(e.daemon.Members(), need), need)
-}
-
 // timeout returns how long a request may take.
 func timeout(asked time.Duration, spec savorypin.ServiceSpec) time.Duration {
 	switch {
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -8,7 +8,6 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinmember"
-	"savorypin/internal/savorypinmove"
 	"savorypin/internal/savorypinresume"
 	"savorypin/internal/savorypinroute"
 )
@@ -51,6 +50,7 @@
 
 	mu       sync.Mutex
 	changed  chan struct{}
+	clock    *attemptClock
 	end      *End
 	failed   map[string]bool
 	lastUsed time.Time
@@ -69,9 +69,14 @@
 	if !e.daemon.Ready() {
 		return nil, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
 	}
-	version := savorypinmove.TrafficOf(e.daemon.Config(), req.Generation.Service).Choose(e.cfg.Rand())
-	candidate, ok := e.pick(savorypinroute.Need{Service: req.Generation.Service, Version: version})
+	release, err := e.admit(req.Generation.Organisation, req.Generation.MaxTokens)
+	if err != nil {
+		return nil, err
+	}
+	version := e.chooseVersion(req.Generation, savorypin.PurposeFirst)
+	candidate, ok := e.pick(e.generationNeed(req.Generation, version, savorypin.PurposeFirst, nil))
 	if !ok {
+		release()
 		return nil, savorypin.Errorf(savorypin.KindNotRun, req.Generation.Service,
 			"no endpoint serves version %q", version).WithRetryAfter(time.Second)
 	}
@@ -79,7 +84,10 @@
 	req.Generation.Priority = spec.Priority
 	r := e.newRelay(req.Generation, time.Now().Add(timeout(req.Timeout, spec)))
 	r.version = version
-	go r.run(&candidate)
+	go func() {
+		defer release()
+		r.run(&candidate)
+	}()
 	return r, nil
 }
 
@@ -87,6 +95,7 @@
 	r := &Relay{
 		cancel:   func() {},
 		changed:  make(chan struct{}),
+		clock:    &attemptClock{},
 		deadline: deadline,
 		entry:    e,
 		failed:   map[string]bool{},
@@ -222,11 +231,23 @@
 		return *first, true
 	}
 	r.mu.Lock()
-	need := savorypinroute.Need{Avoid: r.failed, Service: r.gen.Service, Version: r.version}
+	need := r.entry.generationNeed(r.gen, r.version, r.purpose(), r.failed)
 	r.mu.Unlock()
 	return r.entry.pick(need)
 }
 
+// purpose says why the next attempt is made. The caller holds r.mu.
+func (r *Relay) purpose() savorypin.Purpose {
+	switch {
+	case r.log.Len() > 0:
+		return savorypin.PurposeResume
+	case r.log.Attempt() > 0:
+		return savorypin.PurposeRetry
+	default:
+		return savorypin.PurposeFirst
+	}
+}
+
 // avoid remembers that an endpoint failed this generation.
 func (r *Relay) avoid(endpoint string) {
 	r.mu.Lock()
@@ -258,8 +279,15 @@
 }
 
 func (r *Relay) attempt(ctx context.Context, candidate savorypinroute.Candidate) error {
-	start := r.begin(candidate)
-	return r.stream(ctx, candidate.Member().Address, savorypinmember.FrameStart, start)
+	r.mu.Lock()
+	r.clock = newAttemptClock(candidate, r.purpose(), time.Now())
+	r.mu.Unlock()
+	err := r.stream(ctx, candidate.Member().Address, savorypinmember.FrameStart, r.begin(candidate))
+	r.mu.Lock()
+	observation := r.clock.observation(r.gen, r.version, err)
+	r.mu.Unlock()
+	r.entry.observe(observation)
+	return err
 }
 
 func (r *Relay) attach(ctx context.Context, address string) error {
@@ -354,6 +382,7 @@
 	taken, err := r.log.Offer(msg.Attempt.Number, msg.First, msg.Tokens)
 	next := r.log.Len()
 	if taken > 0 {
+		r.clock.produced(taken, time.Now())
 		r.wake()
 	}
 	r.mu.Unlock()
--- a/internal/savorypinmember/messages.go
+++ b/internal/savorypinmember/generationmessages.go
@@ -6,32 +6,20 @@
 	"savorypin/internal/savorypin"
 )
 
-// Kinds of messages between daemons, in sorted order.
+// Kinds of messages about generations, in sorted order.
 const (
 	// FrameAck acknowledges tokens: entry to agent, on a generation's stream.
 	FrameAck FrameKind = "ack"
 	// FrameAttach opens a stream to an attempt that exists.
 	FrameAttach FrameKind = "attach"
-	// FrameBar asks an agent never to run a key.
-	FrameBar FrameKind = "bar"
-	// FrameBeat is a heartbeat.
-	FrameBeat FrameKind = "beat"
-	// FrameCall runs a plain call.
-	FrameCall FrameKind = "call"
 	// FrameCancel ends an attempt: entry to agent, on a generation's stream.
 	FrameCancel FrameKind = "cancel"
 	// FrameDone ends a generation's stream: agent to entry.
 	FrameDone FrameKind = "done"
 	// FrameFind asks an agent for a generation.
 	FrameFind FrameKind = "find"
-	// FramePull asks for objects.
-	FramePull FrameKind = "pull"
-	// FramePush sends objects.
-	FramePush FrameKind = "push"
 	// FrameStart opens a stream to a new attempt.
 	FrameStart FrameKind = "start"
-	// FrameStop orders a planned stop.
-	FrameStop FrameKind = "stop"
 	// FrameTokens carries tokens: agent to entry, on a generation's stream.
 	FrameTokens FrameKind = "tokens"
 )
@@ -110,58 +98,3 @@
 	Model      string               `msgpack:"model"`
 	Version    string               `msgpack:"ver"`
 }
-
-// PlainCall asks an agent to run a call at an endpoint.
-type PlainCall struct {
-	Body        []byte    `msgpack:"body"`
-	ContentType string    `msgpack:"ct"`
-	Deadline    time.Time `msgpack:"dl"`
-	Endpoint    string    `msgpack:"ep"`
-	Key         string    `msgpack:"key"`
-	Path        string    `msgpack:"path"`
-}
-
-// PlainAnswer is what an endpoint answered.
-type PlainAnswer struct {
-	Body        []byte `msgpack:"body"`
-	ContentType string `msgpack:"ct"`
-	Status      int    `msgpack:"st"`
-}
-
-// Bar asks an agent never to pass a key on to its endpoint.
-type Bar struct {
-	Endpoint string `msgpack:"ep"`
-	Key      string `msgpack:"key"`
-}
-
-// Barred says what an agent knows of a key.
-type Barred struct {
-	// Answer is what the endpoint answered, if the agent knows.
-	Answer *PlainAnswer `msgpack:"ans"`
-	// Passed says that the key was passed on to the endpoint before it was
-	// barred.
-	Passed bool `msgpack:"passed"`
-}
-
-// Beat is a heartbeat: what the sender knows of members.
-type Beat struct {
-	Members []savorypin.MemberState `msgpack:"mem"`
-}
-
-// Pull asks for the objects that are newer than what the sender holds.
-type Pull struct {
-	Versions map[string]int64 `msgpack:"ver"`
-}
-
-// Push sends objects.
-type Push struct {
-	Objects []savorypin.Object `msgpack:"obj"`
-}
-
-// Stop orders a planned stop.
-type Stop struct {
-	By string `msgpack:"by"`
-}
-
-// Empty is an answer without content.
-type Empty struct{}
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -27,13 +27,10 @@
 type Config struct {
 	// Daemon is the daemon that serves.
 	Daemon *savorypindaemon.Daemon
-	// State returns the part of the state dump that the role adds.
-	State func() any
 }
 
 // service implements the operators' API.
 type service struct {
-	cfg    Config
 	daemon *savorypindaemon.Daemon
 }
 
@@ -46,7 +43,7 @@
 
 // Mount adds the operators' API to a muxer.
 func Mount(mux goahttp.Muxer, cfg Config) {
-	s := &service{cfg: cfg, daemon: cfg.Daemon}
+	s := &service{daemon: cfg.Daemon}
 	endpoints := operator.NewEndpoints(s)
 	server := operatorserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
 	operatorserver.Mount(mux, server)
@@ -188,10 +185,10 @@
 
 // Dump is the state dump of a daemon.
 type Dump struct {
-	Config  savorypin.Digest `json:"config"`
-	Members []MemberDump     `json:"members"`
-	Role    any              `json:"role"`
-	Self    any              `json:"self"`
+	Config   savorypin.Digest      `json:"config"`
+	Members  []MemberDump          `json:"members"`
+	Sections map[string]any        `json:"sections"`
+	Self     savorypin.MemberState `json:"self"`
 }
 
 // MemberDump is one member in the state dump.
@@ -206,7 +203,7 @@
 	if err := s.authorize(p.Authorization); err != nil {
 		return nil, err
 	}
-	dump := Dump{Config: s.daemon.Config().Digest(), Role: s.cfg.State(), Self: s.daemon.Self()}
+	dump := Dump{Config: s.daemon.Config().Digest(), Sections: s.daemon.States(), Self: s.daemon.Self()}
 	for _, m := range s.daemon.Members().All() {
 		dump.Members = append(dump.Members, MemberDump{
 			Health: string(m.Health()),
--- a/internal/savorypinroute/route.go
+++ b/internal/savorypinroute/route.go
@@ -28,6 +28,8 @@
 type Need struct {
 	// Avoid are names of endpoints that must not be chosen.
 	Avoid map[string]bool
+	// Purpose says why the work is given to an endpoint.
+	Purpose savorypin.Purpose
 	// Region is the region of whoever asks.
 	Region string
 	// Service is the service that must be served.
