--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -15,6 +15,7 @@
 
 // Defaults of endpoints.
 const (
+	defaultMaxVersions      = 2
 	defaultPrefillPerSecond = 8000
 	defaultSlots            = 32
 	defaultTokensPerSecond  = 30
@@ -28,7 +29,7 @@
 		},
 		Description: "Stands beside the endpoints given by --endpoint and serves other daemons on --listen.\n" +
 			"An endpoint is written as name=e1;type=engine;service=assistant;url=http://127.0.0.1:9000\n" +
-			"with, if wanted, slots=32;tokens-per-second=30;prefill-per-second=8000;checks-fence=true.\n" +
+			"with, if wanted, max-versions=2;slots=32;tokens-per-second=30;prefill-per-second=8000;checks-fence=true.\n" +
 			"The type is engine or plain.",
 		Flags: append(c.daemonFlags(), &cli.StringSliceFlag{
 			Destination: &endpoints, Name: "endpoint", Sources: env("ENDPOINTS"),
@@ -84,6 +85,7 @@
 
 func parseEndpoint(text string) (savorypinagent.EndpointConfig, error) {
 	e := savorypinagent.EndpointConfig{
+		MaxVersions:      defaultMaxVersions,
 		PrefillPerSecond: defaultPrefillPerSecond,
 		Slots:            defaultSlots,
 		TokensPerSecond:  defaultTokensPerSecond,
@@ -97,8 +99,8 @@
 	if e.Type != savorypin.EndpointEngine && e.Type != savorypin.EndpointPlain {
 		errs = append(errs, fmt.Errorf("type: %q is not engine or plain", e.Type))
 	}
-	if e.PrefillPerSecond <= 0 || e.Slots <= 0 || e.TokensPerSecond <= 0 {
-		errs = append(errs, errors.New("slots and rates must be greater than 0"))
+	if e.MaxVersions <= 0 || e.PrefillPerSecond <= 0 || e.Slots <= 0 || e.TokensPerSecond <= 0 {
+		errs = append(errs, errors.New("max-versions, slots and rates must be greater than 0"))
 	}
 	return e, errors.Join(errs...)
 }
@@ -108,6 +110,8 @@
 	switch key {
 	case "checks-fence":
 		e.ChecksFence, err = strconv.ParseBool(value)
+	case "max-versions":
+		e.MaxVersions, err = strconv.Atoi(value)
 	case "name":
 		e.Name = value
 	case "prefill-per-second":
--- a/internal/cmd/daemonflags.go
+++ b/internal/cmd/daemonflags.go
@@ -12,9 +12,18 @@
 	"savorypin/internal/savorypin"
 )
 
+// defaultLeaseDuration is how long a duty of control lasts.
+const defaultLeaseDuration = 15 * time.Second
+
+// minLeaseDuration keeps the calls of leases to the platform few.
+const minLeaseDuration = time.Second
+
 // defaultStopGrace is how long running work may take to finish at a stop.
 const defaultStopGrace = time.Minute
 
+// defaultWeightLoads is the number of loads that the weight store bears.
+const defaultWeightLoads = 4
+
 // minKeyBytes is the shortest key that daemons accept.
 const minKeyBytes = 16
 
@@ -34,6 +43,10 @@
 			Destination: &s.Key, Name: "key", Sources: env("KEY"),
 			Usage: "key that daemons prove to know to each other; set it by the environment",
 		},
+		&cli.DurationFlag{
+			Destination: &s.LeaseDuration, Name: "lease-duration", Sources: env("LEASE_DURATION"), Value: defaultLeaseDuration,
+			Usage: "how long a duty of control lasts after a renewal, the same for all daemons",
+		},
 		&cli.StringFlag{
 			Destination: &s.Listen, Name: "listen", Sources: env("LISTEN"), Value: "127.0.0.1:0",
 			Usage: "`IP:PORT` for other daemons",
@@ -66,6 +79,10 @@
 			Destination: &s.StopGrace, Name: "stop-grace", Sources: env("STOP_GRACE"), Value: defaultStopGrace,
 			Usage: "how long running work may take to finish at a stop",
 		},
+		&cli.IntFlag{
+			Destination: &s.WeightLoads, Name: "weight-loads", Sources: env("WEIGHT_LOADS"), Value: defaultWeightLoads,
+			Usage: "number of loads that the weight store bears at once, the same for all daemons",
+		},
 	}
 }
 
@@ -76,12 +93,14 @@
 		checkSet("--domain", s.Domain),
 		checkAddress("--http", s.HTTP),
 		checkKey(s.Key),
+		checkLease(s.LeaseDuration),
 		checkAddress("--listen", s.Listen),
 		checkMemberName(s.Name),
 		checkSet("--operator-token", s.OperatorToken),
 		checkURL("--platform", s.Platform),
 		checkSet("--region", s.Region),
 		checkGrace(s.StopGrace),
+		checkWeightLoads(s.WeightLoads),
 	}
 	for _, seed := range s.Seeds {
 		errs = append(errs, checkAddress("--seed", seed))
@@ -114,6 +133,13 @@
 	return nil
 }
 
+func checkLease(d time.Duration) error {
+	if d < minLeaseDuration {
+		return fmt.Errorf("--lease-duration: %s is shorter than %s", d, minLeaseDuration)
+	}
+	return nil
+}
+
 func checkMemberName(name string) error {
 	if err := savorypin.CheckName(name); err != nil {
 		return fmt.Errorf("--name: %w", err)
@@ -128,6 +154,13 @@
 	return nil
 }
 
+func checkWeightLoads(n int) error {
+	if n < 1 {
+		return fmt.Errorf("--weight-loads: %d is less than 1", n)
+	}
+	return nil
+}
+
 func checkURL(flag, value string) error {
 	u, err := url.Parse(value)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- a/internal/savorypin/check.go
+++ b/internal/savorypin/check.go
@@ -35,6 +35,8 @@
 
 func checkSpec(o Object) error {
 	switch o.Kind {
+	case KindEndpoint:
+		return checkAs(o.Spec, EndpointSpec.check)
 	case KindMove:
 		return checkAs(o.Spec, MoveSpec.check)
 	case KindOrganisation:
@@ -63,6 +65,13 @@
 	return check(v)
 }
 
+func (s EndpointSpec) check() error {
+	if s.Role == "" {
+		return nil
+	}
+	return checkReference("spec.role", s.Role)
+}
+
 func (s MoveSpec) check() error {
 	var errs []error
 	errs = append(errs, checkReference("spec.service", s.Service))
@@ -119,6 +128,7 @@
 func (s VersionSpec) check() error {
 	var errs []error
 	errs = append(errs, checkReference("spec.service", s.Service))
+	errs = append(errs, checkLimit("spec.replicas", float64(s.Replicas)))
 	if s.Model == "" {
 		errs = append(errs, errors.New("spec.model: is missing"))
 	}
--- a/internal/savorypin/member.go
+++ b/internal/savorypin/member.go
@@ -27,10 +27,16 @@
 type EndpointState struct {
 	// CachedPrefixes are hashes of prompt prefixes that the engine holds.
 	CachedPrefixes []uint64 `json:"cachedPrefixes,omitempty" msgpack:"pfx,omitempty"`
+	// Drained says that the endpoint has carried out an order to drain.
+	Drained bool `json:"drained,omitempty" msgpack:"drn,omitempty"`
 	// Healthy says that the endpoint answers.
 	Healthy bool `json:"healthy" msgpack:"ok"`
+	// MaxVersions is the number of versions that fit.
+	MaxVersions int `json:"maxVersions,omitempty" msgpack:"max,omitempty"`
 	// Name is the name of the endpoint, unique in the system.
 	Name string `json:"name" msgpack:"n"`
+	// Role is the role of the endpoint, if it was ordered to take one.
+	Role string `json:"role,omitempty" msgpack:"role,omitempty"`
 	// Running is the number of requests that run.
 	Running int `json:"running" msgpack:"run"`
 	// Service is the service that the endpoint serves.
--- a/internal/savorypin/object.go
+++ b/internal/savorypin/object.go
@@ -13,6 +13,7 @@
 // The kinds of objects, in sorted order.
 const (
 	KindClaim        Kind = "claims"
+	KindEndpoint     Kind = "endpoints"
 	KindLease        Kind = "leases"
 	KindMove         Kind = "moves"
 	KindOrganisation Kind = "organisations"
@@ -22,7 +23,7 @@
 )
 
 // ConfigKinds are the kinds that every daemon holds, in sorted order.
-var ConfigKinds = []Kind{KindMove, KindOrganisation, KindRoute, KindService, KindVersion}
+var ConfigKinds = []Kind{KindEndpoint, KindMove, KindOrganisation, KindRoute, KindService, KindVersion}
 
 // Key names an object.
 type Key struct {
--- a/internal/savorypin/spec.go
+++ b/internal/savorypin/spec.go
@@ -44,6 +44,9 @@
 	Adapter string `json:"adapter,omitempty"`
 	// Model is the name under which engines know the version.
 	Model string `json:"model"`
+	// Replicas is the number of endpoints that should have the version loaded;
+	// 0 leaves it where it is.
+	Replicas int `json:"replicas,omitempty"`
 	// Service is the service that the version belongs to.
 	Service string `json:"service"`
 }
@@ -75,6 +78,14 @@
 	Weight float64 `json:"weight,omitempty"`
 }
 
+// EndpointSpec says what operators want of one endpoint.
+type EndpointSpec struct {
+	// Drain takes new work away from the endpoint.
+	Drain bool `json:"drain,omitempty"`
+	// Role is the role that the endpoint should have; empty for any.
+	Role string `json:"role,omitempty"`
+}
+
 // MoveState is the state of a move of traffic.
 type MoveState string
 
--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinoperator"
@@ -70,8 +71,11 @@
 	daemon.Handle(savorypinmember.FrameAttach, a.handleAttach)
 	daemon.Handle(savorypinmember.FrameBar, savorypinmember.HandleCall(a.handleBar))
 	daemon.Handle(savorypinmember.FrameCall, savorypinmember.HandleCall(a.handleCall))
+	daemon.Handle(savorypinmember.FrameFence, savorypinmember.HandleCall(a.handleFence))
 	daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
+	daemon.Handle(savorypinmember.FrameOrder, savorypinmember.HandleCall(a.handleOrder))
 	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
+	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
 	for _, e := range a.endpoints {
@@ -88,7 +92,17 @@
 // Run serves until ctx ends or the planned stop is done.
 func (a *Agent) Run(ctx context.Context) error {
 	handler := savorypinoperator.NewHandler(savorypinoperator.Config{Daemon: a.daemon})
-	return a.daemon.Run(ctx, handler, a.idle)
+	return a.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: a.handOver, Idle: a.idle})
+}
+
+// handOver ends all attempts at their index, so that entries go on with them
+// at other endpoints.
+func (a *Agent) handOver() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.runs {
+		r.cancel()
+	}
 }
 
 // idle reports whether no attempt or call is running.
--- a/internal/savorypinagent/endpoint.go
+++ b/internal/savorypinagent/endpoint.go
@@ -11,12 +11,15 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
 	"savorypin/internal/savorypinendpoint"
+	"savorypin/internal/savorypinorder"
 )
 
 // EndpointConfig is what the settings say of an endpoint.
 type EndpointConfig struct {
 	// ChecksFence says that the endpoint refuses old fencing numbers itself.
 	ChecksFence bool
+	// MaxVersions is the number of versions that fit.
+	MaxVersions int
 	// Name is the name of the endpoint, unique in the system.
 	Name string
 	// PrefillPerSecond is the rate of reading prompts, in tokens a second.
@@ -37,16 +40,19 @@
 type endpoint struct {
 	cfg    EndpointConfig
 	engine *savorypinendpoint.Engine
+	gate   *savorypinorder.Gate
 	plain  *savorypinendpoint.Plain
 
 	mu       sync.Mutex
+	drained  bool
 	healthy  bool
 	load     savorypinendpoint.Load
+	role     string
 	versions []string
 }
 
 func newEndpoint(cfg EndpointConfig) *endpoint {
-	e := &endpoint{cfg: cfg}
+	e := &endpoint{cfg: cfg, gate: savorypinorder.NewGate()}
 	if cfg.Type == savorypin.EndpointEngine {
 		e.engine = savorypinendpoint.NewEngine(savorypinendpoint.EngineConfig{URL: cfg.URL})
 	} else {
@@ -116,9 +122,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return savorypin.EndpointState{
+		Drained:          e.drained,
 		Healthy:          e.healthy,
+		MaxVersions:      e.cfg.MaxVersions,
 		Name:             e.cfg.Name,
 		PrefillPerSecond: e.cfg.PrefillPerSecond,
+		Role:             e.role,
 		Running:          e.load.Running,
 		Service:          e.cfg.Service,
 		Slots:            e.cfg.Slots,
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -250,6 +250,7 @@
 	}
 	endpoints := []savorypinagent.EndpointConfig{{
 		ChecksFence:      c.cfg.Engine.ChecksFence,
+		MaxVersions:      2,
 		Name:             fmt.Sprintf("engine-%d", i),
 		PrefillPerSecond: c.cfg.Engine.PrefillPerSecond,
 		Service:          Service,
@@ -304,6 +305,7 @@
 		Domain:        place.Domain,
 		HTTP:          "127.0.0.1:0",
 		Key:           daemonKey,
+		LeaseDuration: time.Second,
 		Listen:        "127.0.0.1:0",
 		Name:          name,
 		OperatorToken: OperatorToken,
@@ -311,6 +313,7 @@
 		Region:        place.Region,
 		Seeds:         c.seeds,
 		StopGrace:     c.cfg.StopGrace,
+		WeightLoads:   1,
 	}
 }
 
--- a/internal/savorypinconfig/store.go
+++ b/internal/savorypinconfig/store.go
@@ -80,6 +80,7 @@
 // Snapshot is one state of the configuration. It never changes.
 type Snapshot struct {
 	digest        savorypin.Digest
+	endpoints     map[string]savorypin.EndpointSpec
 	moves         map[string][]Move
 	objects       map[savorypin.Key]savorypin.Object
 	organisations map[string]savorypin.OrganisationSpec
@@ -105,6 +106,7 @@
 
 func newSnapshot(objects map[savorypin.Key]savorypin.Object) *Snapshot {
 	s := &Snapshot{
+		endpoints:     map[string]savorypin.EndpointSpec{},
 		moves:         map[string][]Move{},
 		objects:       objects,
 		organisations: map[string]savorypin.OrganisationSpec{},
@@ -136,6 +138,10 @@
 // is left out.
 func (s *Snapshot) index(o savorypin.Object) {
 	switch o.Kind {
+	case savorypin.KindEndpoint:
+		if spec, ok := decode[savorypin.EndpointSpec](o.Spec); ok {
+			s.endpoints[o.Name] = spec
+		}
 	case savorypin.KindMove:
 		if spec, ok := decode[savorypin.MoveSpec](o.Spec); ok {
 			status, _ := decode[savorypin.MoveStatus](o.Status)
@@ -178,6 +184,11 @@
 	return s.digest
 }
 
+// Endpoint returns what operators want of an endpoint.
+func (s *Snapshot) Endpoint(name string) savorypin.EndpointSpec {
+	return s.endpoints[name]
+}
+
 // Moves returns the moves of a service.
 func (s *Snapshot) Moves(service string) []Move {
 	return s.moves[service]
@@ -236,6 +247,11 @@
 	return spec, ok
 }
 
+// VersionSpecs returns all versions. The map must not be changed.
+func (s *Snapshot) VersionSpecs() map[string]savorypin.VersionSpec {
+	return s.versions
+}
+
 // VersionsOf returns the versions of a service that run one of the models,
 // sorted by name.
 func (s *Snapshot) VersionsOf(service string, models []string) []string {
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -52,6 +52,8 @@
 	HTTP string
 	// Key is the key that daemons prove to know to each other.
 	Key string
+	// LeaseDuration is how long a duty of control lasts after a renewal.
+	LeaseDuration time.Duration
 	// Listen is the address for other daemons.
 	Listen string
 	// Name is the name of the daemon, unique in the system.
@@ -68,6 +70,8 @@
 	Seeds []string
 	// StopGrace is how long running work may take to finish at a stop.
 	StopGrace time.Duration
+	// WeightLoads is the number of loads that the weight store bears at once.
+	WeightLoads int
 }
 
 // Config configures a Daemon.
@@ -256,9 +260,18 @@
 	})
 }
 
-// Run serves until ctx ends or the planned stop is done. The stop is done when
-// idle reports that no work is left, or after the grace.
-func (d *Daemon) Run(ctx context.Context, handler http.Handler, idle func() bool) error {
+// Work is what a role has to finish before a planned stop is done.
+type Work struct {
+	// HandOver gives up the work that other daemons can go on with. It is
+	// called when the grace is over.
+	HandOver func()
+	// Idle reports whether no work is left.
+	Idle func() bool
+}
+
+// Run serves until ctx ends or the planned stop is done. Work that is left
+// after the grace is handed over; work that can't be is waited for.
+func (d *Daemon) Run(ctx context.Context, handler http.Handler, work Work) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	server := &http.Server{
@@ -284,7 +297,7 @@
 	select {
 	case <-ctx.Done():
 	case <-d.stopped:
-		d.drain(ctx, idle)
+		d.drain(ctx, work)
 	}
 	cancel()
 	server.Close()
@@ -299,19 +312,33 @@
 	}
 }
 
-// drain waits until no work is left or the grace is over.
-func (d *Daemon) drain(ctx context.Context, idle func() bool) {
-	const check = 50 * time.Millisecond
+// drain takes the daemon out of service without cutting a request.
+func (d *Daemon) drain(ctx context.Context, work Work) {
 	d.logger.Info("Stopping", "grace", d.cfg.Settings.StopGrace)
 	d.beat(ctx)
-	deadline := time.Now().Add(d.cfg.Settings.StopGrace)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if idle() {
-			return
+	limited, cancel := context.WithTimeout(ctx, d.cfg.Settings.StopGrace)
+	defer cancel()
+	if waitIdle(limited, work.Idle) {
+		return
+	}
+	d.logger.Info("Handing work over")
+	work.HandOver()
+	waitIdle(ctx, work.Idle)
+}
+
+// waitIdle reports whether no work is left before ctx ends.
+func waitIdle(ctx context.Context, idle func() bool) bool {
+	const check = 20 * time.Millisecond
+	ticker := time.NewTicker(check)
+	defer ticker.Stop()
+	for !idle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
 		}
-		time.Sleep(check)
 	}
-	d.logger.Warn("Stopping with work left")
+	return true
 }
 
 func (d *Daemon) handleStop(_ context.Context, peer savorypinmember.Hello, req savorypinmember.Stop) (savorypinmember.Empty, error) {
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -14,6 +14,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
+	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
 )
 
@@ -64,6 +65,7 @@
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	daemon.Background(e.sweepLoop)
+	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
 	return e, nil
 }
@@ -80,7 +82,14 @@
 
 // Run serves until ctx ends or the planned stop is done.
 func (e *Entry) Run(ctx context.Context, handler http.Handler) error {
-	return e.daemon.Run(ctx, handler, e.idle)
+	return e.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: e.handOver, Idle: e.idle})
+}
+
+// handOver lets callers attach to their generations through other entries.
+func (e *Entry) handOver() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.relays)
 }
 
 func (e *Entry) idle() bool {
--- /dev/null
+++ b/internal/savorypinlease/read.go
@@ -0,0 +1,36 @@
+package savorypinlease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinplatform"
+)
+
+// ControllerOf returns the name of the duty to control a service.
+func ControllerOf(service string) string {
+	return "controller-" + service
+}
+
+// ReadFence returns the current fencing number of a duty as the platform has
+// it, or 0 if nobody ever held the duty.
+func ReadFence(
+	ctx context.Context,
+	get func(context.Context, savorypin.Key) (savorypin.Object, error),
+	name string,
+) (int64, error) {
+	o, err := get(ctx, savorypin.Key{Kind: savorypin.KindLease, Name: name})
+	if errors.Is(err, savorypinplatform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read lease %s: %w", name, err)
+	}
+	spec, err := savorypin.DecodeStrict[Spec](o.Spec)
+	if err != nil {
+		return 0, fmt.Errorf("decode lease %s: %w", name, err)
+	}
+	return spec.Fence, nil
+}
--- /dev/null
+++ b/internal/savorypinlease/savorypinlease_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinlease_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinlease")
+}
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -48,3 +48,12 @@
 	}
 	return t.from
 }
+
+// Versions returns the versions that have a share of the traffic or may get it
+// back.
+func (t Traffic) Versions() []string {
+	if t.to == "" {
+		return []string{t.from}
+	}
+	return []string{t.from, t.to}
+}
