--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -21,6 +21,7 @@
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinmembership"
 	"savorypin/internal/savorypinplatform"
+	"savorypin/internal/savorypinweb"
 )
 
 // Times of the daemon.
@@ -38,7 +39,6 @@
 
 // Limits of the HTTP listener.
 const (
-	maxBodyBytes      = 4 << 20
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
@@ -275,7 +275,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	server := &http.Server{
-		Handler:           http.MaxBytesHandler(handler, maxBodyBytes),
+		Handler:           savorypinweb.Bound(handler),
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -18,6 +18,7 @@
 	operator "savorypin/internal/savorypinapi/gen/operator"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinmetrics"
 	"savorypin/internal/savorypinplatform"
 
 	"github.com/google/uuid"
@@ -47,6 +48,7 @@
 	endpoints := operator.NewEndpoints(s)
 	server := operatorserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
 	operatorserver.Mount(mux, server)
+	mux.Handle(http.MethodGet, "/metrics", savorypinmetrics.NewHandler(cfg.Daemon.Metrics()).ServeHTTP)
 }
 
 func (s *service) logError(_ context.Context, _ http.ResponseWriter, err error) {
