--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -92,6 +92,7 @@
 			c.agentCmd(),
 			c.applyCmd(),
 			c.demoCmd(),
+			c.doCmd(),
 			c.entryCmd(),
 			c.getCmd(),
 			c.standinCmd(),
--- a/internal/cmd/getcmd.go
+++ b/internal/cmd/getcmd.go
@@ -47,21 +47,32 @@
 	switch c.output {
 	case "json", "yaml":
 		return c.printData(objects)
-	case "table":
-		table := tablewriter.NewWriter(c.stdout)
-		table.Header("kind", "name", "version", "by", "at", "spec", "status")
+	case outputTable:
+		var rows [][]string
 		for _, o := range objects {
-			row := []string{o.Kind, o.Name, strconv.FormatInt(o.Version, 10), o.By, o.At, string(o.Spec), string(o.Status)}
-			if err := table.Append(row); err != nil {
-				return err
-			}
+			rows = append(rows, []string{
+				o.Kind, o.Name, strconv.FormatInt(o.Version, 10), o.By, o.At, string(o.Spec), string(o.Status),
+			})
 		}
-		return table.Render()
+		return c.printRows([]string{"kind", "name", "version", "by", "at", "spec", "status"}, rows)
 	default:
 		return savorypin.Errorf(savorypin.KindInvalid, "--output", "%q is not json, table or yaml", c.output)
 	}
 }
 
+// outputTable is the output format for people.
+const outputTable = "table"
+
+// printRows prints rows as a table for people.
+func (c *Config) printRows(columns []string, rows [][]string) error {
+	table := tablewriter.NewWriter(c.stdout)
+	table.Header(columns)
+	if err := table.Bulk(rows); err != nil {
+		return err
+	}
+	return table.Render()
+}
+
 // printData prints v as JSON or YAML.
 func (c *Config) printData(v any) error {
 	data, err := indent(v)
--- a/internal/cmd/stopcmd.go
+++ b/internal/cmd/stopcmd.go
@@ -26,6 +26,15 @@
 	if err := savorypin.CheckName(member); err != nil {
 		return savorypin.Errorf(savorypin.KindInvalid, "MEMBER", "%w", err)
 	}
+	return c.stopMember(ctx, member)
+}
+
+// stopMember orders a planned stop of a member.
+func (c *Config) stopMember(ctx context.Context, member string) error {
+	if c.dryRun {
+		fmt.Fprintf(c.stdout, "would stop %s\n", member)
+		return nil
+	}
 	path := "/operator/v1/stop/" + url.PathEscape(member) + "?by=" + url.QueryEscape(c.by)
 	if err := c.operatorCall(ctx, http.MethodPost, path, nil, nil); err != nil {
 		return err
--- a/internal/savorypin/object.go
+++ b/internal/savorypin/object.go
@@ -57,6 +57,10 @@
 	Version int64 `json:"version" msgpack:"v"`
 }
 
+// VersionAbsent is the version of an order for an object that must not exist
+// yet.
+const VersionAbsent int64 = -1
+
 // MaxNameLength is the longest name of an object, in bytes.
 const MaxNameLength = 63
 
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -57,3 +57,15 @@
 	}
 	return []string{t.from, t.to}
 }
+
+// ShareOf returns the share of new work that a version gets, 0 to 1.
+func (t Traffic) ShareOf(version string) float64 {
+	switch {
+	case version == t.to && t.to != "":
+		return t.share
+	case version == t.from:
+		return 1 - t.share
+	default:
+		return 0
+	}
+}
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -85,11 +85,15 @@
 	held, err := platform.Get(ctx, o.Key)
 	switch {
 	case errors.Is(err, savorypinplatform.ErrNotFound):
+		o.Version = 0
 		return s.settle(ctx, o, platform.Create)
 	case err != nil:
 		return savorypin.Object{}, err
 	case held.Order == o.Order:
 		return held, nil
+	case o.Version == savorypin.VersionAbsent:
+		return savorypin.Object{}, savorypin.Errorf(savorypin.KindConflict, o.String(),
+			"the order is for a new object, and %s has written version %d", held.By, held.Version)
 	case o.Version != 0 && o.Version != held.Version:
 		return savorypin.Object{}, savorypin.Errorf(savorypin.KindConflict, o.String(),
 			"the order is for version %d, and %s has written version %d", o.Version, held.By, held.Version)
