--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -52,6 +52,8 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	c := &Config{stderr: stderr, stdout: stdout}
 	err := c.rootCmd().Run(ctx, args)
 	if err == nil {
