--- a/internal/cmd/daemonflags.go
+++ b/internal/cmd/daemonflags.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypindaemon"
 )
 
 // defaultStopGrace is how long running work may take to finish at a stop.
@@ -22,6 +23,11 @@
 func (c *Config) daemonFlags() []cli.Flag {
 	s := &c.daemon
 	return []cli.Flag{
+		&cli.IntFlag{
+			Destination: &s.AnswerBytes, Name: "answer-bytes", Sources: env("ANSWER_BYTES"),
+			Value: savorypindaemon.DefaultAnswerBytes,
+			Usage: "most memory that answers may take, in bytes; further work is refused",
+		},
 		&cli.StringFlag{
 			Destination: &s.Domain, Name: "domain", Sources: env("DOMAIN"),
 			Usage: "failure domain of the host",
@@ -73,6 +79,7 @@
 func (c *Config) checkDaemon(more ...error) error {
 	s := &c.daemon
 	errs := []error{
+		checkAnswerBytes(s.AnswerBytes),
 		checkSet("--domain", s.Domain),
 		checkAddress("--http", s.HTTP),
 		checkKey(s.Key),
@@ -100,6 +107,13 @@
 	return nil
 }
 
+func checkAnswerBytes(n int) error {
+	if n < 0 {
+		return fmt.Errorf("--answer-bytes: %d is negative", n)
+	}
+	return nil
+}
+
 func checkGrace(d time.Duration) error {
 	if d < 0 {
 		return fmt.Errorf("--stop-grace: %s is negative", d)
--- a/internal/savorypin/id.go
+++ b/internal/savorypin/id.go
@@ -27,26 +27,39 @@
 // EventID identifies a position in the answer of a generation. It is what
 // callers send back as Last-Event-ID.
 type EventID struct {
+	attempt    AttemptID
 	generation GenerationID
 	next       int
 }
 
-// NewEventID returns the position before the token with index next.
-func NewEventID(generation GenerationID, next int) EventID {
-	return EventID{generation: generation, next: next}
+// NewEventID returns the position before the token with index next. The
+// attempt is the one that produced the token before the position.
+func NewEventID(generation GenerationID, next int, attempt AttemptID) EventID {
+	return EventID{attempt: attempt, generation: generation, next: next}
 }
 
 // ParseEventID parses the text form of an event id.
 func ParseEventID(s string) (EventID, error) {
-	generation, index, ok := strings.Cut(s, "/")
+	generation, rest, ok := strings.Cut(s, "/")
 	if !ok {
 		return EventID{}, Errorf(KindInvalid, "event id "+strconv.Quote(s), "has no index")
 	}
+	index, attempt, _ := strings.Cut(rest, "/")
 	next, err := strconv.Atoi(index)
 	if err != nil || next < 0 {
 		return EventID{}, Errorf(KindInvalid, "event id "+strconv.Quote(s), "has a bad index")
 	}
-	return EventID{generation: GenerationID(generation), next: next}, nil
+	e := EventID{generation: GenerationID(generation), next: next}
+	if attempt != "" {
+		e.attempt, err = ParseAttemptID(attempt)
+	}
+	return e, err
+}
+
+// Attempt returns the attempt that produced the token before the position, or
+// the zero id if the position does not say.
+func (e EventID) Attempt() AttemptID {
+	return e.attempt
 }
 
 // Generation returns the generation of the position.
@@ -61,5 +74,8 @@
 
 // String returns the text form that ParseEventID reads.
 func (e EventID) String() string {
-	return fmt.Sprintf("%s/%d", e.generation, e.next)
+	if e.attempt.IsZero() {
+		return fmt.Sprintf("%s/%d", e.generation, e.next)
+	}
+	return fmt.Sprintf("%s/%d/%s", e.generation, e.next, e.attempt)
 }
--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -16,14 +16,8 @@
 	"savorypin/internal/savorypinoperator"
 )
 
-// Times of the agent.
-const (
-	// pollInterval is how often endpoints are asked for their load.
-	pollInterval = 250 * time.Millisecond
-	// retainFor is how long an attempt is kept after it ended, or after its
-	// last reader left.
-	retainFor = 30 * time.Second
-)
+// pollInterval is how often endpoints are asked for their load.
+const pollInterval = 250 * time.Millisecond
 
 // Config configures an Agent.
 type Config struct {
@@ -43,7 +37,8 @@
 
 	mu    sync.Mutex
 	calls map[callKey]*callRecord
-	runs  map[savorypinmember.Attempt]*run
+
+	registry
 }
 
 // New returns an agent that listens but does not serve yet.
@@ -52,7 +47,6 @@
 		cfg:       cfg,
 		calls:     map[callKey]*callRecord{},
 		endpoints: map[string]*endpoint{},
-		runs:      map[savorypinmember.Attempt]*run{},
 	}
 	daemon, err := savorypindaemon.New(savorypindaemon.Config{
 		Endpoints: a.states,
@@ -67,11 +61,9 @@
 	for _, e := range cfg.Endpoints {
 		a.endpoints[e.Name] = newEndpoint(e)
 	}
-	daemon.Handle(savorypinmember.FrameAttach, a.handleAttach)
 	daemon.Handle(savorypinmember.FrameBar, savorypinmember.HandleCall(a.handleBar))
 	daemon.Handle(savorypinmember.FrameCall, savorypinmember.HandleCall(a.handleCall))
-	daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
-	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
+	a.registerGenerations()
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
 	for _, e := range a.endpoints {
@@ -110,25 +102,34 @@
 
 // State is the part of the state dump that only agents have.
 type State struct {
-	Attempts  []AttemptState            `json:"attempts"`
-	Calls     int                       `json:"calls"`
-	Endpoints []savorypin.EndpointState `json:"endpoints"`
+	AnswerBytes int                       `json:"answerBytes"`
+	Attempts    []AttemptState            `json:"attempts"`
+	Calls       int                       `json:"calls"`
+	Endpoints   []savorypin.EndpointState `json:"endpoints"`
+	Places      int                       `json:"places"`
 }
 
 // AttemptState is one attempt in the state dump.
 type AttemptState struct {
-	Attempt    int                    `json:"attempt"`
+	Attempt    string                 `json:"attempt"`
 	Endpoint   string                 `json:"endpoint"`
 	Finished   bool                   `json:"finished"`
 	Generation savorypin.GenerationID `json:"generation"`
 	Produced   int                    `json:"produced"`
+	Readers    int                    `json:"readers"`
 	Version    string                 `json:"version"`
 }
 
 func (a *Agent) state() any {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := State{Attempts: []AttemptState{}, Calls: len(a.calls), Endpoints: a.states()}
+	s := State{
+		AnswerBytes: a.memory.Used(),
+		Attempts:    []AttemptState{},
+		Calls:       len(a.calls),
+		Endpoints:   a.states(),
+		Places:      a.places.Len(),
+	}
 	for _, r := range a.runs {
 		s.Attempts = append(s.Attempts, r.state())
 	}
@@ -158,14 +159,9 @@
 
 // sweep drops what has been kept for long enough.
 func (a *Agent) sweep(now time.Time) {
+	a.sweepGenerations(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for id, r := range a.runs {
-		if r.abandoned(now) {
-			r.cancel()
-			delete(a.runs, id)
-		}
-	}
 	for key, c := range a.calls {
 		if c.settled && now.Sub(c.at) > callRetainFor {
 			delete(a.calls, key)
--- a/internal/savorypinagent/generation.go
+++ b/internal/savorypinagent/generation.go
@@ -2,32 +2,54 @@
 
 import (
 	"context"
-	"errors"
-	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypinendpoint"
 	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinresume"
 )
 
-// maxBatchTokens is the largest number of tokens in one frame.
-const maxBatchTokens = 256
-
-// run is one attempt at a generation and what it has produced.
-type run struct {
-	cancel context.CancelFunc
-	start  savorypinmember.Start
+// Times and sizes of generations at an agent.
+const (
+	// orphanGrace is how long an attempt runs on without a reader.
+	orphanGrace = 10 * time.Second
+	// retainFor is how long an attempt is kept after it ended and its last
+	// reader left.
+	retainFor = 30 * time.Second
+	// maxPlaces bounds the table of generations that have moved.
+	maxPlaces = 1 << 16
+)
 
-	mu       sync.Mutex
-	acked    int
-	changed  chan struct{}
-	done     bool
-	err      error
-	lastUsed time.Time
-	readers  int
-	reason   savorypin.FinishReason
-	tokens   []savorypin.Token
+// registry is what an agent holds of generations.
+type registry struct {
+	memory *savorypinresume.Memory
+	places *savorypinresume.Places
+	runs   map[savorypinmember.Attempt]*run
+	terms  map[savorypin.GenerationID]uint64
+}
+
+// registerGenerations registers what entries ask about generations.
+func (a *Agent) registerGenerations() {
+	settings := a.daemon.Settings()
+	a.memory = savorypinresume.NewMemory(savorypinresume.MemoryConfig{
+		Bytes:  settings.AnswerMemory(),
+		Evict:  a.evict,
+		Object: settings.Name,
+	})
+	a.places = savorypinresume.NewPlaces(maxPlaces)
+	a.runs = map[savorypinmember.Attempt]*run{}
+	a.terms = map[savorypin.GenerationID]uint64{}
+	a.daemon.Handle(savorypinmember.FrameAttach, a.handleAttach)
+	a.daemon.Handle(savorypinmember.FrameDrop, savorypinmember.HandleCall(a.handleDrop))
+	a.daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
+	a.daemon.Handle(savorypinmember.FramePlace, savorypinmember.HandleCall(a.handlePlace))
+	a.daemon.Handle(savorypinmember.FrameStart, a.handleStart)
+	registry := a.daemon.Metrics()
+	metrics.NewRegisteredFunctionalGauge("answers.bytes", registry, func() int64 { return int64(a.memory.Used()) })
+	metrics.NewRegisteredFunctionalGauge("answers.limit", registry, func() int64 { return int64(a.memory.Limit()) })
+	metrics.NewRegisteredFunctionalGauge("places", registry, func() int64 { return int64(a.places.Len()) })
 }
 
 func (a *Agent) handleStart(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
@@ -39,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	return r.serve(ctx, s, len(start.Delivered), start.Window)
+	return r.serve(ctx, s, reader{next: len(start.Delivered), term: start.Attempt.ID.Term, window: start.Window})
 }
 
 func (a *Agent) handleAttach(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
@@ -49,30 +71,31 @@
 	}
 	a.mu.Lock()
 	r, ok := a.runs[attach.Attempt]
+	err = a.raiseTerm(attach.Attempt.Generation, attach.Term)
 	a.mu.Unlock()
-	if !ok {
-		return savorypin.Errorf(savorypin.KindNotFound, string(attach.Attempt.Generation), "attempt %d is not here", attach.Attempt.Number)
+	switch {
+	case !ok:
+		return savorypin.Errorf(savorypin.KindNotFound, string(attach.Attempt.Generation), "attempt %s is not here", attach.Attempt.ID)
+	case err != nil:
+		return err
+	}
+	r.supersede(attach.Term)
+	// The empty batch tells the entry that the attempt lives.
+	alive := savorypinmember.Tokens{Attempt: attach.Attempt.ID, First: attach.From}
+	if err := s.Send(ctx, savorypinmember.FrameTokens, &alive); err != nil {
+		return nil //nolint:nilerr // The reader has gone; it attaches again if it lives.
 	}
-	return r.serve(ctx, s, attach.From, attach.Window)
+	return r.serve(ctx, s, reader{next: attach.From, term: attach.Term, window: attach.Window})
 }
 
-func (a *Agent) handleFind(
-	_ context.Context,
-	_ savorypinmember.Hello,
-	req savorypinmember.Find,
-) (savorypinmember.Found, error) {
-	a.mu.Lock()
-	var newest *run
-	for id, r := range a.runs {
-		if id.Generation == req.Generation && (newest == nil || id.Number > newest.start.Attempt.Number) {
-			newest = r
-		}
-	}
-	a.mu.Unlock()
-	if newest == nil {
-		return savorypinmember.Found{}, savorypin.Errorf(savorypin.KindNotFound, string(req.Generation), "generation is not here")
+// raiseTerm refuses entries that have lost a generation to one with a higher
+// term. The caller holds a.mu.
+func (a *Agent) raiseTerm(id savorypin.GenerationID, term uint64) error {
+	if term < a.terms[id] {
+		return savorypin.Errorf(savorypin.KindConflict, string(id), "another entry has taken over")
 	}
-	return newest.found(), nil
+	a.terms[id] = term
+	return nil
 }
 
 // begin starts the attempt, or returns it if it is running already.
@@ -84,212 +107,54 @@
 	if a.daemon.Draining() {
 		return nil, savorypin.Errorf(savorypin.KindNotRun, a.daemon.Settings().Name, "agent is stopping")
 	}
+	purpose := savorypin.PurposeFirst
+	if len(start.Delivered) > 0 {
+		purpose = savorypin.PurposeResume
+	}
+	size := savorypinresume.Size(start.Generation)
+	if err := a.memory.Reserve(purpose, size); err != nil {
+		return nil, err
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if r, ok := a.runs[start.Attempt]; ok {
-		return r, nil
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), start.Deadline)
-	r := &run{
-		acked:    len(start.Delivered),
-		cancel:   cancel,
-		changed:  make(chan struct{}),
-		lastUsed: time.Now(),
-		start:    start,
+	held, ok := a.runs[start.Attempt]
+	err := a.raiseTerm(start.Attempt.Generation, start.Attempt.ID.Term)
+	if ok || err != nil {
+		a.memory.Release(size)
+		return held, err
 	}
+	r := newRun(start, size)
 	a.runs[start.Attempt] = r
+	ctx, cancel := context.WithDeadline(context.Background(), start.Deadline)
+	r.cancel = cancel
 	go r.generate(ctx, e.engine)
 	return r, nil
 }
 
-func (r *run) generate(ctx context.Context, engine *savorypinendpoint.Engine) {
-	defer r.cancel()
-	reason, err := engine.Generate(ctx, savorypinendpoint.Request{
-		Delivered:   r.start.Delivered,
-		MaxTokens:   r.start.Generation.MaxTokens,
-		Model:       r.start.Model,
-		Priority:    r.start.Generation.Priority,
-		Prompt:      r.start.Generation.Prompt,
-		Seed:        r.start.Generation.Seed,
-		Temperature: r.start.Generation.Temperature,
-	}, r.produce)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.done = true
-	r.err = translateEngine(r.start.Endpoint, err)
-	r.reason = reason
-	r.wake()
-}
-
-// translateEngine turns an error of an engine into one of the core.
-func translateEngine(endpoint string, err error) error {
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, savorypinendpoint.ErrRefused):
-		return savorypin.Errorf(savorypin.KindNotRun, endpoint, "%w", err)
-	default:
-		return savorypin.Errorf(savorypin.KindIncomplete, endpoint, "%w", err)
-	}
+// sweepGenerations drops what has been kept for long enough.
+func (a *Agent) sweepGenerations(now time.Time) {
+	a.places.Sweep(now)
+	a.dropRuns(func(r *run) bool { return r.abandoned(now) })
 }
 
-func (r *run) produce(tokens []savorypin.Token) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tokens = append(r.tokens, tokens...)
-	r.wake()
-	return nil
+// evict drops the finished attempts that nobody reads.
+func (a *Agent) evict() {
+	a.dropRuns((*run).finished)
 }
 
-// wake lets all readers look again. The caller holds r.mu.
-func (r *run) wake() {
-	close(r.changed)
-	r.changed = make(chan struct{})
-}
-
-// serve streams the tokens from an index on until the attempt has ended and
-// all of them are acknowledged.
-func (r *run) serve(ctx context.Context, s *savorypinmember.Stream, from, window int) error {
-	r.enter(from)
-	defer r.leave()
-	gone := make(chan struct{})
-	go func() {
-		defer close(gone)
-		r.readAcks(ctx, s)
-	}()
-	next := from
-	for {
-		batch, end, changed, err := r.take(next, window)
-		if err != nil {
-			return err
-		}
-		if end != nil {
-			if err := s.Send(ctx, savorypinmember.FrameDone, end); err != nil {
-				return nil // The reader has gone; it attaches again if it lives.
-			}
-			<-gone
-			return nil
-		}
-		if len(batch) > 0 {
-			msg := savorypinmember.Tokens{Attempt: r.start.Attempt, First: next, Tokens: batch}
-			if err := s.Send(ctx, savorypinmember.FrameTokens, msg); err != nil {
-				return nil // The reader has gone; it attaches again if it lives.
-			}
-			next += len(batch)
-			continue
-		}
-		select {
-		case <-changed:
-		case <-gone:
-			return nil
-		}
-	}
-}
-
-// take returns the next batch for a reader, or the end of the attempt, or a
-// channel that is closed when there may be more.
-func (r *run) take(next, window int) ([]savorypin.Token, *savorypinmember.Done, <-chan struct{}, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	base := len(r.start.Delivered)
-	if next < base || next > base+len(r.tokens) {
-		return nil, nil, nil, savorypin.Errorf(savorypin.KindInvalid, string(r.start.Attempt.Generation),
-			"index %d is outside of %d to %d", next, base, base+len(r.tokens))
-	}
-	last := min(base+len(r.tokens), r.acked+window, next+maxBatchTokens)
-	if last > next {
-		batch := make([]savorypin.Token, last-next)
-		copy(batch, r.tokens[next-base:last-base])
-		return batch, nil, nil, nil
-	}
-	if r.done && next == base+len(r.tokens) {
-		if r.err != nil {
-			return nil, nil, nil, r.err
-		}
-		return nil, &savorypinmember.Done{Attempt: r.start.Attempt, Length: next, Reason: r.reason}, nil, nil
-	}
-	return nil, nil, r.changed, nil
-}
-
-// readAcks reads what the entry says until the stream ends.
-func (r *run) readAcks(ctx context.Context, s *savorypinmember.Stream) {
-	for {
-		f, err := s.Receive(ctx)
-		if err != nil {
-			return
-		}
-		switch f.Kind {
-		case savorypinmember.FrameAck:
-			ack, err := savorypinmember.Decode[savorypinmember.Ack](f)
-			if err != nil {
-				return
-			}
-			r.acknowledge(ack.Next)
-		case savorypinmember.FrameCancel:
+// dropRuns ends and forgets attempts.
+func (a *Agent) dropRuns(drop func(*run) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	terms := map[savorypin.GenerationID]uint64{}
+	for id, r := range a.runs {
+		if drop(r) {
 			r.cancel()
-			return
+			a.memory.Release(r.size)
+			delete(a.runs, id)
+			continue
 		}
+		terms[id.Generation] = a.terms[id.Generation]
 	}
-}
-
-func (r *run) acknowledge(next int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.acked = max(r.acked, next)
-	r.wake()
-}
-
-func (r *run) enter(from int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.acked = from
-	r.readers++
-}
-
-func (r *run) leave() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lastUsed = time.Now()
-	r.readers--
-}
-
-// abandoned reports whether nobody has read the attempt for long.
-func (r *run) abandoned(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.readers == 0 && now.Sub(r.lastUsed) > retainFor
-}
-
-func (r *run) finished() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.done && r.readers == 0
-}
-
-func (r *run) found() savorypinmember.Found {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delivered := append([]savorypin.Token{}, r.start.Delivered...)
-	return savorypinmember.Found{
-		Attempt:    r.start.Attempt,
-		Deadline:   r.start.Deadline,
-		Delivered:  append(delivered, r.tokens...),
-		Endpoint:   r.start.Endpoint,
-		Generation: r.start.Generation,
-		Model:      r.start.Model,
-		Version:    r.start.Version,
-	}
-}
-
-func (r *run) state() AttemptState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return AttemptState{
-		Attempt:    r.start.Attempt.Number,
-		Endpoint:   r.start.Endpoint,
-		Finished:   r.done,
-		Generation: r.start.Attempt.Generation,
-		Produced:   len(r.tokens),
-		Version:    r.start.Version,
-	}
+	a.terms = terms
 }
--- /dev/null
+++ b/internal/savorypinagent/run.go
@@ -0,0 +1,280 @@
+package savorypinagent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinendpoint"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinresume"
+)
+
+// maxBatchTokens is the largest number of tokens in one frame.
+const maxBatchTokens = 128
+
+// run is one attempt at a generation and what it has produced.
+type run struct {
+	base   int
+	cancel context.CancelFunc
+	size   int
+	start  savorypinmember.Start
+
+	mu       sync.Mutex
+	done     bool
+	err      error
+	lastUsed time.Time
+	readers  map[*readerState]bool
+	reason   savorypin.FinishReason
+	tokens   savorypinresume.Tokens
+}
+
+// reader is what a stream asks of a run.
+type reader struct {
+	next   int
+	term   uint64
+	window int
+}
+
+// readerState is a stream that reads a run. Its fields are guarded by the
+// run's mutex.
+type readerState struct {
+	acked      int
+	changed    chan struct{}
+	superseded bool
+	term       uint64
+	window     int
+}
+
+func newRun(start savorypinmember.Start, size int) *run {
+	r := &run{
+		base:     len(start.Delivered),
+		lastUsed: time.Now(),
+		readers:  map[*readerState]bool{},
+		size:     size,
+		start:    start,
+	}
+	r.tokens.Append(start.Delivered)
+	r.start.Delivered = nil
+	return r
+}
+
+func (r *run) generate(ctx context.Context, engine *savorypinendpoint.Engine) {
+	defer r.cancel()
+	reason, err := engine.Generate(ctx, savorypinendpoint.Request{
+		Delivered:   r.tokens.Slice(0, r.base),
+		MaxTokens:   r.start.Generation.MaxTokens,
+		Model:       r.start.Model,
+		Priority:    r.start.Generation.Priority,
+		Prompt:      r.start.Generation.Prompt,
+		Seed:        r.start.Generation.Seed,
+		Temperature: r.start.Generation.Temperature,
+	}, r.produce)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done = true
+	r.err = translateEngine(r.start.Endpoint, err)
+	r.lastUsed = time.Now()
+	r.reason = reason
+	r.wake()
+}
+
+// translateEngine turns an error of an engine into one of the core.
+func translateEngine(endpoint string, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, savorypinendpoint.ErrRefused), errors.Is(err, savorypinendpoint.ErrNotSent):
+		return savorypin.Errorf(savorypin.KindNotRun, endpoint, "%w", err)
+	default:
+		return savorypin.Errorf(savorypin.KindIncomplete, endpoint, "%w", err)
+	}
+}
+
+func (r *run) produce(tokens []savorypin.Token) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens.Append(tokens)
+	r.wake()
+	return nil
+}
+
+// wake lets all readers look again. The caller holds r.mu.
+func (r *run) wake() {
+	for state := range r.readers {
+		select {
+		case state.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// serve streams the tokens from an index on until the attempt has ended and
+// the reader has closed the stream.
+func (r *run) serve(ctx context.Context, s *savorypinmember.Stream, want reader) error {
+	state := r.enter(want)
+	defer r.leave(state)
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		r.readAcks(ctx, s, state)
+	}()
+	next := want.next
+	for {
+		batch, end, err := r.take(next, state)
+		if err != nil {
+			return err
+		}
+		if end != nil {
+			if err := s.Send(ctx, savorypinmember.FrameDone, end); err != nil {
+				return nil // The reader has gone; it attaches again if it lives.
+			}
+			<-gone
+			return nil
+		}
+		if len(batch) > 0 {
+			msg := savorypinmember.Tokens{Attempt: r.start.Attempt.ID, First: next, Tokens: batch}
+			if err := s.Send(ctx, savorypinmember.FrameTokens, &msg); err != nil {
+				return nil // The reader has gone; it attaches again if it lives.
+			}
+			next += len(batch)
+			continue
+		}
+		select {
+		case <-state.changed:
+		case <-gone:
+			return nil
+		}
+	}
+}
+
+// take returns the next batch for a reader, or the end of the attempt, or
+// neither if the reader has to wait.
+func (r *run) take(next int, state *readerState) ([]savorypin.Token, *savorypinmember.Done, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := string(r.start.Attempt.Generation)
+	if state.superseded {
+		return nil, nil, savorypin.Errorf(savorypin.KindConflict, id, "another entry has taken over")
+	}
+	if next > r.tokens.Len() {
+		return nil, nil, savorypin.Errorf(savorypin.KindInvalid, id, "index %d is beyond %d", next, r.tokens.Len())
+	}
+	last := min(r.tokens.Len(), state.acked+state.window, next+maxBatchTokens)
+	if last > next {
+		return r.tokens.Slice(next, last), nil, nil
+	}
+	if r.done && next == r.tokens.Len() {
+		if r.err != nil {
+			return nil, nil, r.err
+		}
+		return nil, &savorypinmember.Done{Attempt: r.start.Attempt.ID, Length: next, Reason: r.reason}, nil
+	}
+	return nil, nil, nil
+}
+
+// readAcks reads what the entry says until the stream ends.
+func (r *run) readAcks(ctx context.Context, s *savorypinmember.Stream, state *readerState) {
+	for {
+		f, err := s.Receive(ctx)
+		if err != nil {
+			return
+		}
+		switch f.Kind {
+		case savorypinmember.FrameAck:
+			ack, err := savorypinmember.Decode[savorypinmember.Ack](f)
+			if err != nil {
+				return
+			}
+			r.acknowledge(state, ack.Next)
+		case savorypinmember.FrameCancel:
+			r.cancel()
+			return
+		}
+	}
+}
+
+func (r *run) acknowledge(state *readerState, next int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state.acked = max(state.acked, next)
+	r.wake()
+}
+
+func (r *run) enter(want reader) *readerState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := &readerState{acked: want.next, changed: make(chan struct{}, 1), term: want.term, window: want.window}
+	r.readers[state] = true
+	return state
+}
+
+func (r *run) leave(state *readerState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.readers, state)
+	r.lastUsed = time.Now()
+}
+
+// supersede ends the streams of entries with a lower term.
+func (r *run) supersede(term uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for state := range r.readers {
+		if state.term < term {
+			state.superseded = true
+		}
+	}
+	r.wake()
+}
+
+// abandoned reports whether nobody has read the attempt for long.
+func (r *run) abandoned(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	grace := orphanGrace
+	if r.done {
+		grace = retainFor
+	}
+	return len(r.readers) == 0 && now.Sub(r.lastUsed) > grace
+}
+
+func (r *run) finished() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done && len(r.readers) == 0
+}
+
+func (r *run) held() savorypinmember.Held {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lineage := append(savorypin.Lineage{}, r.start.Lineage...)
+	if r.tokens.Len() > r.base {
+		lineage = append(lineage, savorypin.Segment{Attempt: r.start.Attempt.ID, First: r.base})
+	}
+	return savorypinmember.Held{
+		Attempt:    r.start.Attempt.ID,
+		Deadline:   r.start.Deadline,
+		Endpoint:   r.start.Endpoint,
+		Generation: r.start.Generation,
+		Lineage:    lineage,
+		Tokens:     r.tokens.Slice(0, r.tokens.Len()),
+		Version:    r.start.Version,
+	}
+}
+
+func (r *run) state() AttemptState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return AttemptState{
+		Attempt:    r.start.Attempt.ID.String(),
+		Endpoint:   r.start.Endpoint,
+		Finished:   r.done,
+		Generation: r.start.Attempt.Generation,
+		Produced:   r.tokens.Len() - r.base,
+		Readers:    len(r.readers),
+		Version:    r.start.Version,
+	}
+}
--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -46,7 +45,7 @@
 	server := callerserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
 	callerserver.Mount(mux, server)
 	savorypinoperator.Mount(mux, savorypinoperator.Config{Daemon: entry.Daemon()})
-	return mux
+	return limitWrites(mux)
 }
 
 func (s *service) logError(_ context.Context, _ http.ResponseWriter, err error) {
@@ -59,10 +58,12 @@
 	if err != nil {
 		return nil, failure(err)
 	}
+	reader := relay.Open(startOf(relay))
+	defer reader.Close()
 	answer := &caller.Generation{ID: string(relay.Generation().ID), Tokens: []int{}}
 	var text strings.Builder
 	for {
-		tokens, end, err := relay.Read(ctx, len(answer.Tokens))
+		tokens, end, err := reader.Next(ctx)
 		if err != nil {
 			return nil, failure(savorypin.Errorf(savorypin.KindIncomplete, answer.ID, "%w", err))
 		}
@@ -122,130 +123,18 @@
 	})
 }
 
-// sender is the part of goa's streams that events are sent with.
-type sender func(context.Context, *caller.TokenEvent) error
-
-// Stream generates an answer and streams it.
-func (s *service) Stream(ctx context.Context, p *caller.StreamPayload, stream caller.StreamServerStream) error {
-	relay, err := s.start(streamPrompt(*p))
-	if err != nil {
-		return failure(err)
-	}
-	return s.send(ctx, relay, 0, stream.SendWithContext)
-}
-
-// Attach goes on with an answer after the last event that the caller has seen.
-func (s *service) Attach(ctx context.Context, p *caller.AttachPayload, stream caller.AttachServerStream) error {
-	organisation, err := s.authorize(p.Authorization)
-	if err != nil {
-		return failure(err)
-	}
-	next := 0
-	if last := deref(p.LastEventID); last != "" {
-		id, err := savorypin.ParseEventID(last)
-		if err != nil {
-			return failure(err)
-		}
-		next = id.Next()
-	}
-	relay, err := s.find(ctx, savorypin.GenerationID(p.ID), organisation)
-	if err != nil {
-		return failure(err)
-	}
-	return s.send(ctx, relay, next, stream.SendWithContext)
-}
-
-// find returns a generation of an organisation.
-func (s *service) find(ctx context.Context, id savorypin.GenerationID, organisation string) (*savorypinentry.Relay, error) {
-	relay, err := s.entry.Find(ctx, id)
-	if err != nil {
-		return nil, err
-	}
-	if relay.Generation().Organisation != organisation {
-		return nil, savorypin.Errorf(savorypin.KindNotFound, string(id), "no such generation")
-	}
-	return relay, nil
-}
-
-// accepted, done and failed are the bodies of events.
-type accepted struct {
-	ID string `json:"id"`
-}
-
-type done struct {
-	Attempts     int                    `json:"attempts"`
-	FinishReason savorypin.FinishReason `json:"finish_reason"`
-	Tokens       int                    `json:"tokens"`
-	Version      string                 `json:"version"`
-}
-
-type failed struct {
-	Kind       savorypin.ErrorKind `json:"kind"`
-	Message    string              `json:"message"`
-	RetryAfter int                 `json:"retry_after,omitempty"`
-}
-
-func (s *service) send(ctx context.Context, relay *savorypinentry.Relay, next int, send sender) error {
-	id := relay.Generation().ID
-	if err := sendEvent(ctx, send, id, next, eventAccepted, accepted{ID: string(id)}); err != nil {
-		return err
-	}
-	for {
-		tokens, end, err := relay.Read(ctx, next)
-		if err != nil {
-			return nil //nolint:nilerr // The caller has gone; it attaches again if it lives.
-		}
-		if end != nil {
-			return sendEnd(ctx, send, relay, next, *end)
-		}
-		for _, token := range tokens {
-			next++
-			if err := sendEvent(ctx, send, id, next, eventToken, token); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-func sendEnd(ctx context.Context, send sender, relay *savorypinentry.Relay, next int, end savorypinentry.End) error {
-	id := relay.Generation().ID
-	if end.Err != nil {
-		body := failed{Kind: savorypin.KindOf(end.Err), Message: end.Err.Error(), RetryAfter: retryAfter(end.Err)}
-		return sendEvent(ctx, send, id, next, eventError, body)
-	}
-	body := done{
-		Attempts:     relay.Attempts(),
-		FinishReason: end.Reason,
-		Tokens:       next,
-		Version:      relay.Version(),
-	}
-	return sendEvent(ctx, send, id, next, eventDone, body)
-}
-
-func sendEvent(ctx context.Context, send sender, id savorypin.GenerationID, next int, event string, body any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	return send(ctx, &caller.TokenEvent{
-		Data:  string(data),
-		Event: event,
-		ID:    savorypin.NewEventID(id, next).String(),
-	})
-}
-
 // Cancel cancels a generation.
 func (s *service) Cancel(ctx context.Context, p *caller.CancelPayload) error {
 	organisation, err := s.authorize(p.Authorization)
 	if err != nil {
 		return failure(err)
 	}
-	if _, err := s.find(ctx, savorypin.GenerationID(p.ID), organisation); err != nil {
-		return failure(err)
-	}
-	if err := s.entry.Cancel(ctx, savorypin.GenerationID(p.ID)); err != nil {
+	start := savorypin.NewEventID(savorypin.GenerationID(p.ID), 0, savorypin.AttemptID{})
+	relay, err := s.find(ctx, start, organisation)
+	if err != nil {
 		return failure(err)
 	}
+	relay.Cancel()
 	return nil
 }
 
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -44,8 +44,14 @@
 	idleTimeout       = 2 * time.Minute
 )
 
+// DefaultAnswerBytes is the most memory that answers may take.
+const DefaultAnswerBytes = 192 << 20
+
 // Settings are what a daemon is told by flags and environment variables.
 type Settings struct {
+	// AnswerBytes is the most memory that answers may take; zero means
+	// DefaultAnswerBytes.
+	AnswerBytes int
 	// Domain is the failure domain of the host.
 	Domain string
 	// HTTP is the address for callers, operators and scrapers.
@@ -70,6 +76,14 @@
 	StopGrace time.Duration
 }
 
+// AnswerMemory returns the most memory that answers may take, in bytes.
+func (s Settings) AnswerMemory() int {
+	if s.AnswerBytes == 0 {
+		return DefaultAnswerBytes
+	}
+	return s.AnswerBytes
+}
+
 // Config configures a Daemon.
 type Config struct {
 	// Endpoints returns the endpoints of an agent; nil for an entry.
--- a/internal/savorypinendpoint/engine.go
+++ b/internal/savorypinendpoint/engine.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,9 +32,12 @@
 	ErrBroken = errors.New("endpoint broke off")
 	// ErrFenced means that an engine refused an old fencing number.
 	ErrFenced = errors.New("endpoint refused an old fencing number")
+	// ErrNotSent means that no connection could be opened, so that the endpoint
+	// has not seen the request.
+	ErrNotSent = errors.New("endpoint takes no connections")
 	// ErrRefused means that an endpoint answered with an error status.
 	ErrRefused = errors.New("endpoint refused the request")
-	// ErrUnreachable means that no connection could be opened.
+	// ErrUnreachable means that a connection was lost before the answer began.
 	ErrUnreachable = errors.New("endpoint is unreachable")
 )
 
@@ -329,7 +333,7 @@
 func (e *Engine) do(req *http.Request) (*http.Response, error) {
 	resp, err := e.cfg.HTTPClient.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+		return nil, fmt.Errorf("%w: %w", unreachable(err), err)
 	}
 	switch {
 	case resp.StatusCode < http.StatusMultipleChoices:
@@ -343,6 +347,15 @@
 	}
 }
 
+// unreachable tells a request that was never sent from one that may have been.
+func unreachable(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrNotSent
+	}
+	return ErrUnreachable
+}
+
 func decodeAnswer(r io.Reader, v any) error {
 	if err := json.NewDecoder(io.LimitReader(r, maxAnswerBytes)).Decode(v); err != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -11,10 +11,12 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/singleflight"
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinresume"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -39,6 +41,11 @@
 	cfg    Config
 	daemon *savorypindaemon.Daemon
 
+	finds    singleflight.Group
+	gate     *savorypinresume.Gate
+	memory   *savorypinresume.Memory
+	suspects suspects
+
 	mu     sync.Mutex
 	calls  int
 	relays map[savorypin.GenerationID]*Relay
@@ -63,7 +70,7 @@
 		daemon: daemon,
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
-	daemon.Background(e.sweepLoop)
+	e.registerGenerations()
 	daemon.RegisterState("entry", e.state)
 	return e, nil
 }
@@ -84,57 +91,39 @@
 }
 
 func (e *Entry) idle() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, r := range e.relays {
-		if !r.settled() {
+	for _, r := range e.allRelays() {
+		if !r.idle() {
 			return false
 		}
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return e.calls == 0
 }
 
 // State is the part of the state dump that only entries have.
 type State struct {
-	Calls       int          `json:"calls"`
-	Generations []RelayState `json:"generations"`
+	AnswerBytes    int          `json:"answerBytes"`
+	Calls          int          `json:"calls"`
+	Generations    []RelayState `json:"generations"`
+	WaitingResumes int          `json:"waitingResumes"`
 }
 
 func (e *Entry) state() any {
+	s := State{
+		AnswerBytes:    e.memory.Used(),
+		Generations:    []RelayState{},
+		WaitingResumes: e.gate.Waiting(),
+	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := State{Calls: e.calls, Generations: []RelayState{}}
-	for _, r := range e.relays {
+	s.Calls = e.calls
+	e.mu.Unlock()
+	for _, r := range e.allRelays() {
 		s.Generations = append(s.Generations, r.state())
 	}
 	return s
 }
 
-func (e *Entry) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			e.sweep(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// sweep drops relays that nobody reads any more.
-func (e *Entry) sweep(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for id, r := range e.relays {
-		if r.abandoned(now) {
-			r.cancel()
-			delete(e.relays, id)
-		}
-	}
-}
-
 // timeout returns how long a request may take.
 func timeout(asked time.Duration, spec savorypin.ServiceSpec) time.Duration {
 	switch {
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -1,28 +1,20 @@
 package savorypinentry
 
 import (
-	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinresume"
-	"savorypin/internal/savorypinroute"
 )
 
-// Settings of the relay.
+// Times of relays.
 const (
-	// relayRetainFor is how long a relay without readers is kept.
-	relayRetainFor = 15 * time.Second
-	// retryPause is the pause before the choice of an endpoint is tried again.
-	retryPause = 100 * time.Millisecond
-	// stallAfter is the gap between tokens after which an attempt is taken as
-	// stalled.
-	stallAfter = 2 * time.Second
-	// windowTokens is how many tokens an agent may send ahead.
-	windowTokens = 4096
+	// readerGrace is how long a generation runs on without a reader.
+	readerGrace = 10 * time.Second
+	// relayRetainFor is how long a relay is kept after its generation ended
+	// and its last reader left.
+	relayRetainFor = 30 * time.Second
 )
 
 // Request is what a caller asks to be generated.
@@ -34,29 +26,27 @@
 }
 
 // End is how a generation ended.
-type End struct {
-	// Err is why the answer is not whole; nil if it is.
-	Err error
-	// Reason is why the answer ended.
-	Reason savorypin.FinishReason
-}
+type End = savorypinresume.End
 
-// Relay carries one generation from endpoints to readers.
+// Relay carries one generation from endpoints to readers. The decisions are
+// those of its machine; the relay carries them out.
 type Relay struct {
-	cancel   context.CancelFunc
+	// admitted gives back the admission when the generation has ended.
+	admitted func()
 	deadline time.Time
 	entry    *Entry
 	gen      savorypin.Generation
+	// reserved is the memory of the answer, given back when the relay is
+	// forgotten.
+	reserved int
 
 	mu       sync.Mutex
-	changed  chan struct{}
-	clock    *attemptClock
-	end      *End
-	failed   map[string]bool
 	lastUsed time.Time
-	log      savorypinresume.Log
-	readers  int
-	resumes  int
+	machine  *savorypinresume.Machine
+	readers  map[*Reader]bool
+	streams  map[savorypin.AttemptID]*stream
+	timer    *time.Timer
+	timerAt  time.Time
 	version  string
 }
 
@@ -69,81 +59,99 @@
 	if !e.daemon.Ready() {
 		return nil, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
 	}
-	release, err := e.admit(req.Generation.Organisation, req.Generation.MaxTokens)
+	if err := e.resumesFirst(req.Generation.Service); err != nil {
+		return nil, err
+	}
+	admitted, err := e.admitGeneration(req.Generation)
 	if err != nil {
 		return nil, err
 	}
 	version := e.chooseVersion(req.Generation, savorypin.PurposeFirst)
-	candidate, ok := e.pick(e.generationNeed(req.Generation, version, savorypin.PurposeFirst, nil))
+	candidate, ok := e.pickUnsuspected(req.Generation, version, savorypin.PurposeFirst, nil)
 	if !ok {
-		release()
+		admitted()
+		e.memory.Release(savorypinresume.Size(req.Generation))
 		return nil, savorypin.Errorf(savorypin.KindNotRun, req.Generation.Service,
 			"no endpoint serves version %q", version).WithRetryAfter(time.Second)
 	}
 	req.Generation.ID = savorypin.NewGenerationID(candidate.Member().Name)
 	req.Generation.Priority = spec.Priority
-	r := e.newRelay(req.Generation, time.Now().Add(timeout(req.Timeout, spec)))
-	r.version = version
-	go func() {
-		defer release()
-		r.run(&candidate)
-	}()
+	r := e.newRelay(relayConfig{
+		admitted: admitted,
+		deadline: time.Now().Add(timeout(req.Timeout, spec)),
+		gen:      req.Generation,
+		policy:   spec.Resume,
+		term:     savorypin.NextTerm(0),
+		version:  version,
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.machine.Begin()
+	r.startAt(candidate, savorypin.PurposeFirst, nil)
 	return r, nil
 }
 
-func (e *Entry) newRelay(gen savorypin.Generation, deadline time.Time) *Relay {
+// admitGeneration admits a new generation and reserves the memory of its
+// answer.
+func (e *Entry) admitGeneration(gen savorypin.Generation) (release func(), err error) {
+	release, err = e.admit(gen.Organisation, gen.MaxTokens)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.memory.Reserve(savorypin.PurposeFirst, savorypinresume.Size(gen)); err != nil {
+		release()
+		return nil, err
+	}
+	return release, nil
+}
+
+// relayConfig configures a Relay.
+type relayConfig struct {
+	admitted func()
+	deadline time.Time
+	gen      savorypin.Generation
+	number   int
+	policy   savorypin.ResumePolicy
+	term     uint64
+	version  string
+}
+
+// newRelay returns a relay that has made no attempt.
+func (e *Entry) newRelay(cfg relayConfig) *Relay {
 	r := &Relay{
-		cancel:   func() {},
-		changed:  make(chan struct{}),
-		clock:    &attemptClock{},
-		deadline: deadline,
+		admitted: sync.OnceFunc(cfg.admitted),
+		deadline: cfg.deadline,
 		entry:    e,
-		failed:   map[string]bool{},
-		gen:      gen,
+		gen:      cfg.gen,
 		lastUsed: time.Now(),
+		readers:  map[*Reader]bool{},
+		reserved: savorypinresume.Size(cfg.gen),
+		streams:  map[savorypin.AttemptID]*stream{},
+		version:  cfg.version,
 	}
+	r.machine = savorypinresume.NewMachine(savorypinresume.MachineConfig{
+		Deadline: cfg.deadline,
+		Limits:   savorypinresume.DefaultLimits(),
+		Number:   cfg.number,
+		Object:   string(cfg.gen.ID),
+		Policy:   cfg.policy,
+		Silent:   r.silent,
+		Term:     cfg.term,
+	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.relays[gen.ID] = r
-	return r
-}
-
-// Find returns the relay of a generation. If this entry has none, it looks for
-// the generation at the agent that the id names and takes it over.
-func (e *Entry) Find(ctx context.Context, id savorypin.GenerationID) (*Relay, error) {
-	e.mu.Lock()
-	r, ok := e.relays[id]
-	e.mu.Unlock()
-	if ok {
-		return r, nil
+	if old, ok := e.relays[cfg.gen.ID]; ok {
+		e.memory.Release(old.reserved)
 	}
-	m, ok := e.daemon.Members().Get(id.Agent())
-	if !ok {
-		return nil, savorypin.Errorf(savorypin.KindNotFound, string(id), "no such generation")
-	}
-	found, err := savorypinmember.Call[savorypinmember.Find, savorypinmember.Found](
-		ctx, e.daemon.Transport(), m.State().Address, savorypinmember.FrameFind, savorypinmember.Find{Generation: id})
-	if err != nil {
-		return nil, savorypin.Errorf(savorypin.KindNotFound, string(id), "no such generation: %w", err)
-	}
-	r = e.newRelay(found.Generation, found.Deadline)
-	r.version = found.Version
-	r.log.Begin(found.Attempt.Number)
-	if _, err := r.log.Offer(found.Attempt.Number, 0, found.Delivered); err != nil {
-		return nil, savorypin.Errorf(savorypin.KindIncomplete, string(id), "%w", err)
-	}
-	go r.adopt(m.State(), found)
-	return r, nil
+	e.relays[cfg.gen.ID] = r
+	return r
 }
 
 // Cancel ends a generation.
-func (e *Entry) Cancel(ctx context.Context, id savorypin.GenerationID) error {
-	r, err := e.Find(ctx, id)
-	if err != nil {
-		return err
-	}
-	r.finish(End{Reason: savorypin.FinishCancelled})
-	return nil
+func (r *Relay) Cancel() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.do(r.machine.Cancel())
 }
 
 // Generation returns what is generated.
@@ -162,301 +170,87 @@
 func (r *Relay) Attempts() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.log.Attempt()
-}
-
-// Read returns the tokens from an index on, or the end of the generation once
-// there are none. It waits until there is either.
-func (r *Relay) Read(ctx context.Context, from int) ([]savorypin.Token, *End, error) {
-	r.enter()
-	defer r.leave()
-	for {
-		r.mu.Lock()
-		tokens, end, changed := r.log.Tokens(from), r.end, r.changed
-		r.mu.Unlock()
-		if len(tokens) > 0 {
-			return tokens, nil, nil
-		}
-		if end != nil {
-			return nil, end, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, nil, ctx.Err()
-		}
-	}
-}
-
-// run makes attempts until one finishes the answer or the caller's time is up.
-func (r *Relay) run(first *savorypinroute.Candidate) {
-	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
-	defer cancel()
-	r.setCancel(cancel)
-	for {
-		candidate, ok := r.choose(first)
-		first = nil
-		if ok {
-			err := r.attempt(ctx, candidate)
-			if err == nil || r.settled() {
-				return
-			}
-			r.entry.daemon.Logger().Warn("Attempt failed",
-				"request", r.gen.ID, "attempt", r.Attempts(), "endpoint", candidate.Endpoint().Name, "err", err)
-			r.avoid(candidate.Endpoint().Name)
-		}
-		select {
-		case <-ctx.Done():
-			r.finish(End{Err: r.expired()})
-			return
-		case <-time.After(r.pause(ok)):
-		}
-	}
-}
-
-// adopt goes on with an attempt that another entry began.
-func (r *Relay) adopt(agent savorypin.MemberState, found savorypinmember.Found) {
-	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
-	r.setCancel(cancel)
-	err := r.attach(ctx, agent.Address)
-	cancel()
-	if err != nil && !r.settled() {
-		r.avoid(found.Endpoint)
-		r.run(nil)
-	}
+	return r.machine.Attempts()
 }
 
-func (r *Relay) choose(first *savorypinroute.Candidate) (savorypinroute.Candidate, bool) {
-	if first != nil {
-		return *first, true
-	}
-	r.mu.Lock()
-	need := r.entry.generationNeed(r.gen, r.version, r.purpose(), r.failed)
-	r.mu.Unlock()
-	return r.entry.pick(need)
-}
-
-// purpose says why the next attempt is made. The caller holds r.mu.
-func (r *Relay) purpose() savorypin.Purpose {
-	switch {
-	case r.log.Len() > 0:
-		return savorypin.PurposeResume
-	case r.log.Attempt() > 0:
-		return savorypin.PurposeRetry
-	default:
-		return savorypin.PurposeFirst
-	}
-}
-
-// avoid remembers that an endpoint failed this generation.
-func (r *Relay) avoid(endpoint string) {
+// tick lets the machine do what is due.
+func (r *Relay) tick() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.failed[endpoint] = true
-	r.resumes++
+	r.timerAt = time.Time{}
+	r.do(r.machine.Tick(time.Now()))
 }
 
-// pause returns how long to wait before the next attempt. Where no endpoint is
-// left, those that failed may be tried again.
-func (r *Relay) pause(tried bool) time.Duration {
-	if tried {
-		return 0
+// arm sets the timer to the machine's next wake, unless it goes off earlier
+// anyway. The caller holds r.mu.
+func (r *Relay) arm() {
+	if r.machine.End() != nil {
+		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.failed = map[string]bool{}
-	return retryPause
-}
-
-// expired returns the error of a generation whose time is up.
-func (r *Relay) expired() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.log.Len() > 0 {
-		return savorypin.Errorf(savorypin.KindIncomplete, string(r.gen.ID), "time is up after %d tokens", r.log.Len())
+	wake := r.machine.Wake()
+	if !r.timerAt.IsZero() && !wake.Before(r.timerAt) {
+		return
 	}
-	return savorypin.Errorf(savorypin.KindNotRun, string(r.gen.ID), "time is up before the first token")
-}
-
-func (r *Relay) attempt(ctx context.Context, candidate savorypinroute.Candidate) error {
-	r.mu.Lock()
-	r.clock = newAttemptClock(candidate, r.purpose(), time.Now())
-	r.mu.Unlock()
-	err := r.stream(ctx, candidate.Member().Address, savorypinmember.FrameStart, r.begin(candidate))
-	r.mu.Lock()
-	observation := r.clock.observation(r.gen, r.version, err)
-	r.mu.Unlock()
-	r.entry.observe(observation)
-	return err
-}
-
-func (r *Relay) attach(ctx context.Context, address string) error {
-	r.mu.Lock()
-	attach := savorypinmember.Attach{
-		Attempt: savorypinmember.Attempt{Generation: r.gen.ID, Number: r.log.Attempt()},
-		From:    r.log.Len(),
-		Window:  windowTokens,
+	if r.timer != nil {
+		r.timer.Stop()
 	}
-	r.mu.Unlock()
-	return r.stream(ctx, address, savorypinmember.FrameAttach, attach)
+	r.timerAt = wake
+	r.timer = time.AfterFunc(max(time.Until(wake), 0), r.tick)
 }
 
-func (r *Relay) begin(candidate savorypinroute.Candidate) savorypinmember.Start {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.Begin(r.log.Attempt() + 1)
-	version, _ := r.entry.daemon.Config().Version(r.version)
-	return savorypinmember.Start{
-		Attempt:    savorypinmember.Attempt{Generation: r.gen.ID, Number: r.log.Attempt()},
-		Deadline:   r.deadline,
-		Delivered:  r.log.Tokens(0),
-		Endpoint:   candidate.Endpoint().Name,
-		Generation: r.gen,
-		Model:      version.Model,
-		Version:    r.version,
-		Window:     windowTokens,
-	}
-}
-
-// stream opens a stream to an agent and takes what it sends until the attempt
-// ends.
-func (r *Relay) stream(ctx context.Context, address string, kind savorypinmember.FrameKind, msg any) error {
-	conn, err := r.entry.daemon.Transport().Get(ctx, address)
-	if err != nil {
-		return err
-	}
-	s, err := conn.Open()
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	if err := s.Send(ctx, kind, msg); err != nil {
-		return err
-	}
-	for {
-		f, err := r.receive(ctx, s)
-		if err != nil {
-			// The agent may live; it should not go on in vain.
-			_ = s.Send(context.Background(), savorypinmember.FrameCancel, savorypinmember.Cancel{})
-			return err
-		}
-		done, err := r.take(ctx, s, f)
-		if done || err != nil {
-			return err
+// wake lets all readers look again. The caller holds r.mu.
+func (r *Relay) wake() {
+	for reader := range r.readers {
+		select {
+		case reader.changed <- struct{}{}:
+		default:
 		}
 	}
 }
 
-func (r *Relay) receive(ctx context.Context, s *savorypinmember.Stream) (savorypinmember.Frame, error) {
-	limited, cancel := context.WithTimeout(ctx, stallAfter)
-	defer cancel()
-	f, err := s.Receive(limited)
-	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
-		return f, savorypin.Errorf(savorypin.KindIncomplete, string(r.gen.ID), "attempt stalled for %s", stallAfter)
-	}
-	return f, err
-}
-
-// take handles one frame and reports whether the generation is finished.
-func (r *Relay) take(ctx context.Context, s *savorypinmember.Stream, f savorypinmember.Frame) (bool, error) {
-	switch f.Kind {
-	case savorypinmember.FrameTokens:
-		msg, err := savorypinmember.Decode[savorypinmember.Tokens](f)
-		if err != nil {
-			return false, err
-		}
-		return false, r.deliver(ctx, s, msg)
-	case savorypinmember.FrameDone:
-		msg, err := savorypinmember.Decode[savorypinmember.Done](f)
-		if err != nil {
-			return false, err
-		}
-		return r.complete(msg)
-	default:
-		return false, savorypin.Errorf(savorypin.KindInvalid, string(f.Kind), "unexpected frame")
+// finished lets go of what the generation no longer needs. The memory of the
+// answer is kept for readers that attach again. The caller holds r.mu.
+func (r *Relay) finished() {
+	if r.timer != nil {
+		r.timer.Stop()
 	}
+	r.admitted()
+	r.lastUsed = time.Now()
+	r.wake()
 }
 
-func (r *Relay) deliver(ctx context.Context, s *savorypinmember.Stream, msg savorypinmember.Tokens) error {
+// sweep cancels a generation without readers, and reports whether the relay
+// can be forgotten.
+func (r *Relay) sweep(now time.Time) bool {
 	r.mu.Lock()
-	taken, err := r.log.Offer(msg.Attempt.Number, msg.First, msg.Tokens)
-	next := r.log.Len()
-	if taken > 0 {
-		r.clock.produced(taken, time.Now())
-		r.wake()
-	}
-	r.mu.Unlock()
-	if err != nil {
-		return err
+	defer r.mu.Unlock()
+	if len(r.readers) > 0 {
+		return false
 	}
-	return s.Send(ctx, savorypinmember.FrameAck, savorypinmember.Ack{Next: next})
-}
-
-func (r *Relay) complete(msg savorypinmember.Done) (bool, error) {
-	r.mu.Lock()
-	mine := msg.Attempt.Number == r.log.Attempt()
-	whole := msg.Length == r.log.Len()
-	r.mu.Unlock()
-	if !mine || !whole {
-		return false, savorypinresume.ErrGap
+	if r.machine.End() != nil {
+		return now.Sub(r.lastUsed) > relayRetainFor
 	}
-	r.finish(End{Reason: msg.Reason})
-	return true, nil
-}
-
-func (r *Relay) finish(end End) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.end == nil {
-		r.end = &end
-		r.wake()
+	if now.Sub(r.lastUsed) > readerGrace {
+		r.entry.count("resume.abandoned", 1)
+		r.do(r.machine.Cancel())
 	}
-	r.cancel()
-}
-
-func (r *Relay) setCancel(cancel context.CancelFunc) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cancel = cancel
-}
-
-// wake lets all readers look again. The caller holds r.mu.
-func (r *Relay) wake() {
-	close(r.changed)
-	r.changed = make(chan struct{})
-}
-
-func (r *Relay) enter() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.readers++
-}
-
-func (r *Relay) leave() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lastUsed = time.Now()
-	r.readers--
-}
-
-func (r *Relay) abandoned(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.readers == 0 && now.Sub(r.lastUsed) > relayRetainFor
+	return false
 }
 
-func (r *Relay) settled() bool {
+// idle reports whether the generation has ended and nobody reads it.
+func (r *Relay) idle() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.end != nil
+	return r.machine.End() != nil && len(r.readers) == 0
 }
 
 // RelayState is one generation in the state dump.
 type RelayState struct {
-	Attempt   int                    `json:"attempt"`
+	Attempts  int                    `json:"attempts"`
 	Delivered int                    `json:"delivered"`
 	Finished  bool                   `json:"finished"`
 	ID        savorypin.GenerationID `json:"id"`
+	Readers   int                    `json:"readers"`
 	Service   string                 `json:"service"`
 	Version   string                 `json:"version"`
 }
@@ -465,10 +259,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return RelayState{
-		Attempt:   r.log.Attempt(),
-		Delivered: r.log.Len(),
-		Finished:  r.end != nil,
+		Attempts:  r.machine.Attempts(),
+		Delivered: r.machine.Log().Len(),
+		Finished:  r.machine.End() != nil,
 		ID:        r.gen.ID,
+		Readers:   len(r.readers),
 		Service:   r.gen.Service,
 		Version:   r.version,
 	}
--- /dev/null
+++ b/internal/savorypinentry/relaysweep.go
@@ -0,0 +1,110 @@
+package savorypinentry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinresume"
+)
+
+const (
+	// gateInterval is how often waiting resumes are tried again.
+	gateInterval = 50 * time.Millisecond
+	// sweepInterval is how often relays without readers are looked for.
+	sweepInterval = time.Second
+)
+
+// registerGenerations sets up what an entry needs to relay generations.
+func (e *Entry) registerGenerations() {
+	e.gate = savorypinresume.NewGate(savorypinresume.GateConfig{Horizon: resumeHorizon})
+	e.memory = savorypinresume.NewMemory(savorypinresume.MemoryConfig{
+		Bytes:  e.cfg.Settings.AnswerMemory(),
+		Evict:  e.evict,
+		Object: e.cfg.Settings.Name,
+	})
+	registry := e.daemon.Metrics()
+	metrics.NewRegisteredFunctionalGauge("answers.bytes", registry, func() int64 { return int64(e.memory.Used()) })
+	metrics.NewRegisteredFunctionalGauge("answers.limit", registry, func() int64 { return int64(e.memory.Limit()) })
+	metrics.NewRegisteredFunctionalGauge("resume.waiting", registry, func() int64 { return int64(e.gate.Waiting()) })
+	e.daemon.Background(func(ctx context.Context) {
+		every(ctx, sweepInterval, func() { e.sweep(time.Now()) })
+	})
+	e.daemon.Background(func(ctx context.Context) {
+		every(ctx, gateInterval, e.gate.Tick)
+	})
+}
+
+// every calls f in intervals until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sweep cancels generations that nobody reads, and forgets old ones.
+func (e *Entry) sweep(now time.Time) {
+	e.forget(func(r *Relay) bool { return r.sweep(now) })
+}
+
+// evict forgets the answers that have ended and that nobody reads.
+func (e *Entry) evict() {
+	e.forget((*Relay).idle)
+}
+
+// forget forgets relays. It holds no lock while it asks which.
+func (e *Entry) forget(forgettable func(*Relay) bool) {
+	for _, r := range e.allRelays() {
+		if !forgettable(r) {
+			continue
+		}
+		e.mu.Lock()
+		if e.relays[r.gen.ID] == r {
+			delete(e.relays, r.gen.ID)
+			e.memory.Release(r.reserved)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// allRelays returns the relays of this entry.
+func (e *Entry) allRelays() []*Relay {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Values(e.relays))
+}
+
+// count adds to a counter.
+func (e *Entry) count(name string, n int) {
+	metrics.GetOrRegisterCounter(name, e.daemon.Metrics()).Inc(int64(n))
+}
+
+// countAttempt counts what an attempt after the first costs beyond a clean
+// run.
+func (e *Entry) countAttempt(s *stream, gen savorypin.Generation, log *savorypinresume.Log) {
+	if s.purpose == savorypin.PurposeFirst {
+		return
+	}
+	e.count("resume.attempts."+string(s.purpose), 1)
+	e.count("resume.prefill_tokens", len(gen.Prompt)/bytesPerPromptToken+log.Len())
+	e.countBytes(s, len(gen.Prompt)+log.Bytes())
+}
+
+// countBytes counts the bytes of resumes that cross regions.
+func (e *Entry) countBytes(s *stream, n int) {
+	if s.purpose == savorypin.PurposeFirst || s.candidate.Member().Region == e.cfg.Settings.Region {
+		return
+	}
+	e.count("resume.cross_region_bytes", n)
+}
--- a/internal/savorypinmember/conn.go
+++ b/internal/savorypinmember/conn.go
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"savorypin/internal/savorypin"
 )
 
 // ConnConfig configures a Conn.
@@ -34,14 +32,11 @@
 	Wait func(time.Duration) <-chan time.Time
 }
 
-// Sizes of queues, in frames.
-const (
-	queueFrames  = 1024
-	streamFrames = 256
-)
+// streamFrames is how many frames a stream may hold at its receiver.
+const streamFrames = 1024
 
-// writeBufferBytes is how much is gathered for one write.
-const writeBufferBytes = 64 << 10
+// readBufferBytes is how much is read at once.
+const readBufferBytes = 64 << 10
 
 // Conn is a connection to another daemon.
 type Conn struct {
@@ -50,8 +45,8 @@
 	conn      net.Conn
 	ctx       context.Context //nolint:containedctx // It is the life of the connection.
 	lastHeard atomic.Int64
+	out       *outbox
 	peer      Hello
-	queue     chan []byte
 	wg        sync.WaitGroup
 
 	mu      sync.Mutex
@@ -67,8 +62,8 @@
 		cancel:  cancel,
 		conn:    conn,
 		ctx:     ctx,
+		out:     newOutbox(),
 		peer:    peer,
-		queue:   make(chan []byte, queueFrames),
 		streams: map[uint64]*Stream{},
 	}
 	if cfg.Dialer {
@@ -117,6 +112,12 @@
 	return s, nil
 }
 
+// Quiet returns how long nothing has come from the peer. A connection with
+// open streams is probed, so that a live one is never quiet for long.
+func (c *Conn) Quiet() time.Duration {
+	return c.cfg.Now().Sub(time.Unix(0, c.lastHeard.Load()))
+}
+
 // Streams returns the number of open streams.
 func (c *Conn) Streams() int {
 	c.mu.Lock()
@@ -187,46 +188,52 @@
 	return fromDialer != c.cfg.Dialer
 }
 
-// sendNow queues a frame of the transport; a full queue needs no probe.
+// sendNow queues a frame of the transport.
 func (c *Conn) sendNow(kind FrameKind) {
-	data, err := EncodeFrame(kind, 0, struct{}{})
-	if err != nil {
-		return
-	}
-	select {
-	case c.queue <- data:
-	default:
-	}
+	// The bodies of these frames are constant and can be encoded.
+	_ = c.send(context.Background(), kind, 0, struct{}{}, true)
 }
 
-func (c *Conn) write() {
-	w := bufio.NewWriterSize(c.conn, writeBufferBytes)
+// send encodes a frame and queues it. An urgent frame never waits.
+func (c *Conn) send(ctx context.Context, kind FrameKind, stream uint64, v any, urgent bool) error {
+	e := encodings.Get().(*encoding)
+	defer e.release()
+	if err := e.encode(kind, stream, v); err != nil {
+		return err
+	}
 	for {
+		room := c.out.put(e.buf.Bytes(), urgent)
+		if room == nil {
+			return nil
+		}
 		select {
-		case data := <-c.queue:
-			if err := c.writeAll(w, data); err != nil {
-				c.fail(errors.Join(ErrClosed, err))
-				return
-			}
+		case <-room:
 		case <-c.ctx.Done():
-			return
+			return c.Err()
+		case <-ctx.Done():
+			return context.Cause(ctx)
 		}
 	}
 }
 
-// writeAll writes data and whatever else is queued in as few calls as it can.
-func (c *Conn) writeAll(w *bufio.Writer, data []byte) error {
+// write writes all that is queued in as few calls as it can.
+func (c *Conn) write() {
 	for {
+		select {
+		case <-c.out.ready():
+		case <-c.ctx.Done():
+			return
+		}
+		data := c.out.take()
+		if len(data) == 0 {
+			continue
+		}
 		if c.cfg.CountOut != nil {
 			c.cfg.CountOut(len(data))
 		}
-		if _, err := w.Write(data); err != nil {
-			return err
-		}
-		select {
-		case data = <-c.queue:
-		default:
-			return w.Flush()
+		if _, err := c.conn.Write(data); err != nil {
+			c.fail(errors.Join(ErrClosed, err))
+			return
 		}
 	}
 }
@@ -266,150 +273,3 @@
 		return false
 	}
 }
-
-// Stream is a sequence of frames in both directions.
-type Stream struct {
-	cancel context.CancelCauseFunc
-	conn   *Conn
-	ctx    context.Context //nolint:containedctx // It is the life of the stream.
-	id     uint64
-	inbox  chan Frame
-}
-
-func newStream(c *Conn, id uint64) *Stream {
-	ctx, cancel := context.WithCancelCause(c.ctx)
-	return &Stream{
-		cancel: cancel,
-		conn:   c,
-		ctx:    ctx,
-		id:     id,
-		inbox:  make(chan Frame, streamFrames),
-	}
-}
-
-// Close ends the stream and tells the peer.
-func (s *Stream) Close() {
-	if s.ctx.Err() == nil {
-		// A peer that cannot be told has lost the connection and knows.
-		_ = s.Send(s.ctx, frameEnd, struct{}{})
-	}
-	s.fail(ErrClosed)
-	s.forget()
-}
-
-// Conn returns the connection of the stream.
-func (s *Stream) Conn() *Conn {
-	return s.conn
-}
-
-// Receive returns the next frame. It returns a *savorypin.Error if the peer
-// sent one, and ErrClosed or ErrSilent if the stream has ended.
-func (s *Stream) Receive(ctx context.Context) (Frame, error) {
-	select {
-	case f := <-s.inbox:
-		return s.check(f)
-	default:
-	}
-	select {
-	case f := <-s.inbox:
-		return s.check(f)
-	case <-s.ctx.Done():
-		return Frame{}, context.Cause(s.ctx)
-	case <-ctx.Done():
-		return Frame{}, ctx.Err()
-	}
-}
-
-// Send queues a frame. It blocks while the queue of the connection is full.
-func (s *Stream) Send(ctx context.Context, kind FrameKind, v any) error {
-	data, err := EncodeFrame(kind, s.id, v)
-	if err != nil {
-		return err
-	}
-	select {
-	case s.conn.queue <- data:
-		return nil
-	case <-s.ctx.Done():
-		return context.Cause(s.ctx)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// SendError sends err to the peer, which receives it as a *savorypin.Error.
-func (s *Stream) SendError(ctx context.Context, err error) error {
-	return s.Send(ctx, frameError, newRemoteError(err))
-}
-
-func (s *Stream) check(f Frame) (Frame, error) {
-	switch f.Kind {
-	case frameEnd:
-		s.fail(ErrClosed)
-		s.forget()
-		return f, ErrClosed
-	case frameError:
-		remote, err := Decode[remoteError](f)
-		if err != nil {
-			return f, err
-		}
-		return f, remote.error()
-	default:
-		return f, nil
-	}
-}
-
-func (s *Stream) fail(err error) {
-	s.cancel(err)
-}
-
-func (s *Stream) forget() {
-	s.conn.mu.Lock()
-	defer s.conn.mu.Unlock()
-	delete(s.conn.streams, s.id)
-}
-
-// push hands a frame to the reader. It never blocks, so that a slow reader of
-// one stream cannot hold up the others.
-func (s *Stream) push(f Frame) {
-	select {
-	case s.inbox <- f:
-		if f.Kind == frameEnd {
-			s.endIfIdle()
-		}
-	default:
-		s.fail(ErrOverrun)
-		s.forget()
-	}
-}
-
-// endIfIdle releases a stream whose peer has ended it. Frames that are still
-// in the inbox can be received.
-func (s *Stream) endIfIdle() {
-	s.fail(ErrClosed)
-	s.forget()
-}
-
-// remoteError is an error on the wire.
-type remoteError struct {
-	Kind       savorypin.ErrorKind `msgpack:"k"`
-	Message    string              `msgpack:"m"`
-	Object     string              `msgpack:"o"`
-	RetryAfter time.Duration       `msgpack:"r"`
-}
-
-func newRemoteError(err error) remoteError {
-	var e *savorypin.Error
-	if errors.As(err, &e) {
-		return remoteError{
-			Kind:       e.Kind,
-			Message:    e.Err.Error(),
-			Object:     e.Object,
-			RetryAfter: e.RetryAfter,
-		}
-	}
-	return remoteError{Kind: savorypin.KindUnknown, Message: err.Error()}
-}
-
-func (r remoteError) error() error {
-	return savorypin.Errorf(r.Kind, r.Object, "%s", r.Message).WithRetryAfter(r.RetryAfter)
-}
--- a/internal/savorypinmember/frame.go
+++ b/internal/savorypinmember/frame.go
@@ -9,10 +9,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -37,6 +39,9 @@
 
 const lengthBytes = 4
 
+// frameFields is the number of fields of a frame: kind, stream and body.
+const frameFields = 3
+
 // Errors of the transport. Packages above translate them.
 var (
 	// ErrClosed means that the connection or stream was closed.
@@ -51,10 +56,9 @@
 	ErrSilent = errors.New("member connection is silent")
 )
 
-// Frame is one message of a stream.
+// Frame is one message of a stream. On the wire it is its length and an array
+// of its fields.
 type Frame struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
-
 	Kind   FrameKind
 	Stream uint64
 	Body   msgpack.RawMessage
@@ -69,41 +73,125 @@
 	return v, nil
 }
 
-// EncodeFrame returns the wire form of a frame whose body is v.
-func EncodeFrame(kind FrameKind, stream uint64, v any) ([]byte, error) {
-	body, err := msgpack.Marshal(v)
-	if err != nil {
-		return nil, fmt.Errorf("%w: encode %s: %w", ErrFrame, kind, err)
+// encoding is a buffer with an encoder that writes into it.
+type encoding struct {
+	buf bytes.Buffer
+	enc *msgpack.Encoder
+}
+
+var encodings = sync.Pool{New: func() any {
+	e := &encoding{}
+	e.enc = msgpack.NewEncoder(&e.buf)
+	return e
+}}
+
+// maxPooledBytes is the largest buffer that is kept for further frames.
+const maxPooledBytes = 64 << 10
+
+// release keeps the buffer for further frames.
+func (e *encoding) release() {
+	if e.buf.Cap() <= maxPooledBytes {
+		encodings.Put(e)
 	}
-	frame, err := msgpack.Marshal(&Frame{Kind: kind, Stream: stream, Body: body})
-	if err != nil {
-		return nil, fmt.Errorf("%w: encode %s: %w", ErrFrame, kind, err)
+}
+
+// encode replaces the buffer's content by the wire form of a frame. It is
+// encoded once, in place.
+func (e *encoding) encode(kind FrameKind, stream uint64, v any) error {
+	e.buf.Reset()
+	e.enc.Reset(&e.buf)
+	var header [lengthBytes]byte
+	e.buf.Write(header[:])
+	if err := e.encodeFields(kind, stream, v); err != nil {
+		return fmt.Errorf("%w: encode %s: %w", ErrFrame, kind, err)
+	}
+	n := e.buf.Len() - lengthBytes
+	if n > MaxFrameBytes {
+		return fmt.Errorf("%w: %s of %d bytes is longer than %d", ErrFrame, kind, n, MaxFrameBytes)
 	}
-	if len(frame) > MaxFrameBytes {
-		return nil, fmt.Errorf("%w: %s of %d bytes is longer than %d", ErrFrame, kind, len(frame), MaxFrameBytes)
+	binary.BigEndian.PutUint32(e.buf.Bytes(), uint32(n))
+	return nil
+}
+
+func (e *encoding) encodeFields(kind FrameKind, stream uint64, v any) error {
+	if err := e.enc.EncodeArrayLen(frameFields); err != nil {
+		return err
+	}
+	if err := e.enc.EncodeString(string(kind)); err != nil {
+		return err
+	}
+	if err := e.enc.EncodeUint(stream); err != nil {
+		return err
+	}
+	return e.enc.Encode(v)
+}
+
+// EncodeFrame returns the wire form of a frame whose body is v.
+func EncodeFrame(kind FrameKind, stream uint64, v any) ([]byte, error) {
+	e := encodings.Get().(*encoding)
+	defer e.release()
+	if err := e.encode(kind, stream, v); err != nil {
+		return nil, err
 	}
-	data := make([]byte, lengthBytes, lengthBytes+len(frame))
-	binary.BigEndian.PutUint32(data, uint32(len(frame)))
-	return append(data, frame...), nil
+	return bytes.Clone(e.buf.Bytes()), nil
 }
 
 // ReadFrame reads one frame. It returns io.EOF at the end of the input.
 func ReadFrame(r *bufio.Reader) (Frame, error) {
-	var header [lengthBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
+	header, err := r.Peek(lengthBytes)
+	if err != nil {
 		return Frame{}, err
 	}
-	n := binary.BigEndian.Uint32(header[:])
+	n := binary.BigEndian.Uint32(header)
 	if n > MaxFrameBytes {
 		return Frame{}, fmt.Errorf("%w: length %d is over %d", ErrFrame, n, MaxFrameBytes)
 	}
+	if _, err := r.Discard(lengthBytes); err != nil {
+		return Frame{}, err
+	}
 	data := make([]byte, n)
 	if _, err := io.ReadFull(r, data); err != nil {
 		return Frame{}, err
 	}
-	var f Frame
-	if err := msgpack.Unmarshal(data, &f); err != nil {
+	f, err := parseFrame(data)
+	if err != nil {
 		return Frame{}, fmt.Errorf("%w: %w", ErrFrame, err)
 	}
 	return f, nil
 }
+
+// decoding is a reader with a decoder that reads from it.
+type decoding struct {
+	dec    *msgpack.Decoder
+	reader bytes.Reader
+}
+
+var decodings = sync.Pool{New: func() any {
+	d := &decoding{}
+	d.dec = msgpack.NewDecoder(&d.reader)
+	return d
+}}
+
+// parseFrame splits a frame into its fields. The body is a part of data.
+func parseFrame(data []byte) (Frame, error) {
+	d := decodings.Get().(*decoding)
+	defer decodings.Put(d)
+	d.reader.Reset(data)
+	d.dec.Reset(&d.reader)
+	n, err := d.dec.DecodeArrayLen()
+	if err != nil {
+		return Frame{}, err
+	}
+	if n != frameFields {
+		return Frame{}, fmt.Errorf("frame of %d fields", n)
+	}
+	kind, err := d.dec.DecodeString()
+	if err != nil {
+		return Frame{}, err
+	}
+	stream, err := d.dec.DecodeUint64()
+	if err != nil {
+		return Frame{}, err
+	}
+	return Frame{Kind: FrameKind(kind), Stream: stream, Body: data[len(data)-d.reader.Len():]}, nil
+}
--- /dev/null
+++ b/internal/savorypinmember/outbox.go
@@ -0,0 +1,63 @@
+package savorypinmember
+
+import "sync"
+
+// maxOutboxBytes is how much may wait for a connection to take it.
+const maxOutboxBytes = 1 << 20
+
+// outbox gathers frames for the next write of a connection. Two buffers take
+// turns: one is filled while the other is written, so that the frames of many
+// streams leave in one system call and need no memory of their own.
+type outbox struct {
+	filled chan struct{}
+
+	mu      sync.Mutex
+	drained chan struct{}
+	filling []byte
+	writing []byte
+}
+
+func newOutbox() *outbox {
+	return &outbox{filled: make(chan struct{}, 1)}
+}
+
+// put adds data and returns nil. If there is no room it adds nothing and
+// returns a channel that is closed when there is. Urgent data always has room.
+func (o *outbox) put(data []byte, urgent bool) <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !urgent && len(o.filling) > 0 && len(o.filling)+len(data) > maxOutboxBytes {
+		if o.drained == nil {
+			o.drained = make(chan struct{})
+		}
+		return o.drained
+	}
+	o.filling = append(o.filling, data...)
+	select {
+	case o.filled <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// ready returns a channel that receives when there is data.
+func (o *outbox) ready() <-chan struct{} {
+	return o.filled
+}
+
+// take returns all data. It is valid until the next call.
+func (o *outbox) take() []byte {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data := o.filling
+	o.filling = o.writing[:0]
+	o.writing = data
+	if cap(o.filling) > maxOutboxBytes {
+		o.filling = nil
+	}
+	if o.drained != nil {
+		close(o.drained)
+		o.drained = nil
+	}
+	return data
+}
--- /dev/null
+++ b/internal/savorypinmember/stream.go
@@ -0,0 +1,189 @@
+package savorypinmember
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// Stream is a sequence of frames in both directions.
+type Stream struct {
+	cancel context.CancelCauseFunc
+	conn   *Conn
+	ctx    context.Context //nolint:containedctx // It is the life of the stream.
+	id     uint64
+
+	mu      sync.Mutex
+	inbox   []Frame
+	arrived chan struct{}
+}
+
+func newStream(c *Conn, id uint64) *Stream {
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	return &Stream{
+		arrived: make(chan struct{}, 1),
+		cancel:  cancel,
+		conn:    c,
+		ctx:     ctx,
+		id:      id,
+	}
+}
+
+// Close ends the stream and tells the peer. It does not block.
+func (s *Stream) Close() {
+	if s.ctx.Err() == nil {
+		// A peer that cannot be told has lost the connection and knows.
+		_ = s.SendNow(frameEnd, struct{}{})
+	}
+	s.fail(ErrClosed)
+	s.forget()
+}
+
+// Conn returns the connection of the stream.
+func (s *Stream) Conn() *Conn {
+	return s.conn
+}
+
+// Receive returns the next frame. It returns a *savorypin.Error if the peer
+// sent one, and ErrClosed or ErrSilent if the stream has ended.
+func (s *Stream) Receive(ctx context.Context) (Frame, error) {
+	for {
+		if f, ok := s.pop(); ok {
+			return s.check(f)
+		}
+		select {
+		case <-s.arrived:
+		case <-s.ctx.Done():
+			// Frames that came before the end can still be received.
+			if f, ok := s.pop(); ok {
+				return s.check(f)
+			}
+			return Frame{}, context.Cause(s.ctx)
+		case <-ctx.Done():
+			return Frame{}, ctx.Err()
+		}
+	}
+}
+
+// Send queues a frame. It blocks while the queue of the connection is full.
+func (s *Stream) Send(ctx context.Context, kind FrameKind, v any) error {
+	if err := s.ctx.Err(); err != nil {
+		return context.Cause(s.ctx)
+	}
+	return s.conn.send(ctx, kind, s.id, v, false)
+}
+
+// SendNow queues a frame although the queue of the connection may be full. It
+// is meant for short frames whose number is bounded, and never blocks.
+func (s *Stream) SendNow(kind FrameKind, v any) error {
+	if err := s.ctx.Err(); err != nil {
+		return context.Cause(s.ctx)
+	}
+	return s.conn.send(s.ctx, kind, s.id, v, true)
+}
+
+// SendError sends err to the peer, which receives it as a *savorypin.Error.
+func (s *Stream) SendError(ctx context.Context, err error) error {
+	return s.Send(ctx, frameError, newRemoteError(err))
+}
+
+func (s *Stream) check(f Frame) (Frame, error) {
+	switch f.Kind {
+	case frameEnd:
+		s.fail(ErrClosed)
+		s.forget()
+		return f, ErrClosed
+	case frameError:
+		remote, err := Decode[remoteError](f)
+		if err != nil {
+			return f, err
+		}
+		return f, remote.error()
+	default:
+		return f, nil
+	}
+}
+
+func (s *Stream) fail(err error) {
+	s.cancel(err)
+}
+
+func (s *Stream) forget() {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	delete(s.conn.streams, s.id)
+}
+
+// pop returns the first frame of the inbox.
+func (s *Stream) pop() (Frame, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.inbox) == 0 {
+		return Frame{}, false
+	}
+	f := s.inbox[0]
+	s.inbox[0] = Frame{}
+	s.inbox = s.inbox[1:]
+	if len(s.inbox) == 0 {
+		s.inbox = s.inbox[:0:0]
+	}
+	return f, true
+}
+
+// push hands a frame to the reader. It never blocks, so that a slow reader of
+// one stream cannot hold up the others.
+func (s *Stream) push(f Frame) {
+	s.mu.Lock()
+	full := len(s.inbox) >= streamFrames
+	if !full {
+		s.inbox = append(s.inbox, f)
+	}
+	s.mu.Unlock()
+	if full {
+		s.fail(ErrOverrun)
+		s.forget()
+		return
+	}
+	select {
+	case s.arrived <- struct{}{}:
+	default:
+	}
+	if f.Kind == frameEnd {
+		s.endIfIdle()
+	}
+}
+
+// endIfIdle releases a stream whose peer has ended it. Frames that are still
+// in the inbox can be received.
+func (s *Stream) endIfIdle() {
+	s.fail(ErrClosed)
+	s.forget()
+}
+
+// remoteError is an error on the wire.
+type remoteError struct {
+	Kind       savorypin.ErrorKind `msgpack:"k"`
+	Message    string              `msgpack:"m"`
+	Object     string              `msgpack:"o"`
+	RetryAfter time.Duration       `msgpack:"r"`
+}
+
+func newRemoteError(err error) remoteError {
+	var e *savorypin.Error
+	if errors.As(err, &e) {
+		return remoteError{
+			Kind:       e.Kind,
+			Message:    e.Err.Error(),
+			Object:     e.Object,
+			RetryAfter: e.RetryAfter,
+		}
+	}
+	return remoteError{Kind: savorypin.KindUnknown, Message: err.Error()}
+}
+
+func (r remoteError) error() error {
+	return savorypin.Errorf(r.Kind, r.Object, "%s", r.Message).WithRetryAfter(r.RetryAfter)
+}
--- a/internal/savorypinmember/transport.go
+++ b/internal/savorypinmember/transport.go
@@ -47,16 +47,19 @@
 	mu     sync.Mutex
 	closed bool
 	conns  map[string]*Conn
-	served map[*Conn]bool
-	ln     net.Listener
+	// retired are connections that get no new streams.
+	retired map[*Conn]bool
+	served  map[*Conn]bool
+	ln      net.Listener
 }
 
 // NewTransport returns a transport that neither listens nor has connections.
 func NewTransport(cfg TransportConfig) *Transport {
 	return &Transport{
-		cfg:    cfg,
-		conns:  map[string]*Conn{},
-		served: map[*Conn]bool{},
+		cfg:     cfg,
+		conns:   map[string]*Conn{},
+		retired: map[*Conn]bool{},
+		served:  map[*Conn]bool{},
 	}
 }
 
@@ -74,6 +77,9 @@
 	for c := range t.served {
 		conns = append(conns, c)
 	}
+	for c := range t.retired {
+		conns = append(conns, c)
+	}
 	t.mu.Unlock()
 	for _, c := range conns {
 		c.Close()
@@ -85,7 +91,7 @@
 func (t *Transport) Connections() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.conns) + len(t.served)
+	return len(t.conns) + len(t.retired) + len(t.served)
 }
 
 // Get returns the connection to the daemon at address, which it opens if
@@ -109,6 +115,25 @@
 	}
 }
 
+// Renew makes the next Get open a new connection to address if the present one
+// has been quiet for longer than a limit. Streams on the present one go on.
+func (t *Transport) Renew(address string, limit time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := t.conns[address]
+	if !ok || c.Quiet() <= limit {
+		return
+	}
+	delete(t.conns, address)
+	t.retired[c] = true
+	go func() {
+		<-c.Done()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.retired, c)
+	}()
+}
+
 // Serve accepts connections until the listener is closed.
 func (t *Transport) Serve(ln net.Listener) error {
 	t.mu.Lock()
@@ -127,7 +152,7 @@
 }
 
 func (t *Transport) accept(conn net.Conn) {
-	r := bufio.NewReaderSize(conn, writeBufferBytes)
+	r := bufio.NewReaderSize(conn, readBufferBytes)
 	peer, err := handshake(conn, r, t.cfg.Self, t.cfg.Key, t.cfg.HandshakeTimeout)
 	if err != nil {
 		conn.Close()
@@ -152,7 +177,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: dial %s: %w", ErrClosed, address, err)
 	}
-	r := bufio.NewReaderSize(conn, writeBufferBytes)
+	r := bufio.NewReaderSize(conn, readBufferBytes)
 	peer, err := handshake(conn, r, t.cfg.Self, t.cfg.Key, t.cfg.HandshakeTimeout)
 	if err != nil {
 		conn.Close()
--- a/internal/savorypinresume/log_test.go
+++ b/internal/savorypinresume/log_test.go
@@ -18,22 +18,27 @@
 	return tokens
 }
 
+// attempt returns the id of an attempt in one term.
+func attempt(number int) savorypin.AttemptID {
+	return savorypin.AttemptID{Number: number, Term: 1}
+}
+
 var _ = Describe("Log", func() {
 	It("holds a prefix of the answer whatever is lost, repeated or crossed", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			whole := answer(rapid.IntRange(0, 60).Draw(t, "length"))
 			var log savorypinresume.Log
-			log.Begin(1)
+			log.Begin(attempt(1))
 			for range rapid.IntRange(0, 40).Draw(t, "frames") {
 				first := rapid.IntRange(0, len(whole)).Draw(t, "first")
 				last := rapid.IntRange(first, len(whole)).Draw(t, "last")
-				attempt := rapid.IntRange(0, 2).Draw(t, "attempt")
+				from := attempt(rapid.IntRange(0, 2).Draw(t, "attempt"))
 				batch := whole[first:last]
-				if attempt != log.Attempt() {
+				if from != attempt(1) {
 					batch = []savorypin.Token{{ID: -1}}
 				}
 				before := log.Len()
-				taken, err := log.Offer(attempt, first, batch)
+				taken, err := log.Offer(from, first, batch)
 				if err != nil && taken != 0 {
 					t.Fatalf("took %d tokens after a gap", taken)
 				}
@@ -51,8 +56,42 @@
 
 	It("reports a gap", func() {
 		var log savorypinresume.Log
-		log.Begin(1)
-		_, err := log.Offer(1, 1, answer(1))
+		log.Begin(attempt(1))
+		_, err := log.Offer(attempt(1), 1, answer(1))
 		Expect(err).To(MatchError(savorypinresume.ErrGap))
 	})
+
+	It("goes on with the first of two attempts that extends it", func() {
+		var log savorypinresume.Log
+		log.Begin(attempt(1))
+		Expect(log.Offer(attempt(1), 0, answer(2))).To(Equal(2))
+		log.Begin(attempt(2))
+		Expect(log.Offer(attempt(2), 2, []savorypin.Token{{ID: 20}})).To(Equal(1))
+		Expect(log.Offer(attempt(1), 2, answer(5)[2:])).To(BeZero())
+		Expect(log.Lineage()).To(Equal(savorypin.Lineage{{Attempt: attempt(1)}, {Attempt: attempt(2), First: 2}}))
+		Expect(log.Tokens(0)).To(Equal([]savorypin.Token{{ID: 0}, {ID: 1}, {ID: 20}}))
+	})
+
+	It("stores what it was given", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			texts := rapid.SliceOf(rapid.String()).Draw(t, "texts")
+			var want []savorypin.Token
+			var tokens savorypinresume.Tokens
+			for i, text := range texts {
+				want = append(want, savorypin.Token{ID: int32(i), Text: text})
+				tokens.Append(want[i:])
+			}
+			first := rapid.IntRange(0, len(want)).Draw(t, "first")
+			last := rapid.IntRange(first, len(want)).Draw(t, "last")
+			got := tokens.Slice(first, last)
+			if len(got) != last-first {
+				t.Fatalf("got %d tokens", len(got))
+			}
+			for i, token := range got {
+				if token != want[first+i] {
+					t.Fatalf("token %d is %v", first+i, token)
+				}
+			}
+		})
+	})
 })
--- a/pkg/savorypinclient/client.go
+++ b/pkg/savorypinclient/client.go
@@ -13,11 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
-
-	"github.com/cenkalti/backoff/v5"
-	"github.com/tmaxmax/go-sse"
 )
 
 // Kind says what a caller may do after an error.
@@ -76,8 +72,8 @@
 }
 
 // DefaultQuietAfter is how long a stream may be quiet before the client
-// attaches again.
-const DefaultQuietAfter = 10 * time.Second
+// attaches again. Entries send an event at least every 500 ms.
+const DefaultQuietAfter = 1500 * time.Millisecond
 
 // maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
@@ -129,114 +125,6 @@
 	Version string `json:"version"`
 }
 
-// follower is one answer that is being followed.
-type follower struct {
-	client *Client
-	handle func(Token) error
-	id     string
-	lastID string
-	next   int
-	req    Request
-	result Result
-}
-
-// Stream generates an answer and calls handle for each token once, in order.
-func (c *Client) Stream(ctx context.Context, req Request, handle func(Token) error) (Result, error) {
-	f := &follower{client: c, handle: handle, req: req}
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval = 50 * time.Millisecond
-	retry.MaxInterval = time.Second
-	for i := 0; ; i++ {
-		entry := c.cfg.Entries[i%len(c.cfg.Entries)]
-		before := f.next
-		err := f.follow(ctx, entry)
-		if err == nil {
-			return f.result, nil
-		}
-		if ctx.Err() != nil || !errors.Is(err, errTransport) {
-			return f.result, err
-		}
-		if f.id != "" {
-			f.result.Attaches++
-		}
-		if f.next > before {
-			retry.Reset()
-		}
-		select {
-		case <-time.After(retry.NextBackOff()):
-		case <-ctx.Done():
-			return f.result, ctx.Err()
-		}
-	}
-}
-
-// follow reads events through one entry until the answer or the connection
-// ends.
-func (f *follower) follow(ctx context.Context, entry string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	quiet := time.AfterFunc(f.client.cfg.QuietAfter, cancel)
-	defer quiet.Stop()
-	resp, err := f.open(ctx, entry)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
-		if err != nil {
-			return fmt.Errorf("%w: %w", errTransport, err)
-		}
-		quiet.Reset(f.client.cfg.QuietAfter)
-		finished, err := f.take(event)
-		if finished || err != nil {
-			return err
-		}
-	}
-	return fmt.Errorf("%w: stream ended early", errTransport)
-}
-
-func (f *follower) open(ctx context.Context, entry string) (*http.Response, error) {
-	if f.id == "" {
-		return f.client.post(ctx, entry+"/v1/generations/stream", "", f.req)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, entry+"/v1/generations/"+url.PathEscape(f.id)+"/stream", nil)
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set("Last-Event-ID", f.lastID)
-	return f.client.do(req)
-}
-
-// take handles one event and reports whether the answer is whole.
-func (f *follower) take(event sse.Event) (bool, error) {
-	generation, index, _ := strings.Cut(event.LastEventID, "/")
-	next, err := strconv.Atoi(index)
-	if err != nil {
-		return false, fmt.Errorf("%w: bad event id %q", errTransport, event.LastEventID)
-	}
-	f.id = generation
-	f.lastID = event.LastEventID
-	f.result.ID = generation
-	switch event.Type {
-	case "done":
-		return true, json.Unmarshal([]byte(event.Data), &f.result)
-	case "error":
-		return false, parseError([]byte(event.Data), 0)
-	case "token":
-		if next != f.next+1 {
-			return false, fmt.Errorf("%w: token %d came after token %d", errTransport, next, f.next)
-		}
-		var token Token
-		if err := json.Unmarshal([]byte(event.Data), &token); err != nil {
-			return false, fmt.Errorf("%w: %w", errTransport, err)
-		}
-		f.next = next
-		return false, f.handle(token)
-	default:
-		return false, nil
-	}
-}
-
 // Answer is the answer of a plain service.
 type Answer struct {
 	body     []byte
