--- a/internal/savorypinagent/generation.go
+++ b/internal/savorypinagent/generation.go
@@ -158,3 +158,13 @@
 	}
 	a.terms = terms
 }
+
+// handOver ends all attempts at their index, so that entries go on with them
+// at other endpoints.
+func (a *Agent) handOver() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.runs {
+		r.handOver()
+	}
+}
--- a/internal/savorypinagent/run.go
+++ b/internal/savorypinagent/run.go
@@ -22,13 +22,15 @@
 	size   int
 	start  savorypinmember.Start
 
-	mu       sync.Mutex
-	done     bool
-	err      error
-	lastUsed time.Time
-	readers  map[*readerState]bool
-	reason   savorypin.FinishReason
-	tokens   savorypinresume.Tokens
+	mu   sync.Mutex
+	done bool
+	err  error
+	// handedOver says that another endpoint is to go on.
+	handedOver bool
+	lastUsed   time.Time
+	readers    map[*readerState]bool
+	reason     savorypin.FinishReason
+	tokens     savorypinresume.Tokens
 }
 
 // reader is what a stream asks of a run.
@@ -76,6 +78,9 @@
 	defer r.mu.Unlock()
 	r.done = true
 	r.err = translateEngine(r.start.Endpoint, err)
+	if r.handedOver && err != nil {
+		r.err = savorypin.Errorf(savorypin.KindUnreachable, r.start.Endpoint, "agent is stopping")
+	}
 	r.lastUsed = time.Now()
 	r.reason = reason
 	r.wake()
@@ -230,6 +235,14 @@
 	r.wake()
 }
 
+// handOver ends the attempt so that its entry goes on at another endpoint.
+func (r *run) handOver() {
+	r.mu.Lock()
+	r.handedOver = true
+	r.mu.Unlock()
+	r.cancel()
+}
+
 // abandoned reports whether nobody has read the attempt for long.
 func (r *run) abandoned(now time.Time) bool {
 	r.mu.Lock()
--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -45,7 +45,7 @@
 	server := callerserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
 	callerserver.Mount(mux, server)
 	savorypinoperator.Mount(mux, savorypinoperator.Config{Daemon: entry.Daemon()})
-	return limitWrites(mux)
+	return mux
 }
 
 func (s *service) logError(_ context.Context, _ http.ResponseWriter, err error) {
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -15,6 +15,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
+	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinresume"
 )
@@ -71,6 +72,7 @@
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	e.registerGenerations()
+	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
 	return e, nil
 }
@@ -87,7 +89,7 @@
 
 // Run serves until ctx ends or the planned stop is done.
 func (e *Entry) Run(ctx context.Context, handler http.Handler) error {
-	return e.daemon.Run(ctx, handler, e.idle)
+	return e.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: e.handOver, Idle: e.idle})
 }
 
 func (e *Entry) idle() bool {
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -214,6 +214,10 @@
 	if r.timer != nil {
 		r.timer.Stop()
 	}
+	for _, s := range r.streams {
+		s.cancel(errReplaced)
+	}
+	clear(r.streams)
 	r.admitted()
 	r.lastUsed = time.Now()
 	r.wake()
--- a/internal/savorypinentry/relayattempt.go
+++ b/internal/savorypinentry/relayattempt.go
@@ -236,7 +236,11 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.do(r.machine.Done(time.Now(), msg.Attempt, msg.Length, msg.Reason))
+		actions := r.machine.Done(time.Now(), msg.Attempt, msg.Length, msg.Reason)
+		if len(actions) > 0 && r.machine.End() != nil {
+			r.observe(s, nil)
+		}
+		r.do(actions)
 		return r.machine.Log().Len(), r.machine.End() != nil, nil
 	default:
 		return 0, false, savorypin.Errorf(savorypin.KindInvalid, string(f.Kind), "unexpected frame")
@@ -290,10 +294,6 @@
 		return
 	}
 	delete(r.streams, s.attempt)
-	if r.machine.End() != nil {
-		r.observe(s, nil)
-		return
-	}
 	var told *savorypin.Error
 	switch {
 	case errors.As(err, &told):
@@ -317,7 +317,12 @@
 	r.entry.daemon.Logger().Warn("Attempt failed", "request", r.gen.ID, "attempt", s.attempt,
 		"endpoint", s.candidate.Endpoint().Name, "cause", cause, "err", err)
 	r.entry.count("resume.failures."+string(cause), 1)
-	r.observe(s, err)
+	if cause == savorypinresume.CauseStopping || cause == savorypinresume.CauseSuperseded {
+		// Neither is a fault of the endpoint.
+		r.observe(s, nil)
+	} else {
+		r.observe(s, err)
+	}
 	r.do(r.machine.Failed(now, s.attempt, cause, err))
 }
 
@@ -339,6 +344,8 @@
 		return savorypinresume.CauseMissing
 	case savorypin.KindNotRun:
 		return savorypinresume.CauseRefused
+	case savorypin.KindUnreachable:
+		return savorypinresume.CauseStopping
 	default:
 		return savorypinresume.CauseEngine
 	}
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -78,6 +78,16 @@
 	}
 }
 
+// handOver lets callers attach to their generations through other entries. The
+// attempts go on at their agents.
+func (e *Entry) handOver() {
+	for _, r := range e.allRelays() {
+		r.mu.Lock()
+		r.do(r.machine.HandOver())
+		r.mu.Unlock()
+	}
+}
+
 // allRelays returns the relays of this entry.
 func (e *Entry) allRelays() []*Relay {
 	e.mu.Lock()
--- a/internal/savorypinresume/action.go
+++ b/internal/savorypinresume/action.go
@@ -21,6 +21,8 @@
 	CauseRefused Cause = "refused"
 	// CauseStalled means that no token came for too long.
 	CauseStalled Cause = "stalled"
+	// CauseStopping means that the agent hands its attempts over to others.
+	CauseStopping Cause = "stopping"
 	// CauseSuperseded means that another attempt went on, or that another
 	// entry has taken the generation over.
 	CauseSuperseded Cause = "superseded"
--- a/internal/savorypinresume/machine.go
+++ b/internal/savorypinresume/machine.go
@@ -218,8 +218,10 @@
 	var actions []Action
 	switch cause {
 	case CauseSuperseded:
-		return m.finish(End{Err: savorypin.Errorf(savorypin.KindConflict, m.cfg.Object, "another entry has taken over")}, id)
+		return m.HandOver()
 	case CauseRefused:
+	case CauseStopping:
+		m.ran = true
 	default:
 		m.ran = true
 		m.charge(a, cause)
@@ -242,6 +244,16 @@
 	return m.finish(End{Reason: savorypin.FinishCancelled}, savorypin.AttemptID{})
 }
 
+// HandOver ends the generation here because another entry goes on with it. Its
+// attempts are left running.
+func (m *Machine) HandOver() []Action {
+	if m.end != nil {
+		return nil
+	}
+	m.open = nil
+	return m.finish(End{Err: savorypin.Errorf(savorypin.KindConflict, m.cfg.Object, "another entry has taken over")}, savorypin.AttemptID{})
+}
+
 // Tick does what is due at a time.
 func (m *Machine) Tick(now time.Time) []Action {
 	if m.end != nil {
