Test resumes over real sockets; make the caller grace a setting

Cause: resumes were tested only in virtual time, and the grace for callers that went away was fixed.

--- a/internal/cmd/daemonflags.go
+++ b/internal/cmd/daemonflags.go
@@ -37,6 +37,11 @@
 			Value: savorypindaemon.DefaultAnswerBytes,
 			Usage: "most memory that answers may take, in bytes; further work is refused",
 		},
+		&cli.DurationFlag{
+			Destination: &s.CallerGrace, Name: "caller-grace", Sources: env("CALLER_GRACE"),
+			Value: savorypindaemon.DefaultCallerGrace,
+			Usage: "how long a generation runs on without a caller; 0 means the default",
+		},
 		&cli.StringFlag{
 			Destination: &s.Domain, Name: "domain", Sources: env("DOMAIN"),
 			Usage: "failure domain of the host",
@@ -97,6 +102,7 @@
 	s := &c.daemon
 	errs := []error{
 		checkAnswerBytes(s.AnswerBytes),
+		checkCallerGrace(s.CallerGrace),
 		checkSet("--domain", s.Domain),
 		checkAddress("--http", s.HTTP),
 		checkKey(s.Key),
@@ -133,6 +139,13 @@
 	return nil
 }
 
+func checkCallerGrace(d time.Duration) error {
+	if d < 0 {
+		return fmt.Errorf("--caller-grace: %s is negative", d)
+	}
+	return nil
+}
+
 func checkGrace(d time.Duration) error {
 	if d < 0 {
 		return fmt.Errorf("--stop-grace: %s is negative", d)
--- a/internal/savorypinagent/generation.go
+++ b/internal/savorypinagent/generation.go
@@ -13,8 +13,6 @@
 
 // Times and sizes of generations at an agent.
 const (
-	// orphanGrace is how long an attempt runs on without a reader.
-	orphanGrace = 10 * time.Second
 	// retainFor is how long an attempt is kept after it ended and its last
 	// reader left.
 	retainFor = 30 * time.Second
@@ -134,7 +132,8 @@
 // sweepGenerations drops what has been kept for long enough.
 func (a *Agent) sweepGenerations(now time.Time) {
 	a.places.Sweep(now)
-	a.dropRuns(func(r *run) bool { return r.abandoned(now) })
+	grace := a.daemon.Settings().Grace()
+	a.dropRuns(func(r *run) bool { return r.abandoned(now, grace) })
 }
 
 // evict drops the finished attempts that nobody reads.
--- a/internal/savorypinagent/run.go
+++ b/internal/savorypinagent/run.go
@@ -243,11 +243,11 @@
 	r.cancel()
 }
 
-// abandoned reports whether nobody has read the attempt for long.
-func (r *run) abandoned(now time.Time) bool {
+// abandoned reports whether nobody has read the attempt for long. A running
+// one has a grace.
+func (r *run) abandoned(now time.Time, grace time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	grace := orphanGrace
 	if r.done {
 		grace = retainFor
 	}
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -57,6 +57,8 @@
 	// Agents is the number of agents, each beside one engine. The first also
 	// stands beside the ledger.
 	Agents int
+	// Dial opens the entries' connections to other daemons; nil means TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Engine configures the engines.
 	Engine savorypinstandin.EngineConfig
 	// Entries is the number of entries.
@@ -65,6 +67,8 @@
 	Logger *log.Logger
 	// Places are given to daemons in turn.
 	Places []Place
+	// Set changes the settings of each daemon; nil changes nothing.
+	Set func(*savorypindaemon.Settings)
 	// StopGrace is how long running work may take to finish at a stop.
 	StopGrace time.Duration
 }
@@ -214,6 +218,7 @@
 	settings := c.settings(fmt.Sprintf("entry-%d", i), i)
 	cfg := savorypinentry.Config{
 		AnonymousOrganisation: Organisation,
+		Dial:                  c.cfg.Dial,
 		Logger:                c.cfg.Logger,
 		Settings:              settings,
 	}
@@ -301,7 +306,7 @@
 
 func (c *Cluster) settings(name string, i int) savorypindaemon.Settings {
 	place := c.cfg.Places[i%len(c.cfg.Places)]
-	return savorypindaemon.Settings{
+	s := savorypindaemon.Settings{
 		Domain:        place.Domain,
 		HTTP:          "127.0.0.1:0",
 		Key:           daemonKey,
@@ -315,6 +320,10 @@
 		StopGrace:     c.cfg.StopGrace,
 		WeightLoads:   1,
 	}
+	if c.cfg.Set != nil {
+		c.cfg.Set(&s)
+	}
+	return s
 }
 
 // URL returns the base URL of the entry.
--- a/internal/savorypincluster/cluster_test.go
+++ b/internal/savorypincluster/cluster_test.go
@@ -13,9 +13,9 @@
 	"savorypin/pkg/savorypinclient"
 )
 
-// start starts a cluster with fast engines.
-func start(ctx context.Context, entries, agents int) *savorypincluster.Cluster {
-	c, err := savorypincluster.Start(context.WithoutCancel(ctx), savorypincluster.Config{
+// start starts a cluster with fast engines. Options change its configuration.
+func start(ctx context.Context, entries, agents int, options ...func(*savorypincluster.Config)) *savorypincluster.Cluster {
+	cfg := savorypincluster.Config{
 		Agents: agents,
 		Engine: savorypinstandin.EngineConfig{
 			Models:           []string{savorypincluster.Model},
@@ -30,7 +30,11 @@
 			{Domain: "d2", Region: "r1"},
 			{Domain: "d3", Region: "r2"},
 		},
-	})
+	}
+	for _, option := range options {
+		option(&cfg)
+	}
+	c, err := savorypincluster.Start(context.WithoutCancel(ctx), cfg)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(c.Close)
 	Expect(c.Configure()).To(Succeed())
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -47,11 +47,17 @@
 // DefaultAnswerBytes is the most memory that answers may take.
 const DefaultAnswerBytes = 192 << 20
 
+// DefaultCallerGrace is how long a generation runs on without a caller.
+const DefaultCallerGrace = 10 * time.Second
+
 // Settings are what a daemon is told by flags and environment variables.
 type Settings struct {
 	// AnswerBytes is the most memory that answers may take; zero means
 	// DefaultAnswerBytes.
 	AnswerBytes int
+	// CallerGrace is how long a generation runs on without a caller; zero means
+	// DefaultCallerGrace.
+	CallerGrace time.Duration
 	// Domain is the failure domain of the host.
 	Domain string
 	// HTTP is the address for callers, operators and scrapers.
@@ -80,6 +86,14 @@
 	WeightLoads int
 }
 
+// Grace returns how long a generation runs on without a caller.
+func (s Settings) Grace() time.Duration {
+	if s.CallerGrace == 0 {
+		return DefaultCallerGrace
+	}
+	return s.CallerGrace
+}
+
 // AnswerMemory returns the most memory that answers may take, in bytes.
 func (s Settings) AnswerMemory() int {
 	if s.AnswerBytes == 0 {
@@ -90,6 +104,8 @@
 
 // Config configures a Daemon.
 type Config struct {
+	// Dial opens connections to other daemons; nil means TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Endpoints returns the endpoints of an agent; nil for an entry.
 	Endpoints func() []savorypin.EndpointState
 	// Logger logs.
@@ -153,6 +169,7 @@
 		savorypinmember.FrameStop: savorypinmember.HandleCall(d.handleStop),
 	}
 	d.transport = savorypinmember.NewTransport(savorypinmember.TransportConfig{
+		Dial:             cfg.Dial,
 		Handlers:         d.handlers,
 		HandshakeTimeout: handshakeTimeout,
 		IdleProbeAfter:   idleProbeAfter,
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	// AnonymousOrganisation is the organisation of callers without a token;
 	// empty if they are refused.
 	AnonymousOrganisation string
+	// Dial opens connections to other daemons; nil means TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Logger logs.
 	Logger *log.Logger
 	// Rand returns a uniform number in [0, 1).
@@ -58,6 +61,7 @@
 		cfg.Rand = rand.Float64
 	}
 	daemon, err := savorypindaemon.New(savorypindaemon.Config{
+		Dial:     cfg.Dial,
 		Logger:   cfg.Logger,
 		Role:     savorypin.RoleEntry,
 		Settings: cfg.Settings,
@@ -114,16 +118,22 @@
 func (e *Entry) state() any {
 	s := State{
 		AnswerBytes:    e.memory.Used(),
-		Generations:    []RelayState{},
+		Generations:    e.Relays(),
 		WaitingResumes: e.gate.Waiting(),
 	}
 	e.mu.Lock()
 	s.Calls = e.calls
 	e.mu.Unlock()
+	return s
+}
+
+// Relays returns the states of the generations that the entry holds.
+func (e *Entry) Relays() []RelayState {
+	states := []RelayState{}
 	for _, r := range e.allRelays() {
-		s.Generations = append(s.Generations, r.state())
+		states = append(states, r.state())
 	}
-	return s
+	return states
 }
 
 // timeout returns how long a request may take.
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -8,14 +8,9 @@
 	"savorypin/internal/savorypinresume"
 )
 
-// Times of relays.
-const (
-	// readerGrace is how long a generation runs on without a reader.
-	readerGrace = 10 * time.Second
-	// relayRetainFor is how long a relay is kept after its generation ended
-	// and its last reader left.
-	relayRetainFor = 30 * time.Second
-)
+// relayRetainFor is how long a relay is kept after its generation ended and its
+// last reader left.
+const relayRetainFor = 30 * time.Second
 
 // Request is what a caller asks to be generated.
 type Request struct {
@@ -234,7 +229,7 @@
 	if r.machine.End() != nil {
 		return now.Sub(r.lastUsed) > relayRetainFor
 	}
-	if now.Sub(r.lastUsed) > readerGrace {
+	if now.Sub(r.lastUsed) > r.entry.cfg.Settings.Grace() {
 		r.entry.count("resume.abandoned", 1)
 		r.do(r.machine.Cancel())
 	}
--- a/internal/savorypinmember/transport.go
+++ b/internal/savorypinmember/transport.go
@@ -22,6 +22,8 @@
 type TransportConfig struct {
 	// CountIn and CountOut count the bytes exchanged with a peer.
 	CountIn, CountOut func(peer Hello, bytes int)
+	// Dial opens a connection to an address; nil means net.DialTimeout over TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Handlers serve the streams that peers open, by the kind of the first
 	// frame.
 	Handlers map[FrameKind]Handler
@@ -55,6 +57,11 @@
 
 // NewTransport returns a transport that neither listens nor has connections.
 func NewTransport(cfg TransportConfig) *Transport {
+	if cfg.Dial == nil {
+		cfg.Dial = func(address string, timeout time.Duration) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, timeout)
+		}
+	}
 	return &Transport{
 		cfg:     cfg,
 		conns:   map[string]*Conn{},
@@ -173,7 +180,7 @@
 }
 
 func (t *Transport) dial(address string) (*Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, t.cfg.HandshakeTimeout)
+	conn, err := t.cfg.Dial(address, t.cfg.HandshakeTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: dial %s: %w", ErrClosed, address, err)
 	}
