--- /dev/null
+++ b/internal/savorypinentry/bench_test.go
@@ -0,0 +1,158 @@
+package savorypinentry_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinentry"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinstandin"
+)
+
+// generous bounds waits for events that come by themselves.
+const generous = time.Minute
+
+const (
+	benchService = "assistant"
+	benchVersion = "assistant-v1"
+)
+
+// bench is an entry with an agent that has no engines but a handler in their
+// place.
+type bench struct {
+	entry *savorypinentry.Entry
+}
+
+// fastEngine returns the state of an engine that is never the bottleneck.
+func fastEngine(name string) savorypin.EndpointState {
+	return savorypin.EndpointState{
+		Healthy: true, Name: name, PrefillPerSecond: 1e9, Service: benchService, Slots: 10_000,
+		TokensPerSecond: 1e9, Type: savorypin.EndpointEngine, Versions: []string{benchVersion},
+	}
+}
+
+func newBench(tb testing.TB, start savorypinmember.Handler, engines ...savorypin.EndpointState) *bench {
+	ctx, cancel := context.WithCancel(context.Background())
+	tb.Cleanup(cancel)
+	platform := httptest.NewServer(savorypinstandin.NewPlatform())
+	tb.Cleanup(platform.Close)
+	logger := log.New(io.Discard)
+	settings := savorypindaemon.Settings{
+		AnswerBytes: 1 << 40, Domain: "d1", HTTP: "127.0.0.1:0", Key: "key-of-the-benchmark", Listen: "127.0.0.1:0",
+		Name: "entry-0", Platform: platform.URL, Region: "r1", LeaseDuration: time.Minute, WeightLoads: 1,
+	}
+	entry, err := savorypinentry.New(savorypinentry.Config{Logger: logger, Settings: settings})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	settings.Name = "agent-0"
+	settings.Seeds = []string{entry.Daemon().Self().Address}
+	agent, err := savorypindaemon.New(savorypindaemon.Config{
+		Endpoints: func() []savorypin.EndpointState { return engines },
+		Logger:    logger, Role: savorypin.RoleAgent, Settings: settings,
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	agent.Handle(savorypinmember.FrameStart, start)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = entry.Run(ctx, nil) })
+	wg.Go(func() {
+		_ = agent.Run(ctx, nil, savorypindaemon.Work{HandOver: func() {}, Idle: func() bool { return true }})
+	})
+	tb.Cleanup(func() { cancel(); wg.Wait() })
+	b := &bench{entry: entry}
+	b.configure(tb)
+	return b
+}
+
+func (b *bench) configure(tb testing.TB) {
+	for name, spec := range map[savorypin.Key]any{
+		{Kind: savorypin.KindService, Name: benchService}: savorypin.ServiceSpec{Type: savorypin.ServiceGeneration, Version: benchVersion},
+		{Kind: savorypin.KindVersion, Name: benchVersion}: savorypin.VersionSpec{Model: "assistant-1", Service: benchService},
+	} {
+		data, err := json.Marshal(spec)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		o := savorypin.Object{At: time.Now(), By: "bench", Key: name, Order: name.Name, Spec: data}
+		if _, err := b.entry.Daemon().Platform().Create(context.Background(), o); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	for range 500 {
+		if r, err := b.entry.Start(request(1)); err == nil {
+			drain(tb, r)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	tb.Fatal("the entry does not serve")
+}
+
+func request(tokens int) savorypinentry.Request {
+	return savorypinentry.Request{Generation: savorypin.Generation{MaxTokens: tokens, Prompt: "a prompt", Service: benchService}}
+}
+
+// produce sends one token a frame, within the window.
+func produce(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
+	start, err := savorypinmember.Decode[savorypinmember.Start](first)
+	if err != nil {
+		return err
+	}
+	id := start.Attempt.ID
+	acked := 0
+	batch := make([]savorypin.Token, 1)
+	msg := savorypinmember.Tokens{Attempt: id, Tokens: batch}
+	for i := range start.Generation.MaxTokens {
+		for i >= acked+start.Window {
+			f, err := s.Receive(ctx)
+			if err != nil {
+				return err
+			}
+			ack, err := savorypinmember.Decode[savorypinmember.Ack](f)
+			if err != nil {
+				return err
+			}
+			acked = ack.Next
+		}
+		batch[0] = savorypin.Token{ID: int32(i), Text: "word "}
+		msg.First = i
+		if err := s.Send(ctx, savorypinmember.FrameTokens, &msg); err != nil {
+			return err
+		}
+	}
+	done := savorypinmember.Done{Attempt: id, Length: start.Generation.MaxTokens, Reason: savorypin.FinishLength}
+	if err := s.Send(ctx, savorypinmember.FrameDone, &done); err != nil {
+		return err
+	}
+	_, err = s.Receive(ctx)
+	return err
+}
+
+// drain reads an answer to its end.
+func drain(tb testing.TB, r *savorypinentry.Relay) int {
+	reader := r.Open(savorypin.NewEventID(r.Generation().ID, 0, savorypin.AttemptID{}))
+	defer reader.Close()
+	n := 0
+	for {
+		tokens, end, err := reader.Next(context.Background())
+		if err != nil || (end != nil && end.Err != nil) {
+			tb.Errorf("answer broke off after %d tokens: %v %v", n, err, end)
+			return n
+		}
+		if end != nil {
+			return n
+		}
+		n += len(tokens)
+	}
+}
--- /dev/null
+++ b/internal/savorypinentry/gate_test.go
@@ -0,0 +1,58 @@
+package savorypinentry_test
+
+import (
+	"context"
+	"errors"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinmember"
+)
+
+// breakFirst answers small requests, breaks first attempts off after a token,
+// and lets all later ones wait for their first token.
+func breakFirst(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
+	start, err := savorypinmember.Decode[savorypinmember.Start](first)
+	if err != nil {
+		return err
+	}
+	if start.Generation.MaxTokens == 1 {
+		return produce(ctx, s, first)
+	}
+	if start.Attempt.ID.Number > 1 {
+		_, err := s.Receive(ctx)
+		return err
+	}
+	msg := savorypinmember.Tokens{Attempt: start.Attempt.ID, Tokens: []savorypin.Token{{ID: 1}}}
+	if err := s.Send(ctx, savorypinmember.FrameTokens, &msg); err != nil {
+		return err
+	}
+	return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine broke off")
+}
+
+var _ = Describe("Entry", func() {
+	It("refuses new work while resumes wait for prefill", func() {
+		slow := fastEngine("engine-1")
+		slow.PrefillPerSecond = 1
+		slow.Running = 1
+		b := newBench(GinkgoTB(), breakFirst, fastEngine("engine-0"), slow)
+		for range 2 {
+			_, err := b.entry.Start(request(100))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		var refused *savorypin.Error
+		Eventually(func() bool {
+			_, err := b.entry.Start(request(1))
+			return errors.As(err, &refused)
+		}).WithTimeout(generous).Should(BeTrue())
+		Expect(refused.Kind).To(Equal(savorypin.KindNotRun))
+		Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+		for _, state := range b.entry.Relays() {
+			if state.Delivered > 0 && !state.Finished {
+				Expect(state.Delivered).To(Equal(1))
+			}
+		}
+	})
+})
--- /dev/null
+++ b/internal/savorypinentry/savorypinentry_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinentry_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinentry")
+}
--- /dev/null
+++ b/internal/savorypinresume/gate_test.go
@@ -0,0 +1,167 @@
+package savorypinresume_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinresume"
+)
+
+// placer gives resumes to the first endpoint that has room.
+type placer struct {
+	endpoints []string
+	order     []int
+	rate      float64
+	debts     map[string]int
+}
+
+func (p *placer) place(id, tokens int) func(*savorypinresume.Ticket) bool {
+	return func(t *savorypinresume.Ticket) bool {
+		for _, e := range p.endpoints {
+			if t.Full(e, p.rate) {
+				continue
+			}
+			t.Take(e)
+			p.debts[e] += tokens
+			p.order = append(p.order, id)
+			return true
+		}
+		return false
+	}
+}
+
+var _ = Describe("Gate", func() {
+	It("lets resumes go in order, within the prefill rate", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const rate = 1000
+			gate := savorypinresume.NewGate(savorypinresume.GateConfig{Horizon: time.Second})
+			p := &placer{debts: map[string]int{}, endpoints: []string{"a", "b", "c"}, rate: rate}
+			tokens := rapid.SliceOfN(rapid.IntRange(1, 1500), 0, 40).Draw(t, "tokens")
+			var tickets []*savorypinresume.Ticket
+			for i, n := range tokens {
+				tickets = append(tickets, gate.Enter("s", n, p.place(i, n)))
+			}
+			for e, debt := range p.debts {
+				if debt > rate && debt > maxOf(tokens) {
+					t.Fatalf("endpoint %s owes %d tokens", e, debt)
+				}
+			}
+			after, refused := gate.Refusal("s", rate)
+			if refused != (gate.Waiting() > 0) || (refused && after < time.Second) {
+				t.Fatalf("refused %v after %s with %d waiting", refused, after, gate.Waiting())
+			}
+			for _, ticket := range tickets {
+				ticket.Leave()
+				ticket.Leave()
+			}
+			if gate.Waiting() != 0 || len(p.order) > len(tokens) {
+				t.Fatalf("%d wait, %d went", gate.Waiting(), len(p.order))
+			}
+			for i := 1; i < len(p.order); i++ {
+				if p.order[i] < p.order[i-1] {
+					t.Fatalf("resume %d went before %d", p.order[i-1], p.order[i])
+				}
+			}
+		})
+	})
+
+	It("spreads a lost failure domain over time, where the naive twin floods the endpoints", func() {
+		const resumes, tokens, rate = 1000, 500, 8000
+		gate := savorypinresume.NewGate(savorypinresume.GateConfig{Horizon: time.Second})
+		p := &placer{debts: map[string]int{}, rate: rate}
+		for i := range 20 {
+			p.endpoints = append(p.endpoints, fmt.Sprintf("e%d", i))
+		}
+		for i := range resumes {
+			gate.Enter("s", tokens, p.place(i, tokens))
+		}
+		// The naive twin gives each endpoint its even share at once.
+		naive := resumes * tokens / len(p.endpoints)
+		Expect(naive).To(BeNumerically(">", rate))
+		for _, debt := range p.debts {
+			Expect(debt).To(BeNumerically("<=", rate))
+		}
+		after, refused := gate.Refusal("s", rate*20)
+		Expect(refused).To(BeTrue())
+		Expect(after).To(BeNumerically(">=", time.Second))
+		_, refused = gate.Refusal("other", rate)
+		Expect(refused).To(BeFalse())
+	})
+})
+
+func maxOf(numbers []int) int {
+	largest := 0
+	for _, n := range numbers {
+		largest = max(largest, n)
+	}
+	return largest
+}
+
+var _ = Describe("Memory", func() {
+	It("never holds more than its limit, and keeps room for resumes", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const limit = 1000
+			memory := savorypinresume.NewMemory(savorypinresume.MemoryConfig{Bytes: limit, Object: "entry"})
+			var held []int
+			for i := range rapid.IntRange(0, 50).Draw(t, "steps") {
+				if len(held) > 0 && rapid.Bool().Draw(t, fmt.Sprintf("release%d", i)) {
+					memory.Release(held[0])
+					held = held[1:]
+				}
+				n := rapid.IntRange(1, 400).Draw(t, fmt.Sprintf("bytes%d", i))
+				purpose := rapid.SampledFrom([]savorypin.Purpose{savorypin.PurposeFirst, savorypin.PurposeResume}).
+					Draw(t, fmt.Sprintf("purpose%d", i))
+				before := memory.Used()
+				err := memory.Reserve(purpose, n)
+				if err == nil {
+					held = append(held, n)
+				} else if savorypin.KindOf(err) != savorypin.KindNotRun || before+n <= limit*8/10 {
+					t.Fatalf("refused %d of %d: %v", n, before, err)
+				}
+				if memory.Used() > limit || (err == nil && purpose == savorypin.PurposeFirst && memory.Used() > limit*8/10) {
+					t.Fatalf("holds %d", memory.Used())
+				}
+			}
+		})
+	})
+
+	It("drops what is kept for late readers before it refuses", func() {
+		var memory *savorypinresume.Memory
+		memory = savorypinresume.NewMemory(savorypinresume.MemoryConfig{
+			Bytes: 100, Evict: func() { memory.Release(70) }, Object: "entry",
+		})
+		Expect(memory.Reserve(savorypin.PurposeFirst, 70)).To(Succeed())
+		Expect(memory.Reserve(savorypin.PurposeFirst, 60)).To(Succeed())
+		Expect(memory.Used()).To(Equal(60))
+	})
+})
+
+var _ = Describe("Places", func() {
+	place := func(id string, number int, expires time.Time) savorypinresume.Place {
+		return savorypinresume.Place{
+			Agent: fmt.Sprint("agent-", number), Attempt: attempt(number), Expires: expires,
+			Generation: savorypin.GenerationID(id),
+		}
+	}
+
+	It("keeps the newest place, within its bound, until it expires", func() {
+		now := time.Unix(100, 0)
+		places := savorypinresume.NewPlaces(2)
+		places.Put(place("g", 3, now))
+		places.Put(place("g", 2, now.Add(time.Hour)))
+		got, ok := places.Get("g")
+		Expect(ok).To(BeTrue())
+		Expect(got.Agent).To(Equal("agent-3"))
+		places.Put(place("h", 1, now.Add(time.Hour)))
+		places.Put(place("i", 1, now.Add(time.Hour)))
+		Expect(places.Len()).To(Equal(2))
+		places.Sweep(now.Add(time.Second))
+		_, ok = places.Get("g")
+		Expect(ok).To(BeFalse())
+	})
+})
