--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -6,16 +6,19 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/singleflight"
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinresume"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -26,6 +29,8 @@
 	// AnonymousOrganisation is the organisation of callers without a token;
 	// empty if they are refused.
 	AnonymousOrganisation string
+	// Dial opens connections to other daemons; nil means TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Logger logs.
 	Logger *log.Logger
 	// Rand returns a uniform number in [0, 1).
@@ -40,6 +45,11 @@
 	cfg    Config
 	daemon *savorypindaemon.Daemon
 
+	finds    singleflight.Group
+	gate     *savorypinresume.Gate
+	memory   *savorypinresume.Memory
+	suspects suspects
+
 	mu     sync.Mutex
 	calls  int
 	relays map[savorypin.GenerationID]*Relay
@@ -51,6 +61,7 @@
 		cfg.Rand = rand.Float64
 	}
 	daemon, err := savorypindaemon.New(savorypindaemon.Config{
+		Dial:     cfg.Dial,
 		Logger:   cfg.Logger,
 		Role:     savorypin.RoleEntry,
 		Settings: cfg.Settings,
@@ -64,7 +75,7 @@
 		daemon: daemon,
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
-	daemon.Background(e.sweepLoop)
+	e.registerGenerations()
 	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
 	return e, nil
@@ -85,63 +96,44 @@
 	return e.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: e.handOver, Idle: e.idle})
 }
 
-// handOver lets callers attach to their generations through other entries.
-func (e *Entry) handOver() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	clear(e.relays)
-}
-
 func (e *Entry) idle() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, r := range e.relays {
-		if !r.settled() {
+	for _, r := range e.allRelays() {
+		if !r.idle() {
 			return false
 		}
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return e.calls == 0
 }
 
 // State is the part of the state dump that only entries have.
 type State struct {
-	Calls       int          `json:"calls"`
-	Generations []RelayState `json:"generations"`
+	AnswerBytes    int          `json:"answerBytes"`
+	Calls          int          `json:"calls"`
+	Generations    []RelayState `json:"generations"`
+	WaitingResumes int          `json:"waitingResumes"`
 }
 
 func (e *Entry) state() any {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := State{Calls: e.calls, Generations: []RelayState{}}
-	for _, r := range e.relays {
-		s.Generations = append(s.Generations, r.state())
+	s := State{
+		AnswerBytes:    e.memory.Used(),
+		Generations:    e.Relays(),
+		WaitingResumes: e.gate.Waiting(),
 	}
+	e.mu.Lock()
+	s.Calls = e.calls
+	e.mu.Unlock()
 	return s
 }
 
-func (e *Entry) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			e.sweep(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// sweep drops relays that nobody reads any more.
-func (e *Entry) sweep(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for id, r := range e.relays {
-		if r.abandoned(now) {
-			r.cancel()
-			delete(e.relays, id)
-		}
+// Relays returns the states of the generations that the entry holds.
+func (e *Entry) Relays() []RelayState {
+	states := []RelayState{}
+	for _, r := range e.allRelays() {
+		states = append(states, r.state())
 	}
+	return states
 }
 
 // timeout returns how long a request may take.
