Route by estimated time to first token in place of the least reported load

Cause: load reports are late, so that all entries chose the same endpoint, and a request was accepted whatever its queue. The Router estimates queue, prefill and link, corrects late reports by the own work in flight, samples a few endpoints, ejects those that fail, keeps a byte budget for the link, and refuses at once what cannot begin in time. The linear scan stays as the naive twin.

--- a/internal/savorypinendpoint/engine.go
+++ b/internal/savorypinendpoint/engine.go
@@ -106,7 +106,7 @@
 	resp, err := e.post(ctx, "/v1/completions", completionRequest{
 		MaxTokens:      req.MaxTokens - len(req.Delivered),
 		Model:          req.Model,
-		Priority:       req.Priority,
+		Priority:       enginePriority(req),
 		Prompt:         prompt,
 		ReturnTokenIDs: true,
 		Seed:           req.Seed,
@@ -120,6 +120,17 @@
 	return readCompletion(resp.Body, emit)
 }
 
+// enginePriority returns the priority as engines count it: they run the lowest
+// number first. Work that goes on after delivered tokens runs before new work of
+// the same priority.
+func enginePriority(req Request) int {
+	priority := 2 * req.Priority
+	if len(req.Delivered) > 0 {
+		priority++
+	}
+	return -priority
+}
+
 // prompt returns the prompt as text, or as token ids where delivered tokens
 // follow it.
 func (e *Engine) prompt(ctx context.Context, req Request) (any, error) {
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -76,12 +76,13 @@
 	need := e.callNeed(call.Service, savorypin.PurposeFirst, map[string]bool{})
 	var last error
 	for ctx.Err() == nil {
-		candidate, ok := e.pick(need)
-		if !ok {
-			break
+		candidate, err := e.place(need, remaining(ctx))
+		if err != nil {
+			return CallAnswer{}, errors.Join(last, err)
 		}
 		started := time.Now()
 		answer, err := e.pass(ctx, candidate, call, route, "")
+		candidate.Done(endpointFault(answer, err))
 		e.observeCall(candidate, call, need.Purpose, started, err)
 		if err == nil {
 			return CallAnswer{Answer: answer}, nil
@@ -98,10 +99,11 @@
 
 // callOnce claims the key before it passes the call on.
 func (e *Entry) callOnce(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
-	candidate, ok := e.pick(e.callNeed(call.Service, savorypin.PurposeFirst, nil))
-	if !ok {
-		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, call.Service, "no endpoint is live").WithRetryAfter(time.Second)
+	candidate, err := e.place(e.callNeed(call.Service, savorypin.PurposeFirst, nil), remaining(ctx))
+	if err != nil {
+		return CallAnswer{}, err
 	}
+	defer candidate.Release()
 	claim := savorypinclaim.Claim{
 		Endpoint: candidate.Endpoint().Name,
 		Key:      call.Key,
@@ -117,6 +119,7 @@
 	}
 	started := time.Now()
 	answer, err := e.pass(ctx, candidate, call, route, call.Key)
+	candidate.Done(endpointFault(answer, err))
 	e.observeCall(candidate, call, savorypin.PurposeFirst, started, err)
 	if savorypin.KindOf(err) == savorypin.KindNotRun {
 		e.release(ctx, claim, version)
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -26,11 +26,14 @@
 	avoid map[string]bool,
 ) savorypinroute.Need {
 	return savorypinroute.Need{
-		Avoid:   avoid,
-		Purpose: purpose,
-		Region:  e.cfg.Settings.Region,
-		Service: gen.Service,
-		Version: version,
+		Avoid:       avoid,
+		MaxTokens:   gen.MaxTokens,
+		Prefixes:    savorypinroute.Prefixes(gen.Prompt),
+		PromptBytes: len(gen.Prompt),
+		Purpose:     purpose,
+		Region:      e.cfg.Settings.Region,
+		Service:     gen.Service,
+		Version:     version,
 	}
 }
 
@@ -51,7 +54,9 @@
 	}
 }
 
-// pick returns the endpoint for a piece of work.
+// pick returns the endpoint for a piece of work. The work must be ended by the
+// candidate's Done or Release.
 func (e *Entry) pick(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
-	return savorypinroute.Pick(savorypinroute.Candidates(e.daemon.Members(), need), need)
+	candidate, err := e.router.Choose(need)
+	return candidate, err == nil
 }
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -15,6 +15,7 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinroute"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -27,6 +28,9 @@
 	AnonymousOrganisation string
 	// Logger logs.
 	Logger *log.Logger
+	// LinkBytesPerSecond is what the link between regions may carry for all
+	// entries of the region together; zero means defaultLinkBytesPerSecond.
+	LinkBytesPerSecond float64
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 	// Settings are the settings of the daemon.
@@ -38,6 +42,7 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
+	router *savorypinroute.Router
 
 	mu     sync.Mutex
 	calls  int
@@ -63,8 +68,11 @@
 		daemon: daemon,
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
+	e.router = e.newRouter()
+	daemon.Background(e.routeLoop)
 	daemon.Background(e.sweepLoop)
 	daemon.RegisterState("entry", e.state)
+	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
 }
 
--- a/internal/savorypinentry/observation.go
+++ b/internal/savorypinentry/observation.go
@@ -28,6 +28,7 @@
 	}
 	c.last = now
 	c.tokens += n
+	c.candidate.Delivered(n)
 }
 
 // observation returns what the attempt showed, given how it ended.
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -74,11 +74,11 @@
 		return nil, err
 	}
 	version := e.chooseVersion(req.Generation, savorypin.PurposeFirst)
-	candidate, ok := e.pick(e.generationNeed(req.Generation, version, savorypin.PurposeFirst, nil))
-	if !ok {
+	need := e.generationNeed(req.Generation, version, savorypin.PurposeFirst, nil)
+	candidate, err := e.place(need, timeout(req.Timeout, spec))
+	if err != nil {
 		release()
-		return nil, savorypin.Errorf(savorypin.KindNotRun, req.Generation.Service,
-			"no endpoint serves version %q", version).WithRetryAfter(time.Second)
+		return nil, err
 	}
 	req.Generation.ID = savorypin.NewGenerationID(candidate.Member().Name)
 	req.Generation.Priority = spec.Priority
@@ -283,6 +283,7 @@
 	r.clock = newAttemptClock(candidate, r.purpose(), time.Now())
 	r.mu.Unlock()
 	err := r.stream(ctx, candidate.Member().Address, savorypinmember.FrameStart, r.begin(candidate))
+	candidate.Done(err)
 	r.mu.Lock()
 	observation := r.clock.observation(r.gen, r.version, err)
 	r.mu.Unlock()
--- /dev/null
+++ b/internal/savorypinroute/endpoint.go
@@ -0,0 +1,135 @@
+package savorypinroute
+
+import (
+	"sync/atomic"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// Settings of the estimate.
+const (
+	// defaultHold is how long a piece of work is expected to hold a slot before
+	// any has ended.
+	defaultHold = 2 * time.Second
+	// fadeHalfLife is the time in which what was learned of an endpoint halves.
+	fadeHalfLife = 10 * time.Second
+	// failureCost is added to the estimate of an endpoint where all work fails.
+	failureCost = 5 * time.Second
+	// historySamples is how many samples of the own work in flight are kept.
+	historySamples = 32
+	// learnWeight is the weight of a new sample in a moving average.
+	learnWeight = 0.2
+	// loadCost is added to the estimate of an endpoint whose slots are all
+	// taken, in proportion: a fuller batch is slower.
+	loadCost = 50 * time.Millisecond
+	// reportLag is how old a load report is when it arrives.
+	reportLag = 500 * time.Millisecond
+)
+
+// serviceStats is what was learned of a service.
+type serviceStats struct {
+	// hold is the mean time for which work holds a slot, in seconds.
+	hold average
+}
+
+func (s *serviceStats) meanHold() time.Duration {
+	if v := s.hold.value(); v > 0 {
+		return time.Duration(v * float64(time.Second))
+	}
+	return defaultHold
+}
+
+// endpoint is what this daemon knows of one endpoint. It lives as long as the
+// endpoint is a candidate or has work in flight.
+type endpoint struct {
+	flight  atomic.Int64
+	memory  memory
+	name    string
+	prefill atomic.Int64
+	report  atomic.Pointer[report]
+	service *serviceStats
+
+	// samples are only used by Refresh.
+	samples [historySamples]flightSample
+	next    int
+}
+
+type flightSample struct {
+	at     time.Time
+	flight int64
+}
+
+// report is the newest state of an endpoint.
+type report struct {
+	// baseline is the own work in flight that the reported load contains.
+	baseline int64
+	member   *savorypin.MemberState
+	state    *savorypin.EndpointState
+}
+
+// sample remembers the own work in flight.
+func (e *endpoint) sample(now time.Time) {
+	e.samples[e.next] = flightSample{at: now, flight: e.flight.Load()}
+	e.next = (e.next + 1) % historySamples
+}
+
+// flightAt returns the own work in flight at a time in the past.
+func (e *endpoint) flightAt(at time.Time) int64 {
+	var best flightSample
+	for _, s := range e.samples {
+		if !s.at.IsZero() && !s.at.After(at) && s.at.After(best.at) {
+			best = s
+		}
+	}
+	return best.flight
+}
+
+// load returns the reported load, corrected by the own work that has begun and
+// ended since.
+func (e *endpoint) load(r *report) int64 {
+	reported := int64(r.state.Running + r.state.Waiting)
+	return max(0, reported+e.flight.Load()-r.baseline)
+}
+
+// estimate returns the expected time to the first token at the endpoint,
+// without the link.
+func (e *endpoint) estimate(r *report, need *Need) time.Duration {
+	slots := int64(max(1, r.state.Slots))
+	load := e.load(r)
+	cost := loadCost * time.Duration(min(load, slots)) / time.Duration(slots)
+	if excess := load - slots + 1; excess > 0 {
+		cost += e.service.meanHold() * time.Duration(excess) / time.Duration(slots)
+	}
+	if r.state.PrefillPerSecond <= 0 {
+		return cost
+	}
+	tokens := need.promptTokens()
+	tokens -= min(tokens, e.cachedTokens(need.Prefixes, r.state.CachedPrefixes))
+	pending := float64(e.prefill.Load()) + float64(tokens)
+	return cost + time.Duration(pending/r.state.PrefillPerSecond*float64(time.Second))
+}
+
+// target is an endpoint with one of its versions.
+type target struct {
+	bias     fading
+	breaker  breaker
+	endpoint *endpoint
+	failures fading
+	key      groupKey
+}
+
+// cost returns the estimate with what was learned of the target: how much
+// later than estimated its first tokens came, and how often it failed.
+func (t *target) cost(need *Need, now time.Time) time.Duration {
+	cost := t.endpoint.estimate(t.endpoint.report.Load(), need)
+	if bias := t.bias.value(now); bias > 0 {
+		cost += time.Duration(bias * float64(time.Second))
+	}
+	return cost + time.Duration(t.failures.value(now)*float64(failureCost))
+}
+
+// usable reports whether the target may be given the work.
+func (t *target) usable(need *Need, now time.Time) bool {
+	return !need.Avoid[t.endpoint.name] && !t.breaker.open(now)
+}
--- /dev/null
+++ b/internal/savorypinroute/index.go
@@ -0,0 +1,42 @@
+package savorypinroute
+
+import (
+	"savorypin/internal/savorypinmembership"
+)
+
+// groupKey names the endpoints that can do the same work.
+type groupKey struct {
+	service string
+	version string
+}
+
+// group are the usable endpoints of a service and version.
+type group struct {
+	all     []*target
+	regions map[string][]*target
+}
+
+// index holds the usable endpoints. It never changes; a new one replaces it.
+type index struct {
+	entries map[string]int
+	groups  map[groupKey]*group
+	view    *savorypinmembership.View
+}
+
+func newIndex(view *savorypinmembership.View) *index {
+	return &index{
+		entries: map[string]int{},
+		groups:  map[groupKey]*group{},
+		view:    view,
+	}
+}
+
+func (x *index) add(region string, t *target) {
+	g := x.groups[t.key]
+	if g == nil {
+		g = &group{regions: map[string][]*target{}}
+		x.groups[t.key] = g
+	}
+	g.all = append(g.all, t)
+	g.regions[region] = append(g.regions[region], t)
+}
--- /dev/null
+++ b/internal/savorypinroute/naive.go
@@ -0,0 +1,54 @@
+package savorypinroute
+
+import (
+	"slices"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinmembership"
+)
+
+// Candidates returns the usable endpoints for a need by looking at all members.
+// It is the naive twin of the Router's index.
+func Candidates(view *savorypinmembership.View, need Need) []Candidate {
+	var candidates []Candidate
+	for _, m := range view.All() {
+		if !m.Usable() {
+			continue
+		}
+		for _, e := range m.State().Endpoints {
+			if serves(e, need) {
+				candidates = append(candidates, Candidate{endpoint: e, member: m.State()})
+			}
+		}
+	}
+	return candidates
+}
+
+func serves(e savorypin.EndpointState, need Need) bool {
+	if !e.Healthy || e.Service != need.Service || need.Avoid[e.Name] {
+		return false
+	}
+	return need.Version == "" || slices.Contains(e.Versions, need.Version)
+}
+
+// LeastReported returns the candidate with the least reported load, those of
+// the own region first. It reports false if there is none. It is the naive
+// twin of Router.Choose.
+func LeastReported(candidates []Candidate, need Need) (Candidate, bool) {
+	if len(candidates) == 0 {
+		return Candidate{}, false
+	}
+	return slices.MinFunc(candidates, func(a, b Candidate) int {
+		if local := a.member.Region == need.Region; local != (b.member.Region == need.Region) {
+			if local {
+				return -1
+			}
+			return 1
+		}
+		return a.reportedLoad() - b.reportedLoad()
+	}), true
+}
+
+func (c Candidate) reportedLoad() int {
+	return c.endpoint.Running + c.endpoint.Waiting
+}
--- /dev/null
+++ b/internal/savorypinroute/savorypinroute_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinroute_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinroute")
+}
--- /dev/null
+++ b/internal/savorypinroute/state.go
@@ -0,0 +1,76 @@
+package savorypinroute
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// TargetState is an endpoint with one of its versions in the state dump.
+type TargetState struct {
+	// BiasMS is how much later than estimated first tokens come, in
+	// milliseconds.
+	BiasMS int64 `json:"biasMs"`
+	// Ejected says that no new work goes there.
+	Ejected bool `json:"ejected"`
+	// Endpoint is the name of the endpoint.
+	Endpoint string `json:"endpoint"`
+	// EstimateMS is the estimated time to the first token of a short prompt,
+	// in milliseconds.
+	EstimateMS int64 `json:"estimateMs"`
+	// FailureRatio is the share of the latest work that failed.
+	FailureRatio float64 `json:"failureRatio"`
+	// InFlight is the own work there.
+	InFlight int64 `json:"inFlight"`
+	// Load is the corrected load.
+	Load    int64  `json:"load"`
+	Region  string `json:"region"`
+	Service string `json:"service"`
+	Version string `json:"version,omitempty"`
+}
+
+// State is the section of the state dump about routing.
+type State struct {
+	// LinkBytes is what the budget of the link holds.
+	LinkBytes int64         `json:"linkBytes"`
+	Targets   []TargetState `json:"targets"`
+}
+
+// State returns the state for the state dump.
+func (r *Router) State() State {
+	now := r.cfg.Now()
+	s := State{LinkBytes: r.link.available(now), Targets: []TargetState{}}
+	for _, g := range r.index.Load().groups {
+		for _, t := range g.all {
+			s.Targets = append(s.Targets, t.state(now))
+		}
+	}
+	slices.SortFunc(s.Targets, func(a, b TargetState) int {
+		return strings.Compare(a.Endpoint+" "+a.Version, b.Endpoint+" "+b.Version)
+	})
+	return s
+}
+
+func (t *target) state(now time.Time) TargetState {
+	rep := t.endpoint.report.Load()
+	return TargetState{
+		BiasMS:       int64(t.bias.value(now) * float64(time.Second/time.Millisecond)),
+		Ejected:      t.breaker.open(now),
+		Endpoint:     t.endpoint.name,
+		EstimateMS:   t.cost(&Need{}, now).Milliseconds(),
+		FailureRatio: t.failures.value(now),
+		InFlight:     t.endpoint.flight.Load(),
+		Load:         t.endpoint.load(rep),
+		Region:       rep.member.Region,
+		Service:      t.key.service,
+		Version:      t.key.version,
+	}
+}
+
+// available returns the bytes that the budget holds.
+func (l *Link) available(now time.Time) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now)
+	return int64(l.level)
+}
--- /dev/null
+++ b/internal/savorypinroute/work.go
@@ -0,0 +1,140 @@
+package savorypinroute
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// work is a piece of work that was given to an endpoint.
+type work struct {
+	crosses  bool
+	ended    atomic.Bool
+	estimate time.Duration
+	first    atomic.Bool
+	need     Need
+	prefill  int64
+	router   *Router
+	started  time.Time
+	target   *target
+	tokens   atomic.Int64
+}
+
+// begin counts the work as in flight.
+func (r *Router) begin(c choice, need Need, crosses bool, now time.Time) (Candidate, error) {
+	e := c.target.endpoint
+	rep := e.report.Load()
+	tokens := need.promptTokens()
+	tokens -= min(tokens, e.cachedTokens(need.Prefixes, rep.state.CachedPrefixes))
+	w := &work{
+		crosses:  crosses,
+		estimate: e.estimate(rep, &need),
+		need:     need,
+		prefill:  int64(tokens),
+		router:   r,
+		started:  now,
+		target:   c.target,
+	}
+	e.flight.Add(1)
+	e.prefill.Add(w.prefill)
+	e.memory.add(need.Prefixes)
+	r.affinity.add(need.Prefixes, c.target)
+	c.target.breaker.begin()
+	r.cfg.Count(c.reason, 1)
+	return Candidate{endpoint: *rep.state, member: *rep.member, work: w}, nil
+}
+
+// delivered takes note of tokens. At the first ones the prompt has been read
+// and the estimate can be judged.
+func (w *work) delivered(n int) {
+	w.tokens.Add(int64(n))
+	if w.first.Swap(true) || w.ended.Load() {
+		return
+	}
+	w.target.endpoint.prefill.Add(-w.prefill)
+	w.learn()
+}
+
+// learn compares the time to the first token with the estimate.
+func (w *work) learn() {
+	now := w.router.cfg.Now()
+	late := now.Sub(w.started) - w.estimate
+	if w.crosses {
+		late -= w.router.cfg.LinkDelay(w.need.Region, w.target.endpoint.report.Load().member.Region)
+	}
+	w.target.bias.add(now, late.Seconds(), learnWeight)
+}
+
+// end takes the work off the endpoint and reports false if that was done
+// before.
+func (w *work) end() bool {
+	if w.ended.Swap(true) {
+		return false
+	}
+	w.target.endpoint.flight.Add(-1)
+	if !w.first.Load() {
+		w.target.endpoint.prefill.Add(-w.prefill)
+	}
+	return true
+}
+
+func (w *work) release() {
+	if !w.end() {
+		return
+	}
+	w.target.breaker.probing.Store(false)
+	if w.crosses {
+		w.router.link.GiveBack(w.need.linkBytes())
+	}
+}
+
+func (w *work) done(err error) {
+	if !w.end() {
+		return
+	}
+	w.settleLink()
+	now := w.router.cfg.Now()
+	switch {
+	case err == nil:
+		if !w.first.Load() {
+			w.learn()
+		}
+		w.target.endpoint.service.hold.add(now.Sub(w.started).Seconds(), learnWeight)
+		w.target.failures.add(now, 0, learnWeight)
+		w.target.breaker.success()
+	case neutral(err):
+		w.target.breaker.probing.Store(false)
+	default:
+		w.fail(now)
+	}
+}
+
+func (w *work) fail(now time.Time) {
+	w.target.failures.add(now, 1, learnWeight)
+	if w.target.breaker.failure(now, func() bool { return w.router.mayEject(w.target, now) }) {
+		w.router.cfg.Count(CountEjections, 1)
+	}
+}
+
+// settleLink replaces the expected bytes by those that the tokens took.
+func (w *work) settleLink() {
+	if !w.crosses {
+		return
+	}
+	sent := w.need.PromptBytes + (w.need.Delivered+int(w.tokens.Load()))*tokenWireBytes
+	w.router.link.GiveBack(w.need.linkBytes() - sent)
+	w.router.cfg.Count(CountLinkBytes+string(purposeOf(&w.need)), int64(sent))
+}
+
+// neutral reports whether an error says nothing of the endpoint: the caller
+// left, was too late, or asked for what cannot be done.
+func neutral(err error) bool {
+	var e *savorypin.Error
+	if errors.As(err, &e) && e.Kind == savorypin.KindInvalid {
+		return true
+	}
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
