Compare routing with naive twins on a queue model of engines

Cause: the estimate of the wait took the whole life of a request for the time that it holds a slot. It now counts from the first token, plus the prefill.

--- /dev/null
+++ b/internal/savorypinroute/bench_test.go
@@ -0,0 +1,80 @@
+package savorypinroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"savorypin/internal/savorypinroute"
+)
+
+// BenchmarkPolicies reports what the policies do on one seeded workload.
+func BenchmarkPolicies(b *testing.B) {
+	for _, load := range []float64{0.5, 0.9, 1.2, 2} {
+		for _, p := range policies {
+			b.Run(fmt.Sprintf("load=%v/%s", load, p.name), func(b *testing.B) {
+				var o outcome
+				for range b.N {
+					o = simulate(p, load, 7)
+				}
+				seconds := (simDuration - simWarmUp).Seconds()
+				b.ReportMetric(float64(o.mean().Milliseconds()), "mean-ms")
+				b.ReportMetric(float64(o.p95().Milliseconds()), "p95-ms")
+				b.ReportMetric(float64(o.good)/seconds, "good/s")
+				b.ReportMetric(float64(o.asked)/seconds, "asked/s")
+				b.ReportMetric(float64(o.prefilled)/float64(max(1, len(o.firstIn))), "prefill/req")
+				b.ReportMetric(float64(o.wasted)/seconds, "wasted/s")
+				b.ReportMetric(float64(o.crossBytes)/seconds, "cross-B/s")
+			})
+		}
+	}
+}
+
+// BenchmarkChoose compares one decision at 600 endpoints with the naive twin.
+func BenchmarkChoose(b *testing.B) {
+	f := newFixture(members(600, 4)...)
+	n := need()
+	n.Prefixes = savorypinroute.Prefixes(string(make([]byte, 4096)))
+	n.PromptBytes = 4096
+	router := savorypinroute.NewRouter(savorypinroute.Config{
+		Count: func(string, int64) {}, LinkBytesPerSecond: 30e6 / 8,
+		LinkDelay: func(_, _ string) time.Duration { return 0 },
+		Now:       time.Now, Rand: rand.Float64, Region: "r0",
+	})
+	router.Refresh(f.table.View())
+	choose := func() {
+		c, _ := router.Choose(n)
+		c.Delivered(1)
+		c.Done(nil)
+	}
+	naive := func() {
+		savorypinroute.LeastReported(savorypinroute.Candidates(f.table.View(), n), n)
+	}
+	for _, bc := range []struct {
+		name string
+		run  func()
+	}{{"naive", naive}, {"router", choose}} {
+		b.Run(bc.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				bc.run()
+			}
+		})
+		b.Run(bc.name+"/parallel", func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					bc.run()
+				}
+			})
+		})
+	}
+	b.Run("refresh", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			f.table.Tick("")
+			router.Refresh(f.table.View())
+		}
+	})
+}
--- a/internal/savorypinroute/endpoint.go
+++ b/internal/savorypinroute/endpoint.go
@@ -16,6 +16,8 @@
 	fadeHalfLife = 10 * time.Second
 	// failureCost is added to the estimate of an endpoint where all work fails.
 	failureCost = 5 * time.Second
+	// holdWeight is the weight of a new sample in the mean hold of a service.
+	holdWeight = 0.02
 	// historySamples is how many samples of the own work in flight are kept.
 	historySamples = 32
 	// learnWeight is the weight of a new sample in a moving average.
@@ -101,13 +103,18 @@
 	if excess := load - slots + 1; excess > 0 {
 		cost += e.service.meanHold() * time.Duration(excess) / time.Duration(slots)
 	}
-	if r.state.PrefillPerSecond <= 0 {
-		return cost
-	}
 	tokens := need.promptTokens()
 	tokens -= min(tokens, e.cachedTokens(need.Prefixes, r.state.CachedPrefixes))
-	pending := float64(e.prefill.Load()) + float64(tokens)
-	return cost + time.Duration(pending/r.state.PrefillPerSecond*float64(time.Second))
+	return cost + e.prefillTime(float64(e.prefill.Load())+float64(tokens))
+}
+
+// prefillTime returns the time that the endpoint takes to read tokens.
+func (e *endpoint) prefillTime(tokens float64) time.Duration {
+	rate := e.report.Load().state.PrefillPerSecond
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(tokens / rate * float64(time.Second))
 }
 
 // target is an endpoint with one of its versions.
--- /dev/null
+++ b/internal/savorypinroute/route_test.go
@@ -0,0 +1,264 @@
+package savorypinroute_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinmembership"
+	"savorypin/internal/savorypinroute"
+)
+
+var errBroken = errors.New("endpoint is broken")
+
+// fixture is a router over a table of members.
+type fixture struct {
+	counts map[string]int64
+	now    time.Time
+	router *savorypinroute.Router
+	table  *savorypinmembership.Table
+}
+
+func newFixture(states ...savorypin.MemberState) *fixture {
+	f := &fixture{counts: map[string]int64{}, now: time.Unix(1000, 0)}
+	f.table = savorypinmembership.NewTable(savorypinmembership.Config{
+		DeadAfter: time.Hour, ForgetAfter: time.Hour, Now: func() time.Time { return f.now }, SuspectAfter: time.Hour,
+	})
+	f.table.Merge(states...)
+	f.router = savorypinroute.NewRouter(savorypinroute.Config{
+		Count:              func(name string, n int64) { f.counts[name] += n },
+		LinkBytesPerSecond: 30e6 / 8,
+		LinkDelay:          func(_, _ string) time.Duration { return 25 * time.Millisecond },
+		Now:                func() time.Time { return f.now },
+		Rand:               rand.New(rand.NewPCG(5, 5)).Float64,
+		Region:             "r0",
+	})
+	f.router.Refresh(f.table.View())
+	return f
+}
+
+// members returns agents with one engine each, the last third in another
+// region.
+func members(n, running int) []savorypin.MemberState {
+	var states []savorypin.MemberState
+	for i := range n {
+		states = append(states, savorypin.MemberState{
+			Endpoints: []savorypin.EndpointState{{
+				Healthy: true, Name: fmt.Sprintf("engine-%d", i), PrefillPerSecond: 4000, Running: running,
+				Service: "s", Slots: 8, TokensPerSecond: 50, Versions: []string{"v"},
+			}},
+			Name: fmt.Sprintf("agent-%d", i), Region: region(i * 3 / n / 2), Role: savorypin.RoleAgent, Sequence: 1,
+		})
+	}
+	return states
+}
+
+func need() savorypinroute.Need {
+	return savorypinroute.Need{
+		MaxTokens: 100, PromptBytes: 400, Purpose: savorypin.PurposeFirst, Region: "r0", Service: "s", Version: "v",
+	}
+}
+
+var _ = Describe("Policies on one workload", func() {
+	// The users ask for the first token within 1.7 s for 95 in 100.
+	const wanted = 0.95
+	roundRobin, leastReported, router := policies[0], policies[1], policies[2]
+	for _, load := range []float64{0.5, 0.9} {
+		It(fmt.Sprintf("give the first token in time at a load of %v", load), func() {
+			o := simulate(router, load, 7)
+			Expect(float64(o.good)).To(BeNumerically(">=", wanted*float64(o.asked)))
+			Expect(o.good).To(BeNumerically(">=", simulate(leastReported, load, 7).good))
+		})
+	}
+	for _, load := range []float64{1.2, 2} {
+		It(fmt.Sprintf("keep the goodput and waste less at a load of %v", load), func() {
+			full, o, naive := simulate(router, 0.9, 7), simulate(router, load, 7), simulate(roundRobin, load, 7)
+			Expect(o.good).To(BeNumerically(">=", full.good))
+			Expect(o.wasted).To(BeNumerically("<", naive.wasted))
+			link := 30e6 / 8 * (simDuration - simWarmUp).Seconds()
+			Expect(float64(o.crossBytes)).To(BeNumerically("<", link/2))
+		})
+	}
+	It("avoid an engine that fails", func() {
+		o := simulate(router, 0.5, 7, func(s *simulation) { s.engines[3].fail = true })
+		// Three failures eject it; then it is tried after 1, 2, 4, 8 … seconds,
+		// by each of the entries of its region.
+		Expect(o.failed).To(BeNumerically("<=", simEntries*(3+6)))
+	})
+})
+
+var _ = Describe("Router", func() {
+	It("spreads work between two reports", func() {
+		f := newFixture(members(30, 0)...)
+		given := map[string]int{}
+		for range 160 {
+			c, err := f.router.Choose(need())
+			Expect(err).NotTo(HaveOccurred())
+			given[c.Endpoint().Name]++
+		}
+		for name, n := range given {
+			Expect(n).To(BeNumerically("<=", 16), name)
+		}
+	})
+
+	for _, tc := range []struct {
+		name    string
+		running int
+		change  func(*savorypinroute.Need)
+		late    bool
+	}{
+		{"begins what can begin in time", 0, func(n *savorypinroute.Need) { n.Within = time.Second }, false},
+		{"refuses what cannot begin in time", 80, func(n *savorypinroute.Need) { n.Within = time.Second }, true},
+		{"begins what has no limit", 80, func(*savorypinroute.Need) {}, false},
+		{"never refuses a resume", 80, func(n *savorypinroute.Need) {
+			n.Purpose = savorypin.PurposeResume
+			n.Within = time.Second
+		}, false},
+	} {
+		It(tc.name, func() {
+			f := newFixture(members(30, tc.running)...)
+			n := need()
+			tc.change(&n)
+			_, err := f.router.Choose(n)
+			var late *savorypinroute.TooLateError
+			Expect(errors.As(err, &late)).To(Equal(tc.late), "%v", err)
+			if tc.late {
+				Expect(late.RetryAfter()).To(BeNumerically(">", 0))
+			}
+		})
+	}
+
+	for _, tc := range []struct {
+		name  string
+		err   error
+		avoid bool
+	}{
+		{"an endpoint that fails", errBroken, true},
+		{"an endpoint whose callers leave", context.Canceled, false},
+	} {
+		It(fmt.Sprintf("avoids %s: %v", tc.name, tc.avoid), func() {
+			f := newFixture(members(3, 0)[:2]...)
+			given := 0
+			for range 20 {
+				c, err := f.router.Choose(need())
+				Expect(err).NotTo(HaveOccurred())
+				if c.Endpoint().Name == "engine-0" {
+					given++
+					c.Done(tc.err)
+				} else {
+					c.Done(nil)
+				}
+			}
+			Expect(given <= 3).To(Equal(tc.avoid), "given %d of 20", given)
+		})
+	}
+
+	It("never ejects more than half of the endpoints", func() {
+		f := newFixture(members(9, 0)...)
+		for range 200 {
+			c, err := f.router.Choose(need())
+			Expect(err).NotTo(HaveOccurred())
+			c.Done(errBroken)
+		}
+		ejected := 0
+		for _, t := range f.router.State().Targets {
+			if t.Ejected && t.Version != "" {
+				ejected++
+			}
+		}
+		Expect(ejected).To(BeNumerically("<=", 4))
+	})
+
+	It("goes back to the endpoint that holds the prefix", func() {
+		f := newFixture(members(30, 0)...)
+		n := need()
+		n.Prefixes = savorypinroute.Prefixes(string(make([]byte, 4096)))
+		n.PromptBytes = 4096
+		first, err := f.router.Choose(n)
+		Expect(err).NotTo(HaveOccurred())
+		first.Done(nil)
+		again, err := f.router.Choose(n)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Endpoint().Name).To(Equal(first.Endpoint().Name))
+	})
+
+	It("chooses only what the naive twin lists, and something if that lists any", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			states := members(9, rapid.IntRange(0, 20).Draw(t, "running"))
+			avoid := map[string]bool{}
+			for i := range states {
+				states[i].Draining = rapid.Bool().Draw(t, "draining")
+				states[i].Endpoints[0].Healthy = rapid.Bool().Draw(t, "healthy")
+				if rapid.Bool().Draw(t, "avoid") {
+					avoid[states[i].Endpoints[0].Name] = true
+				}
+			}
+			f := newFixture(states...)
+			n := need()
+			n.Avoid = avoid
+			names := map[string]bool{}
+			for _, c := range savorypinroute.Candidates(f.table.View(), n) {
+				names[c.Endpoint().Name] = true
+			}
+			c, err := f.router.Choose(n)
+			if (err == nil) != (len(names) > 0) || (err == nil && !names[c.Endpoint().Name]) {
+				t.Fatalf("chose %q (%v) of %v", c.Endpoint().Name, err, names)
+			}
+		})
+	})
+
+	It("allocates only the record of the work", func() {
+		f := newFixture(members(600, 0)...)
+		n := need()
+		Expect(testing.AllocsPerRun(100, func() {
+			c, _ := f.router.Choose(n)
+			c.Done(nil)
+		})).To(BeNumerically("<=", 4))
+	})
+})
+
+var _ = Describe("Link", func() {
+	It("stops spill before resumes and never stops control", func() {
+		now := time.Unix(0, 0)
+		link := savorypinroute.NewLink(1000, now)
+		for _, tc := range []struct {
+			purpose savorypinroute.LinkPurpose
+			bytes   int
+			want    bool
+		}{
+			{savorypinroute.LinkSpill, 1000, true},
+			{savorypinroute.LinkSpill, 1, false},
+			{savorypinroute.LinkResume, 600, true},
+			{savorypinroute.LinkResume, 1, false},
+			{savorypinroute.LinkControl, 1000, true},
+		} {
+			Expect(link.Take(tc.purpose, tc.bytes, now)).To(Equal(tc.want), "%s", tc.purpose)
+		}
+	})
+
+	It("lets no more pass than the rate and the burst", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			now := time.Unix(0, 0)
+			link := savorypinroute.NewLink(1000, now)
+			taken := 0
+			for range 100 {
+				now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+				n := rapid.IntRange(1, 800).Draw(t, "bytes")
+				if link.Take(savorypinroute.LinkResume, n, now) {
+					taken += n
+				}
+			}
+			if most := 1000*now.Sub(time.Unix(0, 0)).Seconds() + 2000; float64(taken) > most {
+				t.Fatalf("took %d of %v", taken, most)
+			}
+		})
+	})
+})
--- /dev/null
+++ b/internal/savorypinroute/simulation_test.go
@@ -0,0 +1,323 @@
+package savorypinroute_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinmembership"
+	"savorypin/internal/savorypinroute"
+)
+
+// Sizes of the simulated system: thirty replicas, two thirds of them in the
+// first region, while the callers are spread evenly.
+const (
+	simEngines   = 30
+	simEntries   = 4
+	simSlots     = 8
+	simPrefill   = 4000.0
+	simDecode    = 50.0
+	simTokens    = 80.0
+	simDuration  = 40 * time.Second
+	simWarmUp    = 10 * time.Second
+	simWithin    = 1700 * time.Millisecond
+	simReport    = 500 * time.Millisecond
+	simReportLag = 300 * time.Millisecond
+	simCache     = 600
+)
+
+// chooser is a policy of one entry. It reports false if it refuses.
+type chooser func(need savorypinroute.Need) (savorypinroute.Candidate, bool)
+
+type policy struct {
+	name string
+	make func(s *simulation, region string) chooser
+}
+
+var policies = []policy{
+	{"round robin", func(s *simulation, region string) chooser {
+		next := 0
+		return func(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
+			own := s.inRegion(region, need)
+			next++
+			return own[next%len(own)], true
+		}
+	}},
+	{"least reported", func(s *simulation, _ string) chooser {
+		return func(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
+			return savorypinroute.LeastReported(savorypinroute.Candidates(s.table.View(), need), need)
+		}
+	}},
+	{"router", func(s *simulation, region string) chooser {
+		r := s.router(region)
+		return func(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
+			c, err := r.Choose(need)
+			return c, err == nil
+		}
+	}},
+}
+
+type event struct {
+	at  time.Time
+	do  func()
+	seq int
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || (h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq)
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// job is one request in the simulation.
+type job struct {
+	candidate savorypinroute.Candidate
+	crosses   bool
+	need      savorypinroute.Need
+	started   time.Time
+	tokens    int
+}
+
+// engine is a queue model of an engine: slots, a rate of prefill less the
+// cached prefixes, and a rate of decoding.
+type engine struct {
+	cached  []uint64
+	fail    bool
+	name    string
+	queue   []*job
+	region  string
+	running int
+}
+
+// outcome is what a simulation counted after its warm-up.
+type outcome struct {
+	asked      int
+	crossBytes int
+	failed     int
+	firstIn    []time.Duration
+	good       int
+	prefilled  int
+	refused    int
+	wasted     int
+}
+
+func (o outcome) mean() time.Duration {
+	var sum time.Duration
+	for _, d := range o.firstIn {
+		sum += d
+	}
+	return sum / time.Duration(max(1, len(o.firstIn)))
+}
+
+func (o outcome) p95() time.Duration {
+	sorted := slices.Sorted(slices.Values(o.firstIn))
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[len(sorted)*95/100]
+}
+
+type simulation struct {
+	choosers []chooser
+	engines  []*engine
+	events   events
+	now      time.Time
+	out      outcome
+	rand     *rand.Rand
+	seq      int
+	table    *savorypinmembership.Table
+}
+
+// simulate runs a policy at a load, which is the ratio of the offered work to
+// the capacity of all slots.
+func simulate(p policy, load float64, seed uint64, prepare ...func(*simulation)) outcome {
+	s := &simulation{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1))}
+	s.table = savorypinmembership.NewTable(savorypinmembership.Config{
+		DeadAfter: time.Hour, ForgetAfter: time.Hour, Now: func() time.Time { return s.now }, SuspectAfter: time.Hour,
+	})
+	for i := range simEngines {
+		s.engines = append(s.engines, &engine{name: fmt.Sprintf("engine-%d", i), region: region(i % 3 / 2)})
+	}
+	for _, f := range prepare {
+		f(s)
+	}
+	for i := range simEntries {
+		s.choosers = append(s.choosers, p.make(s, region(i%2)))
+	}
+	s.report(1)
+	hold := simTokens/simDecode + 0.2
+	s.arrive(load * simEngines * simSlots / hold)
+	for end := s.now.Add(simDuration); s.now.Before(end); {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	return s.out
+}
+
+func region(i int) string { return fmt.Sprintf("r%d", i) }
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: s.now.Add(d), do: do, seq: s.seq})
+}
+
+func (s *simulation) router(region string) *savorypinroute.Router {
+	r := savorypinroute.NewRouter(savorypinroute.Config{
+		Count:              func(string, int64) {},
+		LinkBytesPerSecond: 30e6 / 8,
+		LinkDelay:          func(_, _ string) time.Duration { return 25 * time.Millisecond },
+		Now:                func() time.Time { return s.now },
+		Rand:               rand.New(rand.NewPCG(3, uint64(s.seq))).Float64,
+		Region:             region,
+	})
+	var refresh func()
+	refresh = func() {
+		r.Refresh(s.table.View())
+		s.after(100*time.Millisecond, refresh)
+	}
+	s.after(time.Millisecond, refresh)
+	return r
+}
+
+func (s *simulation) inRegion(region string, need savorypinroute.Need) []savorypinroute.Candidate {
+	all := savorypinroute.Candidates(s.table.View(), need)
+	return slices.DeleteFunc(all, func(c savorypinroute.Candidate) bool { return c.Member().Region != region })
+}
+
+// report sends the load of all engines, which arrives later.
+func (s *simulation) report(sequence uint64) {
+	var states []savorypin.MemberState
+	for _, e := range s.engines {
+		states = append(states, savorypin.MemberState{
+			Endpoints: []savorypin.EndpointState{{
+				Healthy: true, Name: e.name, PrefillPerSecond: simPrefill, Running: e.running, Service: "s",
+				Slots: simSlots, TokensPerSecond: simDecode, Versions: []string{"v"}, Waiting: len(e.queue),
+			}},
+			Name: e.name, Region: e.region, Role: savorypin.RoleAgent, Sequence: sequence,
+		})
+	}
+	lag := simReportLag
+	if sequence == 1 {
+		lag = 0
+	}
+	s.after(lag, func() { s.table.Merge(states...) })
+	s.after(simReport, func() { s.report(sequence + 1) })
+}
+
+// arrive lets requests come at a mean rate. Each belongs to one of forty
+// organisations whose prompts begin alike.
+func (s *simulation) arrive(rate float64) {
+	s.after(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+		organisation := s.rand.IntN(40)
+		prompt := strings.Repeat(fmt.Sprintf("%08d", organisation), 128+organisation*16)
+		tail := fmt.Sprintf("%08d", s.rand.IntN(1e8))
+		j := &job{
+			need: savorypinroute.Need{
+				MaxTokens: 2 * simTokens, Prefixes: savorypinroute.Prefixes(prompt + strings.Repeat(tail, 32)),
+				PromptBytes: len(prompt) + 256, Purpose: savorypin.PurposeFirst, Service: "s", Version: "v",
+				Within: simWithin,
+			},
+			started: s.now,
+			tokens:  1 + int(s.rand.ExpFloat64()*simTokens),
+		}
+		s.place(j)
+		s.arrive(rate)
+	})
+}
+
+func (s *simulation) counts() bool { return s.now.After(time.Unix(1000, 0).Add(simWarmUp)) }
+
+func (s *simulation) place(j *job) {
+	i := s.rand.IntN(simEntries)
+	j.need.Region = region(i % 2)
+	c, ok := s.choosers[i](j.need)
+	if s.counts() {
+		s.out.asked++
+	}
+	if !ok {
+		s.out.refused++
+		return
+	}
+	j.candidate = c
+	j.crosses = c.Member().Region != j.need.Region
+	k := slices.IndexFunc(s.engines, func(e *engine) bool { return e.name == c.Endpoint().Name })
+	e := s.engines[k]
+	if e.fail {
+		s.out.failed++
+		c.Done(savorypin.Errorf(savorypin.KindIncomplete, e.name, "engine is broken"))
+		return
+	}
+	e.queue = append(e.queue, j)
+	s.next(e)
+}
+
+// next starts the job at the head of the queue if a slot is free. Jobs whose
+// callers have left are dropped.
+func (s *simulation) next(e *engine) {
+	for e.running < simSlots && len(e.queue) > 0 {
+		j := e.queue[0]
+		e.queue = e.queue[1:]
+		if s.now.Sub(j.started) > simWithin {
+			j.candidate.Done(nil)
+			continue
+		}
+		e.running++
+		missing := e.prefill(j.need)
+		s.after(time.Duration(missing/simPrefill*float64(time.Second)), func() { s.first(e, j, int(missing)) })
+	}
+}
+
+// prefill returns the number of prompt tokens that are not cached, and caches
+// them.
+func (e *engine) prefill(need savorypinroute.Need) float64 {
+	missing := need.PromptBytes / 4
+	for _, hash := range need.Prefixes {
+		if i := slices.Index(e.cached, hash); i >= 0 {
+			missing -= 64
+			e.cached = slices.Delete(e.cached, i, i+1)
+		}
+		e.cached = append(e.cached, hash)
+	}
+	e.cached = e.cached[max(0, len(e.cached)-simCache):]
+	return float64(max(0, missing))
+}
+
+func (s *simulation) first(e *engine, j *job, prefilled int) {
+	j.candidate.Delivered(1)
+	took := s.now.Sub(j.started)
+	good := took <= simWithin
+	if s.counts() {
+		s.out.firstIn = append(s.out.firstIn, took)
+		s.out.prefilled += prefilled
+		if j.crosses {
+			s.out.crossBytes += j.need.PromptBytes + 24*j.tokens
+		}
+		if good {
+			s.out.good++
+		} else {
+			s.out.wasted += prefilled
+		}
+	}
+	decode := time.Duration(float64(j.tokens) / simDecode * float64(time.Second))
+	if !good {
+		decode = 0 // The caller has left.
+	}
+	s.after(decode, func() {
+		j.candidate.Done(nil)
+		e.running--
+		s.next(e)
+	})
+}
--- a/internal/savorypinroute/work.go
+++ b/internal/savorypinroute/work.go
@@ -14,13 +14,14 @@
 	crosses  bool
 	ended    atomic.Bool
 	estimate time.Duration
-	first    atomic.Bool
-	need     Need
-	prefill  int64
-	router   *Router
-	started  time.Time
-	target   *target
-	tokens   atomic.Int64
+	// firstAt is when the first tokens came, in nanoseconds; zero before.
+	firstAt atomic.Int64
+	need    Need
+	prefill int64
+	router  *Router
+	started time.Time
+	target  *target
+	tokens  atomic.Int64
 }
 
 // begin counts the work as in flight.
@@ -51,7 +52,7 @@
 // and the estimate can be judged.
 func (w *work) delivered(n int) {
 	w.tokens.Add(int64(n))
-	if w.first.Swap(true) || w.ended.Load() {
+	if !w.firstAt.CompareAndSwap(0, w.router.cfg.Now().UnixNano()) || w.ended.Load() {
 		return
 	}
 	w.target.endpoint.prefill.Add(-w.prefill)
@@ -75,7 +76,7 @@
 		return false
 	}
 	w.target.endpoint.flight.Add(-1)
-	if !w.first.Load() {
+	if w.firstAt.Load() == 0 {
 		w.target.endpoint.prefill.Add(-w.prefill)
 	}
 	return true
@@ -99,10 +100,10 @@
 	now := w.router.cfg.Now()
 	switch {
 	case err == nil:
-		if !w.first.Load() {
+		if w.firstAt.Load() == 0 {
 			w.learn()
 		}
-		w.target.endpoint.service.hold.add(now.Sub(w.started).Seconds(), learnWeight)
+		w.target.endpoint.service.hold.add(w.hold(now).Seconds(), holdWeight)
 		w.target.failures.add(now, 0, learnWeight)
 		w.target.breaker.success()
 	case neutral(err):
@@ -112,6 +113,15 @@
 	}
 }
 
+// hold returns how long the work held a slot, without the wait for it.
+func (w *work) hold(now time.Time) time.Duration {
+	first := w.firstAt.Load()
+	if first == 0 {
+		return now.Sub(w.started)
+	}
+	return now.Sub(time.Unix(0, first)) + w.target.endpoint.prefillTime(float64(w.prefill))
+}
+
 func (w *work) fail(now time.Time) {
 	w.target.failures.add(now, 1, learnWeight)
 	if w.target.breaker.failure(now, func() bool { return w.router.mayEject(w.target, now) }) {
