Add limits of organisations that hold over all entries without the store

Cause: limits were not enforced. Each organisation has an owner among the entries that grants parts of its limits by demand; entries without a grant use a small share.

--- /dev/null
+++ b/internal/savorypinlimit/fair_test.go
@@ -0,0 +1,121 @@
+package savorypinlimit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinlimit"
+)
+
+// Sizes of the overload: one large organisation asks for most, nine small ones
+// for less than their fair share; the last has twice the weight.
+const (
+	fairCapacity = 10_000.0
+	fairRequest  = 100
+	fairWait     = 1700 * time.Millisecond
+)
+
+// overload offers a multiple of the capacity to one queue for a minute and
+// returns the part of its fair share that each organisation got.
+func overload(load float64, fair bool) []float64 {
+	random := rand.New(rand.NewPCG(11, 11))
+	now := time.Unix(1000, 0)
+	limiter := savorypinlimit.NewLimiter(savorypinlimit.Config{Count: func(string, int64) {}, Now: func() time.Time { return now }})
+	var claims []savorypinlimit.Claim
+	specs := map[string]savorypin.OrganisationSpec{}
+	for i := range 10 {
+		c := savorypinlimit.Claim{Demand: 0.08 * fairCapacity, Weight: 1}
+		if i == 0 {
+			c.Demand = (load - 9*0.08) * fairCapacity
+		}
+		if i == 9 {
+			c.Weight = 2
+		}
+		claims = append(claims, c)
+		specs[fmt.Sprint(i)] = savorypin.OrganisationSpec{Weight: c.Weight}
+	}
+	limiter.Configure(specs)
+	got := make([]float64, len(claims))
+	queue := 0.0
+	const step = time.Millisecond
+	for t := time.Duration(0); t < time.Minute; t += step {
+		now = now.Add(step)
+		queue = max(0, queue-fairCapacity*step.Seconds())
+		if t%savorypinlimit.ExchangeInterval == 0 {
+			limiter.Tick(1, func(string) string { return "" })
+		}
+		for i, c := range claims {
+			if random.Float64() >= c.Demand/fairRequest*step.Seconds() {
+				continue
+			}
+			a, _ := limiter.Admit(fmt.Sprint(i), 2*fairRequest)
+			within := fairWait
+			if fair {
+				within = limiter.Wait(fmt.Sprint(i), fairWait)
+			}
+			if queue/fairCapacity > within.Seconds() {
+				a.Cancel()
+				continue
+			}
+			a.Release(fairRequest)
+			queue += fairRequest
+			got[i] += fairRequest / time.Minute.Seconds()
+		}
+	}
+	shares, _ := savorypinlimit.MaxMin(fairCapacity, claims)
+	for i := range got {
+		got[i] /= shares[i]
+	}
+	return got
+}
+
+// jain returns Jain's index of fairness: 1 if all values are equal, 1/n if one
+// has all (Jain, Chiu and Hawe, 1984).
+func jain(values []float64) float64 {
+	total, squares := 0.0, 0.0
+	for _, v := range values {
+		total += v
+		squares += v * v
+	}
+	return total * total / (float64(len(values)) * squares)
+}
+
+var _ = Describe("Overload", func() {
+	for _, load := range []float64{0.9, 1.2, 2, 5} {
+		It(fmt.Sprintf("does not starve small organisations at a load of %v", load), func() {
+			got := overload(load, true)
+			for i, part := range got[1:] {
+				Expect(part).To(BeNumerically(">=", 0.9), "organisation %d", i+1)
+			}
+			Expect(jain(got)).To(BeNumerically(">=", jain(overload(load, false))-0.01))
+		})
+	}
+})
+
+// BenchmarkFairness reports Jain's index and the worst part of a fair share,
+// beside one queue for all.
+func BenchmarkFairness(b *testing.B) {
+	for _, load := range []float64{0.9, 1.2, 2, 5} {
+		for _, fair := range []bool{false, true} {
+			b.Run(fmt.Sprintf("load=%v/fair=%t", load, fair), func(b *testing.B) {
+				var got []float64
+				for range b.N {
+					got = overload(load, fair)
+				}
+				least := got[0]
+				for _, v := range got {
+					least = min(least, v)
+				}
+				b.ReportMetric(jain(got), "jain")
+				b.ReportMetric(least, "least")
+				b.ReportMetric(got[0], "large")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/savorypinlimit/fleet_test.go
@@ -0,0 +1,142 @@
+package savorypinlimit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinlimit"
+	"savorypin/internal/savorypinrank"
+)
+
+// fleet is a number of entries that exchange usage without sockets.
+type fleet struct {
+	entries []*entry
+	now     time.Time
+	rand    *rand.Rand
+	specs   map[string]savorypin.OrganisationSpec
+	// static splits the limits evenly and exchanges nothing: the naive twin.
+	static bool
+}
+
+type entry struct {
+	dead    bool
+	limiter *savorypinlimit.Limiter
+	name    string
+	owner   *savorypinlimit.Owner
+	reach   *savorypinlimit.Reach
+	region  string
+	seen    int
+	side    int
+}
+
+func newFleet(n int, specs map[string]savorypin.OrganisationSpec) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(9, 9)), specs: specs}
+	for i := range n {
+		e := &entry{name: fmt.Sprintf("entry-%d", i), region: fmt.Sprintf("r%d", i%3)}
+		f.restart(e)
+		f.entries = append(f.entries, e)
+	}
+	return f
+}
+
+// split turns the fleet into its naive twin, whose entries each have an equal
+// part of the limits for good. A limiter that gets no grant uses a quarter.
+func (f *fleet) split() {
+	const fallback = 4
+	f.static = true
+	for name, spec := range f.specs {
+		spec.TokensPerSecond *= fallback / float64(len(f.entries))
+		f.specs[name] = spec
+	}
+	for _, e := range f.entries {
+		e.limiter.Configure(f.specs)
+	}
+}
+
+// restart gives an entry an empty memory.
+func (f *fleet) restart(e *entry) {
+	e.limiter = savorypinlimit.NewLimiter(savorypinlimit.Config{
+		Count: func(string, int64) {}, Now: func() time.Time { return f.now },
+	})
+	e.limiter.Configure(f.specs)
+	e.owner = savorypinlimit.NewOwner(f.now)
+	e.reach = savorypinlimit.NewReach()
+	e.seen = 0
+}
+
+// live returns the entries that e can reach: those on its side of a partition.
+func (f *fleet) live(e *entry) (names []string, regions map[string]int) {
+	regions = map[string]int{}
+	for _, other := range f.entries {
+		if !other.dead && other.side == e.side {
+			names = append(names, other.name)
+			regions[other.region]++
+		}
+	}
+	return names, regions
+}
+
+// exchange runs one interval of the exchange at all entries.
+func (f *fleet) exchange() {
+	for _, e := range f.entries {
+		if e.dead {
+			continue
+		}
+		names, regions := f.live(e)
+		if f.static {
+			e.limiter.Tick(1, func(string) string { return "" })
+			continue
+		}
+		known, share := e.reach.Update(regions, f.now)
+		if len(names) != e.seen {
+			e.seen = len(names)
+			e.owner.EntriesChanged(f.now)
+		}
+		due := e.limiter.Tick(known, func(o string) string { return savorypinrank.Names(o, names)[0] })
+		for _, owner := range f.entries {
+			if usages := due[owner.name]; len(usages) > 0 {
+				grants := owner.owner.Grant(e.name, usages, func(o string) savorypinlimit.Amount {
+					return savorypinlimit.LimitOf(f.specs[o], share)
+				}, f.now)
+				e.limiter.Granted(owner.name, usages, grants, f.now)
+			}
+		}
+		e.owner.Sweep(f.now)
+	}
+}
+
+// run lets requests come for a time. The demand of an entry is a rate of
+// requests of 100 tokens each; it returns the tokens admitted by second.
+func (f *fleet) run(d time.Duration, organisation string, demand func(i int) float64) []float64 {
+	const step = 10 * time.Millisecond
+	var admitted []float64
+	for t := time.Duration(0); t < d; t += step {
+		if t%savorypinlimit.ExchangeInterval == 0 {
+			f.exchange()
+		}
+		if t%time.Second == 0 {
+			admitted = append(admitted, 0)
+		}
+		for i, e := range f.entries {
+			if e.dead || f.rand.Float64() >= demand(i)*step.Seconds() {
+				continue
+			}
+			if a, err := e.limiter.Admit(organisation, 100); err == nil {
+				a.Release(100)
+				admitted[len(admitted)-1] += 100
+			}
+		}
+		f.now = f.now.Add(step)
+	}
+	return admitted
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
--- /dev/null
+++ b/internal/savorypinlimit/limit_test.go
@@ -0,0 +1,205 @@
+package savorypinlimit_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinlimit"
+)
+
+const limit = 20_000.0
+
+func oneOrganisation() map[string]savorypin.OrganisationSpec {
+	return map[string]savorypin.OrganisationSpec{"shops": {TokensPerSecond: limit}}
+}
+
+// skewed is a demand of 1.6 times the limit, nearly all of it at four entries.
+func skewed(i int) float64 {
+	if i < 4 {
+		return 76
+	}
+	return 1
+}
+
+const n = 20
+
+// failures are what may happen to a fleet of n entries.
+var failures = []struct {
+	name string
+	// cutOff is the share that entries have that are cut off alone.
+	cutOff float64
+	// withoutGrant is the largest number of entries without a valid grant.
+	withoutGrant int
+	change       func(f *fleet)
+}{
+	{"all is well", 0, 0, func(*fleet) {}},
+	{"the busiest entry dies", 0, 0, func(f *fleet) { f.entries[0].dead = true }},
+	{"a third of the entries die", 0, 0, func(f *fleet) {
+		for _, e := range f.entries[n-n/3:] {
+			e.dead = true
+		}
+	}},
+	{"all entries restart with nothing", 0, n, func(f *fleet) {
+		for _, e := range f.entries {
+			f.restart(e)
+		}
+	}},
+	{"an entry is cut off", 1.0 / n, 0, func(f *fleet) { f.entries[0].side = 1 }},
+	{"a region is cut off", 0, 0, func(f *fleet) {
+		for i := 0; i < n; i += 3 {
+			f.entries[i].side = 1
+		}
+	}},
+}
+
+var _ = Describe("Limit over several entries", func() {
+	for _, tc := range failures {
+		It("holds when "+tc.name, func() {
+			f := newFleet(n, oneOrganisation())
+			f.run(20*time.Second, "shops", skewed)
+			tc.change(f)
+			const seconds = 30
+			admitted := f.run(seconds*time.Second, "shops", skewed)
+			rate := limit * (1 + tc.cutOff + float64(tc.withoutGrant)/(4*n))
+			Expect(sum(admitted)).To(BeNumerically("<=", rate*seconds+rate+n*100))
+		})
+	}
+
+	It("lets a skewed demand use more of the limit than a static split", func() {
+		f := newFleet(n, oneOrganisation())
+		f.run(20*time.Second, "shops", skewed)
+		got := sum(f.run(20*time.Second, "shops", skewed)) / 20
+		naive := newFleet(n, oneOrganisation())
+		naive.split()
+		Expect(got).To(BeNumerically(">", 2*sum(naive.run(20*time.Second, "shops", skewed))/20))
+	})
+
+	It("holds the number of requests at one time", func() {
+		f := newFleet(4, map[string]savorypin.OrganisationSpec{"shops": {Concurrency: 10}})
+		running := 0
+		for range 400 {
+			f.now = f.now.Add(savorypinlimit.ExchangeInterval)
+			f.exchange()
+			for _, e := range f.entries {
+				if _, err := e.limiter.Admit("shops", 0); err == nil {
+					running++
+				}
+			}
+		}
+		// Each entry may have begun one by its fallback share.
+		Expect(running).To(BeNumerically("<=", 10+4))
+		Expect(running).To(BeNumerically(">=", 8))
+	})
+
+	It("tells truly when the next request can begin", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			f := newFleet(1, map[string]savorypin.OrganisationSpec{
+				"shops": {RequestsPerSecond: rapid.Float64Range(0.5, 50).Draw(t, "requests"), TokensPerSecond: 500},
+			})
+			for range 50 {
+				a, err := f.entries[0].limiter.Admit("shops", rapid.IntRange(1, 1000).Draw(t, "tokens"))
+				var limited *savorypinlimit.LimitedError
+				if !errors.As(err, &limited) {
+					a.Release(rapid.IntRange(0, 10).Draw(t, "used"))
+					continue
+				}
+				f.now = f.now.Add(limited.RetryAfter)
+				if _, err := f.entries[0].limiter.Admit("shops", 1); errors.As(err, &limited) && limited.Limit == savorypinlimit.LimitRequests {
+					t.Fatalf("refused after the time it gave: %v", err)
+				}
+			}
+		})
+	})
+
+	It("costs less than the budget of control at the target size", func() {
+		// 23 KB a second for all control of a daemon, half of it for limits. An entry reports all 670
+		// organisations once every 3 s and, as an owner, answers as much.
+		var usages []savorypinlimit.Usage
+		var grants []savorypinlimit.Amount
+		for i := range 670 {
+			a := savorypinlimit.Amount{Tokens: 1234.5, Requests: 12.5, Concurrency: 20}
+			usages = append(usages, savorypinlimit.Usage{Organisation: fmt.Sprintf("org-%d", i), Demand: a, Running: 9})
+			grants = append(grants, a)
+		}
+		report, err := msgpack.Marshal(usages)
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := msgpack.Marshal(grants)
+		Expect(err).NotTo(HaveOccurred())
+		// Frames and the streams that carry them, to and from 19 others.
+		const overhead = 19 * 100
+		sent := (len(report) + len(answer) + overhead) / 3
+		AddReportEntry("bytes sent a second", sent)
+		Expect(sent).To(BeNumerically("<", 23_000/2))
+	})
+
+	It("allocates only the admission", func() {
+		f := newFleet(1, oneOrganisation())
+		Expect(testing.AllocsPerRun(100, func() {
+			if a, err := f.entries[0].limiter.Admit("shops", 1); err == nil {
+				a.Release(1)
+			}
+		})).To(BeNumerically("<=", 2))
+	})
+})
+
+var _ = Describe("MaxMin", func() {
+	It("agrees with filling by small steps", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			capacity := float64(rapid.IntRange(0, 100).Draw(t, "capacity"))
+			var claims []savorypinlimit.Claim
+			for range rapid.IntRange(1, 6).Draw(t, "n") {
+				claims = append(claims, savorypinlimit.Claim{
+					Demand: float64(rapid.IntRange(0, 60).Draw(t, "demand")),
+					Weight: float64(rapid.IntRange(1, 4).Draw(t, "weight")),
+				})
+			}
+			const step = 0.001
+			naive := make([]float64, len(claims))
+			for given := true; given; {
+				given = false
+				for i, c := range claims {
+					if part := step * c.Weight; naive[i]+part <= c.Demand && capacity >= part {
+						naive[i] += part
+						capacity -= part
+						given = true
+					}
+				}
+			}
+			for i, c := range claims {
+				capacity += naive[i]
+				_ = c
+			}
+			shares, _ := savorypinlimit.MaxMin(capacity, claims)
+			for i := range shares {
+				if diff := shares[i] - naive[i]; diff > 0.1 || diff < -0.1 {
+					t.Fatalf("share %d is %v, by small steps %v", i, shares[i], naive[i])
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("RetryBudget", func() {
+	It("bounds retries to a tenth of the first attempts", func() {
+		var b savorypinlimit.RetryBudget
+		retries := 0
+		for range 1000 {
+			b.Earn()
+			for range 3 {
+				if b.Spend() {
+					retries++
+				}
+			}
+		}
+		Expect(retries).To(BeNumerically("<=", 1000/10+20))
+		Expect(retries).To(BeNumerically(">=", 100))
+	})
+})
--- /dev/null
+++ b/internal/savorypinlimit/owner.go
@@ -0,0 +1,165 @@
+package savorypinlimit
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// demandRoom is how much more than its demand an entry is granted if there is
+// room, so that demand can grow between two reports.
+const demandRoom = 1.25
+
+// leftoverDivisor is the part of what nobody asked for that is granted in
+// advance; the rest stays free for entries that have not reported yet.
+const leftoverDivisor = 2
+
+// Owner grants parts of the limits of the organisations that this entry owns.
+// It is safe for concurrent use.
+type Owner struct {
+	mu            sync.Mutex
+	holdUntil     time.Time
+	organisations map[string]*owned
+}
+
+// owned is an organisation at its owner.
+type owned struct {
+	holders   map[string]*holder
+	holdUntil time.Time
+}
+
+// holder is an entry that has a grant.
+type holder struct {
+	granted Amount
+	until   time.Time
+	usage   Usage
+}
+
+// NewOwner returns an owner that has granted nothing. Another owner may have.
+func NewOwner(now time.Time) *Owner {
+	return &Owner{holdUntil: now.Add(OwnerHold), organisations: map[string]*owned{}}
+}
+
+// EntriesChanged takes note that other entries are live than before, so that
+// this entry may have become the owner of organisations.
+func (o *Owner) EntriesChanged(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.holdUntil = now.Add(OwnerHold)
+}
+
+// Grant answers the report of an entry. The limit of an organisation is what
+// may be granted in all.
+func (o *Owner) Grant(entry string, usages []Usage, limit func(organisation string) Amount, now time.Time) []Amount {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	grants := make([]Amount, 0, len(usages))
+	for _, usage := range usages {
+		grants = append(grants, o.grant(entry, usage, limit(usage.Organisation), now))
+	}
+	return grants
+}
+
+func (o *Owner) grant(entry string, usage Usage, limit Amount, now time.Time) Amount {
+	org := o.organisations[usage.Organisation]
+	if org == nil {
+		org = &owned{holders: map[string]*holder{}, holdUntil: o.holdUntil}
+		o.organisations[usage.Organisation] = org
+	}
+	org.expire(now)
+	h := org.holders[entry]
+	if h == nil {
+		h = &holder{}
+		org.holders[entry] = h
+	}
+	h.usage = usage
+	h.granted = org.share(h, limit)
+	if now.Before(org.holdUntil) {
+		h.granted = least(h.granted, usage.held())
+	}
+	h.until = now.Add(GrantTerm)
+	return h.granted
+}
+
+// Sweep forgets organisations without holders.
+func (o *Owner) Sweep(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, org := range o.organisations {
+		org.expire(now)
+		if len(org.holders) == 0 {
+			delete(o.organisations, name)
+		}
+	}
+}
+
+func (org *owned) expire(now time.Time) {
+	for name, h := range org.holders {
+		if now.After(h.until) {
+			delete(org.holders, name)
+		}
+	}
+}
+
+// share returns what h may be granted: its part by demand, but no more than
+// what the valid grants of the others leave.
+func (org *owned) share(h *holder, limit Amount) Amount {
+	var others []*holder
+	free := limit
+	for _, other := range org.holders {
+		if other == h {
+			continue
+		}
+		others = append(others, other)
+		free.Tokens -= other.granted.Tokens
+		free.Requests -= other.granted.Requests
+		free.Concurrency -= max(other.granted.Concurrency, other.usage.Running)
+	}
+	tokens := part(float64(limit.Tokens), h, others, func(u Usage) float64 { return float64(u.Demand.Tokens) })
+	requests := part(float64(limit.Requests), h, others, func(u Usage) float64 { return float64(u.Demand.Requests) })
+	concurrency := part(float64(limit.Concurrency), h, others, func(u Usage) float64 { return float64(u.Demand.Concurrency) })
+	wanted := Amount{
+		Tokens:      float32(tokens),
+		Requests:    float32(requests),
+		Concurrency: int(math.Ceil(concurrency)),
+	}
+	return least(wanted, Amount{
+		Tokens:      max(0, free.Tokens),
+		Requests:    max(0, free.Requests),
+		Concurrency: max(0, free.Concurrency),
+	})
+}
+
+// part returns the part of a limit that h gets by demand.
+func part(limit float64, h *holder, others []*holder, demand func(Usage) float64) float64 {
+	claims := []Claim{{Demand: demand(h.usage) * demandRoom, Weight: 1}}
+	for _, other := range others {
+		claims = append(claims, Claim{Demand: demand(other.usage) * demandRoom, Weight: 1})
+	}
+	shares, _ := MaxMin(limit, claims)
+	leftover := limit
+	for _, share := range shares {
+		leftover -= share
+	}
+	return shares[0] + leftover/leftoverDivisor/float64(len(shares))
+}
+
+func least(a, b Amount) Amount {
+	return Amount{
+		Tokens:      min(a.Tokens, b.Tokens),
+		Requests:    min(a.Requests, b.Requests),
+		Concurrency: min(a.Concurrency, b.Concurrency),
+	}
+}
+
+// LimitOf returns what may be granted of the limits of an organisation by the
+// owners of the live regions, which have a share of them.
+func LimitOf(spec savorypin.OrganisationSpec, share float64) Amount {
+	a := amountOf(spec)
+	a.Tokens *= float32(share)
+	a.Requests *= float32(share)
+	a.Concurrency = int(math.Floor(float64(a.Concurrency) * share))
+	return a
+}
--- /dev/null
+++ b/internal/savorypinlimit/savorypinlimit_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinlimit_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinlimit")
+}
