--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -46,11 +46,11 @@
 	if !e.daemon.Ready() {
 		return none, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
 	}
-	release, err := e.admit(call.Organisation, 0)
+	admission, err := e.admit(call.Organisation, 0)
 	if err != nil {
 		return none, err
 	}
-	defer release()
+	defer admission.Release(0)
 	ctx, cancel := context.WithTimeout(ctx, timeout(call.Timeout, spec))
 	defer cancel()
 	e.countCall(1)
@@ -76,7 +76,7 @@
 	need := e.callNeed(call.Service, savorypin.PurposeFirst, map[string]bool{})
 	var last error
 	for ctx.Err() == nil {
-		candidate, err := e.place(need, remaining(ctx))
+		candidate, err := e.place(need, e.limits.limiter.Wait(call.Organisation, remaining(ctx)))
 		if err != nil {
 			return CallAnswer{}, errors.Join(last, err)
 		}
@@ -99,7 +99,7 @@
 
 // callOnce claims the key before it passes the call on.
 func (e *Entry) callOnce(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
-	candidate, err := e.place(e.callNeed(call.Service, savorypin.PurposeFirst, nil), remaining(ctx))
+	candidate, err := e.place(e.callNeed(call.Service, savorypin.PurposeFirst, nil), e.limits.limiter.Wait(call.Organisation, remaining(ctx)))
 	if err != nil {
 		return CallAnswer{}, err
 	}
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -2,14 +2,15 @@
 
 import (
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinmove"
 	"savorypin/internal/savorypinroute"
 )
 
 // admit asks whether an organisation may begin a request that may take a
-// number of tokens. The request must be released when it has ended.
-func (e *Entry) admit(_ string, _ int) (release func(), err error) {
-	return func() {}, nil
+// number of tokens. The admission must be released when the request has ended.
+func (e *Entry) admit(organisation string, maxTokens int) (*savorypinlimit.Admission, error) {
+	return e.limits.admit(organisation, maxTokens)
 }
 
 // chooseVersion returns the version for a generation that has delivered
@@ -57,6 +58,6 @@
 // pick returns the endpoint for a piece of work. The work must be ended by the
 // candidate's Done or Release.
 func (e *Entry) pick(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
-	candidate, err := e.router.Choose(need)
+	candidate, err := e.choose(need)
 	return candidate, err == nil
 }
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -15,6 +15,7 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinroute"
 )
 
@@ -42,6 +43,7 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
+	limits *limits
 	router *savorypinroute.Router
 
 	mu     sync.Mutex
@@ -69,7 +71,11 @@
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	e.router = e.newRouter()
+	e.limits = newLimits(e)
+	daemon.Background(e.limits.loop)
 	daemon.Background(e.routeLoop)
+	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
+	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
 	daemon.Background(e.sweepLoop)
 	daemon.RegisterState("entry", e.state)
 	daemon.RegisterState("route", func() any { return e.router.State() })
--- /dev/null
+++ b/internal/savorypinentry/limit.go
@@ -0,0 +1,164 @@
+package savorypinentry
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypinlimit"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinrank"
+)
+
+// errRetryBudget means that a piece of work may not be tried again now.
+var errRetryBudget = errors.New("budget of retries is spent")
+
+// limits enforces the limits of organisations over all entries.
+type limits struct {
+	entry   *Entry
+	limiter *savorypinlimit.Limiter
+	owner   *savorypinlimit.Owner
+	retries savorypinlimit.RetryBudget
+	share   atomic.Pointer[float64]
+
+	// The fields below belong to the exchange loop.
+	config  *savorypinconfig.Snapshot
+	entries []string
+	reach   *savorypinlimit.Reach
+	wg      sync.WaitGroup
+}
+
+func newLimits(e *Entry) *limits {
+	l := &limits{
+		entry:   e,
+		limiter: savorypinlimit.NewLimiter(savorypinlimit.Config{Count: e.count, Now: time.Now}),
+		owner:   savorypinlimit.NewOwner(time.Now()),
+		reach:   savorypinlimit.NewReach(),
+	}
+	whole := 1.0
+	l.share.Store(&whole)
+	return l
+}
+
+// admit asks whether an organisation may begin a request that may take a
+// number of tokens.
+func (l *limits) admit(organisation string, maxTokens int) (*savorypinlimit.Admission, error) {
+	admission, err := l.limiter.Admit(organisation, maxTokens)
+	var limited *savorypinlimit.LimitedError
+	if errors.As(err, &limited) {
+		return nil, savorypin.Errorf(savorypin.KindLimited, organisation, "%w", err).WithRetryAfter(limited.RetryAfter)
+	}
+	return admission, err
+}
+
+// loop exchanges usage and grants with the other entries.
+func (l *limits) loop(ctx context.Context) {
+	ticker := time.NewTicker(savorypinlimit.ExchangeInterval)
+	defer ticker.Stop()
+	defer l.wg.Wait()
+	for {
+		l.exchange(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// exchange reports what is due to the owners.
+func (l *limits) exchange(ctx context.Context) {
+	if config := l.entry.daemon.Config(); config != l.config {
+		l.config = config
+		l.limiter.Configure(config.Organisations())
+	}
+	addresses, known := l.findEntries()
+	due := l.limiter.Tick(known, func(organisation string) string {
+		return savorypinrank.Names(organisation, l.entries)[0]
+	})
+	for owner, usages := range due {
+		l.wg.Go(func() { l.report(ctx, owner, addresses[owner], usages) })
+	}
+	l.owner.Sweep(time.Now())
+	l.retries.EarnIdle()
+}
+
+// findEntries finds the live entries and returns their addresses, and the
+// number of entries that may admit requests.
+func (l *limits) findEntries() (addresses map[string]string, known int) {
+	self := l.entry.cfg.Settings
+	addresses = map[string]string{self.Name: ""}
+	regions := map[string]int{self.Region: 1}
+	for _, m := range l.entry.daemon.Members().All() {
+		state := m.State()
+		if state.Role == savorypin.RoleEntry && m.Usable() && state.Name != self.Name {
+			addresses[state.Name] = state.Address
+			regions[state.Region]++
+		}
+	}
+	known, share := l.reach.Update(regions, time.Now())
+	l.share.Store(&share)
+	if entries := slices.Sorted(maps.Keys(addresses)); !slices.Equal(entries, l.entries) {
+		l.entries = entries
+		l.owner.EntriesChanged(time.Now())
+	}
+	return addresses, known
+}
+
+// report reports usage to the owner and takes over what it grants.
+func (l *limits) report(ctx context.Context, owner, address string, usages []savorypinlimit.Usage) {
+	sent := time.Now()
+	if address == "" {
+		l.limiter.Granted(owner, usages, l.grant(owner, usages), sent)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	reply, err := savorypinmember.Call[savorypinmember.Usage, savorypinmember.Grants](
+		ctx, l.entry.daemon.Transport(), address, savorypinmember.FrameUsage, savorypinmember.Usage{Organisations: usages})
+	if err != nil {
+		l.entry.daemon.Logger().Debug("Usage not reported", "owner", owner, "err", err)
+		return
+	}
+	l.limiter.Granted(owner, usages, reply.Amounts, sent)
+}
+
+func (l *limits) handleUsage(
+	_ context.Context,
+	peer savorypinmember.Hello,
+	req savorypinmember.Usage,
+) (savorypinmember.Grants, error) {
+	if peer.Role != savorypin.RoleEntry {
+		return savorypinmember.Grants{}, savorypin.Errorf(savorypin.KindInvalid, peer.Name, "only entries report usage")
+	}
+	return savorypinmember.Grants{Amounts: l.grant(peer.Name, req.Organisations)}, nil
+}
+
+func (l *limits) grant(entry string, usages []savorypinlimit.Usage) []savorypinlimit.Amount {
+	config, share := l.entry.daemon.Config(), *l.share.Load()
+	return l.owner.Grant(entry, usages, func(organisation string) savorypinlimit.Amount {
+		spec, _ := config.Organisation(organisation)
+		return savorypinlimit.LimitOf(spec, share)
+	}, time.Now())
+}
+
+// spendRetry charges a retry or a hedge to the budget of the entry.
+func (l *limits) spendRetry(purpose savorypin.Purpose) error {
+	switch purpose {
+	case savorypin.PurposeFirst:
+		l.retries.Earn()
+	case savorypin.PurposeHedge, savorypin.PurposeRetry:
+		if !l.retries.Spend() {
+			l.entry.count("route.refusals.retry", 1)
+			return errRetryBudget
+		}
+	case savorypin.PurposeResume:
+	}
+	return nil
+}
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -69,15 +69,15 @@
 	if !e.daemon.Ready() {
 		return nil, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
 	}
-	release, err := e.admit(req.Generation.Organisation, req.Generation.MaxTokens)
+	admission, err := e.admit(req.Generation.Organisation, req.Generation.MaxTokens)
 	if err != nil {
 		return nil, err
 	}
 	version := e.chooseVersion(req.Generation, savorypin.PurposeFirst)
 	need := e.generationNeed(req.Generation, version, savorypin.PurposeFirst, nil)
-	candidate, err := e.place(need, timeout(req.Timeout, spec))
+	candidate, err := e.place(need, e.limits.limiter.Wait(req.Generation.Organisation, e.wait(req.Timeout, spec)))
 	if err != nil {
-		release()
+		admission.Cancel()
 		return nil, err
 	}
 	req.Generation.ID = savorypin.NewGenerationID(candidate.Member().Name)
@@ -85,7 +85,7 @@
 	r := e.newRelay(req.Generation, time.Now().Add(timeout(req.Timeout, spec)))
 	r.version = version
 	go func() {
-		defer release()
+		defer func() { admission.Release(r.length()) }()
 		r.run(&candidate)
 	}()
 	return r, nil
@@ -158,6 +158,13 @@
 	return r.version
 }
 
+// length returns the number of tokens so far.
+func (r *Relay) length() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.Len()
+}
+
 // Attempts returns the number of attempts so far.
 func (r *Relay) Attempts() int {
 	r.mu.Lock()
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -28,7 +28,7 @@
 	// back.
 	minRetryAfter = time.Second
 	// routeRefresh is how often the router takes over the members.
-	routeRefresh = 100 * time.Millisecond
+	routeRefresh = 200 * time.Millisecond
 )
 
 func (e *Entry) newRouter() *savorypinroute.Router {
@@ -68,14 +68,28 @@
 // time. It refuses work that cannot begin in time; the error says so and tells
 // when to come back.
 func (e *Entry) place(need savorypinroute.Need, wait time.Duration) (savorypinroute.Candidate, error) {
-	need.Within = max(time.Millisecond, min(wait, firstTokenLimit))
-	candidate, err := e.router.Choose(need)
+	need.Within = max(time.Millisecond, wait)
+	candidate, err := e.choose(need)
 	if err != nil {
 		return candidate, refusal(need, err)
 	}
 	return candidate, nil
 }
 
+// choose chooses the endpoint for a piece of work and charges the budget of
+// retries.
+func (e *Entry) choose(need savorypinroute.Need) (savorypinroute.Candidate, error) {
+	candidate, err := e.router.Choose(need)
+	if err != nil {
+		return candidate, err
+	}
+	if err := e.limits.spendRetry(need.Purpose); err != nil {
+		candidate.Release()
+		return savorypinroute.Candidate{}, err
+	}
+	return candidate, nil
+}
+
 // refusal turns an error of the router into one of the core.
 func refusal(need savorypinroute.Need, err error) error {
 	object := need.Service
@@ -90,13 +104,18 @@
 	return refused
 }
 
+// wait returns how long the first token of a generation may be waited for.
+func (e *Entry) wait(asked time.Duration, spec savorypin.ServiceSpec) time.Duration {
+	return min(timeout(asked, spec), firstTokenLimit)
+}
+
 // remaining returns the time until the deadline of ctx.
 func remaining(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		return defaultTimeout
+		return firstTokenLimit
 	}
-	return time.Until(deadline)
+	return min(time.Until(deadline), firstTokenLimit)
 }
 
 // endpointFault returns the error that a call says of its endpoint.
