--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -14,6 +14,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
+	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinroute"
@@ -77,6 +78,7 @@
 	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
 	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
 	daemon.Background(e.sweepLoop)
+	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
 	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
@@ -94,7 +96,14 @@
 
 // Run serves until ctx ends or the planned stop is done.
 func (e *Entry) Run(ctx context.Context, handler http.Handler) error {
-	return e.daemon.Run(ctx, handler, e.idle)
+	return e.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: e.handOver, Idle: e.idle})
+}
+
+// handOver lets callers attach to their generations through other entries.
+func (e *Entry) handOver() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.relays)
 }
 
 func (e *Entry) idle() bool {
