Count work from the begin of an attempt and report cached prefixes

Cause: whoever looked at several candidates before one was begun left work counted at the others, and spent link bytes and retries for it. A choice now costs nothing until Begin; attemptClock begins and ends it, so that the relay needs no call of its own. Agents report the four prefixes that save most and the calls that run at plain services. A changed limit is in force at the next request and not at the next exchange (a test over sockets had found 204 requests begun of a limit of 4, since the new limit was read 250 ms late).

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -39,6 +39,7 @@
 	dryRun    bool
 	entry     string
 	files     []string
+	linkRate  float64
 	logFormat string
 	logLevel  string
 	output    string
--- a/internal/savorypinagent/endpoint.go
+++ b/internal/savorypinagent/endpoint.go
@@ -12,8 +12,13 @@
 	"savorypin/internal/savorypinconfig"
 	"savorypin/internal/savorypinendpoint"
 	"savorypin/internal/savorypinorder"
+	"savorypin/internal/savorypinroute"
 )
 
+// reportedPrefixes is how many cached prefixes an endpoint reports. Each costs
+// 9 bytes wherever the state of the member goes.
+const reportedPrefixes = 4
+
 // EndpointConfig is what the settings say of an endpoint.
 type EndpointConfig struct {
 	// ChecksFence says that the endpoint refuses old fencing numbers itself.
@@ -41,6 +46,7 @@
 	cfg    EndpointConfig
 	engine *savorypinendpoint.Engine
 	gate   *savorypinorder.Gate
+	hot    savorypinroute.Hot
 	plain  *savorypinendpoint.Plain
 
 	mu       sync.Mutex
@@ -54,7 +60,10 @@
 func newEndpoint(cfg EndpointConfig) *endpoint {
 	e := &endpoint{cfg: cfg, gate: savorypinorder.NewGate()}
 	if cfg.Type == savorypin.EndpointEngine {
-		e.engine = savorypinendpoint.NewEngine(savorypinendpoint.EngineConfig{URL: cfg.URL})
+		e.engine = savorypinendpoint.NewEngine(savorypinendpoint.EngineConfig{
+			Sent: func(prompt string) { e.hot.Add(savorypinroute.Prefixes(prompt)) },
+			URL:  cfg.URL,
+		})
 	} else {
 		e.plain = savorypinendpoint.NewPlain(savorypinendpoint.PlainConfig{URL: cfg.URL})
 	}
@@ -121,19 +130,24 @@
 func (e *endpoint) state() savorypin.EndpointState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	load := e.load
+	if e.plain != nil {
+		load.Running = e.plain.Running()
+	}
 	return savorypin.EndpointState{
+		CachedPrefixes:   e.hot.Top(reportedPrefixes),
 		Drained:          e.drained,
 		Healthy:          e.healthy,
 		MaxVersions:      e.cfg.MaxVersions,
 		Name:             e.cfg.Name,
 		PrefillPerSecond: e.cfg.PrefillPerSecond,
 		Role:             e.role,
-		Running:          e.load.Running,
+		Running:          load.Running,
 		Service:          e.cfg.Service,
 		Slots:            e.cfg.Slots,
 		TokensPerSecond:  e.cfg.TokensPerSecond,
 		Type:             e.cfg.Type,
 		Versions:         slices.Clone(e.versions),
-		Waiting:          e.load.Waiting,
+		Waiting:          load.Waiting,
 	}
 }
--- /dev/null
+++ b/internal/savorypincluster/route_test.go
@@ -0,0 +1,72 @@
+package savorypincluster_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypincluster"
+	"savorypin/internal/savorypinentry"
+)
+
+var _ = Describe("Routing", func() {
+	It("avoids an engine that fails", func(ctx SpecContext) {
+		c := start(ctx, 1, 3)
+		bad := c.Agents()[0].Engine
+		bad.Fail(1)
+		before, _ := bad.Requests()
+		for range 40 {
+			_, _, err := stream(ctx, c.Client(), 3, func(int) {})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		after, _ := bad.Requests()
+		// Three failures eject it, and it is tried again while the others work.
+		Expect(after - before).To(BeNumerically("<=", 8))
+	})
+})
+
+var _ = Describe("Limits", func() {
+	It("hold over two entries", func(ctx SpecContext) {
+		const limit = 4
+		c := start(ctx, 2, 3)
+		_, err := c.Apply(savorypin.KindOrganisation, savorypincluster.Organisation,
+			savorypin.OrganisationSpec{Concurrency: limit})
+		Expect(err).NotTo(HaveOccurred())
+		for _, e := range c.Entries() {
+			Eventually(func() int {
+				spec, _ := e.Daemon().Config().Organisation(savorypincluster.Organisation)
+				return spec.Concurrency
+			}).WithTimeout(30 * time.Second).Should(Equal(limit))
+		}
+		for _, a := range c.Agents() {
+			a.Engine.Stall(true)
+		}
+		begun, limited := 0, 0
+		try := func() int {
+			for _, e := range c.Entries() {
+				_, err := e.Start(savorypinentry.Request{
+					Generation: savorypin.Generation{
+						MaxTokens: 10, Organisation: savorypincluster.Organisation, Prompt: "p", Service: savorypincluster.Service,
+					},
+					Timeout: time.Minute,
+				})
+				if err == nil {
+					begun++
+					continue
+				}
+				Expect(savorypin.KindOf(err)).To(Equal(savorypin.KindLimited), "%v", err)
+				limited++
+			}
+			return begun
+		}
+		Eventually(try).WithTimeout(30 * time.Second).Should(BeNumerically(">=", limit))
+		for range 100 {
+			try()
+		}
+		// Each entry may have begun one by its fallback share.
+		Expect(begun).To(BeNumerically("<=", limit+len(c.Entries())))
+		Expect(limited).To(BeNumerically(">", 0))
+	})
+})
--- a/internal/savorypinendpoint/engine.go
+++ b/internal/savorypinendpoint/engine.go
@@ -41,6 +41,8 @@
 type EngineConfig struct {
 	// HTTPClient makes the calls.
 	HTTPClient *http.Client
+	// Sent is told each prompt that is sent to the engine; it may be nil.
+	Sent func(prompt string)
 	// URL is the base URL of the engine.
 	URL string
 }
@@ -117,6 +119,9 @@
 		return "", err
 	}
 	defer resp.Body.Close()
+	if e.cfg.Sent != nil {
+		e.cfg.Sent(req.Prompt)
+	}
 	return readCompletion(resp.Body, emit)
 }
 
--- a/internal/savorypinendpoint/plain.go
+++ b/internal/savorypinendpoint/plain.go
@@ -30,7 +30,8 @@
 
 // Plain is a client of one plain service. It is safe for concurrent use.
 type Plain struct {
-	cfg PlainConfig
+	cfg     PlainConfig
+	running atomic.Int64
 }
 
 // NewPlain returns a client of a plain service.
@@ -41,6 +42,11 @@
 	return &Plain{cfg: cfg}
 }
 
+// Running returns the number of calls that run.
+func (p *Plain) Running() int {
+	return int(p.running.Load())
+}
+
 // Call is a call of a plain service.
 type Call struct {
 	Body        []byte
@@ -60,6 +66,8 @@
 // Do makes a call. If it fails, sent says whether any of the call may have
 // reached the service.
 func (p *Plain) Do(ctx context.Context, call Call) (answer Answer, sent bool, err error) {
+	p.running.Add(1)
+	defer p.running.Add(-1)
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -103,7 +103,6 @@
 	if err != nil {
 		return CallAnswer{}, err
 	}
-	defer candidate.Release()
 	claim := savorypinclaim.Claim{
 		Endpoint: candidate.Endpoint().Name,
 		Key:      call.Key,
@@ -141,6 +140,7 @@
 	key string,
 ) (savorypinmember.PlainAnswer, error) {
 	deadline, _ := ctx.Deadline()
+	candidate.Begin()
 	answer, err := savorypinmember.Call[savorypinmember.PlainCall, savorypinmember.PlainAnswer](
 		ctx, e.daemon.Transport(), candidate.Member().Address, savorypinmember.FrameCall,
 		savorypinmember.PlainCall{
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -26,7 +26,7 @@
 	purpose savorypin.Purpose,
 	avoid map[string]bool,
 ) savorypinroute.Need {
-	return savorypinroute.Need{
+	need := savorypinroute.Need{
 		Avoid:       avoid,
 		MaxTokens:   gen.MaxTokens,
 		Prefixes:    savorypinroute.Prefixes(gen.Prompt),
@@ -36,6 +36,10 @@
 		Service:     gen.Service,
 		Version:     version,
 	}
+	if purpose == savorypin.PurposeFirst {
+		need.Within = e.limits.limiter.Wait(gen.Organisation, firstTokenLimit)
+	}
+	return need
 }
 
 // callNeed returns what a call needs of an endpoint.
@@ -55,8 +59,8 @@
 	}
 }
 
-// pick returns the endpoint for a piece of work. The work must be ended by the
-// candidate's Done or Release.
+// pick returns the endpoint for a piece of work, which counts as in flight there
+// from the candidate's Begin to its Done.
 func (e *Entry) pick(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
 	candidate, err := e.choose(need)
 	return candidate, err == nil
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -71,8 +71,8 @@
 		daemon: daemon,
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
-	e.router = e.newRouter()
 	e.limits = newLimits(e)
+	e.router = e.newRouter()
 	daemon.Background(e.limits.loop)
 	daemon.Background(e.routeLoop)
 	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -21,14 +21,15 @@
 
 // limits enforces the limits of organisations over all entries.
 type limits struct {
+	config  atomic.Pointer[savorypinconfig.Snapshot]
 	entry   *Entry
 	limiter *savorypinlimit.Limiter
 	owner   *savorypinlimit.Owner
 	retries savorypinlimit.RetryBudget
+	mu      sync.Mutex
 	share   atomic.Pointer[float64]
 
 	// The fields below belong to the exchange loop.
-	config  *savorypinconfig.Snapshot
 	entries []string
 	reach   *savorypinlimit.Reach
 	wg      sync.WaitGroup
@@ -49,6 +50,7 @@
 // admit asks whether an organisation may begin a request that may take a
 // number of tokens.
 func (l *limits) admit(organisation string, maxTokens int) (*savorypinlimit.Admission, error) {
+	l.configure()
 	admission, err := l.limiter.Admit(organisation, maxTokens)
 	var limited *savorypinlimit.LimitedError
 	if errors.As(err, &limited) {
@@ -57,6 +59,19 @@
 	return admission, err
 }
 
+// configure brings a changed configuration into force. An older one never
+// replaces a newer one.
+func (l *limits) configure() {
+	if l.config.Load() == l.entry.daemon.Config() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	config := l.entry.daemon.Config()
+	l.limiter.Configure(config.Organisations())
+	l.config.Store(config)
+}
+
 // loop exchanges usage and grants with the other entries.
 func (l *limits) loop(ctx context.Context) {
 	ticker := time.NewTicker(savorypinlimit.ExchangeInterval)
@@ -74,10 +89,7 @@
 
 // exchange reports what is due to the owners.
 func (l *limits) exchange(ctx context.Context) {
-	if config := l.entry.daemon.Config(); config != l.config {
-		l.config = config
-		l.limiter.Configure(config.Organisations())
-	}
+	l.configure()
 	addresses, known := l.findEntries()
 	due := l.limiter.Tick(known, func(organisation string) string {
 		return savorypinrank.Names(organisation, l.entries)[0]
@@ -148,17 +160,23 @@
 	}, time.Now())
 }
 
-// spendRetry charges a retry or a hedge to the budget of the entry.
-func (l *limits) spendRetry(purpose savorypin.Purpose) error {
+// mayTry returns an error if a piece of work may not be tried again now.
+func (l *limits) mayTry(purpose savorypin.Purpose) error {
+	again := purpose == savorypin.PurposeHedge || purpose == savorypin.PurposeRetry
+	if again && !l.retries.Left() {
+		l.entry.count("route.refusals.retry", 1)
+		return errRetryBudget
+	}
+	return nil
+}
+
+// begun charges an attempt to the budget of retries.
+func (l *limits) begun(purpose savorypin.Purpose) {
 	switch purpose {
 	case savorypin.PurposeFirst:
 		l.retries.Earn()
 	case savorypin.PurposeHedge, savorypin.PurposeRetry:
-		if !l.retries.Spend() {
-			l.entry.count("route.refusals.retry", 1)
-			return errRetryBudget
-		}
+		l.retries.Spend()
 	case savorypin.PurposeResume:
 	}
-	return nil
 }
--- a/internal/savorypinentry/observation.go
+++ b/internal/savorypinentry/observation.go
@@ -18,6 +18,7 @@
 }
 
 func newAttemptClock(candidate savorypinroute.Candidate, purpose savorypin.Purpose, now time.Time) *attemptClock {
+	candidate.Begin()
 	return &attemptClock{candidate: candidate, purpose: purpose, started: now}
 }
 
@@ -31,8 +32,9 @@
 	c.candidate.Delivered(n)
 }
 
-// observation returns what the attempt showed, given how it ended.
+// observation ends the attempt and returns what it showed, given how it ended.
 func (c *attemptClock) observation(gen savorypin.Generation, version string, err error) savorypin.Observation {
+	c.candidate.Done(err)
 	o := observationOf(c.candidate, c.purpose, err)
 	o.Organisation = gen.Organisation
 	o.Route = gen.Route
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -75,7 +75,7 @@
 	}
 	version := e.chooseVersion(req.Generation, savorypin.PurposeFirst)
 	need := e.generationNeed(req.Generation, version, savorypin.PurposeFirst, nil)
-	candidate, err := e.place(need, e.limits.limiter.Wait(req.Generation.Organisation, e.wait(req.Timeout, spec)))
+	candidate, err := e.place(need, timeout(req.Timeout, spec))
 	if err != nil {
 		admission.Cancel()
 		return nil, err
@@ -290,7 +290,6 @@
 	r.clock = newAttemptClock(candidate, r.purpose(), time.Now())
 	r.mu.Unlock()
 	err := r.stream(ctx, candidate.Member().Address, savorypinmember.FrameStart, r.begin(candidate))
-	candidate.Done(err)
 	r.mu.Lock()
 	observation := r.clock.observation(r.gen, r.version, err)
 	r.mu.Unlock()
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -37,6 +37,7 @@
 		rate = defaultLinkBytesPerSecond
 	}
 	return savorypinroute.NewRouter(savorypinroute.Config{
+		Begun:              e.limits.begun,
 		Count:              e.count,
 		LinkBytesPerSecond: rate,
 		LinkDelay:          func(_, _ string) time.Duration { return linkDelay },
@@ -68,7 +69,10 @@
 // time. It refuses work that cannot begin in time; the error says so and tells
 // when to come back.
 func (e *Entry) place(need savorypinroute.Need, wait time.Duration) (savorypinroute.Candidate, error) {
-	need.Within = max(time.Millisecond, wait)
+	if need.Within == 0 {
+		need.Within = firstTokenLimit
+	}
+	need.Within = max(time.Millisecond, min(need.Within, wait))
 	candidate, err := e.choose(need)
 	if err != nil {
 		return candidate, refusal(need, err)
@@ -76,18 +80,12 @@
 	return candidate, nil
 }
 
-// choose chooses the endpoint for a piece of work and charges the budget of
-// retries.
+// choose chooses the endpoint for a piece of work within the budget of retries.
 func (e *Entry) choose(need savorypinroute.Need) (savorypinroute.Candidate, error) {
-	candidate, err := e.router.Choose(need)
-	if err != nil {
-		return candidate, err
-	}
-	if err := e.limits.spendRetry(need.Purpose); err != nil {
-		candidate.Release()
+	if err := e.limits.mayTry(need.Purpose); err != nil {
 		return savorypinroute.Candidate{}, err
 	}
-	return candidate, nil
+	return e.router.Choose(need)
 }
 
 // refusal turns an error of the router into one of the core.
@@ -104,11 +102,6 @@
 	return refused
 }
 
-// wait returns how long the first token of a generation may be waited for.
-func (e *Entry) wait(asked time.Duration, spec savorypin.ServiceSpec) time.Duration {
-	return min(timeout(asked, spec), firstTokenLimit)
-}
-
 // remaining returns the time until the deadline of ctx.
 func remaining(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
--- a/internal/savorypinlimit/limit_test.go
+++ b/internal/savorypinlimit/limit_test.go
@@ -194,7 +194,8 @@
 		for range 1000 {
 			b.Earn()
 			for range 3 {
-				if b.Spend() {
+				if b.Left() {
+					b.Spend()
 					retries++
 				}
 			}
--- a/internal/savorypinlimit/limiter.go
+++ b/internal/savorypinlimit/limiter.go
@@ -123,6 +123,7 @@
 			continue
 		}
 		o.spec.Store(&spec)
+		o.setRates(l.entries, l.cfg.Now())
 		next[name] = o
 	}
 	l.organisations.Store(&next)
--- a/internal/savorypinlimit/retry.go
+++ b/internal/savorypinlimit/retry.go
@@ -40,15 +40,12 @@
 	}
 }
 
-// Spend takes one retry and reports false if there is none.
-func (b *RetryBudget) Spend() bool {
-	for {
-		spent := b.spent.Load()
-		if spent+retryCost > retrySaved {
-			return false
-		}
-		if b.spent.CompareAndSwap(spent, spent+retryCost) {
-			return true
-		}
-	}
+// Left reports whether there is a retry left.
+func (b *RetryBudget) Left() bool {
+	return b.spent.Load()+retryCost <= retrySaved
+}
+
+// Spend takes one retry. It may leave a debt.
+func (b *RetryBudget) Spend() {
+	b.spent.Add(retryCost)
 }
--- a/internal/savorypinroute/bench_test.go
+++ b/internal/savorypinroute/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinroute"
 )
 
@@ -38,6 +39,7 @@
 	n.Prefixes = savorypinroute.Prefixes(string(make([]byte, 4096)))
 	n.PromptBytes = 4096
 	router := savorypinroute.NewRouter(savorypinroute.Config{
+		Begun: func(savorypin.Purpose) {},
 		Count: func(string, int64) {}, LinkBytesPerSecond: 30e6 / 8,
 		LinkDelay: func(_, _ string) time.Duration { return 0 },
 		Now:       time.Now, Rand: rand.Float64, Region: "r0",
@@ -45,6 +47,7 @@
 	router.Refresh(f.table.View())
 	choose := func() {
 		c, _ := router.Choose(n)
+		c.Begin()
 		c.Delivered(1)
 		c.Done(nil)
 	}
--- /dev/null
+++ b/internal/savorypinroute/hot.go
@@ -0,0 +1,99 @@
+package savorypinroute
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
+
+// Sizes of Hot.
+const (
+	// hotPrefixes is how many prefixes are counted. Those counted once are
+	// forgotten when there are more.
+	hotPrefixes = 512
+	// minUses is how often a prefix must have come to be worth a report.
+	minUses = 2
+)
+
+// Hot counts the prefixes of the prompts that an engine was sent, and names
+// those that save most. It is safe for concurrent use; its zero value is ready.
+type Hot struct {
+	mu       sync.Mutex
+	prefixes map[uint64]hotPrefix
+}
+
+// hotPrefix is a prefix of a number of blocks that extends its parent.
+type hotPrefix struct {
+	blocks int
+	hash   uint64
+	parent uint64
+	uses   int
+}
+
+// Add counts the prefixes of a prompt.
+func (h *Hot) Add(prefixes []uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.prefixes == nil {
+		h.prefixes = map[uint64]hotPrefix{}
+	}
+	parent := uint64(0)
+	for i, hash := range prefixes {
+		uses := h.prefixes[hash].uses + 1
+		h.prefixes[hash] = hotPrefix{blocks: i + 1, hash: hash, parent: parent, uses: uses}
+		parent = hash
+	}
+	if len(h.prefixes) > hotPrefixes {
+		h.age()
+	}
+}
+
+// age halves all counts and forgets the prefixes with none.
+func (h *Hot) age() {
+	const half = 2
+	for hash, p := range h.prefixes {
+		p.uses /= half
+		if p.uses == 0 {
+			delete(h.prefixes, hash)
+			continue
+		}
+		h.prefixes[hash] = p
+	}
+}
+
+// Top returns up to n prefixes, none of which extends another, by how many
+// blocks they have saved.
+func (h *Hot) Top(n int) []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var order []hotPrefix
+	for _, p := range h.prefixes {
+		if p.uses >= minUses {
+			order = append(order, p)
+		}
+	}
+	slices.SortFunc(order, func(a, b hotPrefix) int {
+		return cmp.Or(cmp.Compare(b.blocks*b.uses, a.blocks*a.uses), cmp.Compare(a.hash, b.hash))
+	})
+	var top []uint64
+	for _, p := range order {
+		if len(top) == n {
+			break
+		}
+		if !slices.ContainsFunc(top, func(t uint64) bool { return h.extends(p.hash, t) || h.extends(t, p.hash) }) {
+			top = append(top, p.hash)
+		}
+	}
+	return top
+}
+
+// extends reports whether a prefix begins with another one.
+func (h *Hot) extends(hash, other uint64) bool {
+	for hash != 0 {
+		if hash == other {
+			return true
+		}
+		hash = h.prefixes[hash].parent
+	}
+	return false
+}
--- a/internal/savorypinroute/link.go
+++ b/internal/savorypinroute/link.go
@@ -53,18 +53,23 @@
 	l.level = min(l.level, rate*linkBurst.Seconds())
 }
 
-// Take takes bytes for a purpose, or reports false and takes none. Control is
-// always taken and may leave a debt.
-func (l *Link) Take(purpose LinkPurpose, bytes int, now time.Time) bool {
+// Allows reports whether bytes may be sent for a purpose now.
+func (l *Link) Allows(purpose LinkPurpose, bytes int, now time.Time) bool {
+	if purpose == LinkControl {
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refill(now)
-	left := l.level - float64(bytes)
-	if purpose != LinkControl && left < l.rate*linkBurst.Seconds()*reserve(purpose) {
-		return false
-	}
-	l.level = left
-	return true
+	return l.level-float64(bytes) >= l.rate*linkBurst.Seconds()*reserve(purpose)
+}
+
+// Charge takes bytes that are sent. It may leave a debt.
+func (l *Link) Charge(bytes int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now)
+	l.level -= float64(bytes)
 }
 
 // GiveBack returns bytes that were taken and not sent; a negative number takes
--- a/internal/savorypinroute/route.go
+++ b/internal/savorypinroute/route.go
@@ -81,8 +81,9 @@
 	return n.PromptBytes + (n.Delivered+n.MaxTokens/expectedRatio)*tokenWireBytes
 }
 
-// Candidate is an endpoint that was chosen for a piece of work. The work must
-// be ended by Done or Release.
+// Candidate is an endpoint that was chosen for a piece of work. The work counts
+// as in flight there from Begin to Done. A candidate that is not begun costs
+// nothing.
 type Candidate struct {
 	endpoint savorypin.EndpointState
 	member   savorypin.MemberState
@@ -99,6 +100,14 @@
 	return c.member
 }
 
+// Begin tells that the work is given to the endpoint. Only the first call
+// counts.
+func (c Candidate) Begin() {
+	if c.work != nil {
+		c.work.begin()
+	}
+}
+
 // Delivered tells that the endpoint has given n tokens.
 func (c Candidate) Delivered(n int) {
 	if c.work != nil {
@@ -106,18 +115,9 @@
 	}
 }
 
-// Done tells that the work has ended, and how. Only the first call of Done or
-// Release counts.
+// Done tells that the work has ended, and how. Only the first call counts.
 func (c Candidate) Done(err error) {
 	if c.work != nil {
 		c.work.done(err)
 	}
 }
-
-// Release tells that the work was not given to the endpoint after all. It does
-// nothing after Done.
-func (c Candidate) Release() {
-	if c.work != nil {
-		c.work.release()
-	}
-}
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -34,6 +34,7 @@
 	})
 	f.table.Merge(states...)
 	f.router = savorypinroute.NewRouter(savorypinroute.Config{
+		Begun:              func(savorypin.Purpose) {},
 		Count:              func(name string, n int64) { f.counts[name] += n },
 		LinkBytesPerSecond: 30e6 / 8,
 		LinkDelay:          func(_, _ string) time.Duration { return 25 * time.Millisecond },
@@ -102,6 +103,7 @@
 		for range 160 {
 			c, err := f.router.Choose(need())
 			Expect(err).NotTo(HaveOccurred())
+			c.Begin()
 			given[c.Endpoint().Name]++
 		}
 		for name, n := range given {
@@ -150,6 +152,7 @@
 			for range 20 {
 				c, err := f.router.Choose(need())
 				Expect(err).NotTo(HaveOccurred())
+				c.Begin()
 				if c.Endpoint().Name == "engine-0" {
 					given++
 					c.Done(tc.err)
@@ -166,6 +169,7 @@
 		for range 200 {
 			c, err := f.router.Choose(need())
 			Expect(err).NotTo(HaveOccurred())
+			c.Begin()
 			c.Done(errBroken)
 		}
 		ejected := 0
@@ -184,6 +188,7 @@
 		n.PromptBytes = 4096
 		first, err := f.router.Choose(n)
 		Expect(err).NotTo(HaveOccurred())
+		first.Begin()
 		first.Done(nil)
 		again, err := f.router.Choose(n)
 		Expect(err).NotTo(HaveOccurred())
@@ -220,6 +225,7 @@
 		n := need()
 		Expect(testing.AllocsPerRun(100, func() {
 			c, _ := f.router.Choose(n)
+			c.Begin()
 			c.Done(nil)
 		})).To(BeNumerically("<=", 4))
 	})
@@ -240,7 +246,11 @@
 			{savorypinroute.LinkResume, 1, false},
 			{savorypinroute.LinkControl, 1000, true},
 		} {
-			Expect(link.Take(tc.purpose, tc.bytes, now)).To(Equal(tc.want), "%s", tc.purpose)
+			allowed := link.Allows(tc.purpose, tc.bytes, now)
+			Expect(allowed).To(Equal(tc.want), "%s", tc.purpose)
+			if allowed {
+				link.Charge(tc.bytes, now)
+			}
 		}
 	})
 
@@ -252,7 +262,8 @@
 			for range 100 {
 				now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
 				n := rapid.IntRange(1, 800).Draw(t, "bytes")
-				if link.Take(savorypinroute.LinkResume, n, now) {
+				if link.Allows(savorypinroute.LinkResume, n, now) {
+					link.Charge(n, now)
 					taken += n
 				}
 			}
--- a/internal/savorypinroute/router.go
+++ b/internal/savorypinroute/router.go
@@ -40,6 +40,8 @@
 
 // Config configures a Router.
 type Config struct {
+	// Begun is told of each piece of work that is given to an endpoint.
+	Begun func(purpose savorypin.Purpose)
 	// Count counts events by name.
 	Count func(name string, n int64)
 	// LinkBytesPerSecond is what the link between regions may carry for all
@@ -188,8 +190,7 @@
 	return c.target != nil && (o.target == nil || c.cost < o.cost)
 }
 
-// Choose chooses the endpoint for a piece of work and counts the work as in
-// flight there until it is done or released. It returns ErrNoEndpoint,
+// Choose chooses the endpoint for a piece of work. It returns ErrNoEndpoint,
 // ErrLinkBudget or a *TooLateError if the work must not begin.
 func (r *Router) Choose(need Need) (Candidate, error) {
 	now := r.cfg.Now()
@@ -204,13 +205,10 @@
 		return Candidate{}, err
 	}
 	if late := need.Within > 0 && best.cost > need.Within; late && need.Purpose != savorypin.PurposeResume {
-		if crosses {
-			r.link.GiveBack(need.linkBytes())
-		}
 		r.cfg.Count(CountRefusedLate, 1)
 		return Candidate{}, &TooLateError{Estimate: best.cost, Within: need.Within}
 	}
-	return r.begin(best, need, crosses, now)
+	return r.candidate(best, need, crosses), nil
 }
 
 // local returns the best choice in the own region.
@@ -277,8 +275,7 @@
 	}
 	remote := r.remote(g, need, now)
 	pays := remote.target != nil && (local.target == nil || remote.cost+spillGain <= local.cost)
-	if pays && r.link.Take(purposeOf(need), need.linkBytes(), now) {
-		r.cfg.Count(CountSpills, 1)
+	if pays && r.link.Allows(purposeOf(need), need.linkBytes(), now) {
 		return remote, true, nil
 	}
 	switch {
--- a/internal/savorypinroute/simulation_test.go
+++ b/internal/savorypinroute/simulation_test.go
@@ -176,6 +176,7 @@
 
 func (s *simulation) router(region string) *savorypinroute.Router {
 	r := savorypinroute.NewRouter(savorypinroute.Config{
+		Begun:              func(savorypin.Purpose) {},
 		Count:              func(string, int64) {},
 		LinkBytesPerSecond: 30e6 / 8,
 		LinkDelay:          func(_, _ string) time.Duration { return 25 * time.Millisecond },
@@ -252,6 +253,7 @@
 		return
 	}
 	j.candidate = c
+	c.Begin()
 	j.crosses = c.Member().Region != j.need.Region
 	k := slices.IndexFunc(s.engines, func(e *engine) bool { return e.name == c.Endpoint().Name })
 	e := s.engines[k]
--- a/internal/savorypinroute/work.go
+++ b/internal/savorypinroute/work.go
@@ -9,8 +9,9 @@
 	"savorypin/internal/savorypin"
 )
 
-// work is a piece of work that was given to an endpoint.
+// work is a piece of work for which an endpoint was chosen.
 type work struct {
+	begun    atomic.Bool
 	crosses  bool
 	ended    atomic.Bool
 	estimate time.Duration
@@ -18,40 +19,52 @@
 	firstAt atomic.Int64
 	need    Need
 	prefill int64
+	reason  string
 	router  *Router
 	started time.Time
 	target  *target
 	tokens  atomic.Int64
 }
 
+// candidate returns a choice as a candidate.
+func (r *Router) candidate(c choice, need Need, crosses bool) Candidate {
+	rep := c.target.endpoint.report.Load()
+	w := &work{crosses: crosses, need: need, reason: c.reason, router: r, target: c.target}
+	return Candidate{endpoint: *rep.state, member: *rep.member, work: w}
+}
+
 // begin counts the work as in flight.
-func (r *Router) begin(c choice, need Need, crosses bool, now time.Time) (Candidate, error) {
-	e := c.target.endpoint
-	rep := e.report.Load()
-	tokens := need.promptTokens()
-	tokens -= min(tokens, e.cachedTokens(need.Prefixes, rep.state.CachedPrefixes))
-	w := &work{
-		crosses:  crosses,
-		estimate: e.estimate(rep, &need),
-		need:     need,
-		prefill:  int64(tokens),
-		router:   r,
-		started:  now,
-		target:   c.target,
+func (w *work) begin() {
+	if w.begun.Swap(true) {
+		return
 	}
+	r, e := w.router, w.target.endpoint
+	rep := e.report.Load()
+	tokens := w.need.promptTokens()
+	tokens -= min(tokens, e.cachedTokens(w.need.Prefixes, rep.state.CachedPrefixes))
+	w.estimate = e.estimate(rep, &w.need)
+	w.prefill = int64(tokens)
+	w.started = r.cfg.Now()
 	e.flight.Add(1)
 	e.prefill.Add(w.prefill)
-	e.memory.add(need.Prefixes)
-	r.affinity.add(need.Prefixes, c.target)
-	c.target.breaker.begin()
-	r.cfg.Count(c.reason, 1)
-	return Candidate{endpoint: *rep.state, member: *rep.member, work: w}, nil
+	e.memory.add(w.need.Prefixes)
+	r.affinity.add(w.need.Prefixes, w.target)
+	w.target.breaker.begin()
+	r.cfg.Begun(w.need.Purpose)
+	r.cfg.Count(w.reason, 1)
+	if w.crosses {
+		r.link.Charge(w.need.linkBytes(), w.started)
+		r.cfg.Count(CountSpills, 1)
+	}
 }
 
 // delivered takes note of tokens. At the first ones the prompt has been read
 // and the estimate can be judged.
 func (w *work) delivered(n int) {
 	w.tokens.Add(int64(n))
+	if !w.begun.Load() {
+		return
+	}
 	if !w.firstAt.CompareAndSwap(0, w.router.cfg.Now().UnixNano()) || w.ended.Load() {
 		return
 	}
@@ -69,10 +82,10 @@
 	w.target.bias.add(now, late.Seconds(), learnWeight)
 }
 
-// end takes the work off the endpoint and reports false if that was done
-// before.
+// end takes the work off the endpoint. It reports false if that was done before
+// or the work never began.
 func (w *work) end() bool {
-	if w.ended.Swap(true) {
+	if !w.begun.Load() || w.ended.Swap(true) {
 		return false
 	}
 	w.target.endpoint.flight.Add(-1)
@@ -82,16 +95,6 @@
 	return true
 }
 
-func (w *work) release() {
-	if !w.end() {
-		return
-	}
-	w.target.breaker.probing.Store(false)
-	if w.crosses {
-		w.router.link.GiveBack(w.need.linkBytes())
-	}
-}
-
 func (w *work) done(err error) {
 	if !w.end() {
 		return
