--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -2,14 +2,15 @@
 
 import (
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinmove"
 	"savorypin/internal/savorypinroute"
 )
 
 // admit asks whether an organisation may begin a request that may take a
-// number of tokens. The request must be released when it has ended.
-func (e *Entry) admit(_ string, _ int) (release func(), err error) {
-	return func() {}, nil
+// number of tokens. The admission must be released when the request has ended.
+func (e *Entry) admit(organisation string, maxTokens int) (*savorypinlimit.Admission, error) {
+	return e.limits.admit(organisation, maxTokens)
 }
 
 // chooseVersion returns the version for a generation that has delivered
@@ -25,13 +26,20 @@
 	purpose savorypin.Purpose,
 	avoid map[string]bool,
 ) savorypinroute.Need {
-	return savorypinroute.Need{
-		Avoid:   avoid,
-		Purpose: purpose,
-		Region:  e.cfg.Settings.Region,
-		Service: gen.Service,
-		Version: version,
+	need := savorypinroute.Need{
+		Avoid:       avoid,
+		MaxTokens:   gen.MaxTokens,
+		Prefixes:    savorypinroute.Prefixes(gen.Prompt),
+		PromptBytes: len(gen.Prompt),
+		Purpose:     purpose,
+		Region:      e.cfg.Settings.Region,
+		Service:     gen.Service,
+		Version:     version,
+	}
+	if purpose == savorypin.PurposeFirst {
+		need.Within = e.limits.limiter.Wait(gen.Organisation, firstTokenLimit)
 	}
+	return need
 }
 
 // callNeed returns what a call needs of an endpoint.
@@ -51,7 +59,9 @@
 	}
 }
 
-// pick returns the endpoint for a piece of work.
+// pick returns the endpoint for a piece of work, which counts as in flight there
+// from the candidate's Begin to its Done.
 func (e *Entry) pick(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
-	return savorypinroute.Pick(savorypinroute.Candidates(e.daemon.Members(), need), need)
+	candidate, err := e.choose(need)
+	return candidate, err == nil
 }
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -18,7 +18,9 @@
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinresume"
+	"savorypin/internal/savorypinroute"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -33,6 +35,9 @@
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Logger logs.
 	Logger *log.Logger
+	// LinkBytesPerSecond is what the link between regions may carry for all
+	// entries of the region together; zero means defaultLinkBytesPerSecond.
+	LinkBytesPerSecond float64
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 	// Settings are the settings of the daemon.
@@ -44,6 +49,8 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
+	limits *limits
+	router *savorypinroute.Router
 
 	finds    singleflight.Group
 	gate     *savorypinresume.Gate
@@ -76,8 +83,15 @@
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	e.registerGenerations()
+	e.limits = newLimits(e)
+	e.router = e.newRouter()
+	daemon.Background(e.limits.loop)
+	daemon.Background(e.routeLoop)
+	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
+	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
 	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
+	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
 }
 
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinresume"
 )
 
@@ -26,11 +27,12 @@
 // Relay carries one generation from endpoints to readers. The decisions are
 // those of its machine; the relay carries them out.
 type Relay struct {
-	// admitted gives back the admission when the generation has ended.
-	admitted func()
-	deadline time.Time
-	entry    *Entry
-	gen      savorypin.Generation
+	// admission is released when the generation has ended; nil for one that
+	// another entry admitted.
+	admission *savorypinlimit.Admission
+	deadline  time.Time
+	entry     *Entry
+	gen       savorypin.Generation
 	// reserved is the memory of the answer, given back when the relay is
 	// forgotten.
 	reserved int
@@ -57,27 +59,26 @@
 	if err := e.resumesFirst(req.Generation.Service); err != nil {
 		return nil, err
 	}
-	admitted, err := e.admitGeneration(req.Generation)
+	admission, err := e.admitGeneration(req.Generation)
 	if err != nil {
 		return nil, err
 	}
 	version := e.chooseVersion(req.Generation, savorypin.PurposeFirst)
-	candidate, ok := e.pickUnsuspected(req.Generation, version, savorypin.PurposeFirst, nil)
-	if !ok {
-		admitted()
+	candidate, err := e.placeFirst(req.Generation, version, timeout(req.Timeout, spec))
+	if err != nil {
+		admission.Cancel()
 		e.memory.Release(savorypinresume.Size(req.Generation))
-		return nil, savorypin.Errorf(savorypin.KindNotRun, req.Generation.Service,
-			"no endpoint serves version %q", version).WithRetryAfter(time.Second)
+		return nil, err
 	}
 	req.Generation.ID = savorypin.NewGenerationID(candidate.Member().Name)
 	req.Generation.Priority = spec.Priority
 	r := e.newRelay(relayConfig{
-		admitted: admitted,
-		deadline: time.Now().Add(timeout(req.Timeout, spec)),
-		gen:      req.Generation,
-		policy:   spec.Resume,
-		term:     savorypin.NextTerm(0),
-		version:  version,
+		admission: admission,
+		deadline:  time.Now().Add(timeout(req.Timeout, spec)),
+		gen:       req.Generation,
+		policy:    spec.Resume,
+		term:      savorypin.NextTerm(0),
+		version:   version,
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,41 +89,41 @@
 
 // admitGeneration admits a new generation and reserves the memory of its
 // answer.
-func (e *Entry) admitGeneration(gen savorypin.Generation) (release func(), err error) {
-	release, err = e.admit(gen.Organisation, gen.MaxTokens)
+func (e *Entry) admitGeneration(gen savorypin.Generation) (*savorypinlimit.Admission, error) {
+	admission, err := e.admit(gen.Organisation, gen.MaxTokens)
 	if err != nil {
 		return nil, err
 	}
 	if err := e.memory.Reserve(savorypin.PurposeFirst, savorypinresume.Size(gen)); err != nil {
-		release()
+		admission.Cancel()
 		return nil, err
 	}
-	return release, nil
+	return admission, nil
 }
 
 // relayConfig configures a Relay.
 type relayConfig struct {
-	admitted func()
-	deadline time.Time
-	gen      savorypin.Generation
-	number   int
-	policy   savorypin.ResumePolicy
-	term     uint64
-	version  string
+	admission *savorypinlimit.Admission
+	deadline  time.Time
+	gen       savorypin.Generation
+	number    int
+	policy    savorypin.ResumePolicy
+	term      uint64
+	version   string
 }
 
 // newRelay returns a relay that has made no attempt.
 func (e *Entry) newRelay(cfg relayConfig) *Relay {
 	r := &Relay{
-		admitted: sync.OnceFunc(cfg.admitted),
-		deadline: cfg.deadline,
-		entry:    e,
-		gen:      cfg.gen,
-		lastUsed: time.Now(),
-		readers:  map[*Reader]bool{},
-		reserved: savorypinresume.Size(cfg.gen),
-		streams:  map[savorypin.AttemptID]*stream{},
-		version:  cfg.version,
+		admission: cfg.admission,
+		deadline:  cfg.deadline,
+		entry:     e,
+		gen:       cfg.gen,
+		lastUsed:  time.Now(),
+		readers:   map[*Reader]bool{},
+		reserved:  savorypinresume.Size(cfg.gen),
+		streams:   map[savorypin.AttemptID]*stream{},
+		version:   cfg.version,
 	}
 	r.machine = savorypinresume.NewMachine(savorypinresume.MachineConfig{
 		Deadline: cfg.deadline,
@@ -210,10 +211,13 @@
 		r.timer.Stop()
 	}
 	for _, s := range r.streams {
+		s.candidate.Done(nil)
 		s.cancel(errReplaced)
 	}
 	clear(r.streams)
-	r.admitted()
+	if r.admission != nil {
+		r.admission.Release(r.machine.Log().Len())
+	}
 	r.lastUsed = time.Now()
 	r.wake()
 }
--- a/internal/savorypinentry/relayplace.go
+++ b/internal/savorypinentry/relayplace.go
@@ -73,6 +73,23 @@
 	return e.pick(e.generationNeed(gen, version, purpose, avoid))
 }
 
+// placeFirst returns an endpoint for a new generation whose caller waits for
+// the given time. It takes a suspected one only if there is no other.
+func (e *Entry) placeFirst(
+	gen savorypin.Generation,
+	version string,
+	wait time.Duration,
+) (savorypinroute.Candidate, error) {
+	suspects := e.suspects.names(time.Now())
+	if len(suspects) > 0 {
+		need := e.generationNeed(gen, version, savorypin.PurposeFirst, suspects)
+		if c, err := e.place(need, wait); err == nil {
+			return c, nil
+		}
+	}
+	return e.place(e.generationNeed(gen, version, savorypin.PurposeFirst, nil), wait)
+}
+
 // resumesFirst refuses new work of a service while its resumes wait.
 func (e *Entry) resumesFirst(service string) error {
 	after, refused := e.gate.Refusal(service, e.prefillRate(service))
