Decide moves of traffic by evidence, and spread bad verdicts between daemons

Cause: a move had a share that nobody set, drawn independently for each request, and no version was ever judged. What: the share is held by one random point in each unit of the summed shares; old and new attempts are compared at the same time, by route, load and place, by conditional likelihood ratios whose weighted mean is valid at every look; one decision function holds the states; a controller on every daemon evaluates, leads by lease, and spreads verdicts from peer to peer.

--- a/internal/savorypin/check.go
+++ b/internal/savorypin/check.go
@@ -75,6 +75,9 @@
 	if s.By.IsZero() {
 		errs = append(errs, errors.New("spec.by: is missing"))
 	}
+	if !(s.MinShare >= 0 && s.MinShare <= 1) {
+		errs = append(errs, fmt.Errorf("spec.minShare: %v is not between 0 and 1", s.MinShare))
+	}
 	if !s.Start.IsZero() && !s.Start.Before(s.By) {
 		errs = append(errs, errors.New("spec.start: is not before spec.by"))
 	}
--- a/internal/savorypin/check_test.go
+++ b/internal/savorypin/check_test.go
@@ -25,6 +25,7 @@
 		{"a claim", savorypin.KindClaim, `{}`, "operators do not write"},
 		{"a missing model", savorypin.KindVersion, `{"service":"s"}`, "spec.model: is missing"},
 		{"a move to the same version", savorypin.KindMove, `{"service":"s","from":"a","to":"a","by":"2026-12-04T00:00:00Z"}`, "spec.to"},
+		{"a move with too large a share", savorypin.KindMove, `{"service":"s","from":"a","to":"b","by":"2026-12-04T00:00:00Z","minShare":2}`, "spec.minShare"},
 		{"a negative limit", savorypin.KindOrganisation, `{"concurrency":-1}`, "spec.concurrency"},
 		{"an unknown field", savorypin.KindService, `{"type":"plain","colour":"red"}`, "colour"},
 		{"an unknown kind", "shoes", `{}`, "kind"},
--- a/internal/savorypin/spec.go
+++ b/internal/savorypin/spec.go
@@ -113,6 +113,9 @@
 	By time.Time `json:"by"`
 	// From is the version that has the traffic.
 	From string `json:"from"`
+	// MinShare is a share that the move takes at once, however thin the evidence
+	// is, 0 to 1. It speeds a move up.
+	MinShare float64 `json:"minShare,omitempty"`
 	// Service is the service whose traffic moves.
 	Service string `json:"service"`
 	// Start is when the move may begin; zero means at once.
@@ -123,10 +126,19 @@
 
 // MoveStatus reports on a move.
 type MoveStatus struct {
+	// At is when the move came into its state.
+	At time.Time `json:"at,omitzero"`
+	// Begun is when the new version got its first share.
+	Begun time.Time `json:"begun,omitzero"`
+	// Epoch is the version of the object when the move was taken on. It tells a
+	// move from a later one of the same name, and orders the moves of a service.
+	Epoch int64 `json:"epoch,omitempty"`
 	// Evidence is the text of the comparison that led to the state.
 	Evidence string `json:"evidence,omitempty"`
 	// Reason says why the move is in its state.
 	Reason string `json:"reason,omitempty"`
+	// Requests is the number of attempts on the new version that were compared.
+	Requests int `json:"requests,omitempty"`
 	// Share is the share of the traffic that the new version has, 0 to 1.
 	Share float64 `json:"share"`
 	// State is the state of the move.
--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinoperator"
@@ -74,6 +76,7 @@
 	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
+	savorypincontroller.New(savorypincontroller.Config{Daemon: daemon, Rand: rand.Float64})
 	for _, e := range a.endpoints {
 		daemon.Background(func(ctx context.Context) { e.pollLoop(ctx, daemon.Config) })
 	}
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypinmove"
 	"savorypin/internal/savorypinroute"
 )
 
@@ -14,8 +13,8 @@
 
 // chooseVersion returns the version for a generation that has delivered
 // nothing yet.
-func (e *Entry) chooseVersion(gen savorypin.Generation, _ savorypin.Purpose) string {
-	return savorypinmove.TrafficOf(e.daemon.Config(), gen.Service).Choose(e.cfg.Rand())
+func (e *Entry) chooseVersion(gen savorypin.Generation, purpose savorypin.Purpose) string {
+	return e.moves.choose(gen, purpose)
 }
 
 // generationNeed returns what a generation needs of an endpoint.
@@ -49,6 +48,7 @@
 	if o.Err != nil {
 		e.daemon.Logger().Debug("Observed a failure", "endpoint", o.Endpoint, "version", o.Version, "err", o.Err)
 	}
+	e.moves.observe(o)
 }
 
 // pick returns the endpoint for a piece of work.
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -38,6 +38,7 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
+	moves  *moves
 
 	mu     sync.Mutex
 	calls  int
@@ -61,6 +62,7 @@
 		book:   savorypinclaim.NewBook(daemon.Platform()),
 		cfg:    cfg,
 		daemon: daemon,
+		moves:  newMoves(daemon, cfg.Rand),
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	daemon.Background(e.sweepLoop)
--- /dev/null
+++ b/internal/savorypinmove/decide_test.go
@@ -0,0 +1,170 @@
+package savorypinmove_test
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypinmove"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+// moveAt returns a move from a to b by noon plus an hour.
+func moveAt(name string, state savorypin.MoveState, epoch int64, share float64) savorypinconfig.Move {
+	return savorypinconfig.Move{
+		Name: name,
+		Spec: savorypin.MoveSpec{By: noon.Add(time.Hour), From: "a", Service: "s", To: "b"},
+		Status: savorypin.MoveStatus{
+			At: noon, Begun: noon, Epoch: epoch, Share: share, State: state,
+		},
+		Version: 9,
+	}
+}
+
+func with(m savorypinconfig.Move, change func(*savorypinconfig.Move)) savorypinconfig.Move {
+	change(&m)
+	return m
+}
+
+// storeOf returns a snapshot that holds the service s on version a and moves.
+func storeOf(moves ...savorypinconfig.Move) *savorypinconfig.Snapshot {
+	store := savorypinconfig.NewStore()
+	put := func(kind savorypin.Kind, name string, spec, status any) {
+		specData, _ := json.Marshal(spec)
+		statusData, _ := json.Marshal(status)
+		store.Apply(savorypin.Object{Key: savorypin.Key{Kind: kind, Name: name}, Spec: specData, Status: statusData, Version: 1})
+	}
+	put(savorypin.KindService, "s", savorypin.ServiceSpec{Version: "a"}, nil)
+	for _, m := range moves {
+		put(savorypin.KindMove, m.Name, m.Spec, m.Status)
+	}
+	return store.Snapshot()
+}
+
+var _ = Describe("TrafficOf", func() {
+	back := with(moveAt("m2", savorypin.MoveDone, 5, 1), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })
+	early := with(moveAt("m1", savorypin.MoveDone, 3, 1), func(m *savorypinconfig.Move) { m.Spec.By = noon.Add(9 * time.Hour) })
+	for _, tc := range []struct {
+		name      string
+		moves     []savorypinconfig.Move
+		condemned bool
+		current   string
+		share     float64
+	}{
+		{"a done move", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, false, "b", 1},
+		{"a done move that is condemned", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, true, "a", 0},
+		{"a move and one back, whatever their set times are now", []savorypinconfig.Move{back, early}, false, "a", 1},
+		{"a pending move", []savorypinconfig.Move{moveAt("m", savorypin.MovePending, 0, 0)}, false, "a", 0},
+		{"a running move", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, false, "a", 0.2},
+		{"a running move that is condemned", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, true, "a", 0},
+		{"no move", nil, false, "a", 0},
+	} {
+		It("follows "+tc.name, func() {
+			t := savorypinmove.TrafficOf(storeOf(tc.moves...), "s", func(savorypinmove.Key) bool { return tc.condemned })
+			Expect(t.Current()).To(Equal(tc.current))
+			Expect(t.Share()).To(Equal(tc.share))
+		})
+	}
+})
+
+var _ = Describe("Decide", func() {
+	hold := func(m *savorypinconfig.Move) { m.Spec.Action = savorypin.MoveHold }
+	rollback := func(m *savorypinconfig.Move) { m.Spec.Action = savorypin.MoveRollback }
+	running := moveAt("m", savorypin.MoveRunning, 3, 0.1)
+	done := moveAt("m", savorypin.MoveDone, 3, 1)
+	pending := moveAt("m", "", 0, 0)
+	for _, tc := range []struct {
+		name    string
+		moves   []savorypinconfig.Move
+		now     time.Duration
+		finding savorypinmove.Finding
+		new     int
+		state   savorypin.MoveState
+		share   float64
+		reason  string
+	}{
+		{"a bad version", []savorypinconfig.Move{running}, time.Minute, savorypinmove.FindingBad, 20, savorypin.MoveTakenBack, 0, "worse"},
+		{"a bad version after done", []savorypinconfig.Move{done}, time.Minute, savorypinmove.FindingBad, 20, savorypin.MoveTakenBack, 0, "after the move was done"},
+		{"a conflict", []savorypinconfig.Move{with(pending, func(m *savorypinconfig.Move) { m.Spec.From = "c" })}, 0, savorypinmove.FindingFine, 0, savorypin.MovePending, 0, "conflict"},
+		{"a doubtful version", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingCaution, 900, savorypin.MoveRunning, 0.1, "share kept"},
+		{"a held move", []savorypinconfig.Move{with(running, hold)}, 50 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MovePaused, 0.1, "held"},
+		{"a held move that turns bad", []savorypinconfig.Move{with(running, hold)}, 50 * time.Minute, savorypinmove.FindingBad, 900, savorypin.MoveTakenBack, 0, "worse"},
+		{"a move at its time", []savorypinconfig.Move{running}, 55 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MoveDone, 1, "all traffic"},
+		{"a move at its time with little evidence", []savorypinconfig.Move{running}, time.Hour, savorypinmove.FindingFine, 30, savorypin.MoveDone, 1, "30 attempts only"},
+		{"a move at its time with no evidence", []savorypinconfig.Move{running}, time.Hour, savorypinmove.FindingFine, 3, savorypin.MoveRunning, 0.1, "too little traffic"},
+		{"a move on thin evidence", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingFine, 30, savorypin.MoveRunning, 0.25, "limited by evidence"},
+		{"a move that is sped up", []savorypinconfig.Move{with(running, func(m *savorypinconfig.Move) { m.Spec.MinShare = 0.5 })}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRunning, 0.5, ""},
+		{"a new move", []savorypinconfig.Move{pending}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRunning, 0.01, "first requests"},
+		{"a rollback", []savorypinconfig.Move{with(running, rollback)}, 0, savorypinmove.FindingFine, 0, savorypin.MoveTakenBack, 0, "operator"},
+		{"a rollback after done", []savorypinconfig.Move{with(done, rollback)}, time.Minute, savorypinmove.FindingFine, 0, savorypin.MoveTakenBack, 0, "operator"},
+		{"a rollback long after done", []savorypinconfig.Move{with(done, rollback)}, time.Hour, savorypinmove.FindingFine, 0, savorypin.MoveDone, 1, ""},
+		{"a second move", []savorypinconfig.Move{pending, with(running, func(m *savorypinconfig.Move) { m.Name = "other" })}, 0, savorypinmove.FindingFine, 0, savorypin.MovePending, 0, "waits for move other"},
+		{"a suspect place", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingSuspect, 900, savorypin.MoveRunning, 0.01, "single"},
+		{"a taken back move that goes on", []savorypinconfig.Move{moveAt("m", savorypin.MoveTakenBack, 3, 0)}, time.Hour, savorypinmove.FindingFine, 900, savorypin.MoveTakenBack, 0, ""},
+	} {
+		It("decides on "+tc.name, func() {
+			status := tc.moves[0].Status
+			for _, c := range savorypinmove.Decide(savorypinmove.Input{
+				Condemned: func(savorypinmove.Key) (string, bool) { return "", false },
+				Judge: func(savorypinmove.Key, bool) savorypinmove.Verdict {
+					return savorypinmove.Verdict{Finding: tc.finding, New: tc.new}
+				},
+				Moves:   tc.moves,
+				Now:     noon.Add(tc.now),
+				Serves:  func(string) bool { return true },
+				Version: "a",
+			}) {
+				if c.Move.Name == "m" {
+					status = c.Status
+				}
+			}
+			Expect(status.State).To(Equal(tc.state))
+			Expect(status.Share).To(Equal(tc.share))
+			Expect(status.Reason).To(ContainSubstring(tc.reason))
+		})
+	}
+})
+
+var _ = Describe("Sharer", func() {
+	It("keeps within one of the sum of the shares, or two where work was charged", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			r := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
+			s := savorypinmove.Sharer{Rand: r.Float64}
+			sum, taken, limit := 0.0, 0, 1.0
+			for _, share := range rapid.SliceOfN(rapid.Float64Range(0, 0.5), 1, 300).Draw(t, "shares") {
+				charged := rapid.IntRange(0, 9).Draw(t, "charge") == 0
+				if charged && sum-float64(taken) > 1 {
+					s.Charge(savorypinmove.Key{})
+					taken++
+					limit = 2
+				}
+				sum += share
+				if s.Take(savorypinmove.Key{}, share) {
+					taken++
+				}
+				if math.Abs(float64(taken)-sum) > limit+1e-6 {
+					t.Fatalf("%d taken of %f", taken, sum)
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("Book", func() {
+	It("keeps verdicts whatever order and number they come in", func() {
+		b := savorypinmove.NewBook()
+		bad := savorypinmove.Condemnation{Move: savorypinmove.Key{Epoch: 3, Name: "m"}, Reason: "first"}
+		Expect(b.Merge(bad, bad)).To(HaveLen(1))
+		Expect(b.Merge(savorypinmove.Condemnation{Move: bad.Move, Reason: "second"})).To(BeEmpty())
+		Expect(b.Condemned(bad.Move)).To(BeTrue())
+		Expect(b.Condemned(savorypinmove.Key{Epoch: 4, Name: "m"})).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/savorypinmove/savorypinmove_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinmove_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinmove")
+}
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -1,49 +1,96 @@
 // Package savorypinmove decides how the traffic of a service is shared between
-// its versions while a move is under way.
+// its versions while a move is under way, and whether the new version is worse
+// than the old one. It knows no sockets and no clock.
 package savorypinmove
 
 import (
+	"cmp"
 	"slices"
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
 )
 
+// Key identifies a move. A move that is deleted and ordered again under the
+// same name has another epoch.
+type Key struct {
+	Epoch int64  `msgpack:"ep"`
+	Name  string `msgpack:"n"`
+}
+
+// KeyOf returns the key of a move.
+func KeyOf(m savorypinconfig.Move) Key {
+	return Key{Epoch: m.Status.Epoch, Name: m.Name}
+}
+
 // Traffic is how a service's new work is shared.
 type Traffic struct {
 	from  string
+	move  Key
 	share float64
+	state savorypin.MoveState
 	to    string
 }
 
-// TrafficOf returns how new work of a service is shared. The moves of a
-// service apply in the order of their names' versions: a done move replaces
-// the version that the service names.
-func TrafficOf(snapshot *savorypinconfig.Snapshot, service string) Traffic {
+// From returns the version that gets the work that To does not get.
+func (t Traffic) From() string {
+	return t.from
+}
+
+// Move returns the key of the move under way, or of the last one that is done.
+func (t Traffic) Move() Key {
+	return t.move
+}
+
+// Share returns the share of To, 0 to 1.
+func (t Traffic) Share() float64 {
+	return t.share
+}
+
+// State returns the state of the move; empty if the service has none.
+func (t Traffic) State() savorypin.MoveState {
+	return t.state
+}
+
+// To returns the new version; empty if the service has no move.
+func (t Traffic) To() string {
+	return t.to
+}
+
+// Moving reports whether work is shared between two versions.
+func (t Traffic) Moving() bool {
+	return t.state == savorypin.MoveRunning || t.state == savorypin.MovePaused
+}
+
+// TrafficOf returns how new work of a service is shared. Moves apply in the
+// order in which they were taken on, which later edits do not change: a done
+// move stays done whatever its spec or the service's spec says afterwards.
+// Moves that are condemned are taken back before the platform says so.
+func TrafficOf(snapshot *savorypinconfig.Snapshot, service string, condemned func(Key) bool) Traffic {
 	spec, _ := snapshot.Service(service)
-	t := Traffic{from: spec.Version}
 	moves := slices.Clone(snapshot.Moves(service))
-	slices.SortFunc(moves, func(a, b savorypinconfig.Move) int { return a.Spec.By.Compare(b.Spec.By) })
+	slices.SortFunc(moves, func(a, b savorypinconfig.Move) int { return cmp.Compare(a.Status.Epoch, b.Status.Epoch) })
+	t := Traffic{from: spec.Version}
+	current := spec.Version
 	for _, m := range moves {
-		if m.Spec.From != t.from {
+		if m.Status.Epoch == 0 || condemned(KeyOf(m)) {
 			continue
 		}
 		switch m.Status.State {
 		case savorypin.MoveDone:
-			t = Traffic{from: m.Spec.To}
+			current = m.Spec.To
+			t = Traffic{from: m.Spec.From, move: KeyOf(m), share: 1, state: m.Status.State, to: current}
 		case savorypin.MoveRunning, savorypin.MovePaused:
-			t.to = m.Spec.To
-			t.share = m.Status.Share
+			t = Traffic{from: current, move: KeyOf(m), share: m.Status.Share, state: m.Status.State, to: m.Spec.To}
 		case savorypin.MovePending, savorypin.MoveTakenBack:
 		}
 	}
 	return t
 }
 
-// Choose returns the version for one piece of work, where u is uniform in
-// [0, 1).
-func (t Traffic) Choose(u float64) string {
-	if t.to != "" && u < t.share {
+// Current returns the version that has the traffic when no move is under way.
+func (t Traffic) Current() string {
+	if t.state == savorypin.MoveDone {
 		return t.to
 	}
 	return t.from
