--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -95,3 +95,24 @@
 	}
 	return t.from
 }
+
+// Versions returns the versions that have a share of the traffic or may get it
+// back.
+func (t Traffic) Versions() []string {
+	if t.to == "" {
+		return []string{t.from}
+	}
+	return []string{t.from, t.to}
+}
+
+// ShareOf returns the share of new work that a version gets, 0 to 1.
+func (t Traffic) ShareOf(version string) float64 {
+	switch {
+	case version == t.to && t.to != "":
+		return t.share
+	case version == t.from:
+		return 1 - t.share
+	default:
+		return 0
+	}
+}
