Compare times before and after the new version's attempts, lead moves by the service's lease

Its few attempts came last in their blocks, so that a growing queue spoke against it. Blocks of times now wait until as many of the old version's attempts came after the new one's as before. Placement and moves share the lease of the service, so that one daemon decides on both. Conclusion: kept; costs up to 10 s before times are compared at small shares.

--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -76,10 +76,13 @@
 	daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
 	daemon.Handle(savorypinmember.FrameOrder, savorypinmember.HandleCall(a.handleOrder))
 	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
-	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
-	savorypincontroller.New(savorypincontroller.Config{Daemon: daemon, Rand: rand.Float64})
+	savorypincontroller.StartMoves(savorypincontroller.MovesConfig{
+		Daemon:    daemon,
+		Placement: savorypincontroller.StartPlacement(daemon),
+		Rand:      rand.Float64,
+	})
 	for _, e := range a.endpoints {
 		daemon.Background(func(ctx context.Context) { e.pollLoop(ctx, daemon.Config) })
 	}
--- a/internal/savorypincontroller/fleet.go
+++ b/internal/savorypincontroller/movefleet.go
@@ -75,11 +75,11 @@
 }
 
 // Serves reports whether any endpoint serves a version.
-func (c *Controller) Serves(version string) bool {
+func (c *Moves) Serves(version string) bool {
 	return c.fleet.Load().serves(version)
 }
 
 // UnitOf returns the unit of an attempt in a move to a version.
-func (c *Controller) UnitOf(o savorypin.Observation, to string) string {
+func (c *Moves) UnitOf(o savorypin.Observation, to string) string {
 	return unitOf(c.fleet.Load().spread(to), o.Domain, o.Endpoint)
 }
--- a/internal/savorypincontroller/lead.go
+++ b/internal/savorypincontroller/movelead.go
@@ -13,7 +13,7 @@
 )
 
 // loop evaluates, decides and spreads verdicts until ctx ends.
-func (c *Controller) loop(ctx context.Context) {
+func (c *Moves) loop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -31,7 +31,7 @@
 }
 
 // judgeAll condemns the moves whose evidence says so.
-func (c *Controller) judgeAll(ctx context.Context) {
+func (c *Moves) judgeAll(ctx context.Context) {
 	config := c.daemon.Config()
 	for service := range config.Services() {
 		for _, m := range config.Moves(service) {
@@ -47,7 +47,7 @@
 	}
 }
 
-func (c *Controller) judge(m savorypinconfig.Move, done bool) savorypinmove.Verdict {
+func (c *Moves) judge(m savorypinconfig.Move, done bool) savorypinmove.Verdict {
 	units := c.fleet.Load().units(m.Spec.To)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,54 +55,32 @@
 }
 
 // leadAll writes the statuses of the services whose lease is held.
-func (c *Controller) leadAll(ctx context.Context) {
+func (c *Moves) leadAll(ctx context.Context) {
 	config := c.daemon.Config()
 	for service, spec := range config.Services() {
-		if len(config.Moves(service)) == 0 {
+		if !slices.ContainsFunc(config.Moves(service), isOpen) {
 			continue
 		}
-		lease := c.lease(ctx, service)
-		if _, held := lease.Held(); !held {
+		d := c.cfg.Placement.duty(ctx, service)
+		if d == nil {
+			continue
+		}
+		if _, held := d.lease.Held(); !held {
 			continue
 		}
 		for _, change := range c.decide(service, spec) {
-			c.write(ctx, lease, change)
+			c.write(ctx, d.lease, change)
 		}
 	}
 }
 
-// lease returns the lease of a service, which is tried for as long as this
-// daemon evaluates the service.
-func (c *Controller) lease(ctx context.Context, service string) *savorypinlease.Lease {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	lease, ok := c.leases[service]
-	if !ok {
-		lease = c.daemon.HoldLease(ctx, leaseName(service), func() bool { return c.wants(service) })
-		c.leases[service] = lease
-	}
-	return lease
-}
-
-// wants reports whether this daemon should lead a service: it evaluates it, and
-// there is a move that has not ended.
-func (c *Controller) wants(service string) bool {
-	if c.daemon.Draining() {
-		return false
-	}
-	open := slices.ContainsFunc(c.daemon.Config().Moves(service), isOpen)
-	return open && slices.ContainsFunc(c.evaluatorsOf(service), func(m savorypin.MemberState) bool {
-		return m.Name == c.daemon.Settings().Name
-	})
-}
-
 // isOpen reports whether a move can still change its state.
 func isOpen(m savorypinconfig.Move) bool {
 	pending := m.Status.State == savorypin.MovePending || m.Status.State == ""
 	return pending || watched(m, time.Now())
 }
 
-func (c *Controller) decide(service string, spec savorypin.ServiceSpec) []savorypinmove.Change {
+func (c *Moves) decide(service string, spec savorypin.ServiceSpec) []savorypinmove.Change {
 	moves := c.daemon.Config().Moves(service)
 	return savorypinmove.Decide(savorypinmove.Input{
 		Condemned: c.book.Reason,
@@ -120,7 +98,7 @@
 // write writes a status on condition that the move has not changed since the
 // decision and that the lease is still held. A lost answer needs no settling:
 // the next decision starts from what the configuration shows.
-func (c *Controller) write(ctx context.Context, lease *savorypinlease.Lease, change savorypinmove.Change) {
+func (c *Moves) write(ctx context.Context, lease *savorypinlease.Lease, change savorypinmove.Change) {
 	key := savorypin.Key{Kind: savorypin.KindMove, Name: change.Move.Name}
 	o, ok := c.daemon.Config().Object(key)
 	if !ok || o.Version != change.Move.Version || !c.mayWrite(change.Move) {
@@ -144,7 +122,7 @@
 }
 
 // mayWrite reports whether this version of a move was not written just now.
-func (c *Controller) mayWrite(m savorypinconfig.Move) bool {
+func (c *Moves) mayWrite(m savorypinconfig.Move) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	last := c.written[m.Name]
@@ -156,7 +134,7 @@
 }
 
 // forget drops what is held of moves that have ended.
-func (c *Controller) forget() {
+func (c *Moves) forget() {
 	config := c.daemon.Config()
 	c.book.Forget(func(condemned savorypinmove.Condemnation) bool {
 		o, ok := config.Object(savorypin.Key{Kind: savorypin.KindMove, Name: condemned.Move.Name})
--- a/internal/savorypincontroller/controller.go
+++ b/internal/savorypincontroller/moves.go
@@ -1,11 +1,3 @@
-// Package savorypincontroller runs the moves of traffic. Every daemon has a
-// controller; for each service a few of them, chosen by rendezvous over the live
-// members, evaluate the evidence of all entries, and the one that holds the
-// service's lease writes the status of its moves to the platform.
-//
-// A bad verdict does not wait for the platform: whichever evaluator reaches it
-// tells other daemons, and they tell others, so that it is in force everywhere
-// before the platform hears of it.
 package savorypincontroller
 
 import (
@@ -26,8 +18,6 @@
 // Times and sizes of the controller.
 const (
 	callTimeout = time.Second
-	// evaluators is how many daemons evaluate the evidence of a service.
-	evaluators = 3
 	// fanOut is how many members a new verdict is sent to.
 	fanOut       = 4
 	tickInterval = 500 * time.Millisecond
@@ -36,25 +26,32 @@
 	writePause = 2 * time.Second
 )
 
-// Config configures a Controller.
-type Config struct {
-	// Daemon is the daemon that the controller is part of.
+// MovesConfig configures Moves.
+type MovesConfig struct {
+	// Daemon is the daemon that takes part.
 	Daemon *savorypindaemon.Daemon
+	// Placement holds the leases of the services.
+	Placement *Placement
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 }
 
-// Controller is one daemon's part in running the moves.
-type Controller struct {
+// Moves is one daemon's part in running the moves of traffic. For each service a
+// few daemons evaluate the evidence of all entries, and the one that controls
+// the service writes the status of its moves to the platform.
+//
+// A bad verdict does not wait for the platform: whichever evaluator reaches it
+// tells other daemons, and they tell others, so that it is in force everywhere
+// before the platform hears of it.
+type Moves struct {
 	book     *savorypinmove.Book
-	cfg      Config
+	cfg      MovesConfig
 	daemon   *savorypindaemon.Daemon
 	fleet    atomic.Pointer[fleet]
 	sequence atomic.Uint64
 
 	mu         sync.Mutex
 	evaluators map[phase]*savorypinmove.Evaluator
-	leases     map[string]*savorypinlease.Lease
 	seen       map[string]mark
 	written    map[string]attempt
 }
@@ -77,15 +74,14 @@
 	version int64
 }
 
-// New returns the controller of a daemon. It must be called before the daemon
-// runs.
-func New(cfg Config) *Controller {
-	c := &Controller{
+// StartMoves registers the moves with a daemon. It must be called before the
+// daemon runs.
+func StartMoves(cfg MovesConfig) *Moves {
+	c := &Moves{
 		book:       savorypinmove.NewBook(),
 		cfg:        cfg,
 		daemon:     cfg.Daemon,
 		evaluators: map[phase]*savorypinmove.Evaluator{},
-		leases:     map[string]*savorypinlease.Lease{},
 		seen:       map[string]mark{},
 		written:    map[string]attempt{},
 	}
@@ -99,13 +95,13 @@
 
 // Traffic returns how new work of a service is shared, verdicts included that
 // the platform has not heard of.
-func (c *Controller) Traffic(service string) savorypinmove.Traffic {
-	return savorypinmove.TrafficOf(c.daemon.Config(), service, c.book.Condemned)
+func (c *Moves) Traffic(service string) savorypinmove.Traffic {
+	return savorypinmove.TrafficWith(c.daemon.Config(), service, c.book.Condemned)
 }
 
 // Report sends evidence to the evaluators of the services. If none of them can
 // be reached, this daemon evaluates what it has itself.
-func (c *Controller) Report(ctx context.Context, gathered []savorypinmove.Evidence) {
+func (c *Moves) Report(ctx context.Context, gathered []savorypinmove.Evidence) {
 	for service, evidence := range c.byService(gathered) {
 		msg := savorypinmember.Evidence{
 			Incarnation: c.daemon.Incarnation(),
@@ -118,7 +114,7 @@
 	}
 }
 
-func (c *Controller) byService(gathered []savorypinmove.Evidence) map[string][]savorypinmove.Evidence {
+func (c *Moves) byService(gathered []savorypinmove.Evidence) map[string][]savorypinmove.Evidence {
 	services := map[string][]savorypinmove.Evidence{}
 	for _, evidence := range gathered {
 		if m, ok := c.find(evidence.Move); ok {
@@ -129,7 +125,7 @@
 }
 
 // send reports whether any evaluator took the evidence over.
-func (c *Controller) send(ctx context.Context, service string, msg savorypinmember.Evidence) bool {
+func (c *Moves) send(ctx context.Context, service string, msg savorypinmember.Evidence) bool {
 	var taken atomic.Bool
 	var wg sync.WaitGroup
 	for _, m := range c.evaluatorsOf(service) {
@@ -152,18 +148,30 @@
 	return taken.Load()
 }
 
-// evaluatorsOf returns the members that evaluate the evidence of a service.
-func (c *Controller) evaluatorsOf(service string) []savorypin.MemberState {
-	var usable []savorypin.MemberState
+// evaluatorsOf returns the members that evaluate the evidence of a service:
+// those that may control it, and one in another failure domain.
+func (c *Moves) evaluatorsOf(service string) []savorypin.MemberState {
+	states := map[string]savorypin.MemberState{}
+	var names []string
 	for _, m := range c.daemon.Members().All() {
 		if m.Usable() {
-			usable = append(usable, m.State())
+			states[m.State().Name] = m.State()
+			names = append(names, m.State().Name)
+		}
+	}
+	var chosen []savorypin.MemberState
+	domains := map[string]bool{}
+	for _, name := range savorypinrank.Names(savorypinlease.ControllerOf(service), names) {
+		m := states[name]
+		if len(chosen) < candidates || len(domains) < 2 && !domains[m.Domain] {
+			chosen = append(chosen, m)
+			domains[m.Domain] = true
 		}
 	}
-	return savorypinrank.Spread(leaseName(service), usable, evaluators)
+	return chosen
 }
 
-func (c *Controller) handleEvidence(
+func (c *Moves) handleEvidence(
 	_ context.Context,
 	peer savorypinmember.Hello,
 	req savorypinmember.Evidence,
@@ -176,7 +184,7 @@
 
 // isNew reports whether a report is later than all that were taken over from
 // the same entry.
-func (c *Controller) isNew(from string, m mark) bool {
+func (c *Moves) isNew(from string, m mark) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	last := c.seen[from]
@@ -189,7 +197,7 @@
 
 // add takes evidence over. Evidence on moves that this daemon does not know
 // yet, or that have ended, is left out.
-func (c *Controller) add(gathered []savorypinmove.Evidence) {
+func (c *Moves) add(gathered []savorypinmove.Evidence) {
 	for _, evidence := range gathered {
 		m, ok := c.find(evidence.Move)
 		if !ok {
@@ -202,7 +210,7 @@
 }
 
 // evaluator returns the evaluator of a phase of a move. The caller holds c.mu.
-func (c *Controller) evaluator(m savorypinconfig.Move, done bool) *savorypinmove.Evaluator {
+func (c *Moves) evaluator(m savorypinconfig.Move, done bool) *savorypinmove.Evaluator {
 	p := phase{done: done, key: savorypinmove.KeyOf(m)}
 	e, ok := c.evaluators[p]
 	if ok {
@@ -218,7 +226,7 @@
 }
 
 // find returns a move that has a share or is watched.
-func (c *Controller) find(key savorypinmove.Key) (savorypinconfig.Move, bool) {
+func (c *Moves) find(key savorypinmove.Key) (savorypinconfig.Move, bool) {
 	for service := range c.daemon.Config().Services() {
 		for _, m := range c.daemon.Config().Moves(service) {
 			if savorypinmove.KeyOf(m) == key {
@@ -242,11 +250,7 @@
 }
 
 // Watched reports whether attempts tell about a move at this moment.
-func (c *Controller) Watched(key savorypinmove.Key) bool {
+func (c *Moves) Watched(key savorypinmove.Key) bool {
 	_, ok := c.find(key)
 	return ok && !c.book.Condemned(key)
 }
-
-func leaseName(service string) string {
-	return "move-" + service
-}
--- a/internal/savorypincontroller/spread.go
+++ b/internal/savorypincontroller/movespread.go
@@ -11,7 +11,7 @@
 
 // learn takes verdicts over and passes those that are new to a few members,
 // which do the same. What this misses, the regular exchange finds.
-func (c *Controller) learn(ctx context.Context, condemned ...savorypinmove.Condemnation) {
+func (c *Moves) learn(ctx context.Context, condemned ...savorypinmove.Condemnation) {
 	added := c.book.Merge(condemned...)
 	if len(added) == 0 {
 		return
@@ -24,10 +24,11 @@
 	}
 }
 
-// exchange compares verdicts with one member. A daemon that restarted learns
-// all verdicts this way, and one that heard of none asks all the same.
-func (c *Controller) exchange(ctx context.Context) {
-	if !c.moving() {
+// exchange compares verdicts with one member while any move is open. A daemon
+// that has restarted and has no configuration yet learns the verdicts this way
+// before it takes work.
+func (c *Moves) exchange(ctx context.Context) {
+	if len(c.daemon.Config().Objects()) > 0 && !c.moving() {
 		return
 	}
 	for _, m := range c.somePeers(1) {
@@ -36,7 +37,7 @@
 }
 
 // moving reports whether any move could be condemned.
-func (c *Controller) moving() bool {
+func (c *Moves) moving() bool {
 	config := c.daemon.Config()
 	for service := range config.Services() {
 		if slices.ContainsFunc(config.Moves(service), isOpen) {
@@ -46,7 +47,7 @@
 	return false
 }
 
-func (c *Controller) exchangeWith(ctx context.Context, m savorypin.MemberState, condemned []savorypinmove.Condemnation) {
+func (c *Moves) exchangeWith(ctx context.Context, m savorypin.MemberState, condemned []savorypinmove.Condemnation) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := savorypinmember.Call[savorypinmember.Verdicts, savorypinmember.Verdicts](
@@ -58,7 +59,7 @@
 	c.learn(ctx, reply.Condemned...)
 }
 
-func (c *Controller) handleVerdicts(
+func (c *Moves) handleVerdicts(
 	ctx context.Context,
 	_ savorypinmember.Hello,
 	req savorypinmember.Verdicts,
@@ -68,7 +69,7 @@
 }
 
 // somePeers returns up to n other live members, chosen at random.
-func (c *Controller) somePeers(n int) []savorypin.MemberState {
+func (c *Moves) somePeers(n int) []savorypin.MemberState {
 	var peers []savorypin.MemberState
 	for _, m := range c.daemon.Members().All() {
 		if m.Usable() && m.State().Name != c.daemon.Settings().Name {
@@ -95,7 +96,7 @@
 	Verdict savorypinmove.Verdict `json:"verdict"`
 }
 
-func (c *Controller) state() any {
+func (c *Moves) state() any {
 	s := State{Condemned: c.book.All(), Judged: []Judgement{}}
 	c.mu.Lock()
 	var phases []phase
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -63,11 +63,10 @@
 		book:   savorypinclaim.NewBook(daemon.Platform()),
 		cfg:    cfg,
 		daemon: daemon,
-		moves:  newMoves(daemon, cfg.Rand),
+		moves:  newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	daemon.Background(e.sweepLoop)
-	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
 	return e, nil
 }
--- a/internal/savorypinentry/move.go
+++ b/internal/savorypinentry/move.go
@@ -17,7 +17,7 @@
 // moves is the entry's part in moves of traffic: it holds the share of each
 // move over all work and gathers evidence on it.
 type moves struct {
-	controller *savorypincontroller.Controller
+	controller *savorypincontroller.Moves
 	rand       func() float64
 	recorder   *savorypinmove.Recorder
 
@@ -25,12 +25,16 @@
 	sharers map[string]*savorypinmove.Sharer
 }
 
-func newMoves(daemon *savorypindaemon.Daemon, random func() float64) *moves {
+func newMoves(daemon *savorypindaemon.Daemon, placement *savorypincontroller.Placement, random func() float64) *moves {
 	m := &moves{
-		controller: savorypincontroller.New(savorypincontroller.Config{Daemon: daemon, Rand: random}),
-		rand:       random,
-		recorder:   savorypinmove.NewRecorder(),
-		sharers:    map[string]*savorypinmove.Sharer{},
+		controller: savorypincontroller.StartMoves(savorypincontroller.MovesConfig{
+			Daemon:    daemon,
+			Placement: placement,
+			Rand:      random,
+		}),
+		rand:     random,
+		recorder: savorypinmove.NewRecorder(),
+		sharers:  map[string]*savorypinmove.Sharer{},
 	}
 	daemon.Background(m.reportLoop)
 	return m
--- a/internal/savorypinmove/block.go
+++ b/internal/savorypinmove/block.go
@@ -77,6 +77,31 @@
 	}
 }
 
+// balance returns how many of the old version's attempts ended before the first
+// and after the last of the new version's.
+func (b *block) balance() (before, after int) {
+	first := b.samples[sideNew][0].at
+	last := b.samples[sideNew][len(b.samples[sideNew])-1].at
+	for _, s := range b.samples[sideOld] {
+		if s.at.Before(first) {
+			before++
+		}
+		if s.at.After(last) {
+			after++
+		}
+	}
+	return before, after
+}
+
+// level drops the earliest attempts of the old version until no more of them
+// came before the new version's than after. Times that grow for both versions
+// would else speak against the new one, whose attempts are rare and so come last
+// in their block.
+func (b *block) level() {
+	before, after := b.balance()
+	b.samples[sideOld] = b.samples[sideOld][max(0, before-after):]
+}
+
 // comparable reports whether both versions have attempts.
 func (b *block) comparable() bool {
 	return len(b.samples[sideOld]) > 0 && len(b.samples[sideNew]) > 0
--- a/internal/savorypinmove/decide_test.go
+++ b/internal/savorypinmove/decide_test.go
@@ -49,7 +49,7 @@
 	return store.Snapshot()
 }
 
-var _ = Describe("TrafficOf", func() {
+var _ = Describe("TrafficWith", func() {
 	back := with(moveAt("m2", savorypin.MoveDone, 5, 1), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })
 	early := with(moveAt("m1", savorypin.MoveDone, 3, 1), func(m *savorypinconfig.Move) { m.Spec.By = noon.Add(9 * time.Hour) })
 	for _, tc := range []struct {
@@ -68,7 +68,7 @@
 		{"no move", nil, false, "a", 0},
 	} {
 		It("follows "+tc.name, func() {
-			t := savorypinmove.TrafficOf(storeOf(tc.moves...), "s", func(savorypinmove.Key) bool { return tc.condemned })
+			t := savorypinmove.TrafficWith(storeOf(tc.moves...), "s", func(savorypinmove.Key) bool { return tc.condemned })
 			Expect(t.Current()).To(Equal(tc.current))
 			Expect(t.Share()).To(Equal(tc.share))
 		})
--- a/internal/savorypinmove/model_test.go
+++ b/internal/savorypinmove/model_test.go
@@ -153,7 +153,7 @@
 }
 
 func (m *model) traffic() savorypinmove.Traffic {
-	return savorypinmove.TrafficOf(m.store.Snapshot(), "s", m.book.Condemned)
+	return savorypinmove.TrafficWith(m.store.Snapshot(), "s", m.book.Condemned)
 }
 
 func (m *model) after(d time.Duration, do func()) {
--- a/internal/savorypinmove/recorder.go
+++ b/internal/savorypinmove/recorder.go
@@ -16,6 +16,9 @@
 	blockAge = 3 * time.Second
 	// blockSize is the number of attempts at which a block is compared.
 	blockSize = 32
+	// levelWait is how long a block of times waits for attempts of the old
+	// version after those of the new one.
+	levelWait = 10 * time.Second
 	// maxBlockSize bounds the attempts of one version in a block.
 	maxBlockSize = 512
 	// sampleExpiry is the age at which an attempt is no longer compared with one
@@ -72,10 +75,12 @@
 	Old int `msgpack:"o"`
 }
 
-// stratum is what attempts must have in common to be compared.
+// stratum is what attempts must have in common to be compared. Failures and
+// times are compared in blocks of their own.
 type stratum struct {
 	load  LoadLevel
 	route string
+	times bool
 }
 
 // watched is what a recorder holds of one move.
@@ -135,13 +140,23 @@
 	} else {
 		w.evidence.New++
 	}
+	w.observe(at, side, s)
+	at.times = true
+	w.observe(at, side, s)
+}
+
+// observe adds an attempt to its block and compares the block if it is large.
+func (w *watched) observe(at stratum, side int, s sample) {
 	b := w.blocks[at]
 	if b == nil {
-		b = &block{begun: w.begunOn(at.route), opened: now}
+		b = &block{begun: w.begunOn(at.route), opened: s.at}
 		w.blocks[at] = b
 	}
 	b.samples[side] = append(b.samples[side], s)
-	if b.size() >= blockSize && b.comparable() {
+	if b.size() < blockSize || !b.comparable() {
+		return
+	}
+	if before, after := b.balance(); !at.times || before <= after {
 		w.close(at, b)
 	}
 }
@@ -195,7 +210,11 @@
 		switch {
 		case b.size() == 0:
 			delete(w.blocks, at)
-		case b.comparable() && now.Sub(b.opened) >= blockAge:
+		case !b.comparable():
+		case at.times && now.Sub(b.samples[sideNew][0].at) >= levelWait:
+			b.level()
+			w.close(at, b)
+		case !at.times && now.Sub(b.opened) >= blockAge:
 			w.close(at, b)
 		}
 	}
@@ -213,7 +232,7 @@
 			scale(begun[sideOld], len(g.old), len(b.samples[sideOld])),
 			scale(begun[sideNew], len(g.new), len(b.samples[sideNew])),
 		}
-		for _, metric := range Metrics {
+		for _, metric := range metricsOf(at) {
 			if logs, ok := g.compare(metric, scaled); ok {
 				w.add(at, g.unit, metric, logs)
 			}
@@ -221,6 +240,13 @@
 	}
 }
 
+func metricsOf(at stratum) []Metric {
+	if at.times {
+		return []Metric{MetricBetween, MetricFirst}
+	}
+	return []Metric{MetricError}
+}
+
 // begunSince returns how many attempts of each version began since a block was
 // opened, as the block's part of its route.
 func (w *watched) begunSince(at stratum, b *block) [2]int {
@@ -228,7 +254,7 @@
 	for side := range begun {
 		all := len(b.samples[side])
 		for other, open := range w.blocks {
-			if other.route == at.route {
+			if other.route == at.route && other.times == at.times {
 				all += len(open.samples[side])
 			}
 		}
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -62,11 +62,17 @@
 	return t.state == savorypin.MoveRunning || t.state == savorypin.MovePaused
 }
 
-// TrafficOf returns how new work of a service is shared. Moves apply in the
+// TrafficOf returns how new work of a service is shared by what the platform
+// says.
+func TrafficOf(snapshot *savorypinconfig.Snapshot, service string) Traffic {
+	return TrafficWith(snapshot, service, func(Key) bool { return false })
+}
+
+// TrafficWith returns how new work of a service is shared. Moves apply in the
 // order in which they were taken on, which later edits do not change: a done
 // move stays done whatever its spec or the service's spec says afterwards.
 // Moves that are condemned are taken back before the platform says so.
-func TrafficOf(snapshot *savorypinconfig.Snapshot, service string, condemned func(Key) bool) Traffic {
+func TrafficWith(snapshot *savorypinconfig.Snapshot, service string, condemned func(Key) bool) Traffic {
 	spec, _ := snapshot.Service(service)
 	moves := slices.Clone(snapshot.Moves(service))
 	slices.SortFunc(moves, func(a, b savorypinconfig.Move) int { return cmp.Compare(a.Status.Epoch, b.Status.Epoch) })
