Add the commands that show and steer moves

Cause: operators must see state, share, evidence, reason and times of a move, and hold, release, speed up and roll back. Before: only `get moves` and the language's statements.

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -97,6 +97,7 @@
 			c.doCmd(),
 			c.entryCmd(),
 			c.getCmd(),
+			c.moveCmd(),
 			c.standinCmd(),
 			c.stateCmd(),
 			c.stopCmd(),
