--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -67,9 +68,13 @@
 	daemon.Handle(savorypinmember.FrameFence, savorypinmember.HandleCall(a.handleFence))
 	daemon.Handle(savorypinmember.FrameOrder, savorypinmember.HandleCall(a.handleOrder))
 	a.registerGenerations()
-	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
+	savorypincontroller.StartMoves(savorypincontroller.MovesConfig{
+		Daemon:    daemon,
+		Placement: savorypincontroller.StartPlacement(daemon),
+		Rand:      rand.Float64,
+	})
 	for _, e := range a.endpoints {
 		daemon.Background(func(ctx context.Context) { e.pollLoop(ctx, daemon.Config) })
 	}
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinlimit"
-	"savorypin/internal/savorypinmove"
 	"savorypin/internal/savorypinroute"
 )
 
@@ -15,8 +14,8 @@
 
 // chooseVersion returns the version for a generation that has delivered
 // nothing yet.
-func (e *Entry) chooseVersion(gen savorypin.Generation, _ savorypin.Purpose) string {
-	return savorypinmove.TrafficOf(e.daemon.Config(), gen.Service).Choose(e.cfg.Rand())
+func (e *Entry) chooseVersion(gen savorypin.Generation, purpose savorypin.Purpose) string {
+	return e.moves.choose(gen, purpose)
 }
 
 // generationNeed returns what a generation needs of an endpoint.
@@ -57,6 +56,7 @@
 	if o.Err != nil {
 		e.daemon.Logger().Debug("Observed a failure", "endpoint", o.Endpoint, "version", o.Version, "err", o.Err)
 	}
+	e.moves.observe(o)
 }
 
 // pick returns the endpoint for a piece of work, which counts as in flight there
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -50,6 +50,7 @@
 	cfg    Config
 	daemon *savorypindaemon.Daemon
 	limits *limits
+	moves  *moves
 	router *savorypinroute.Router
 
 	finds    singleflight.Group
@@ -80,6 +81,7 @@
 		book:   savorypinclaim.NewBook(daemon.Platform()),
 		cfg:    cfg,
 		daemon: daemon,
+		moves:  newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	e.registerGenerations()
@@ -89,7 +91,6 @@
 	daemon.Background(e.routeLoop)
 	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
 	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
-	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
 	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
