Cut no request when an entry and an agent stop together

The agent took the entry's reading of "stopping" for a hand-over and exited; the entry exited before the next attempt had begun. Ruled out: the search of the second entry, which asks all agents and found none that held it. The agent now waits until an entry drops the attempt, which it does when the next one has its first token, or for the caller grace; the entry hands a generation over only while an agent holds all of it; callers that wait for a whole answer are waited for.

--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -92,12 +92,13 @@
 	return a.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: a.handOver, Idle: a.idle})
 }
 
-// idle reports whether no attempt or call is running.
+// idle reports whether no call is running and every attempt is settled.
 func (a *Agent) idle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now, grace := time.Now(), a.daemon.Settings().Grace()
 	for _, r := range a.runs {
-		if !r.finished() {
+		if !r.settled(now, grace) {
 			return false
 		}
 	}
--- a/internal/savorypinagent/find.go
+++ b/internal/savorypinagent/find.go
@@ -61,7 +61,7 @@
 	r, ok := a.runs[req.Attempt]
 	a.mu.Unlock()
 	if ok {
-		r.cancel()
+		r.drop()
 	}
 	return savorypinmember.Empty{}, nil
 }
--- a/internal/savorypinagent/run.go
+++ b/internal/savorypinagent/run.go
@@ -24,13 +24,17 @@
 
 	mu   sync.Mutex
 	done bool
-	err  error
+	// dropped says that an entry no longer needs the attempt.
+	dropped bool
+	err     error
 	// handedOver says that another endpoint is to go on.
 	handedOver bool
 	lastUsed   time.Time
 	readers    map[*readerState]bool
 	reason     savorypin.FinishReason
-	tokens     savorypinresume.Tokens
+	// told says that a reader has got all tokens and how the attempt ended.
+	told   bool
+	tokens savorypinresume.Tokens
 }
 
 // reader is what a stream asks of a run.
@@ -172,6 +176,7 @@
 		return r.tokens.Slice(next, last), nil, nil
 	}
 	if r.done && next == r.tokens.Len() {
+		r.told = true
 		if r.err != nil {
 			return nil, nil, r.err
 		}
@@ -243,6 +248,14 @@
 	r.cancel()
 }
 
+// drop ends the attempt because no entry needs it any more.
+func (r *run) drop() {
+	r.mu.Lock()
+	r.dropped = true
+	r.mu.Unlock()
+	r.cancel()
+}
+
 // abandoned reports whether nobody has read the attempt for long. A running
 // one has a grace.
 func (r *run) abandoned(now time.Time, grace time.Duration) bool {
@@ -254,6 +267,19 @@
 	return len(r.readers) == 0 && now.Sub(r.lastUsed) > grace
 }
 
+// settled reports whether the agent may exit as far as the attempt goes: an
+// entry has its end, or goes on with it elsewhere, or none has asked within the
+// grace. That an entry was told of a failure is not enough, since it may stop
+// before it has acted on it.
+func (r *run) settled(now time.Time, grace time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.done || len(r.readers) > 0 {
+		return false
+	}
+	return (r.told && r.err == nil) || r.dropped || now.Sub(r.lastUsed) > grace
+}
+
 func (r *run) finished() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, failure(err)
 	}
-	reader := relay.Open(startOf(relay))
+	reader := relay.OpenWhole()
 	defer reader.Close()
 	answer := &caller.Generation{ID: string(relay.Generation().ID), Tokens: []int{}}
 	var text strings.Builder
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -294,7 +294,8 @@
 // Work is what a role has to finish before a planned stop is done.
 type Work struct {
 	// HandOver gives up the work that other daemons can go on with. It is
-	// called when the grace is over.
+	// called time and again after the grace, since some work can be handed
+	// over only later.
 	HandOver func()
 	// Idle reports whether no work is left.
 	Idle func() bool
@@ -353,8 +354,10 @@
 		return
 	}
 	d.logger.Info("Handing work over")
-	work.HandOver()
-	waitIdle(ctx, work.Idle)
+	waitIdle(ctx, func() bool {
+		work.HandOver()
+		return work.Idle()
+	})
 }
 
 // waitIdle reports whether no work is left before ctx ends.
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -39,12 +39,14 @@
 
 	mu       sync.Mutex
 	lastUsed time.Time
-	machine  *savorypinresume.Machine
-	readers  map[*Reader]bool
-	streams  map[savorypin.AttemptID]*stream
-	timer    *time.Timer
-	timerAt  time.Time
-	version  string
+	// leaving are failed attempts whose agents stop.
+	leaving []*stream
+	machine *savorypinresume.Machine
+	readers map[*Reader]bool
+	streams map[savorypin.AttemptID]*stream
+	timer   *time.Timer
+	timerAt time.Time
+	version string
 }
 
 // Start begins a generation.
--- a/internal/savorypinentry/relayattempt.go
+++ b/internal/savorypinentry/relayattempt.go
@@ -273,6 +273,7 @@
 	if s.ticket != nil {
 		s.ticket.Leave()
 	}
+	r.dropLeaving()
 	if s.attempt.Number > 1 {
 		go r.entry.announce(savorypinresume.Place{
 			Address:    s.address,
@@ -284,6 +285,18 @@
 	}
 }
 
+// dropLeaving tells agents that stop that their attempts are held elsewhere
+// now. Until then they wait, since this entry may stop as well.
+func (r *Relay) dropLeaving() {
+	r.mu.Lock()
+	leaving := r.leaving
+	r.leaving = nil
+	r.mu.Unlock()
+	for _, s := range leaving {
+		go r.entry.dropAttempt(s.address, savorypinmember.Attempt{Generation: r.gen.ID, ID: s.attempt})
+	}
+}
+
 // ended tells the machine how a stream ended.
 func (r *Relay) ended(s *stream, kind savorypinmember.FrameKind, sent bool, err error) {
 	r.mu.Lock()
@@ -317,6 +330,9 @@
 	r.entry.daemon.Logger().Warn("Attempt failed", "request", r.gen.ID, "attempt", s.attempt,
 		"endpoint", s.candidate.Endpoint().Name, "cause", cause, "err", err)
 	r.entry.count("resume.failures."+string(cause), 1)
+	if cause == savorypinresume.CauseStopping {
+		r.leaving = append(r.leaving, s)
+	}
 	if cause == savorypinresume.CauseStopping || cause == savorypinresume.CauseSuperseded {
 		// Neither is a fault of the endpoint.
 		r.observe(s, nil)
--- a/internal/savorypinentry/relayreader.go
+++ b/internal/savorypinentry/relayreader.go
@@ -21,6 +21,8 @@
 	changed  chan struct{}
 	position savorypin.EventID
 	relay    *Relay
+	// stays says that the caller can't attach through another entry.
+	stays bool
 }
 
 // Open returns a reader that goes on after a position. It must be closed.
@@ -32,6 +34,27 @@
 	return reader
 }
 
+// OpenWhole returns a reader of the whole answer for a caller that waits for
+// it and can't attach through another entry. It must be closed.
+func (r *Relay) OpenWhole() *Reader {
+	reader := r.Open(savorypin.NewEventID(r.gen.ID, 0, savorypin.AttemptID{}))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reader.stays = true
+	return reader
+}
+
+// stays reports whether a caller waits for the whole answer here. The caller
+// holds r.mu.
+func (r *Relay) stays() bool {
+	for reader := range r.readers {
+		if reader.stays {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends the reader. A generation that nobody reads is cancelled after a
 // grace.
 func (r *Reader) Close() {
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -79,15 +79,30 @@
 }
 
 // handOver lets callers attach to their generations through other entries. The
-// attempts go on at their agents.
+// attempts go on at their agents. A generation stays while no agent holds all
+// of it, as between two attempts, and while a caller waits for its whole answer
+// here.
 func (e *Entry) handOver() {
 	for _, r := range e.allRelays() {
 		r.mu.Lock()
-		r.do(r.machine.HandOver())
+		if r.anchored() && !r.stays() {
+			r.do(r.machine.HandOver())
+		}
 		r.mu.Unlock()
 	}
 }
 
+// anchored reports whether an agent that goes on holds the whole generation.
+// The caller holds r.mu.
+func (r *Relay) anchored() bool {
+	for _, s := range r.streams {
+		if s.clock.tokens > 0 {
+			return true
+		}
+	}
+	return r.machine.End() != nil
+}
+
 // allRelays returns the relays of this entry.
 func (e *Entry) allRelays() []*Relay {
 	e.mu.Lock()
