--- a/internal/savorypinapi/gen/caller/client.go
+++ b/internal/savorypinapi/gen/caller/client.go
@@ -18,6 +18,7 @@
 type Client struct {
 	GenerateEndpoint goa.Endpoint
 	StreamEndpoint   goa.Endpoint
+	ResumeEndpoint   goa.Endpoint
 	AttachEndpoint   goa.Endpoint
 	CancelEndpoint   goa.Endpoint
 	CallEndpoint     goa.Endpoint
@@ -27,10 +28,11 @@
 }
 
 // NewClient initializes a "caller" service client given the endpoints.
-func NewClient(generate, stream, attach, cancel, call, outcome, live, ready goa.Endpoint) *Client {
+func NewClient(generate, stream, resume, attach, cancel, call, outcome, live, ready goa.Endpoint) *Client {
 	return &Client{
 		GenerateEndpoint: generate,
 		StreamEndpoint:   stream,
+		ResumeEndpoint:   resume,
 		AttachEndpoint:   attach,
 		CancelEndpoint:   cancel,
 		CallEndpoint:     call,
@@ -82,6 +84,27 @@
 	return ires.(StreamClientStream), nil
 }
 
+// Resume calls the "resume" endpoint of the "caller" service.
+// Resume may return the following errors:
+//   - "conflict" (type *Failure)
+//   - "incomplete" (type *Failure)
+//   - "invalid" (type *Failure)
+//   - "limited" (type *Failure)
+//   - "not_found" (type *Failure)
+//   - "not_run" (type *Failure)
+//   - "unauthorized" (type *Failure)
+//   - "unknown" (type *Failure)
+//   - "unreachable" (type *Failure)
+//   - error: internal error
+func (c *Client) Resume(ctx context.Context, p *ResumePayload) (res ResumeClientStream, err error) {
+	var ires any
+	ires, err = c.ResumeEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(ResumeClientStream), nil
+}
+
 // Attach calls the "attach" endpoint of the "caller" service.
 // Attach may return the following errors:
 //   - "conflict" (type *Failure)
--- a/internal/savorypinapi/gen/caller/endpoints.go
+++ b/internal/savorypinapi/gen/caller/endpoints.go
@@ -18,6 +18,7 @@
 type Endpoints struct {
 	Generate goa.Endpoint
 	Stream   goa.Endpoint
+	Resume   goa.Endpoint
 	Attach   goa.Endpoint
 	Cancel   goa.Endpoint
 	Call     goa.Endpoint
@@ -35,6 +36,15 @@
 	Stream StreamServerStream
 }
 
+// ResumeEndpointInput holds both the payload and the server stream of the
+// "resume" method.
+type ResumeEndpointInput struct {
+	// Payload is the method payload.
+	Payload *ResumePayload
+	// Stream is the server stream used by the "resume" method to send data.
+	Stream ResumeServerStream
+}
+
 // AttachEndpointInput holds both the payload and the server stream of the
 // "attach" method.
 type AttachEndpointInput struct {
@@ -67,6 +77,7 @@
 	return &Endpoints{
 		Generate: NewGenerateEndpoint(s),
 		Stream:   NewStreamEndpoint(s),
+		Resume:   NewResumeEndpoint(s),
 		Attach:   NewAttachEndpoint(s),
 		Cancel:   NewCancelEndpoint(s),
 		Call:     NewCallEndpoint(s),
@@ -80,6 +91,7 @@
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Generate = m(e.Generate)
 	e.Stream = m(e.Stream)
+	e.Resume = m(e.Resume)
 	e.Attach = m(e.Attach)
 	e.Cancel = m(e.Cancel)
 	e.Call = m(e.Call)
@@ -106,6 +118,15 @@
 	}
 }
 
+// NewResumeEndpoint returns an endpoint function that calls the method
+// "resume" of service "caller".
+func NewResumeEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		ep := req.(*ResumeEndpointInput)
+		return nil, s.Resume(ctx, ep.Payload, ep.Stream)
+	}
+}
+
 // NewAttachEndpoint returns an endpoint function that calls the method
 // "attach" of service "caller".
 func NewAttachEndpoint(s Service) goa.Endpoint {
--- a/internal/savorypinapi/gen/caller/service.go
+++ b/internal/savorypinapi/gen/caller/service.go
@@ -18,6 +18,9 @@
 	Generate(context.Context, *GeneratePayload) (res *Generation, err error)
 	// Generates an answer and streams it as server-sent events.
 	Stream(context.Context, *StreamPayload, StreamServerStream) (err error)
+	// Goes on after tokens that the caller holds, when no agent holds its
+	// generation any more.
+	Resume(context.Context, *ResumePayload, ResumeServerStream) (err error)
 	// Attaches again to a generation after the last event that the caller has seen.
 	Attach(context.Context, *AttachPayload, AttachServerStream) (err error)
 	// Cancels a generation and frees what it holds.
@@ -51,7 +54,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [8]string{"generate", "stream", "attach", "cancel", "call", "outcome", "live", "ready"}
+var MethodNames = [9]string{"generate", "stream", "resume", "attach", "cancel", "call", "outcome", "live", "ready"}
 
 // StreamServerStream allows streaming instances of *TokenEvent to the client.
 type StreamServerStream interface {
@@ -71,6 +74,24 @@
 	RecvWithContext(context.Context) (*TokenEvent, error)
 }
 
+// ResumeServerStream allows streaming instances of *TokenEvent to the client.
+type ResumeServerStream interface {
+	// Send streams instances of "TokenEvent".
+	Send(*TokenEvent) error
+	// SendWithContext streams instances of "TokenEvent" with context.
+	SendWithContext(context.Context, *TokenEvent) error
+	// Close closes the stream.
+	Close() error
+}
+
+// ResumeClientStream allows streaming instances of *TokenEvent to the client.
+type ResumeClientStream interface {
+	// Recv reads instances of "TokenEvent" from the stream.
+	Recv() (*TokenEvent, error)
+	// RecvWithContext reads instances of "TokenEvent" from the stream with context.
+	RecvWithContext(context.Context) (*TokenEvent, error)
+}
+
 // AttachServerStream allows streaming instances of *TokenEvent to the client.
 type AttachServerStream interface {
 	// Send streams instances of "TokenEvent".
@@ -197,6 +218,30 @@
 	Body *string
 }
 
+// ResumePayload is the payload type of the caller service resume method.
+type ResumePayload struct {
+	// Service that generates.
+	Service string
+	// Route of the service.
+	Route *string
+	// Prompt.
+	Prompt string
+	// Largest number of tokens to generate.
+	MaxTokens int
+	// Seed of the sampler.
+	Seed *int64
+	// Sampling temperature.
+	Temperature *float64
+	// How long the caller waits for the whole answer, in milliseconds.
+	TimeoutMs *int
+	// Bearer token of the organisation.
+	Authorization *string
+	// Version that produced the tokens.
+	Version string
+	// Ids of the tokens that the caller holds.
+	Delivered []int32
+}
+
 // StreamPayload is the payload type of the caller service stream method.
 type StreamPayload struct {
 	// Service that generates.
--- a/internal/savorypinapi/gen/http/caller/client/cli.go
+++ b/internal/savorypinapi/gen/http/caller/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(callerGenerateBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"max_tokens\": 115250,\n      \"prompt\": \"jz3\",\n      \"route\": \"0p9\",\n      \"seed\": 8710180914432118792,\n      \"service\": \"t2o\",\n      \"temperature\": 1.74857653638589,\n      \"timeout_ms\": 7822747346164922369\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"max_tokens\": 63847,\n      \"prompt\": \"f5e\",\n      \"route\": \"muw\",\n      \"seed\": 6798475123671574528,\n      \"service\": \"1sq\",\n      \"temperature\": 0.8709448801333399,\n      \"timeout_ms\": 3489464477811377127\n   }'")
 		}
 		if utf8.RuneCountInString(body.Service) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.service", body.Service, utf8.RuneCountInString(body.Service), 63, false))
@@ -91,7 +91,7 @@
 	{
 		err = json.Unmarshal([]byte(callerStreamBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"max_tokens\": 113030,\n      \"prompt\": \"w2j\",\n      \"route\": \"xgb\",\n      \"seed\": 6188675040809619503,\n      \"service\": \"gct\",\n      \"temperature\": 0.9030323887881057,\n      \"timeout_ms\": 3145683670874619429\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"max_tokens\": 51392,\n      \"prompt\": \"tro\",\n      \"route\": \"0dd\",\n      \"seed\": 702767854652414061,\n      \"service\": \"nak\",\n      \"temperature\": 1.5661084932378992,\n      \"timeout_ms\": 7642953420671600950\n   }'")
 		}
 		if utf8.RuneCountInString(body.Service) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.service", body.Service, utf8.RuneCountInString(body.Service), 63, false))
@@ -149,6 +149,93 @@
 	return v, nil
 }
 
+// BuildResumePayload builds the payload for the caller resume endpoint from
+// CLI flags.
+func BuildResumePayload(callerResumeBody string, callerResumeAuthorization string) (*caller.ResumePayload, error) {
+	var err error
+	var body ResumeRequestBody
+	{
+		err = json.Unmarshal([]byte(callerResumeBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"delivered\": [\n         1959718207,\n         190124331,\n         1552799279\n      ],\n      \"max_tokens\": 9556,\n      \"prompt\": \"qmb\",\n      \"route\": \"roe\",\n      \"seed\": 1984204579451482015,\n      \"service\": \"di3\",\n      \"temperature\": 1.91132840395838,\n      \"timeout_ms\": 6819083856238447539,\n      \"version\": \"j4k\"\n   }'")
+		}
+		if body.Delivered == nil {
+			err = goa.MergeErrors(err, goa.MissingFieldError("delivered", "body"))
+		}
+		if utf8.RuneCountInString(body.Service) > 63 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.service", body.Service, utf8.RuneCountInString(body.Service), 63, false))
+		}
+		if body.Route != nil {
+			if utf8.RuneCountInString(*body.Route) > 63 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.route", *body.Route, utf8.RuneCountInString(*body.Route), 63, false))
+			}
+		}
+		if utf8.RuneCountInString(body.Prompt) > 1048576 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.prompt", body.Prompt, utf8.RuneCountInString(body.Prompt), 1048576, false))
+		}
+		if body.MaxTokens < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 1, true))
+		}
+		if body.MaxTokens > 131072 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 131072, false))
+		}
+		if body.Temperature != nil {
+			if *body.Temperature < 0 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.temperature", *body.Temperature, 0, true))
+			}
+		}
+		if body.Temperature != nil {
+			if *body.Temperature > 2 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.temperature", *body.Temperature, 2, false))
+			}
+		}
+		if body.TimeoutMs != nil {
+			if *body.TimeoutMs < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.timeout_ms", *body.TimeoutMs, 1, true))
+			}
+		}
+		if utf8.RuneCountInString(body.Version) > 63 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.version", body.Version, utf8.RuneCountInString(body.Version), 63, false))
+		}
+		if len(body.Delivered) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.delivered", body.Delivered, len(body.Delivered), 1, true))
+		}
+		if len(body.Delivered) > 131072 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.delivered", body.Delivered, len(body.Delivered), 131072, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var authorization *string
+	{
+		if callerResumeAuthorization != "" {
+			authorization = &callerResumeAuthorization
+		}
+	}
+	v := &caller.ResumePayload{
+		Service:     body.Service,
+		Route:       body.Route,
+		Prompt:      body.Prompt,
+		MaxTokens:   body.MaxTokens,
+		Seed:        body.Seed,
+		Temperature: body.Temperature,
+		TimeoutMs:   body.TimeoutMs,
+		Version:     body.Version,
+	}
+	if body.Delivered != nil {
+		v.Delivered = make([]int32, len(body.Delivered))
+		for i, val := range body.Delivered {
+			v.Delivered[i] = val
+		}
+	} else {
+		v.Delivered = []int32{}
+	}
+	v.Authorization = authorization
+
+	return v, nil
+}
+
 // BuildAttachPayload builds the payload for the caller attach endpoint from
 // CLI flags.
 func BuildAttachPayload(callerAttachID string, callerAttachLastEventID string, callerAttachAuthorization string) (*caller.AttachPayload, error) {
--- a/internal/savorypinapi/gen/http/caller/client/client.go
+++ b/internal/savorypinapi/gen/http/caller/client/client.go
@@ -27,6 +27,9 @@
 	// Stream Doer is the HTTP client used to make requests to the stream endpoint.
 	StreamDoer goahttp.Doer
 
+	// Resume Doer is the HTTP client used to make requests to the resume endpoint.
+	ResumeDoer goahttp.Doer
+
 	// Attach Doer is the HTTP client used to make requests to the attach endpoint.
 	AttachDoer goahttp.Doer
 
@@ -68,6 +71,7 @@
 	return &Client{
 		GenerateDoer:        doer,
 		StreamDoer:          doer,
+		ResumeDoer:          doer,
 		AttachDoer:          doer,
 		CancelDoer:          doer,
 		CallDoer:            doer,
@@ -142,6 +146,42 @@
 	}
 }
 
+// Resume returns an endpoint that makes HTTP requests to the caller service
+// resume server.
+func (c *Client) Resume() goa.Endpoint {
+	var (
+		encodeRequest = EncodeResumeRequest(c.encoder)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildResumeRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		// For SSE endpoints, connect and return a stream
+		resp, err := c.ResumeDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("caller", "resume", err)
+		}
+
+		if resp.StatusCode != http.StatusOK {
+			resp.Body.Close()
+			return nil, fmt.Errorf("unexpected status from SSE endpoint: %d", resp.StatusCode)
+		}
+
+		contentType := resp.Header.Get("Content-Type")
+		if contentType != "" && !strings.HasPrefix(contentType, "text/event-stream") {
+			resp.Body.Close()
+			return nil, fmt.Errorf("unexpected content type: %s (expected text/event-stream)", contentType)
+		}
+
+		return NewResumeStream(resp, c.decoder), nil
+	}
+}
+
 // Attach returns an endpoint that makes HTTP requests to the caller service
 // attach server.
 func (c *Client) Attach() goa.Endpoint {
--- a/internal/savorypinapi/gen/http/caller/client/encode_decode.go
+++ b/internal/savorypinapi/gen/http/caller/client/encode_decode.go
@@ -765,6 +765,378 @@
 	}
 }
 
+// BuildResumeRequest instantiates a HTTP request object with method and path
+// set to call the "caller" service "resume" endpoint
+func (c *Client) BuildResumeRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ResumeCallerPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("caller", "resume", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeResumeRequest returns an encoder for requests sent to the caller
+// resume server.
+func EncodeResumeRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*caller.ResumePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("caller", "resume", "*caller.ResumePayload", v)
+		}
+		if p.Authorization != nil {
+			head := *p.Authorization
+			req.Header.Set("Authorization", head)
+		}
+		body := NewResumeRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("caller", "resume", err)
+		}
+		return nil
+	}
+}
+
+// DecodeResumeResponse returns a decoder for responses returned by the caller
+// resume endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeResumeResponse may return the following errors:
+//   - "conflict" (type *caller.Failure): http.StatusConflict
+//   - "incomplete" (type *caller.Failure): http.StatusBadGateway
+//   - "invalid" (type *caller.Failure): http.StatusBadRequest
+//   - "limited" (type *caller.Failure): http.StatusTooManyRequests
+//   - "not_found" (type *caller.Failure): http.StatusNotFound
+//   - "not_run" (type *caller.Failure): http.StatusServiceUnavailable
+//   - "unreachable" (type *caller.Failure): http.StatusServiceUnavailable
+//   - "unauthorized" (type *caller.Failure): http.StatusUnauthorized
+//   - "unknown" (type *caller.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeResumeResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body ResumeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "resume", err)
+			}
+			err = ValidateResumeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			res := NewResumeTokenEventOK(&body)
+			return res, nil
+		case http.StatusConflict:
+			var (
+				body ResumeConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "resume", err)
+			}
+			err = ValidateResumeConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			return nil, NewResumeConflict(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body ResumeIncompleteResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "resume", err)
+			}
+			err = ValidateResumeIncompleteResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			return nil, NewResumeIncomplete(&body, retryAfter)
+		case http.StatusBadRequest:
+			var (
+				body ResumeInvalidResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "resume", err)
+			}
+			err = ValidateResumeInvalidResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			return nil, NewResumeInvalid(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body ResumeLimitedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "resume", err)
+			}
+			err = ValidateResumeLimitedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			return nil, NewResumeLimited(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body ResumeNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "resume", err)
+			}
+			err = ValidateResumeNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			return nil, NewResumeNotFound(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "not_run":
+				var (
+					body ResumeNotRunResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("caller", "resume", err)
+				}
+				err = ValidateResumeNotRunResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("caller", "resume", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("caller", "resume", err)
+				}
+				return nil, NewResumeNotRun(&body, retryAfter)
+			case "unreachable":
+				var (
+					body ResumeUnreachableResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("caller", "resume", err)
+				}
+				err = ValidateResumeUnreachableResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("caller", "resume", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("caller", "resume", err)
+				}
+				return nil, NewResumeUnreachable(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("caller", "resume", resp.StatusCode, string(body))
+			}
+		case http.StatusUnauthorized:
+			var (
+				body ResumeUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "resume", err)
+			}
+			err = ValidateResumeUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			return nil, NewResumeUnauthorized(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body ResumeUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "resume", err)
+			}
+			err = ValidateResumeUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "resume", err)
+			}
+			return nil, NewResumeUnknown(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("caller", "resume", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildAttachRequest instantiates a HTTP request object with method and path
 // set to call the "caller" service "attach" endpoint
 func (c *Client) BuildAttachRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/internal/savorypinapi/gen/http/caller/client/paths.go
+++ b/internal/savorypinapi/gen/http/caller/client/paths.go
@@ -21,6 +21,11 @@
 	return "/v1/generations/stream"
 }
 
+// ResumeCallerPath returns the URL path to the caller service resume HTTP endpoint.
+func ResumeCallerPath() string {
+	return "/v1/generations/resume"
+}
+
 // AttachCallerPath returns the URL path to the caller service attach HTTP endpoint.
 func AttachCallerPath(id string) string {
 	return fmt.Sprintf("/v1/generations/%v/stream", id)
--- a/internal/savorypinapi/gen/http/caller/client/sse.go
+++ b/internal/savorypinapi/gen/http/caller/client/sse.go
@@ -243,6 +243,229 @@
 	return string(data)
 }
 
+// ResumeClientStream is the interface for reading Server-Sent Events.
+type ResumeClientStream interface {
+	// Recv reads and returns the next event from the SSE stream.
+	Recv(context.Context) (*caller.TokenEvent, error)
+	// Close closes the SSE stream and releases resources.
+	Close() error
+}
+
+type (
+	// ResumeStreamImpl implements the ResumeClientStream interface.
+	ResumeStreamImpl struct {
+		resp    *http.Response
+		decoder func(*http.Response) goahttp.Decoder
+		buffer  []byte // Buffer for unprocessed data
+		lock    sync.Mutex
+		closed  bool
+	}
+)
+
+// ResumeStreamImpl implements the ResumeClientStream interface.
+var _ ResumeClientStream = (*ResumeStreamImpl)(nil)
+
+// NewResumeStream creates a new ResumeClientStream.
+func NewResumeStream(resp *http.Response, decoder func(*http.Response) goahttp.Decoder) ResumeClientStream {
+	return &ResumeStreamImpl{
+		resp:    resp,
+		decoder: decoder,
+		buffer:  make([]byte, 0, 4096), // Pre-allocate buffer
+	}
+}
+
+// Recv reads and returns the next event from the SSE stream, respecting context cancellation.
+func (s *ResumeStreamImpl) Recv(ctx context.Context) (event *caller.TokenEvent, err error) {
+	var byts []byte
+	byts, err = s.readEvent(ctx)
+	if err != nil {
+		if errors.Is(err, io.EOF) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+			// Clean up on EOF or context cancellation
+			s.Close()
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+		}
+		return
+	}
+	return s.processEvent(byts)
+}
+
+// readEvent reads a single SSE event from the stream, respecting context
+// cancellation.  It first checks the internal buffer for a complete event
+// (delimited by double newlines). If no complete event is found, it reads from
+// the HTTP response body until it either finds an event boundary, reaches EOF,
+// or encounters an error. Any data after the event boundary is saved in the
+// buffer for the next call.
+func (s *ResumeStreamImpl) readEvent(ctx context.Context) ([]byte, error) {
+	const bufSize = 4096 // 4KB buffer size
+
+	// Check for event in existing buffer
+	event, ok := s.checkBuffer()
+	if ok {
+		return event, nil
+	}
+
+	// Initialize with any data from buffer
+	eventData := event
+	wasNewline := len(eventData) > 0 && eventData[len(eventData)-1] == '\n'
+	buf := make([]byte, bufSize)
+
+	// Read data in chunks until we find an event or hit EOF
+	for {
+		// Check if context is done
+		select {
+		case <-ctx.Done():
+			if len(eventData) > 0 {
+				return eventData, nil
+			}
+			return nil, ctx.Err()
+		default:
+			// Continue processing
+		}
+
+		// Check if stream is closed
+		s.lock.Lock()
+		if s.closed {
+			s.lock.Unlock()
+			if len(eventData) > 0 {
+				return eventData, nil
+			}
+			return nil, io.EOF
+		}
+
+		// Read next chunk
+		n, err := s.resp.Body.Read(buf)
+		s.lock.Unlock()
+
+		// Handle read errors
+		if err != nil && err != io.EOF {
+			return nil, err
+		}
+
+		// Process data if we got any
+		if n > 0 {
+			// Look for event boundary in this chunk
+			for i := 0; i < n; i++ {
+				b := buf[i]
+				eventData = append(eventData, b)
+
+				// Check for double newlines (event boundary)
+				if b == '\n' && wasNewline {
+					// Save any remaining data for next read
+					if i+1 < n {
+						s.lock.Lock()
+						s.buffer = append(s.buffer[:0], buf[i+1:n]...)
+						s.lock.Unlock()
+					}
+					return eventData, nil
+				}
+
+				// Update newline tracking
+				wasNewline = (b == '\n')
+			}
+		}
+
+		// Return partial data at EOF
+		if errors.Is(err, io.EOF) {
+			if len(eventData) > 0 {
+				return eventData, nil
+			}
+			return nil, io.EOF
+		}
+	}
+}
+
+// checkBuffer examines the internal buffer for a complete SSE event (delimited
+// by double newlines).  It returns two values: the event data (or all buffer
+// contents if no complete event is found), and a boolean indicating whether a
+// complete event was found. If a complete event is found, any remaining data
+// after the event is kept in the buffer for the next call.
+func (s *ResumeStreamImpl) checkBuffer() ([]byte, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+
+	// Quick return if buffer is empty
+	if len(s.buffer) == 0 {
+		return nil, false
+	}
+
+	// Look for double newline in buffer
+	for i := 0; i < len(s.buffer)-1; i++ {
+		if s.buffer[i] == '\n' && s.buffer[i+1] == '\n' {
+			// Found complete event
+			eventEnd := i + 2 // Include both newlines
+			eventData := s.buffer[:eventEnd]
+
+			// Save remaining data for next time
+			if eventEnd < len(s.buffer) {
+				s.buffer = append(s.buffer[:0], s.buffer[eventEnd:]...)
+			} else {
+				s.buffer = s.buffer[:0]
+			}
+
+			return eventData, true
+		}
+	}
+
+	// No complete event found, return buffer contents
+	eventData := s.buffer
+	s.buffer = s.buffer[:0] // Clear buffer but keep capacity
+	return eventData, false
+}
+
+// Close closes the SSE stream and releases any associated resources.
+func (s *ResumeStreamImpl) Close() error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	return s.resp.Body.Close()
+}
+
+// processEvent processes a raw SSE event into the expected type
+func (s *ResumeStreamImpl) processEvent(eventData []byte) (event *caller.TokenEvent, err error) {
+	event = new(caller.TokenEvent)
+	var dataLines []string
+	for _, line := range bytes.Split(eventData, []byte("\n")) {
+		if len(line) == 0 {
+			continue
+		}
+		if bytes.HasPrefix(line, []byte("data:")) {
+			dataLines = append(dataLines, s.trimHeader(len("data:"), line))
+			continue
+		}
+		if bytes.HasPrefix(line, []byte("id:")) {
+			event.ID = s.trimHeader(len("id:"), line)
+			continue
+		}
+		if bytes.HasPrefix(line, []byte("event:")) {
+			event.Event = s.trimHeader(len("event:"), line)
+			continue
+		}
+	}
+	if len(dataLines) > 0 {
+		dataContent := strings.Join(dataLines, "\n")
+
+		event.Data = dataContent
+	}
+	return
+}
+
+// trimHeader removes the header prefix and optional leading space
+func (s *ResumeStreamImpl) trimHeader(size int, data []byte) string {
+	if len(data) < size {
+		return string(data)
+	}
+	data = data[size:]
+	if len(data) > 0 && data[0] == ' ' {
+		data = data[1:]
+	}
+	return string(data)
+}
+
 // AttachClientStream is the interface for reading Server-Sent Events.
 type AttachClientStream interface {
 	// Recv reads and returns the next event from the SSE stream.
--- a/internal/savorypinapi/gen/http/caller/client/types.go
+++ b/internal/savorypinapi/gen/http/caller/client/types.go
@@ -51,6 +51,29 @@
 	TimeoutMs *int `form:"timeout_ms,omitempty" json:"timeout_ms,omitempty" xml:"timeout_ms,omitempty"`
 }
 
+// ResumeRequestBody is the type of the "caller" service "resume" endpoint HTTP
+// request body.
+type ResumeRequestBody struct {
+	// Service that generates.
+	Service string `form:"service" json:"service" xml:"service"`
+	// Route of the service.
+	Route *string `form:"route,omitempty" json:"route,omitempty" xml:"route,omitempty"`
+	// Prompt.
+	Prompt string `form:"prompt" json:"prompt" xml:"prompt"`
+	// Largest number of tokens to generate.
+	MaxTokens int `form:"max_tokens" json:"max_tokens" xml:"max_tokens"`
+	// Seed of the sampler.
+	Seed *int64 `form:"seed,omitempty" json:"seed,omitempty" xml:"seed,omitempty"`
+	// Sampling temperature.
+	Temperature *float64 `form:"temperature,omitempty" json:"temperature,omitempty" xml:"temperature,omitempty"`
+	// How long the caller waits for the whole answer, in milliseconds.
+	TimeoutMs *int `form:"timeout_ms,omitempty" json:"timeout_ms,omitempty" xml:"timeout_ms,omitempty"`
+	// Version that produced the tokens.
+	Version string `form:"version" json:"version" xml:"version"`
+	// Ids of the tokens that the caller holds.
+	Delivered []int32 `form:"delivered" json:"delivered" xml:"delivered"`
+}
+
 // GenerateResponseBody is the type of the "caller" service "generate" endpoint
 // HTTP response body.
 type GenerateResponseBody struct {
@@ -79,6 +102,17 @@
 	Data *string `form:"data,omitempty" json:"data,omitempty" xml:"data,omitempty"`
 }
 
+// ResumeResponseBody is the type of the "caller" service "resume" endpoint
+// HTTP response body.
+type ResumeResponseBody struct {
+	// Generation id and the index after this event, for Last-Event-ID.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Type of the event.
+	Event *string `form:"event,omitempty" json:"event,omitempty" xml:"event,omitempty"`
+	// JSON body of the event.
+	Data *string `form:"data,omitempty" json:"data,omitempty" xml:"data,omitempty"`
+}
+
 // AttachResponseBody is the type of the "caller" service "attach" endpoint
 // HTTP response body.
 type AttachResponseBody struct {
@@ -299,6 +333,105 @@
 	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
 }
 
+// ResumeConflictResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "conflict" error.
+type ResumeConflictResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeIncompleteResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "incomplete" error.
+type ResumeIncompleteResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeInvalidResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "invalid" error.
+type ResumeInvalidResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeLimitedResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "limited" error.
+type ResumeLimitedResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeNotFoundResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "not_found" error.
+type ResumeNotFoundResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeNotRunResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "not_run" error.
+type ResumeNotRunResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeUnreachableResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "unreachable" error.
+type ResumeUnreachableResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeUnauthorizedResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "unauthorized" error.
+type ResumeUnauthorizedResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeUnknownResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "unknown" error.
+type ResumeUnknownResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, naming the object.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
 // AttachConflictResponseBody is the type of the "caller" service "attach"
 // endpoint HTTP response body for the "conflict" error.
 type AttachConflictResponseBody struct {
@@ -923,6 +1056,30 @@
 	return body
 }
 
+// NewResumeRequestBody builds the HTTP request body from the payload of the
+// "resume" endpoint of the "caller" service.
+func NewResumeRequestBody(p *caller.ResumePayload) *ResumeRequestBody {
+	body := &ResumeRequestBody{
+		Service:     p.Service,
+		Route:       p.Route,
+		Prompt:      p.Prompt,
+		MaxTokens:   p.MaxTokens,
+		Seed:        p.Seed,
+		Temperature: p.Temperature,
+		TimeoutMs:   p.TimeoutMs,
+		Version:     p.Version,
+	}
+	if p.Delivered != nil {
+		body.Delivered = make([]int32, len(p.Delivered))
+		for i, val := range p.Delivered {
+			body.Delivered[i] = val
+		}
+	} else {
+		body.Delivered = []int32{}
+	}
+	return body
+}
+
 // NewGenerateGenerationOK builds a "caller" service "generate" endpoint result
 // from a HTTP "OK" response.
 func NewGenerateGenerationOK(body *GenerateResponseBody) *caller.Generation {
@@ -1175,6 +1332,128 @@
 	return v
 }
 
+// NewResumeTokenEventOK builds a "caller" service "resume" endpoint result
+// from a HTTP "OK" response.
+func NewResumeTokenEventOK(body *ResumeResponseBody) *caller.TokenEvent {
+	v := &caller.TokenEvent{
+		ID:    *body.ID,
+		Event: *body.Event,
+		Data:  *body.Data,
+	}
+
+	return v
+}
+
+// NewResumeConflict builds a caller service resume endpoint conflict error.
+func NewResumeConflict(body *ResumeConflictResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResumeIncomplete builds a caller service resume endpoint incomplete error.
+func NewResumeIncomplete(body *ResumeIncompleteResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResumeInvalid builds a caller service resume endpoint invalid error.
+func NewResumeInvalid(body *ResumeInvalidResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResumeLimited builds a caller service resume endpoint limited error.
+func NewResumeLimited(body *ResumeLimitedResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResumeNotFound builds a caller service resume endpoint not_found error.
+func NewResumeNotFound(body *ResumeNotFoundResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResumeNotRun builds a caller service resume endpoint not_run error.
+func NewResumeNotRun(body *ResumeNotRunResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResumeUnreachable builds a caller service resume endpoint unreachable
+// error.
+func NewResumeUnreachable(body *ResumeUnreachableResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResumeUnauthorized builds a caller service resume endpoint unauthorized
+// error.
+func NewResumeUnauthorized(body *ResumeUnauthorizedResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResumeUnknown builds a caller service resume endpoint unknown error.
+func NewResumeUnknown(body *ResumeUnknownResponseBody, retryAfter *int) *caller.Failure {
+	v := &caller.Failure{
+		Kind:    *body.Kind,
+		Message: *body.Message,
+		Object:  body.Object,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
 // NewAttachTokenEventOK builds a "caller" service "attach" endpoint result
 // from a HTTP "OK" response.
 func NewAttachTokenEventOK(body *AttachResponseBody) *caller.TokenEvent {
@@ -1908,6 +2187,25 @@
 	return
 }
 
+// ValidateResumeResponseBody runs the validations defined on ResumeResponseBody
+func ValidateResumeResponseBody(body *ResumeResponseBody) (err error) {
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Event == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("event", "body"))
+	}
+	if body.Data == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("data", "body"))
+	}
+	if body.Event != nil {
+		if !(*body.Event == "accepted" || *body.Event == "done" || *body.Event == "error" || *body.Event == "token") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.event", *body.Event, []any{"accepted", "done", "error", "token"}))
+		}
+	}
+	return
+}
+
 // ValidateAttachResponseBody runs the validations defined on AttachResponseBody
 func ValidateAttachResponseBody(body *AttachResponseBody) (err error) {
 	if body.ID == nil {
@@ -2247,6 +2545,159 @@
 	return
 }
 
+// ValidateResumeConflictResponseBody runs the validations defined on
+// resume_conflict_response_body
+func ValidateResumeConflictResponseBody(body *ResumeConflictResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
+// ValidateResumeIncompleteResponseBody runs the validations defined on
+// resume_incomplete_response_body
+func ValidateResumeIncompleteResponseBody(body *ResumeIncompleteResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
+// ValidateResumeInvalidResponseBody runs the validations defined on
+// resume_invalid_response_body
+func ValidateResumeInvalidResponseBody(body *ResumeInvalidResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
+// ValidateResumeLimitedResponseBody runs the validations defined on
+// resume_limited_response_body
+func ValidateResumeLimitedResponseBody(body *ResumeLimitedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
+// ValidateResumeNotFoundResponseBody runs the validations defined on
+// resume_not_found_response_body
+func ValidateResumeNotFoundResponseBody(body *ResumeNotFoundResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
+// ValidateResumeNotRunResponseBody runs the validations defined on
+// resume_not_run_response_body
+func ValidateResumeNotRunResponseBody(body *ResumeNotRunResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
+// ValidateResumeUnreachableResponseBody runs the validations defined on
+// resume_unreachable_response_body
+func ValidateResumeUnreachableResponseBody(body *ResumeUnreachableResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
+// ValidateResumeUnauthorizedResponseBody runs the validations defined on
+// resume_unauthorized_response_body
+func ValidateResumeUnauthorizedResponseBody(body *ResumeUnauthorizedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
+// ValidateResumeUnknownResponseBody runs the validations defined on
+// resume_unknown_response_body
+func ValidateResumeUnknownResponseBody(body *ResumeUnknownResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Kind != nil {
+		if !(*body.Kind == "conflict" || *body.Kind == "incomplete" || *body.Kind == "invalid" || *body.Kind == "limited" || *body.Kind == "not_found" || *body.Kind == "not_run" || *body.Kind == "unauthorized" || *body.Kind == "unknown" || *body.Kind == "unreachable") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.kind", *body.Kind, []any{"conflict", "incomplete", "invalid", "limited", "not_found", "not_run", "unauthorized", "unknown", "unreachable"}))
+		}
+	}
+	return
+}
+
 // ValidateAttachConflictResponseBody runs the validations defined on
 // attach_conflict_response_body
 func ValidateAttachConflictResponseBody(body *AttachConflictResponseBody) (err error) {
--- a/internal/savorypinapi/gen/http/caller/server/encode_decode.go
+++ b/internal/savorypinapi/gen/http/caller/server/encode_decode.go
@@ -476,6 +476,234 @@
 	}
 }
 
+// EncodeResumeResponse returns an encoder for responses returned by the caller
+// resume endpoint.
+func EncodeResumeResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*caller.TokenEvent)
+		enc := encoder(ctx, w)
+		body := NewResumeResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeResumeRequest returns a decoder for requests sent to the caller resume
+// endpoint.
+func DecodeResumeRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*caller.ResumePayload, error) {
+	return func(r *http.Request) (*caller.ResumePayload, error) {
+		var payload *caller.ResumePayload
+		var (
+			body ResumeRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateResumeRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			authorization *string
+		)
+		authorizationRaw := r.Header.Get("Authorization")
+		if authorizationRaw != "" {
+			authorization = &authorizationRaw
+		}
+		payload = NewResumePayload(&body, authorization)
+
+		return payload, nil
+	}
+}
+
+// EncodeResumeError returns an encoder for errors returned by the resume
+// caller endpoint.
+func EncodeResumeError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "conflict":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "incomplete":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeIncompleteResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "invalid":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeInvalidResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "limited":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeLimitedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "not_found":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeNotFoundResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "not_run":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeNotRunResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unreachable":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeUnreachableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeUnauthorizedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "unknown":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeUnknownResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeAttachResponse returns an encoder for responses returned by the caller
 // attach endpoint.
 func EncodeAttachResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/internal/savorypinapi/gen/http/caller/server/server.go
+++ b/internal/savorypinapi/gen/http/caller/server/server.go
@@ -23,6 +23,7 @@
 	Mounts   []*MountPoint
 	Generate http.Handler
 	Stream   http.Handler
+	Resume   http.Handler
 	Attach   http.Handler
 	Cancel   http.Handler
 	Call     http.Handler
@@ -60,6 +61,7 @@
 		Mounts: []*MountPoint{
 			{"Generate", "POST", "/v1/generations"},
 			{"Stream", "POST", "/v1/generations/stream"},
+			{"Resume", "POST", "/v1/generations/resume"},
 			{"Attach", "GET", "/v1/generations/{id}/stream"},
 			{"Cancel", "DELETE", "/v1/generations/{id}"},
 			{"Call", "POST", "/v1/services/{service}/{route}"},
@@ -69,6 +71,7 @@
 		},
 		Generate: NewGenerateHandler(e.Generate, mux, decoder, encoder, errhandler, formatter),
 		Stream:   NewStreamHandler(e.Stream, mux, decoder, encoder, errhandler, formatter),
+		Resume:   NewResumeHandler(e.Resume, mux, decoder, encoder, errhandler, formatter),
 		Attach:   NewAttachHandler(e.Attach, mux, decoder, encoder, errhandler, formatter),
 		Cancel:   NewCancelHandler(e.Cancel, mux, decoder, encoder, errhandler, formatter),
 		Call:     NewCallHandler(e.Call, mux, decoder, encoder, errhandler, formatter),
@@ -85,6 +88,7 @@
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Generate = m(s.Generate)
 	s.Stream = m(s.Stream)
+	s.Resume = m(s.Resume)
 	s.Attach = m(s.Attach)
 	s.Cancel = m(s.Cancel)
 	s.Call = m(s.Call)
@@ -100,6 +104,7 @@
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountGenerateHandler(mux, h.Generate)
 	MountStreamHandler(mux, h.Stream)
+	MountResumeHandler(mux, h.Resume)
 	MountAttachHandler(mux, h.Attach)
 	MountCancelHandler(mux, h.Cancel)
 	MountCallHandler(mux, h.Call)
@@ -220,6 +225,60 @@
 	})
 }
 
+// MountResumeHandler configures the mux to serve the "caller" service "resume"
+// endpoint.
+func MountResumeHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/generations/resume", f)
+}
+
+// NewResumeHandler creates a HTTP handler which loads the HTTP request and
+// calls the "caller" service "resume" endpoint.
+func NewResumeHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest = DecodeResumeRequest(mux, decoder)
+		encodeError   = EncodeResumeError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "resume")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "caller")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		v := &caller.ResumeEndpointInput{
+			Stream: &ResumeServerStream{
+				w: w,
+				r: r,
+			},
+			Payload: payload,
+		}
+		_, err = endpoint(ctx, v)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+	})
+}
+
 // MountAttachHandler configures the mux to serve the "caller" service "attach"
 // endpoint.
 func MountAttachHandler(mux goahttp.Muxer, h http.Handler) {
--- a/internal/savorypinapi/gen/http/caller/server/sse.go
+++ b/internal/savorypinapi/gen/http/caller/server/sse.go
@@ -118,6 +118,108 @@
 	return nil
 }
 
+// ResumeServerStream implements the caller.ResumeServerStream interface using
+// Server-Sent Events.
+type ResumeServerStream struct {
+	// once ensures the headers are written once.
+	once sync.Once
+	// w is the HTTP response writer used to send the SSE events.
+	w http.ResponseWriter
+	// r is the HTTP request.
+	r *http.Request
+}
+
+// Send Send streams instances of "caller.TokenEvent" to the "resume" endpoint
+// SSE connection.
+func (s *ResumeServerStream) Send(v *caller.TokenEvent) error {
+	return s.SendWithContext(context.Background(), v)
+}
+
+// SendWithContext SendWithContext streams instances of "caller.TokenEvent" to
+// the "resume" endpoint SSE connection with context.
+func (s *ResumeServerStream) SendWithContext(ctx context.Context, v *caller.TokenEvent) error {
+	s.once.Do(func() {
+		header := s.w.Header()
+		if header.Get("Content-Type") == "" {
+			header.Set("Content-Type", "text/event-stream")
+		}
+		if header.Get("Cache-Control") == "" {
+			header.Set("Cache-Control", "no-cache")
+		}
+		if header.Get("Connection") == "" {
+			header.Set("Connection", "keep-alive")
+		}
+		s.w.WriteHeader(http.StatusOK)
+	})
+	res := v
+
+	if id := res.ID; id != "" {
+		fmt.Fprintf(s.w, "id: %s\n", id)
+	}
+	if event := res.Event; event != "" {
+		fmt.Fprintf(s.w, "event: %s\n", event)
+	}
+
+	var data string
+	var payload any
+	body := NewResumeResponseBody(res)
+	payload = body.Data
+	switch v := payload.(type) {
+	case nil:
+		data = "null"
+	case string:
+		data = v
+	case []byte:
+		data = string(v)
+	case bool:
+		if v {
+			data = "true"
+		} else {
+			data = "false"
+		}
+	case int:
+		data = fmt.Sprintf("%d", v)
+	case int8:
+		data = fmt.Sprintf("%d", v)
+	case int16:
+		data = fmt.Sprintf("%d", v)
+	case int32:
+		data = fmt.Sprintf("%d", v)
+	case int64:
+		data = fmt.Sprintf("%d", v)
+	case uint:
+		data = fmt.Sprintf("%d", v)
+	case uint8:
+		data = fmt.Sprintf("%d", v)
+	case uint16:
+		data = fmt.Sprintf("%d", v)
+	case uint32:
+		data = fmt.Sprintf("%d", v)
+	case uint64:
+		data = fmt.Sprintf("%d", v)
+	case float32:
+		data = fmt.Sprintf("%g", v)
+	case float64:
+		data = fmt.Sprintf("%g", v)
+	default:
+		byts, err := json.Marshal(payload)
+		if err != nil {
+			return err
+		}
+		data = string(byts)
+	}
+	fmt.Fprintf(s.w, "data: %s\n\n", data)
+
+	http.NewResponseController(s.w).Flush()
+	return nil
+}
+
+// Close is a no-op for SSE. We keep the method for compatibility with other
+// stream types.
+func (s *ResumeServerStream) Close() error {
+	return nil
+}
+
 // AttachServerStream implements the caller.AttachServerStream interface using
 // Server-Sent Events.
 type AttachServerStream struct {
--- a/internal/savorypinapi/gen/http/caller/server/types.go
+++ b/internal/savorypinapi/gen/http/caller/server/types.go
@@ -52,6 +52,29 @@
 	TimeoutMs *int `form:"timeout_ms,omitempty" json:"timeout_ms,omitempty" xml:"timeout_ms,omitempty"`
 }
 
+// ResumeRequestBody is the type of the "caller" service "resume" endpoint HTTP
+// request body.
+type ResumeRequestBody struct {
+	// Service that generates.
+	Service *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+	// Route of the service.
+	Route *string `form:"route,omitempty" json:"route,omitempty" xml:"route,omitempty"`
+	// Prompt.
+	Prompt *string `form:"prompt,omitempty" json:"prompt,omitempty" xml:"prompt,omitempty"`
+	// Largest number of tokens to generate.
+	MaxTokens *int `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// Seed of the sampler.
+	Seed *int64 `form:"seed,omitempty" json:"seed,omitempty" xml:"seed,omitempty"`
+	// Sampling temperature.
+	Temperature *float64 `form:"temperature,omitempty" json:"temperature,omitempty" xml:"temperature,omitempty"`
+	// How long the caller waits for the whole answer, in milliseconds.
+	TimeoutMs *int `form:"timeout_ms,omitempty" json:"timeout_ms,omitempty" xml:"timeout_ms,omitempty"`
+	// Version that produced the tokens.
+	Version *string `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	// Ids of the tokens that the caller holds.
+	Delivered []int32 `form:"delivered,omitempty" json:"delivered,omitempty" xml:"delivered,omitempty"`
+}
+
 // GenerateResponseBody is the type of the "caller" service "generate" endpoint
 // HTTP response body.
 type GenerateResponseBody struct {
@@ -80,6 +103,17 @@
 	Data string `form:"data" json:"data" xml:"data"`
 }
 
+// ResumeResponseBody is the type of the "caller" service "resume" endpoint
+// HTTP response body.
+type ResumeResponseBody struct {
+	// Generation id and the index after this event, for Last-Event-ID.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Type of the event.
+	Event string `form:"event" json:"event" xml:"event"`
+	// JSON body of the event.
+	Data string `form:"data" json:"data" xml:"data"`
+}
+
 // AttachResponseBody is the type of the "caller" service "attach" endpoint
 // HTTP response body.
 type AttachResponseBody struct {
@@ -300,6 +334,105 @@
 	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
 }
 
+// ResumeConflictResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "conflict" error.
+type ResumeConflictResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeIncompleteResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "incomplete" error.
+type ResumeIncompleteResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeInvalidResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "invalid" error.
+type ResumeInvalidResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeLimitedResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "limited" error.
+type ResumeLimitedResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeNotFoundResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "not_found" error.
+type ResumeNotFoundResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeNotRunResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "not_run" error.
+type ResumeNotRunResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeUnreachableResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "unreachable" error.
+type ResumeUnreachableResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeUnauthorizedResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "unauthorized" error.
+type ResumeUnauthorizedResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
+// ResumeUnknownResponseBody is the type of the "caller" service "resume"
+// endpoint HTTP response body for the "unknown" error.
+type ResumeUnknownResponseBody struct {
+	// Kind of the error, which says what the caller may do next.
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, naming the object.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Object that the error is about.
+	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+}
+
 // AttachConflictResponseBody is the type of the "caller" service "attach"
 // endpoint HTTP response body for the "conflict" error.
 type AttachConflictResponseBody struct {
@@ -926,6 +1059,17 @@
 	return body
 }
 
+// NewResumeResponseBody builds the HTTP response body from the result of the
+// "resume" endpoint of the "caller" service.
+func NewResumeResponseBody(res *caller.TokenEvent) *ResumeResponseBody {
+	body := &ResumeResponseBody{
+		ID:    res.ID,
+		Event: res.Event,
+		Data:  res.Data,
+	}
+	return body
+}
+
 // NewAttachResponseBody builds the HTTP response body from the result of the
 // "attach" endpoint of the "caller" service.
 func NewAttachResponseBody(res *caller.TokenEvent) *AttachResponseBody {
@@ -1146,6 +1290,105 @@
 	return body
 }
 
+// NewResumeConflictResponseBody builds the HTTP response body from the result
+// of the "resume" endpoint of the "caller" service.
+func NewResumeConflictResponseBody(res *caller.Failure) *ResumeConflictResponseBody {
+	body := &ResumeConflictResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
+// NewResumeIncompleteResponseBody builds the HTTP response body from the
+// result of the "resume" endpoint of the "caller" service.
+func NewResumeIncompleteResponseBody(res *caller.Failure) *ResumeIncompleteResponseBody {
+	body := &ResumeIncompleteResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
+// NewResumeInvalidResponseBody builds the HTTP response body from the result
+// of the "resume" endpoint of the "caller" service.
+func NewResumeInvalidResponseBody(res *caller.Failure) *ResumeInvalidResponseBody {
+	body := &ResumeInvalidResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
+// NewResumeLimitedResponseBody builds the HTTP response body from the result
+// of the "resume" endpoint of the "caller" service.
+func NewResumeLimitedResponseBody(res *caller.Failure) *ResumeLimitedResponseBody {
+	body := &ResumeLimitedResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
+// NewResumeNotFoundResponseBody builds the HTTP response body from the result
+// of the "resume" endpoint of the "caller" service.
+func NewResumeNotFoundResponseBody(res *caller.Failure) *ResumeNotFoundResponseBody {
+	body := &ResumeNotFoundResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
+// NewResumeNotRunResponseBody builds the HTTP response body from the result of
+// the "resume" endpoint of the "caller" service.
+func NewResumeNotRunResponseBody(res *caller.Failure) *ResumeNotRunResponseBody {
+	body := &ResumeNotRunResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
+// NewResumeUnreachableResponseBody builds the HTTP response body from the
+// result of the "resume" endpoint of the "caller" service.
+func NewResumeUnreachableResponseBody(res *caller.Failure) *ResumeUnreachableResponseBody {
+	body := &ResumeUnreachableResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
+// NewResumeUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "resume" endpoint of the "caller" service.
+func NewResumeUnauthorizedResponseBody(res *caller.Failure) *ResumeUnauthorizedResponseBody {
+	body := &ResumeUnauthorizedResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
+// NewResumeUnknownResponseBody builds the HTTP response body from the result
+// of the "resume" endpoint of the "caller" service.
+func NewResumeUnknownResponseBody(res *caller.Failure) *ResumeUnknownResponseBody {
+	body := &ResumeUnknownResponseBody{
+		Kind:    res.Kind,
+		Message: res.Message,
+		Object:  res.Object,
+	}
+	return body
+}
+
 // NewAttachConflictResponseBody builds the HTTP response body from the result
 // of the "attach" endpoint of the "caller" service.
 func NewAttachConflictResponseBody(res *caller.Failure) *AttachConflictResponseBody {
@@ -1772,6 +2015,27 @@
 	return v
 }
 
+// NewResumePayload builds a caller service resume endpoint payload.
+func NewResumePayload(body *ResumeRequestBody, authorization *string) *caller.ResumePayload {
+	v := &caller.ResumePayload{
+		Service:     *body.Service,
+		Route:       body.Route,
+		Prompt:      *body.Prompt,
+		MaxTokens:   *body.MaxTokens,
+		Seed:        body.Seed,
+		Temperature: body.Temperature,
+		TimeoutMs:   body.TimeoutMs,
+		Version:     *body.Version,
+	}
+	v.Delivered = make([]int32, len(body.Delivered))
+	for i, val := range body.Delivered {
+		v.Delivered[i] = val
+	}
+	v.Authorization = authorization
+
+	return v
+}
+
 // NewAttachPayload builds a caller service attach endpoint payload.
 func NewAttachPayload(id string, lastEventID *string, authorization *string) *caller.AttachPayload {
 	v := &caller.AttachPayload{}
@@ -1921,3 +2185,74 @@
 	}
 	return
 }
+
+// ValidateResumeRequestBody runs the validations defined on ResumeRequestBody
+func ValidateResumeRequestBody(body *ResumeRequestBody) (err error) {
+	if body.Service == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("service", "body"))
+	}
+	if body.Prompt == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("prompt", "body"))
+	}
+	if body.MaxTokens == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("max_tokens", "body"))
+	}
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
+	}
+	if body.Delivered == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("delivered", "body"))
+	}
+	if body.Service != nil {
+		if utf8.RuneCountInString(*body.Service) > 63 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.service", *body.Service, utf8.RuneCountInString(*body.Service), 63, false))
+		}
+	}
+	if body.Route != nil {
+		if utf8.RuneCountInString(*body.Route) > 63 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.route", *body.Route, utf8.RuneCountInString(*body.Route), 63, false))
+		}
+	}
+	if body.Prompt != nil {
+		if utf8.RuneCountInString(*body.Prompt) > 1048576 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.prompt", *body.Prompt, utf8.RuneCountInString(*body.Prompt), 1048576, false))
+		}
+	}
+	if body.MaxTokens != nil {
+		if *body.MaxTokens < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", *body.MaxTokens, 1, true))
+		}
+	}
+	if body.MaxTokens != nil {
+		if *body.MaxTokens > 131072 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", *body.MaxTokens, 131072, false))
+		}
+	}
+	if body.Temperature != nil {
+		if *body.Temperature < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.temperature", *body.Temperature, 0, true))
+		}
+	}
+	if body.Temperature != nil {
+		if *body.Temperature > 2 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.temperature", *body.Temperature, 2, false))
+		}
+	}
+	if body.TimeoutMs != nil {
+		if *body.TimeoutMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.timeout_ms", *body.TimeoutMs, 1, true))
+		}
+	}
+	if body.Version != nil {
+		if utf8.RuneCountInString(*body.Version) > 63 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.version", *body.Version, utf8.RuneCountInString(*body.Version), 63, false))
+		}
+	}
+	if len(body.Delivered) < 1 {
+		err = goa.MergeErrors(err, goa.InvalidLengthError("body.delivered", body.Delivered, len(body.Delivered), 1, true))
+	}
+	if len(body.Delivered) > 131072 {
+		err = goa.MergeErrors(err, goa.InvalidLengthError("body.delivered", body.Delivered, len(body.Delivered), 131072, false))
+	}
+	return
+}
--- a/internal/savorypinapi/gen/http/cli/savorypin/cli.go
+++ b/internal/savorypinapi/gen/http/cli/savorypin/cli.go
@@ -24,15 +24,15 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"caller (generate|stream|attach|cancel|call|outcome|live|ready)",
+		"caller (generate|stream|resume|attach|cancel|call|outcome|live|ready)",
 		"operator (apply|remove|list|force|stop|state)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller generate --body '{\n      \"max_tokens\": 115250,\n      \"prompt\": \"jz3\",\n      \"route\": \"0p9\",\n      \"seed\": 8710180914432118792,\n      \"service\": \"t2o\",\n      \"temperature\": 1.74857653638589,\n      \"timeout_ms\": 7822747346164922369\n   }' --authorization \"Odit est asperiores aut.\"" + "\n" +
-		os.Args[0] + " " + "operator apply --body '{\n      \"at\": \"Nulla sequi commodi ut.\",\n      \"by\": \"Libero ut neque.\",\n      \"kind\": \"Minus saepe tempore.\",\n      \"name\": \"Possimus molestiae.\",\n      \"order\": \"Quisquam et qui.\",\n      \"spec\": \"Distinctio voluptates ad id expedita.\",\n      \"status\": \"Sed et laudantium.\",\n      \"version\": 2148332683066706760\n   }' --dry-run true --authorization \"Ab sed aut quae ratione nemo.\"" + "\n" +
+	return os.Args[0] + " " + "caller generate --body '{\n      \"max_tokens\": 63847,\n      \"prompt\": \"f5e\",\n      \"route\": \"muw\",\n      \"seed\": 6798475123671574528,\n      \"service\": \"1sq\",\n      \"temperature\": 0.8709448801333399,\n      \"timeout_ms\": 3489464477811377127\n   }' --authorization \"Id placeat soluta aspernatur molestiae non.\"" + "\n" +
+		os.Args[0] + " " + "operator apply --body '{\n      \"at\": \"Facilis qui ab et consequatur.\",\n      \"by\": \"Voluptas repudiandae.\",\n      \"kind\": \"Et quae dignissimos similique esse.\",\n      \"name\": \"Vel harum maiores asperiores.\",\n      \"order\": \"Illo ut nobis perferendis.\",\n      \"spec\": \"Adipisci et consectetur maiores ut dolor repellat.\",\n      \"status\": \"Atque omnis commodi.\",\n      \"version\": 5880856780257549978\n   }' --dry-run true --authorization \"Similique eveniet id tempora.\"" + "\n" +
 		""
 }
 
@@ -56,6 +56,10 @@
 		callerStreamBodyFlag          = callerStreamFlags.String("body", "REQUIRED", "")
 		callerStreamAuthorizationFlag = callerStreamFlags.String("authorization", "", "")
 
+		callerResumeFlags             = flag.NewFlagSet("resume", flag.ExitOnError)
+		callerResumeBodyFlag          = callerResumeFlags.String("body", "REQUIRED", "")
+		callerResumeAuthorizationFlag = callerResumeFlags.String("authorization", "", "")
+
 		callerAttachFlags             = flag.NewFlagSet("attach", flag.ExitOnError)
 		callerAttachIDFlag            = callerAttachFlags.String("id", "REQUIRED", "Generation id.")
 		callerAttachLastEventIDFlag   = callerAttachFlags.String("last-event-id", "", "")
@@ -118,6 +122,7 @@
 	callerFlags.Usage = callerUsage
 	callerGenerateFlags.Usage = callerGenerateUsage
 	callerStreamFlags.Usage = callerStreamUsage
+	callerResumeFlags.Usage = callerResumeUsage
 	callerAttachFlags.Usage = callerAttachUsage
 	callerCancelFlags.Usage = callerCancelUsage
 	callerCallFlags.Usage = callerCallUsage
@@ -175,6 +180,9 @@
 			case "stream":
 				epf = callerStreamFlags
 
+			case "resume":
+				epf = callerResumeFlags
+
 			case "attach":
 				epf = callerAttachFlags
 
@@ -246,6 +254,9 @@
 			case "stream":
 				endpoint = c.Stream()
 				data, err = callerc.BuildStreamPayload(*callerStreamBodyFlag, *callerStreamAuthorizationFlag)
+			case "resume":
+				endpoint = c.Resume()
+				data, err = callerc.BuildResumePayload(*callerResumeBodyFlag, *callerResumeAuthorizationFlag)
 			case "attach":
 				endpoint = c.Attach()
 				data, err = callerc.BuildAttachPayload(*callerAttachIDFlag, *callerAttachLastEventIDFlag, *callerAttachAuthorizationFlag)
@@ -304,6 +315,7 @@
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    generate: Generates a whole answer.`)
 	fmt.Fprintln(os.Stderr, `    stream: Generates an answer and streams it as server-sent events.`)
+	fmt.Fprintln(os.Stderr, `    resume: Goes on after tokens that the caller holds, when no agent holds its generation any more.`)
 	fmt.Fprintln(os.Stderr, `    attach: Attaches again to a generation after the last event that the caller has seen.`)
 	fmt.Fprintln(os.Stderr, `    cancel: Cancels a generation and frees what it holds.`)
 	fmt.Fprintln(os.Stderr, `    call: Calls a plain service. A route that is not idempotent needs an Idempotency-Key and runs at most once for each key.`)
@@ -331,7 +343,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller generate --body '{\n      \"max_tokens\": 115250,\n      \"prompt\": \"jz3\",\n      \"route\": \"0p9\",\n      \"seed\": 8710180914432118792,\n      \"service\": \"t2o\",\n      \"temperature\": 1.74857653638589,\n      \"timeout_ms\": 7822747346164922369\n   }' --authorization \"Odit est asperiores aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller generate --body '{\n      \"max_tokens\": 63847,\n      \"prompt\": \"f5e\",\n      \"route\": \"muw\",\n      \"seed\": 6798475123671574528,\n      \"service\": \"1sq\",\n      \"temperature\": 0.8709448801333399,\n      \"timeout_ms\": 3489464477811377127\n   }' --authorization \"Id placeat soluta aspernatur molestiae non.\"")
 }
 
 func callerStreamUsage() {
@@ -351,7 +363,27 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller stream --body '{\n      \"max_tokens\": 113030,\n      \"prompt\": \"w2j\",\n      \"route\": \"xgb\",\n      \"seed\": 6188675040809619503,\n      \"service\": \"gct\",\n      \"temperature\": 0.9030323887881057,\n      \"timeout_ms\": 3145683670874619429\n   }' --authorization \"Laudantium autem non ab quas eligendi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller stream --body '{\n      \"max_tokens\": 51392,\n      \"prompt\": \"tro\",\n      \"route\": \"0dd\",\n      \"seed\": 702767854652414061,\n      \"service\": \"nak\",\n      \"temperature\": 1.5661084932378992,\n      \"timeout_ms\": 7642953420671600950\n   }' --authorization \"Id saepe qui sapiente enim.\"")
+}
+
+func callerResumeUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] caller resume", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -authorization STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Goes on after tokens that the caller holds, when no agent holds its generation any more.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -authorization STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller resume --body '{\n      \"delivered\": [\n         1959718207,\n         190124331,\n         1552799279\n      ],\n      \"max_tokens\": 9556,\n      \"prompt\": \"qmb\",\n      \"route\": \"roe\",\n      \"seed\": 1984204579451482015,\n      \"service\": \"di3\",\n      \"temperature\": 1.91132840395838,\n      \"timeout_ms\": 6819083856238447539,\n      \"version\": \"j4k\"\n   }' --authorization \"Ratione eum dolor sed.\"")
 }
 
 func callerAttachUsage() {
@@ -373,7 +405,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller attach --id \"Quaerat quia laudantium veniam earum.\" --last-event-id \"Qui vitae.\" --authorization \"Ea sunt.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller attach --id \"Perspiciatis ipsam voluptas fuga aut neque blanditiis.\" --last-event-id \"Aspernatur consequatur.\" --authorization \"Voluptas vel.\"")
 }
 
 func callerCancelUsage() {
@@ -393,7 +425,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller cancel --id \"Voluptas fuga aut neque blanditiis.\" --authorization \"Aspernatur consequatur.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller cancel --id \"Rem nobis id molestias quia velit adipisci.\" --authorization \"Dolorem rem sint enim iure nesciunt.\"")
 }
 
 func callerCallUsage() {
@@ -421,7 +453,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller call --service \"p9p\" --route \"sin\" --authorization \"Nam et amet consectetur voluptatem assumenda.\" --key \"2up\" --timeout-ms 9066631140983249696 --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller call --service \"tlu\" --route \"vf4\" --authorization \"Blanditiis voluptatem voluptatem illum quisquam.\" --key \"z0i\" --timeout-ms 2311046234839086254 --stream \"goa.png\"")
 }
 
 func callerOutcomeUsage() {
@@ -443,7 +475,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller outcome --service \"2vf\" --key \"8uh\" --authorization \"Illum quisquam blanditiis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller outcome --service \"tn1\" --key \"v9p\" --authorization \"Eum alias et et neque deleniti.\"")
 }
 
 func callerLiveUsage() {
@@ -512,7 +544,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator apply --body '{\n      \"at\": \"Nulla sequi commodi ut.\",\n      \"by\": \"Libero ut neque.\",\n      \"kind\": \"Minus saepe tempore.\",\n      \"name\": \"Possimus molestiae.\",\n      \"order\": \"Quisquam et qui.\",\n      \"spec\": \"Distinctio voluptates ad id expedita.\",\n      \"status\": \"Sed et laudantium.\",\n      \"version\": 2148332683066706760\n   }' --dry-run true --authorization \"Ab sed aut quae ratione nemo.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator apply --body '{\n      \"at\": \"Facilis qui ab et consequatur.\",\n      \"by\": \"Voluptas repudiandae.\",\n      \"kind\": \"Et quae dignissimos similique esse.\",\n      \"name\": \"Vel harum maiores asperiores.\",\n      \"order\": \"Illo ut nobis perferendis.\",\n      \"spec\": \"Adipisci et consectetur maiores ut dolor repellat.\",\n      \"status\": \"Atque omnis commodi.\",\n      \"version\": 5880856780257549978\n   }' --dry-run true --authorization \"Similique eveniet id tempora.\"")
 }
 
 func operatorRemoveUsage() {
@@ -538,7 +570,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator remove --kind \"Pariatur odio culpa corporis.\" --name \"Blanditiis veniam.\" --by \"Maiores totam distinctio facilis sequi cupiditate.\" --order \"Voluptates omnis cumque iure deserunt ipsum doloribus.\" --authorization \"Rem praesentium neque doloremque quidem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator remove --kind \"Id autem eos.\" --name \"Quia voluptatem et cum id nobis.\" --by \"Distinctio iusto dolorum.\" --order \"Voluptatem iure aperiam nostrum vero.\" --authorization \"Inventore nulla odio dicta ut eaque a.\"")
 }
 
 func operatorListUsage() {
@@ -560,7 +592,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator list --kind \"In sed sed soluta et.\" --name \"Aut laborum recusandae.\" --authorization \"Id autem eos.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator list --kind \"Veritatis cum ab eius.\" --name \"Voluptas autem voluptas quod quo adipisci.\" --authorization \"Commodi officia tempore dolores.\"")
 }
 
 func operatorForceUsage() {
@@ -584,7 +616,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator force --kind \"Aut in ipsa cum vel voluptatem eos.\" --name \"Dolorum molestiae velit.\" --version 9142498581169659133 --authorization \"Et ipsa.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator force --kind \"Ipsum omnis sunt.\" --name \"Nemo ut sed ad tenetur.\" --version 472420019697759585 --authorization \"Quia officiis perspiciatis fugiat rem culpa.\"")
 }
 
 func operatorStopUsage() {
@@ -606,7 +638,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator stop --member \"Quam exercitationem impedit inventore.\" --by \"Dignissimos aut laborum.\" --authorization \"Ex natus velit fugit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator stop --member \"Tempore ipsam aperiam.\" --by \"Et corporis.\" --authorization \"Sequi soluta corrupti consequatur.\"")
 }
 
 func operatorStateUsage() {
@@ -624,5 +656,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator state --authorization \"Adipisci et corporis voluptatem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator state --authorization \"Deleniti neque.\"")
 }
--- a/internal/savorypinapi/gen/http/operator/client/cli.go
+++ b/internal/savorypinapi/gen/http/operator/client/cli.go
@@ -22,7 +22,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"at\": \"Nulla sequi commodi ut.\",\n      \"by\": \"Libero ut neque.\",\n      \"kind\": \"Minus saepe tempore.\",\n      \"name\": \"Possimus molestiae.\",\n      \"order\": \"Quisquam et qui.\",\n      \"spec\": \"Distinctio voluptates ad id expedita.\",\n      \"status\": \"Sed et laudantium.\",\n      \"version\": 2148332683066706760\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"at\": \"Facilis qui ab et consequatur.\",\n      \"by\": \"Voluptas repudiandae.\",\n      \"kind\": \"Et quae dignissimos similique esse.\",\n      \"name\": \"Vel harum maiores asperiores.\",\n      \"order\": \"Illo ut nobis perferendis.\",\n      \"spec\": \"Adipisci et consectetur maiores ut dolor repellat.\",\n      \"status\": \"Atque omnis commodi.\",\n      \"version\": 5880856780257549978\n   }'")
 		}
 	}
 	var dryRun *bool
--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -104,12 +104,13 @@
 	return prompt(p)
 }
 
-func (s *service) start(p prompt) (*savorypinentry.Relay, error) {
+// request returns what a prompt asks of the entry.
+func (s *service) request(p prompt) (savorypinentry.Request, error) {
 	organisation, err := s.authorize(p.Authorization)
 	if err != nil {
-		return nil, err
+		return savorypinentry.Request{}, err
 	}
-	return s.entry.Start(savorypinentry.Request{
+	return savorypinentry.Request{
 		Generation: savorypin.Generation{
 			MaxTokens:    p.MaxTokens,
 			Organisation: organisation,
@@ -120,7 +121,15 @@
 			Temperature:  deref(p.Temperature),
 		},
 		Timeout: time.Duration(deref(p.TimeoutMs)) * time.Millisecond,
-	})
+	}, nil
+}
+
+func (s *service) start(p prompt) (*savorypinentry.Relay, error) {
+	req, err := s.request(p)
+	if err != nil {
+		return nil, err
+	}
+	return s.entry.Start(req)
 }
 
 // Cancel cancels a generation.
--- a/internal/savorypincaller/stream.go
+++ b/internal/savorypincaller/stream.go
@@ -27,6 +27,33 @@
 	return s.send(ctx, relay, startOf(relay), stream.SendWithContext)
 }
 
+// Resume goes on after tokens that the caller holds.
+func (s *service) Resume(ctx context.Context, p *caller.ResumePayload, stream caller.ResumeServerStream) error {
+	req, err := s.request(prompt{
+		Service:       p.Service,
+		Route:         p.Route,
+		Prompt:        p.Prompt,
+		MaxTokens:     p.MaxTokens,
+		Seed:          p.Seed,
+		Temperature:   p.Temperature,
+		TimeoutMs:     p.TimeoutMs,
+		Authorization: p.Authorization,
+	})
+	if err != nil {
+		return failure(err)
+	}
+	req.Version = p.Version
+	for _, id := range p.Delivered {
+		req.Delivered = append(req.Delivered, savorypin.Token{ID: id})
+	}
+	relay, err := s.entry.Start(req)
+	if err != nil {
+		return failure(err)
+	}
+	position := savorypin.NewEventID(relay.Generation().ID, len(req.Delivered), savorypin.AttemptID{})
+	return s.send(ctx, relay, position, stream.SendWithContext)
+}
+
 // Attach goes on with an answer after the last event that the caller has seen.
 func (s *service) Attach(ctx context.Context, p *caller.AttachPayload, stream caller.AttachServerStream) error {
 	organisation, err := s.authorize(p.Authorization)
@@ -75,9 +102,11 @@
 	return relay, nil
 }
 
-// accepted, done and failed are the bodies of events.
+// accepted, done and failed are the bodies of events. The version of an
+// accepted event is final if it is sent after, or right before, a token.
 type accepted struct {
-	ID string `json:"id"`
+	ID      string `json:"id"`
+	Version string `json:"version"`
 }
 
 type done struct {
@@ -99,16 +128,16 @@
 func (s *service) send(ctx context.Context, relay *savorypinentry.Relay, position savorypin.EventID, send sender) error {
 	reader := relay.Open(position)
 	defer reader.Close()
-	alive := accepted{ID: string(relay.Generation().ID)}
-	if err := sendEvent(ctx, send, position, eventAccepted, alive); err != nil {
+	if err := sendAccepted(ctx, send, relay, position); err != nil {
 		return err
 	}
+	first := true
 	for {
 		position = reader.Position()
 		tokens, end, err := next(ctx, reader)
 		switch {
 		case errors.Is(err, errQuiet):
-			err = sendEvent(ctx, send, position, eventAccepted, alive)
+			err = sendAccepted(ctx, send, relay, position)
 		case errors.Is(err, savorypinentry.ErrMoved), ctx.Err() != nil:
 			// The stream ends early, so that the caller attaches again if it
 			// lives.
@@ -118,7 +147,8 @@
 		case end != nil:
 			return sendEnd(ctx, send, relay, position, *end)
 		default:
-			err = sendTokens(ctx, send, position, reader.Position(), tokens)
+			err = sendBatch(ctx, send, relay, position, reader.Position(), tokens, first)
+			first = false
 		}
 		if err != nil {
 			return err
@@ -126,6 +156,11 @@
 	}
 }
 
+func sendAccepted(ctx context.Context, send sender, relay *savorypinentry.Relay, position savorypin.EventID) error {
+	body := accepted{ID: string(relay.Generation().ID), Version: relay.Version()}
+	return sendEvent(ctx, send, position, eventAccepted, body)
+}
+
 // errQuiet means that no token came for a while.
 var errQuiet = errors.New("no token came")
 
@@ -140,6 +175,23 @@
 	return tokens, end, err
 }
 
+// sendBatch sends tokens. Before the first ones it says which version is final.
+func sendBatch(
+	ctx context.Context,
+	send sender,
+	relay *savorypinentry.Relay,
+	from, to savorypin.EventID,
+	tokens []savorypin.Token,
+	first bool,
+) error {
+	if first {
+		if err := sendAccepted(ctx, send, relay, from); err != nil {
+			return err
+		}
+	}
+	return sendTokens(ctx, send, from, to, tokens)
+}
+
 // sendTokens sends tokens of one attempt, from one position up to another.
 func sendTokens(ctx context.Context, send sender, from, to savorypin.EventID, tokens []savorypin.Token) error {
 	for i, token := range tokens {
--- a/internal/savorypincluster/resume_bench_test.go
+++ b/internal/savorypincluster/resume_bench_test.go
@@ -29,6 +29,11 @@
 		}},
 		{"engine-killed", func(c *savorypincluster.Cluster, _ *network) { busiest(c).Engine.Kill() }},
 		{"engine-stalled", func(c *savorypincluster.Cluster, _ *network) { busiest(c).Engine.Stall(true) }},
+		{"entry-and-agent-killed", func(c *savorypincluster.Cluster, _ *network) {
+			a := busiest(c)
+			go a.Kill()
+			go c.Entries()[0].Kill()
+		}},
 		{"entry-killed", func(c *savorypincluster.Cluster, _ *network) { go c.Entries()[0].Kill() }},
 		{"host-silent", func(c *savorypincluster.Cluster, n *network) {
 			n.Silence(busiest(c).Daemon().Self().Address, true)
--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -134,6 +135,41 @@
 		Expect(counter(c, 1, "resume.adopted")).To(BeNumerically(">=", 1))
 	})
 
+	It("is whole when the entry and the agent die together", func(ctx SpecContext) {
+		c := start(ctx, 2, 3)
+		got, result, err := stream(ctx, c.Client(), tokens, func(i int) {
+			if i == tokens/2 {
+				busiest(c).Kill()
+				c.Entries()[0].Kill()
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(want))
+		Expect(result.Version).To(Equal(savorypincluster.Version))
+	})
+
+	It("goes on when the caller's own connection is silent", func(ctx SpecContext) {
+		n := newNetwork()
+		c := start(ctx, 2, 2)
+		before := decoded(c)
+		client := savorypinclient.New(savorypinclient.Config{
+			Entries: c.URLs(),
+			HTTPClient: &http.Client{Transport: &http.Transport{
+				DialContext: func(_ context.Context, _, address string) (net.Conn, error) { return n.Dial(address, generous) },
+			}},
+		})
+		got, result, err := stream(ctx, client, tokens, func(i int) {
+			if i == tokens/3 {
+				n.Silence(strings.TrimPrefix(c.URLs()[0], "http://"), false)
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(want))
+		Expect(result.Attempts).To(Equal(1))
+		Expect(result.Attaches).To(BeNumerically(">=", 1))
+		Expect(decoded(c) - before).To(Equal(tokens))
+	})
+
 	It("gives the tail of an answer that finished after the entry died", func(ctx SpecContext) {
 		c := start(ctx, 2, 2)
 		before := decoded(c)
--- a/internal/savorypindesign/design.go
+++ b/internal/savorypindesign/design.go
@@ -104,6 +104,29 @@
 		})
 	})
 
+	Method("resume", func() {
+		Description("Goes on after tokens that the caller holds, when no agent holds its generation any more.")
+		Payload(func() {
+			prompt()
+			Attribute("version", String, "Version that produced the tokens.", func() { MaxLength(63) })
+			Attribute("delivered", ArrayOf(Int32), "Ids of the tokens that the caller holds.", func() {
+				MinLength(1)
+				MaxLength(1 << 17)
+			})
+			Required("version", "delivered")
+		})
+		StreamingResult(token)
+		HTTP(func() {
+			POST("/v1/generations/resume")
+			Header("authorization:Authorization")
+			ServerSentEvents(func() {
+				SSEEventID("id")
+				SSEEventType("event")
+				SSEEventData("data")
+			})
+		})
+	})
+
 	Method("attach", func() {
 		Description("Attaches again to a generation after the last event that the caller has seen.")
 		Payload(func() {
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -14,10 +14,24 @@
 
 // Request is what a caller asks to be generated.
 type Request struct {
+	// Delivered are tokens that the caller holds of a generation that was lost;
+	// the answer goes on after them.
+	Delivered []savorypin.Token
 	// Generation is what to generate; its id is set by Start.
 	Generation savorypin.Generation
 	// Timeout is how long the caller waits; zero if the caller states none.
 	Timeout time.Duration
+	// Version is the version that produced the delivered tokens; empty if there
+	// are none.
+	Version string
+}
+
+// purpose says why the first attempt is made.
+func (r Request) purpose() savorypin.Purpose {
+	if len(r.Delivered) > 0 {
+		return savorypin.PurposeResume
+	}
+	return savorypin.PurposeFirst
 }
 
 // End is how a generation ended.
@@ -56,15 +70,15 @@
 	if !e.daemon.Ready() {
 		return nil, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
 	}
-	if err := e.resumesFirst(req.Generation.Service); err != nil {
+	version, err := e.versionOf(req)
+	if err != nil {
 		return nil, err
 	}
-	admitted, err := e.admitGeneration(req.Generation)
+	admitted, err := e.admitGeneration(req)
 	if err != nil {
 		return nil, err
 	}
-	version := e.chooseVersion(req.Generation, savorypin.PurposeFirst)
-	candidate, ok := e.pickUnsuspected(req.Generation, version, savorypin.PurposeFirst, nil)
+	candidate, ok := e.pickUnsuspected(req.Generation, version, req.purpose(), nil)
 	if !ok {
 		admitted()
 		e.memory.Release(savorypinresume.Size(req.Generation))
@@ -84,19 +98,39 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.setVersion(version)
+	r.machine.Log().Restore(nil, req.Delivered)
 	r.machine.Begin()
-	r.startAt(candidate, savorypin.PurposeFirst, nil)
+	r.startAt(candidate, req.purpose(), nil)
 	return r, nil
 }
 
-// admitGeneration admits a new generation and reserves the memory of its
-// answer.
-func (e *Entry) admitGeneration(gen savorypin.Generation) (release func(), err error) {
-	release, err = e.admit(gen.Organisation, gen.MaxTokens)
+// versionOf returns the version that begins a generation. One that goes on
+// after delivered tokens keeps theirs.
+func (e *Entry) versionOf(req Request) (string, error) {
+	if len(req.Delivered) == 0 {
+		if err := e.resumesFirst(req.Generation.Service); err != nil {
+			return "", err
+		}
+		return e.chooseVersion(req.Generation, savorypin.PurposeFirst), nil
+	}
+	spec, ok := e.daemon.Config().Version(req.Version)
+	if !ok || spec.Service != req.Generation.Service {
+		return "", savorypin.Errorf(savorypin.KindInvalid, req.Version, "is no version of service %s", req.Generation.Service)
+	}
+	if len(req.Delivered) > req.Generation.MaxTokens {
+		return "", savorypin.Errorf(savorypin.KindInvalid, req.Generation.Service,
+			"%d delivered tokens are more than the largest number, %d", len(req.Delivered), req.Generation.MaxTokens)
+	}
+	return req.Version, nil
+}
+
+// admitGeneration admits a generation and reserves the memory of its answer.
+func (e *Entry) admitGeneration(req Request) (release func(), err error) {
+	release, err = e.admit(req.Generation.Organisation, req.Generation.MaxTokens-len(req.Delivered))
 	if err != nil {
 		return nil, err
 	}
-	if err := e.memory.Reserve(savorypin.PurposeFirst, savorypinresume.Size(gen)); err != nil {
+	if err := e.memory.Reserve(req.purpose(), savorypinresume.Size(req.Generation)); err != nil {
 		release()
 		return nil, err
 	}
--- a/internal/savorypinentry/relayreader.go
+++ b/internal/savorypinentry/relayreader.go
@@ -69,7 +69,7 @@
 	log, end := r.relay.machine.Log(), r.relay.machine.End()
 	next := r.position.Next()
 	if next <= log.Len() && !log.Continues(r.position) {
-		return nil, nil, savorypin.Errorf(savorypin.KindIncomplete, string(r.relay.gen.ID),
+		return nil, nil, savorypin.Errorf(savorypin.KindNotFound, string(r.relay.gen.ID),
 			"the rest of the answer after token %d is lost", next)
 	}
 	if next < log.Len() {
--- a/pkg/savorypinclient/stream.go
+++ b/pkg/savorypinclient/stream.go
@@ -21,9 +21,20 @@
 	maxRetryInterval = time.Second
 )
 
+// resumeRequest asks for the rest of an answer.
+type resumeRequest struct {
+	Request
+
+	Delivered []int32 `json:"delivered"`
+	Version   string  `json:"version"`
+}
+
 // follower is one answer that is being followed.
 type follower struct {
 	client *Client
+	// delivered are the ids of the tokens that were handled. No other party
+	// has them once the entry and the agent have died together.
+	delivered []int32
 	// ended says that savorypin has told how the generation ended.
 	ended  bool
 	handle func(Token) error
@@ -64,18 +75,19 @@
 	}
 }
 
-// goesOn reports whether another try makes sense. A generation that cannot be
-// found, and of which no token was handled, is asked for anew.
+// goesOn reports whether another try makes sense. A generation that is lost is
+// asked for again, after the tokens that were handled.
 func (f *follower) goesOn(err error) bool {
 	if errors.Is(err, errTransport) {
 		return true
 	}
 	var e *Error
-	if f.id == "" || !errors.As(err, &e) {
+	if (f.id == "" && f.next == 0) || !errors.As(err, &e) {
 		return false
 	}
-	if e.kind == KindNotFound && f.next == 0 {
+	if e.kind == KindNotFound {
 		f.id = ""
+		f.ended = false
 		return true
 	}
 	// An entry that cannot attach says nothing of the generation itself.
@@ -108,9 +120,16 @@
 }
 
 func (f *follower) open(ctx context.Context, entry string) (*http.Response, error) {
-	if f.id == "" {
+	if f.id == "" && f.next == 0 {
 		return f.client.post(ctx, entry+"/v1/generations/stream", "", f.req)
 	}
+	if f.id == "" {
+		return f.client.post(ctx, entry+"/v1/generations/resume", "", resumeRequest{
+			Request:   f.req,
+			Delivered: f.delivered,
+			Version:   f.result.Version,
+		})
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, entry+"/v1/generations/"+url.PathEscape(f.id)+"/stream", nil)
 	if err != nil {
 		return nil, err
@@ -131,6 +150,8 @@
 	f.lastID = event.LastEventID
 	f.result.ID = generation
 	switch event.Type {
+	case "accepted":
+		return false, json.Unmarshal([]byte(event.Data), &f.result)
 	case "done":
 		return true, json.Unmarshal([]byte(event.Data), &f.result)
 	case "error":
@@ -144,6 +165,7 @@
 		if err := json.Unmarshal([]byte(event.Data), &token); err != nil {
 			return false, fmt.Errorf("%w: %w", errTransport, err)
 		}
+		f.delivered = append(f.delivered, token.ID)
 		f.next = next
 		return false, f.handle(token)
 	default:
