--- a/internal/savorypinendpoint/engine.go
+++ b/internal/savorypinendpoint/engine.go
@@ -45,6 +45,8 @@
 type EngineConfig struct {
 	// HTTPClient makes the calls.
 	HTTPClient *http.Client
+	// Sent is told each prompt that is sent to the engine; it may be nil.
+	Sent func(prompt string)
 	// URL is the base URL of the engine.
 	URL string
 }
@@ -110,7 +112,7 @@
 	resp, err := e.post(ctx, "/v1/completions", completionRequest{
 		MaxTokens:      req.MaxTokens - len(req.Delivered),
 		Model:          req.Model,
-		Priority:       req.Priority,
+		Priority:       enginePriority(req),
 		Prompt:         prompt,
 		ReturnTokenIDs: true,
 		Seed:           req.Seed,
@@ -121,9 +123,23 @@
 		return "", err
 	}
 	defer resp.Body.Close()
+	if e.cfg.Sent != nil {
+		e.cfg.Sent(req.Prompt)
+	}
 	return readCompletion(resp.Body, emit)
 }
 
+// enginePriority returns the priority as engines count it: they run the lowest
+// number first. Work that goes on after delivered tokens runs before new work of
+// the same priority.
+func enginePriority(req Request) int {
+	priority := 2 * req.Priority
+	if len(req.Delivered) > 0 {
+		priority++
+	}
+	return -priority
+}
+
 // prompt returns the prompt as text, or as token ids where delivered tokens
 // follow it.
 func (e *Engine) prompt(ctx context.Context, req Request) (any, error) {
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -19,7 +19,9 @@
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinresume"
+	"savorypin/internal/savorypinroute"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -34,6 +36,9 @@
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Logger logs.
 	Logger *log.Logger
+	// LinkBytesPerSecond is what the link between regions may carry for all
+	// entries of the region together; zero means defaultLinkBytesPerSecond.
+	LinkBytesPerSecond float64
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 	// Settings are the settings of the daemon.
@@ -45,6 +50,9 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
+	limits *limits
+	moves  *moves
+	router *savorypinroute.Router
 
 	evicted  atomic.Int64
 	finds    singleflight.Group
@@ -75,11 +83,18 @@
 		book:   savorypinclaim.NewBook(daemon.Platform()),
 		cfg:    cfg,
 		daemon: daemon,
+		moves:  newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	e.registerGenerations()
-	savorypincontroller.StartPlacement(daemon)
+	e.limits = newLimits(e)
+	e.router = e.newRouter()
+	daemon.Background(e.limits.loop)
+	daemon.Background(e.routeLoop)
+	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
+	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
 	daemon.RegisterState("entry", e.state)
+	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
 }
 
--- a/internal/savorypinentry/relayfind.go
+++ b/internal/savorypinentry/relayfind.go
@@ -83,7 +83,6 @@
 	}
 	spec, _ := e.daemon.Config().Service(gen.Service)
 	r := e.newRelay(relayConfig{
-		admitted: func() {},
 		deadline: h.held.Deadline,
 		gen:      gen,
 		number:   h.held.Attempt.Number,
--- a/internal/savorypinentry/relayplace.go
+++ b/internal/savorypinentry/relayplace.go
@@ -73,6 +73,20 @@
 	return e.pick(e.generationNeed(gen, version, purpose, avoid))
 }
 
+// placeFirst returns an endpoint for the first attempt of a request whose
+// caller waits for the given time. It takes a suspected one only if there is no
+// other.
+func (e *Entry) placeFirst(req Request, version string, wait time.Duration) (savorypinroute.Candidate, error) {
+	suspects := e.suspects.names(time.Now())
+	if len(suspects) > 0 {
+		need := e.generationNeed(req.Generation, version, req.purpose(), suspects)
+		if c, err := e.place(need, wait); err == nil {
+			return c, nil
+		}
+	}
+	return e.place(e.generationNeed(req.Generation, version, req.purpose(), nil), wait)
+}
+
 // resumesFirst refuses new work of a service while its resumes wait.
 func (e *Entry) resumesFirst(service string) error {
 	after, refused := e.gate.Refusal(service, e.prefillRate(service))
