Test lineages, a lost failure domain and the count of extra work

Cause: that two entries never mix an answer rests on lineages, which had no property test of their own.

Tests: over random trees of attempts in several terms, a lineage lets an answer go on only after equal tokens; 30 answers stay whole when an entry and two agents die together; resumes across regions are counted. go test ./internal/savorypin and go test ./internal/savorypincluster -ginkgo.focus 'failure domain|counts what' pass.

--- /dev/null
+++ b/internal/savorypin/attempt_test.go
@@ -0,0 +1,96 @@
+package savorypin_test
+
+import (
+	"fmt"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"savorypin/internal/savorypin"
+)
+
+func ExampleLineage_Continues() {
+	first := savorypin.AttemptID{Number: 1, Term: 5}
+	second := savorypin.AttemptID{Number: 2, Term: 5}
+	resumed := savorypin.Lineage{{Attempt: first}, {Attempt: second, First: 80}}
+	fmt.Println(resumed.Continues(savorypin.NewEventID("g", 60, first)))
+	fmt.Println(resumed.Continues(savorypin.NewEventID("g", 100, first)))
+	// Output:
+	// true
+	// false
+}
+
+// branch is an attempt that began after some tokens of another one. Each token
+// tells which attempt produced it.
+type branch struct {
+	id      savorypin.AttemptID
+	lineage savorypin.Lineage
+	tokens  []string
+}
+
+func drawBranches(t *rapid.T) []branch {
+	branches := []branch{{}}
+	for i := range rapid.IntRange(1, 8).Draw(t, "attempts") {
+		parent := branches[rapid.IntRange(0, len(branches)-1).Draw(t, fmt.Sprintf("parent%d", i))]
+		base := rapid.IntRange(0, len(parent.tokens)).Draw(t, fmt.Sprintf("base%d", i))
+		// Two entries may use the same numbers in different terms.
+		b := branch{id: savorypin.AttemptID{
+			Number: rapid.IntRange(1, 3).Draw(t, fmt.Sprintf("number%d", i)),
+			Term:   savorypin.NextTerm(uint64(i) << 32),
+		}}
+		for _, s := range parent.lineage {
+			if s.First < base {
+				b.lineage = append(b.lineage, s)
+			}
+		}
+		b.tokens = slices.Clone(parent.tokens[:base])
+		n := rapid.IntRange(0, 20).Draw(t, fmt.Sprintf("length%d", i))
+		for j := range n {
+			b.tokens = append(b.tokens, fmt.Sprintf("%s:%d", b.id, base+j))
+		}
+		if n > 0 {
+			b.lineage = append(b.lineage, savorypin.Segment{Attempt: b.id, First: base})
+		}
+		branches = append(branches, b)
+	}
+	return branches
+}
+
+var _ = Describe("Lineage", func() {
+	It("lets an answer go on only after the tokens that the caller has", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			branches := drawBranches(t)
+			has := rapid.SampledFrom(branches).Draw(t, "caller's")
+			next := rapid.IntRange(0, len(has.tokens)).Draw(t, "next")
+			position := savorypin.NewEventID("g", next, has.lineage.At(next-1))
+			for _, other := range branches {
+				if next > len(other.tokens) || !other.lineage.Continues(position) {
+					continue
+				}
+				if !slices.Equal(other.tokens[:next], has.tokens[:next]) {
+					t.Fatalf("%s goes on after %v", other.id, has.tokens[:next])
+				}
+			}
+			if !has.lineage.Continues(position) {
+				t.Fatalf("%s does not go on after its own tokens", has.id)
+			}
+		})
+	})
+
+	It("has terms that grow and differ between entries", func() {
+		seen := map[uint64]bool{}
+		for range 100 {
+			term := savorypin.NextTerm(7 << 32)
+			Expect(term).To(BeNumerically(">", uint64(7<<32)))
+			Expect(seen).NotTo(HaveKey(term))
+			seen[term] = true
+		}
+	})
+
+	It("survives the text of an event id", func() {
+		position := savorypin.NewEventID("g.agent-1", 17, savorypin.AttemptID{Number: 3, Term: savorypin.NextTerm(0)})
+		Expect(savorypin.ParseEventID(position.String())).To(Equal(position))
+	})
+})
--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -148,6 +149,51 @@
 		Expect(result.Version).To(Equal(savorypincluster.Version))
 	})
 
+	It("keeps all answers whole when a failure domain is lost", func(ctx SpecContext) {
+		const callers = 30
+		c := start(ctx, 2, 6)
+		client := c.Client()
+		answers := make([][]int32, callers)
+		errs := make([]error, callers)
+		var begun, wg sync.WaitGroup
+		begun.Add(callers)
+		for i := range callers {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				answers[i], _, errs[i] = stream(ctx, client, tokens, func(n int) {
+					if n == tokens/4 {
+						begun.Done()
+					}
+				})
+			})
+		}
+		begun.Wait()
+		// Entry 0 and the agents 0 and 3 are in one failure domain.
+		for _, kill := range []func(){c.Entries()[0].Kill, c.Agents()[0].Kill, c.Agents()[3].Kill} {
+			wg.Go(kill)
+		}
+		wg.Wait()
+		for i := range callers {
+			Expect(errs[i]).NotTo(HaveOccurred())
+			Expect(answers[i]).To(Equal(want))
+		}
+	})
+
+	It("counts what resumes cost beyond a clean run", func(ctx SpecContext) {
+		c := start(ctx, 1, 2, func(cfg *savorypincluster.Config) {
+			cfg.Places = []savorypincluster.Place{{Domain: "d1", Region: "r1"}, {Domain: "d2", Region: "r2"}}
+		})
+		_, _, err := stream(ctx, c.Client(), tokens, func(i int) {
+			if i == tokens/2 {
+				c.Agents()[0].Engine.Kill()
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(counter(c, 0, "resume.attempts.resume")).To(BeEquivalentTo(1))
+		Expect(counter(c, 0, "resume.prefill_tokens")).To(BeNumerically(">=", tokens/2))
+		Expect(counter(c, 0, "resume.cross_region_bytes")).To(BeNumerically(">", tokens/2))
+	})
+
 	It("goes on when the caller's own connection is silent", func(ctx SpecContext) {
 		n := newNetwork()
 		c := start(ctx, 2, 2)
