--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -53,6 +54,7 @@
 	moves  *moves
 	router *savorypinroute.Router
 
+	evicted  atomic.Int64
 	finds    singleflight.Group
 	gate     *savorypinresume.Gate
 	memory   *savorypinresume.Memory
--- a/internal/savorypinentry/relayplace.go
+++ b/internal/savorypinentry/relayplace.go
@@ -73,21 +73,18 @@
 	return e.pick(e.generationNeed(gen, version, purpose, avoid))
 }
 
-// placeFirst returns an endpoint for a new generation whose caller waits for
-// the given time. It takes a suspected one only if there is no other.
-func (e *Entry) placeFirst(
-	gen savorypin.Generation,
-	version string,
-	wait time.Duration,
-) (savorypinroute.Candidate, error) {
+// placeFirst returns an endpoint for the first attempt of a request whose
+// caller waits for the given time. It takes a suspected one only if there is no
+// other.
+func (e *Entry) placeFirst(req Request, version string, wait time.Duration) (savorypinroute.Candidate, error) {
 	suspects := e.suspects.names(time.Now())
 	if len(suspects) > 0 {
-		need := e.generationNeed(gen, version, savorypin.PurposeFirst, suspects)
+		need := e.generationNeed(req.Generation, version, req.purpose(), suspects)
 		if c, err := e.place(need, wait); err == nil {
 			return c, nil
 		}
 	}
-	return e.place(e.generationNeed(gen, version, savorypin.PurposeFirst, nil), wait)
+	return e.place(e.generationNeed(req.Generation, version, req.purpose(), nil), wait)
 }
 
 // resumesFirst refuses new work of a service while its resumes wait.
@@ -139,7 +136,7 @@
 		return true
 	}
 	if r.machine.Log().Len() == 0 && purpose != savorypin.PurposeHedge {
-		r.version = r.entry.chooseVersion(r.gen, purpose)
+		r.setVersion(r.entry.chooseVersion(r.gen, purpose))
 	}
 	avoid := r.machine.Avoid()
 	full := false
