--- a/internal/savorypinroute/bench_test.go
+++ b/internal/savorypinroute/bench_test.go
@@ -38,26 +38,26 @@
 	n := need()
 	n.Prefixes = savorypinroute.Prefixes(string(make([]byte, 4096)))
 	n.PromptBytes = 4096
-	router := savorypinroute.NewRouter(savorypinroute.Config{
-		Begun: func(savorypin.Purpose) {},
-		Count: func(string, int64) {}, LinkBytesPerSecond: 30e6 / 8,
-		LinkDelay: func(_, _ string) time.Duration { return 0 },
-		Now:       time.Now, Rand: rand.Float64, Region: "r0",
-	})
-	router.Refresh(f.table.View())
+	router := benchRouter(f)
 	choose := func() {
 		c, _ := router.Choose(n)
 		c.Begin()
 		c.Delivered(1)
 		c.Done(nil)
 	}
+	full := benchRouter(newFixture(members(600, 80)...))
+	late := n
+	late.Within = time.Second
+	refuse := func() {
+		_, _ = full.Choose(late)
+	}
 	naive := func() {
 		savorypinroute.LeastReported(savorypinroute.Candidates(f.table.View(), n), n)
 	}
 	for _, bc := range []struct {
 		name string
 		run  func()
-	}{{"naive", naive}, {"router", choose}} {
+	}{{"naive", naive}, {"router", choose}, {"refusal", refuse}} {
 		b.Run(bc.name, func(b *testing.B) {
 			b.ReportAllocs()
 			for range b.N {
@@ -81,3 +81,15 @@
 		}
 	})
 }
+
+// benchRouter returns a router that many goroutines may use.
+func benchRouter(f *fixture) *savorypinroute.Router {
+	r := savorypinroute.NewRouter(savorypinroute.Config{
+		Begun: func(savorypin.Purpose) {},
+		Count: func(string, int64) {}, LinkBytesPerSecond: 30e6 / 8,
+		LinkDelay: func(_, _ string) time.Duration { return 0 },
+		Now:       time.Now, Rand: rand.Float64, Region: "r0",
+	})
+	r.Refresh(f.table.View())
+	return r
+}
--- a/internal/savorypinroute/naive.go
+++ b/internal/savorypinroute/naive.go
@@ -24,8 +24,13 @@
 	return candidates
 }
 
+// usable reports whether an endpoint takes new work.
+func usable(e savorypin.EndpointState) bool {
+	return e.Healthy && !e.Drained
+}
+
 func serves(e savorypin.EndpointState, need Need) bool {
-	if !e.Healthy || e.Service != need.Service || need.Avoid[e.Name] {
+	if !usable(e) || e.Service != need.Service || need.Avoid[e.Name] {
 		return false
 	}
 	return need.Version == "" || slices.Contains(e.Versions, need.Version)
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -21,21 +21,20 @@
 
 // fixture is a router over a table of members.
 type fixture struct {
-	counts map[string]int64
 	now    time.Time
 	router *savorypinroute.Router
 	table  *savorypinmembership.Table
 }
 
 func newFixture(states ...savorypin.MemberState) *fixture {
-	f := &fixture{counts: map[string]int64{}, now: time.Unix(1000, 0)}
+	f := &fixture{now: time.Unix(1000, 0)}
 	f.table = savorypinmembership.NewTable(savorypinmembership.Config{
 		DeadAfter: time.Hour, ForgetAfter: time.Hour, Now: func() time.Time { return f.now }, SuspectAfter: time.Hour,
 	})
 	f.table.Merge(states...)
 	f.router = savorypinroute.NewRouter(savorypinroute.Config{
 		Begun:              func(savorypin.Purpose) {},
-		Count:              func(name string, n int64) { f.counts[name] += n },
+		Count:              func(string, int64) {},
 		LinkBytesPerSecond: 30e6 / 8,
 		LinkDelay:          func(_, _ string) time.Duration { return 25 * time.Millisecond },
 		Now:                func() time.Time { return f.now },
@@ -88,6 +87,12 @@
 			Expect(float64(o.crossBytes)).To(BeNumerically("<", link/2))
 		})
 	}
+	It("avoid an engine that is slower than it says", func() {
+		slow := func(s *simulation) { s.engines[3].slow = 10 }
+		o, naive := simulate(router, 0.5, 7, slow), simulate(roundRobin, 0.5, 7, slow)
+		Expect(float64(o.good)).To(BeNumerically(">=", wanted*float64(o.asked)))
+		Expect(o.wasted).To(BeNumerically("<=", naive.wasted))
+	})
 	It("avoid an engine that fails", func() {
 		o := simulate(router, 0.5, 7, func(s *simulation) { s.engines[3].fail = true })
 		// Three failures eject it; then it is tried after 1, 2, 4, 8 … seconds,
@@ -201,6 +206,7 @@
 			avoid := map[string]bool{}
 			for i := range states {
 				states[i].Draining = rapid.Bool().Draw(t, "draining")
+				states[i].Endpoints[0].Drained = rapid.Bool().Draw(t, "drained")
 				states[i].Endpoints[0].Healthy = rapid.Bool().Draw(t, "healthy")
 				if rapid.Bool().Draw(t, "avoid") {
 					avoid[states[i].Endpoints[0].Name] = true
--- a/internal/savorypinroute/router.go
+++ b/internal/savorypinroute/router.go
@@ -114,7 +114,7 @@
 		}
 		for i := range state.Endpoints {
 			seen[state.Endpoints[i].Name] = true
-			if state.Endpoints[i].Healthy {
+			if usable(state.Endpoints[i]) {
 				r.take(next, &state, i, m.Heard())
 			}
 		}
--- a/internal/savorypinroute/simulation_test.go
+++ b/internal/savorypinroute/simulation_test.go
@@ -99,6 +99,8 @@
 	queue   []*job
 	region  string
 	running int
+	// slow divides the rates of the engine; it does not report that.
+	slow float64
 }
 
 // outcome is what a simulation counted after its warm-up.
@@ -148,7 +150,7 @@
 		DeadAfter: time.Hour, ForgetAfter: time.Hour, Now: func() time.Time { return s.now }, SuspectAfter: time.Hour,
 	})
 	for i := range simEngines {
-		s.engines = append(s.engines, &engine{name: fmt.Sprintf("engine-%d", i), region: region(i % 3 / 2)})
+		s.engines = append(s.engines, &engine{name: fmt.Sprintf("engine-%d", i), region: region(i % 3 / 2), slow: 1})
 	}
 	for _, f := range prepare {
 		f(s)
@@ -278,7 +280,7 @@
 		}
 		e.running++
 		missing := e.prefill(j.need)
-		s.after(time.Duration(missing/simPrefill*float64(time.Second)), func() { s.first(e, j, int(missing)) })
+		s.after(time.Duration(missing/simPrefill*e.slow*float64(time.Second)), func() { s.first(e, j, int(missing)) })
 	}
 }
 
@@ -313,7 +315,7 @@
 			s.out.wasted += prefilled
 		}
 	}
-	decode := time.Duration(float64(j.tokens) / simDecode * float64(time.Second))
+	decode := time.Duration(float64(j.tokens) / simDecode * e.slow * float64(time.Second))
 	if !good {
 		decode = 0 // The caller has left.
 	}
