Let the simulations take the same course in each run

Cause: the owner of limits summed grants in the order of a map, so that the figures of BenchmarkOvershoot differed in the fourth digit from run to run.

--- a/internal/savorypinlimit/limit_test.go
+++ b/internal/savorypinlimit/limit_test.go
@@ -173,11 +173,7 @@
 					}
 				}
 			}
-			for i, c := range claims {
-				capacity += naive[i]
-				_ = c
-			}
-			shares, _ := savorypinlimit.MaxMin(capacity, claims)
+			shares, _ := savorypinlimit.MaxMin(capacity+sum(naive), claims)
 			for i := range shares {
 				if diff := shares[i] - naive[i]; diff > 0.1 || diff < -0.1 {
 					t.Fatalf("share %d is %v, by small steps %v", i, shares[i], naive[i])
--- a/internal/savorypinlimit/owner.go
+++ b/internal/savorypinlimit/owner.go
@@ -1,7 +1,9 @@
 package savorypinlimit
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -108,7 +110,8 @@
 func (org *owned) share(h *holder, limit Amount) Amount {
 	var others []*holder
 	free := limit
-	for _, other := range org.holders {
+	for _, name := range slices.Sorted(maps.Keys(org.holders)) {
+		other := org.holders[name]
 		if other == h {
 			continue
 		}
--- a/internal/savorypinroute/simulation_test.go
+++ b/internal/savorypinroute/simulation_test.go
@@ -1,7 +1,7 @@
 package savorypinroute_test
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -61,24 +61,10 @@
 	}},
 }
 
+// event is something that happens at a time; events are kept in order.
 type event struct {
-	at  time.Time
-	do  func()
-	seq int
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || (h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq)
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+	at time.Time
+	do func()
 }
 
 // job is one request in the simulation.
@@ -134,11 +120,10 @@
 type simulation struct {
 	choosers []chooser
 	engines  []*engine
-	events   events
+	events   []event
 	now      time.Time
 	out      outcome
 	rand     *rand.Rand
-	seq      int
 	table    *savorypinmembership.Table
 }
 
@@ -162,7 +147,8 @@
 	hold := simTokens/simDecode + 0.2
 	s.arrive(load * simEngines * simSlots / hold)
 	for end := s.now.Add(simDuration); s.now.Before(end); {
-		e := heap.Pop(&s.events).(event)
+		e := s.events[0]
+		s.events = s.events[1:]
 		s.now = e.at
 		e.do()
 	}
@@ -172,8 +158,11 @@
 func region(i int) string { return fmt.Sprintf("r%d", i) }
 
 func (s *simulation) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.events, event{at: s.now.Add(d), do: do, seq: s.seq})
+	at := s.now.Add(d)
+	i, _ := slices.BinarySearchFunc(s.events, at, func(e event, at time.Time) int {
+		return cmp.Or(e.at.Compare(at), -1) // After those of the same time.
+	})
+	s.events = slices.Insert(s.events, i, event{at: at, do: do})
 }
 
 func (s *simulation) router(region string) *savorypinroute.Router {
@@ -183,7 +172,7 @@
 		LinkBytesPerSecond: 30e6 / 8,
 		LinkDelay:          func(_, _ string) time.Duration { return 25 * time.Millisecond },
 		Now:                func() time.Time { return s.now },
-		Rand:               rand.New(rand.NewPCG(3, uint64(s.seq))).Float64,
+		Rand:               rand.New(rand.NewPCG(3, uint64(len(s.events)))).Float64,
 		Region:             region,
 	})
 	var refresh func()
