Keep the routing of an entry together and its counters without a lock

Cause: each counted event looked its counter up in the registry, under a lock on the path of a request, and the entry's constructor listed every loop of routing and limits. Counters are now held in a sync.Map; newRouting registers the rest. Run: tests of savorypincluster, cmd, savorypinlimit, savorypinroute with -race, all pass.

--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -16,8 +16,6 @@
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
-	"savorypin/internal/savorypinmember"
-	"savorypin/internal/savorypinroute"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -28,11 +26,11 @@
 	// AnonymousOrganisation is the organisation of callers without a token;
 	// empty if they are refused.
 	AnonymousOrganisation string
-	// Logger logs.
-	Logger *log.Logger
 	// LinkBytesPerSecond is what the link between regions may carry for all
 	// entries of the region together; zero means defaultLinkBytesPerSecond.
 	LinkBytesPerSecond float64
+	// Logger logs.
+	Logger *log.Logger
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 	// Settings are the settings of the daemon.
@@ -44,8 +42,8 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
-	limits *limits
-	router *savorypinroute.Router
+
+	routing
 
 	mu     sync.Mutex
 	calls  int
@@ -71,16 +69,10 @@
 		daemon: daemon,
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
-	e.limits = newLimits(e)
-	e.router = e.newRouter()
-	daemon.Background(e.limits.loop)
-	daemon.Background(e.routeLoop)
-	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
-	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
+	e.routing = newRouting(e)
 	daemon.Background(e.sweepLoop)
 	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
-	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
 }
 
--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -21,13 +21,14 @@
 
 // limits enforces the limits of organisations over all entries.
 type limits struct {
-	config  atomic.Pointer[savorypinconfig.Snapshot]
-	entry   *Entry
-	limiter *savorypinlimit.Limiter
-	owner   *savorypinlimit.Owner
-	retries savorypinlimit.RetryBudget
-	mu      sync.Mutex
-	share   atomic.Pointer[float64]
+	config   atomic.Pointer[savorypinconfig.Snapshot]
+	counters *counters
+	entry    *Entry
+	limiter  *savorypinlimit.Limiter
+	owner    *savorypinlimit.Owner
+	retries  savorypinlimit.RetryBudget
+	mu       sync.Mutex
+	share    atomic.Pointer[float64]
 
 	// The fields below belong to the exchange loop.
 	entries []string
@@ -35,12 +36,13 @@
 	wg      sync.WaitGroup
 }
 
-func newLimits(e *Entry) *limits {
+func newLimits(e *Entry, c *counters) *limits {
 	l := &limits{
-		entry:   e,
-		limiter: savorypinlimit.NewLimiter(savorypinlimit.Config{Count: e.count, Now: time.Now}),
-		owner:   savorypinlimit.NewOwner(time.Now()),
-		reach:   savorypinlimit.NewReach(),
+		counters: c,
+		entry:    e,
+		limiter:  savorypinlimit.NewLimiter(savorypinlimit.Config{Count: c.count, Now: time.Now}),
+		owner:    savorypinlimit.NewOwner(time.Now()),
+		reach:    savorypinlimit.NewReach(),
 	}
 	whole := 1.0
 	l.share.Store(&whole)
@@ -164,7 +166,7 @@
 func (l *limits) mayTry(purpose savorypin.Purpose) error {
 	again := purpose == savorypin.PurposeHedge || purpose == savorypin.PurposeRetry
 	if again && !l.retries.Left() {
-		l.entry.count("route.refusals.retry", 1)
+		l.counters.count("route.refusals.retry", 1)
 		return errRetryBudget
 	}
 	return nil
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -31,25 +32,55 @@
 	routeRefresh = 200 * time.Millisecond
 )
 
-func (e *Entry) newRouter() *savorypinroute.Router {
-	rate := e.cfg.LinkBytesPerSecond
+// routing is the part of an entry that admits requests and places them.
+type routing struct {
+	counters *counters
+	limits   *limits
+	router   *savorypinroute.Router
+}
+
+// newRouting returns the routing of an entry and registers its loops, handlers
+// and states.
+func newRouting(e *Entry) routing {
+	c := &counters{registry: e.daemon.Metrics()}
+	r := routing{counters: c, limits: newLimits(e, c)}
+	r.router = newRouter(e.cfg, c, r.limits)
+	e.daemon.Background(r.limits.loop)
+	e.daemon.Background(e.routeLoop)
+	e.daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(r.limits.handleUsage))
+	e.daemon.RegisterState("limit", func() any { return r.limits.limiter.State() })
+	e.daemon.RegisterState("route", func() any { return r.router.State() })
+	return r
+}
+
+func newRouter(cfg Config, c *counters, l *limits) *savorypinroute.Router {
+	rate := cfg.LinkBytesPerSecond
 	if rate == 0 {
 		rate = defaultLinkBytesPerSecond
 	}
 	return savorypinroute.NewRouter(savorypinroute.Config{
-		Begun:              e.limits.begun,
-		Count:              e.count,
+		Begun:              l.begun,
+		Count:              c.count,
 		LinkBytesPerSecond: rate,
 		LinkDelay:          func(_, _ string) time.Duration { return linkDelay },
 		Now:                time.Now,
-		Rand:               e.cfg.Rand,
-		Region:             e.cfg.Settings.Region,
+		Rand:               cfg.Rand,
+		Region:             cfg.Settings.Region,
 	})
 }
 
-// count counts an event by name.
-func (e *Entry) count(name string, n int64) {
-	metrics.GetOrRegisterCounter(name, e.daemon.Metrics()).Inc(n)
+// counters are metrics that are counted by name on the path of a request.
+type counters struct {
+	held     sync.Map
+	registry metrics.Registry
+}
+
+func (c *counters) count(name string, n int64) {
+	held, ok := c.held.Load(name)
+	if !ok {
+		held, _ = c.held.LoadOrStore(name, metrics.GetOrRegisterCounter(name, c.registry))
+	}
+	held.(metrics.Counter).Inc(n)
 }
 
 func (e *Entry) routeLoop(ctx context.Context) {
