--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -6,16 +6,19 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/singleflight"
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinresume"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -26,6 +29,8 @@
 	// AnonymousOrganisation is the organisation of callers without a token;
 	// empty if they are refused.
 	AnonymousOrganisation string
+	// Dial opens connections to other daemons; nil means TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// LinkBytesPerSecond is what the link between regions may carry for all
 	// entries of the region together; zero means defaultLinkBytesPerSecond.
 	LinkBytesPerSecond float64
@@ -42,9 +47,15 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
+	moves  *moves
 
 	routing
 
+	finds    singleflight.Group
+	gate     *savorypinresume.Gate
+	memory   *savorypinresume.Memory
+	suspects suspects
+
 	mu     sync.Mutex
 	calls  int
 	relays map[savorypin.GenerationID]*Relay
@@ -56,6 +67,7 @@
 		cfg.Rand = rand.Float64
 	}
 	daemon, err := savorypindaemon.New(savorypindaemon.Config{
+		Dial:     cfg.Dial,
 		Logger:   cfg.Logger,
 		Role:     savorypin.RoleEntry,
 		Settings: cfg.Settings,
@@ -67,11 +79,11 @@
 		book:   savorypinclaim.NewBook(daemon.Platform()),
 		cfg:    cfg,
 		daemon: daemon,
+		moves:  newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
+	e.registerGenerations()
 	e.routing = newRouting(e)
-	daemon.Background(e.sweepLoop)
-	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
 	return e, nil
 }
@@ -91,63 +103,44 @@
 	return e.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: e.handOver, Idle: e.idle})
 }
 
-// handOver lets callers attach to their generations through other entries.
-func (e *Entry) handOver() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	clear(e.relays)
-}
-
 func (e *Entry) idle() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, r := range e.relays {
-		if !r.settled() {
+	for _, r := range e.allRelays() {
+		if !r.idle() {
 			return false
 		}
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return e.calls == 0
 }
 
 // State is the part of the state dump that only entries have.
 type State struct {
-	Calls       int          `json:"calls"`
-	Generations []RelayState `json:"generations"`
+	AnswerBytes    int          `json:"answerBytes"`
+	Calls          int          `json:"calls"`
+	Generations    []RelayState `json:"generations"`
+	WaitingResumes int          `json:"waitingResumes"`
 }
 
 func (e *Entry) state() any {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := State{Calls: e.calls, Generations: []RelayState{}}
-	for _, r := range e.relays {
-		s.Generations = append(s.Generations, r.state())
+	s := State{
+		AnswerBytes:    e.memory.Used(),
+		Generations:    e.Relays(),
+		WaitingResumes: e.gate.Waiting(),
 	}
+	e.mu.Lock()
+	s.Calls = e.calls
+	e.mu.Unlock()
 	return s
 }
 
-func (e *Entry) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			e.sweep(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// sweep drops relays that nobody reads any more.
-func (e *Entry) sweep(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for id, r := range e.relays {
-		if r.abandoned(now) {
-			r.cancel()
-			delete(e.relays, id)
-		}
+// Relays returns the states of the generations that the entry holds.
+func (e *Entry) Relays() []RelayState {
+	states := []RelayState{}
+	for _, r := range e.allRelays() {
+		states = append(states, r.state())
 	}
+	return states
 }
 
 // timeout returns how long a request may take.
