--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -19,9 +19,7 @@
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
-	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinresume"
-	"savorypin/internal/savorypinroute"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -34,11 +32,11 @@
 	AnonymousOrganisation string
 	// Dial opens connections to other daemons; nil means TCP.
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
-	// Logger logs.
-	Logger *log.Logger
 	// LinkBytesPerSecond is what the link between regions may carry for all
 	// entries of the region together; zero means defaultLinkBytesPerSecond.
 	LinkBytesPerSecond float64
+	// Logger logs.
+	Logger *log.Logger
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 	// Settings are the settings of the daemon.
@@ -50,9 +48,9 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
-	limits *limits
 	moves  *moves
-	router *savorypinroute.Router
+
+	routing
 
 	evicted  atomic.Int64
 	finds    singleflight.Group
@@ -87,14 +85,8 @@
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
 	e.registerGenerations()
-	e.limits = newLimits(e)
-	e.router = e.newRouter()
-	daemon.Background(e.limits.loop)
-	daemon.Background(e.routeLoop)
-	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
-	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
+	e.routing = newRouting(e)
 	daemon.RegisterState("entry", e.state)
-	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
 }
 
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -123,7 +123,7 @@
 
 // count adds to a counter.
 func (e *Entry) count(name string, n int) {
-	metrics.GetOrRegisterCounter(name, e.daemon.Metrics()).Inc(int64(n))
+	e.counters.count(name, int64(n))
 }
 
 // countAttempt counts what an attempt after the first costs beyond a clean
