--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -61,6 +61,9 @@
 	Engine savorypinstandin.EngineConfig
 	// Entries is the number of entries.
 	Entries int
+	// Models returns the models of an engine at the start; nil if Engine says
+	// so for all.
+	Models func(agent int) []string
 	// Logger logs what the daemons do.
 	Logger *log.Logger
 	// Places are given to daemons in turn.
@@ -173,6 +176,11 @@
 	return c.platform
 }
 
+// PlatformURL returns the base URL of the platform.
+func (c *Cluster) PlatformURL() string {
+	return c.platformURL
+}
+
 // URLs returns the base URLs of the entries.
 func (c *Cluster) URLs() []string {
 	var urls []string
@@ -243,7 +251,11 @@
 }
 
 func (c *Cluster) addAgent(i int) error {
-	engine := savorypinstandin.NewEngine(c.cfg.Engine)
+	cfg := c.cfg.Engine
+	if c.cfg.Models != nil {
+		cfg.Models = c.cfg.Models(i)
+	}
+	engine := savorypinstandin.NewEngine(cfg)
 	url, err := c.Serve(engine)
 	if err != nil {
 		return err
--- a/internal/savorypincontroller/movelead.go
+++ b/internal/savorypincontroller/movelead.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
 	"savorypin/internal/savorypinlease"
@@ -58,7 +60,9 @@
 func (c *Moves) leadAll(ctx context.Context) {
 	config := c.daemon.Config()
 	for service, spec := range config.Services() {
-		if !slices.ContainsFunc(config.Moves(service), isOpen) {
+		version, settled := savorypinmove.Settled(config.Moves(service), time.Now())
+		settled = settled && version != spec.Version
+		if !settled && !slices.ContainsFunc(config.Moves(service), isOpen) {
 			continue
 		}
 		d := c.cfg.Placement.duty(ctx, service)
@@ -71,6 +75,10 @@
 		for _, change := range c.decide(service, spec) {
 			c.write(ctx, d.lease, change)
 		}
+		if settled {
+			spec.Version = version
+			c.settle(ctx, d.lease, service, spec)
+		}
 	}
 }
 
@@ -95,13 +103,12 @@
 	})
 }
 
-// write writes a status on condition that the move has not changed since the
-// decision and that the lease is still held. A lost answer needs no settling:
-// the next decision starts from what the configuration shows.
+// write writes the status of a move. A lost answer needs no settling: the next
+// decision starts from what the configuration shows.
 func (c *Moves) write(ctx context.Context, lease *savorypinlease.Lease, change savorypinmove.Change) {
 	key := savorypin.Key{Kind: savorypin.KindMove, Name: change.Move.Name}
 	o, ok := c.daemon.Config().Object(key)
-	if !ok || o.Version != change.Move.Version || !c.mayWrite(change.Move) {
+	if !ok || o.Version != change.Move.Version {
 		return
 	}
 	status, err := json.Marshal(change.Status)
@@ -110,26 +117,58 @@
 		return
 	}
 	o.Status = status
-	if _, held := lease.Held(); !held {
+	if c.update(ctx, lease, o) {
+		c.daemon.Logger().Info("Move decided", "object", key,
+			"state", change.Status.State, "share", change.Status.Share, "reason", change.Status.Reason)
+	}
+}
+
+// settle makes the new version of a move that is no longer watched the version
+// of the service, so that the move may be deleted.
+func (c *Moves) settle(ctx context.Context, lease *savorypinlease.Lease, service string, spec savorypin.ServiceSpec) {
+	o, ok := c.daemon.Config().Object(savorypin.Key{Kind: savorypin.KindService, Name: service})
+	if !ok || o.Deleted {
 		return
 	}
-	if _, err := c.daemon.Platform().Update(ctx, o); err != nil {
-		c.daemon.Logger().Warn("Status not written", "object", key, "err", err)
+	data, err := json.Marshal(spec)
+	if err != nil {
+		c.daemon.Logger().Error("Spec not encoded", "object", o.Key, "err", err)
 		return
 	}
-	c.daemon.Logger().Info("Move decided", "object", key,
-		"state", change.Status.State, "share", change.Status.Share, "reason", change.Status.Reason)
+	o.At = time.Now()
+	o.By = c.daemon.Settings().Name
+	o.Order = uuid.NewString()
+	o.Spec = data
+	if c.update(ctx, lease, o) {
+		c.daemon.Logger().Info("Service settled on a version", "object", o.Key, "version", spec.Version)
+	}
+}
+
+// update writes an object on condition that it has not changed and that the
+// lease is still held, and reports whether that is known to have succeeded.
+func (c *Moves) update(ctx context.Context, lease *savorypinlease.Lease, o savorypin.Object) bool {
+	if !c.mayWrite(o) {
+		return false
+	}
+	if _, held := lease.Held(); !held {
+		return false
+	}
+	if _, err := c.daemon.Platform().Update(ctx, o); err != nil {
+		c.daemon.Logger().Warn("Object not written", "object", o.Key, "err", err)
+		return false
+	}
+	return true
 }
 
-// mayWrite reports whether this version of a move was not written just now.
-func (c *Moves) mayWrite(m savorypinconfig.Move) bool {
+// mayWrite reports whether this version of an object was not written just now.
+func (c *Moves) mayWrite(o savorypin.Object) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	last := c.written[m.Name]
-	if last.version == m.Version && time.Since(last.at) < writePause {
+	last := c.written[o.Key]
+	if last.version == o.Version && time.Since(last.at) < writePause {
 		return false
 	}
-	c.written[m.Name] = attempt{at: time.Now(), version: m.Version}
+	c.written[o.Key] = attempt{at: time.Now(), version: o.Version}
 	return true
 }
 
--- a/internal/savorypincontroller/moves.go
+++ b/internal/savorypincontroller/moves.go
@@ -53,7 +53,7 @@
 	mu         sync.Mutex
 	evaluators map[phase]*savorypinmove.Evaluator
 	seen       map[string]mark
-	written    map[string]attempt
+	written    map[savorypin.Key]attempt
 }
 
 // phase is one part of a move that is judged for itself.
@@ -68,7 +68,7 @@
 	sequence    uint64
 }
 
-// attempt is a write of a status whose effect has not shown yet.
+// attempt is a write whose effect may not have shown yet.
 type attempt struct {
 	at      time.Time
 	version int64
@@ -83,7 +83,7 @@
 		daemon:     cfg.Daemon,
 		evaluators: map[phase]*savorypinmove.Evaluator{},
 		seen:       map[string]mark{},
-		written:    map[string]attempt{},
+		written:    map[savorypin.Key]attempt{},
 	}
 	c.fleet.Store(&fleet{})
 	c.daemon.Handle(savorypinmember.FrameEvidence, savorypinmember.HandleCall(c.handleEvidence))
--- a/internal/savorypinmove/decide.go
+++ b/internal/savorypinmove/decide.go
@@ -164,6 +164,9 @@
 	case m.Spec.Action == savorypin.MoveHold:
 		s.Reason = "held by an operator"
 		s = in.enter(s, savorypin.MovePaused)
+	case !in.Serves(m.Spec.To):
+		s.Reason = "share kept: no endpoint serves the new version"
+		s = in.enter(s, savorypin.MoveRunning)
 	case v.Finding == FindingSuspect:
 		s.Share = min(s.Share, steps[0])
 		s.Reason = "share cut: the evidence comes from a single failure domain or endpoint"
@@ -266,3 +269,22 @@
 	s.State = savorypin.MoveTakenBack
 	return s
 }
+
+// Settled returns the version that a service is on once its last move is done
+// and no longer watched; ok is false if there is no such move, or one under way.
+// Written into the spec of the service, it outlasts the deletion of the move.
+func Settled(moves []savorypinconfig.Move, now time.Time) (version string, ok bool) {
+	sorted := slices.Clone(moves)
+	slices.SortFunc(sorted, compareMoves)
+	for _, m := range sorted {
+		switch m.Status.State {
+		case savorypin.MoveDone:
+			version = m.Spec.To
+			ok = !now.Before(m.Status.At.Add(WatchFor))
+		case savorypin.MoveRunning, savorypin.MovePaused:
+			return "", false
+		case savorypin.MovePending, savorypin.MoveTakenBack:
+		}
+	}
+	return version, ok
+}
--- a/internal/savorypinmove/decide_test.go
+++ b/internal/savorypinmove/decide_test.go
@@ -102,6 +102,7 @@
 		{"a move at its time with no evidence", []savorypinconfig.Move{running}, time.Hour, savorypinmove.FindingFine, 3, savorypin.MoveRunning, 0.1, "too little traffic"},
 		{"a move on thin evidence", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingFine, 30, savorypin.MoveRunning, 0.25, "limited by evidence"},
 		{"a move that is sped up", []savorypinconfig.Move{with(running, func(m *savorypinconfig.Move) { m.Spec.MinShare = 0.5 })}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRunning, 0.5, ""},
+		{"a move whose new version is gone", []savorypinconfig.Move{with(running, func(m *savorypinconfig.Move) { m.Spec.To = "gone" })}, time.Hour, savorypinmove.FindingFine, 900, savorypin.MoveRunning, 0.1, "no endpoint"},
 		{"a new move", []savorypinconfig.Move{pending}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRunning, 0.01, "first requests"},
 		{"a rollback", []savorypinconfig.Move{with(running, rollback)}, 0, savorypinmove.FindingFine, 0, savorypin.MoveTakenBack, 0, "operator"},
 		{"a rollback after done", []savorypinconfig.Move{with(done, rollback)}, time.Minute, savorypinmove.FindingFine, 0, savorypin.MoveTakenBack, 0, "operator"},
@@ -119,7 +120,7 @@
 				},
 				Moves:   tc.moves,
 				Now:     noon.Add(tc.now),
-				Serves:  func(string) bool { return true },
+				Serves:  func(version string) bool { return version != "gone" },
 				Version: "a",
 			}) {
 				if c.Move.Name == "m" {
@@ -133,6 +134,29 @@
 	}
 })
 
+var _ = Describe("Settled", func() {
+	done := moveAt("m", savorypin.MoveDone, 3, 1)
+	running := moveAt("n", savorypin.MoveRunning, 9, 0.5)
+	for _, tc := range []struct {
+		name  string
+		moves []savorypinconfig.Move
+		after time.Duration
+		want  string
+		ok    bool
+	}{
+		{"a done move after its watch", []savorypinconfig.Move{done}, time.Hour, "b", true},
+		{"a done move in its watch", []savorypinconfig.Move{done}, time.Minute, "b", false},
+		{"a move under way", []savorypinconfig.Move{done, running}, time.Hour, "", false},
+		{"no move", nil, time.Hour, "", false},
+	} {
+		It("judges "+tc.name, func() {
+			version, ok := savorypinmove.Settled(tc.moves, noon.Add(tc.after))
+			Expect(ok).To(Equal(tc.ok))
+			Expect(version).To(Equal(tc.want))
+		})
+	}
+})
+
 var _ = Describe("Sharer", func() {
 	It("keeps within one of the sum of the shares, or two where work was charged", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/internal/savorypinstandin/engine.go
+++ b/internal/savorypinstandin/engine.go
@@ -36,33 +36,37 @@
 type Engine struct {
 	cfg EngineConfig
 
-	mu        sync.Mutex
-	cached    map[uint64]bool
-	computed  int
-	dead      bool
-	deadOnce  chan struct{}
-	failRatio float64
-	fence     int64
-	models    []string
-	orders    []string
-	prefilled int
-	requests  int
-	running   int
-	slots     chan struct{}
-	slow      map[string]float64
-	stalled   bool
-	waiting   int
+	mu          sync.Mutex
+	cached      map[uint64]bool
+	computed    int
+	dead        bool
+	deadOnce    chan struct{}
+	failRatio   float64
+	faults      func(model string, prompt []int32, running int) Fault
+	fence       int64
+	models      []string
+	orders      []string
+	prefilled   int
+	requests    int
+	requestsFor map[string]int
+	running     int
+	slots       chan struct{}
+	slow        map[string]float64
+	stalled     bool
+	waiting     int
 }
 
 // NewEngine returns an engine.
 func NewEngine(cfg EngineConfig) *Engine {
 	return &Engine{
-		cfg:      cfg,
-		cached:   map[uint64]bool{},
-		deadOnce: make(chan struct{}),
-		models:   slices.Clone(cfg.Models),
-		slots:    make(chan struct{}, cfg.Slots),
-		slow:     map[string]float64{},
+		cfg:         cfg,
+		cached:      map[uint64]bool{},
+		deadOnce:    make(chan struct{}),
+		faults:      func(string, []int32, int) Fault { return Fault{} },
+		models:      slices.Clone(cfg.Models),
+		slots:       make(chan struct{}, cfg.Slots),
+		requestsFor: map[string]int{},
+		slow:        map[string]float64{},
 	}
 }
 
@@ -73,13 +77,6 @@
 	return e.computed, e.prefilled
 }
 
-// Fail makes the given ratio of requests fail with status 500.
-func (e *Engine) Fail(ratio float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.failRatio = ratio
-}
-
 // Kill breaks all connections and refuses new requests.
 func (e *Engine) Kill() {
 	e.mu.Lock()
@@ -104,13 +101,6 @@
 	return e.requests, e.running
 }
 
-// Slow divides the decoding rate of a model by factor.
-func (e *Engine) Slow(model string, factor float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.slow[model] = factor
-}
-
 // Stall stops or continues all output without breaking connections.
 func (e *Engine) Stall(stalled bool) {
 	e.mu.Lock()
@@ -127,6 +117,8 @@
 	Prompt      json.RawMessage `json:"prompt"`
 	Seed        int64           `json:"seed"`
 	Temperature float64         `json:"temperature"`
+
+	slow float64
 }
 
 // ServeHTTP serves completions, tokenization, models, orders, metrics and the
@@ -257,7 +249,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if status := e.admit(req.Model); status != http.StatusOK {
+	fault := e.faultOf(req.Model, prompt)
+	req.slow = fault.Slow
+	if status := e.admit(req.Model, fault); status != http.StatusOK {
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
@@ -271,10 +265,14 @@
 }
 
 // admit counts a request and returns the status that it begins with.
-func (e *Engine) admit(model string) int {
+func (e *Engine) admit(model string, fault Fault) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.requests++
+	e.requestsFor[model]++
+	if fault.Fails {
+		return http.StatusInternalServerError
+	}
 	if !slices.Contains(e.models, model) {
 		return http.StatusNotFound
 	}
@@ -337,7 +335,7 @@
 func (e *Engine) decode(w http.ResponseWriter, r *http.Request, req completion, prompt []int32) {
 	controller := http.NewResponseController(w)
 	for i := range req.MaxTokens {
-		if !e.pace(r.Context(), req.Model) {
+		if !e.pace(r.Context(), req) {
 			if r.Context().Err() == nil {
 				panic(http.ErrAbortHandler)
 			}
@@ -361,9 +359,9 @@
 }
 
 // pace waits until the next token is due and reports whether it will come.
-func (e *Engine) pace(ctx context.Context, model string) bool {
+func (e *Engine) pace(ctx context.Context, req completion) bool {
 	e.mu.Lock()
-	factor := max(e.slow[model], 1)
+	factor := max(e.slow[req.Model], req.slow, 1)
 	e.mu.Unlock()
 	if !e.sleep(ctx, time.Duration(factor/e.cfg.TokensPerSecond*float64(time.Second))) {
 		return false
