Compare first attempts with first attempts

Cause: retries go to the old version and avoid the endpoint that failed, so that the old version looked better than the new one beside a failing host.

--- a/internal/savorypinentry/move.go
+++ b/internal/savorypinentry/move.go
@@ -47,7 +47,9 @@
 	if t.Moving() && m.goesToNew(t, gen.Service, purpose) {
 		version = t.To()
 	}
-	m.recorder.Began(t, gen.Route, version)
+	if purpose == savorypin.PurposeFirst {
+		m.recorder.Began(t, gen.Route, version)
+	}
 	return version
 }
 
--- a/internal/savorypinmove/model_test.go
+++ b/internal/savorypinmove/model_test.go
@@ -190,7 +190,7 @@
 	m.after(time.Duration(m.r.ExpFloat64()/m.s.perSecond*float64(time.Second)), m.arrive)
 	t := m.traffic()
 	w := &work{arrived: m.at, entry: m.r.IntN(modelEntries)}
-	w.o = savorypin.Observation{Route: "chat", Service: "s", Tokens: 50, Version: t.Current()}
+	w.o = savorypin.Observation{Purpose: savorypin.PurposeFirst, Route: "chat", Service: "s", Tokens: 50, Version: t.Current()}
 	if m.r.Float64() < 0.2 {
 		w.o.Route = "plan"
 	}
--- a/internal/savorypinmove/recorder.go
+++ b/internal/savorypinmove/recorder.go
@@ -76,8 +76,11 @@
 }
 
 // stratum is what attempts must have in common to be compared. Failures and
-// times are compared in blocks of their own.
+// times are compared in blocks of their own. So are first attempts and others:
+// the others avoid the endpoint that failed before, and retries go to the old
+// version.
 type stratum struct {
+	again bool
 	load  LoadLevel
 	route string
 	times bool
@@ -103,7 +106,7 @@
 	return &Recorder{moves: map[Key]*watched{}}
 }
 
-// Began notes that an attempt was given to a version.
+// Began notes that a first attempt was given to a version.
 func (r *Recorder) Began(t Traffic, route, version string) {
 	side, ok := sideOf(t, version)
 	if !ok {
@@ -126,7 +129,7 @@
 		return
 	}
 	s := sample{at: now, between: o.BetweenTokens, failed: o.Err != nil, first: o.FirstToken, unit: unit}
-	at := stratum{load: levelOf(o.Load), route: o.Route}
+	at := stratum{again: o.Purpose != savorypin.PurposeFirst, load: levelOf(o.Load), route: o.Route}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.watch(t.move)
@@ -250,11 +253,14 @@
 // begunSince returns how many attempts of each version began since a block was
 // opened, as the block's part of its route.
 func (w *watched) begunSince(at stratum, b *block) [2]int {
+	if at.again {
+		return [2]int{}
+	}
 	begun := w.begunOn(at.route)
 	for side := range begun {
 		all := len(b.samples[side])
 		for other, open := range w.blocks {
-			if other.route == at.route && other.times == at.times {
+			if other.route == at.route && other.times == at.times && !other.again {
 				all += len(open.samples[side])
 			}
 		}
--- a/internal/savorypinmove/reference.go
+++ b/internal/savorypinmove/reference.go
@@ -108,7 +108,7 @@
 		return limit, true
 	}
 	for _, load := range LoadLevels {
-		limit, ok := w.refer(stratum{load: load, route: at.route}).limit(between)
+		limit, ok := w.refer(stratum{again: at.again, load: load, route: at.route}).limit(between)
 		if ok {
 			return time.Duration(referenceBatch * float64(limit)), true
 		}
