Test that net/http repeats no call with an idempotency key

Cause: net/http repeats a request that has an Idempotency-Key if a connection that was used before breaks. The client prevents that, but no test showed it. Connections are kept idle for 2 s at most, so that calls seldom meet one that the server has closed. Conclusion: the outcome of a broken call is unknown, and it ran at most once.

--- a/internal/savorypinendpoint/plain.go
+++ b/internal/savorypinendpoint/plain.go
@@ -8,13 +8,21 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 )
 
-// maxConnsPerHost is the number of idle connections kept to one endpoint.
-const maxConnsPerHost = 256
+// Limits of the connections to one endpoint.
+const (
+	// idleConnTimeout is shorter than that of servers, so that calls seldom
+	// meet a connection that the server is about to close.
+	idleConnTimeout = 2 * time.Second
+	// maxConnsPerHost is the number of idle connections kept.
+	maxConnsPerHost = 256
+)
 
 func newTransport() *http.Transport {
 	return &http.Transport{
+		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConns:        maxConnsPerHost,
 		MaxIdleConnsPerHost: maxConnsPerHost,
 	}
--- /dev/null
+++ b/internal/savorypinendpoint/plain_test.go
@@ -0,0 +1,101 @@
+package savorypinendpoint_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypinendpoint"
+)
+
+// breaker is a server that answers the first requests of each connection and
+// then reads a request and closes the connection without an answer.
+type breaker struct {
+	answers  int
+	ln       net.Listener
+	requests atomic.Int64
+}
+
+func newBreaker(answers int) *breaker {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	b := &breaker{answers: answers, ln: ln}
+	go b.serve()
+	DeferCleanup(func() { ln.Close() })
+	return b
+}
+
+func (b *breaker) serve() {
+	for {
+		conn, err := b.ln.Accept()
+		if err != nil {
+			return
+		}
+		go b.answer(conn)
+	}
+}
+
+func (b *breaker) answer(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for range b.answers {
+		if !b.read(r) {
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	}
+	b.read(r)
+}
+
+func (b *breaker) read(r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	buf := make([]byte, 64)
+	for err == nil {
+		_, err = req.Body.Read(buf)
+	}
+	b.requests.Add(1)
+	return true
+}
+
+var _ = Describe("Plain", func() {
+	for _, tc := range []struct {
+		name    string
+		answers int
+		body    string
+	}{
+		{"a new connection breaks", 0, `{"crib":7}`},
+		{"a new connection breaks and the body is empty", 0, ""},
+		{"a connection that was used before breaks", 1, `{"crib":7}`},
+		{"a connection that was used before breaks and the body is empty", 1, ""},
+	} {
+		It("does not repeat a call with a key if "+tc.name, func(ctx SpecContext) {
+			b := newBreaker(tc.answers)
+			plain := savorypinendpoint.NewPlain(savorypinendpoint.PlainConfig{URL: "http://" + b.ln.Addr().String()})
+			call := savorypinendpoint.Call{Body: []byte(tc.body), Key: "sale-1", Path: "/sale"}
+			for range tc.answers {
+				_, _, err := plain.Do(ctx, call)
+				Expect(err).NotTo(HaveOccurred())
+			}
+			_, sent, err := plain.Do(ctx, call)
+			Expect(err).To(MatchError(savorypinendpoint.ErrUnreachable))
+			Expect(sent).To(BeTrue())
+			Expect(b.requests.Load()).To(BeEquivalentTo(tc.answers + 1))
+		})
+	}
+
+	It("knows that nothing was sent if it cannot connect", func(ctx SpecContext) {
+		b := newBreaker(0)
+		b.ln.Close()
+		plain := savorypinendpoint.NewPlain(savorypinendpoint.PlainConfig{URL: "http://" + b.ln.Addr().String()})
+		_, sent, err := plain.Do(ctx, savorypinendpoint.Call{Key: "sale-1", Path: "/sale"})
+		Expect(err).To(MatchError(savorypinendpoint.ErrUnreachable))
+		Expect(sent).To(BeFalse())
+	})
+})
