--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinoperator"
@@ -37,20 +39,20 @@
 
 // Agent is an agent daemon.
 type Agent struct {
+	attempts  *savorypinclaim.AttemptLog
+	calls     atomic.Int64
 	cfg       Config
 	daemon    *savorypindaemon.Daemon
 	endpoints map[string]*endpoint
 
-	mu    sync.Mutex
-	calls map[callKey]*callRecord
-	runs  map[savorypinmember.Attempt]*run
+	mu   sync.Mutex
+	runs map[savorypinmember.Attempt]*run
 }
 
 // New returns an agent that listens but does not serve yet.
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{
 		cfg:       cfg,
-		calls:     map[callKey]*callRecord{},
 		endpoints: map[string]*endpoint{},
 		runs:      map[savorypinmember.Attempt]*run{},
 	}
@@ -64,14 +66,14 @@
 		return nil, err
 	}
 	a.daemon = daemon
+	a.attempts = newAttemptLog(daemon.Incarnation())
 	for _, e := range cfg.Endpoints {
 		a.endpoints[e.Name] = newEndpoint(e)
 	}
 	daemon.Handle(savorypinmember.FrameAttach, a.handleAttach)
-	daemon.Handle(savorypinmember.FrameBar, savorypinmember.HandleCall(a.handleBar))
-	daemon.Handle(savorypinmember.FrameCall, savorypinmember.HandleCall(a.handleCall))
 	daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
 	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
+	a.handleCalls()
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
 	for _, e := range a.endpoints {
@@ -100,18 +102,12 @@
 			return false
 		}
 	}
-	for _, c := range a.calls {
-		if !c.settled {
-			return false
-		}
-	}
-	return true
+	return a.calls.Load() == 0 && a.attempts.Idle()
 }
 
 // State is the part of the state dump that only agents have.
 type State struct {
 	Attempts  []AttemptState            `json:"attempts"`
-	Calls     int                       `json:"calls"`
 	Endpoints []savorypin.EndpointState `json:"endpoints"`
 }
 
@@ -128,7 +124,7 @@
 func (a *Agent) state() any {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := State{Attempts: []AttemptState{}, Calls: len(a.calls), Endpoints: a.states()}
+	s := State{Attempts: []AttemptState{}, Endpoints: a.states()}
 	for _, r := range a.runs {
 		s.Attempts = append(s.Attempts, r.state())
 	}
@@ -150,6 +146,7 @@
 		select {
 		case <-ticker.C:
 			a.sweep(time.Now())
+			a.attempts.Sweep()
 		case <-ctx.Done():
 			return
 		}
@@ -166,9 +163,4 @@
 			delete(a.runs, id)
 		}
 	}
-	for key, c := range a.calls {
-		if c.settled && now.Sub(c.at) > callRetainFor {
-			delete(a.calls, key)
-		}
-	}
 }
--- a/internal/savorypinagent/call.go
+++ b/internal/savorypinagent/call.go
@@ -2,29 +2,53 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypinendpoint"
 	"savorypin/internal/savorypinmember"
 )
 
-// callRetainFor is how long an agent remembers a key.
-const callRetainFor = 10 * time.Minute
+// Limits of what an agent remembers of calls.
+const (
+	// callGrace is how much longer than its caller the agent waits for the
+	// answer of a call that must not be repeated.
+	callGrace = 30 * time.Second
+	// callRetainFor is how long an agent remembers an attempt.
+	callRetainFor = 10 * time.Minute
+	// maxCallBytes bounds the answers that are remembered, in bytes.
+	maxCallBytes = 32 << 20
+	// maxCallRecords is the largest number of attempts that are remembered.
+	maxCallRecords = 16384
+)
 
-// callKey names a call of an endpoint.
-type callKey struct {
-	endpoint string
-	key      string
+// newAttemptLog returns the log of a daemon with an incarnation.
+func newAttemptLog(incarnation int64) *savorypinclaim.AttemptLog {
+	return savorypinclaim.NewAttemptLog(savorypinclaim.AttemptLogConfig{
+		Incarnation: incarnation,
+		MaxBytes:    maxCallBytes,
+		MaxRecords:  maxCallRecords,
+		Now:         time.Now,
+		Retention:   callRetainFor,
+	})
 }
 
-// callRecord is what the agent knows of a key.
-type callRecord struct {
-	answer  *savorypinmember.PlainAnswer
-	at      time.Time
-	barred  bool
-	passed  bool
-	settled bool
+// handleCalls registers what serves calls.
+func (a *Agent) handleCalls() {
+	a.daemon.Handle(savorypinmember.FrameBar, savorypinmember.HandleCall(a.handleBar))
+	a.daemon.Handle(savorypinmember.FrameCall, savorypinmember.HandleCall(a.handleCall))
+	a.daemon.RegisterState("attempts", func() any { return a.attempts.State() })
+	gauge := func(name string, value func(savorypinclaim.AttemptLogState) int) {
+		read := func() int64 { return int64(value(a.attempts.State())) }
+		_ = a.daemon.Metrics().Register(name, metrics.NewFunctionalGauge(read))
+	}
+	gauge("attempts.bytes", func(s savorypinclaim.AttemptLogState) int { return s.Bytes })
+	gauge("attempts.records", func(s savorypinclaim.AttemptLogState) int { return s.Records })
+	gauge("attempts.running", func(s savorypinclaim.AttemptLogState) int { return s.Running })
 }
 
 func (a *Agent) handleCall(
@@ -37,77 +61,97 @@
 	if !ok || e.plain == nil {
 		return none, savorypin.Errorf(savorypin.KindNotRun, req.Endpoint, "no such plain service beside this agent")
 	}
+	a.calls.Add(1)
+	defer a.calls.Add(-1)
 	if a.daemon.Draining() {
 		return none, savorypin.Errorf(savorypin.KindNotRun, a.daemon.Settings().Name, "agent is stopping")
 	}
-	record, err := a.admitCall(callKey{endpoint: req.Endpoint, key: req.Key})
-	if err != nil {
-		return none, err
+	if req.Ticket != nil {
+		return a.callOnce(ctx, e, req)
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	answer, sent, err := e.plain.Do(ctx, savorypinendpoint.Call{
-		Body:        req.Body,
-		ContentType: req.ContentType,
-		Key:         req.Key,
-		Path:        req.Path,
-	})
+	answer, sent, err := e.plain.Do(ctx, plainCall(req))
 	if err != nil {
-		a.settleCall(record, nil, sent)
 		return none, translatePlain(req.Endpoint, sent, err)
 	}
-	result := savorypinmember.PlainAnswer{
-		Body:        answer.Body,
-		ContentType: answer.ContentType,
-		Status:      answer.Status,
-	}
-	a.settleCall(record, &result, true)
-	return result, nil
+	return savorypinmember.PlainAnswer{Body: answer.Body, ContentType: answer.ContentType, Status: answer.Status}, nil
 }
 
-// admitCall notes that a key is about to be passed on. A call without a key
-// may be repeated and needs no note.
-func (a *Agent) admitCall(key callKey) (*callRecord, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if key.key == "" {
-		return &callRecord{}, nil
+// callOnce passes an attempt on unless it was barred. Once it is passed on, it
+// runs to its end, whether or not the entry still waits.
+func (a *Agent) callOnce(
+	ctx context.Context,
+	e *endpoint,
+	req savorypinmember.PlainCall,
+) (savorypinmember.PlainAnswer, error) {
+	var none savorypinmember.PlainAnswer
+	if !time.Now().Before(req.Deadline) {
+		return none, savorypin.Errorf(savorypin.KindNotRun, req.Endpoint, "call is past its deadline")
 	}
-	if record, ok := a.calls[key]; ok {
-		if record.barred {
-			return nil, savorypin.Errorf(savorypin.KindNotRun, key.key, "key was barred before it was passed on")
-		}
-		return nil, savorypin.Errorf(savorypin.KindUnknown, key.key, "key was passed on before")
+	if err := a.attempts.Admit(*req.Ticket); err != nil {
+		a.countCall("refused")
+		return refuse(req.Endpoint, err)
 	}
-	record := &callRecord{at: time.Now(), passed: true}
-	a.calls[key] = record
-	return record, nil
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline.Add(callGrace))
+	defer cancel()
+	answer, sent, err := e.plain.Do(ctx, plainCall(req))
+	switch {
+	case err != nil && sent:
+		a.attempts.End(req.Ticket.Attempt.ID, savorypinclaim.OutcomeUnknown, nil)
+	case err != nil:
+		a.attempts.End(req.Ticket.Attempt.ID, savorypinclaim.OutcomeNotRun, nil)
+	default:
+		a.attempts.End(req.Ticket.Attempt.ID, savorypinclaim.OutcomeDone, &savorypinclaim.Answer{
+			Body:        answer.Body,
+			ContentType: answer.ContentType,
+			Status:      answer.Status,
+		})
+	}
+	if err != nil {
+		a.countCall("failed")
+		return none, translatePlain(req.Endpoint, sent, err)
+	}
+	a.countCall("done")
+	return savorypinmember.PlainAnswer{Body: answer.Body, ContentType: answer.ContentType, Status: answer.Status}, nil
 }
 
-func (a *Agent) settleCall(record *callRecord, answer *savorypinmember.PlainAnswer, sent bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	record.answer = answer
-	record.at = time.Now()
-	record.barred = !sent
-	record.passed = sent
-	record.settled = true
+// refuse tells why an attempt was not passed on. An attempt that was seen
+// before may have run.
+func refuse(endpoint string, err error) (savorypinmember.PlainAnswer, error) {
+	switch {
+	case errors.Is(err, savorypinclaim.ErrSeen):
+		return savorypinmember.PlainAnswer{}, savorypin.Errorf(savorypin.KindUnknown, endpoint, "%w", err)
+	case errors.Is(err, savorypinclaim.ErrBarred):
+		return savorypinmember.PlainAnswer{Refused: savorypinmember.RefusalBarred}, nil
+	default:
+		return savorypinmember.PlainAnswer{Refused: savorypinmember.RefusalOther}, nil
+	}
 }
 
 func (a *Agent) handleBar(
-	_ context.Context,
+	ctx context.Context,
 	_ savorypinmember.Hello,
 	req savorypinmember.Bar,
 ) (savorypinmember.Barred, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	key := callKey{endpoint: req.Endpoint, key: req.Key}
-	record, ok := a.calls[key]
-	if !ok {
-		record = &callRecord{at: time.Now(), barred: true, settled: true}
-		a.calls[key] = record
+	ctx, cancel := context.WithTimeout(ctx, req.Wait)
+	defer cancel()
+	outcome, answer := a.attempts.Bar(ctx, req.Ticket)
+	a.countCall("bar." + string(outcome))
+	return savorypinmember.Barred{Answer: answer, Outcome: outcome}, nil
+}
+
+func (a *Agent) countCall(name string) {
+	metrics.GetOrRegisterCounter("attempts."+name, a.daemon.Metrics()).Inc(1)
+}
+
+func plainCall(req savorypinmember.PlainCall) savorypinendpoint.Call {
+	return savorypinendpoint.Call{
+		Body:        req.Body,
+		ContentType: req.ContentType,
+		Key:         req.Key,
+		Path:        req.Path,
 	}
-	return savorypinmember.Barred{Answer: record.answer, Passed: record.passed}, nil
 }
 
 // translatePlain turns an error of a plain service into one of the core.
--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -44,6 +44,7 @@
 	mux := goahttp.NewMuxer()
 	endpoints := caller.NewEndpoints(s)
 	server := callerserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
+	server.Use(withStatus)
 	callerserver.Mount(mux, server)
 	savorypinoperator.Mount(mux, savorypinoperator.Config{Daemon: entry.Daemon()})
 	return mux
@@ -276,10 +277,7 @@
 	if err != nil {
 		return nil, nil, failure(err)
 	}
-	if answer.Answer.Status >= http.StatusBadRequest {
-		return nil, nil, failure(savorypin.Errorf(savorypin.KindInvalid, p.Service+"/"+p.Route,
-			"endpoint answered with status %d: %s", answer.Answer.Status, answer.Answer.Body))
-	}
+	setStatus(ctx, answer.Answer.Status)
 	result := &caller.CallResult{ContentType: &answer.Answer.ContentType, Replayed: &answer.Replayed}
 	return result, io.NopCloser(bytes.NewReader(answer.Answer.Body)), nil
 }
--- a/internal/savorypinclaim/claim.go
+++ b/internal/savorypinclaim/claim.go
@@ -1,150 +1,184 @@
 // Package savorypinclaim keeps the durable claims that make a call that is not
 // idempotent run at most once for each key.
+//
+// Keys are spread over shards. Each shard is an append-only run of small
+// segments, which are platform objects that are created only if they are
+// absent. A daemon gathers the claims of a shard in groups and commits each
+// group as the next segment. Whoever loses the race for a segment number sees
+// the create fail, reads the segment and decides again, so that correctness
+// rests on no clock and no lease.
 package savorypinclaim
 
 import (
-	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/google/uuid"
-
-	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypinplatform"
 )
 
+// Shards is the number of shards of the key space.
+const Shards = 8
+
 // Outcome is what is known of a key.
 type Outcome string
 
 // The outcomes of a key.
 const (
-	// OutcomeClaimed means that the key may be running.
+	// OutcomeClaimed means that the current attempt may be running.
 	OutcomeClaimed Outcome = "claimed"
-	// OutcomeDone means that the key has run and its answer is known.
+	// OutcomeClosed means that the key has not run and never will.
+	OutcomeClosed Outcome = "closed"
+	// OutcomeDone means that the key has run and that its answer is known.
 	OutcomeDone Outcome = "done"
+	// OutcomeNotRun means that no attempt so far has run or ever will. Another
+	// attempt may be claimed.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that whoever could have known has lost the outcome.
+	OutcomeUnknown Outcome = "unknown"
 )
 
 // Errors of claims.
 var (
-	// ErrTaken means that the key was claimed before.
-	ErrTaken = errors.New("key is claimed")
-	// ErrUnavailable means that it is not known whether the claim was made.
+	// ErrNotClaimed means that the claim could not be made and that the key is
+	// not known to have run.
+	ErrNotClaimed = errors.New("key is not claimed")
+	// ErrUnavailable means that it is not known whether a claim was made.
 	ErrUnavailable = errors.New("claims are unavailable")
 )
 
-// Claim is the durable record of a key.
-type Claim struct {
-	// Answer is the answer of the endpoint, if the outcome is done.
-	Answer []byte `json:"answer,omitempty"`
-	// ContentType is the content type of the answer.
-	ContentType string `json:"contentType,omitempty"`
-	// Endpoint is the endpoint that the key was or will be passed on to.
-	Endpoint string `json:"endpoint"`
-	// Key is the idempotency key.
-	Key string `json:"key"`
-	// Member is the agent beside the endpoint.
-	Member string `json:"member"`
-	// Outcome is what is known of the key.
-	Outcome Outcome `json:"outcome"`
-	// Service is the service that is called.
-	Service string `json:"service"`
-	// Status is the HTTP status of the answer.
-	Status int `json:"status,omitempty"`
+// KeyID identifies an idempotency key of a service. Callers choose keys
+// freely, so they are hashed.
+type KeyID [16]byte
+
+// NewKeyID returns the id of a key of a service.
+func NewKeyID(service, key string) KeyID {
+	sum := sha256.Sum256([]byte(service + "\x00" + key))
+	return KeyID(sum[:len(KeyID{})])
 }
 
-// Book makes and reads claims, one object of the platform for each key.
-type Book struct {
-	platform *savorypinplatform.Client
+// MarshalText returns the id in hexadecimal.
+func (k KeyID) MarshalText() ([]byte, error) {
+	return []byte(hex.EncodeToString(k[:])), nil
 }
 
-// NewBook returns a book on a platform.
-func NewBook(platform *savorypinplatform.Client) *Book {
-	return &Book{platform: platform}
+// Shard returns the shard of the key.
+func (k KeyID) Shard() int {
+	return int(k[0]) % Shards
 }
 
-// Claim makes a claim and returns its version. It returns ErrTaken if the key
-// was claimed before.
-func (b *Book) Claim(ctx context.Context, c Claim) (int64, error) {
-	c.Outcome = OutcomeClaimed
-	o, err := object(c)
-	if err != nil {
-		return 0, err
-	}
-	written, err := b.platform.Create(ctx, o)
-	if err == nil {
-		return written.Version, nil
-	}
-	// The answer of the write may be lost; the order id tells whose it is.
-	held, readErr := b.platform.Get(ctx, o.Key)
-	switch {
-	case readErr == nil && held.Order == o.Order:
-		return held.Version, nil
-	case readErr == nil:
-		return 0, fmt.Errorf("%s: %w", c.Key, ErrTaken)
-	default:
-		return 0, fmt.Errorf("%s: %w: %w", c.Key, ErrUnavailable, err)
-	}
+// String returns the id in hexadecimal.
+func (k KeyID) String() string {
+	return hex.EncodeToString(k[:])
 }
 
-// Read returns the claim of a key and its version. It reports false if there
-// is none.
-func (b *Book) Read(ctx context.Context, service, key string) (Claim, int64, bool, error) {
-	o, err := b.platform.Get(ctx, objectKey(service, key))
-	if errors.Is(err, savorypinplatform.ErrNotFound) {
-		return Claim{}, 0, false, nil
-	}
-	if err != nil {
-		return Claim{}, 0, false, fmt.Errorf("%s: %w: %w", key, ErrUnavailable, err)
+// UnmarshalText reads what MarshalText returns.
+func (k *KeyID) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(k)) {
+		return fmt.Errorf("key id %q has a wrong length", text)
 	}
-	var c Claim
-	if err := json.Unmarshal(o.Spec, &c); err != nil {
-		return Claim{}, 0, false, fmt.Errorf("%s: %w: %w", key, ErrUnavailable, err)
-	}
-	return c, o.Version, true, nil
+	_, err := hex.Decode(k[:], text)
+	return err
 }
 
-// Settle writes the outcome of a claim.
-func (b *Book) Settle(ctx context.Context, c Claim, version int64) error {
-	o, err := object(c)
-	if err != nil {
-		return err
-	}
-	o.Version = version
-	if _, err := b.platform.Update(ctx, o); err != nil {
-		return fmt.Errorf("%s: %w: %w", c.Key, ErrUnavailable, err)
+// RequestSum returns a checksum of a request, which tells a repeat from
+// another request under the same key.
+func RequestSum(route, contentType string, body []byte) uint64 {
+	h := sha256.New()
+	for _, part := range []string{route, contentType} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
 	}
-	return nil
+	h.Write(body)
+	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
-// Release deletes a claim that surely did not run.
-func (b *Book) Release(ctx context.Context, c Claim, version int64) error {
-	if err := b.platform.Delete(ctx, objectKey(c.Service, c.Key), version); err != nil {
-		return fmt.Errorf("%s: %w: %w", c.Key, ErrUnavailable, err)
-	}
-	return nil
+// Attempt is one try to run a key on one endpoint. It is sent to the agent
+// beside the endpoint at most once.
+type Attempt struct {
+	// Endpoint is the endpoint that would run it.
+	Endpoint string `json:"endpoint" msgpack:"ep"`
+	// ID identifies the attempt.
+	ID string `json:"id" msgpack:"id"`
+	// Incarnation is the incarnation of the agent that would pass it on. Any
+	// other incarnation refuses it.
+	Incarnation int64 `json:"incarnation" msgpack:"inc"`
+	// Member is the agent beside the endpoint.
+	Member string `json:"member" msgpack:"mem"`
 }
 
-func object(c Claim) (savorypin.Object, error) {
-	spec, err := json.Marshal(c)
-	if err != nil {
-		return savorypin.Object{}, fmt.Errorf("%s: encode claim: %w", c.Key, err)
-	}
-	return savorypin.Object{
-		At:    time.Now(),
-		Key:   objectKey(c.Service, c.Key),
-		Order: uuid.NewString(),
-		Spec:  spec,
-	}, nil
+// NewAttempt returns an attempt with an id of its own.
+func NewAttempt(member string, incarnation int64, endpoint string) Attempt {
+	return Attempt{Endpoint: endpoint, ID: uuid.NewString(), Incarnation: incarnation, Member: member}
 }
 
-// objectKey names the object of a key. Callers choose keys freely, so they are
-// hashed.
-func objectKey(service, key string) savorypin.Key {
-	const nameBytes = 20
-	sum := sha256.Sum256([]byte(service + "\x00" + key))
-	return savorypin.Key{Kind: savorypin.KindClaim, Name: hex.EncodeToString(sum[:nameBytes])}
+// Claim asks for the right to make an attempt at a key.
+type Claim struct {
+	// Attempt is the attempt to be made.
+	Attempt Attempt `json:"attempt" msgpack:"att"`
+	// Close asks that the key never run, instead of for an attempt.
+	Close bool `json:"close,omitempty" msgpack:"close,omitempty"`
+	// Key is the key.
+	Key KeyID `json:"key" msgpack:"key"`
+	// Request is the checksum of the request.
+	Request uint64 `json:"request" msgpack:"req"`
+	// Supersedes is the id of an attempt that has provably not run and never
+	// will; empty if there is none.
+	Supersedes string `json:"supersedes,omitempty" msgpack:"sup,omitempty"`
+}
+
+// Answer is the answer of an endpoint.
+type Answer struct {
+	Body        []byte `json:"body,omitempty" msgpack:"body"`
+	ContentType string `json:"contentType,omitempty" msgpack:"ct"`
+	// Lost says that the body was too large to keep.
+	Lost bool `json:"lost,omitempty" msgpack:"lost,omitempty"`
+	// Separate says that the body is in an object of its own.
+	Separate bool `json:"separate,omitempty" msgpack:"sep,omitempty"`
+	// Status is the HTTP status of the answer.
+	Status int `json:"status" msgpack:"st"`
+}
+
+// Settlement tells the outcome of an attempt.
+type Settlement struct {
+	// Answer is the answer if the outcome is done.
+	Answer *Answer `json:"answer,omitempty" msgpack:"ans,omitempty"`
+	// Attempt is the id of the attempt.
+	Attempt string `json:"attempt" msgpack:"att"`
+	// Key is the key of the attempt.
+	Key KeyID `json:"key" msgpack:"key"`
+	// Outcome is the outcome: done, not run or unknown.
+	Outcome Outcome `json:"outcome" msgpack:"out"`
+}
+
+// VerdictKind says how a claim was decided.
+type VerdictKind string
+
+// The kinds of verdicts.
+const (
+	// VerdictFull means that the shard holds too many keys; nothing was claimed.
+	VerdictFull VerdictKind = "full"
+	// VerdictGranted means that the claim is durable.
+	VerdictGranted VerdictKind = "granted"
+	// VerdictMismatch means that the key belongs to another request.
+	VerdictMismatch VerdictKind = "mismatch"
+	// VerdictTaken means that another attempt holds the key.
+	VerdictTaken VerdictKind = "taken"
+)
+
+// Verdict is the answer to a claim.
+type Verdict struct {
+	// Answer is the answer of the endpoint if the outcome is done.
+	Answer *Answer `msgpack:"ans,omitempty"`
+	// Attempt is the attempt that holds the key. It is not kept once the
+	// outcome is done.
+	Attempt Attempt `msgpack:"att"`
+	// Kind says how the claim was decided.
+	Kind VerdictKind `msgpack:"kind"`
+	// Outcome is what is known of the key.
+	Outcome Outcome `msgpack:"out"`
+	// Segment is the number of the segment that tells of the key last.
+	Segment uint64 `msgpack:"seg"`
 }
--- /dev/null
+++ b/internal/savorypinclaim/claims_bench_test.go
@@ -0,0 +1,137 @@
+package savorypinclaim_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"savorypin/internal/savorypinclaim"
+)
+
+// sales makes sales at a rate for some time through shards on a platform that
+// takes 3 ms, and returns the writes and reads for 1,000 sales.
+func sales(t *testing.T, perSecond int) (writes, reads float64) {
+	t.Helper()
+	const seconds = 30
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFakeStore(1)
+		f.delay = 3 * time.Millisecond
+		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+			Owner: func(int) string { return "" },
+			Shard: shardConfig(f.store(func() {})),
+		})
+		for shard := range savorypinclaim.Shards {
+			go keeper.Run(ctx, shard)
+		}
+		var wg sync.WaitGroup
+		for i := range perSecond * seconds {
+			wg.Go(func() { sellOnce(ctx, t, keeper, i) })
+			time.Sleep(time.Second / time.Duration(perSecond))
+		}
+		wg.Wait()
+		for !keeper.Idle() {
+			time.Sleep(time.Second)
+		}
+		w, r := f.calls()
+		writes = float64(w) * 1000 / float64(perSecond*seconds)
+		reads = float64(r) * 1000 / float64(perSecond*seconds)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	return writes, reads
+}
+
+func sellOnce(ctx context.Context, t *testing.T, keeper *savorypinclaim.Keeper, i int) {
+	c := claimOf(savorypinclaim.NewKeyID("ledger", fmt.Sprint(i)), fmt.Sprint(i))
+	v, err := keeper.Claim(ctx, c)
+	if err != nil || v.Kind != savorypinclaim.VerdictGranted {
+		t.Errorf("sale %d: %v %v", i, v.Kind, err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	keeper.Settle(ctx, savorypinclaim.Settlement{
+		Answer:  &savorypinclaim.Answer{Body: make([]byte, 100), Status: 200},
+		Attempt: c.Attempt.ID, Key: c.Key, Outcome: savorypinclaim.OutcomeDone,
+	})
+}
+
+// TestPlatformCalls bounds the calls of claims to what the platform takes at
+// the target: 1,000 sales a second within 300 writes and 500 reads a second,
+// of which deletes after the retention take as many writes again as segments.
+func TestPlatformCalls(t *testing.T) {
+	for _, tc := range []struct {
+		perSecond           int
+		maxWrites, maxReads float64
+	}{
+		{perSecond: 2, maxWrites: 2000, maxReads: 12000},
+		{perSecond: 100, maxWrites: 2000, maxReads: 2000},
+		{perSecond: 1000, maxWrites: 150, maxReads: 500},
+	} {
+		writes, reads := sales(t, tc.perSecond)
+		t.Logf("%d sales/s: %.0f writes and %.0f reads for 1,000 sales", tc.perSecond, writes, reads)
+		if writes > tc.maxWrites || reads > tc.maxReads {
+			t.Errorf("%d sales/s: %.0f writes and %.0f reads for 1,000 sales", tc.perSecond, writes, reads)
+		}
+	}
+}
+
+// BenchmarkClaims compares claims through shards with those of the naive twin,
+// with many callers on a platform that takes 3 ms and has no limits. It reports
+// the mean time of a claim: grouping trades time for writes.
+func BenchmarkClaims(b *testing.B) {
+	b.Run("grouped", func(b *testing.B) {
+		f := newFakeStore(1)
+		f.delay = 3 * time.Millisecond
+		cfg := shardConfig(f.store(func() {}))
+		cfg.MaxKeys = b.N + 1
+		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{Owner: func(int) string { return "" }, Shard: cfg})
+		for shard := range savorypinclaim.Shards {
+			go keeper.Run(b.Context(), shard)
+		}
+		measure(b, f, func(c savorypinclaim.Claim) error {
+			_, err := keeper.Claim(b.Context(), c)
+			return err
+		})
+	})
+	b.Run("naive", func(b *testing.B) {
+		f := newFakeStore(1)
+		f.delay = 3 * time.Millisecond
+		naive := book{store: f.store(func() {})}
+		measure(b, f, func(c savorypinclaim.Claim) error {
+			version, ok := naive.claim(b.Context(), c)
+			if !ok {
+				return errConflict
+			}
+			return naive.settle(b.Context(), c.Key, version)
+		})
+	})
+}
+
+func measure(b *testing.B, f *fakeStore, claim func(savorypinclaim.Claim) error) {
+	b.SetParallelism(20)
+	var mu sync.Mutex
+	n := 0
+	var total time.Duration
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			mu.Lock()
+			n++
+			id := fmt.Sprint(n)
+			mu.Unlock()
+			started := time.Now()
+			if err := claim(claimOf(savorypinclaim.NewKeyID("ledger", id), id)); err != nil {
+				b.Error(err)
+			}
+			mu.Lock()
+			total += time.Since(started)
+			mu.Unlock()
+		}
+	})
+	writes, reads := f.calls()
+	b.ReportMetric(total.Seconds()*1000/float64(b.N), "ms/claim")
+	b.ReportMetric(float64(writes)/float64(b.N), "writes/op")
+	b.ReportMetric(float64(reads)/float64(b.N), "reads/op")
+}
--- /dev/null
+++ b/internal/savorypinclaim/house.go
@@ -0,0 +1,161 @@
+package savorypinclaim
+
+import (
+	"context"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// deletesPerStep is how many expired objects are deleted after each group, so
+// that deletes take no larger part of the platform's writes than groups.
+const deletesPerStep = 2
+
+// pageTime is the time of a page that has not expired.
+type pageTime struct {
+	at     time.Time
+	number uint64
+}
+
+// sweep is the list of the objects of an expired page that are left.
+type sweep struct {
+	keys []savorypin.Key
+	page uint64
+}
+
+// closePage sums up the page that ends with a segment.
+func (s *Shard) closePage(last Segment) {
+	s.mu.Lock()
+	page := s.index.Page(last.Number-pageSegments+1, last.Number)
+	s.mu.Unlock()
+	page.At = last.At
+	page.Separate = s.separate
+	s.separate = nil
+	number := last.Number / pageSegments
+	s.duePages = append(s.duePages, duePage{number: number, page: page})
+	s.pages = append(s.pages, pageTime{at: last.At, number: number})
+}
+
+// duePage is a page that has to be written.
+type duePage struct {
+	number uint64
+	page   Page
+}
+
+// keepHouse writes pages, lets keys expire and deletes what has expired. What
+// fails is left for the next time.
+func (s *Shard) keepHouse(ctx context.Context) {
+	s.writePages(ctx)
+	if len(s.duePages) > 0 {
+		return
+	}
+	s.expire(ctx)
+	for range deletesPerStep {
+		if !s.deleteNext(ctx) {
+			return
+		}
+	}
+}
+
+// writePages writes the pages that are due. All daemons write the same page,
+// so that it does not matter who is first.
+func (s *Shard) writePages(ctx context.Context) {
+	for len(s.duePages) > 0 {
+		due := s.duePages[0]
+		key := pageKey(s.cfg.Number, due.number)
+		o, err := newObject(key, s.cfg.NewOrder(), due.page.At, due.page)
+		if err != nil {
+			return
+		}
+		if _, err := s.cfg.Store.Create(ctx, o); err != nil {
+			if _, err := s.cfg.Store.Get(ctx, key); err != nil {
+				return
+			}
+		}
+		s.cfg.Count("pages", 1)
+		s.duePages = s.duePages[1:]
+	}
+}
+
+// expire advances the mark past the pages that are older than the retention.
+func (s *Shard) expire(ctx context.Context) {
+	limit := s.cfg.Now().Add(-s.cfg.Retention)
+	mark := s.mark
+	for _, p := range s.pages {
+		if !p.at.Before(limit) {
+			break
+		}
+		mark.Page = max(mark.Page, p.number)
+	}
+	if mark.Page == s.mark.Page || !s.writeMark(ctx, mark) {
+		return
+	}
+	s.mu.Lock()
+	s.index.Expire(mark.first())
+	s.mu.Unlock()
+	for len(s.pages) > 0 && s.pages[0].number <= mark.Page {
+		s.pages = s.pages[1:]
+	}
+}
+
+// writeMark replaces the mark. If it was changed meanwhile, the next step
+// sees the change.
+func (s *Shard) writeMark(ctx context.Context, mark Mark) bool {
+	o, err := newObject(markKey(s.cfg.Number), s.cfg.NewOrder(), s.cfg.Now(), mark)
+	if err != nil {
+		return false
+	}
+	write := s.cfg.Store.Create
+	if s.markVersion != 0 {
+		write = s.cfg.Store.Update
+		o.Version = s.markVersion
+	}
+	written, err := write(ctx, o)
+	if err != nil {
+		return false
+	}
+	s.mark, s.markVersion = mark, written.Version
+	return true
+}
+
+// deleteNext deletes one expired object. It reports false if none is left or
+// the delete failed.
+func (s *Shard) deleteNext(ctx context.Context) bool {
+	if len(s.sweep.keys) == 0 && !s.nextSweep(ctx) {
+		return false
+	}
+	err := s.cfg.Store.Delete(ctx, s.sweep.keys[0], 0)
+	if err != nil && !s.cfg.Store.IsNotFound(err) {
+		return false
+	}
+	s.cfg.Count("deletes", 1)
+	s.sweep.keys = s.sweep.keys[1:]
+	if len(s.sweep.keys) == 0 {
+		mark := s.mark
+		mark.Deleted = max(mark.Deleted, s.sweep.page)
+		return s.writeMark(ctx, mark)
+	}
+	return true
+}
+
+// nextSweep lists the objects of the first expired page. The page comes last,
+// because it tells which answers are objects of their own.
+func (s *Shard) nextSweep(ctx context.Context) bool {
+	if s.mark.Deleted >= s.mark.Page {
+		return false
+	}
+	number := s.mark.Deleted + 1
+	page, err := get[Page](ctx, s.cfg.Store, pageKey(s.cfg.Number, number))
+	if err != nil && !isAbsent(err) {
+		return false
+	}
+	keys := make([]savorypin.Key, 0, pageSegments+len(page.Separate)+1)
+	for _, attempt := range page.Separate {
+		keys = append(keys, answerKey(attempt))
+	}
+	for i := range uint64(pageSegments) {
+		keys = append(keys, segmentKey(s.cfg.Number, (number-1)*pageSegments+i+1))
+	}
+	s.sweep = sweep{keys: append(keys, pageKey(s.cfg.Number, number)), page: number}
+	return true
+}
--- /dev/null
+++ b/internal/savorypinclaim/savorypinclaim_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinclaim_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func TestSavorypinclaim(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinclaim")
+}
--- /dev/null
+++ b/internal/savorypinclaim/store_test.go
@@ -0,0 +1,158 @@
+package savorypinclaim_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinclaim"
+)
+
+var (
+	errAbsent   = errors.New("absent")
+	errConflict = errors.New("conflict")
+	errOut      = errors.New("out")
+)
+
+// fakeStore is a fake of the platform. It loses a part of the answers to
+// writes after they took effect.
+type fakeStore struct {
+	mu      sync.Mutex
+	delay   time.Duration
+	lose    float64
+	objects map[savorypin.Key]savorypin.Object
+	out     bool
+	rand    *rand.Rand
+	reads   int
+	version int64
+	writes  int
+}
+
+func newFakeStore(seed uint64) *fakeStore {
+	return &fakeStore{objects: map[savorypin.Key]savorypin.Object{}, rand: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// store returns the fake as a daemon sees it; gate holds up a paused daemon.
+func (f *fakeStore) store(gate func()) savorypinclaim.Store {
+	write := func(do func() (savorypin.Object, error)) (savorypin.Object, error) {
+		gate()
+		o, lost, err := f.write(do)
+		gate()
+		if lost {
+			return savorypin.Object{}, errOut
+		}
+		return o, err
+	}
+	return savorypinclaim.Store{
+		Create: func(_ context.Context, o savorypin.Object) (savorypin.Object, error) {
+			return write(func() (savorypin.Object, error) { return f.put(o, false) })
+		},
+		Delete: func(_ context.Context, key savorypin.Key, _ int64) error {
+			_, err := write(func() (savorypin.Object, error) {
+				delete(f.objects, key)
+				return savorypin.Object{}, nil
+			})
+			return err
+		},
+		Get: func(_ context.Context, key savorypin.Key) (savorypin.Object, error) {
+			gate()
+			defer gate()
+			return f.get(key)
+		},
+		IsNotFound: func(err error) bool { return errors.Is(err, errAbsent) },
+		Update: func(_ context.Context, o savorypin.Object) (savorypin.Object, error) {
+			return write(func() (savorypin.Object, error) { return f.put(o, true) })
+		},
+	}
+}
+
+func (f *fakeStore) write(do func() (savorypin.Object, error)) (o savorypin.Object, lost bool, err error) {
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writes++
+	if f.out {
+		return o, false, errOut
+	}
+	o, err = do()
+	return o, f.rand.Float64() < f.lose, err
+}
+
+func (f *fakeStore) put(o savorypin.Object, update bool) (savorypin.Object, error) {
+	held, ok := f.objects[o.Key]
+	if ok != update || held.Version != o.Version {
+		return o, errConflict
+	}
+	f.version++
+	o.Version = f.version
+	f.objects[o.Key] = o
+	return o, nil
+}
+
+func (f *fakeStore) get(key savorypin.Key) (savorypin.Object, error) {
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.out {
+		return savorypin.Object{}, errOut
+	}
+	o, ok := f.objects[key]
+	if !ok {
+		return o, fmt.Errorf("%s: %w", key, errAbsent)
+	}
+	return o, nil
+}
+
+func (f *fakeStore) setOut(out bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.out = out
+}
+
+// calls returns the number of writes and reads so far.
+func (f *fakeStore) calls() (writes, reads int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.writes, f.reads
+}
+
+// shardConfig configures shards on a fake.
+func shardConfig(store savorypinclaim.Store) savorypinclaim.ShardConfig {
+	var mu sync.Mutex
+	orders := 0
+	prefix := fmt.Sprintf("%p", &orders)
+	return savorypinclaim.ShardConfig{
+		Count:    func(string, int64) {},
+		Interval: 80 * time.Millisecond,
+		MaxKeys:  100_000,
+		NewOrder: func() string {
+			mu.Lock()
+			defer mu.Unlock()
+			orders++
+			return fmt.Sprint(prefix, orders)
+		},
+		Now:         time.Now,
+		Retention:   time.Hour,
+		SettleDelay: time.Second,
+		Store:       store,
+		Trusted:     func() bool { return true },
+		Wait:        time.After,
+	}
+}
+
+// keyOf returns the n-th key of shard 0.
+func keyOf(n int) savorypinclaim.KeyID {
+	return savorypinclaim.KeyID{0, byte(n >> 8), byte(n)}
+}
+
+func claimOf(key savorypinclaim.KeyID, attempt string) savorypinclaim.Claim {
+	return savorypinclaim.Claim{
+		Attempt: savorypinclaim.Attempt{Endpoint: "ledger", ID: attempt, Incarnation: 1, Member: "agent"},
+		Key:     key,
+	}
+}
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -367,6 +367,7 @@
 		return err
 	}
 	c.entries[i] = e
+	c.seeds[i] = e.Daemon().Self().Address
 	return nil
 }
 
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -11,6 +11,14 @@
 	"savorypin/internal/savorypinroute"
 )
 
+// Limits of the calls that are under way at an entry.
+const (
+	// maxCallBytes bounds the bodies of all calls together, in bytes.
+	maxCallBytes = 64 << 20
+	// maxCalls is the largest number of calls.
+	maxCalls = 8192
+)
+
 // Call is a call of a plain service.
 type Call struct {
 	Body        []byte
@@ -43,90 +51,58 @@
 	if !ok {
 		return none, savorypin.Errorf(savorypin.KindNotFound, call.Service+"/"+call.Route, "no such route")
 	}
+	if !route.Idempotent && call.Key == "" {
+		return none, savorypin.Errorf(savorypin.KindInvalid, call.Service+"/"+call.Route,
+			"route is not idempotent and needs an Idempotency-Key")
+	}
 	if !e.daemon.Ready() {
-		return none, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
+		return none, notRun(e.cfg.Settings.Name, errors.New("entry is not ready"))
 	}
 	release, err := e.admit(call.Organisation, 0)
 	if err != nil {
 		return none, err
 	}
-	defer release()
-	ctx, cancel := context.WithTimeout(ctx, timeout(call.Timeout, spec))
-	defer cancel()
-	e.countCall(1)
-	defer e.countCall(-1)
-	if route.Idempotent {
-		return e.callIdempotent(ctx, call, route)
+	if !e.beginCall(call) {
+		release()
+		return none, notRun(e.cfg.Settings.Name, errors.New("too many calls are under way"))
 	}
-	if call.Key == "" {
-		return none, savorypin.Errorf(savorypin.KindInvalid, call.Service+"/"+call.Route,
-			"route is not idempotent and needs an Idempotency-Key")
+	end := func() {
+		e.endCall(call)
+		release()
+	}
+	deadline := time.Now().Add(timeout(call.Timeout, spec))
+	if !route.Idempotent {
+		return e.callOnce(ctx, call, route, deadline, end)
 	}
-	return e.callOnce(ctx, call, route)
+	defer end()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return e.callIdempotent(ctx, call, route)
 }
 
-func (e *Entry) countCall(n int) {
+// beginCall counts a call and reports whether there is room for it.
+func (e *Entry) beginCall(call Call) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.calls += n
+	if e.calls >= maxCalls || e.callBytes+len(call.Body) > maxCallBytes {
+		e.countCall("full")
+		return false
+	}
+	e.calls++
+	e.callBytes += len(call.Body)
+	return true
 }
 
-// callIdempotent tries one endpoint after the other.
-func (e *Entry) callIdempotent(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
-	need := e.callNeed(call.Service, savorypin.PurposeFirst, map[string]bool{})
-	var last error
-	for ctx.Err() == nil {
-		candidate, ok := e.pick(need)
-		if !ok {
-			break
-		}
-		started := time.Now()
-		answer, err := e.pass(ctx, candidate, call, route, "")
-		e.observeCall(candidate, call, need.Purpose, started, err)
-		if err == nil {
-			return CallAnswer{Answer: answer}, nil
-		}
-		last = err
-		need.Avoid[candidate.Endpoint().Name] = true
-		need.Purpose = savorypin.PurposeRetry
-	}
-	if last == nil {
-		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, call.Service, "no endpoint is live").WithRetryAfter(time.Second)
-	}
-	return CallAnswer{}, last
+func (e *Entry) endCall(call Call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls--
+	e.callBytes -= len(call.Body)
 }
 
-// callOnce claims the key before it passes the call on.
-func (e *Entry) callOnce(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
-	candidate, ok := e.pick(e.callNeed(call.Service, savorypin.PurposeFirst, nil))
-	if !ok {
-		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, call.Service, "no endpoint is live").WithRetryAfter(time.Second)
-	}
-	claim := savorypinclaim.Claim{
-		Endpoint: candidate.Endpoint().Name,
-		Key:      call.Key,
-		Member:   candidate.Member().Name,
-		Service:  call.Service,
-	}
-	version, err := e.book.Claim(ctx, claim)
-	switch {
-	case errors.Is(err, savorypinclaim.ErrTaken):
-		return e.replay(ctx, call.Service, call.Key)
-	case err != nil:
-		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, call.Key, "%w", err).WithRetryAfter(time.Second)
-	}
-	started := time.Now()
-	answer, err := e.pass(ctx, candidate, call, route, call.Key)
-	e.observeCall(candidate, call, savorypin.PurposeFirst, started, err)
-	if savorypin.KindOf(err) == savorypin.KindNotRun {
-		e.release(ctx, claim, version)
-		return CallAnswer{}, err
-	}
-	if err != nil {
-		return CallAnswer{}, err
-	}
-	e.settle(ctx, claim, version, answer)
-	return CallAnswer{Answer: answer}, nil
+// notRun returns the refusal of a call that nothing was sent of.
+func notRun(object string, err error) error {
+	return savorypin.Errorf(savorypin.KindNotRun, object, "%w", err).WithRetryAfter(time.Second)
 }
 
 // pass hands a call to the agent beside an endpoint.
@@ -135,19 +111,25 @@
 	candidate savorypinroute.Candidate,
 	call Call,
 	route savorypin.RouteSpec,
-	key string,
+	ticket *savorypinclaim.Ticket,
 ) (savorypinmember.PlainAnswer, error) {
 	deadline, _ := ctx.Deadline()
+	message := savorypinmember.PlainCall{
+		Body:        call.Body,
+		ContentType: call.ContentType,
+		Deadline:    deadline,
+		Endpoint:    candidate.Endpoint().Name,
+		Path:        route.Path,
+		Ticket:      ticket,
+	}
+	if ticket != nil {
+		message.Key = call.Key
+	}
+	if _, err := e.daemon.Transport().Get(ctx, candidate.Member().Address); err != nil {
+		return savorypinmember.PlainAnswer{}, notRun(candidate.Member().Name, err)
+	}
 	answer, err := savorypinmember.Call[savorypinmember.PlainCall, savorypinmember.PlainAnswer](
-		ctx, e.daemon.Transport(), candidate.Member().Address, savorypinmember.FrameCall,
-		savorypinmember.PlainCall{
-			Body:        call.Body,
-			ContentType: call.ContentType,
-			Deadline:    deadline,
-			Endpoint:    candidate.Endpoint().Name,
-			Key:         key,
-			Path:        route.Path,
-		})
+		ctx, e.daemon.Transport(), candidate.Member().Address, savorypinmember.FrameCall, message)
 	if err == nil {
 		return answer, nil
 	}
@@ -172,82 +154,3 @@
 	o.Service = call.Service
 	e.observe(o)
 }
-
-// settle writes the outcome of a claim. If that fails, the agent still knows
-// the answer, and a repeated key asks it.
-func (e *Entry) settle(ctx context.Context, claim savorypinclaim.Claim, version int64, answer savorypinmember.PlainAnswer) {
-	claim.Answer = answer.Body
-	claim.ContentType = answer.ContentType
-	claim.Outcome = savorypinclaim.OutcomeDone
-	claim.Status = answer.Status
-	if err := e.book.Settle(ctx, claim, version); err != nil {
-		e.daemon.Logger().Warn("Outcome not written", "service", claim.Service, "err", err)
-	}
-}
-
-func (e *Entry) release(ctx context.Context, claim savorypinclaim.Claim, version int64) {
-	if err := e.book.Release(ctx, claim, version); err != nil {
-		e.daemon.Logger().Warn("Claim not released", "service", claim.Service, "err", err)
-	}
-}
-
-// replay returns the answer of an earlier run of a key.
-func (e *Entry) replay(ctx context.Context, service, key string) (CallAnswer, error) {
-	outcome, err := e.Outcome(ctx, service, key)
-	if err != nil {
-		return CallAnswer{}, err
-	}
-	switch {
-	case outcome.Answer != nil:
-		return CallAnswer{Answer: *outcome.Answer, Replayed: true}, nil
-	case outcome.NotRun:
-		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, key, "key has not run").WithRetryAfter(time.Second)
-	default:
-		return CallAnswer{}, savorypin.Errorf(savorypin.KindUnknown, key, "outcome of the key is not known")
-	}
-}
-
-// Outcome is what is known of a key.
-type Outcome struct {
-	// Answer is the answer of the endpoint, if the key has run.
-	Answer *savorypinmember.PlainAnswer
-	// NotRun says that the key has not run and will not run.
-	NotRun bool
-}
-
-// Outcome tells what is known of a key.
-func (e *Entry) Outcome(ctx context.Context, service, key string) (Outcome, error) {
-	claim, version, ok, err := e.book.Read(ctx, service, key)
-	if err != nil {
-		return Outcome{}, savorypin.Errorf(savorypin.KindUnknown, key, "%w", err)
-	}
-	if !ok {
-		return Outcome{NotRun: true}, nil
-	}
-	if claim.Outcome == savorypinclaim.OutcomeDone {
-		return Outcome{Answer: &savorypinmember.PlainAnswer{
-			Body:        claim.Answer,
-			ContentType: claim.ContentType,
-			Status:      claim.Status,
-		}}, nil
-	}
-	m, ok := e.daemon.Members().Get(claim.Member)
-	if !ok {
-		return Outcome{}, nil
-	}
-	barred, err := savorypinmember.Call[savorypinmember.Bar, savorypinmember.Barred](
-		ctx, e.daemon.Transport(), m.State().Address, savorypinmember.FrameBar,
-		savorypinmember.Bar{Endpoint: claim.Endpoint, Key: key})
-	switch {
-	case err != nil:
-		return Outcome{}, nil //nolint:nilerr // An agent that does not answer leaves the outcome unknown.
-	case barred.Answer != nil:
-		e.settle(ctx, claim, version, *barred.Answer)
-		return Outcome{Answer: barred.Answer}, nil
-	case barred.Passed:
-		return Outcome{}, nil
-	default:
-		e.release(ctx, claim, version)
-		return Outcome{NotRun: true}, nil
-	}
-}
--- /dev/null
+++ b/internal/savorypinentry/callclaims.go
@@ -0,0 +1,206 @@
+package savorypinentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinclaim"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinplatform"
+	"savorypin/internal/savorypinrank"
+)
+
+// Policy of claims.
+const (
+	// claimInterval is the shortest time between two segments of a shard. It
+	// bounds the writes a second: shards divided by the interval.
+	claimInterval = 80 * time.Millisecond
+	// claimRetention is how long a key is kept.
+	claimRetention = time.Hour
+	// claimSettleDelay is how long outcomes wait for claims to be written with.
+	claimSettleDelay = time.Second
+	// maxShardKeys is the largest number of keys of a shard.
+	maxShardKeys = 600_000
+)
+
+// startClaims sets up the claims of the entry and registers what serves them.
+func (e *Entry) startClaims() {
+	platform := e.daemon.Platform()
+	e.keeper = savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+		Await:  e.remoteAwait,
+		Claim:  e.remoteClaim,
+		Owner:  e.shardOwner,
+		Settle: e.remoteSettle,
+		Shard: savorypinclaim.ShardConfig{
+			Count:       e.countClaims,
+			Interval:    claimInterval,
+			MaxKeys:     maxShardKeys,
+			NewOrder:    uuid.NewString,
+			Now:         time.Now,
+			Retention:   claimRetention,
+			SettleDelay: claimSettleDelay,
+			Store: savorypinclaim.Store{
+				Create:     platform.Create,
+				Delete:     platform.Delete,
+				Get:        platform.Get,
+				IsNotFound: func(err error) bool { return errors.Is(err, savorypinplatform.ErrNotFound) },
+				Update:     platform.Update,
+			},
+			Wait: time.After,
+		},
+	})
+	e.runner = savorypinclaim.NewRunner(savorypinclaim.RunnerConfig{
+		Await:    e.keeper.Await,
+		Bar:      e.bar,
+		Claim:    e.keeper.Claim,
+		Gone:     e.gone,
+		Patience: claimPatience,
+		Settle:   e.settle,
+	})
+	e.daemon.Handle(savorypinmember.FrameAwait, savorypinmember.HandleCall(e.handleAwait))
+	e.daemon.Handle(savorypinmember.FrameClaim, savorypinmember.HandleCall(e.handleClaim))
+	e.daemon.Handle(savorypinmember.FrameSettle, savorypinmember.HandleCall(e.handleSettle))
+	for shard := range savorypinclaim.Shards {
+		e.daemon.Background(func(ctx context.Context) { e.keeper.Run(ctx, shard) })
+	}
+	e.daemon.RegisterState("claims", func() any { return e.keeper.State() })
+	e.registerCallGauges()
+}
+
+func (e *Entry) registerCallGauges() {
+	gauge := func(name string, read func() int64) {
+		_ = e.daemon.Metrics().Register(name, metrics.NewFunctionalGauge(read))
+	}
+	gauge("calls.running", func() int64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return int64(e.calls)
+	})
+	gauge("calls.retrybudget", e.retries.budget.Tokens)
+	gauge("claims.keys", func() int64 {
+		n := 0
+		for _, s := range e.keeper.State() {
+			n += s.Keys
+		}
+		return int64(n)
+	})
+}
+
+func (e *Entry) countCall(name string) {
+	metrics.GetOrRegisterCounter("calls."+name, e.daemon.Metrics()).Inc(1)
+}
+
+func (e *Entry) countClaims(name string, n int64) {
+	metrics.GetOrRegisterCounter("claims."+name, e.daemon.Metrics()).Inc(n)
+}
+
+// shardOwner returns the address of the entry that commits a shard for the
+// others, or an empty string if it is this one.
+func (e *Entry) shardOwner(shard int) string {
+	addresses := map[string]string{}
+	names := []string{e.cfg.Settings.Name}
+	for _, m := range e.daemon.Members().All() {
+		state := m.State()
+		if m.Usable() && state.Role == savorypin.RoleEntry && state.Name != e.cfg.Settings.Name {
+			addresses[state.Name] = state.Address
+			names = append(names, state.Name)
+		}
+	}
+	return addresses[savorypinrank.Names(fmt.Sprintf("claims/%d", shard), names)[0]]
+}
+
+// settle tells the outcome of an attempt. The caller need not wait for it.
+func (e *Entry) settle(s savorypinclaim.Settlement) {
+	e.settling.Add(1)
+	go func() {
+		defer e.settling.Add(-1)
+		e.keeper.Settle(context.Background(), s)
+	}()
+}
+
+func (e *Entry) remoteAwait(
+	ctx context.Context,
+	address string,
+	key savorypinclaim.KeyID,
+	attempt string,
+) (savorypinclaim.Verdict, error) {
+	wait := claimPatience
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = time.Until(deadline)
+	}
+	verdict, err := savorypinmember.Call[savorypinmember.Await, savorypinclaim.Verdict](
+		ctx, e.daemon.Transport(), address, savorypinmember.FrameAwait,
+		savorypinmember.Await{Attempt: attempt, Key: key, Wait: wait})
+	return verdict, claimError(err)
+}
+
+func (e *Entry) remoteClaim(ctx context.Context, address string, c savorypinclaim.Claim) (savorypinclaim.Verdict, error) {
+	verdict, err := savorypinmember.Call[savorypinclaim.Claim, savorypinclaim.Verdict](
+		ctx, e.daemon.Transport(), address, savorypinmember.FrameClaim, c)
+	return verdict, claimError(err)
+}
+
+func (e *Entry) remoteSettle(ctx context.Context, address string, s savorypinclaim.Settlement) error {
+	_, err := savorypinmember.Call[savorypinclaim.Settlement, savorypinmember.Empty](
+		ctx, e.daemon.Transport(), address, savorypinmember.FrameSettle, s)
+	return err
+}
+
+// claimError turns an error of another entry into one of claims.
+func claimError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case savorypin.KindOf(err) == savorypin.KindNotRun:
+		return fmt.Errorf("%w: %w", savorypinclaim.ErrNotClaimed, err)
+	default:
+		return fmt.Errorf("%w: %w", savorypinclaim.ErrUnavailable, err)
+	}
+}
+
+// peerError turns an error of claims into one for another entry.
+func peerError(key savorypinclaim.KeyID, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, savorypinclaim.ErrNotClaimed):
+		return savorypin.Errorf(savorypin.KindNotRun, key.String(), "%w", err)
+	default:
+		return savorypin.Errorf(savorypin.KindUnreachable, key.String(), "%w", err)
+	}
+}
+
+func (e *Entry) handleAwait(
+	ctx context.Context,
+	_ savorypinmember.Hello,
+	req savorypinmember.Await,
+) (savorypinclaim.Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, req.Wait)
+	defer cancel()
+	verdict, err := e.keeper.Shard(req.Key).Await(ctx, req.Key, req.Attempt)
+	return verdict, peerError(req.Key, err)
+}
+
+func (e *Entry) handleClaim(
+	ctx context.Context,
+	_ savorypinmember.Hello,
+	req savorypinclaim.Claim,
+) (savorypinclaim.Verdict, error) {
+	verdict, err := e.keeper.Shard(req.Key).Claim(ctx, req)
+	return verdict, peerError(req.Key, err)
+}
+
+func (e *Entry) handleSettle(
+	_ context.Context,
+	_ savorypinmember.Hello,
+	req savorypinclaim.Settlement,
+) (savorypinmember.Empty, error) {
+	e.keeper.Shard(req.Key).Settle(req)
+	return savorypinmember.Empty{}, nil
+}
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -35,13 +36,17 @@
 
 // Entry is an entry daemon.
 type Entry struct {
-	book   *savorypinclaim.Book
-	cfg    Config
-	daemon *savorypindaemon.Daemon
-
-	mu     sync.Mutex
-	calls  int
-	relays map[savorypin.GenerationID]*Relay
+	cfg      Config
+	daemon   *savorypindaemon.Daemon
+	keeper   *savorypinclaim.Keeper
+	retries  *retryPolicies
+	runner   *savorypinclaim.Runner
+	settling atomic.Int64
+
+	mu        sync.Mutex
+	callBytes int
+	calls     int
+	relays    map[savorypin.GenerationID]*Relay
 }
 
 // New returns an entry that listens but does not serve yet.
@@ -58,11 +63,12 @@
 		return nil, err
 	}
 	e := &Entry{
-		book:   savorypinclaim.NewBook(daemon.Platform()),
-		cfg:    cfg,
-		daemon: daemon,
-		relays: map[savorypin.GenerationID]*Relay{},
+		cfg:     cfg,
+		daemon:  daemon,
+		relays:  map[savorypin.GenerationID]*Relay{},
+		retries: newRetryPolicies(),
 	}
+	e.startClaims()
 	daemon.Background(e.sweepLoop)
 	daemon.RegisterState("entry", e.state)
 	return e, nil
@@ -91,7 +97,7 @@
 			return false
 		}
 	}
-	return e.calls == 0
+	return e.calls == 0 && e.settling.Load() == 0 && e.keeper.Idle()
 }
 
 // State is the part of the state dump that only entries have.
--- a/internal/savorypinmember/callmessages.go
+++ b/internal/savorypinmember/callmessages.go
@@ -2,14 +2,23 @@
 
 import (
 	"time"
+
+	"savorypin/internal/savorypinclaim"
 )
 
-// Kinds of messages about calls of plain services, in sorted order.
+// Kinds of messages about calls of plain services and about claims, in sorted
+// order.
 const (
-	// FrameBar asks an agent never to run a key.
+	// FrameAwait waits for the outcome of an attempt.
+	FrameAwait FrameKind = "await"
+	// FrameBar asks an agent never to run an attempt.
 	FrameBar FrameKind = "bar"
 	// FrameCall runs a plain call.
 	FrameCall FrameKind = "call"
+	// FrameClaim claims a key.
+	FrameClaim FrameKind = "claim"
+	// FrameSettle tells the outcome of an attempt.
+	FrameSettle FrameKind = "settle"
 )
 
 // PlainCall asks an agent to run a call at an endpoint.
@@ -18,28 +27,51 @@
 	ContentType string    `msgpack:"ct"`
 	Deadline    time.Time `msgpack:"dl"`
 	Endpoint    string    `msgpack:"ep"`
-	Key         string    `msgpack:"key"`
-	Path        string    `msgpack:"path"`
+	// Key is the idempotency key; empty if the call may be repeated.
+	Key  string `msgpack:"key"`
+	Path string `msgpack:"path"`
+	// Ticket is the claim of the key; nil if the call may be repeated.
+	Ticket *savorypinclaim.Ticket `msgpack:"tick,omitempty"`
 }
 
 // PlainAnswer is what an endpoint answered.
 type PlainAnswer struct {
 	Body        []byte `msgpack:"body"`
 	ContentType string `msgpack:"ct"`
-	Status      int    `msgpack:"st"`
+	// Refused says that an attempt was not passed on.
+	Refused Refusal `msgpack:"ref,omitempty"`
+	Status  int     `msgpack:"st"`
 }
 
-// Bar asks an agent never to pass a key on to its endpoint.
+// Refusal says why an agent did not pass an attempt on.
+type Refusal string
+
+// The refusals.
+const (
+	// RefusalBarred means that the attempt was barred before it arrived.
+	RefusalBarred Refusal = "barred"
+	// RefusalOther means any other reason.
+	RefusalOther Refusal = "other"
+)
+
+// Bar asks an agent never to pass an attempt on to its endpoint.
 type Bar struct {
-	Endpoint string `msgpack:"ep"`
-	Key      string `msgpack:"key"`
+	Ticket savorypinclaim.Ticket `msgpack:"tick"`
+	// Wait is how long to wait for the end of an attempt that is under way.
+	Wait time.Duration `msgpack:"wait"`
 }
 
-// Barred says what an agent knows of a key.
+// Barred says what an agent knows of an attempt.
 type Barred struct {
-	// Answer is what the endpoint answered, if the agent knows.
-	Answer *PlainAnswer `msgpack:"ans"`
-	// Passed says that the key was passed on to the endpoint before it was
-	// barred.
-	Passed bool `msgpack:"passed"`
+	Answer *savorypinclaim.Answer `msgpack:"ans"`
+	// Outcome is claimed if the attempt is still under way.
+	Outcome savorypinclaim.Outcome `msgpack:"out"`
+}
+
+// Await waits for the outcome of an attempt.
+type Await struct {
+	Attempt string               `msgpack:"att"`
+	Key     savorypinclaim.KeyID `msgpack:"key"`
+	// Wait is how long to wait.
+	Wait time.Duration `msgpack:"wait"`
 }
--- a/internal/savorypinstandin/ledger.go
+++ b/internal/savorypinstandin/ledger.go
@@ -16,12 +16,13 @@
 	delay    time.Duration
 	loseNext int
 	runs     map[string]int
+	status   int
 	total    int
 }
 
 // NewLedger returns a ledger without entries.
 func NewLedger() *Ledger {
-	return &Ledger{runs: map[string]int{}}
+	return &Ledger{runs: map[string]int{}, status: http.StatusOK}
 }
 
 // LoseAnswers makes the ledger break the connection of the next n runs after
@@ -46,6 +47,13 @@
 	l.delay = d
 }
 
+// SetStatus sets the status that runs are answered with.
+func (l *Ledger) SetStatus(status int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.status = status
+}
+
 // ServeHTTP runs a call, or serves the switches under /standin/.
 func (l *Ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if strings.HasPrefix(r.URL.Path, "/standin/") {
@@ -59,7 +67,7 @@
 		return
 	}
 	l.mu.Lock()
-	delay := l.delay
+	delay, status := l.delay, l.status
 	l.mu.Unlock()
 	if delay > 0 {
 		time.Sleep(delay)
@@ -69,6 +77,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	fmt.Fprintf(w, `{"entry":%d,"path":%q,"bytes":%d}`, entry, r.URL.Path, len(body))
 }
 
--- a/pkg/savorypinclient/client.go
+++ b/pkg/savorypinclient/client.go
@@ -79,6 +79,10 @@
 // attaches again.
 const DefaultQuietAfter = 10 * time.Second
 
+// replayedHeader tells the answers of services, of any status, from errors of
+// savorypin.
+const replayedHeader = "Idempotent-Replayed"
+
 // maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
 
@@ -239,8 +243,10 @@
 
 // Answer is the answer of a plain service.
 type Answer struct {
-	body     []byte
-	replayed bool
+	body        []byte
+	contentType string
+	replayed    bool
+	status      int
 }
 
 // Body returns the body of the answer.
@@ -248,6 +254,17 @@
 	return a.body
 }
 
+// ContentType returns the content type of the answer.
+func (a Answer) ContentType() string {
+	return a.contentType
+}
+
+// Status returns the HTTP status that the service answered with. A call that
+// the service refused has run all the same.
+func (a Answer) Status() int {
+	return a.status
+}
+
 // Replayed reports whether the answer is that of an earlier run.
 func (a Answer) Replayed() bool {
 	return a.replayed
@@ -255,7 +272,8 @@
 
 // Call calls a route of a plain service through the first entry. A route that
 // is not idempotent needs a key; the caller may repeat the call with the same
-// key, through any entry.
+// key, through any entry. Any status that the service answers with is an
+// answer, not an error.
 func (c *Client) Call(ctx context.Context, service, route, key string, body any) (Answer, error) {
 	path := "/v1/services/" + url.PathEscape(service) + "/" + url.PathEscape(route)
 	resp, err := c.post(ctx, c.cfg.Entries[0]+path, key, body)
@@ -267,7 +285,47 @@
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", errTransport, err)
 	}
-	return Answer{body: data, replayed: resp.Header.Get("Idempotent-Replayed") == "true"}, nil
+	return Answer{
+		body:        data,
+		contentType: resp.Header.Get("Content-Type"),
+		replayed:    resp.Header.Get(replayedHeader) == "true",
+		status:      resp.StatusCode,
+	}, nil
+}
+
+// Outcome is what is known of an idempotency key.
+type Outcome string
+
+// The outcomes of keys.
+const (
+	// OutcomeDone means that the key has run.
+	OutcomeDone Outcome = "done"
+	// OutcomeNotRun means that the key has not run and never will.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that the key may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Outcome asks the first entry for the outcome of a key. A key that has not
+// run is closed by the question: use a new key afterwards.
+func (c *Client) Outcome(ctx context.Context, service, key string) (Outcome, error) {
+	path := "/v1/outcomes/" + url.PathEscape(service) + "/" + url.PathEscape(key)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.cfg.Entries[0]+path, nil)
+	if err != nil {
+		return "", err
+	}
+	resp, err := c.do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	var body struct {
+		Outcome Outcome `json:"outcome"`
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxEventBytes)).Decode(&body); err != nil {
+		return "", fmt.Errorf("%w: %w", errTransport, err)
+	}
+	return body.Outcome, nil
 }
 
 func (c *Client) post(ctx context.Context, address, key string, v any) (*http.Response, error) {
@@ -296,7 +354,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errTransport, err)
 	}
-	if resp.StatusCode < http.StatusBadRequest {
+	if resp.StatusCode < http.StatusBadRequest || resp.Header.Get(replayedHeader) != "" {
 		return resp, nil
 	}
 	defer resp.Body.Close()
