--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -13,6 +13,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
+	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinoperator"
@@ -71,9 +72,12 @@
 		a.endpoints[e.Name] = newEndpoint(e)
 	}
 	daemon.Handle(savorypinmember.FrameAttach, a.handleAttach)
+	daemon.Handle(savorypinmember.FrameFence, savorypinmember.HandleCall(a.handleFence))
 	daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
+	daemon.Handle(savorypinmember.FrameOrder, savorypinmember.HandleCall(a.handleOrder))
 	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
 	a.handleCalls()
+	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
 	for _, e := range a.endpoints {
@@ -90,7 +94,17 @@
 // Run serves until ctx ends or the planned stop is done.
 func (a *Agent) Run(ctx context.Context) error {
 	handler := savorypinoperator.NewHandler(savorypinoperator.Config{Daemon: a.daemon})
-	return a.daemon.Run(ctx, handler, a.idle)
+	return a.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: a.handOver, Idle: a.idle})
+}
+
+// handOver ends all attempts at their index, so that entries go on with them
+// at other endpoints.
+func (a *Agent) handOver() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.runs {
+		r.cancel()
+	}
 }
 
 // idle reports whether no attempt or call is running.
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -15,6 +15,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
+	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
 )
 
@@ -70,6 +71,7 @@
 	}
 	e.startClaims()
 	daemon.Background(e.sweepLoop)
+	savorypincontroller.StartPlacement(daemon)
 	daemon.RegisterState("entry", e.state)
 	return e, nil
 }
@@ -86,7 +88,14 @@
 
 // Run serves until ctx ends or the planned stop is done.
 func (e *Entry) Run(ctx context.Context, handler http.Handler) error {
-	return e.daemon.Run(ctx, handler, e.idle)
+	return e.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: e.handOver, Idle: e.idle})
+}
+
+// handOver lets callers attach to their generations through other entries.
+func (e *Entry) handOver() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.relays)
 }
 
 func (e *Entry) idle() bool {
