Bound the keys of an entry, and let operators set their retention

Cause: an index held 600,000 keys a shard, up to 4.8 million a daemon, and a list of touched keys beside them, which is far over 256 MB; a daemon that had just started read all shards before it knew the others; one that was paused could call a key absent during an outage on the strength of an old index. Also 5 more tests over real sockets: another endpoint, lost answers of idempotent calls, and their answers during an outage. Conclusion: a full entry refuses new keys as not run and forgets none.

--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -17,6 +18,9 @@
 		Flags: append(c.daemonFlags(), &cli.StringFlag{
 			Destination: &c.anonymous, Name: "anonymous-organisation", Sources: env("ANONYMOUS_ORGANISATION"),
 			Usage: "organisation of callers without a token; they are refused if it is empty",
+		}, &cli.DurationFlag{
+			Destination: &c.claimRetention, Name: "claim-retention", Sources: env("CLAIM_RETENTION"),
+			Usage: "how long an idempotency key is kept; all entries need the same", Value: 24 * time.Hour,
 		}),
 		Name:  "entry",
 		Usage: "run the daemon that callers and operators talk to",
@@ -33,6 +37,7 @@
 	}
 	entry, err := savorypinentry.New(savorypinentry.Config{
 		AnonymousOrganisation: c.anonymous,
+		ClaimRetention:        c.claimRetention,
 		Logger:                logger,
 		Settings:              c.daemon,
 	})
--- a/internal/savorypinclaim/claims_bench_test.go
+++ b/internal/savorypinclaim/claims_bench_test.go
@@ -21,8 +21,9 @@
 		f := newFakeStore(1)
 		f.delay = 3 * time.Millisecond
 		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
-			Owner: func(int) string { return "" },
-			Shard: shardConfig(f.store(func() {})),
+			MaxKeys: 1_000_000,
+			Owner:   func(int) string { return "" },
+			Shard:   shardConfig(f.store(func() {})),
 		})
 		for shard := range savorypinclaim.Shards {
 			go keeper.Run(ctx, shard)
@@ -86,8 +87,11 @@
 		f := newFakeStore(1)
 		f.delay = 3 * time.Millisecond
 		cfg := shardConfig(f.store(func() {}))
-		cfg.MaxKeys = b.N + 1
-		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{Owner: func(int) string { return "" }, Shard: cfg})
+		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+			MaxKeys: b.N,
+			Owner:   func(int) string { return "" },
+			Shard:   cfg,
+		})
 		for shard := range savorypinclaim.Shards {
 			go keeper.Run(b.Context(), shard)
 		}
--- a/internal/savorypinclaim/house.go
+++ b/internal/savorypinclaim/house.go
@@ -26,7 +26,7 @@
 // closePage sums up the page that ends with a segment.
 func (s *Shard) closePage(last Segment) {
 	s.mu.Lock()
-	page := s.index.Page(last.Number-pageSegments+1, last.Number)
+	page := s.index.ClosePage(last.Number-pageSegments+1, last.Number)
 	s.mu.Unlock()
 	page.At = last.At
 	page.Separate = s.separate
@@ -92,6 +92,7 @@
 	}
 	s.mu.Lock()
 	s.index.Expire(mark.first())
+	s.keys.Store(int64(s.index.Len()))
 	s.mu.Unlock()
 	for len(s.pages) > 0 && s.pages[0].number <= mark.Page {
 		s.pages = s.pages[1:]
--- a/internal/savorypinclaim/index.go
+++ b/internal/savorypinclaim/index.go
@@ -11,25 +11,19 @@
 	segment uint64
 }
 
-// touch notes that a segment tells of a key.
-type touch struct {
-	key     KeyID
-	segment uint64
-}
-
 // Index is the state that the segments of a shard add up to. It is pure: its
 // state depends on nothing but what was applied. It is not safe for concurrent
 // use.
 type Index struct {
 	entries map[KeyID]entry
 	learned map[KeyID]Settlement
-	limit   int
-	touched []touch
+	// recent are the keys of the page that is not closed yet.
+	recent []KeyID
 }
 
-// NewIndex returns an empty index that holds at most limit keys.
-func NewIndex(limit int) *Index {
-	return &Index{entries: map[KeyID]entry{}, learned: map[KeyID]Settlement{}, limit: limit}
+// NewIndex returns an empty index.
+func NewIndex() *Index {
+	return &Index{entries: map[KeyID]entry{}, learned: map[KeyID]Settlement{}}
 }
 
 // Len returns the number of keys.
@@ -39,8 +33,8 @@
 
 // Plan decides claims against the index, each after those before it, and
 // returns the claims that have to be committed. The verdicts hold once these
-// are durable in the given segment.
-func (x *Index) Plan(segment uint64, claims []Claim) ([]Verdict, []Claim) {
+// are durable in the given segment. There is room for a number of new keys.
+func (x *Index) Plan(segment uint64, claims []Claim, room int) ([]Verdict, []Claim) {
 	planned := map[KeyID]entry{}
 	verdicts := make([]Verdict, 0, len(claims))
 	var commit []Claim
@@ -51,10 +45,13 @@
 		}
 		verdict := decide(held, ok, c)
 		if verdict.Kind == VerdictGranted && verdict.Segment == 0 {
-			if !ok && len(x.entries)+len(planned) >= x.limit {
+			if !ok && room <= 0 {
 				verdicts = append(verdicts, Verdict{Kind: VerdictFull})
 				continue
 			}
+			if !ok {
+				room--
+			}
 			verdict.Segment = segment
 			planned[c.Key] = entryOf(c, segment)
 			commit = append(commit, c)
@@ -201,45 +198,43 @@
 // ApplyPage takes over a page.
 func (x *Index) ApplyPage(p Page) {
 	for _, e := range p.Entries {
-		x.put(e.Key, entry{attempt: e.Attempt, outcome: e.Outcome, request: e.Request, segment: e.Segment})
+		x.entries[e.Key] = entry{attempt: e.Attempt, outcome: e.Outcome, request: e.Request, segment: e.Segment}
 	}
 }
 
-// Page returns the page of the segments from first to last.
-func (x *Index) Page(first, last uint64) Page {
+// ClosePage returns the page of the segments since the last page, up to last.
+func (x *Index) ClosePage(first, last uint64) Page {
 	p := Page{}
-	for i := len(x.touched) - 1; i >= 0 && x.touched[i].segment >= first; i-- {
-		t := x.touched[i]
-		held := x.entries[t.key]
-		if held.segment != t.segment || t.segment > last {
+	seen := map[KeyID]bool{}
+	for _, key := range x.recent {
+		held, ok := x.entries[key]
+		if !ok || seen[key] || held.segment < first || held.segment > last {
 			continue
 		}
+		seen[key] = true
 		p.Entries = append(p.Entries, PageEntry{
 			Attempt: held.attempt,
-			Key:     t.key,
+			Key:     key,
 			Outcome: held.outcome,
 			Request: held.request,
 			Segment: held.segment,
 		})
 	}
+	x.recent = nil
 	return p
 }
 
 // Expire forgets the keys that no segment from first on tells of.
 func (x *Index) Expire(first uint64) {
-	n := 0
-	for n < len(x.touched) && x.touched[n].segment < first {
-		t := x.touched[n]
-		if held, ok := x.entries[t.key]; ok && held.segment == t.segment {
-			delete(x.entries, t.key)
-			delete(x.learned, t.key)
+	for key, held := range x.entries {
+		if held.segment < first {
+			delete(x.entries, key)
+			delete(x.learned, key)
 		}
-		n++
 	}
-	x.touched = append([]touch(nil), x.touched[n:]...)
 }
 
 func (x *Index) put(key KeyID, e entry) {
 	x.entries[key] = e
-	x.touched = append(x.touched, touch{key: key, segment: e.segment})
+	x.recent = append(x.recent, key)
 }
--- a/internal/savorypinclaim/index_test.go
+++ b/internal/savorypinclaim/index_test.go
@@ -13,7 +13,7 @@
 	It("decides as its naive twin does, also when read back from pages", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			const keys, attempts = 4, 6
-			index := savorypinclaim.NewIndex(1000)
+			index := savorypinclaim.NewIndex()
 			naive := twin{}
 			attempt := rapid.Custom(func(t *rapid.T) string {
 				return fmt.Sprint("attempt-", rapid.IntRange(0, attempts).Draw(t, "n"))
@@ -43,16 +43,16 @@
 					c.Supersedes = rapid.OneOf(rapid.Just(""), attempt).Draw(t, "supersedes")
 					claims = append(claims, c)
 				}
-				verdicts, granted := index.Plan(number, claims)
+				verdicts, granted := index.Plan(number, claims, 1000)
 				for i, c := range claims {
 					if want := naive.claim(c); verdicts[i].Kind != want {
 						t.Fatalf("segment %d, claim %d: %s, the twin says %s", number, i, verdicts[i].Kind, want)
 					}
 				}
 				index.Apply(savorypinclaim.Segment{Claims: granted, Number: number})
-				pages = append(pages, index.Page(number, number))
+				pages = append(pages, index.ClosePage(number, number))
 				if rapid.IntRange(0, 9).Draw(t, "reload") == 0 {
-					index = savorypinclaim.NewIndex(1000)
+					index = savorypinclaim.NewIndex()
 					for _, p := range pages {
 						index.ApplyPage(p)
 					}
--- a/internal/savorypinclaim/keeper.go
+++ b/internal/savorypinclaim/keeper.go
@@ -18,10 +18,13 @@
 	Await  func(ctx context.Context, address string, key KeyID, attempt string) (Verdict, error)
 	Claim  func(ctx context.Context, address string, c Claim) (Verdict, error)
 	Settle func(ctx context.Context, address string, s Settlement) error
+	// MaxKeys is the largest number of keys of all shards together.
+	MaxKeys int
 	// Owner returns the address of the daemon that commits a shard for the
 	// others; empty if it is this one.
 	Owner func(shard int) string
-	// Shard configures the shards; Number and Trusted are set for each.
+	// Shard configures the shards; Number, Room and Trusted are set
+	// for each.
 	Shard ShardConfig
 }
 
@@ -38,6 +41,7 @@
 	for i := range k.shards {
 		shard := cfg.Shard
 		shard.Number = i
+		shard.Room = k.room
 		shard.Trusted = func() bool { return cfg.Owner(i) == "" }
 		k.shards[i] = NewShard(shard)
 	}
@@ -90,6 +94,20 @@
 	return true
 }
 
+// Keys returns the number of keys.
+func (k *Keeper) Keys() int {
+	n := 0
+	for _, s := range k.shards {
+		n += int(s.keys.Load())
+	}
+	return n
+}
+
+// room returns how many new keys there is room for.
+func (k *Keeper) room() int {
+	return k.cfg.MaxKeys - k.Keys()
+}
+
 // Run commits groups of one shard until ctx ends.
 func (k *Keeper) Run(ctx context.Context, shard int) {
 	k.shards[shard].Run(ctx)
--- a/internal/savorypinclaim/load.go
+++ b/internal/savorypinclaim/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -115,7 +116,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loaded = false
-	s.index = NewIndex(s.cfg.MaxKeys)
+	s.index = NewIndex()
+	s.keys.Store(0)
 	s.mark = mark
 	s.markVersion = version
 	s.next = mark.first()
@@ -125,6 +127,19 @@
 	s.sweep = sweep{}
 }
 
+// unload forgets what was read of a shard that others commit and that was not
+// needed for a while.
+func (s *Shard) unload() {
+	const unloadAfter = time.Minute
+	s.mu.Lock()
+	needed := !s.loaded || len(s.waiters)+len(s.settlements) > 0
+	s.mu.Unlock()
+	if needed || s.cfg.Trusted() || s.cfg.Now().Sub(s.last) < unloadAfter {
+		return
+	}
+	s.reset(Mark{}, 0)
+}
+
 // catchUp applies what others have written.
 func (s *Shard) catchUp(ctx context.Context) error {
 	for {
@@ -138,6 +153,7 @@
 			return err
 		}
 		if s.next == before || s.next%pageSegments != 1 {
+			s.fresh = s.cfg.Now()
 			s.relearn()
 			return nil
 		}
@@ -151,6 +167,7 @@
 	return getRun(ctx, s.cfg.Store, key, first, unbounded, func(number uint64, page Page) {
 		s.mu.Lock()
 		s.index.ApplyPage(page)
+		s.keys.Store(int64(s.index.Len()))
 		s.notify()
 		s.mu.Unlock()
 		s.next = number*pageSegments + 1
--- a/internal/savorypinclaim/schedule_test.go
+++ b/internal/savorypinclaim/schedule_test.go
@@ -131,6 +131,7 @@
 		Claim: func(ctx context.Context, address string, c savorypinclaim.Claim) (savorypinclaim.Verdict, error) {
 			return remote(w, e, func(o *fakeEntry) (savorypinclaim.Verdict, error) { return o.keeper.Shard(c.Key).Claim(ctx, c) }, address)
 		},
+		MaxKeys: 1000,
 		Owner: func(shard int) string {
 			if shard%len(w.entries) == i {
 				return ""
--- a/internal/savorypinclaim/shard.go
+++ b/internal/savorypinclaim/shard.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"savorypin/internal/savorypin"
@@ -37,8 +38,6 @@
 	Count func(name string, n int64)
 	// Interval is the shortest time between two segments.
 	Interval time.Duration
-	// MaxKeys is the largest number of keys.
-	MaxKeys int
 	// NewOrder returns a new order id.
 	NewOrder func() string
 	// Now is the clock. It decides nothing but when keys expire.
@@ -47,6 +46,8 @@
 	Number int
 	// Retention is how long a key is kept after it was last written.
 	Retention time.Duration
+	// Room returns how many new keys the shard may take.
+	Room func() int
 	// SettleDelay is how long settlements wait for claims to be written with.
 	SettleDelay time.Duration
 	// Store keeps the segments.
@@ -73,10 +74,13 @@
 // so at once.
 type Shard struct {
 	cfg  ShardConfig
+	keys atomic.Int64
 	wake chan struct{}
 
-	// Only Step uses these.
+	// Only Run and Step use these. fresh is when the shard was last known to
+	// be read to its end.
 	duePages    []duePage
+	fresh       time.Time
 	last        time.Time
 	mark        Mark
 	markVersion int64
@@ -92,7 +96,9 @@
 	index       *Index
 	loaded      bool
 	settlements []Settlement
-	waiters     []*waiter
+	// stale says that the shard was not fresh when the platform failed.
+	stale   bool
+	waiters []*waiter
 }
 
 // NewShard returns a shard that has read nothing.
@@ -100,7 +106,8 @@
 	return &Shard{
 		cfg:     cfg,
 		changed: make(chan struct{}),
-		index:   NewIndex(cfg.MaxKeys),
+		index:   NewIndex(),
+		last:    cfg.Now(),
 		wake:    make(chan struct{}, 1),
 	}
 }
@@ -209,6 +216,7 @@
 // waitForWork waits until a group is due. It reports false when ctx has ended.
 func (s *Shard) waitForWork(ctx context.Context) bool {
 	for {
+		s.unload()
 		delay := s.delay()
 		if delay <= 0 {
 			return ctx.Err() == nil
@@ -223,7 +231,8 @@
 }
 
 // delay returns how long the next group may wait. Without work, the shard is
-// refreshed from time to time if others rely on it.
+// refreshed from time to time if others rely on it. The first refresh waits
+// too, until the daemon knows the others.
 func (s *Shard) delay() time.Duration {
 	const refreshInterval = 2 * time.Second
 	s.mu.Lock()
@@ -251,6 +260,7 @@
 	}
 	verdicts, err := s.commit(ctx, claims, settlements)
 	s.last = s.cfg.Now()
+	s.finish(settlements, err)
 	for i, w := range waiters {
 		if err != nil {
 			w.done <- s.undecided(w.claim, err)
@@ -258,7 +268,6 @@
 		}
 		w.done <- decision{verdict: verdicts[i]}
 	}
-	s.finish(settlements, err)
 	if err == nil {
 		s.keepHouse(ctx)
 	}
@@ -276,11 +285,18 @@
 	return waiters, settlements
 }
 
+// maxStaleness is how long before the platform failed a shard must have been
+// fresh for its absent keys to be taken as not run. It is several refreshes.
+const maxStaleness = 10 * time.Second
+
 // finish puts settlements back that could not be written.
 func (s *Shard) finish(settlements []Settlement, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.committing = 0
+	if err != nil && !s.failing {
+		s.stale = s.last.Sub(s.fresh) > maxStaleness
+	}
 	s.failing = err != nil
 	if s.failing {
 		s.settlements = append(settlements, s.settlements...)
@@ -294,10 +310,10 @@
 func (s *Shard) undecided(c Claim, err error) decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if verdicts, _ := s.index.Plan(s.next, []Claim{c}); verdicts[0].Kind != VerdictGranted {
+	if verdicts, _ := s.index.Plan(s.next, []Claim{c}, s.cfg.Room()); verdicts[0].Kind != VerdictGranted {
 		return decision{verdict: verdicts[0]}
 	}
-	if !s.loaded || !s.cfg.Trusted() || errors.Is(err, context.Canceled) {
+	if !s.loaded || s.stale || !s.cfg.Trusted() || errors.Is(err, context.Canceled) {
 		return decision{err: err}
 	}
 	return decision{err: fmt.Errorf("%w: %w", ErrNotClaimed, err)}
@@ -314,7 +330,7 @@
 	}
 	for {
 		s.mu.Lock()
-		verdicts, granted := s.index.Plan(s.next, claims)
+		verdicts, granted := s.index.Plan(s.next, claims, s.cfg.Room())
 		news := s.index.News(settlements)
 		s.mu.Unlock()
 		if len(granted)+len(news) == 0 {
@@ -360,6 +376,7 @@
 	}
 	s.apply(segment)
 	if won {
+		s.fresh = s.cfg.Now()
 		return true, nil
 	}
 	return false, s.catchUp(ctx)
@@ -368,6 +385,7 @@
 func (s *Shard) apply(segment Segment) {
 	s.mu.Lock()
 	s.index.Apply(segment)
+	s.keys.Store(int64(s.index.Len()))
 	s.notify()
 	s.mu.Unlock()
 	s.next = segment.Number + 1
--- a/internal/savorypinclaim/store_test.go
+++ b/internal/savorypinclaim/store_test.go
@@ -129,7 +129,6 @@
 	return savorypinclaim.ShardConfig{
 		Count:    func(string, int64) {},
 		Interval: 80 * time.Millisecond,
-		MaxKeys:  100_000,
 		NewOrder: func() string {
 			mu.Lock()
 			defer mu.Unlock()
@@ -138,6 +137,7 @@
 		},
 		Now:         time.Now,
 		Retention:   time.Hour,
+		Room:        func() int { return 1_000_000 },
 		SettleDelay: time.Second,
 		Store:       store,
 		Trusted:     func() bool { return true },
--- a/internal/savorypincluster/call_test.go
+++ b/internal/savorypincluster/call_test.go
@@ -247,4 +247,46 @@
 		}, generous).Should(Equal("done"))
 		Expect(runsOf(c, key)).To(Equal(1))
 	})
+
+	It("runs on another endpoint if the first was not reached", func(ctx SpecContext) {
+		c := startLedgers(ctx, 2, 2, 2)
+		c.Agents()[0].Kill()
+		told, _, err := sale(ctx, c, 0, key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(told).To(Equal("done"))
+		Expect(runsOf(c, key)).To(Equal(1))
+	})
+
+	It("does not run on another endpoint if the first may have run it", func(ctx SpecContext) {
+		c := startLedgers(ctx, 2, 2, 2)
+		c.Ledger().LoseAnswers(1)
+		told, _, _ := sale(ctx, c, 0, key)
+		Expect(told).To(Equal("unknown"))
+		Expect(runsOf(c, key)).To(Equal(1))
+	})
+})
+
+var _ = Describe("Idempotent call", func() {
+	It("is answered by another endpoint if the first loses its answer", func(ctx SpecContext) {
+		c := startLedgers(ctx, 1, 2, 2)
+		c.Ledger().LoseAnswers(1)
+		_, err := c.Client(0).Call(ctx, savorypincluster.Ledger, "stock", "", struct{}{})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("is answered while the platform is out and an agent is dead", func(ctx SpecContext) {
+		c := startLedgers(ctx, 1, 2, 2)
+		c.Platform().SetOutage(true)
+		c.Agents()[0].Kill()
+		_, err := c.Client(0).Call(ctx, savorypincluster.Ledger, "stock", "", struct{}{})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("has the status of the endpoint when all tries fail", func(ctx SpecContext) {
+		c := start(ctx, 1, 1)
+		c.Ledger().SetStatus(http.StatusBadGateway)
+		answer, err := c.Client(0).Call(ctx, savorypincluster.Ledger, "stock", "", struct{}{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Status()).To(Equal(http.StatusBadGateway))
+	})
 })
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -54,13 +54,16 @@
 
 // Config configures a Cluster.
 type Config struct {
-	// Agents is the number of agents, each beside one engine. The first also
-	// stands beside the ledger.
+	// Agents is the number of agents, each beside one engine. The first ones
+	// also stand beside the ledger.
 	Agents int
 	// Engine configures the engines.
 	Engine savorypinstandin.EngineConfig
 	// Entries is the number of entries.
 	Entries int
+	// Ledgers is the number of agents that also stand beside the ledger; zero
+	// means one.
+	Ledgers int
 	// Logger logs what the daemons do.
 	Logger *log.Logger
 	// Places are given to daemons in turn.
@@ -259,9 +262,9 @@
 		Type:             savorypin.EndpointEngine,
 		URL:              url,
 	}}
-	if i == 0 {
+	if i < max(c.cfg.Ledgers, 1) {
 		endpoints = append(endpoints, savorypinagent.EndpointConfig{
-			Name:             "ledger-0",
+			Name:             fmt.Sprintf("ledger-%d", i),
 			PrefillPerSecond: 1,
 			Service:          Ledger,
 			Slots:            c.cfg.Engine.Slots,
--- a/internal/savorypincluster/cluster_test.go
+++ b/internal/savorypincluster/cluster_test.go
@@ -15,6 +15,11 @@
 
 // start starts a cluster with fast engines.
 func start(ctx context.Context, entries, agents int) *savorypincluster.Cluster {
+	return startLedgers(ctx, entries, agents, 1)
+}
+
+// startLedgers starts a cluster with some agents beside the ledger.
+func startLedgers(ctx context.Context, entries, agents, ledgers int) *savorypincluster.Cluster {
 	c, err := savorypincluster.Start(context.WithoutCancel(ctx), savorypincluster.Config{
 		Agents: agents,
 		Engine: savorypinstandin.EngineConfig{
@@ -24,6 +29,7 @@
 			TokensPerSecond:  200,
 		},
 		Entries: entries,
+		Ledgers: ledgers,
 		Logger:  log.New(io.Discard),
 		Places: []savorypincluster.Place{
 			{Domain: "d1", Region: "r1"},
--- a/internal/savorypinentry/callclaims.go
+++ b/internal/savorypinentry/callclaims.go
@@ -21,29 +21,30 @@
 	// claimInterval is the shortest time between two segments of a shard. It
 	// bounds the writes a second: shards divided by the interval.
 	claimInterval = 80 * time.Millisecond
-	// claimRetention is how long a key is kept.
-	claimRetention = time.Hour
+	// claimRetention is how long a key is kept if the settings state no time.
+	claimRetention = 24 * time.Hour
 	// claimSettleDelay is how long outcomes wait for claims to be written with.
 	claimSettleDelay = time.Second
-	// maxShardKeys is the largest number of keys of a shard.
-	maxShardKeys = 600_000
+	// maxClaimKeys is the largest number of keys that an entry keeps. One takes
+	// about 130 bytes.
+	maxClaimKeys = 1_000_000
 )
 
 // startClaims sets up the claims of the entry and registers what serves them.
 func (e *Entry) startClaims() {
 	platform := e.daemon.Platform()
 	e.keeper = savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
-		Await:  e.remoteAwait,
-		Claim:  e.remoteClaim,
-		Owner:  e.shardOwner,
-		Settle: e.remoteSettle,
+		Await:   e.remoteAwait,
+		Claim:   e.remoteClaim,
+		MaxKeys: maxClaimKeys,
+		Owner:   e.shardOwner,
+		Settle:  e.remoteSettle,
 		Shard: savorypinclaim.ShardConfig{
 			Count:       e.countClaims,
 			Interval:    claimInterval,
-			MaxKeys:     maxShardKeys,
 			NewOrder:    uuid.NewString,
 			Now:         time.Now,
-			Retention:   claimRetention,
+			Retention:   e.claimRetention(),
 			SettleDelay: claimSettleDelay,
 			Store: savorypinclaim.Store{
 				Create:     platform.Create,
@@ -83,20 +84,29 @@
 		return int64(e.calls)
 	})
 	gauge("calls.retrybudget", e.retries.budget.Tokens)
-	gauge("claims.keys", func() int64 {
-		n := 0
-		for _, s := range e.keeper.State() {
-			n += s.Keys
-		}
-		return int64(n)
-	})
+	gauge("claims.keys", func() int64 { return int64(e.keeper.Keys()) })
 }
 
 func (e *Entry) countCall(name string) {
 	metrics.GetOrRegisterCounter("calls."+name, e.daemon.Metrics()).Inc(1)
 }
 
+// claimRetention returns how long a key is kept.
+func (e *Entry) claimRetention() time.Duration {
+	if e.cfg.ClaimRetention > 0 {
+		return e.cfg.ClaimRetention
+	}
+	return claimRetention
+}
+
+// countClaims adds to a counter of claims. The claims of each group also go
+// into a histogram.
 func (e *Entry) countClaims(name string, n int64) {
+	const samples = 1028
+	if name == "claims" && n > 0 {
+		sample := func() metrics.Histogram { return metrics.NewHistogram(metrics.NewUniformSample(samples)) }
+		e.daemon.Metrics().GetOrRegister("claims.group", sample).(metrics.Histogram).Update(n)
+	}
 	metrics.GetOrRegisterCounter("claims."+name, e.daemon.Metrics()).Inc(n)
 }
 
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -27,6 +27,8 @@
 	// AnonymousOrganisation is the organisation of callers without a token;
 	// empty if they are refused.
 	AnonymousOrganisation string
+	// ClaimRetention is how long an idempotency key is kept; zero means a day.
+	ClaimRetention time.Duration
 	// Logger logs.
 	Logger *log.Logger
 	// Rand returns a uniform number in [0, 1).
