--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -21,6 +22,9 @@
 			Destination: &c.linkRate, Name: "link-bytes-per-second", Sources: env("LINK_BYTES_PER_SECOND"),
 			Usage: "what the link between regions may carry for all entries of the region together",
 			Value: 30e6 / 8,
+		}, &cli.DurationFlag{
+			Destination: &c.claimRetention, Name: "claim-retention", Sources: env("CLAIM_RETENTION"),
+			Usage: "how long an idempotency key is kept; all entries need the same", Value: 24 * time.Hour,
 		}),
 		Name:  "entry",
 		Usage: "run the daemon that callers and operators talk to",
@@ -37,6 +41,7 @@
 	}
 	entry, err := savorypinentry.New(savorypinentry.Config{
 		AnonymousOrganisation: c.anonymous,
+		ClaimRetention:        c.claimRetention,
 		LinkBytesPerSecond:    c.linkRate,
 		Logger:                logger,
 		Settings:              c.daemon,
--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -7,11 +7,13 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinmember"
@@ -33,12 +35,13 @@
 
 // Agent is an agent daemon.
 type Agent struct {
+	attempts  *savorypinclaim.AttemptLog
+	calls     atomic.Int64
 	cfg       Config
 	daemon    *savorypindaemon.Daemon
 	endpoints map[string]*endpoint
 
-	mu    sync.Mutex
-	calls map[callKey]*callRecord
+	mu sync.Mutex
 
 	registry
 }
@@ -47,7 +50,6 @@
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{
 		cfg:       cfg,
-		calls:     map[callKey]*callRecord{},
 		endpoints: map[string]*endpoint{},
 	}
 	daemon, err := savorypindaemon.New(savorypindaemon.Config{
@@ -60,14 +62,14 @@
 		return nil, err
 	}
 	a.daemon = daemon
+	a.attempts = newAttemptLog(daemon.Incarnation())
 	for _, e := range cfg.Endpoints {
 		a.endpoints[e.Name] = newEndpoint(e)
 	}
-	daemon.Handle(savorypinmember.FrameBar, savorypinmember.HandleCall(a.handleBar))
-	daemon.Handle(savorypinmember.FrameCall, savorypinmember.HandleCall(a.handleCall))
 	daemon.Handle(savorypinmember.FrameFence, savorypinmember.HandleCall(a.handleFence))
 	daemon.Handle(savorypinmember.FrameOrder, savorypinmember.HandleCall(a.handleOrder))
 	a.registerGenerations()
+	a.handleCalls()
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
 	savorypincontroller.StartMoves(savorypincontroller.MovesConfig{
@@ -103,19 +105,13 @@
 			return false
 		}
 	}
-	for _, c := range a.calls {
-		if !c.settled {
-			return false
-		}
-	}
-	return true
+	return a.calls.Load() == 0 && a.attempts.Idle()
 }
 
 // State is the part of the state dump that only agents have.
 type State struct {
 	AnswerBytes int                       `json:"answerBytes"`
 	Attempts    []AttemptState            `json:"attempts"`
-	Calls       int                       `json:"calls"`
 	Endpoints   []savorypin.EndpointState `json:"endpoints"`
 	Places      int                       `json:"places"`
 }
@@ -137,7 +133,6 @@
 	s := State{
 		AnswerBytes: a.memory.Used(),
 		Attempts:    []AttemptState{},
-		Calls:       len(a.calls),
 		Endpoints:   a.states(),
 		Places:      a.places.Len(),
 	}
@@ -161,21 +156,10 @@
 	for {
 		select {
 		case <-ticker.C:
-			a.sweep(time.Now())
+			a.sweepGenerations(time.Now())
+			a.attempts.Sweep()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
-
-// sweep drops what has been kept for long enough.
-func (a *Agent) sweep(now time.Time) {
-	a.sweepGenerations(now)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for key, c := range a.calls {
-		if c.settled && now.Sub(c.at) > callRetainFor {
-			delete(a.calls, key)
-		}
-	}
-}
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -54,8 +54,8 @@
 
 // Config configures a Cluster.
 type Config struct {
-	// Agents is the number of agents, each beside one engine. The first also
-	// stands beside the ledger.
+	// Agents is the number of agents, each beside one engine. The first ones
+	// also stand beside the ledger.
 	Agents int
 	// Dial opens the entries' connections to other daemons; nil means TCP.
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
@@ -63,6 +63,9 @@
 	Engine savorypinstandin.EngineConfig
 	// Entries is the number of entries.
 	Entries int
+	// Ledgers is the number of agents that also stand beside the ledger; zero
+	// means one.
+	Ledgers int
 	// Models returns the models of an engine at the start; nil if Engine says
 	// so for all.
 	Models func(agent int) []string
@@ -276,9 +279,9 @@
 		Type:             savorypin.EndpointEngine,
 		URL:              url,
 	}}
-	if i == 0 {
+	if i < max(c.cfg.Ledgers, 1) {
 		endpoints = append(endpoints, savorypinagent.EndpointConfig{
-			Name:             "ledger-0",
+			Name:             fmt.Sprintf("ledger-%d", i),
 			PrefillPerSecond: 1,
 			Service:          Ledger,
 			Slots:            c.cfg.Engine.Slots,
@@ -391,6 +394,7 @@
 		return err
 	}
 	c.entries[i] = e
+	c.seeds[i] = e.Daemon().Self().Address
 	return nil
 }
 
--- a/internal/savorypincluster/cluster_test.go
+++ b/internal/savorypincluster/cluster_test.go
@@ -101,3 +101,8 @@
 		})
 	}
 })
+
+// withLedgers sets the number of agents beside the ledger.
+func withLedgers(n int) func(*savorypincluster.Config) {
+	return func(cfg *savorypincluster.Config) { cfg.Ledgers = n }
+}
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -30,6 +30,8 @@
 	// AnonymousOrganisation is the organisation of callers without a token;
 	// empty if they are refused.
 	AnonymousOrganisation string
+	// ClaimRetention is how long an idempotency key is kept; zero means a day.
+	ClaimRetention time.Duration
 	// Dial opens connections to other daemons; nil means TCP.
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// LinkBytesPerSecond is what the link between regions may carry for all
@@ -45,22 +47,25 @@
 
 // Entry is an entry daemon.
 type Entry struct {
-	book   *savorypinclaim.Book
-	cfg    Config
-	daemon *savorypindaemon.Daemon
-	moves  *moves
-
-	routing
-
+	cfg      Config
+	daemon   *savorypindaemon.Daemon
 	evicted  atomic.Int64
 	finds    singleflight.Group
 	gate     *savorypinresume.Gate
+	keeper   *savorypinclaim.Keeper
 	memory   *savorypinresume.Memory
+	moves    *moves
+	retries  *retryPolicies
+	runner   *savorypinclaim.Runner
+	settling atomic.Int64
 	suspects suspects
 
-	mu     sync.Mutex
-	calls  int
-	relays map[savorypin.GenerationID]*Relay
+	routing
+
+	mu        sync.Mutex
+	callBytes int
+	calls     int
+	relays    map[savorypin.GenerationID]*Relay
 }
 
 // New returns an entry that listens but does not serve yet.
@@ -78,14 +83,15 @@
 		return nil, err
 	}
 	e := &Entry{
-		book:   savorypinclaim.NewBook(daemon.Platform()),
-		cfg:    cfg,
-		daemon: daemon,
-		moves:  newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
-		relays: map[savorypin.GenerationID]*Relay{},
+		cfg:     cfg,
+		daemon:  daemon,
+		moves:   newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
+		relays:  map[savorypin.GenerationID]*Relay{},
+		retries: newRetryPolicies(),
 	}
 	e.registerGenerations()
 	e.routing = newRouting(e)
+	e.startClaims()
 	daemon.RegisterState("entry", e.state)
 	return e, nil
 }
@@ -113,7 +119,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.calls == 0
+	return e.calls == 0 && e.settling.Load() == 0 && e.keeper.Idle()
 }
 
 // State is the part of the state dump that only entries have.
