Replace full tables and 1,600 watches by gossip, reports and few readers

Cause: each daemon sent its whole table to all others every 500 ms and watched all five kinds itself, which at 320 daemons is 1,600 watches and a quadratic number of messages. A list after a broken watch missed deletions, and the newest version that a member held was taken for having all older ones. Conclusion: gossip inside regions, relays between them, load by reports to entries only, configuration by offers and by comparison of hashes.

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -42,6 +42,7 @@
 	logFormat string
 	logLevel  string
 	output    string
+	sizes     []int
 	standin   standinConfig
 	stderr    io.Writer
 	stdout    io.Writer
@@ -94,6 +95,7 @@
 			c.demoCmd(),
 			c.entryCmd(),
 			c.getCmd(),
+			c.slopesCmd(),
 			c.standinCmd(),
 			c.stateCmd(),
 			c.stopCmd(),
--- /dev/null
+++ b/internal/cmd/slopescmd.go
@@ -0,0 +1,45 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinslopes"
+)
+
+func (c *Config) slopesCmd() *cli.Command {
+	return &cli.Command{
+		Action: c.runSlopesCmd,
+		Description: "Drives the code of each part in one process with an injected clock and network, at several\n" +
+			"numbers of members, and prints what a daemon costs. The largest size takes about a minute.",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{
+				Destination: &c.sizes, Name: "members", Value: savorypinslopes.Sizes,
+				Usage: "`NUMBER` of members; may be repeated",
+			},
+		},
+		Name:  "slopes",
+		Usage: "measure how the cost of a daemon grows with the number of daemons",
+	}
+}
+
+func (c *Config) runSlopesCmd(ctx context.Context, _ *cli.Command) error {
+	for _, part := range savorypinslopes.Parts {
+		for _, members := range c.sizes {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			if members < 1 {
+				return savorypin.Errorf(savorypin.KindInvalid, "--members", "%d is less than 1", members)
+			}
+			for _, row := range part.Measure(members) {
+				fmt.Fprintf(c.stdout, "%-8s %4d members  %-28s %12.2f %s\n",
+					part.Name, row.Members, row.Name, row.Value, row.Unit)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -342,11 +342,13 @@
 }
 
 // RestartAgent kills an agent and starts it again with the same settings and
-// an empty memory. It listens on other ports.
+// an empty memory. It listens for daemons at the same address.
 func (c *Cluster) RestartAgent(i int) error {
 	old := c.agents[i]
 	old.Kill()
-	a, err := c.runAgent(old.cfg)
+	cfg := old.cfg
+	cfg.Settings.Listen = old.Daemon().Self().Address
+	a, err := c.runAgent(cfg)
 	if err != nil {
 		return err
 	}
@@ -356,11 +358,12 @@
 }
 
 // RestartEntry kills an entry and starts it again with the same settings and
-// an empty memory. It listens on other ports.
+// an empty memory. It listens for daemons at the same address.
 func (c *Cluster) RestartEntry(i int) error {
 	old := c.entries[i]
 	old.Kill()
 	cfg := old.cfg
+	cfg.Settings.Listen = old.Daemon().Self().Address
 	cfg.Settings.Seeds = c.settings("", 0).Seeds
 	e, err := c.runEntry(cfg)
 	if err != nil {
--- /dev/null
+++ b/internal/savorypinconfig/reader.go
@@ -0,0 +1,28 @@
+package savorypinconfig
+
+import (
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinrank"
+)
+
+// ReadersPerDomain is the number of daemons in each failure domain that watch
+// the platform. It is more than one, so that a paused reader does no harm.
+const ReadersPerDomain = 2
+
+// Reads reports whether a daemon is one of the readers of its failure domain,
+// given the live members.
+func Reads(self savorypin.MemberState, live []savorypin.MemberState) bool {
+	names := []string{self.Name}
+	for _, m := range live {
+		if m.Domain == self.Domain && m.Name != self.Name {
+			names = append(names, m.Name)
+		}
+	}
+	ranked := savorypinrank.Names("reader/"+self.Domain, names)
+	for _, name := range ranked[:min(ReadersPerDomain, len(ranked))] {
+		if name == self.Name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/savorypinconfig/store_test.go
+++ b/internal/savorypinconfig/store_test.go
@@ -33,7 +33,7 @@
 				newest[name] = o
 			}
 			store := savorypinconfig.NewStore()
-			seen := map[string]int64{}
+			seen := map[savorypin.Key]int64{}
 			deliveries := rapid.Permutation(append(history, history...)).Draw(t, "deliveries")
 			for _, o := range deliveries {
 				store.Apply(o)
--- a/internal/savorypindaemon/beat.go
+++ b/internal/savorypindaemon/beat.go
@@ -2,25 +2,65 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
 	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinmembership"
 )
 
+// beatTimeout bounds one message of membership or configuration.
+const beatTimeout = time.Second
+
+// newBeats makes the state machines of membership and configuration.
+func (d *Daemon) newBeats() {
+	d.members = savorypinmembership.NewGossip(savorypinmembership.GossipConfig{
+		Incarnation: d.incarnation,
+		Name:        d.cfg.Settings.Name,
+		Now:         time.Now,
+		Rand:        rand.IntN,
+		Seeds:       d.cfg.Settings.Seeds,
+		Self:        d.describe,
+		Synced:      func() bool { return d.readiness.Synced() },
+	})
+	d.readiness = savorypinconfig.NewReadiness(savorypinconfig.ReadinessConfig{
+		Domains: d.domains,
+		Now:     time.Now,
+	})
+	d.distributor = savorypinconfig.NewDistributor(savorypinconfig.DistributorConfig{
+		Changed: d.logChanged,
+		Now:     time.Now,
+		Peers:   d.members.Peers,
+		Store:   d.config,
+		Synced:  d.readiness.Synced,
+	})
+}
+
 // Self returns what the daemon says of itself.
 func (d *Daemon) Self() savorypin.MemberState {
+	return d.members.Self()
+}
+
+// Resyncing reports whether the daemon was paused and has not caught up with
+// the other members yet. Whoever decides for others must wait until it has.
+func (d *Daemon) Resyncing() bool {
+	return d.members.Resyncing()
+}
+
+// describe returns what the daemon says of itself, without incarnation and
+// sequence.
+func (d *Daemon) describe() savorypin.MemberState {
 	s := savorypin.MemberState{
-		Address:     d.listener.Addr().String(),
-		Applied:     d.Config().Digest(),
-		Domain:      d.cfg.Settings.Domain,
-		Draining:    d.Draining(),
-		HTTP:        d.web.Addr().String(),
-		Incarnation: d.incarnation,
-		Name:        d.cfg.Settings.Name,
-		Region:      d.cfg.Settings.Region,
-		Role:        d.cfg.Role,
-		Sequence:    d.sequence.Add(1),
+		Address:  d.listener.Addr().String(),
+		Applied:  d.Config().Digest(),
+		Domain:   d.cfg.Settings.Domain,
+		Draining: d.Draining(),
+		HTTP:     d.web.Addr().String(),
+		Name:     d.cfg.Settings.Name,
+		Region:   d.cfg.Settings.Region,
+		Role:     d.cfg.Role,
 	}
 	if d.cfg.Endpoints != nil {
 		s.Endpoints = d.cfg.Endpoints()
@@ -28,55 +68,87 @@
 	return s
 }
 
+// domains returns the number of failure domains with other live members.
+func (d *Daemon) domains() int {
+	domains := map[string]bool{}
+	for _, m := range d.Members().All() {
+		if m.Health() == savorypinmembership.HealthLive && m.State().Name != d.cfg.Settings.Name {
+			domains[m.State().Domain] = true
+		}
+	}
+	return len(domains)
+}
+
 func (d *Daemon) beatLoop(ctx context.Context) {
-	ticker := time.NewTicker(beatInterval)
+	ticker := time.NewTicker(savorypinmembership.TickInterval)
 	defer ticker.Stop()
 	for {
-		d.beat(ctx)
 		select {
 		case <-ticker.C:
+			d.beat(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// beat sends what this daemon knows of members to every member and seed.
+// beat lets the membership go on and sends what it wants to send.
 func (d *Daemon) beat(ctx context.Context) {
-	d.members.Merge(d.Self())
-	d.members.Tick(d.cfg.Settings.Name)
-	var states []savorypin.MemberState
-	targets := map[string]bool{}
-	for _, seed := range d.cfg.Settings.Seeds {
-		targets[seed] = true
-	}
-	for _, m := range d.Members().All() {
-		states = append(states, m.State())
-		targets[m.State().Address] = true
+	beats, reports := d.members.Tick()
+	d.sendBeats(ctx, beats)
+	for _, r := range reports {
+		d.tasks.start(func() { d.sendReport(ctx, r) })
 	}
-	delete(targets, d.listener.Addr().String())
-	for address := range targets {
-		d.wg.Go(func() { d.beatTo(ctx, address, states) })
+}
+
+func (d *Daemon) sendBeats(ctx context.Context, beats []savorypinmembership.Envelope) {
+	for _, e := range beats {
+		d.tasks.start(func() { d.sendBeat(ctx, e) })
 	}
 }
 
-func (d *Daemon) beatTo(ctx context.Context, address string, states []savorypin.MemberState) {
-	ctx, cancel := context.WithTimeout(ctx, suspectAfter)
+func (d *Daemon) sendBeat(ctx context.Context, e savorypinmembership.Envelope) {
+	call, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	reply, err := savorypinmember.Call[savorypinmember.Beat, savorypinmember.Beat](
-		ctx, d.transport, address, savorypinmember.FrameBeat, savorypinmember.Beat{Members: states})
+	answer, err := savorypinmember.Call[savorypinmembership.Message, savorypinmembership.Message](
+		call, d.transport, e.Address, savorypinmember.FrameBeat, e.Message)
 	if err != nil {
-		d.logger.Debug("Heartbeat failed", "address", address, "err", err)
+		d.logger.Debug("Heartbeat failed", "address", e.Address, "err", err)
 		return
 	}
-	d.members.Merge(reply.Members...)
+	d.sendBeats(ctx, d.members.Reply(e, answer))
+	if answer.Synced {
+		if m, ok := d.Members().Get(answer.From); ok {
+			d.readiness.Heard(m.State().Domain, d.Config().Digest(), answer.Applied)
+		}
+	}
+	d.sendExchanges(ctx, d.distributor.Heard(e.Address, answer.Applied))
+}
+
+func (d *Daemon) sendReport(ctx context.Context, r savorypinmembership.ReportEnvelope) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	if err := savorypinmember.Notify(ctx, d.transport, r.Address, savorypinmember.FrameReport, r.Report); err != nil {
+		d.logger.Debug("Report failed", "address", r.Address, "err", err)
+	}
 }
 
 func (d *Daemon) handleBeat(
-	_ context.Context,
-	_ savorypinmember.Hello,
-	req savorypinmember.Beat,
-) (savorypinmember.Beat, error) {
-	d.members.Merge(req.Members...)
-	return savorypinmember.Beat{Members: []savorypin.MemberState{d.Self()}}, nil
+	ctx context.Context,
+	peer savorypinmember.Hello,
+	req savorypinmembership.Message,
+) (savorypinmembership.Message, error) {
+	if req.From != peer.Name {
+		return savorypinmembership.Message{}, savorypin.Errorf(
+			savorypin.KindInvalid, req.From, "%s sent a heartbeat under this name", peer.Name)
+	}
+	answer, out := d.members.Request(req)
+	d.sendBeats(context.WithoutCancel(ctx), out)
+	return answer, nil
+}
+
+func (d *Daemon) handleReport(peer savorypinmember.Hello, report savorypinmembership.Report) {
+	if report.From == peer.Name {
+		d.members.ReceiveReport(report)
+	}
 }
--- /dev/null
+++ b/internal/savorypindaemon/beatconfig.go
@@ -0,0 +1,52 @@
+package savorypindaemon
+
+import (
+	"context"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypinmember"
+)
+
+func (d *Daemon) logChanged(objects []savorypin.Object) {
+	for _, o := range objects {
+		d.logger.Info("Configuration in force", "object", o.Key, "version", o.Version)
+	}
+}
+
+func (d *Daemon) sendExchanges(ctx context.Context, out []savorypinconfig.Envelope) {
+	for _, e := range out {
+		d.tasks.start(func() { d.sendExchange(ctx, e) })
+	}
+}
+
+func (d *Daemon) sendExchange(ctx context.Context, e savorypinconfig.Envelope) {
+	call, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	answer, err := savorypinmember.Call[savorypinconfig.Exchange, savorypinconfig.Exchange](
+		call, d.transport, e.Address, savorypinmember.FrameConfig, e.Exchange)
+	if err != nil {
+		d.logger.Debug("Exchange of configuration failed", "address", e.Address, "err", err)
+		return
+	}
+	d.sendExchanges(ctx, d.distributor.Reply(e.Address, answer))
+}
+
+func (d *Daemon) handleExchange(
+	ctx context.Context,
+	_ savorypinmember.Hello,
+	req savorypinconfig.Exchange,
+) (savorypinconfig.Exchange, error) {
+	answer, out := d.distributor.Request(req)
+	d.sendExchanges(context.WithoutCancel(ctx), out)
+	return answer, nil
+}
+
+func (d *Daemon) handleHeld(
+	_ context.Context,
+	_ savorypinmember.Hello,
+	req savorypinmember.Held,
+) (savorypinmember.HeldAnswer, error) {
+	o, _ := d.Config().Object(req.Key)
+	return savorypinmember.HeldAnswer{Version: o.Version}, nil
+}
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -25,15 +25,11 @@
 
 // Times of the daemon.
 const (
-	beatInterval     = 500 * time.Millisecond
-	deadAfter        = 4 * time.Second
-	forgetAfter      = 10 * time.Minute
 	handshakeTimeout = time.Second
 	idleProbeAfter   = 15 * time.Second
 	platformTimeout  = 2 * time.Second
 	probeAfter       = 250 * time.Millisecond
 	silentAfter      = 500 * time.Millisecond
-	suspectAfter     = 2 * time.Second
 )
 
 // Limits of the HTTP listener.
@@ -87,19 +83,20 @@
 	background  []func(context.Context)
 	cfg         Config
 	config      *savorypinconfig.Store
+	distributor *savorypinconfig.Distributor
 	draining    atomic.Bool
 	handlers    map[savorypinmember.FrameKind]savorypinmember.Handler
 	incarnation int64
 	listener    net.Listener
 	logger      *log.Logger
-	members     *savorypinmembership.Table
+	members     *savorypinmembership.Gossip
 	metrics     metrics.Registry
 	platform    *savorypinplatform.Client
-	sequence    atomic.Uint64
+	readiness   *savorypinconfig.Readiness
 	states      map[string]func() any
 	stopped     chan struct{}
 	stopOnce    sync.Once
-	synced      atomic.Bool
+	tasks       tasks
 	transport   *savorypinmember.Transport
 	web         net.Listener
 	wg          sync.WaitGroup
@@ -117,12 +114,7 @@
 		states:  map[string]func() any{},
 		stopped: make(chan struct{}),
 	}
-	d.members = savorypinmembership.NewTable(savorypinmembership.Config{
-		DeadAfter:    deadAfter,
-		ForgetAfter:  forgetAfter,
-		Now:          time.Now,
-		SuspectAfter: suspectAfter,
-	})
+	d.newBeats()
 	d.platform = savorypinplatform.NewClient(savorypinplatform.Config{
 		Count:   d.countPlatformCall,
 		Timeout: platformTimeout,
@@ -130,9 +122,11 @@
 		URL:     cfg.Settings.Platform,
 	})
 	d.handlers = map[savorypinmember.FrameKind]savorypinmember.Handler{
-		savorypinmember.FrameBeat: savorypinmember.HandleCall(d.handleBeat),
-		savorypinmember.FramePull: savorypinmember.HandleCall(d.handlePull),
-		savorypinmember.FrameStop: savorypinmember.HandleCall(d.handleStop),
+		savorypinmember.FrameBeat:   savorypinmember.HandleCall(d.handleBeat),
+		savorypinmember.FrameConfig: savorypinmember.HandleCall(d.handleExchange),
+		savorypinmember.FrameHeld:   savorypinmember.HandleCall(d.handleHeld),
+		savorypinmember.FrameReport: savorypinmember.HandleNotice(d.handleReport),
+		savorypinmember.FrameStop:   savorypinmember.HandleCall(d.handleStop),
 	}
 	d.transport = savorypinmember.NewTransport(savorypinmember.TransportConfig{
 		Handlers:         d.handlers,
@@ -234,7 +228,7 @@
 
 // Ready reports whether the daemon has the configuration and takes work.
 func (d *Daemon) Ready() bool {
-	return d.synced.Load() && !d.Draining()
+	return d.readiness.Synced() && !d.Draining()
 }
 
 // Settings returns the settings of the daemon.
@@ -267,6 +261,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
+	d.beat(ctx)
 	d.wg.Go(func() { d.serve(server) })
 	d.wg.Go(func() {
 		if err := d.transport.Serve(d.listener); err != nil {
@@ -274,9 +269,8 @@
 		}
 	})
 	d.wg.Go(func() { d.beatLoop(ctx) })
-	for _, kind := range savorypin.ConfigKinds {
-		d.wg.Go(func() { d.watchLoop(ctx, kind) })
-	}
+	d.wg.Go(func() { d.readLoop(ctx) })
+	d.wg.Go(func() { d.hostLoop(ctx) })
 	for _, loop := range d.background {
 		d.wg.Go(func() { loop(ctx) })
 	}
@@ -289,6 +283,7 @@
 	cancel()
 	server.Close()
 	d.transport.Close()
+	d.tasks.close()
 	d.wg.Wait()
 	return nil
 }
--- a/internal/savorypinmember/controlmessages.go
+++ b/internal/savorypinmember/controlmessages.go
@@ -1,34 +1,29 @@
 package savorypinmember
 
-import (
-	"savorypin/internal/savorypin"
-)
+import "savorypin/internal/savorypin"
 
 // Kinds of messages about members and configuration, in sorted order.
 const (
 	// FrameBeat is a heartbeat.
 	FrameBeat FrameKind = "beat"
-	// FramePull asks for objects.
-	FramePull FrameKind = "pull"
-	// FramePush sends objects.
-	FramePush FrameKind = "push"
+	// FrameConfig is an exchange of configuration.
+	FrameConfig FrameKind = "config"
+	// FrameHeld asks at which version an object is in force.
+	FrameHeld FrameKind = "held"
+	// FrameReport reports a load. It has no answer.
+	FrameReport FrameKind = "report"
 	// FrameStop orders a planned stop.
 	FrameStop FrameKind = "stop"
 )
 
-// Beat is a heartbeat: what the sender knows of members.
-type Beat struct {
-	Members []savorypin.MemberState `msgpack:"mem"`
-}
-
-// Pull asks for the objects that are newer than what the sender holds.
-type Pull struct {
-	Versions map[string]int64 `msgpack:"ver"`
+// Held asks at which version an object is in force.
+type Held struct {
+	Key savorypin.Key `msgpack:"key"`
 }
 
-// Push sends objects.
-type Push struct {
-	Objects []savorypin.Object `msgpack:"obj"`
+// HeldAnswer is the version of an object in force; 0 if there is none.
+type HeldAnswer struct {
+	Version int64 `msgpack:"v"`
 }
 
 // Stop orders a planned stop.
--- /dev/null
+++ b/internal/savorypinmembership/message.go
@@ -0,0 +1,113 @@
+package savorypinmembership
+
+import "savorypin/internal/savorypin"
+
+// Message is a heartbeat or the answer to one. All parts but From are
+// optional. Its fields are exported for the codecs.
+type Message struct {
+	// Alive names a member that answered the sender of the message, who
+	// probed it for the receiver.
+	Alive string `msgpack:"al,omitempty"`
+	// Applied is the digest of the configuration in force at the sender.
+	Applied savorypin.Digest `msgpack:"app"`
+	// Buckets are hashes of the sender's records; they ask for whatever
+	// differs.
+	Buckets []uint32 `msgpack:"bkt,omitempty"`
+	// Bulk says that the updates come from a comparison: the receiver takes
+	// them over but does not pass them on.
+	Bulk bool `msgpack:"blk,omitempty"`
+	// From is the name of the sender.
+	From string `msgpack:"f"`
+	// Probe names a member that the receiver should probe for the sender.
+	Probe string `msgpack:"pr,omitempty"`
+	// Regions says how long ago other regions were heard of, in milliseconds.
+	Regions map[string]int64 `msgpack:"reg,omitempty"`
+	// Synced says that the sender has the whole configuration.
+	Synced bool `msgpack:"syn,omitempty"`
+	// Table is a hash of all the sender's records.
+	Table uint32 `msgpack:"tab"`
+	// Updates are records that the receiver may not have.
+	Updates []Update `msgpack:"up,omitempty"`
+	// Want names members whose records the sender lacks.
+	Want []string `msgpack:"want,omitempty"`
+}
+
+// Update is what its sender holds of one member.
+type Update struct {
+	// Health is what is thought of the member at this incarnation and
+	// sequence.
+	Health Health `msgpack:"h"`
+	// Incarnation is the incarnation of the member.
+	Incarnation int64 `msgpack:"inc"`
+	// Name is the name of the member.
+	Name string `msgpack:"n"`
+	// Sequence is the sequence of the member.
+	Sequence uint64 `msgpack:"seq"`
+	// State is the state of the member; nil if only its health is news.
+	State *savorypin.MemberState `msgpack:"st,omitempty"`
+}
+
+// Envelope is a message with its receiver. The answer to it belongs to
+// Gossip.Reply.
+type Envelope struct {
+	// Address is the address of the receiver.
+	Address string
+	// Message is what to send.
+	Message Message
+	// Name is the name of the receiver; empty if it is not known.
+	Name string
+}
+
+// Report is what a member tells entries of itself, without an answer: its
+// load, which changes too often for gossip.
+type Report struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
+	// Applied is the digest of the configuration in force.
+	Applied savorypin.Digest
+	// Endpoints are the loads of the member's endpoints.
+	Endpoints []EndpointLoad
+	// From is the name of the sender.
+	From string
+	// Incarnation is the incarnation of the sender.
+	Incarnation int64
+	// Number grows with every report of an incarnation.
+	Number uint64
+}
+
+// EndpointLoad is the part of an endpoint's state that changes often.
+type EndpointLoad struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
+	// Name is the name of the endpoint.
+	Name string
+	// Healthy says that the endpoint answers.
+	Healthy bool
+	// Running is the number of requests that run.
+	Running int
+	// Waiting is the number of requests that wait.
+	Waiting int
+	// CachedPrefixes are hashes of prompt prefixes, the most useful first; nil
+	// if they have not changed.
+	CachedPrefixes []uint64
+}
+
+// ReportEnvelope is a report with its receiver.
+type ReportEnvelope struct {
+	// Address is the address of the receiver.
+	Address string
+	// Report is what to send.
+	Report Report
+}
+
+// rank orders healths: of one incarnation and sequence the worse one wins.
+func (h Health) rank() int {
+	switch h {
+	case HealthDead:
+		return 2
+	case HealthSuspect:
+		return 1
+	default:
+		return 0
+	}
+}
--- a/internal/savorypinmembership/table.go
+++ b/internal/savorypinmembership/table.go
@@ -1,11 +1,7 @@
-// Package savorypinmembership decides who is a live member. Members speak for
-// themselves by incarnation and sequence; whoever has not been heard of for a
-// while is suspected and then taken as dead.
 package savorypinmembership
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,19 +9,6 @@
 	"savorypin/internal/savorypin"
 )
 
-// Health is what this daemon thinks of a member.
-type Health string
-
-// The healths of members.
-const (
-	// HealthDead means that the member has not been heard of for long.
-	HealthDead Health = "dead"
-	// HealthLive means that the member was heard of lately.
-	HealthLive Health = "live"
-	// HealthSuspect means that the member was not heard of lately.
-	HealthSuspect Health = "suspect"
-)
-
 // Config configures a Table.
 type Config struct {
 	// DeadAfter is the silence after which a member is taken as dead.
@@ -38,49 +21,19 @@
 	SuspectAfter time.Duration
 }
 
-// Member is what the table holds of a member.
-type Member struct {
-	health Health
-	heard  time.Time
-	state  savorypin.MemberState
-}
-
-// Health returns what this daemon thinks of the member.
-func (m Member) Health() Health {
-	return m.health
-}
-
-// Heard returns when the newest state of the member arrived.
-func (m Member) Heard() time.Time {
-	return m.heard
-}
-
-// State returns the newest state of the member.
-func (m Member) State() savorypin.MemberState {
-	return m.state
-}
-
-// Usable reports whether the member may be given new work.
-func (m Member) Usable() bool {
-	return m.health == HealthLive && !m.state.Draining
-}
-
-// Table is the list of members. Readers take a View without a lock.
+// Table is the naive list of members: every daemon sends all it knows to
+// every other, and each judges the silence of all. Gossip replaced it; it
+// stays as the twin that measurements compare with.
 type Table struct {
 	cfg  Config
 	mu   sync.Mutex
 	view atomic.Pointer[View]
 }
 
-// View is one state of the table. It never changes.
-type View struct {
-	members map[string]Member
-}
-
 // NewTable returns a table without members.
 func NewTable(cfg Config) *Table {
 	t := &Table{cfg: cfg}
-	t.view.Store(&View{members: map[string]Member{}})
+	t.view.Store(newView(map[string]Member{}))
 	return t
 }
 
@@ -99,7 +52,7 @@
 		changed = append(changed, s)
 	}
 	if len(changed) > 0 {
-		t.view.Store(&View{members: members})
+		t.view.Store(newView(members))
 	}
 	return changed
 }
@@ -127,25 +80,10 @@
 		}
 		members[name] = m
 	}
-	t.view.Store(&View{members: members})
+	t.view.Store(newView(members))
 }
 
 // View returns the state of the table.
 func (t *Table) View() *View {
 	return t.view.Load()
 }
-
-// All returns all members, sorted by name.
-func (v *View) All() []Member {
-	all := make([]Member, 0, len(v.members))
-	for _, name := range slices.Sorted(maps.Keys(v.members)) {
-		all = append(all, v.members[name])
-	}
-	return all
-}
-
-// Get returns the member of a name.
-func (v *View) Get(name string) (Member, bool) {
-	m, ok := v.members[name]
-	return m, ok
-}
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -143,23 +144,20 @@
 }
 
 // Force tells which members have a version in force.
-func (s *service) Force(_ context.Context, p *operator.ForcePayload) (*operator.ForceResult, error) {
+func (s *service) Force(ctx context.Context, p *operator.ForcePayload) (*operator.ForceResult, error) {
 	if err := s.authorize(p.Authorization); err != nil {
 		return nil, err
 	}
-	result := &operator.ForceResult{Lagging: []string{}, Unreachable: []string{}}
-	for _, m := range s.daemon.Members().All() {
-		result.Members++
-		switch {
-		case m.State().Applied.Version >= p.Version:
-			result.InForce++
-		case m.Usable():
-			result.Lagging = append(result.Lagging, m.State().Name)
-		default:
-			result.Unreachable = append(result.Unreachable, m.State().Name)
-		}
-	}
-	return result, nil
+	key := savorypin.Key{Kind: savorypin.Kind(p.Kind), Name: p.Name}
+	force := s.daemon.InForce(ctx, key, p.Version)
+	slices.Sort(force.Lagging)
+	slices.Sort(force.Unreachable)
+	return &operator.ForceResult{
+		InForce:     force.InForce,
+		Lagging:     append([]string{}, force.Lagging...),
+		Members:     force.Members,
+		Unreachable: append([]string{}, force.Unreachable...),
+	}, nil
 }
 
 // Stop orders a planned stop of a member.
--- a/internal/savorypinplatform/client.go
+++ b/internal/savorypinplatform/client.go
@@ -40,6 +40,13 @@
 // maxAnswerBytes bounds one answer of the platform.
 const maxAnswerBytes = 64 << 20
 
+// DefaultWatchTimeout is how long the platform keeps a watch open. It bounds
+// how long a watch can be silent unnoticed, and costs a call each time.
+const DefaultWatchTimeout = 10 * time.Second
+
+// watchGrace is how late the platform may end a watch.
+const watchGrace = 2 * time.Second
+
 // Errors of the object API. They are translated by the callers of the package.
 var (
 	// ErrConflict means that the object exists or has another version.
@@ -116,6 +123,9 @@
 	Token string
 	// URL is the base URL of the platform.
 	URL string
+	// WatchTimeout is how long the platform keeps a watch open; zero means
+	// DefaultWatchTimeout.
+	WatchTimeout time.Duration
 }
 
 // Client calls the platform. It is safe for concurrent use.
@@ -128,6 +138,9 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
+	if cfg.WatchTimeout == 0 {
+		cfg.WatchTimeout = DefaultWatchTimeout
+	}
 	if cfg.HTTPClient == nil {
 		cfg.HTTPClient = &http.Client{}
 	}
@@ -205,7 +218,9 @@
 
 // Watch calls handle for each change of a kind after version until ctx ends,
 // the connection breaks or handle returns an error. A deleted object has
-// Deleted set and the version of the deletion. A bookmark has no name.
+// Deleted set and the version of the deletion. A bookmark has no name. Watch
+// returns nil when the platform ends the watch after its time; a watch that
+// is not ended has gone silent, which is an ErrUnavailable.
 func (c *Client) Watch(
 	ctx context.Context,
 	kind savorypin.Kind,
@@ -213,7 +228,11 @@
 	handle func(savorypin.Object) error,
 ) error {
 	c.cfg.Count("watch")
-	path := fmt.Sprintf("%s%s?watch=true&resourceVersion=%d", BasePath, kind, version)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.WatchTimeout+watchGrace)
+	defer cancel()
+	seconds := int((c.cfg.WatchTimeout + time.Second - 1) / time.Second)
+	path := fmt.Sprintf("%s%s?watch=true&allowWatchBookmarks=true&resourceVersion=%d&timeoutSeconds=%d",
+		BasePath, kind, version, seconds)
 	resp, err := c.send(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return fmt.Errorf("watch %s: %w", kind, err)
@@ -222,7 +241,11 @@
 	dec := json.NewDecoder(resp.Body)
 	for {
 		var event Event
-		if err := dec.Decode(&event); err != nil {
+		err := dec.Decode(&event)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
 			return fmt.Errorf("watch %s: %w: %w", kind, ErrUnavailable, err)
 		}
 		if event.Type == EventError {
--- /dev/null
+++ b/internal/savorypinslopes/node.go
@@ -0,0 +1,244 @@
+package savorypinslopes
+
+import (
+	"fmt"
+	"time"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinmembership"
+)
+
+// slots is the number of requests that each endpoint runs at once.
+const slots = 96
+
+// Node is the membership and the configuration of one daemon.
+type Node struct {
+	address     string
+	awake       time.Time
+	bytes       int
+	distributor *savorypinconfig.Distributor
+	draining    bool
+	fleet       *Fleet
+	gossip      *savorypinmembership.Gossip
+	index       int
+	life        int
+	loads       []int
+	readiness   *savorypinconfig.Readiness
+	reader      *reader
+	running     bool
+	store       *savorypinconfig.Store
+}
+
+// Name returns the name of the daemon.
+func (n *Node) Name() string {
+	return fmt.Sprintf("host-%03d", n.index)
+}
+
+// Address returns the address of the daemon.
+func (n *Node) Address() string {
+	return n.address
+}
+
+// Config returns the configuration in force.
+func (n *Node) Config() *savorypinconfig.Snapshot {
+	return n.store.Snapshot()
+}
+
+// Members returns the members that the daemon knows.
+func (n *Node) Members() *savorypinmembership.View {
+	return n.gossip.View()
+}
+
+// Region returns the region of the daemon.
+func (n *Node) Region() string {
+	return n.place().Region
+}
+
+// Synced reports whether the daemon has the whole configuration.
+func (n *Node) Synced() bool {
+	return n.running && n.readiness.Synced()
+}
+
+// Drain makes the daemon say that it takes no new work.
+func (n *Node) Drain() {
+	n.draining = true
+}
+
+// Kill ends the daemon at once.
+func (n *Node) Kill() {
+	n.life++
+	n.running = false
+}
+
+// Pause stops the daemon for a while. What arrives meanwhile waits.
+func (n *Node) Pause(d time.Duration) {
+	n.awake = n.fleet.now.Add(d)
+}
+
+// Restart starts the daemon with an empty memory.
+func (n *Node) Restart() {
+	n.Kill()
+	n.draining = false
+	n.start()
+}
+
+func (n *Node) place() Place {
+	return Places[n.index%len(Places)]
+}
+
+func (n *Node) role() savorypin.Role {
+	if n.index%n.fleet.cfg.EntryEvery == 0 {
+		return savorypin.RoleEntry
+	}
+	return savorypin.RoleAgent
+}
+
+func (n *Node) start() {
+	f := n.fleet
+	n.life++
+	n.running = true
+	n.store = savorypinconfig.NewStore()
+	n.loads = make([]int, f.cfg.Endpoints)
+	for i := range n.loads {
+		n.loads[i] = slots / 2
+	}
+	now := func() time.Time { return f.now }
+	n.readiness = savorypinconfig.NewReadiness(savorypinconfig.ReadinessConfig{Domains: n.domains, Now: now})
+	n.gossip = savorypinmembership.NewGossip(savorypinmembership.GossipConfig{
+		Incarnation: f.now.UnixNano(),
+		Name:        n.Name(),
+		Now:         now,
+		Rand:        f.rand.IntN,
+		Seeds:       []string{f.nodes[0].address, f.nodes[1].address, f.nodes[2].address},
+		Self:        n.describe,
+		Synced:      n.readiness.Synced,
+	})
+	n.distributor = savorypinconfig.NewDistributor(savorypinconfig.DistributorConfig{
+		Changed: func([]savorypin.Object) {},
+		Now:     now,
+		Peers:   n.gossip.Peers,
+		Store:   n.store,
+		Synced:  n.readiness.Synced,
+	})
+	n.reader = newReader(n)
+	n.tick(n.life)
+}
+
+// whenAwake runs f in the given life of the daemon, after its pause if it is
+// paused.
+func (n *Node) whenAwake(life int, f func()) {
+	if n.life != life || !n.running {
+		return
+	}
+	if wait := n.awake.Sub(n.fleet.now); wait > 0 {
+		n.fleet.after(wait, func() { n.whenAwake(life, f) })
+		return
+	}
+	f()
+}
+
+func (n *Node) tick(life int) {
+	n.fleet.after(savorypinmembership.TickInterval, func() {
+		n.whenAwake(life, func() { n.tick(life) })
+	})
+	n.walk()
+	beats, reports := n.gossip.Tick()
+	n.sendBeats(beats)
+	for _, r := range reports {
+		n.sendReport(r)
+	}
+	n.reader.step()
+}
+
+// walk changes the load of the endpoints a little, as new and finished
+// requests do.
+func (n *Node) walk() {
+	const step = 2
+	for i := range n.loads {
+		n.loads[i] = min(slots, max(0, n.loads[i]+n.fleet.rand.IntN(2*step+1)-step))
+	}
+}
+
+func (n *Node) describe() savorypin.MemberState {
+	s := savorypin.MemberState{
+		Address:  n.address,
+		Applied:  n.store.Snapshot().Digest(),
+		Domain:   n.place().Domain,
+		Draining: n.draining,
+		HTTP:     n.address,
+		Name:     n.Name(),
+		Region:   n.place().Region,
+		Role:     n.role(),
+	}
+	if s.Role == savorypin.RoleEntry {
+		return s
+	}
+	for i, running := range n.loads {
+		s.Endpoints = append(s.Endpoints, savorypin.EndpointState{
+			Healthy:          true,
+			Name:             fmt.Sprintf("engine-%03d-%d", n.index, i),
+			PrefillPerSecond: 20000,
+			Running:          running,
+			Service:          "assistant",
+			Slots:            slots,
+			TokensPerSecond:  22,
+			Type:             savorypin.EndpointEngine,
+			Versions:         []string{"assistant-v1"},
+		})
+	}
+	return s
+}
+
+func (n *Node) domains() int {
+	domains := map[string]bool{}
+	for _, m := range n.gossip.View().All() {
+		if m.Health() == savorypinmembership.HealthLive && m.State().Name != n.Name() {
+			domains[m.State().Domain] = true
+		}
+	}
+	return len(domains)
+}
+
+func (n *Node) sendBeats(beats []savorypinmembership.Envelope) {
+	for _, e := range beats {
+		call(n, e.Address, savorypinmember.FrameBeat, e.Message,
+			func(to *Node, m savorypinmembership.Message) savorypinmembership.Message {
+				answer, out := to.gossip.Request(m)
+				to.sendBeats(out)
+				return answer
+			},
+			func(answer savorypinmembership.Message) { n.beatAnswered(e, answer) })
+	}
+}
+
+func (n *Node) beatAnswered(e savorypinmembership.Envelope, answer savorypinmembership.Message) {
+	n.sendBeats(n.gossip.Reply(e, answer))
+	if m, ok := n.gossip.View().Get(answer.From); ok && answer.Synced {
+		n.readiness.Heard(m.State().Domain, n.store.Snapshot().Digest(), answer.Applied)
+	}
+	n.sendExchanges(n.distributor.Heard(e.Address, answer.Applied))
+}
+
+func (n *Node) sendExchanges(out []savorypinconfig.Envelope) {
+	for _, e := range out {
+		call(n, e.Address, savorypinmember.FrameConfig, e.Exchange,
+			func(to *Node, m savorypinconfig.Exchange) savorypinconfig.Exchange {
+				answer, further := to.distributor.Request(m)
+				to.sendExchanges(further)
+				return answer
+			},
+			func(answer savorypinconfig.Exchange) { n.sendExchanges(n.distributor.Reply(e.Address, answer)) })
+	}
+}
+
+func (n *Node) sendReport(r savorypinmembership.ReportEnvelope) {
+	to := n.fleet.node(r.Address)
+	if to == nil {
+		return
+	}
+	transmit(n.fleet, n, to, savorypinmember.FrameReport, r.Report, func(r savorypinmembership.Report) {
+		to.gossip.ReceiveReport(r)
+	})
+}
--- a/internal/savorypinstandin/platform.go
+++ b/internal/savorypinstandin/platform.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"savorypin/internal/savorypinplatform"
 )
@@ -29,7 +30,9 @@
 	loseNext int
 	objects  map[string]savorypinplatform.Document
 	out      bool
+	silent   int
 	version  int64
+	watches  int
 }
 
 type platformEvent struct {
@@ -76,6 +79,21 @@
 	p.wake()
 }
 
+// Expire forgets all past events, so that a watch has to begin with a list.
+func (p *Platform) Expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events = nil
+	p.first = p.version
+}
+
+// Silence makes all open watches silent for good. New ones work.
+func (p *Platform) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = p.watches
+}
+
 // ServeHTTP serves the object API, the list of hosts and the switches of the
 // stand-in under /standin/.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -260,15 +278,20 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	id, end := p.openWatch(r)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
 	enc := json.NewEncoder(w)
-	for {
+	for ended := false; !ended; {
 		events, changed, ok := p.eventsAfter(kind, version)
 		if !ok {
 			return
 		}
+		if p.isSilent(id) {
+			<-r.Context().Done()
+			return
+		}
 		for _, e := range events {
 			if err := enc.Encode(e.event); err != nil {
 				return
@@ -280,10 +303,52 @@
 		}
 		select {
 		case <-changed:
+		case <-end:
+			ended = true
 		case <-r.Context().Done():
 			return
 		}
 	}
+	p.sendBookmark(enc, kind, version)
+}
+
+// openWatch numbers a watch and returns when it ends; never if the request
+// states no time.
+func (p *Platform) openWatch(r *http.Request) (int, <-chan time.Time) {
+	p.mu.Lock()
+	p.watches++
+	id := p.watches
+	p.mu.Unlock()
+	seconds, err := strconv.Atoi(r.URL.Query().Get("timeoutSeconds"))
+	if err != nil {
+		return id, nil
+	}
+	return id, time.After(time.Duration(seconds) * time.Second)
+}
+
+func (p *Platform) isSilent(id int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return id <= p.silent
+}
+
+// sendBookmark tells a watch up to which version it has seen all events.
+func (p *Platform) sendBookmark(enc *json.Encoder, kind string, version int64) {
+	p.mu.Lock()
+	newest := p.version
+	p.mu.Unlock()
+	events, _, ok := p.eventsAfter(kind, version)
+	if !ok || len(events) > 0 {
+		// The next watch sends what happened since the last look.
+		return
+	}
+	_ = enc.Encode(savorypinplatform.Event{
+		Object: savorypinplatform.Document{
+			Kind:     kind,
+			Metadata: savorypinplatform.Metadata{ResourceVersion: strconv.FormatInt(newest, 10)},
+		},
+		Type: savorypinplatform.EventBookmark,
+	})
 }
 
 // eventsAfter returns the events of a kind after version and a channel that is
