--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -39,6 +39,7 @@
 	dryRun    bool
 	entry     string
 	files     []string
+	linkRate  float64
 	logFormat string
 	logLevel  string
 	output    string
@@ -53,6 +54,8 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	c := &Config{stderr: stderr, stdout: stdout}
 	err := c.rootCmd().Run(ctx, args)
 	if err == nil {
@@ -93,8 +96,10 @@
 			c.agentCmd(),
 			c.applyCmd(),
 			c.demoCmd(),
+			c.doCmd(),
 			c.entryCmd(),
 			c.getCmd(),
+			c.moveCmd(),
 			c.slopesCmd(),
 			c.standinCmd(),
 			c.stateCmd(),
--- a/internal/savorypinconfig/snapshot.go
+++ b/internal/savorypinconfig/snapshot.go
@@ -12,6 +12,7 @@
 // Snapshot is one state of the configuration. It never changes.
 type Snapshot struct {
 	digest        savorypin.Digest
+	endpoints     map[string]savorypin.EndpointSpec
 	entries       map[savorypin.Key]entry
 	moves         map[string][]Move
 	organisations map[string]savorypin.OrganisationSpec
@@ -54,6 +55,7 @@
 
 func newSnapshot(entries map[savorypin.Key]entry) *Snapshot {
 	s := &Snapshot{
+		endpoints:     map[string]savorypin.EndpointSpec{},
 		entries:       entries,
 		moves:         map[string][]Move{},
 		organisations: map[string]savorypin.OrganisationSpec{},
@@ -86,6 +88,8 @@
 		return nil
 	}
 	switch o.Kind {
+	case savorypin.KindEndpoint:
+		return decodeAny[savorypin.EndpointSpec](o.Spec)
 	case savorypin.KindMove:
 		status, _ := decode[savorypin.MoveStatus](o.Status)
 		if spec, ok := decode[savorypin.MoveSpec](o.Spec); ok {
@@ -113,6 +117,8 @@
 // index adds an object to the typed maps.
 func (s *Snapshot) index(e entry) {
 	switch spec := e.spec.(type) {
+	case savorypin.EndpointSpec:
+		s.endpoints[e.object.Name] = spec
 	case Move:
 		s.moves[spec.Spec.Service] = append(s.moves[spec.Spec.Service], spec)
 	case savorypin.OrganisationSpec:
@@ -143,6 +149,11 @@
 	return s.digest
 }
 
+// Endpoint returns what operators want of an endpoint.
+func (s *Snapshot) Endpoint(name string) savorypin.EndpointSpec {
+	return s.endpoints[name]
+}
+
 // Moves returns the moves of a service.
 func (s *Snapshot) Moves(service string) []Move {
 	return s.moves[service]
@@ -210,6 +221,11 @@
 	return spec, ok
 }
 
+// VersionSpecs returns all versions. The map must not be changed.
+func (s *Snapshot) VersionSpecs() map[string]savorypin.VersionSpec {
+	return s.versions
+}
+
 // VersionsOf returns the versions of a service that run one of the models,
 // sorted by name.
 func (s *Snapshot) VersionsOf(service string, models []string) []string {
--- a/internal/savorypindaemon/beatconfig.go
+++ b/internal/savorypindaemon/beatconfig.go
@@ -42,11 +42,11 @@
 	return answer, nil
 }
 
-func (d *Daemon) handleHeld(
+func (d *Daemon) handleVersion(
 	_ context.Context,
 	_ savorypinmember.Hello,
-	req savorypinmember.Held,
-) (savorypinmember.HeldAnswer, error) {
+	req savorypinmember.VersionQuery,
+) (savorypinmember.VersionAnswer, error) {
 	o, _ := d.Config().Object(req.Key)
-	return savorypinmember.HeldAnswer{Version: o.Version}, nil
+	return savorypinmember.VersionAnswer{Version: o.Version}, nil
 }
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -21,6 +21,7 @@
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinmembership"
 	"savorypin/internal/savorypinplatform"
+	"savorypin/internal/savorypinweb"
 )
 
 // Times of the daemon.
@@ -34,20 +35,33 @@
 
 // Limits of the HTTP listener.
 const (
-	maxBodyBytes      = 4 << 20
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 )
 
+// DefaultAnswerBytes is the most memory that answers may take.
+const DefaultAnswerBytes = 192 << 20
+
+// DefaultCallerGrace is how long a generation runs on without a caller.
+const DefaultCallerGrace = 10 * time.Second
+
 // Settings are what a daemon is told by flags and environment variables.
 type Settings struct {
+	// AnswerBytes is the most memory that answers may take; zero means
+	// DefaultAnswerBytes.
+	AnswerBytes int
+	// CallerGrace is how long a generation runs on without a caller; zero means
+	// DefaultCallerGrace.
+	CallerGrace time.Duration
 	// Domain is the failure domain of the host.
 	Domain string
 	// HTTP is the address for callers, operators and scrapers.
 	HTTP string
 	// Key is the key that daemons prove to know to each other.
 	Key string
+	// LeaseDuration is how long a duty of control lasts after a renewal.
+	LeaseDuration time.Duration
 	// Listen is the address for other daemons.
 	Listen string
 	// Name is the name of the daemon, unique in the system.
@@ -64,10 +78,30 @@
 	Seeds []string
 	// StopGrace is how long running work may take to finish at a stop.
 	StopGrace time.Duration
+	// WeightLoads is the number of loads that the weight store bears at once.
+	WeightLoads int
+}
+
+// Grace returns how long a generation runs on without a caller.
+func (s Settings) Grace() time.Duration {
+	if s.CallerGrace == 0 {
+		return DefaultCallerGrace
+	}
+	return s.CallerGrace
+}
+
+// AnswerMemory returns the most memory that answers may take, in bytes.
+func (s Settings) AnswerMemory() int {
+	if s.AnswerBytes == 0 {
+		return DefaultAnswerBytes
+	}
+	return s.AnswerBytes
 }
 
 // Config configures a Daemon.
 type Config struct {
+	// Dial opens connections to other daemons; nil means TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Endpoints returns the endpoints of an agent; nil for an entry.
 	Endpoints func() []savorypin.EndpointState
 	// Logger logs.
@@ -122,13 +156,14 @@
 		URL:     cfg.Settings.Platform,
 	})
 	d.handlers = map[savorypinmember.FrameKind]savorypinmember.Handler{
-		savorypinmember.FrameBeat:   savorypinmember.HandleCall(d.handleBeat),
-		savorypinmember.FrameConfig: savorypinmember.HandleCall(d.handleExchange),
-		savorypinmember.FrameHeld:   savorypinmember.HandleCall(d.handleHeld),
-		savorypinmember.FrameReport: savorypinmember.HandleNotice(d.handleReport),
-		savorypinmember.FrameStop:   savorypinmember.HandleCall(d.handleStop),
+		savorypinmember.FrameBeat:    savorypinmember.HandleCall(d.handleBeat),
+		savorypinmember.FrameConfig:  savorypinmember.HandleCall(d.handleExchange),
+		savorypinmember.FrameVersion: savorypinmember.HandleCall(d.handleVersion),
+		savorypinmember.FrameReport:  savorypinmember.HandleNotice(d.handleReport),
+		savorypinmember.FrameStop:    savorypinmember.HandleCall(d.handleStop),
 	}
 	d.transport = savorypinmember.NewTransport(savorypinmember.TransportConfig{
+		Dial:             cfg.Dial,
 		Handlers:         d.handlers,
 		HandshakeTimeout: handshakeTimeout,
 		IdleProbeAfter:   idleProbeAfter,
@@ -250,13 +285,22 @@
 	})
 }
 
-// Run serves until ctx ends or the planned stop is done. The stop is done when
-// idle reports that no work is left, or after the grace.
-func (d *Daemon) Run(ctx context.Context, handler http.Handler, idle func() bool) error {
+// Work is what a role has to finish before a planned stop is done.
+type Work struct {
+	// HandOver gives up the work that other daemons can go on with. It is
+	// called when the grace is over.
+	HandOver func()
+	// Idle reports whether no work is left.
+	Idle func() bool
+}
+
+// Run serves until ctx ends or the planned stop is done. Work that is left
+// after the grace is handed over; work that can't be is waited for.
+func (d *Daemon) Run(ctx context.Context, handler http.Handler, work Work) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	server := &http.Server{
-		Handler:           http.MaxBytesHandler(handler, maxBodyBytes),
+		Handler:           savorypinweb.Bound(handler),
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -278,7 +322,7 @@
 	select {
 	case <-ctx.Done():
 	case <-d.stopped:
-		d.drain(ctx, idle)
+		d.drain(ctx, work)
 	}
 	cancel()
 	server.Close()
@@ -294,19 +338,33 @@
 	}
 }
 
-// drain waits until no work is left or the grace is over.
-func (d *Daemon) drain(ctx context.Context, idle func() bool) {
-	const check = 50 * time.Millisecond
+// drain takes the daemon out of service without cutting a request.
+func (d *Daemon) drain(ctx context.Context, work Work) {
 	d.logger.Info("Stopping", "grace", d.cfg.Settings.StopGrace)
 	d.beat(ctx)
-	deadline := time.Now().Add(d.cfg.Settings.StopGrace)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if idle() {
-			return
+	limited, cancel := context.WithTimeout(ctx, d.cfg.Settings.StopGrace)
+	defer cancel()
+	if waitIdle(limited, work.Idle) {
+		return
+	}
+	d.logger.Info("Handing work over")
+	work.HandOver()
+	waitIdle(ctx, work.Idle)
+}
+
+// waitIdle reports whether no work is left before ctx ends.
+func waitIdle(ctx context.Context, idle func() bool) bool {
+	const check = 20 * time.Millisecond
+	ticker := time.NewTicker(check)
+	defer ticker.Stop()
+	for !idle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
 		}
-		time.Sleep(check)
 	}
-	d.logger.Warn("Stopping with work left")
+	return true
 }
 
 func (d *Daemon) handleStop(_ context.Context, peer savorypinmember.Hello, req savorypinmember.Stop) (savorypinmember.Empty, error) {
--- a/internal/savorypindaemon/force.go
+++ b/internal/savorypindaemon/force.go
@@ -76,7 +76,7 @@
 			note(state.Name, false, true)
 		default:
 			group.Go(func() error {
-				inForce, reached := d.askHeld(ctx, state.Address, key, version)
+				inForce, reached := d.askVersion(ctx, state.Address, key, version)
 				note(state.Name, inForce, reached)
 				return nil
 			})
@@ -86,10 +86,10 @@
 	return force
 }
 
-func (d *Daemon) askHeld(ctx context.Context, address string, key savorypin.Key, version int64) (inForce, reached bool) {
+func (d *Daemon) askVersion(ctx context.Context, address string, key savorypin.Key, version int64) (inForce, reached bool) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	answer, err := savorypinmember.Call[savorypinmember.Held, savorypinmember.HeldAnswer](
-		ctx, d.transport, address, savorypinmember.FrameHeld, savorypinmember.Held{Key: key})
+	answer, err := savorypinmember.Call[savorypinmember.VersionQuery, savorypinmember.VersionAnswer](
+		ctx, d.transport, address, savorypinmember.FrameVersion, savorypinmember.VersionQuery{Key: key})
 	return err == nil && answer.Version >= version, err == nil
 }
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -46,11 +46,11 @@
 	if !e.daemon.Ready() {
 		return none, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
 	}
-	release, err := e.admit(call.Organisation, 0)
+	admission, err := e.admit(call.Organisation, 0)
 	if err != nil {
 		return none, err
 	}
-	defer release()
+	defer admission.Release(0)
 	ctx, cancel := context.WithTimeout(ctx, timeout(call.Timeout, spec))
 	defer cancel()
 	e.countCall(1)
@@ -76,12 +76,13 @@
 	need := e.callNeed(call.Service, savorypin.PurposeFirst, map[string]bool{})
 	var last error
 	for ctx.Err() == nil {
-		candidate, ok := e.pick(need)
-		if !ok {
-			break
+		candidate, err := e.place(need, e.limits.limiter.Wait(call.Organisation, remaining(ctx)))
+		if err != nil {
+			return CallAnswer{}, errors.Join(last, err)
 		}
 		started := time.Now()
 		answer, err := e.pass(ctx, candidate, call, route, "")
+		candidate.Done(endpointFault(answer, err))
 		e.observeCall(candidate, call, need.Purpose, started, err)
 		if err == nil {
 			return CallAnswer{Answer: answer}, nil
@@ -98,9 +99,9 @@
 
 // callOnce claims the key before it passes the call on.
 func (e *Entry) callOnce(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
-	candidate, ok := e.pick(e.callNeed(call.Service, savorypin.PurposeFirst, nil))
-	if !ok {
-		return CallAnswer{}, savorypin.Errorf(savorypin.KindNotRun, call.Service, "no endpoint is live").WithRetryAfter(time.Second)
+	candidate, err := e.place(e.callNeed(call.Service, savorypin.PurposeFirst, nil), e.limits.limiter.Wait(call.Organisation, remaining(ctx)))
+	if err != nil {
+		return CallAnswer{}, err
 	}
 	claim := savorypinclaim.Claim{
 		Endpoint: candidate.Endpoint().Name,
@@ -117,6 +118,7 @@
 	}
 	started := time.Now()
 	answer, err := e.pass(ctx, candidate, call, route, call.Key)
+	candidate.Done(endpointFault(answer, err))
 	e.observeCall(candidate, call, savorypin.PurposeFirst, started, err)
 	if savorypin.KindOf(err) == savorypin.KindNotRun {
 		e.release(ctx, claim, version)
@@ -138,6 +140,7 @@
 	key string,
 ) (savorypinmember.PlainAnswer, error) {
 	deadline, _ := ctx.Deadline()
+	candidate.Begin()
 	answer, err := savorypinmember.Call[savorypinmember.PlainCall, savorypinmember.PlainAnswer](
 		ctx, e.daemon.Transport(), candidate.Member().Address, savorypinmember.FrameCall,
 		savorypinmember.PlainCall{
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -6,15 +6,21 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/singleflight"
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinclaim"
+	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinresume"
+	"savorypin/internal/savorypinroute"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -25,8 +31,13 @@
 	// AnonymousOrganisation is the organisation of callers without a token;
 	// empty if they are refused.
 	AnonymousOrganisation string
+	// Dial opens connections to other daemons; nil means TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Logger logs.
 	Logger *log.Logger
+	// LinkBytesPerSecond is what the link between regions may carry for all
+	// entries of the region together; zero means defaultLinkBytesPerSecond.
+	LinkBytesPerSecond float64
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 	// Settings are the settings of the daemon.
@@ -38,6 +49,14 @@
 	book   *savorypinclaim.Book
 	cfg    Config
 	daemon *savorypindaemon.Daemon
+	limits *limits
+	moves  *moves
+	router *savorypinroute.Router
+
+	finds    singleflight.Group
+	gate     *savorypinresume.Gate
+	memory   *savorypinresume.Memory
+	suspects suspects
 
 	mu     sync.Mutex
 	calls  int
@@ -50,6 +69,7 @@
 		cfg.Rand = rand.Float64
 	}
 	daemon, err := savorypindaemon.New(savorypindaemon.Config{
+		Dial:     cfg.Dial,
 		Logger:   cfg.Logger,
 		Role:     savorypin.RoleEntry,
 		Settings: cfg.Settings,
@@ -61,10 +81,18 @@
 		book:   savorypinclaim.NewBook(daemon.Platform()),
 		cfg:    cfg,
 		daemon: daemon,
+		moves:  newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
 		relays: map[savorypin.GenerationID]*Relay{},
 	}
-	daemon.Background(e.sweepLoop)
+	e.registerGenerations()
+	e.limits = newLimits(e)
+	e.router = e.newRouter()
+	daemon.Background(e.limits.loop)
+	daemon.Background(e.routeLoop)
+	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
+	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
 	daemon.RegisterState("entry", e.state)
+	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
 }
 
@@ -80,59 +108,47 @@
 
 // Run serves until ctx ends or the planned stop is done.
 func (e *Entry) Run(ctx context.Context, handler http.Handler) error {
-	return e.daemon.Run(ctx, handler, e.idle)
+	return e.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: e.handOver, Idle: e.idle})
 }
 
 func (e *Entry) idle() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, r := range e.relays {
-		if !r.settled() {
+	for _, r := range e.allRelays() {
+		if !r.idle() {
 			return false
 		}
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return e.calls == 0
 }
 
 // State is the part of the state dump that only entries have.
 type State struct {
-	Calls       int          `json:"calls"`
-	Generations []RelayState `json:"generations"`
+	AnswerBytes    int          `json:"answerBytes"`
+	Calls          int          `json:"calls"`
+	Generations    []RelayState `json:"generations"`
+	WaitingResumes int          `json:"waitingResumes"`
 }
 
 func (e *Entry) state() any {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := State{Calls: e.calls, Generations: []RelayState{}}
-	for _, r := range e.relays {
-		s.Generations = append(s.Generations, r.state())
+	s := State{
+		AnswerBytes:    e.memory.Used(),
+		Generations:    e.Relays(),
+		WaitingResumes: e.gate.Waiting(),
 	}
+	e.mu.Lock()
+	s.Calls = e.calls
+	e.mu.Unlock()
 	return s
 }
 
-func (e *Entry) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			e.sweep(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// sweep drops relays that nobody reads any more.
-func (e *Entry) sweep(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for id, r := range e.relays {
-		if r.abandoned(now) {
-			r.cancel()
-			delete(e.relays, id)
-		}
+// Relays returns the states of the generations that the entry holds.
+func (e *Entry) Relays() []RelayState {
+	states := []RelayState{}
+	for _, r := range e.allRelays() {
+		states = append(states, r.state())
 	}
+	return states
 }
 
 // timeout returns how long a request may take.
--- a/internal/savorypinmember/controlmessages.go
+++ b/internal/savorypinmember/controlmessages.go
@@ -8,21 +8,21 @@
 	FrameBeat FrameKind = "beat"
 	// FrameConfig is an exchange of configuration.
 	FrameConfig FrameKind = "config"
-	// FrameHeld asks at which version an object is in force.
-	FrameHeld FrameKind = "held"
+	// FrameVersion asks at which version an object is in force.
+	FrameVersion FrameKind = "version"
 	// FrameReport reports a load. It has no answer.
 	FrameReport FrameKind = "report"
 	// FrameStop orders a planned stop.
 	FrameStop FrameKind = "stop"
 )
 
-// Held asks at which version an object is in force.
-type Held struct {
+// VersionQuery asks at which version an object is in force.
+type VersionQuery struct {
 	Key savorypin.Key `msgpack:"key"`
 }
 
-// HeldAnswer is the version of an object in force; 0 if there is none.
-type HeldAnswer struct {
+// VersionAnswer is the version of an object in force; 0 if there is none.
+type VersionAnswer struct {
 	Version int64 `msgpack:"v"`
 }
 
--- a/internal/savorypinmembership/record.go
+++ b/internal/savorypinmembership/record.go
@@ -25,7 +25,7 @@
 	slow.Sequence = g.sequence
 	slow.Applied = g.self.Applied
 	changed := g.sequence == 0 || !reflect.DeepEqual(slow, g.self)
-	leaves := changed && slow.Draining && !g.self.Draining
+	leaves := changed && drained(slow) > drained(g.self)
 	if changed {
 		g.sequence++
 		slow.Sequence = g.sequence
@@ -45,6 +45,20 @@
 	return g.broadcast(now)
 }
 
+// drained counts what takes no new work: the member itself and its endpoints.
+func drained(s savorypin.MemberState) int {
+	n := 0
+	if s.Draining {
+		n++
+	}
+	for _, e := range s.Endpoints {
+		if e.Drained {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *Gossip) putSelf(now time.Time) {
 	r, ok := g.records[g.name]
 	if !ok {
@@ -166,7 +180,7 @@
 	if spread && u.Health != HealthDead {
 		g.spread(u.Name)
 	}
-	return u.Health == HealthSuspect || held.health != next.health || next.state.Draining != held.state.Draining
+	return u.Health == HealthSuspect || held.health != next.health || drained(next.state) != drained(held.state)
 }
 
 // supersedes reports whether u is news to the holder of a record. The member's
