Settle lost answers of deletes and of overtaken writes, name both versions

Cause: a delete whose answer was lost failed, a write whose answer was lost and that another had followed was reported as failed, and an operator who lost a race between read and write was told no versions.

--- a/internal/savorypin/object.go
+++ b/internal/savorypin/object.go
@@ -46,6 +46,9 @@
 	By string `json:"by" msgpack:"by"`
 	// Deleted marks a deletion, which keeps its version.
 	Deleted bool `json:"deleted,omitempty" msgpack:"del,omitempty"`
+	// Earlier are the order ids of the last writes before this one. They settle
+	// a write whose answer was lost and that another one has followed.
+	Earlier []string `json:"earlier,omitempty" msgpack:"ear,omitempty"`
 	// Order is the id of the write; it settles writes whose answer was lost.
 	Order string `json:"order" msgpack:"ord"`
 	// Spec is what the operator wants.
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -71,69 +71,30 @@
 	if p.DryRun != nil && *p.DryRun {
 		return toAPI(o), nil
 	}
-	written, err := s.write(ctx, o)
+	written, err := s.writer().write(ctx, o)
 	if err != nil {
 		return nil, failure(translatePlatform(o.Key, err))
 	}
 	return toAPI(written), nil
 }
 
-// write creates or replaces an object on the platform. A conflict with an
-// object that carries the same order id is the operator's own earlier write,
-// whose answer was lost.
-func (s *service) write(ctx context.Context, o savorypin.Object) (savorypin.Object, error) {
-	platform := s.daemon.Platform()
-	held, err := platform.Get(ctx, o.Key)
-	switch {
-	case errors.Is(err, savorypinplatform.ErrNotFound):
-		o.Version = 0
-		return s.settle(ctx, o, platform.Create)
-	case err != nil:
-		return savorypin.Object{}, err
-	case held.Order == o.Order:
-		return held, nil
-	case o.Version == savorypin.VersionAbsent:
-		return savorypin.Object{}, savorypin.Errorf(savorypin.KindConflict, o.String(),
-			"the order is for a new object, and %s has written version %d", held.By, held.Version)
-	case o.Version != 0 && o.Version != held.Version:
-		return savorypin.Object{}, savorypin.Errorf(savorypin.KindConflict, o.String(),
-			"the order is for version %d, and %s has written version %d", o.Version, held.By, held.Version)
-	}
-	o.Status = held.Status
-	o.Version = held.Version
-	return s.settle(ctx, o, platform.Update)
-}
-
-// settle makes a write and, if its answer is lost, reads back whether it has
-// taken effect.
-func (s *service) settle(
-	ctx context.Context,
-	o savorypin.Object,
-	write func(context.Context, savorypin.Object) (savorypin.Object, error),
-) (savorypin.Object, error) {
-	written, err := write(ctx, o)
-	if err == nil {
-		return written, nil
-	}
-	held, readErr := s.daemon.Platform().Get(ctx, o.Key)
-	if readErr == nil && held.Order == o.Order {
-		return held, nil
-	}
-	return savorypin.Object{}, err
-}
-
 // Remove deletes an object.
 func (s *service) Remove(ctx context.Context, p *operator.RemovePayload) error {
 	if err := s.authorize(p.Authorization); err != nil {
 		return err
 	}
 	key := savorypin.Key{Kind: savorypin.Kind(p.Kind), Name: p.Name}
-	if err := s.daemon.Platform().Delete(ctx, key, 0); err != nil {
+	if err := s.writer().remove(ctx, key); err != nil {
 		return failure(translatePlatform(key, err))
 	}
 	return nil
 }
 
+func (s *service) writer() writer {
+	platform := s.daemon.Platform()
+	return writer{create: platform.Create, get: platform.Get, remover: platform.Delete, update: platform.Update}
+}
+
 // List returns the objects in force at this daemon.
 func (s *service) List(_ context.Context, p *operator.ListPayload) ([]*operator.Object, error) {
 	if err := s.authorize(p.Authorization); err != nil {
--- /dev/null
+++ b/internal/savorypinoperator/savorypinoperator_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinoperator
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinoperator")
+}
--- a/internal/savorypinplatform/client.go
+++ b/internal/savorypinplatform/client.go
@@ -33,6 +33,8 @@
 	AnnotationAt = "savorypin/at"
 	// AnnotationBy is the operator who gave the order.
 	AnnotationBy = "savorypin/by"
+	// AnnotationEarlier are the order ids before it, separated by commas.
+	AnnotationEarlier = "savorypin/earlier"
 	// AnnotationOrder is the order id.
 	AnnotationOrder = "savorypin/order"
 )
--- a/internal/savorypinplatform/document.go
+++ b/internal/savorypinplatform/document.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"savorypin/internal/savorypin"
@@ -28,6 +29,9 @@
 	if o.By != "" {
 		doc.Metadata.Annotations[AnnotationBy] = o.By
 	}
+	if len(o.Earlier) > 0 {
+		doc.Metadata.Annotations[AnnotationEarlier] = strings.Join(o.Earlier, ",")
+	}
 	if o.Order != "" {
 		doc.Metadata.Annotations[AnnotationOrder] = o.Order
 	}
@@ -48,6 +52,9 @@
 		Status:  doc.Status,
 		Version: version,
 	}
+	if earlier := doc.Metadata.Annotations[AnnotationEarlier]; earlier != "" {
+		o.Earlier = strings.Split(earlier, ",")
+	}
 	if at, ok := doc.Metadata.Annotations[AnnotationAt]; ok {
 		// A time that another program wrote badly must not hide the object.
 		o.At, _ = time.Parse(time.RFC3339Nano, at)
--- a/internal/savorypinslopes/node.go
+++ b/internal/savorypinslopes/node.go
@@ -242,3 +242,13 @@
 		to.gossip.ReceiveReport(r)
 	})
 }
+
+// Domain returns the failure domain of the daemon.
+func (n *Node) Domain() string {
+	return n.place().Domain
+}
+
+// Reads reports whether the daemon watches the platform.
+func (n *Node) Reads() bool {
+	return n.reader.reading
+}
--- /dev/null
+++ b/internal/savorypinslopes/savorypinslopes_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinslopes_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinslopes")
+}
