--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -45,6 +45,7 @@
 	logFormat      string
 	logLevel       string
 	output         string
+	sizes          []int
 	standin        standinConfig
 	stderr         io.Writer
 	stdout         io.Writer
@@ -101,6 +102,7 @@
 			c.entryCmd(),
 			c.getCmd(),
 			c.moveCmd(),
+			c.slopesCmd(),
 			c.standinCmd(),
 			c.stateCmd(),
 			c.stopCmd(),
--- a/internal/savorypinmember/conn.go
+++ b/internal/savorypinmember/conn.go
@@ -164,6 +164,12 @@
 	case framePong:
 		return
 	}
+	if f.Stream == noticeStream {
+		s := newStream(c, noticeStream)
+		s.push(f)
+		go c.cfg.Accept(s.ctx, s)
+		return
+	}
 	c.mu.Lock()
 	s, ok := c.streams[f.Stream]
 	if !ok && f.Kind != frameEnd && c.opensHere(f.Stream) {
--- a/internal/savorypinmember/stream.go
+++ b/internal/savorypinmember/stream.go
@@ -34,7 +34,7 @@
 
 // Close ends the stream and tells the peer. It does not block.
 func (s *Stream) Close() {
-	if s.ctx.Err() == nil {
+	if s.ctx.Err() == nil && s.id != noticeStream {
 		// A peer that cannot be told has lost the connection and knows.
 		_ = s.SendNow(frameEnd, struct{}{})
 	}
@@ -42,6 +42,13 @@
 	s.forget()
 }
 
+// release ends the stream without telling the peer, who ends it too because
+// the answer has been sent.
+func (s *Stream) release() {
+	s.fail(ErrClosed)
+	s.forget()
+}
+
 // Conn returns the connection of the stream.
 func (s *Stream) Conn() *Conn {
 	return s.conn
@@ -85,8 +92,12 @@
 	return s.conn.send(s.ctx, kind, s.id, v, true)
 }
 
-// SendError sends err to the peer, which receives it as a *savorypin.Error.
+// SendError sends err to the peer, which receives it as a *savorypin.Error. It
+// sends nothing if the peer awaits no answer.
 func (s *Stream) SendError(ctx context.Context, err error) error {
+	if s.id == noticeStream {
+		return nil
+	}
 	return s.Send(ctx, frameError, newRemoteError(err))
 }
 
