Estimate how long work holds a slot from its length, not only from what ended

Cause: an entry that had served only short requests thought that long ones would leave as soon, and accepted 78 requests of 5,000 tokens and then one that had to begin within a second (the new test over sockets failed so before). The estimate is now the mean length begun times the time a token held a slot, from a prior. Run: tests of savorypinroute, savorypinlimit, savorypinentry, savorypincluster, all pass.

--- a/internal/savorypincluster/route_test.go
+++ b/internal/savorypincluster/route_test.go
@@ -1,6 +1,7 @@
 package savorypincluster_test
 
 import (
+	"errors"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -27,6 +28,28 @@
 	})
 })
 
+var _ = Describe("Overload", func() {
+	It("refuses at once what cannot begin in time", func(ctx SpecContext) {
+		c := start(ctx, 1, 3)
+		begin := func(timeout time.Duration) error {
+			_, err := c.Entries()[0].Start(savorypinentry.Request{
+				Generation: savorypin.Generation{
+					MaxTokens: 5000, Organisation: savorypincluster.Organisation, Prompt: "p", Service: savorypincluster.Service,
+				},
+				Timeout: timeout,
+			})
+			return err
+		}
+		for range 3*16 + 30 {
+			_ = begin(time.Hour)
+		}
+		var refused *savorypin.Error
+		Expect(errors.As(begin(time.Second), &refused)).To(BeTrue())
+		Expect(refused.Kind).To(Equal(savorypin.KindNotRun))
+		Expect(refused.RetryAfter).To(BeNumerically(">=", time.Second))
+	})
+})
+
 var _ = Describe("Limits", func() {
 	It("hold over two entries", func(ctx SpecContext) {
 		const limit = 4
--- a/internal/savorypinentry/relayplace.go
+++ b/internal/savorypinentry/relayplace.go
@@ -102,22 +102,12 @@
 // prefillRate returns the rate at which the endpoints of a service read
 // prompts, in tokens a second, as far as it is this entry's.
 func (e *Entry) prefillRate(service string) float64 {
-	rate := 0.0
-	for _, c := range savorypinroute.Candidates(e.daemon.Members(), savorypinroute.Need{Service: service}) {
-		rate += c.Endpoint().PrefillPerSecond
-	}
-	return rate / e.entries()
+	return e.router.PrefillRate(service) / e.entries()
 }
 
 // entries returns the number of live entries, which share the endpoints.
 func (e *Entry) entries() float64 {
-	n := 0
-	for _, m := range e.daemon.Members().All() {
-		if m.State().Role == savorypin.RoleEntry && m.Usable() {
-			n++
-		}
-	}
-	return float64(max(n, 1))
+	return float64(e.router.Entries())
 }
 
 // place chooses an endpoint for the next attempt, in its turn.
--- a/internal/savorypinroute/endpoint.go
+++ b/internal/savorypinroute/endpoint.go
@@ -9,9 +9,11 @@
 
 // Settings of the estimate.
 const (
-	// defaultHold is how long a piece of work is expected to hold a slot before
-	// any has ended.
-	defaultHold = 2 * time.Second
+	// defaultTokenHold is how long work is expected to hold a slot for each token
+	// that it may generate, before any has ended.
+	defaultTokenHold = 20 * time.Millisecond
+	// defaultTokens is the largest length that defaultTokenHold weighs as much as.
+	defaultTokens = 200
 	// fadeHalfLife is the time in which what was learned of an endpoint halves.
 	fadeHalfLife = 10 * time.Second
 	// failureCost is added to the estimate of an endpoint where all work fails.
@@ -31,15 +33,39 @@
 
 // serviceStats is what was learned of a service.
 type serviceStats struct {
-	// hold is the mean time for which work holds a slot, in seconds.
-	hold average
+	// begunTokens is the mean of the largest lengths of work that was begun.
+	begunTokens average
+	// endedHold is the mean time for which work that has ended held a slot, in
+	// seconds, and endedTokens the mean of its largest lengths.
+	endedHold   average
+	endedTokens average
 }
 
-func (s *serviceStats) meanHold() time.Duration {
-	if v := s.hold.value(); v > 0 {
-		return time.Duration(v * float64(time.Second))
+func newServiceStats() *serviceStats {
+	s := &serviceStats{}
+	s.ended(defaultTokens, defaultTokens*defaultTokenHold)
+	return s
+}
+
+// meanHold returns how long work is expected to hold a slot, where maxTokens is
+// the length of work at hand if none was begun before. The length is that of
+// work that was begun lately, so that the estimate follows a change of the
+// workload before any of it has ended.
+func (s *serviceStats) meanHold(maxTokens int) time.Duration {
+	tokens := s.begunTokens.value()
+	if tokens == 0 {
+		tokens = float64(max(1, maxTokens))
 	}
-	return defaultHold
+	return time.Duration(s.endedHold.value() / s.endedTokens.value() * tokens * float64(time.Second))
+}
+
+func (s *serviceStats) begun(maxTokens int) {
+	s.begunTokens.add(float64(max(1, maxTokens)), holdWeight)
+}
+
+func (s *serviceStats) ended(maxTokens int, hold time.Duration) {
+	s.endedHold.add(hold.Seconds(), holdWeight)
+	s.endedTokens.add(float64(max(1, maxTokens)), holdWeight)
 }
 
 // endpoint is what this daemon knows of one endpoint. It lives as long as the
@@ -101,7 +127,7 @@
 	load := e.load(r)
 	cost := loadCost * time.Duration(min(load, slots)) / time.Duration(slots)
 	if excess := load - slots + 1; excess > 0 {
-		cost += e.service.meanHold() * time.Duration(excess) / time.Duration(slots)
+		cost += e.service.meanHold(need.MaxTokens) * time.Duration(excess) / time.Duration(slots)
 	}
 	tokens := need.promptTokens()
 	tokens -= min(tokens, e.cachedTokens(need.Prefixes, r.state.CachedPrefixes))
--- a/internal/savorypinroute/index.go
+++ b/internal/savorypinroute/index.go
@@ -18,8 +18,11 @@
 
 // index holds the usable endpoints. It never changes; a new one replaces it.
 type index struct {
+	// entries are the numbers of live entries by region.
 	entries map[string]int
 	groups  map[groupKey]*group
+	// prefill are the rates of reading prompts by service, in tokens a second.
+	prefill map[string]float64
 	view    *savorypinmembership.View
 }
 
@@ -27,6 +30,7 @@
 	return &index{
 		entries: map[string]int{},
 		groups:  map[groupKey]*group{},
+		prefill: map[string]float64{},
 		view:    view,
 	}
 }
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -219,6 +219,13 @@
 			for _, c := range savorypinroute.Candidates(f.table.View(), n) {
 				names[c.Endpoint().Name] = true
 			}
+			rate := 0.0
+			for _, c := range savorypinroute.Candidates(f.table.View(), savorypinroute.Need{Service: "s"}) {
+				rate += c.Endpoint().PrefillPerSecond
+			}
+			if rate != f.router.PrefillRate("s") {
+				t.Fatalf("prefill rate is %v, not %v", f.router.PrefillRate("s"), rate)
+			}
 			c, err := f.router.Choose(n)
 			if (err == nil) != (len(names) > 0) || (err == nil && !names[c.Endpoint().Name]) {
 				t.Fatalf("chose %q (%v) of %v", c.Endpoint().Name, err, names)
--- a/internal/savorypinroute/router.go
+++ b/internal/savorypinroute/router.go
@@ -140,6 +140,7 @@
 			state:    state,
 		})
 	}
+	next.prefill[state.Service] += state.PrefillPerSecond
 	next.add(member.Region, r.target(e, groupKey{service: state.Service}))
 	for _, version := range state.Versions {
 		next.add(member.Region, r.target(e, groupKey{service: state.Service, version: version}))
@@ -149,7 +150,7 @@
 func (r *Router) stats(service string) *serviceStats {
 	s := r.services[service]
 	if s == nil {
-		s = &serviceStats{}
+		s = newServiceStats()
 		r.services[service] = s
 	}
 	return s
@@ -338,6 +339,21 @@
 	return r.link
 }
 
+// Entries returns the number of live entries, at least 1.
+func (r *Router) Entries() int {
+	n := 0
+	for _, entries := range r.index.Load().entries {
+		n += entries
+	}
+	return max(1, n)
+}
+
+// PrefillRate returns the rate at which the usable endpoints of a service read
+// prompts together, in tokens a second.
+func (r *Router) PrefillRate(service string) float64 {
+	return r.index.Load().prefill[service]
+}
+
 // mayEject reports whether so few endpoints of a target's group are ejected
 // that one more may be.
 func (r *Router) mayEject(t *target, now time.Time) bool {
--- a/internal/savorypinroute/work.go
+++ b/internal/savorypinroute/work.go
@@ -45,6 +45,7 @@
 	w.estimate = e.estimate(rep, &w.need)
 	w.prefill = int64(tokens)
 	w.started = r.cfg.Now()
+	e.service.begun(w.need.MaxTokens)
 	e.flight.Add(1)
 	e.prefill.Add(w.prefill)
 	e.memory.add(w.need.Prefixes)
@@ -106,7 +107,7 @@
 		if w.firstAt.Load() == 0 {
 			w.learn()
 		}
-		w.target.endpoint.service.hold.add(w.hold(now).Seconds(), holdWeight)
+		w.target.endpoint.service.ended(w.need.MaxTokens, w.hold(now))
 		w.target.failures.add(now, 0, learnWeight)
 		w.target.breaker.success()
 	case neutral(err):
