Refuse new work beyond 5 s and tell truly when a fallback share has room

Cause: with a limit of 20 s all admitted work would wait that long under overload, beyond what callers wait; the limit is now a setting of 5 s. An organisation that a fallback share refused was told to wait for that share to fill (80 s for one request a second over 20 entries), though a grant comes with the next exchange; it is now told a second.

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
@@ -33,20 +34,21 @@
 
 // Config holds the settings of all commands. Commands are its methods.
 type Config struct {
-	anonymous string
-	by        string
-	daemon    savorypindaemon.Settings
-	dryRun    bool
-	entry     string
-	files     []string
-	linkRate  float64
-	logFormat string
-	logLevel  string
-	output    string
-	standin   standinConfig
-	stderr    io.Writer
-	stdout    io.Writer
-	wait      bool
+	anonymous  string
+	by         string
+	daemon     savorypindaemon.Settings
+	dryRun     bool
+	entry      string
+	files      []string
+	firstToken time.Duration
+	linkRate   float64
+	logFormat  string
+	logLevel   string
+	output     string
+	standin    standinConfig
+	stderr     io.Writer
+	stdout     io.Writer
+	wait       bool
 }
 
 // Main runs the command line and returns the exit code.
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -17,6 +17,10 @@
 		Flags: append(c.daemonFlags(), &cli.StringFlag{
 			Destination: &c.anonymous, Name: "anonymous-organisation", Sources: env("ANONYMOUS_ORGANISATION"),
 			Usage: "organisation of callers without a token; they are refused if it is empty",
+		}, &cli.DurationFlag{
+			Destination: &c.firstToken, Name: "first-token-limit", Sources: env("FIRST_TOKEN_LIMIT"),
+			Usage: "longest estimated time to the first token with which new work begins",
+			Value: savorypinentry.DefaultFirstTokenLimit,
 		}, &cli.FloatFlag{
 			Destination: &c.linkRate, Name: "link-bytes-per-second", Sources: env("LINK_BYTES_PER_SECOND"),
 			Usage: "what the link between regions may carry for all entries of the region together",
@@ -37,6 +41,7 @@
 	}
 	entry, err := savorypinentry.New(savorypinentry.Config{
 		AnonymousOrganisation: c.anonymous,
+		FirstTokenLimit:       c.firstToken,
 		LinkBytesPerSecond:    c.linkRate,
 		Logger:                logger,
 		Settings:              c.daemon,
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -76,7 +76,7 @@
 	need := e.callNeed(call.Service, savorypin.PurposeFirst, map[string]bool{})
 	var last error
 	for ctx.Err() == nil {
-		candidate, err := e.place(need, e.limits.limiter.Wait(call.Organisation, remaining(ctx)))
+		candidate, err := e.place(need, e.callWait(ctx, call.Organisation))
 		if err != nil {
 			return CallAnswer{}, errors.Join(last, err)
 		}
@@ -99,7 +99,7 @@
 
 // callOnce claims the key before it passes the call on.
 func (e *Entry) callOnce(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
-	candidate, err := e.place(e.callNeed(call.Service, savorypin.PurposeFirst, nil), e.limits.limiter.Wait(call.Organisation, remaining(ctx)))
+	candidate, err := e.place(e.callNeed(call.Service, savorypin.PurposeFirst, nil), e.callWait(ctx, call.Organisation))
 	if err != nil {
 		return CallAnswer{}, err
 	}
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -36,7 +36,7 @@
 		Version:     version,
 	}
 	if purpose == savorypin.PurposeFirst {
-		need.Within = e.limits.limiter.Wait(gen.Organisation, firstTokenLimit)
+		need.Within = e.limits.limiter.Wait(gen.Organisation, e.cfg.FirstTokenLimit)
 	}
 	return need
 }
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -31,6 +31,10 @@
 	AnonymousOrganisation string
 	// Dial opens connections to other daemons; nil means TCP.
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
+	// FirstTokenLimit is the longest estimated time to the first token with which
+	// new work begins, whatever time its caller has; zero means
+	// DefaultFirstTokenLimit.
+	FirstTokenLimit time.Duration
 	// LinkBytesPerSecond is what the link between regions may carry for all
 	// entries of the region together; zero means defaultLinkBytesPerSecond.
 	LinkBytesPerSecond float64
@@ -63,6 +67,9 @@
 
 // New returns an entry that listens but does not serve yet.
 func New(cfg Config) (*Entry, error) {
+	if cfg.FirstTokenLimit == 0 {
+		cfg.FirstTokenLimit = DefaultFirstTokenLimit
+	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Float64
 	}
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -15,13 +15,13 @@
 	"savorypin/internal/savorypinroute"
 )
 
+// DefaultFirstTokenLimit is the FirstTokenLimit of an entry that is given none.
+const DefaultFirstTokenLimit = 5 * time.Second
+
 // Settings of routing.
 const (
 	// defaultLinkBytesPerSecond is a link of 30 Mbit/s.
 	defaultLinkBytesPerSecond = 30e6 / 8
-	// firstTokenLimit is the longest estimated time to the first token with
-	// which work begins, whatever time the caller has.
-	firstTokenLimit = 20 * time.Second
 	// linkDelay is the time that a request and its first token spend on the
 	// link between two regions.
 	linkDelay = 25 * time.Millisecond
@@ -101,7 +101,7 @@
 // when to come back.
 func (e *Entry) place(need savorypinroute.Need, wait time.Duration) (savorypinroute.Candidate, error) {
 	if need.Within == 0 {
-		need.Within = firstTokenLimit
+		need.Within = e.cfg.FirstTokenLimit
 	}
 	need.Within = max(time.Millisecond, min(need.Within, wait))
 	candidate, err := e.choose(need)
@@ -133,13 +133,14 @@
 	return refused
 }
 
-// remaining returns the time until the deadline of ctx.
-func remaining(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return firstTokenLimit
+// callWait returns how long the answer of an organisation's call may be waited
+// for.
+func (e *Entry) callWait(ctx context.Context, organisation string) time.Duration {
+	wait := e.cfg.FirstTokenLimit
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline))
 	}
-	return min(time.Until(deadline), firstTokenLimit)
+	return e.limits.limiter.Wait(organisation, wait)
 }
 
 // endpointFault returns the error that a call says of its endpoint.
--- a/internal/savorypinlimit/limit_test.go
+++ b/internal/savorypinlimit/limit_test.go
@@ -104,6 +104,9 @@
 			f := newFleet(1, map[string]savorypin.OrganisationSpec{
 				"shops": {RequestsPerSecond: rapid.Float64Range(0.5, 50).Draw(t, "requests"), TokensPerSecond: 500},
 			})
+			_, _ = f.entries[0].limiter.Admit("shops", 1)
+			f.now = f.now.Add(savorypinlimit.OwnerHold)
+			f.exchange()
 			for range 50 {
 				a, err := f.entries[0].limiter.Admit("shops", rapid.IntRange(1, 1000).Draw(t, "tokens"))
 				var limited *savorypinlimit.LimitedError
--- a/internal/savorypinlimit/limiter.go
+++ b/internal/savorypinlimit/limiter.go
@@ -78,14 +78,14 @@
 	if spec.RequestsPerSecond > 0 {
 		if wait, ok := o.requests.take(1, now); !ok {
 			o.running.Add(-1)
-			return &LimitedError{Limit: LimitRequests, RetryAfter: wait}
+			return &LimitedError{Limit: LimitRequests, RetryAfter: o.retryAfter(wait)}
 		}
 	}
 	if spec.TokensPerSecond > 0 && tokens > 0 {
 		if wait, ok := o.tokens.take(tokens, now); !ok {
 			o.running.Add(-1)
 			o.requests.correct(-1)
-			return &LimitedError{Limit: LimitTokens, RetryAfter: wait}
+			return &LimitedError{Limit: LimitTokens, RetryAfter: o.retryAfter(wait)}
 		}
 	}
 	return nil
--- a/internal/savorypinlimit/organisation.go
+++ b/internal/savorypinlimit/organisation.go
@@ -10,6 +10,9 @@
 
 // Settings of what is learned of an organisation.
 const (
+	// fallbackWait is the time after which a request that the fallback share
+	// refused can be tried again.
+	fallbackWait = time.Second
 	// firstRatio is the expected ratio of generated tokens to the largest
 	// number asked for, before any request has ended.
 	firstRatio = 0.5
@@ -45,6 +48,7 @@
 	admitted      meter
 	concurrency   atomic.Int64
 	demand        meter
+	granted       atomic.Bool
 	hold          atomic.Uint64
 	name          string
 	overFair      atomic.Bool
@@ -92,7 +96,18 @@
 // slotWait returns the expected time until a running request ends.
 func (o *organisation) slotWait() time.Duration {
 	hold := math.Float64frombits(o.hold.Load())
-	return time.Duration(hold / float64(max(1, o.running.Load())) * float64(time.Second))
+	wait := time.Duration(hold / float64(max(1, o.running.Load())) * float64(time.Second))
+	return o.retryAfter(max(ExchangeInterval, wait))
+}
+
+// retryAfter returns the time after which a refused request can begin, given
+// how long it takes with the share in force. A fallback share gives way to a
+// grant at the next exchange.
+func (o *organisation) retryAfter(wait time.Duration) time.Duration {
+	if o.granted.Load() {
+		return wait
+	}
+	return min(wait, fallbackWait)
 }
 
 func (o *organisation) weight() float64 {
@@ -146,7 +161,8 @@
 func (o *organisation) setRates(entries int, now time.Time) {
 	limits := amountOf(*o.spec.Load())
 	a := limits.fallback(entries)
-	if now.Before(o.grantUntil) {
+	o.granted.Store(now.Before(o.grantUntil))
+	if o.granted.Load() {
 		a = orElse(least(o.grant, limits), a)
 	}
 	o.tokens.setRate(float64(a.Tokens), now)
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -244,6 +245,19 @@
 	})
 })
 
+var _ = Describe("Hot", func() {
+	It("names the prefixes that save most, none of which extends another", func() {
+		var hot savorypinroute.Hot
+		prompts := []string{strings.Repeat("a", 1024), strings.Repeat("b", 512), strings.Repeat("c", 4096)}
+		for i, uses := range []int{5, 3, 1} {
+			for range uses {
+				hot.Add(savorypinroute.Prefixes(prompts[i]))
+			}
+		}
+		Expect(hot.Top(4)).To(Equal([]uint64{savorypinroute.Prefixes(prompts[0])[3], savorypinroute.Prefixes(prompts[1])[1]}))
+	})
+})
+
 var _ = Describe("Link", func() {
 	It("stops spill before resumes and never stops control", func() {
 		now := time.Unix(0, 0)
