Begin and end calls at plain services in one place

Cause: the begin of a call stood in pass and its end beside each use. Both are now in pass, so that other ways to call need no hook of their own.

--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -82,7 +82,6 @@
 		}
 		started := time.Now()
 		answer, err := e.pass(ctx, candidate, call, route, "")
-		candidate.Done(endpointFault(answer, err))
 		e.observeCall(candidate, call, need.Purpose, started, err)
 		if err == nil {
 			return CallAnswer{Answer: answer}, nil
@@ -118,7 +117,6 @@
 	}
 	started := time.Now()
 	answer, err := e.pass(ctx, candidate, call, route, call.Key)
-	candidate.Done(endpointFault(answer, err))
 	e.observeCall(candidate, call, savorypin.PurposeFirst, started, err)
 	if savorypin.KindOf(err) == savorypin.KindNotRun {
 		e.release(ctx, claim, version)
@@ -151,6 +149,7 @@
 			Key:         key,
 			Path:        route.Path,
 		})
+	candidate.Done(endpointFault(answer, err))
 	if err == nil {
 		return answer, nil
 	}
