Grant on at once what an entry owned before another one came or left

Cause: any change of the live entries let an owner only renew for 8 s, also what it had owned all along; entries that come and go would have kept organisations without a grant at their fallback share.

--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -119,8 +119,11 @@
 	known, share := l.reach.Update(regions, time.Now())
 	l.share.Store(&share)
 	if entries := slices.Sorted(maps.Keys(addresses)); !slices.Equal(entries, l.entries) {
+		before := l.entries
 		l.entries = entries
-		l.owner.EntriesChanged(time.Now())
+		l.owner.EntriesChanged(func(organisation string) bool {
+			return len(before) > 0 && savorypinrank.Names(organisation, before)[0] == self.Name
+		}, time.Now())
 	}
 	return addresses, known
 }
--- a/internal/savorypinlimit/fleet_test.go
+++ b/internal/savorypinlimit/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"savorypin/internal/savorypin"
@@ -24,10 +25,10 @@
 	dead    bool
 	limiter *savorypinlimit.Limiter
 	name    string
+	names   []string
 	owner   *savorypinlimit.Owner
 	reach   *savorypinlimit.Reach
 	region  string
-	seen    int
 	side    int
 }
 
@@ -63,7 +64,7 @@
 	e.limiter.Configure(f.specs)
 	e.owner = savorypinlimit.NewOwner(f.now)
 	e.reach = savorypinlimit.NewReach()
-	e.seen = 0
+	e.names = nil
 }
 
 // live returns the entries that e can reach: those on its side of a partition.
@@ -90,9 +91,12 @@
 			continue
 		}
 		known, share := e.reach.Update(regions, f.now)
-		if len(names) != e.seen {
-			e.seen = len(names)
-			e.owner.EntriesChanged(f.now)
+		if !slices.Equal(names, e.names) {
+			before := e.names
+			e.names = names
+			e.owner.EntriesChanged(func(o string) bool {
+				return len(before) > 0 && savorypinrank.Names(o, before)[0] == e.name
+			}, f.now)
 		}
 		due := e.limiter.Tick(known, func(o string) string { return savorypinrank.Names(o, names)[0] })
 		for _, owner := range f.entries {
--- a/internal/savorypinlimit/limit_test.go
+++ b/internal/savorypinlimit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinlimit"
+	"savorypin/internal/savorypinrank"
 )
 
 const limit = 20_000.0
@@ -82,6 +84,24 @@
 		Expect(got).To(BeNumerically(">", 2*sum(naive.run(20*time.Second, "shops", skewed))/20))
 	})
 
+	It("grants at once what this entry owned before another one left", func() {
+		f := newFleet(3, oneOrganisation())
+		f.run(20*time.Second, "quiet", skewed)
+		owner := savorypinrank.Names("shops", []string{"entry-0", "entry-1", "entry-2"})[0]
+		leaving := slices.IndexFunc(f.entries, func(e *entry) bool { return e.name != owner })
+		f.entries[leaving].dead = true
+		f.run(time.Second, "quiet", skewed)
+		usage := []savorypinlimit.Usage{{Organisation: "shops", Demand: savorypinlimit.Amount{Tokens: 100}}}
+		for _, e := range f.entries {
+			if e.name == owner {
+				grants := e.owner.Grant(owner, usage, func(string) savorypinlimit.Amount {
+					return savorypinlimit.Amount{Tokens: limit}
+				}, f.now)
+				Expect(grants[0].Tokens).To(BeNumerically(">=", 100))
+			}
+		}
+	})
+
 	It("holds the number of requests at one time", func() {
 		f := newFleet(4, map[string]savorypin.OrganisationSpec{"shops": {Concurrency: 10}})
 		running := 0
--- a/internal/savorypinlimit/owner.go
+++ b/internal/savorypinlimit/owner.go
@@ -22,10 +22,17 @@
 // It is safe for concurrent use.
 type Owner struct {
 	mu            sync.Mutex
-	holdUntil     time.Time
+	changes       []entriesChange
 	organisations map[string]*owned
 }
 
+// entriesChange is a change of the live entries.
+type entriesChange struct {
+	at time.Time
+	// owned reports whether this entry owned an organisation before.
+	owned func(organisation string) bool
+}
+
 // owned is an organisation at its owner.
 type owned struct {
 	holders   map[string]*holder
@@ -41,15 +48,30 @@
 
 // NewOwner returns an owner that has granted nothing. Another owner may have.
 func NewOwner(now time.Time) *Owner {
-	return &Owner{holdUntil: now.Add(OwnerHold), organisations: map[string]*owned{}}
+	o := &Owner{organisations: map[string]*owned{}}
+	o.EntriesChanged(func(string) bool { return false }, now)
+	return o
 }
 
-// EntriesChanged takes note that other entries are live than before, so that
-// this entry may have become the owner of organisations.
-func (o *Owner) EntriesChanged(now time.Time) {
+// EntriesChanged takes note that other entries are live than before. This entry
+// may have become the owner of the organisations that it did not own then.
+func (o *Owner) EntriesChanged(owned func(organisation string) bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.holdUntil = now.Add(OwnerHold)
+	o.changes = slices.DeleteFunc(o.changes, func(c entriesChange) bool { return now.Sub(c.at) > OwnerHold })
+	o.changes = append(o.changes, entriesChange{at: now, owned: owned})
+}
+
+// holdUntil returns until when another owner's grants of an organisation may be
+// valid.
+func (o *Owner) holdUntil(organisation string) time.Time {
+	var until time.Time
+	for _, c := range o.changes {
+		if !c.owned(organisation) {
+			until = c.at.Add(OwnerHold)
+		}
+	}
+	return until
 }
 
 // Grant answers the report of an entry. The limit of an organisation is what
@@ -67,7 +89,7 @@
 func (o *Owner) grant(entry string, usage Usage, limit Amount, now time.Time) Amount {
 	org := o.organisations[usage.Organisation]
 	if org == nil {
-		org = &owned{holders: map[string]*holder{}, holdUntil: o.holdUntil}
+		org = &owned{holders: map[string]*holder{}, holdUntil: o.holdUntil(usage.Organisation)}
 		o.organisations[usage.Organisation] = org
 	}
 	org.expire(now)
