Rebuild the index of endpoints with fewer allocations

Cause: each refresh looked every endpoint and version up in maps and copied the state of each member to the heap.

--- a/internal/savorypinroute/endpoint.go
+++ b/internal/savorypinroute/endpoint.go
@@ -1,6 +1,7 @@
 package savorypinroute
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -78,11 +79,38 @@
 	report  atomic.Pointer[report]
 	service *serviceStats
 
-	// samples are only used by Refresh.
+	// The fields below are only used by Refresh.
+
+	// index is the newest index that has the endpoint's member.
+	index *index
+	// targets are the endpoint without a version, and with each of its versions.
+	targets []*target
 	samples [historySamples]flightSample
 	next    int
 }
 
+func newEndpoint(name string, key groupKey, service *serviceStats) *endpoint {
+	e := &endpoint{name: name, service: service}
+	e.targets = []*target{{endpoint: e, key: key}}
+	return e
+}
+
+// setVersions replaces the targets. What was learned of a version that stays is
+// kept.
+func (e *endpoint) setVersions(versions []string) {
+	targets := e.targets[:1:1]
+	for _, version := range versions {
+		key := groupKey{service: e.targets[0].key.service, version: version}
+		i := slices.IndexFunc(e.targets, func(t *target) bool { return t.key == key })
+		if i < 0 {
+			targets = append(targets, &target{endpoint: e, key: key})
+			continue
+		}
+		targets = append(targets, e.targets[i])
+	}
+	e.targets = targets
+}
+
 type flightSample struct {
 	at     time.Time
 	flight int64
--- a/internal/savorypinroute/router.go
+++ b/internal/savorypinroute/router.go
@@ -69,12 +69,6 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
 	services  map[string]*serviceStats
-	targets   map[targetKey]*target
-}
-
-type targetKey struct {
-	endpoint string
-	version  string
 }
 
 // NewRouter returns a router that knows no endpoints.
@@ -84,7 +78,6 @@
 		endpoints: map[string]*endpoint{},
 		link:      NewLink(cfg.LinkBytesPerSecond, cfg.Now()),
 		services:  map[string]*serviceStats{},
-		targets:   map[targetKey]*target{},
 	}
 	r.index.Store(newIndex(nil))
 	return r
@@ -103,7 +96,6 @@
 		return
 	}
 	next := newIndex(view)
-	seen := map[string]bool{}
 	for _, m := range view.All() {
 		if !m.Usable() {
 			continue
@@ -113,37 +105,39 @@
 			next.entries[state.Region]++
 		}
 		for i := range state.Endpoints {
-			seen[state.Endpoints[i].Name] = true
-			if usable(state.Endpoints[i]) {
-				r.take(next, &state, i, m.Heard())
-			}
+			r.take(next, state, i, m.Heard())
 		}
 	}
-	r.forget(seen)
+	r.forget(next)
 	r.index.Store(next)
 	r.link.SetRate(r.cfg.LinkBytesPerSecond/float64(max(1, next.entries[r.cfg.Region])), now)
 }
 
 // take adds an endpoint of a member to the index that is being built.
-func (r *Router) take(next *index, member *savorypin.MemberState, i int, heard time.Time) {
+func (r *Router) take(next *index, member savorypin.MemberState, i int, heard time.Time) {
 	state := &member.Endpoints[i]
 	e := r.endpoints[state.Name]
-	if e == nil {
-		e = &endpoint{name: state.Name, service: r.stats(state.Service)}
+	if e == nil || e.targets[0].key.service != state.Service {
+		e = newEndpoint(state.Name, groupKey{service: state.Service}, r.stats(state.Service))
 		r.endpoints[state.Name] = e
 	}
+	e.index = next
+	if !usable(*state) {
+		return
+	}
 	old := e.report.Load()
 	if old == nil || member.Newer(*old.member) || member.Name != old.member.Name {
+		held := member
 		e.report.Store(&report{
 			baseline: e.flightAt(heard.Add(-reportLag)),
-			member:   member,
+			member:   &held,
 			state:    state,
 		})
+		e.setVersions(state.Versions)
 	}
 	next.prefill[state.Service] += state.PrefillPerSecond
-	next.add(member.Region, r.target(e, groupKey{service: state.Service}))
-	for _, version := range state.Versions {
-		next.add(member.Region, r.target(e, groupKey{service: state.Service, version: version}))
+	for _, t := range e.targets {
+		next.add(member.Region, t)
 	}
 }
 
@@ -156,28 +150,13 @@
 	return s
 }
 
-func (r *Router) target(e *endpoint, key groupKey) *target {
-	name := targetKey{endpoint: e.name, version: key.version}
-	t := r.targets[name]
-	if t == nil || t.endpoint != e || t.key != key {
-		t = &target{endpoint: e, key: key}
-		r.targets[name] = t
-	}
-	return t
-}
-
 // forget drops the endpoints that no member reports any more.
-func (r *Router) forget(seen map[string]bool) {
+func (r *Router) forget(next *index) {
 	for name, e := range r.endpoints {
-		if !seen[name] && e.flight.Load() == 0 {
+		if e.index != next && e.flight.Load() == 0 {
 			delete(r.endpoints, name)
 		}
 	}
-	for key := range r.targets {
-		if _, ok := r.endpoints[key.endpoint]; !ok {
-			delete(r.targets, key)
-		}
-	}
 }
 
 // choice is a target with its cost, and the counter of the way it was found.
