--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -41,6 +41,7 @@
 	dryRun         bool
 	entry          string
 	files          []string
+	firstToken     time.Duration
 	linkRate       float64
 	logFormat      string
 	logLevel       string
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -219,6 +220,13 @@
 			for _, c := range savorypinroute.Candidates(f.table.View(), n) {
 				names[c.Endpoint().Name] = true
 			}
+			rate := 0.0
+			for _, c := range savorypinroute.Candidates(f.table.View(), savorypinroute.Need{Service: "s"}) {
+				rate += c.Endpoint().PrefillPerSecond
+			}
+			if rate != f.router.PrefillRate("s") {
+				t.Fatalf("prefill rate is %v, not %v", f.router.PrefillRate("s"), rate)
+			}
 			c, err := f.router.Choose(n)
 			if (err == nil) != (len(names) > 0) || (err == nil && !names[c.Endpoint().Name]) {
 				t.Fatalf("chose %q (%v) of %v", c.Endpoint().Name, err, names)
@@ -237,6 +245,19 @@
 	})
 })
 
+var _ = Describe("Hot", func() {
+	It("names the prefixes that save most, none of which extends another", func() {
+		var hot savorypinroute.Hot
+		prompts := []string{strings.Repeat("a", 1024), strings.Repeat("b", 512), strings.Repeat("c", 4096)}
+		for i, uses := range []int{5, 3, 1} {
+			for range uses {
+				hot.Add(savorypinroute.Prefixes(prompts[i]))
+			}
+		}
+		Expect(hot.Top(4)).To(Equal([]uint64{savorypinroute.Prefixes(prompts[0])[3], savorypinroute.Prefixes(prompts[1])[1]}))
+	})
+})
+
 var _ = Describe("Link", func() {
 	It("stops spill before resumes and never stops control", func() {
 		now := time.Unix(0, 0)
