Finish whole answers of callers that cannot attach again

Cause: at a planned stop, or when another entry took a generation over, the caller of POST /v1/generations got incomplete, because it cannot attach.

Now the entry takes the generation back for such a caller, and a planned stop waits for it.

--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -58,24 +58,51 @@
 	if err != nil {
 		return nil, failure(err)
 	}
-	reader := relay.Open(startOf(relay))
-	defer reader.Close()
+	defer s.entry.Hold()()
 	answer := &caller.Generation{ID: string(relay.Generation().ID), Tokens: []int{}}
 	var text strings.Builder
+	for position := startOf(relay); ; {
+		var end savorypinentry.End
+		position, end, err = collect(ctx, relay, position, answer, &text)
+		if errors.Is(err, savorypinentry.ErrMoved) {
+			// This caller cannot attach again, so the entry does.
+			relay, err = s.entry.Find(ctx, position)
+			if err == nil {
+				continue
+			}
+		}
+		if err != nil {
+			return nil, failure(savorypin.Errorf(savorypin.KindIncomplete, answer.ID, "%w", err))
+		}
+		if end.Err != nil {
+			return nil, failure(end.Err)
+		}
+		answer.Attempts = relay.Attempts()
+		answer.FinishReason = string(end.Reason)
+		answer.Text = text.String()
+		answer.Version = relay.Version()
+		return answer, nil
+	}
+}
+
+// collect adds the tokens after a position to an answer until it ends. It
+// returns the position after the last one.
+func collect(
+	ctx context.Context,
+	relay *savorypinentry.Relay,
+	position savorypin.EventID,
+	answer *caller.Generation,
+	text *strings.Builder,
+) (savorypin.EventID, savorypinentry.End, error) {
+	reader := relay.OpenFixed(position)
+	defer reader.Close()
 	for {
 		tokens, end, err := reader.Next(ctx)
 		if err != nil {
-			return nil, failure(savorypin.Errorf(savorypin.KindIncomplete, answer.ID, "%w", err))
+			return reader.Position(), savorypinentry.End{}, err
 		}
 		if end != nil {
-			if end.Err != nil {
-				return nil, failure(end.Err)
-			}
-			answer.Attempts = relay.Attempts()
-			answer.FinishReason = string(end.Reason)
-			answer.Text = text.String()
-			answer.Version = relay.Version()
-			return answer, nil
+			return reader.Position(), *end, nil
 		}
 		for _, token := range tokens {
 			answer.Tokens = append(answer.Tokens, int(token.ID))
--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -251,6 +253,33 @@
 		Expect(decoded(c) - before).To(Equal(tokens))
 	})
 
+	It("is whole for a caller that cannot attach again, when its entry stops or loses the generation", func(ctx SpecContext) {
+		c := start(ctx, 2, 2, func(cfg *savorypincluster.Config) { cfg.StopGrace = 10 * time.Millisecond })
+		type answer struct {
+			Tokens []int32 `json:"tokens"`
+		}
+		done := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			body := fmt.Sprintf(`{"service":"assistant","prompt":"a prompt","max_tokens":%d,"seed":7}`, tokens)
+			resp, err := http.Post(c.URLs()[0]+"/v1/generations", "application/json", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			var got answer
+			Expect(json.NewDecoder(resp.Body).Decode(&got)).To(Succeed())
+			done <- got
+		}()
+		Eventually(generationOf).WithArguments(c, 0).WithTimeout(generous).ShouldNot(BeEmpty())
+		resp, err := http.Get(c.URLs()[1] + "/v1/generations/" + generationOf(c, 0) + "/stream")
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		c.Entries()[0].Daemon().Stop()
+		var got answer
+		Eventually(done).WithTimeout(generous).Should(Receive(&got))
+		Expect(got.Tokens).To(Equal(want))
+		Eventually(c.Entries()[0].Done()).WithTimeout(generous).Should(BeClosed())
+	})
+
 	It("frees the engine when the generation is cancelled", func(ctx SpecContext) {
 		c := start(ctx, 2, 1)
 		_, result, err := stream(ctx, c.Client(), 10_000, func(i int) {
--- a/internal/savorypinentry/relayreader.go
+++ b/internal/savorypinentry/relayreader.go
@@ -18,16 +18,29 @@
 // Reader reads an answer from a position on. It is not safe for concurrent
 // use.
 type Reader struct {
-	changed  chan struct{}
+	changed chan struct{}
+	// fixed says that the caller cannot attach again.
+	fixed    bool
 	position savorypin.EventID
 	relay    *Relay
 }
 
-// Open returns a reader that goes on after a position. It must be closed.
+// Open returns a reader that goes on after a position. It must be closed. At a
+// planned stop its caller may be told to attach to another entry.
 func (r *Relay) Open(position savorypin.EventID) *Reader {
+	return r.open(position, false)
+}
+
+// OpenFixed returns a reader like Open, but for a caller that cannot attach
+// again. A planned stop waits for it.
+func (r *Relay) OpenFixed(position savorypin.EventID) *Reader {
+	return r.open(position, true)
+}
+
+func (r *Relay) open(position savorypin.EventID, fixed bool) *Reader {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reader := &Reader{changed: make(chan struct{}, 1), position: position, relay: r}
+	reader := &Reader{changed: make(chan struct{}, 1), fixed: fixed, position: position, relay: r}
 	r.readers[reader] = true
 	return reader
 }
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -89,14 +89,30 @@
 	}
 }
 
+// Hold keeps a planned stop from ending until release is called.
+func (e *Entry) Hold() (release func()) {
+	e.countCall(1)
+	return func() { e.countCall(-1) }
+}
+
 // handOver lets callers attach to their generations through other entries. The
-// attempts go on at their agents.
+// attempts go on at their agents. Generations whose callers cannot attach again
+// are finished here.
 func (e *Entry) handOver() {
 	for _, r := range e.allRelays() {
-		r.mu.Lock()
-		r.do(r.machine.HandOver())
-		r.mu.Unlock()
+		r.handOver()
+	}
+}
+
+func (r *Relay) handOver() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for reader := range r.readers {
+		if reader.fixed {
+			return
+		}
 	}
+	r.do(r.machine.HandOver())
 }
 
 // allRelays returns the relays of this entry.
--- /dev/null
+++ b/internal/savorypinentry/version_test.go
@@ -0,0 +1,86 @@
+package savorypinentry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinmember"
+)
+
+const otherVersion = "assistant-v2"
+
+// setVersion makes the service serve a version and waits until the entry has
+// it.
+func (b *bench) setVersion(ctx context.Context, version string) {
+	platform := b.entry.Daemon().Platform()
+	o, err := platform.Get(ctx, savorypin.Key{Kind: savorypin.KindService, Name: benchService})
+	Expect(err).NotTo(HaveOccurred())
+	o.Spec, err = json.Marshal(savorypin.ServiceSpec{Type: savorypin.ServiceGeneration, Version: version})
+	Expect(err).NotTo(HaveOccurred())
+	_, err = platform.Update(ctx, o)
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() string {
+		spec, _ := b.entry.Daemon().Config().Service(benchService)
+		return spec.Version
+	}).WithTimeout(generous).Should(Equal(version))
+}
+
+var _ = Describe("Relay", func() {
+	for _, tc := range []struct {
+		delivered int
+		want      string
+	}{
+		{0, otherVersion},
+		{1, benchVersion},
+	} {
+		It(fmt.Sprintf("goes on with %s after %d delivered tokens, when the service has changed", tc.want, tc.delivered), func(ctx SpecContext) {
+			changed := make(chan struct{})
+			started := make(chan struct{})
+			versions := make(chan string, 8)
+			handler := func(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
+				start, err := savorypinmember.Decode[savorypinmember.Start](first)
+				if err != nil {
+					return err
+				}
+				if start.Generation.MaxTokens == 1 {
+					return produce(ctx, s, first)
+				}
+				if start.Attempt.ID.Number > 1 {
+					versions <- start.Version
+					return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine broke off")
+				}
+				if tc.delivered > 0 {
+					msg := savorypinmember.Tokens{Attempt: start.Attempt.ID, Tokens: []savorypin.Token{{ID: 1}}}
+					if err := s.Send(ctx, savorypinmember.FrameTokens, &msg); err != nil {
+						return err
+					}
+				}
+				close(started)
+				<-changed
+				return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine broke off")
+			}
+			engines := []savorypin.EndpointState{fastEngine("engine-0"), fastEngine("engine-1")}
+			for i := range engines {
+				engines[i].Versions = []string{benchVersion, otherVersion}
+			}
+			b := newBench(GinkgoTB(), handler, engines...)
+			spec, err := json.Marshal(savorypin.VersionSpec{Model: "assistant-2", Service: benchService})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = b.entry.Daemon().Platform().Create(ctx, savorypin.Object{
+				By: "test", Key: savorypin.Key{Kind: savorypin.KindVersion, Name: otherVersion}, Order: "other", Spec: spec,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = b.entry.Start(request(100))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(started).WithTimeout(generous).Should(BeClosed())
+			b.setVersion(ctx, otherVersion)
+			close(changed)
+			Eventually(versions).WithTimeout(generous).Should(Receive(Equal(tc.want)))
+		})
+	}
+})
