--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -94,7 +94,7 @@
 	answer *caller.Generation,
 	text *strings.Builder,
 ) (savorypin.EventID, savorypinentry.End, error) {
-	reader := relay.OpenFixed(position)
+	reader := relay.OpenWhole(position)
 	defer reader.Close()
 	for {
 		tokens, end, err := reader.Next(ctx)
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -52,7 +52,9 @@
 
 	mu       sync.Mutex
 	lastUsed time.Time
-	machine  *savorypinresume.Machine
+	// leaving are failed attempts whose agents stop.
+	leaving []*stream
+	machine *savorypinresume.Machine
 	// model is the name under which engines know the version.
 	model   string
 	readers map[*Reader]bool
--- a/internal/savorypinentry/relayreader.go
+++ b/internal/savorypinentry/relayreader.go
@@ -18,11 +18,11 @@
 // Reader reads an answer from a position on. It is not safe for concurrent
 // use.
 type Reader struct {
-	changed chan struct{}
-	// fixed says that the caller cannot attach again.
-	fixed    bool
+	changed  chan struct{}
 	position savorypin.EventID
 	relay    *Relay
+	// stays says that the caller can't attach through another entry.
+	stays bool
 }
 
 // Open returns a reader that goes on after a position. It must be closed. At a
@@ -31,20 +31,32 @@
 	return r.open(position, false)
 }
 
-// OpenFixed returns a reader like Open, but for a caller that cannot attach
-// again. A planned stop waits for it.
-func (r *Relay) OpenFixed(position savorypin.EventID) *Reader {
+// OpenWhole returns a reader like Open, but for a caller that waits for the
+// whole answer and can't attach through another entry. A planned stop waits for
+// it.
+func (r *Relay) OpenWhole(position savorypin.EventID) *Reader {
 	return r.open(position, true)
 }
 
-func (r *Relay) open(position savorypin.EventID, fixed bool) *Reader {
+func (r *Relay) open(position savorypin.EventID, stays bool) *Reader {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reader := &Reader{changed: make(chan struct{}, 1), fixed: fixed, position: position, relay: r}
+	reader := &Reader{changed: make(chan struct{}, 1), position: position, relay: r, stays: stays}
 	r.readers[reader] = true
 	return reader
 }
 
+// stays reports whether a caller waits for the whole answer here. The caller
+// holds r.mu.
+func (r *Relay) stays() bool {
+	for reader := range r.readers {
+		if reader.stays {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends the reader. A generation that nobody reads is cancelled after a
 // grace.
 func (r *Reader) Close() {
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -96,23 +96,28 @@
 }
 
 // handOver lets callers attach to their generations through other entries. The
-// attempts go on at their agents. Generations whose callers cannot attach again
-// are finished here.
+// attempts go on at their agents. A generation stays while no agent holds all
+// of it, as between two attempts, and while a caller waits for its whole answer
+// here.
 func (e *Entry) handOver() {
 	for _, r := range e.allRelays() {
-		r.handOver()
+		r.mu.Lock()
+		if r.anchored() && !r.stays() {
+			r.do(r.machine.HandOver())
+		}
+		r.mu.Unlock()
 	}
 }
 
-func (r *Relay) handOver() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for reader := range r.readers {
-		if reader.fixed {
-			return
+// anchored reports whether an agent that goes on holds the whole generation.
+// The caller holds r.mu.
+func (r *Relay) anchored() bool {
+	for _, s := range r.streams {
+		if s.clock.tokens > 0 {
+			return true
 		}
 	}
-	r.do(r.machine.HandOver())
+	return r.machine.End() != nil
 }
 
 // allRelays returns the relays of this entry.
