Bound the searches that ask all agents

Cause: each attach with a wrong id asked all agents, 320 at the target, so a caller could flood them. Now an entry makes at most 16 such searches at once. go test ./internal/savorypinentry passes; the bound itself is not tested.

--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -54,11 +54,12 @@
 	moves  *moves
 	router *savorypinroute.Router
 
-	evicted  atomic.Int64
-	finds    singleflight.Group
-	gate     *savorypinresume.Gate
-	memory   *savorypinresume.Memory
-	suspects suspects
+	evicted    atomic.Int64
+	exhaustive chan struct{}
+	finds      singleflight.Group
+	gate       *savorypinresume.Gate
+	memory     *savorypinresume.Memory
+	suspects   suspects
 
 	mu     sync.Mutex
 	calls  int
--- a/internal/savorypinentry/relayfind.go
+++ b/internal/savorypinentry/relayfind.go
@@ -19,6 +19,8 @@
 	findTimeout = 600 * time.Millisecond
 	// findParallel is how many agents are asked at once.
 	findParallel = 64
+	// findExhaustive is how many searches ask all agents at once.
+	findExhaustive = 16
 	// placeCopies is how many agents remember where a generation has moved.
 	placeCopies = 3
 )
@@ -153,7 +155,7 @@
 		s.ask(ctx, []savorypin.MemberState{{Address: s.placed.Address, Name: s.placed.Agent}})
 	}
 	if s.best == nil {
-		s.ask(ctx, agents)
+		s.askAll(ctx, agents)
 	}
 	if s.best == nil {
 		return holder{}, false
@@ -161,6 +163,14 @@
 	return *s.best, true
 }
 
+// askAll asks all agents. Few searches do so at once, so that callers with
+// wrong ids don't flood the agents.
+func (s *search) askAll(ctx context.Context, agents []savorypin.MemberState) {
+	s.entry.exhaustive <- struct{}{}
+	defer func() { <-s.entry.exhaustive }()
+	s.ask(ctx, agents)
+}
+
 // agents returns all agents that may be alive.
 func (e *Entry) agents() []savorypin.MemberState {
 	var agents []savorypin.MemberState
--- a/internal/savorypinentry/relayplace.go
+++ b/internal/savorypinentry/relayplace.go
@@ -140,13 +140,14 @@
 	}
 	avoid := r.machine.Avoid()
 	full := false
+	entries := r.entry.entries()
 	for {
 		candidate, ok := r.entry.pickUnsuspected(r.gen, r.version, purpose, avoid)
 		if !ok {
 			break
 		}
 		endpoint := candidate.Endpoint()
-		if !t.Full(endpoint.Name, endpoint.PrefillPerSecond/r.entry.entries()) {
+		if !t.Full(endpoint.Name, endpoint.PrefillPerSecond/entries) {
 			if r.startAt(candidate, purpose, t) {
 				t.Take(endpoint.Name)
 			}
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -24,6 +24,7 @@
 
 // registerGenerations sets up what an entry needs to relay generations.
 func (e *Entry) registerGenerations() {
+	e.exhaustive = make(chan struct{}, findExhaustive)
 	e.gate = savorypinresume.NewGate(savorypinresume.GateConfig{Horizon: resumeHorizon})
 	e.memory = savorypinresume.NewMemory(savorypinresume.MemoryConfig{
 		Bytes:  e.cfg.Settings.AnswerMemory(),
