Follow the last token that was handled, and blame overtaken stalls

Causes: a client that saw a token out of order attached after that token and never got those between; a stall that a second attempt overtook was observed as a success, so that a version that hangs would have looked healthy.

--- a/internal/savorypinresume/judge.go
+++ b/internal/savorypinresume/judge.go
@@ -133,11 +133,24 @@
 			continue
 		}
 		m.remove(a)
-		actions = append(actions, Action{Attempt: a.id, Cause: CauseSuperseded, Kind: ActionCancel})
+		actions = append(actions, Action{Attempt: a.id, Cause: a.lostBy(), Kind: ActionCancel})
 	}
 	return actions
 }
 
+// lostBy tells why another attempt went on: if this one was suspected, the
+// suspicion has proved right.
+func (a *attempt) lostBy() Cause {
+	switch {
+	case !a.suspected:
+		return CauseSuperseded
+	case a.attaching:
+		return CauseHost
+	default:
+		return CauseStalled
+	}
+}
+
 // giveUp ends a generation that cannot be finished. It is not run only if no
 // endpoint began it.
 func (m *Machine) giveUp(why string) []Action {
--- a/internal/savorypinresume/machine_test.go
+++ b/internal/savorypinresume/machine_test.go
@@ -232,6 +232,21 @@
 		Expect(w.now.Sub(w.started)).To(BeNumerically("~", worldLimit, 2*worldStep))
 	})
 
+	It("blames a stall on the attempt that a second one has overtaken", func() {
+		now := time.Unix(0, 0)
+		m := newMachine(savorypin.ResumeLatency)
+		m.Begin()
+		slow, _ := m.Placed(now, "a", time.Second)
+		m.Tokens(now, slow, 0, answer(5))
+		now = m.Wake()
+		Expect(m.Tick(now)).To(ConsistOf(HaveField("Purpose", savorypin.PurposeHedge)))
+		second, _ := m.Placed(now, "b", time.Second)
+		_, actions := m.Tokens(now, second, 5, answer(6)[5:])
+		Expect(actions).To(ConsistOf(savorypinresume.Action{
+			Attempt: slow, Cause: savorypinresume.CauseStalled, Kind: savorypinresume.ActionCancel,
+		}))
+	})
+
 	It("judges nothing by the time in which it was paused itself", func() {
 		now := time.Unix(0, 0)
 		m := newMachine(savorypin.ResumeLatency)
--- /dev/null
+++ b/pkg/savorypinclient/savorypinclient_suite_test.go
@@ -0,0 +1,11 @@
+package savorypinclient_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinclient")
+}
--- a/pkg/savorypinclient/stream.go
+++ b/pkg/savorypinclient/stream.go
@@ -147,10 +147,12 @@
 		return false, fmt.Errorf("%w: bad event id %q", errTransport, event.LastEventID)
 	}
 	f.id = generation
-	f.lastID = event.LastEventID
 	f.result.ID = generation
 	switch event.Type {
 	case "accepted":
+		if next == f.next {
+			f.lastID = event.LastEventID
+		}
 		return false, json.Unmarshal([]byte(event.Data), &f.result)
 	case "done":
 		return true, json.Unmarshal([]byte(event.Data), &f.result)
@@ -166,6 +168,7 @@
 			return false, fmt.Errorf("%w: %w", errTransport, err)
 		}
 		f.delivered = append(f.delivered, token.ID)
+		f.lastID = event.LastEventID
 		f.next = next
 		return false, f.handle(token)
 	default:
