--- a/pkg/savorypinclient/stream.go
+++ b/pkg/savorypinclient/stream.go
@@ -150,7 +150,8 @@
 	f.result.ID = generation
 	switch event.Type {
 	case "accepted":
-		if next == f.next {
+		// Within a generation, the last token's event says where to go on.
+		if next == f.next && !strings.HasPrefix(f.lastID, generation+"/") {
 			f.lastID = event.LastEventID
 		}
 		return false, json.Unmarshal([]byte(event.Data), &f.result)
