End attempts of hosts that come back

Cause: an attempt that was lost with its host was dropped only if its last attach ran into the machine's limit, and only once; a failed dial (500 ms, the usual case) dropped nothing. So a host that was paused went on in vain for the grace when it was back.

--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -280,15 +280,38 @@
 		Eventually(c.Entries()[0].Done()).WithTimeout(generous).Should(BeClosed())
 	})
 
+	It("ends the attempt of a host that was silent when the host is back", func(ctx SpecContext) {
+		n := newNetwork()
+		c := start(ctx, 1, 2, with(n), func(cfg *savorypincluster.Config) {
+			// Without the entry's word, the attempt would go on for an hour.
+			cfg.Set = func(s *savorypindaemon.Settings) { s.CallerGrace = time.Hour }
+		})
+		var silent *savorypincluster.Agent
+		back := func() {}
+		got, _, err := stream(ctx, c.Client(), 20_000, func(i int) {
+			switch i {
+			case 20:
+				silent = busiest(c)
+				back = n.Silence(silent.Daemon().Self().Address, true)
+			case 60:
+				back()
+				Eventually(func() int { _, running := silent.Engine.Requests(); return running }).
+					WithTimeout(generous).Should(BeZero())
+				_, err := http.DefaultClient.Do(cancelOf(ctx, c))
+				Expect(err).NotTo(HaveOccurred())
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got[:60]).To(Equal(savorypinstandin.Answer(savorypincluster.Model, 7, "a prompt", 60)))
+	})
+
 	It("frees the engine when the generation is cancelled", func(ctx SpecContext) {
 		c := start(ctx, 2, 1)
 		_, result, err := stream(ctx, c.Client(), 10_000, func(i int) {
 			if i != 20 {
 				return
 			}
-			req, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.URLs()[1]+"/v1/generations/"+generationOf(c, 0), nil)
-			Expect(err).NotTo(HaveOccurred())
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := http.DefaultClient.Do(cancelOf(ctx, c))
 			Expect(err).NotTo(HaveOccurred())
 			resp.Body.Close()
 			Expect(resp.StatusCode).To(Equal(http.StatusNoContent))
@@ -344,6 +367,16 @@
 	})
 })
 
+// cancelOf returns a request to the last entry that cancels the generation of
+// the first.
+func cancelOf(ctx context.Context, c *savorypincluster.Cluster) *http.Request {
+	urls := c.URLs()
+	address := urls[len(urls)-1] + "/v1/generations/" + generationOf(c, 0)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, address, nil)
+	Expect(err).NotTo(HaveOccurred())
+	return req
+}
+
 // generationOf returns the id of the generation that an entry relays.
 func generationOf(c *savorypincluster.Cluster, entry int) string {
 	for _, g := range c.Entries()[entry].Relays() {
--- a/internal/savorypinentry/bench_test.go
+++ b/internal/savorypinentry/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypincaller"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinentry"
 	"savorypin/internal/savorypinmember"
@@ -50,7 +51,7 @@
 		AnswerBytes: 1 << 40, Domain: "d1", HTTP: "127.0.0.1:0", Key: "key-of-the-benchmark", Listen: "127.0.0.1:0",
 		Name: "entry-0", Platform: platform.URL, Region: "r1", LeaseDuration: time.Minute, WeightLoads: 1,
 	}
-	entry, err := savorypinentry.New(savorypinentry.Config{Logger: logger, Settings: settings})
+	entry, err := savorypinentry.New(savorypinentry.Config{AnonymousOrganisation: "shops", Logger: logger, Settings: settings})
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -65,7 +66,7 @@
 	}
 	agent.Handle(savorypinmember.FrameStart, start)
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = entry.Run(ctx, nil) })
+	wg.Go(func() { _ = entry.Run(ctx, savorypincaller.NewHandler(entry)) })
 	wg.Go(func() {
 		_ = agent.Run(ctx, nil, savorypindaemon.Work{HandOver: func() {}, Idle: func() bool { return true }})
 	})
--- a/internal/savorypinentry/relay_bench_test.go
+++ b/internal/savorypinentry/relay_bench_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -37,6 +40,32 @@
 	}
 }
 
+// BenchmarkCaller measures the cost of one token from the agent to a caller
+// that reads server-sent events, at both ends.
+func BenchmarkCaller(b *testing.B) {
+	const streams = 100
+	bench := newBench(b, produce, fastEngine("engine-0"))
+	url := "http://" + bench.entry.Daemon().HTTPAddress() + "/v1/generations/stream"
+	body := fmt.Sprintf(`{"service":%q,"prompt":"a prompt","max_tokens":%d}`, benchService, b.N/streams+1)
+	b.ReportAllocs()
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			resp, err := http.Post(url, "application/json", strings.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // heapBytes returns the size of the live heap.
 func heapBytes() int64 {
 	var stats runtime.MemStats
--- a/internal/savorypinentry/relayattempt.go
+++ b/internal/savorypinentry/relayattempt.go
@@ -18,6 +18,8 @@
 	ackTokens = windowTokens / 4
 	// dialTimeout bounds the opening of a connection to an agent.
 	dialTimeout = 500 * time.Millisecond
+	// dropPause is the first pause between tries to end an attempt elsewhere.
+	dropPause = 500 * time.Millisecond
 	// dropTimeout bounds the message that ends an attempt elsewhere.
 	dropTimeout = 2 * time.Second
 	// quietLimit is how long a connection may be quiet until another one is
@@ -153,16 +155,29 @@
 	return savorypin.Errorf(savorypin.KindIncomplete, s.candidate.Endpoint().Name, "attempt failed: %s", cause)
 }
 
-// dropAttempt asks an agent to end an attempt, once. An agent that can't be
-// reached ends it by itself, since nobody reads it.
+// dropAttempt asks an agent to end an attempt. A host that is silent is asked
+// again after growing pauses, so that one that was paused does not go on in
+// vain when it is back; after the grace the agent ends the attempt by itself.
 func (e *Entry) dropAttempt(address string, attempt savorypinmember.Attempt) {
+	for pause := dropPause; ; pause *= 2 {
+		err := e.tryDrop(address, attempt)
+		if err == nil {
+			return
+		}
+		e.daemon.Logger().Debug("Attempt not dropped", "request", attempt.Generation, "attempt", attempt.ID, "err", err)
+		if pause >= e.cfg.Settings.Grace() {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+func (e *Entry) tryDrop(address string, attempt savorypinmember.Attempt) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
 	defer cancel()
 	_, err := savorypinmember.Call[savorypinmember.Drop, savorypinmember.Empty](
 		ctx, e.daemon.Transport(), address, savorypinmember.FrameDrop, savorypinmember.Drop{Attempt: attempt})
-	if err != nil {
-		e.daemon.Logger().Debug("Attempt not dropped", "request", attempt.Generation, "attempt", attempt.ID, "err", err)
-	}
+	return err
 }
 
 // follow opens a stream for an attempt and takes what it brings. The caller
@@ -329,6 +344,10 @@
 	r.entry.daemon.Logger().Warn("Attempt failed", "request", r.gen.ID, "attempt", s.attempt,
 		"endpoint", s.candidate.Endpoint().Name, "cause", cause, "err", err)
 	r.entry.count("resume.failures."+string(cause), 1)
+	if cause == savorypinresume.CauseHost {
+		// The host may have been paused and go on when it is back.
+		go r.entry.dropAttempt(s.address, savorypinmember.Attempt{Generation: r.gen.ID, ID: s.attempt})
+	}
 	if cause == savorypinresume.CauseStopping {
 		r.leaving = append(r.leaving, s)
 	}
