Send how long a caller still waits, not until when

Now they carry durations. go test of savorypinentry, savorypinmember, savorypinresume and savorypincluster passes (68 s for the last); no test sets clocks apart.

--- a/internal/savorypinagent/find.go
+++ b/internal/savorypinagent/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinmember"
@@ -47,6 +48,7 @@
 	_ savorypinmember.Hello,
 	req savorypinmember.Place,
 ) (savorypinmember.Empty, error) {
+	req.Place.Expires = time.Now().Add(req.Keep)
 	a.places.Put(req.Place)
 	return savorypinmember.Empty{}, nil
 }
--- a/internal/savorypinagent/generation.go
+++ b/internal/savorypinagent/generation.go
@@ -127,7 +127,7 @@
 	}
 	r := newRun(start, size)
 	a.runs[start.Attempt] = r
-	ctx, cancel := context.WithDeadline(a.life, start.Deadline)
+	ctx, cancel := context.WithDeadline(a.life, r.deadline)
 	r.cancel = cancel
 	go func() {
 		r.generate(ctx, e.engine)
--- a/internal/savorypinagent/run.go
+++ b/internal/savorypinagent/run.go
@@ -17,8 +17,9 @@
 
 // run is one attempt at a generation and what it has produced.
 type run struct {
-	base   int
-	cancel context.CancelFunc
+	base     int
+	cancel   context.CancelFunc
+	deadline time.Time
 	// size is the memory that is reserved; it is guarded by the agent's mutex.
 	size  int
 	start savorypinmember.Start
@@ -58,6 +59,7 @@
 func newRun(start savorypinmember.Start, size int) *run {
 	r := &run{
 		base:     len(start.Delivered),
+		deadline: time.Now().Add(start.Within),
 		lastUsed: time.Now(),
 		readers:  map[*readerState]bool{},
 		size:     size,
@@ -303,13 +305,13 @@
 	}
 	return savorypinmember.Held{
 		Attempt:    r.start.Attempt.ID,
-		Deadline:   r.start.Deadline,
 		Endpoint:   r.start.Endpoint,
 		Generation: r.start.Generation,
 		Lineage:    lineage,
 		Model:      r.start.Model,
 		Tokens:     r.tokens.Slice(0, r.tokens.Len()),
 		Version:    r.start.Version,
+		Within:     time.Until(r.deadline),
 	}
 }
 
--- a/internal/savorypinentry/relayattempt.go
+++ b/internal/savorypinentry/relayattempt.go
@@ -91,7 +91,6 @@
 	}
 	start := savorypinmember.Start{
 		Attempt:    savorypinmember.Attempt{Generation: r.gen.ID, ID: id},
-		Deadline:   r.deadline,
 		Delivered:  log.Tokens(0),
 		Endpoint:   candidate.Endpoint().Name,
 		Generation: r.gen,
@@ -99,6 +98,7 @@
 		Model:      r.model,
 		Version:    r.version,
 		Window:     windowTokens,
+		Within:     time.Until(r.deadline),
 	}
 	r.entry.countAttempt(s, r.gen, log)
 	r.follow(s, savorypinmember.FrameStart, start)
@@ -293,9 +293,8 @@
 			Address:    s.address,
 			Agent:      s.candidate.Member().Name,
 			Attempt:    s.attempt,
-			Expires:    r.deadline.Add(relayRetainFor),
 			Generation: r.gen.ID,
-		})
+		}, time.Until(r.deadline)+relayRetainFor)
 	}
 }
 
--- a/internal/savorypinentry/relayfind.go
+++ b/internal/savorypinentry/relayfind.go
@@ -85,7 +85,7 @@
 	}
 	spec, _ := e.daemon.Config().Service(gen.Service)
 	r := e.newRelay(relayConfig{
-		deadline: h.held.Deadline,
+		deadline: time.Now().Add(h.held.Within),
 		gen:      gen,
 		number:   h.held.Attempt.Number,
 		policy:   spec.Resume,
@@ -246,7 +246,7 @@
 
 // announce tells a few agents where a generation has moved to, so that another
 // entry finds it there.
-func (e *Entry) announce(place savorypinresume.Place) {
+func (e *Entry) announce(place savorypinresume.Place, keep time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
 	defer cancel()
 	targets := savorypinrank.Spread(string(place.Generation), e.agents(), placeCopies)
@@ -254,7 +254,7 @@
 	for _, m := range targets {
 		wg.Go(func() {
 			_, err := savorypinmember.Call[savorypinmember.Place, savorypinmember.Empty](
-				ctx, e.daemon.Transport(), m.Address, savorypinmember.FramePlace, savorypinmember.Place{Place: place})
+				ctx, e.daemon.Transport(), m.Address, savorypinmember.FramePlace, savorypinmember.Place{Keep: keep, Place: place})
 			if err != nil {
 				e.daemon.Logger().Debug("Place not remembered", "request", place.Generation, "host", m.Name, "err", err)
 			}
--- a/internal/savorypinmember/generationmessages.go
+++ b/internal/savorypinmember/generationmessages.go
@@ -38,8 +38,6 @@
 // Start asks an agent to run an attempt and to stream its tokens.
 type Start struct {
 	Attempt Attempt `msgpack:"at"`
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time `msgpack:"dl"`
 	// Delivered are the tokens that the caller has; the attempt goes on after
 	// them.
 	Delivered []savorypin.Token `msgpack:"del"`
@@ -55,6 +53,8 @@
 	Version string `msgpack:"ver"`
 	// Window is how many tokens may be unacknowledged.
 	Window int `msgpack:"win"`
+	// Within is how long the caller still waits. Clocks of hosts may differ.
+	Within time.Duration `msgpack:"in"`
 }
 
 // Attach asks an agent to go on with an attempt on a new stream.
@@ -104,14 +104,14 @@
 
 // Place tells an agent where a generation has moved to.
 type Place struct {
+	// Keep is how long the place is of use.
+	Keep  time.Duration         `msgpack:"keep"`
 	Place savorypinresume.Place `msgpack:"place"`
 }
 
 // Held describes an attempt that an agent holds.
 type Held struct {
 	Attempt savorypin.AttemptID `msgpack:"at"`
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time `msgpack:"dl"`
 	// Endpoint is the endpoint that runs the attempt.
 	Endpoint string `msgpack:"ep"`
 	// Generation is what is generated.
@@ -126,4 +126,6 @@
 	Tokens []savorypin.Token `msgpack:"tok"`
 	// Version is the version that runs.
 	Version string `msgpack:"ver"`
+	// Within is how long the caller still waits.
+	Within time.Duration `msgpack:"in"`
 }
--- a/internal/savorypinresume/places.go
+++ b/internal/savorypinresume/places.go
@@ -16,8 +16,9 @@
 	Agent string `msgpack:"ag"`
 	// Attempt is the newest attempt.
 	Attempt savorypin.AttemptID `msgpack:"at"`
-	// Expires is when nobody asks for the generation any more.
-	Expires time.Time `msgpack:"exp"`
+	// Expires is when nobody asks for the generation any more, by the clock of
+	// the daemon that holds the place.
+	Expires time.Time `msgpack:"-"`
 	// Generation is the generation.
 	Generation savorypin.GenerationID `msgpack:"g"`
 }
