--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -251,15 +253,65 @@
 		Expect(decoded(c) - before).To(Equal(tokens))
 	})
 
+	It("is whole for a caller that cannot attach again, when its entry stops or loses the generation", func(ctx SpecContext) {
+		c := start(ctx, 2, 2, func(cfg *savorypincluster.Config) { cfg.StopGrace = 10 * time.Millisecond })
+		type answer struct {
+			Tokens []int32 `json:"tokens"`
+		}
+		done := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			body := fmt.Sprintf(`{"service":"assistant","prompt":"a prompt","max_tokens":%d,"seed":7}`, tokens)
+			resp, err := http.Post(c.URLs()[0]+"/v1/generations", "application/json", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			var got answer
+			Expect(json.NewDecoder(resp.Body).Decode(&got)).To(Succeed())
+			done <- got
+		}()
+		Eventually(generationOf).WithArguments(c, 0).WithTimeout(generous).ShouldNot(BeEmpty())
+		resp, err := http.Get(c.URLs()[1] + "/v1/generations/" + generationOf(c, 0) + "/stream")
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		c.Entries()[0].Daemon().Stop()
+		var got answer
+		Eventually(done).WithTimeout(generous).Should(Receive(&got))
+		Expect(got.Tokens).To(Equal(want))
+		Eventually(c.Entries()[0].Done()).WithTimeout(generous).Should(BeClosed())
+	})
+
+	It("ends the attempt of a host that was silent when the host is back", func(ctx SpecContext) {
+		n := newNetwork()
+		c := start(ctx, 1, 2, with(n), func(cfg *savorypincluster.Config) {
+			// Without the entry's word, the attempt would go on for an hour.
+			cfg.Set = func(s *savorypindaemon.Settings) { s.CallerGrace = time.Hour }
+		})
+		var silent *savorypincluster.Agent
+		back := func() {}
+		got, _, err := stream(ctx, c.Client(), 20_000, func(i int) {
+			switch i {
+			case 20:
+				silent = busiest(c)
+				back = n.Silence(silent.Daemon().Self().Address, true)
+			case 60:
+				back()
+				Eventually(func() int { _, running := silent.Engine.Requests(); return running }).
+					WithTimeout(generous).Should(BeZero())
+				_, err := http.DefaultClient.Do(cancelOf(ctx, c))
+				Expect(err).NotTo(HaveOccurred())
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got[:60]).To(Equal(savorypinstandin.Answer(savorypincluster.Model, 7, "a prompt", 60)))
+	})
+
 	It("frees the engine when the generation is cancelled", func(ctx SpecContext) {
 		c := start(ctx, 2, 1)
 		_, result, err := stream(ctx, c.Client(), 10_000, func(i int) {
 			if i != 20 {
 				return
 			}
-			req, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.URLs()[1]+"/v1/generations/"+generationOf(c, 0), nil)
-			Expect(err).NotTo(HaveOccurred())
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := http.DefaultClient.Do(cancelOf(ctx, c))
 			Expect(err).NotTo(HaveOccurred())
 			resp.Body.Close()
 			Expect(resp.StatusCode).To(Equal(http.StatusNoContent))
@@ -315,6 +367,16 @@
 	})
 })
 
+// cancelOf returns a request to the last entry that cancels the generation of
+// the first.
+func cancelOf(ctx context.Context, c *savorypincluster.Cluster) *http.Request {
+	urls := c.URLs()
+	address := urls[len(urls)-1] + "/v1/generations/" + generationOf(c, 0)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, address, nil)
+	Expect(err).NotTo(HaveOccurred())
+	return req
+}
+
 // generationOf returns the id of the generation that an entry relays.
 func generationOf(c *savorypincluster.Cluster, entry int) string {
 	for _, g := range c.Entries()[entry].Relays() {
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -51,18 +51,19 @@
 
 // Entry is an entry daemon.
 type Entry struct {
-	cfg      Config
-	daemon   *savorypindaemon.Daemon
-	evicted  atomic.Int64
-	finds    singleflight.Group
-	gate     *savorypinresume.Gate
-	keeper   *savorypinclaim.Keeper
-	memory   *savorypinresume.Memory
-	moves    *moves
-	retries  *retryPolicies
-	runner   *savorypinclaim.Runner
-	settling atomic.Int64
-	suspects suspects
+	cfg        Config
+	daemon     *savorypindaemon.Daemon
+	evicted    atomic.Int64
+	exhaustive chan struct{}
+	finds      singleflight.Group
+	gate       *savorypinresume.Gate
+	keeper     *savorypinclaim.Keeper
+	memory     *savorypinresume.Memory
+	moves      *moves
+	retries    *retryPolicies
+	runner     *savorypinclaim.Runner
+	settling   atomic.Int64
+	suspects   suspects
 
 	routing
 
--- a/internal/savorypinentry/relay_bench_test.go
+++ b/internal/savorypinentry/relay_bench_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -13,6 +17,7 @@
 		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
 			bench := newBench(b, produce, fastEngine("engine-0"))
 			b.ReportAllocs()
+			before := heapBytes()
 			each := b.N/streams + 1
 			b.ResetTimer()
 			var wg sync.WaitGroup
@@ -29,6 +34,59 @@
 				})
 			}
 			wg.Wait()
+			b.StopTimer()
+			b.ReportMetric(float64(heapBytes()-before)/float64(streams), "heap-B/stream")
 		})
 	}
 }
+
+// BenchmarkCaller measures the cost of one token from the agent to a caller
+// that reads server-sent events, at both ends.
+func BenchmarkCaller(b *testing.B) {
+	const streams = 100
+	bench := newBench(b, produce, fastEngine("engine-0"))
+	url := "http://" + bench.entry.Daemon().HTTPAddress() + "/v1/generations/stream"
+	body := fmt.Sprintf(`{"service":%q,"prompt":"a prompt","max_tokens":%d}`, benchService, b.N/streams+1)
+	b.ReportAllocs()
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			resp, err := http.Post(url, "application/json", strings.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// heapBytes returns the size of the live heap.
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkGeneration measures the cost of a generation of one token at both
+// ends: admission, choice, start, end and the reader.
+func BenchmarkGeneration(b *testing.B) {
+	bench := newBench(b, produce, fastEngine("engine-0"))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r, err := bench.entry.Start(request(1))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			drain(b, r)
+		}
+	})
+}
--- a/internal/savorypinentry/relayfind.go
+++ b/internal/savorypinentry/relayfind.go
@@ -19,6 +19,8 @@
 	findTimeout = 600 * time.Millisecond
 	// findParallel is how many agents are asked at once.
 	findParallel = 64
+	// findExhaustive is how many searches ask all agents at once.
+	findExhaustive = 16
 	// placeCopies is how many agents remember where a generation has moved.
 	placeCopies = 3
 )
@@ -83,7 +85,7 @@
 	}
 	spec, _ := e.daemon.Config().Service(gen.Service)
 	r := e.newRelay(relayConfig{
-		deadline: h.held.Deadline,
+		deadline: time.Now().Add(h.held.Within),
 		gen:      gen,
 		number:   h.held.Attempt.Number,
 		policy:   spec.Resume,
@@ -153,7 +155,7 @@
 		s.ask(ctx, []savorypin.MemberState{{Address: s.placed.Address, Name: s.placed.Agent}})
 	}
 	if s.best == nil {
-		s.ask(ctx, agents)
+		s.askAll(ctx, agents)
 	}
 	if s.best == nil {
 		return holder{}, false
@@ -161,6 +163,14 @@
 	return *s.best, true
 }
 
+// askAll asks all agents. Few searches do so at once, so that callers with
+// wrong ids don't flood the agents.
+func (s *search) askAll(ctx context.Context, agents []savorypin.MemberState) {
+	s.entry.exhaustive <- struct{}{}
+	defer func() { <-s.entry.exhaustive }()
+	s.ask(ctx, agents)
+}
+
 // agents returns all agents that may be alive.
 func (e *Entry) agents() []savorypin.MemberState {
 	var agents []savorypin.MemberState
@@ -236,7 +246,7 @@
 
 // announce tells a few agents where a generation has moved to, so that another
 // entry finds it there.
-func (e *Entry) announce(place savorypinresume.Place) {
+func (e *Entry) announce(place savorypinresume.Place, keep time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
 	defer cancel()
 	targets := savorypinrank.Spread(string(place.Generation), e.agents(), placeCopies)
@@ -244,7 +254,7 @@
 	for _, m := range targets {
 		wg.Go(func() {
 			_, err := savorypinmember.Call[savorypinmember.Place, savorypinmember.Empty](
-				ctx, e.daemon.Transport(), m.Address, savorypinmember.FramePlace, savorypinmember.Place{Place: place})
+				ctx, e.daemon.Transport(), m.Address, savorypinmember.FramePlace, savorypinmember.Place{Keep: keep, Place: place})
 			if err != nil {
 				e.daemon.Logger().Debug("Place not remembered", "request", place.Generation, "host", m.Name, "err", err)
 			}
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -24,6 +24,7 @@
 
 // registerGenerations sets up what an entry needs to relay generations.
 func (e *Entry) registerGenerations() {
+	e.exhaustive = make(chan struct{}, findExhaustive)
 	e.gate = savorypinresume.NewGate(savorypinresume.GateConfig{Horizon: resumeHorizon})
 	e.memory = savorypinresume.NewMemory(savorypinresume.MemoryConfig{
 		Bytes:  e.cfg.Settings.AnswerMemory(),
@@ -89,6 +90,17 @@
 	}
 }
 
+// Hold keeps a planned stop from ending until release is called.
+func (e *Entry) Hold() (release func()) {
+	hold := func(n int) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.calls += n
+	}
+	hold(1)
+	return func() { hold(-1) }
+}
+
 // handOver lets callers attach to their generations through other entries. The
 // attempts go on at their agents. A generation stays while no agent holds all
 // of it, as between two attempts, and while a caller waits for its whole answer
