--- a/internal/savorypin/spec.go
+++ b/internal/savorypin/spec.go
@@ -148,7 +148,8 @@
 	Evidence string `json:"evidence,omitempty"`
 	// Reason says why the move is in its state.
 	Reason string `json:"reason,omitempty"`
-	// Requests is the number of attempts on the new version that were compared.
+	// Requests is the number of attempts on the new version that had been compared
+	// when the share or the state changed last.
 	Requests int `json:"requests,omitempty"`
 	// Share is the share of the traffic that the new version has, 0 to 1.
 	Share float64 `json:"share"`
--- a/internal/savorypinmove/decide.go
+++ b/internal/savorypinmove/decide.go
@@ -177,10 +177,12 @@
 	default:
 		s = in.grow(m, v)
 	}
-	if s.Share != m.Status.Share || s.State != m.Status.State || s.Reason != m.Status.Reason {
-		s.Evidence = v.Reason
+	if s.Share != m.Status.Share || s.State != m.Status.State {
 		s.Requests = v.New
 	}
+	if s != m.Status {
+		s.Evidence = v.Reason
+	}
 	return s
 }
 
@@ -196,20 +198,24 @@
 // grow raises the share as time and evidence allow.
 func (in Input) grow(m savorypinconfig.Move, v Verdict) savorypin.MoveStatus {
 	s := in.enter(m.Status, savorypin.MoveRunning)
-	due := in.due(m)
-	limit := limitOf(v)
+	before := s.Requests
+	if before > v.New {
+		// Another daemon evaluates now, and counts from 0.
+		before = 0
+	}
+	fresh := v.New-before >= minEvidence
+	due, limit := in.due(m), limitOf(s.Share, v.New, fresh)
 	late := !in.Now.Before(m.Spec.By)
 	switch {
-	case late && v.New >= minEvidence, m.Spec.MinShare == 1:
+	case late && fresh:
 		limit = 1
+	case late && limit < 1:
+		s.Reason = fmt.Sprintf("late: too little traffic for a verdict; %d attempts on the new version are needed", minEvidence)
 	case limit < due:
-		s.Reason = fmt.Sprintf("share limited by evidence: %d attempts on the new version so far", v.New)
+		s.Reason = "share limited by the number of attempts on the new version"
 	default:
 		s.Reason = "the share grows with time"
 	}
-	if late && v.New < minEvidence && limit < 1 {
-		s.Reason = fmt.Sprintf("late: too little traffic for a verdict, %d of %d attempts on the new version", v.New, minEvidence)
-	}
 	s.Share = max(s.Share, m.Spec.MinShare, min(due, limit))
 	if s.Share < 1 {
 		return s
@@ -233,11 +239,23 @@
 	return steps[max(0, min(i, len(steps)-1))]
 }
 
-// limitOf returns the share that the evidence allows.
-func limitOf(v Verdict) float64 {
+// limitOf returns the share that the evidence allows after a share, given the
+// number of attempts on the new version and whether enough of them came since
+// the share changed. Above a probe, the share goes up one step at a time, and
+// each step is tried before the next.
+func limitOf(share float64, attempts int, fresh bool) float64 {
+	if !fresh {
+		return max(share, maxProbe)
+	}
+	next := 1.0
+	for _, step := range slices.Backward(steps) {
+		if step > share {
+			next = step
+		}
+	}
 	for _, c := range caps {
-		if v.New >= c.attempts {
-			return c.share
+		if attempts >= c.attempts {
+			return min(c.share, max(next, maxProbe))
 		}
 	}
 	return maxProbe
