Find the traffic of a service without a copy, bound the bytes of evidence

Cause: the choice of a version is on the path of each request and sorted all moves of the service; the bytes of evidence were not bounded. Evidence of 20 entries at the target, on 4 routes, 3 loads and 3 failure domains, must fit into half of a daemon's 23 KB a second; it does with a report a second instead of two.

--- a/internal/savorypinentry/move.go
+++ b/internal/savorypinentry/move.go
@@ -12,7 +12,7 @@
 )
 
 // evidenceInterval is how often evidence is sent to the evaluators.
-const evidenceInterval = 500 * time.Millisecond
+const evidenceInterval = time.Second
 
 // moves is the entry's part in moves of traffic: it holds the share of each
 // move over all work and gathers evidence on it.
--- /dev/null
+++ b/internal/savorypinmove/cost_test.go
@@ -0,0 +1,101 @@
+package savorypinmove_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypinmove"
+)
+
+// The target: 3,600 requests a second over 20 entries and 8 services, and 23 KB
+// a second for all control of a daemon, of which evidence may take half.
+const (
+	targetEntries      = 20
+	targetPerSecond    = 3600 / targetEntries / 8
+	maxEvidencePerSide = 23_000 / 2
+)
+
+// observe lets a recorder observe n attempts in a second.
+func observe(r *savorypinmove.Recorder, random *rand.Rand, t savorypinmove.Traffic, now time.Time, n int) {
+	for i := range n {
+		o := savorypin.Observation{
+			BetweenTokens: time.Duration(1e7 * (1 + random.Float64())),
+			FirstToken:    time.Duration(1e8 * (1 + random.Float64())),
+			Load:          1.2 * random.Float64(),
+			Purpose:       savorypin.PurposeFirst,
+			Route:         fmt.Sprintf("route-%d", random.IntN(4)),
+			Version:       "a",
+		}
+		if random.Float64() < 0.3 {
+			o.Version = "b"
+		}
+		unit := fmt.Sprintf("domain faisalabad-%d", random.IntN(3))
+		r.Observe(now.Add(time.Duration(i)*time.Second/time.Duration(n)), t, o, unit)
+	}
+}
+
+var _ = Describe("Evidence", func() {
+	It("of all entries at the target fits into half of a daemon's budget", func() {
+		t := savorypinmove.TrafficOf(storeOf(moveAt("m", savorypin.MoveRunning, 3, 0.3)), "s")
+		r := savorypinmove.NewRecorder()
+		random := rand.New(rand.NewPCG(1, 1))
+		const seconds = 120
+		bytes := 0
+		for second := range seconds {
+			now := noon.Add(time.Duration(second) * time.Second)
+			observe(r, random, t, now, targetPerSecond)
+			data, err := msgpack.Marshal(r.Flush(now, func(savorypinmove.Key) bool { return true }))
+			Expect(err).NotTo(HaveOccurred())
+			bytes += len(data)
+		}
+		Expect(targetEntries * bytes / seconds).To(BeNumerically("<=", maxEvidencePerSide))
+	})
+})
+
+// The naive twin of the choice is an independent draw.
+func BenchmarkChooseNaive(b *testing.B) {
+	traffic := savorypinmove.TrafficOf(storeOf(moveAt("m", savorypin.MoveRunning, 3, 0.3)), "s")
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_ = rand.Float64() < traffic.Share()
+		}
+	})
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, moves := range []int{1, 50} {
+		b.Run(fmt.Sprintf("moves=%d", moves), func(b *testing.B) {
+			all := []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 1000, 0.3)}
+			for i := range moves - 1 {
+				all = append(all, moveAt(fmt.Sprintf("old-%d", i), savorypin.MoveTakenBack, int64(i+1), 0))
+			}
+			snapshot, book := storeOf(all...), savorypinmove.NewBook()
+			s := savorypinmove.Sharer{Rand: rand.Float64}
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					t := savorypinmove.TrafficWith(snapshot, "s", book.Condemned)
+					s.Take(t.Move(), t.Share())
+				}
+			})
+		})
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	t := savorypinmove.TrafficOf(storeOf(moveAt("m", savorypin.MoveRunning, 3, 0.3)), "s")
+	r := savorypinmove.NewRecorder()
+	random := rand.New(rand.NewPCG(1, 1))
+	b.ReportAllocs()
+	for i := range b.N {
+		observe(r, random, t, noon.Add(time.Duration(i)*time.Millisecond), 1)
+	}
+}
--- a/internal/savorypinmove/recorder.go
+++ b/internal/savorypinmove/recorder.go
@@ -56,11 +56,13 @@
 // Cell is the evidence about one unit, which is a failure domain or an
 // endpoint, by one metric on one route at one load level.
 type Cell struct {
-	Load   LoadLevel `msgpack:"l"`
-	Logs   Logs      `msgpack:"g"`
-	Metric Metric    `msgpack:"m"`
-	Route  string    `msgpack:"r"`
-	Unit   string    `msgpack:"u"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
+	Load   LoadLevel
+	Logs   Logs
+	Metric Metric
+	Route  string
+	Unit   string
 }
 
 // Evidence is what was gathered about a move since the evidence before.
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -4,9 +4,6 @@
 package savorypinmove
 
 import (
-	"cmp"
-	"slices"
-
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
 )
@@ -74,26 +71,39 @@
 // Moves that are condemned are taken back before the platform says so.
 func TrafficWith(snapshot *savorypinconfig.Snapshot, service string, condemned func(Key) bool) Traffic {
 	spec, _ := snapshot.Service(service)
-	moves := slices.Clone(snapshot.Moves(service))
-	slices.SortFunc(moves, func(a, b savorypinconfig.Move) int { return cmp.Compare(a.Status.Epoch, b.Status.Epoch) })
 	t := Traffic{from: spec.Version}
-	current := spec.Version
-	for _, m := range moves {
-		if m.Status.Epoch == 0 || condemned(KeyOf(m)) {
+	var done, open *savorypinconfig.Move
+	moves := snapshot.Moves(service)
+	for i := range moves {
+		m := &moves[i]
+		if m.Status.Epoch == 0 || condemned(KeyOf(*m)) {
 			continue
 		}
 		switch m.Status.State {
 		case savorypin.MoveDone:
-			current = m.Spec.To
-			t = Traffic{from: m.Spec.From, move: KeyOf(m), share: 1, state: m.Status.State, to: current}
+			done = later(done, m)
 		case savorypin.MoveRunning, savorypin.MovePaused:
-			t = Traffic{from: current, move: KeyOf(m), share: m.Status.Share, state: m.Status.State, to: m.Spec.To}
+			open = later(open, m)
 		case savorypin.MovePending, savorypin.MoveTakenBack:
 		}
 	}
+	if done != nil {
+		t = Traffic{from: done.Spec.From, move: KeyOf(*done), share: 1, state: done.Status.State, to: done.Spec.To}
+	}
+	if open != nil && later(done, open) == open {
+		t = Traffic{from: t.Current(), move: KeyOf(*open), share: open.Status.Share, state: open.Status.State, to: open.Spec.To}
+	}
 	return t
 }
 
+// later returns the move that was taken on later.
+func later(a, b *savorypinconfig.Move) *savorypinconfig.Move {
+	if a == nil || b.Status.Epoch > a.Status.Epoch {
+		return b
+	}
+	return a
+}
+
 // Current returns the version that has the traffic when no move is under way.
 func (t Traffic) Current() string {
 	if t.state == savorypin.MoveDone {
