Keep a taken back version off, and free the old one once its move is settled

Cause: an operator who sets the service's version to the new one before the move is taken back would have kept the traffic there; the placement never freed the old version of a done move. Before: TrafficOf followed the service's spec in the first case, and named both versions for ever in the second. After: both are covered by rows of the table tests, as is the judgement by places; `go test ./internal/savorypinmove` passes.

--- a/internal/savorypinmove/decide_test.go
+++ b/internal/savorypinmove/decide_test.go
@@ -62,6 +62,7 @@
 		{"a done move", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, false, "b", 1},
 		{"a done move that is condemned", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, true, "a", 0},
 		{"a move and one back, whatever their set times are now", []savorypinconfig.Move{back, early}, false, "a", 1},
+		{"a move taken back after the service's spec was set to its new version", []savorypinconfig.Move{with(moveAt("m", savorypin.MoveTakenBack, 3, 0), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })}, false, "b", 0},
 		{"a pending move", []savorypinconfig.Move{moveAt("m", savorypin.MovePending, 0, 0)}, false, "a", 0},
 		{"a running move", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, false, "a", 0.2},
 		{"a running move that is condemned", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, true, "a", 0},
@@ -75,6 +76,15 @@
 	}
 })
 
+var _ = Describe("Traffic", func() {
+	It("needs the old version of a done move until the service names the new one", func() {
+		done := moveAt("m", savorypin.MoveDone, 3, 1)
+		Expect(savorypinmove.TrafficOf(storeOf(done), "s").Versions()).To(ConsistOf("a", "b"))
+		done.Spec.From, done.Spec.To = "b", "a"
+		Expect(savorypinmove.TrafficOf(storeOf(done), "s").Versions()).To(ConsistOf("a"))
+	})
+})
+
 var _ = Describe("Decide", func() {
 	hold := func(m *savorypinconfig.Move) { m.Spec.Action = savorypin.MoveHold }
 	rollback := func(m *savorypinconfig.Move) { m.Spec.Action = savorypin.MoveRollback }
--- a/internal/savorypinmove/evidence_internal_test.go
+++ b/internal/savorypinmove/evidence_internal_test.go
@@ -83,3 +83,28 @@
 		Expect(naiveAlarms).To(BeNumerically(">", 4))
 	})
 })
+
+var _ = Describe("Judge", func() {
+	strong := Logs{40, 40, 40}
+	for _, tc := range []struct {
+		name  string
+		units []string
+		live  []string
+		want  Finding
+	}{
+		{"evidence from one place of several", []string{"d1"}, []string{"d1", "d2"}, FindingSuspect},
+		{"evidence from the only place", []string{"d1"}, []string{"d1"}, FindingBad},
+		{"evidence from a place that is gone", []string{"d1"}, []string{"d2", "d3"}, FindingFine},
+		{"evidence from two places", []string{"d1", "d2"}, []string{"d1", "d2", "d3"}, FindingBad},
+		{"no evidence", nil, []string{"d1", "d2"}, FindingFine},
+	} {
+		It("weighs "+tc.name, func() {
+			e := NewEvaluator(EvaluatorConfig{Begin: time.Unix(0, 0), Horizon: time.Minute})
+			for _, unit := range tc.units {
+				cell := Cell{Load: LoadLow, Logs: strong, Metric: MetricError, Route: "r", Unit: unit}
+				e.Add(time.Unix(1, 0), Evidence{Cells: []Cell{cell}, New: 20, Old: 20})
+			}
+			Expect(e.Judge(tc.live).Finding).To(Equal(tc.want))
+		})
+	}
+})
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -22,11 +22,14 @@
 
 // Traffic is how a service's new work is shared.
 type Traffic struct {
-	from  string
-	move  Key
-	share float64
-	state savorypin.MoveState
-	to    string
+	from string
+	move Key
+	// settled says that the service's spec names the new version of a done move,
+	// so that the old one is not needed any more.
+	settled bool
+	share   float64
+	state   savorypin.MoveState
+	to      string
 }
 
 // From returns the version that gets the work that To does not get.
@@ -72,23 +75,36 @@
 func TrafficWith(snapshot *savorypinconfig.Snapshot, service string, condemned func(Key) bool) Traffic {
 	spec, _ := snapshot.Service(service)
 	t := Traffic{from: spec.Version}
-	var done, open *savorypinconfig.Move
+	var back, done, open *savorypinconfig.Move
 	moves := snapshot.Moves(service)
 	for i := range moves {
 		m := &moves[i]
-		if m.Status.Epoch == 0 || condemned(KeyOf(*m)) {
+		if m.Status.Epoch == 0 {
 			continue
 		}
-		switch m.Status.State {
+		state := m.Status.State
+		if condemned(KeyOf(*m)) {
+			state = savorypin.MoveTakenBack
+		}
+		switch state {
 		case savorypin.MoveDone:
 			done = later(done, m)
 		case savorypin.MoveRunning, savorypin.MovePaused:
 			open = later(open, m)
-		case savorypin.MovePending, savorypin.MoveTakenBack:
+		case savorypin.MoveTakenBack:
+			back = later(back, m)
+		case savorypin.MovePending:
 		}
 	}
 	if done != nil {
-		t = Traffic{from: done.Spec.From, move: KeyOf(*done), share: 1, state: done.Status.State, to: done.Spec.To}
+		t = Traffic{
+			from: done.Spec.From, move: KeyOf(*done), settled: spec.Version == done.Spec.To,
+			share: 1, state: done.Status.State, to: done.Spec.To,
+		}
+	}
+	if back != nil && later(done, back) == back && t.Current() == back.Spec.To {
+		// The service's spec was edited to a version that was taken back since.
+		t = Traffic{from: back.Spec.From}
 	}
 	if open != nil && later(done, open) == open {
 		t = Traffic{from: t.Current(), move: KeyOf(*open), share: open.Status.Share, state: open.Status.State, to: open.Spec.To}
@@ -115,8 +131,8 @@
 // Versions returns the versions that have a share of the traffic or may get it
 // back.
 func (t Traffic) Versions() []string {
-	if t.to == "" {
-		return []string{t.from}
+	if t.to == "" || t.settled {
+		return []string{t.Current()}
 	}
 	return []string{t.from, t.to}
 }
