--- a/internal/savorypincluster/move_test.go
+++ b/internal/savorypincluster/move_test.go
@@ -49,16 +49,33 @@
 	_, err = c.Apply(savorypin.KindVersion, newVersion, savorypin.VersionSpec{Model: newModel, Service: savorypincluster.Service})
 	Expect(err).NotTo(HaveOccurred())
 	Expect(c.Configure()).To(Succeed())
-	_, err = c.Apply(savorypin.KindMove, moveName, savorypin.MoveSpec{
+	order(c, savorypin.MoveGo, share)
+	expectState(c, savorypin.MoveRunning)
+	return c
+}
+
+// order orders the move as an operator would. A write of the controller that
+// comes between is a conflict, after which the order is given again.
+func order(c *savorypincluster.Cluster, action savorypin.MoveAction, share float64) {
+	spec := savorypin.MoveSpec{
+		Action:   action,
 		By:       time.Now().Add(time.Hour),
 		From:     savorypincluster.Version,
 		MinShare: share,
 		Service:  savorypincluster.Service,
 		To:       newVersion,
-	})
-	Expect(err).NotTo(HaveOccurred())
-	Eventually(func() savorypin.MoveState { return moveStatus(c).State }, moveLimit).Should(Equal(savorypin.MoveRunning))
-	return c
+	}
+	Eventually(func() error {
+		_, err := c.Apply(savorypin.KindMove, moveName, spec)
+		return err
+	}, moveLimit).Should(Succeed())
+}
+
+// expectState waits until all entries have a state of the move in force.
+func expectState(c *savorypincluster.Cluster, state savorypin.MoveState) {
+	for _, e := range c.Entries() {
+		Eventually(func() savorypin.MoveState { return moveStatusAt(e).State }, moveLimit).Should(Equal(state))
+	}
 }
 
 func bothModels(int) []string {
@@ -67,8 +84,12 @@
 
 // moveStatus returns what the first entry has in force.
 func moveStatus(c *savorypincluster.Cluster) savorypin.MoveStatus {
+	return moveStatusAt(c.Entries()[0])
+}
+
+func moveStatusAt(e *savorypincluster.Entry) savorypin.MoveStatus {
 	var status savorypin.MoveStatus
-	o, ok := c.Entries()[0].Daemon().Config().Object(savorypin.Key{Kind: savorypin.KindMove, Name: moveName})
+	o, ok := e.Daemon().Config().Object(savorypin.Key{Kind: savorypin.KindMove, Name: moveName})
 	if ok && len(o.Status) > 0 {
 		Expect(json.Unmarshal(o.Status, &status)).To(Succeed())
 	}
@@ -175,7 +196,7 @@
 			c := startMove(ctx, 0.2, bothModels)
 			breakEngines(c, tc.faults)
 			stop := drive(c, tc.workers)
-			Eventually(func() savorypin.MoveState { return moveStatus(c).State }, moveLimit).Should(Equal(savorypin.MoveTakenBack))
+			expectState(c, savorypin.MoveTakenBack)
 			stop()
 			Expect(moveStatus(c).Reason).To(ContainSubstring("worse"))
 			Expect(moveStatus(c).Evidence).NotTo(BeEmpty())
@@ -183,6 +204,35 @@
 		})
 	}
 
+	It("takes back a version that fails after the move was done", func(ctx SpecContext) {
+		c := startMove(ctx, 0.3, bothModels)
+		stop := drive(c, 8)
+		Eventually(func() int { return newRequests(c) }, moveLimit).Should(BeNumerically(">", 100))
+		order(c, savorypin.MoveGo, 1)
+		expectState(c, savorypin.MoveDone)
+		breakEngines(c, func(model string, _ []int32, _ int) savorypinstandin.Fault {
+			return savorypinstandin.Fault{Fails: model == newModel}
+		})
+		expectState(c, savorypin.MoveTakenBack)
+		stop()
+		Expect(moveStatus(c).Reason).To(ContainSubstring("worse"))
+		expectNoneNew(ctx, c)
+	})
+
+	It("is held, goes on and is rolled back on order", func(ctx SpecContext) {
+		c := startMove(ctx, 0.3, bothModels)
+		order(c, savorypin.MoveHold, 0.3)
+		expectState(c, savorypin.MovePaused)
+		Expect(moveStatus(c).Share).To(Equal(0.3))
+		order(c, savorypin.MoveGo, 0.3)
+		expectState(c, savorypin.MoveRunning)
+		order(c, savorypin.MoveRollback, 0.3)
+		expectState(c, savorypin.MoveTakenBack)
+		expectNoneNew(ctx, c)
+		order(c, savorypin.MoveGo, 1)
+		expectNoneNew(ctx, c)
+	})
+
 	It("leaves a good version alone while one of its hosts fails", func(ctx SpecContext) {
 		c := startMove(ctx, 0.3, bothModels)
 		c.Agents()[0].Engine.SetFaults(func(string, []int32, int) savorypinstandin.Fault {
