--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -4,9 +4,6 @@
 package savorypinmove
 
 import (
-	"cmp"
-	"slices"
-
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
 )
@@ -25,11 +22,14 @@
 
 // Traffic is how a service's new work is shared.
 type Traffic struct {
-	from  string
-	move  Key
-	share float64
-	state savorypin.MoveState
-	to    string
+	from string
+	move Key
+	// settled says that the service's spec names the new version of a done move,
+	// so that the old one is not needed any more.
+	settled bool
+	share   float64
+	state   savorypin.MoveState
+	to      string
 }
 
 // From returns the version that gets the work that To does not get.
@@ -74,26 +74,52 @@
 // Moves that are condemned are taken back before the platform says so.
 func TrafficWith(snapshot *savorypinconfig.Snapshot, service string, condemned func(Key) bool) Traffic {
 	spec, _ := snapshot.Service(service)
-	moves := slices.Clone(snapshot.Moves(service))
-	slices.SortFunc(moves, func(a, b savorypinconfig.Move) int { return cmp.Compare(a.Status.Epoch, b.Status.Epoch) })
 	t := Traffic{from: spec.Version}
-	current := spec.Version
-	for _, m := range moves {
-		if m.Status.Epoch == 0 || condemned(KeyOf(m)) {
+	var back, done, open *savorypinconfig.Move
+	moves := snapshot.Moves(service)
+	for i := range moves {
+		m := &moves[i]
+		if m.Status.Epoch == 0 {
 			continue
 		}
-		switch m.Status.State {
+		state := m.Status.State
+		if condemned(KeyOf(*m)) {
+			state = savorypin.MoveTakenBack
+		}
+		switch state {
 		case savorypin.MoveDone:
-			current = m.Spec.To
-			t = Traffic{from: m.Spec.From, move: KeyOf(m), share: 1, state: m.Status.State, to: current}
+			done = later(done, m)
 		case savorypin.MoveRunning, savorypin.MovePaused:
-			t = Traffic{from: current, move: KeyOf(m), share: m.Status.Share, state: m.Status.State, to: m.Spec.To}
-		case savorypin.MovePending, savorypin.MoveTakenBack:
+			open = later(open, m)
+		case savorypin.MoveTakenBack:
+			back = later(back, m)
+		case savorypin.MovePending:
 		}
 	}
+	if done != nil {
+		t = Traffic{
+			from: done.Spec.From, move: KeyOf(*done), settled: spec.Version == done.Spec.To,
+			share: 1, state: done.Status.State, to: done.Spec.To,
+		}
+	}
+	if back != nil && later(done, back) == back && t.Current() == back.Spec.To {
+		// The service's spec was edited to a version that was taken back since.
+		t = Traffic{from: back.Spec.From}
+	}
+	if open != nil && later(done, open) == open {
+		t = Traffic{from: t.Current(), move: KeyOf(*open), share: open.Status.Share, state: open.Status.State, to: open.Spec.To}
+	}
 	return t
 }
 
+// later returns the move that was taken on later.
+func later(a, b *savorypinconfig.Move) *savorypinconfig.Move {
+	if a == nil || b.Status.Epoch > a.Status.Epoch {
+		return b
+	}
+	return a
+}
+
 // Current returns the version that has the traffic when no move is under way.
 func (t Traffic) Current() string {
 	if t.state == savorypin.MoveDone {
@@ -105,8 +131,8 @@
 // Versions returns the versions that have a share of the traffic or may get it
 // back.
 func (t Traffic) Versions() []string {
-	if t.to == "" {
-		return []string{t.from}
+	if t.to == "" || t.settled {
+		return []string{t.Current()}
 	}
 	return []string{t.from, t.to}
 }
