Expire what others expired, and end calls with their entry

Cause: an index kept keys before a mark that another daemon had advanced; a call that was under way outlived its entry in tests; a stopping entry went on committing its shards; the owner's answer was given up before two groups of a slow platform; restarted entries of the test cluster had old seeds.

--- a/internal/savorypinclaim/house.go
+++ b/internal/savorypinclaim/house.go
@@ -87,7 +87,16 @@
 		}
 		mark.Page = max(mark.Page, p.number)
 	}
-	if mark.Page == s.mark.Page || !s.writeMark(ctx, mark) {
+	if mark.Page > s.mark.Page {
+		s.writeMark(ctx, mark)
+	}
+}
+
+// advance takes over a mark and forgets the keys before it.
+func (s *Shard) advance(mark Mark, version int64) {
+	expired := mark.Page > s.mark.Page
+	s.mark, s.markVersion = mark, version
+	if !expired {
 		return
 	}
 	s.mu.Lock()
@@ -115,7 +124,7 @@
 	if err != nil {
 		return false
 	}
-	s.mark, s.markVersion = mark, written.Version
+	s.advance(mark, written.Version)
 	return true
 }
 
--- a/internal/savorypinclaim/keeper.go
+++ b/internal/savorypinclaim/keeper.go
@@ -8,7 +8,9 @@
 
 // Timeouts of what is asked of the daemon that commits a shard.
 const (
-	claimTimeout  = 3 * time.Second
+	// claimTimeout covers two groups while the platform is slow. A daemon that
+	// does not answer at all shows sooner, by its connection.
+	claimTimeout  = 10 * time.Second
 	settleTimeout = time.Second
 )
 
--- a/internal/savorypinclaim/load.go
+++ b/internal/savorypinclaim/load.go
@@ -201,7 +201,7 @@
 		return false, err
 	}
 	if mark.first() <= number {
-		s.mark, s.markVersion = mark, version
+		s.advance(mark, version)
 		return true, nil
 	}
 	s.cfg.Count("expired", 1)
--- a/internal/savorypinclaim/shard_test.go
+++ b/internal/savorypinclaim/shard_test.go
@@ -182,6 +182,9 @@
 		if segments > 110 {
 			t.Errorf("%d segments are left of 200 after the retention of 100", segments)
 		}
+		if keys := live.State().Keys; keys > 110 {
+			t.Errorf("%d keys are left of 200 after the retention of 100", keys)
+		}
 		// The paused daemon would create segment 2, which was deleted.
 		if v := claimOnce(paused, 150, "late"); v.Kind != savorypinclaim.VerdictTaken {
 			t.Errorf("paused daemon granted a key that is taken: %v", v.Kind)
@@ -216,6 +219,52 @@
 	})
 }
 
+func TestAnIndexThatWasNotFreshProvesNothingDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFakeStore(1)
+		paused := savorypinclaim.NewShard(shardConfig(f.store(func() {})))
+		paused.Step(ctx)
+		time.Sleep(time.Minute)
+		f.setOut(true)
+		done := make(chan error, 1)
+		go func() {
+			_, err := paused.Claim(ctx, claimOf(keyOf(1), "repeat"))
+			done <- err
+		}()
+		synctest.Wait()
+		paused.Step(ctx)
+		if err := <-done; !errors.Is(err, savorypinclaim.ErrUnavailable) {
+			t.Errorf("key at a daemon that was paused: %v", err)
+		}
+	})
+}
+
+func TestFullShardsRefuseNewKeysOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+			MaxKeys: 3,
+			Owner:   func(int) string { return "" },
+			Shard:   shardConfig(newFakeStore(1).store(func() {})),
+		})
+		for shard := range savorypinclaim.Shards {
+			go keeper.Run(ctx, shard)
+		}
+		for i, want := range []savorypinclaim.VerdictKind{"granted", "granted", "granted", "full"} {
+			v, err := keeper.Claim(ctx, claimOf(savorypinclaim.KeyID{byte(i)}, fmt.Sprint(i)))
+			if err != nil || v.Kind != want {
+				t.Errorf("claim %d: %v %v", i, v.Kind, err)
+			}
+		}
+		if v, _ := keeper.Claim(ctx, claimOf(savorypinclaim.KeyID{1}, "repeat")); v.Kind != savorypinclaim.VerdictTaken {
+			t.Errorf("repeat while full: %v", v.Kind)
+		}
+	})
+}
+
 func TestLargeAnswersAreKeptApart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, tc := range []struct {
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -373,6 +374,8 @@
 		return err
 	}
 	c.entries[i] = e
+	// Daemons that run read the old list.
+	c.seeds = slices.Clone(c.seeds)
 	c.seeds[i] = e.Daemon().Self().Address
 	return nil
 }
--- a/internal/savorypinentry/callclaims.go
+++ b/internal/savorypinentry/callclaims.go
@@ -67,6 +67,12 @@
 	e.daemon.Handle(savorypinmember.FrameAwait, savorypinmember.HandleCall(e.handleAwait))
 	e.daemon.Handle(savorypinmember.FrameClaim, savorypinmember.HandleCall(e.handleClaim))
 	e.daemon.Handle(savorypinmember.FrameSettle, savorypinmember.HandleCall(e.handleSettle))
+	var end context.CancelFunc
+	e.life, end = context.WithCancel(context.Background())
+	e.daemon.Background(func(ctx context.Context) {
+		<-ctx.Done()
+		end()
+	})
 	for shard := range savorypinclaim.Shards {
 		e.daemon.Background(func(ctx context.Context) { e.keeper.Run(ctx, shard) })
 	}
@@ -114,7 +120,10 @@
 // others, or an empty string if it is this one.
 func (e *Entry) shardOwner(shard int) string {
 	addresses := map[string]string{}
-	names := []string{e.cfg.Settings.Name}
+	var names []string
+	if !e.daemon.Draining() {
+		names = append(names, e.cfg.Settings.Name)
+	}
 	for _, m := range e.daemon.Members().All() {
 		state := m.State()
 		if m.Usable() && state.Role == savorypin.RoleEntry && state.Name != e.cfg.Settings.Name {
@@ -122,6 +131,9 @@
 			names = append(names, state.Name)
 		}
 	}
+	if len(names) == 0 {
+		return ""
+	}
 	return addresses[savorypinrank.Names(fmt.Sprintf("claims/%d", shard), names)[0]]
 }
 
@@ -130,7 +142,7 @@
 	e.settling.Add(1)
 	go func() {
 		defer e.settling.Add(-1)
-		e.keeper.Settle(context.Background(), s)
+		e.keeper.Settle(e.life, s)
 	}()
 }
 
--- a/internal/savorypinentry/callonce.go
+++ b/internal/savorypinentry/callonce.go
@@ -35,7 +35,7 @@
 	results := make(chan savorypinclaim.Result, 1)
 	go func() {
 		defer end()
-		ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		ctx, cancel := context.WithDeadline(e.life, deadline)
 		defer cancel()
 		result := e.runner.Run(ctx, e.request(call, route))
 		e.countCall("once." + string(result.Outcome))
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -42,6 +42,7 @@
 	cfg      Config
 	daemon   *savorypindaemon.Daemon
 	keeper   *savorypinclaim.Keeper
+	life     context.Context //nolint:containedctx // It is the life of the entry.
 	retries  *retryPolicies
 	runner   *savorypinclaim.Runner
 	settling atomic.Int64
