--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -41,6 +41,7 @@
 	dryRun         bool
 	entry          string
 	files          []string
+	linkRate       float64
 	logFormat      string
 	logLevel       string
 	output         string
@@ -99,6 +100,7 @@
 			c.doCmd(),
 			c.entryCmd(),
 			c.getCmd(),
+			c.moveCmd(),
 			c.standinCmd(),
 			c.stateCmd(),
 			c.stopCmd(),
--- a/internal/cmd/daemonflags.go
+++ b/internal/cmd/daemonflags.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypindaemon"
 )
 
 // defaultLeaseDuration is how long a duty of control lasts.
@@ -31,6 +32,16 @@
 func (c *Config) daemonFlags() []cli.Flag {
 	s := &c.daemon
 	return []cli.Flag{
+		&cli.IntFlag{
+			Destination: &s.AnswerBytes, Name: "answer-bytes", Sources: env("ANSWER_BYTES"),
+			Value: savorypindaemon.DefaultAnswerBytes,
+			Usage: "most memory that answers may take, in bytes; further work is refused",
+		},
+		&cli.DurationFlag{
+			Destination: &s.CallerGrace, Name: "caller-grace", Sources: env("CALLER_GRACE"),
+			Value: savorypindaemon.DefaultCallerGrace,
+			Usage: "how long a generation runs on without a caller; 0 means the default",
+		},
 		&cli.StringFlag{
 			Destination: &s.Domain, Name: "domain", Sources: env("DOMAIN"),
 			Usage: "failure domain of the host",
@@ -90,6 +101,8 @@
 func (c *Config) checkDaemon(more ...error) error {
 	s := &c.daemon
 	errs := []error{
+		checkAnswerBytes(s.AnswerBytes),
+		checkCallerGrace(s.CallerGrace),
 		checkSet("--domain", s.Domain),
 		checkAddress("--http", s.HTTP),
 		checkKey(s.Key),
@@ -119,6 +132,20 @@
 	return nil
 }
 
+func checkAnswerBytes(n int) error {
+	if n < 0 {
+		return fmt.Errorf("--answer-bytes: %d is negative", n)
+	}
+	return nil
+}
+
+func checkCallerGrace(d time.Duration) error {
+	if d < 0 {
+		return fmt.Errorf("--caller-grace: %s is negative", d)
+	}
+	return nil
+}
+
 func checkGrace(d time.Duration) error {
 	if d < 0 {
 		return fmt.Errorf("--stop-grace: %s is negative", d)
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -21,6 +21,10 @@
 		}, &cli.DurationFlag{
 			Destination: &c.claimRetention, Name: "claim-retention", Sources: env("CLAIM_RETENTION"),
 			Usage: "how long an idempotency key is kept; all entries need the same", Value: 24 * time.Hour,
+		}, &cli.FloatFlag{
+			Destination: &c.linkRate, Name: "link-bytes-per-second", Sources: env("LINK_BYTES_PER_SECOND"),
+			Usage: "what the link between regions may carry for all entries of the region together",
+			Value: 30e6 / 8,
 		}),
 		Name:  "entry",
 		Usage: "run the daemon that callers and operators talk to",
@@ -38,6 +42,7 @@
 	entry, err := savorypinentry.New(savorypinentry.Config{
 		AnonymousOrganisation: c.anonymous,
 		ClaimRetention:        c.claimRetention,
+		LinkBytesPerSecond:    c.linkRate,
 		Logger:                logger,
 		Settings:              c.daemon,
 	})
--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,14 +20,8 @@
 	"savorypin/internal/savorypinoperator"
 )
 
-// Times of the agent.
-const (
-	// pollInterval is how often endpoints are asked for their load.
-	pollInterval = 250 * time.Millisecond
-	// retainFor is how long an attempt is kept after it ended, or after its
-	// last reader left.
-	retainFor = 30 * time.Second
-)
+// pollInterval is how often endpoints are asked for their load.
+const pollInterval = 250 * time.Millisecond
 
 // Config configures an Agent.
 type Config struct {
@@ -46,8 +41,9 @@
 	daemon    *savorypindaemon.Daemon
 	endpoints map[string]*endpoint
 
-	mu   sync.Mutex
-	runs map[savorypinmember.Attempt]*run
+	mu sync.Mutex
+
+	registry
 }
 
 // New returns an agent that listens but does not serve yet.
@@ -55,7 +51,6 @@
 	a := &Agent{
 		cfg:       cfg,
 		endpoints: map[string]*endpoint{},
-		runs:      map[savorypinmember.Attempt]*run{},
 	}
 	daemon, err := savorypindaemon.New(savorypindaemon.Config{
 		Endpoints: a.states,
@@ -71,15 +66,17 @@
 	for _, e := range cfg.Endpoints {
 		a.endpoints[e.Name] = newEndpoint(e)
 	}
-	daemon.Handle(savorypinmember.FrameAttach, a.handleAttach)
 	daemon.Handle(savorypinmember.FrameFence, savorypinmember.HandleCall(a.handleFence))
-	daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
 	daemon.Handle(savorypinmember.FrameOrder, savorypinmember.HandleCall(a.handleOrder))
-	daemon.Handle(savorypinmember.FrameStart, a.handleStart)
 	a.handleCalls()
-	savorypincontroller.StartPlacement(daemon)
+	a.registerGenerations()
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
+	savorypincontroller.StartMoves(savorypincontroller.MovesConfig{
+		Daemon:    daemon,
+		Placement: savorypincontroller.StartPlacement(daemon),
+		Rand:      rand.Float64,
+	})
 	for _, e := range a.endpoints {
 		daemon.Background(func(ctx context.Context) { e.pollLoop(ctx, daemon.Config) })
 	}
@@ -97,22 +94,13 @@
 	return a.daemon.Run(ctx, handler, savorypindaemon.Work{HandOver: a.handOver, Idle: a.idle})
 }
 
-// handOver ends all attempts at their index, so that entries go on with them
-// at other endpoints.
-func (a *Agent) handOver() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, r := range a.runs {
-		r.cancel()
-	}
-}
-
-// idle reports whether no attempt or call is running.
+// idle reports whether no call is running and every attempt is settled.
 func (a *Agent) idle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now, grace := time.Now(), a.daemon.Settings().Grace()
 	for _, r := range a.runs {
-		if !r.finished() {
+		if !r.settled(now, grace) {
 			return false
 		}
 	}
@@ -121,24 +109,32 @@
 
 // State is the part of the state dump that only agents have.
 type State struct {
-	Attempts  []AttemptState            `json:"attempts"`
-	Endpoints []savorypin.EndpointState `json:"endpoints"`
+	AnswerBytes int                       `json:"answerBytes"`
+	Attempts    []AttemptState            `json:"attempts"`
+	Endpoints   []savorypin.EndpointState `json:"endpoints"`
+	Places      int                       `json:"places"`
 }
 
 // AttemptState is one attempt in the state dump.
 type AttemptState struct {
-	Attempt    int                    `json:"attempt"`
+	Attempt    string                 `json:"attempt"`
 	Endpoint   string                 `json:"endpoint"`
 	Finished   bool                   `json:"finished"`
 	Generation savorypin.GenerationID `json:"generation"`
 	Produced   int                    `json:"produced"`
+	Readers    int                    `json:"readers"`
 	Version    string                 `json:"version"`
 }
 
 func (a *Agent) state() any {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := State{Attempts: []AttemptState{}, Endpoints: a.states()}
+	s := State{
+		AnswerBytes: a.memory.Used(),
+		Attempts:    []AttemptState{},
+		Endpoints:   a.states(),
+		Places:      a.places.Len(),
+	}
 	for _, r := range a.runs {
 		s.Attempts = append(s.Attempts, r.state())
 	}
@@ -160,7 +156,6 @@
 		select {
 		case <-ticker.C:
 			a.sweep(time.Now())
-			a.attempts.Sweep()
 		case <-ctx.Done():
 			return
 		}
@@ -169,12 +164,6 @@
 
 // sweep drops what has been kept for long enough.
 func (a *Agent) sweep(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for id, r := range a.runs {
-		if r.abandoned(now) {
-			r.cancel()
-			delete(a.runs, id)
-		}
-	}
+	a.sweepGenerations(now)
+	a.attempts.Sweep()
 }
--- a/internal/savorypincluster/call_test.go
+++ b/internal/savorypincluster/call_test.go
@@ -16,8 +16,10 @@
 	"savorypin/pkg/savorypinclient"
 )
 
-// generous bounds waits for events over real sockets.
-const generous = 30 * time.Second
+// withLedgers puts two agents beside the ledger.
+func withLedgers(cfg *savorypincluster.Config) {
+	cfg.Ledgers = 2
+}
 
 // sale makes a sale through an entry and returns what the caller was told.
 func sale(ctx context.Context, c *savorypincluster.Cluster, entry int, key string) (string, savorypinclient.Answer, error) {
@@ -53,12 +55,12 @@
 		outcome, _, _ := sale(ctx, c, entry, key)
 		told <- outcome
 	}()
-	Eventually(func() int64 { return running(c) }, generous).Should(BeEquivalentTo(1))
+	Eventually(func() int64 { return underWay(c) }, generous).Should(BeEquivalentTo(1))
 	return told
 }
 
-// running returns how many attempts the agent beside the ledger runs.
-func running(c *savorypincluster.Cluster) int64 {
+// underWay returns how many attempts the agent beside the ledger runs.
+func underWay(c *savorypincluster.Cluster) int64 {
 	return int64(c.Agents()[0].Daemon().States()["attempts"].(savorypinclaim.AttemptLogState).Running)
 }
 
@@ -249,7 +251,7 @@
 	})
 
 	It("runs on another endpoint if the first was not reached", func(ctx SpecContext) {
-		c := startLedgers(ctx, 2, 2, 2)
+		c := start(ctx, 2, 2, withLedgers)
 		c.Agents()[0].Kill()
 		told, _, err := sale(ctx, c, 0, key)
 		Expect(err).NotTo(HaveOccurred())
@@ -258,7 +260,7 @@
 	})
 
 	It("does not run on another endpoint if the first may have run it", func(ctx SpecContext) {
-		c := startLedgers(ctx, 2, 2, 2)
+		c := start(ctx, 2, 2, withLedgers)
 		c.Ledger().LoseAnswers(1)
 		told, _, _ := sale(ctx, c, 0, key)
 		Expect(told).To(Equal("unknown"))
@@ -268,14 +270,14 @@
 
 var _ = Describe("Idempotent call", func() {
 	It("is answered by another endpoint if the first loses its answer", func(ctx SpecContext) {
-		c := startLedgers(ctx, 1, 2, 2)
+		c := start(ctx, 1, 2, withLedgers)
 		c.Ledger().LoseAnswers(1)
 		_, err := c.Client(0).Call(ctx, savorypincluster.Ledger, "stock", "", struct{}{})
 		Expect(err).NotTo(HaveOccurred())
 	})
 
 	It("is answered while the platform is out and an agent is dead", func(ctx SpecContext) {
-		c := startLedgers(ctx, 1, 2, 2)
+		c := start(ctx, 1, 2, withLedgers)
 		c.Platform().SetOutage(true)
 		c.Agents()[0].Kill()
 		_, err := c.Client(0).Call(ctx, savorypincluster.Ledger, "stock", "", struct{}{})
--- a/internal/savorypincluster/cluster_test.go
+++ b/internal/savorypincluster/cluster_test.go
@@ -13,14 +13,9 @@
 	"savorypin/pkg/savorypinclient"
 )
 
-// start starts a cluster with fast engines.
-func start(ctx context.Context, entries, agents int) *savorypincluster.Cluster {
-	return startLedgers(ctx, entries, agents, 1)
-}
-
-// startLedgers starts a cluster with some agents beside the ledger.
-func startLedgers(ctx context.Context, entries, agents, ledgers int) *savorypincluster.Cluster {
-	c, err := savorypincluster.Start(context.WithoutCancel(ctx), savorypincluster.Config{
+// start starts a cluster with fast engines. Options change its configuration.
+func start(ctx context.Context, entries, agents int, options ...func(*savorypincluster.Config)) *savorypincluster.Cluster {
+	cfg := savorypincluster.Config{
 		Agents: agents,
 		Engine: savorypinstandin.EngineConfig{
 			Models:           []string{savorypincluster.Model},
@@ -29,14 +24,17 @@
 			TokensPerSecond:  200,
 		},
 		Entries: entries,
-		Ledgers: ledgers,
 		Logger:  log.New(io.Discard),
 		Places: []savorypincluster.Place{
 			{Domain: "d1", Region: "r1"},
 			{Domain: "d2", Region: "r1"},
 			{Domain: "d3", Region: "r2"},
 		},
-	})
+	}
+	for _, option := range options {
+		option(&cfg)
+	}
+	c, err := savorypincluster.Start(context.WithoutCancel(ctx), cfg)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(c.Close)
 	Expect(c.Configure()).To(Succeed())
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -44,8 +44,20 @@
 	idleTimeout       = 2 * time.Minute
 )
 
+// DefaultAnswerBytes is the most memory that answers may take.
+const DefaultAnswerBytes = 192 << 20
+
+// DefaultCallerGrace is how long a generation runs on without a caller.
+const DefaultCallerGrace = 10 * time.Second
+
 // Settings are what a daemon is told by flags and environment variables.
 type Settings struct {
+	// AnswerBytes is the most memory that answers may take; zero means
+	// DefaultAnswerBytes.
+	AnswerBytes int
+	// CallerGrace is how long a generation runs on without a caller; zero means
+	// DefaultCallerGrace.
+	CallerGrace time.Duration
 	// Domain is the failure domain of the host.
 	Domain string
 	// HTTP is the address for callers, operators and scrapers.
@@ -74,8 +86,26 @@
 	WeightLoads int
 }
 
+// Grace returns how long a generation runs on without a caller.
+func (s Settings) Grace() time.Duration {
+	if s.CallerGrace == 0 {
+		return DefaultCallerGrace
+	}
+	return s.CallerGrace
+}
+
+// AnswerMemory returns the most memory that answers may take, in bytes.
+func (s Settings) AnswerMemory() int {
+	if s.AnswerBytes == 0 {
+		return DefaultAnswerBytes
+	}
+	return s.AnswerBytes
+}
+
 // Config configures a Daemon.
 type Config struct {
+	// Dial opens connections to other daemons; nil means TCP.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 	// Endpoints returns the endpoints of an agent; nil for an entry.
 	Endpoints func() []savorypin.EndpointState
 	// Logger logs.
@@ -139,6 +169,7 @@
 		savorypinmember.FrameStop: savorypinmember.HandleCall(d.handleStop),
 	}
 	d.transport = savorypinmember.NewTransport(savorypinmember.TransportConfig{
+		Dial:             cfg.Dial,
 		Handlers:         d.handlers,
 		HandshakeTimeout: handshakeTimeout,
 		IdleProbeAfter:   idleProbeAfter,
@@ -263,7 +294,8 @@
 // Work is what a role has to finish before a planned stop is done.
 type Work struct {
 	// HandOver gives up the work that other daemons can go on with. It is
-	// called when the grace is over.
+	// called time and again after the grace, since some work can be handed
+	// over only later.
 	HandOver func()
 	// Idle reports whether no work is left.
 	Idle func() bool
@@ -322,8 +354,10 @@
 		return
 	}
 	d.logger.Info("Handing work over")
-	work.HandOver()
-	waitIdle(ctx, work.Idle)
+	waitIdle(ctx, func() bool {
+		work.HandOver()
+		return work.Idle()
+	})
 }
 
 // waitIdle reports whether no work is left before ctx ends.
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -58,17 +58,17 @@
 	if !e.daemon.Ready() {
 		return none, notRun(e.cfg.Settings.Name, errors.New("entry is not ready"))
 	}
-	release, err := e.admit(call.Organisation, 0)
+	admission, err := e.admit(call.Organisation, 0)
 	if err != nil {
 		return none, err
 	}
 	if !e.beginCall(call) {
-		release()
+		admission.Cancel()
 		return none, notRun(e.cfg.Settings.Name, errors.New("too many calls are under way"))
 	}
 	end := func() {
 		e.endCall(call)
-		release()
+		admission.Release(0)
 	}
 	deadline := time.Now().Add(timeout(call.Timeout, spec))
 	if !route.Idempotent {
@@ -125,6 +125,7 @@
 	if ticket != nil {
 		message.Key = call.Key
 	}
+	candidate.Begin()
 	if _, err := e.daemon.Transport().Get(ctx, candidate.Member().Address); err != nil {
 		return savorypinmember.PlainAnswer{}, notRun(candidate.Member().Name, err)
 	}
--- a/internal/savorypinentry/callonce.go
+++ b/internal/savorypinentry/callonce.go
@@ -37,7 +37,11 @@
 		defer end()
 		ctx, cancel := context.WithDeadline(e.life, deadline)
 		defer cancel()
-		result := e.runner.Run(ctx, e.request(call, route))
+		o := &onceCall{call: call, ctx: ctx, entry: e, route: route}
+		result := e.runner.Run(ctx, o.request())
+		if result.Outcome == savorypinclaim.OutcomeNotRun && o.refused != nil {
+			result.Err = o.refused
+		}
 		e.countCall("once." + string(result.Outcome))
 		results <- result
 	}()
@@ -49,40 +53,50 @@
 	}
 }
 
-// request returns what the runner needs of a call.
-func (e *Entry) request(call Call, route savorypin.RouteSpec) savorypinclaim.Request {
-	var candidate savorypinroute.Candidate
+// onceCall is a call that runs at most once for its key.
+type onceCall struct {
+	call      Call
+	candidate savorypinroute.Candidate
+	ctx       context.Context //nolint:containedctx // It is the life of the call.
+	entry     *Entry
+	// refused is why no endpoint could be chosen.
+	refused error
+	route   savorypin.RouteSpec
+}
+
+// request returns what the runner needs of the call.
+func (o *onceCall) request() savorypinclaim.Request {
 	return savorypinclaim.Request{
-		Key: savorypinclaim.NewKeyID(call.Service, call.Key),
-		Pick: func(avoid map[string]bool) (savorypinclaim.Attempt, bool) {
-			purpose := savorypin.PurposeFirst
-			if len(avoid) > 0 {
-				purpose = savorypin.PurposeRetry
-			}
-			picked, ok := e.pick(e.callNeed(call.Service, purpose, avoid))
-			candidate = picked
-			m := picked.Member()
-			return savorypinclaim.NewAttempt(m.Name, m.Incarnation, picked.Endpoint().Name), ok
-		},
-		Send: func(ctx context.Context, t savorypinclaim.Ticket) (*savorypinclaim.Answer, error) {
-			return e.sendOnce(ctx, candidate, call, route, t)
-		},
-		Sum: savorypinclaim.RequestSum(call.Route, call.ContentType, call.Body),
+		Key:  savorypinclaim.NewKeyID(o.call.Service, o.call.Key),
+		Pick: o.pick,
+		Send: o.send,
+		Sum:  savorypinclaim.RequestSum(o.call.Route, o.call.ContentType, o.call.Body),
 	}
 }
 
-// sendOnce sends an attempt. An error that leaves open whether it ran is
-// neither ErrNotSent nor ErrSuperseded.
-func (e *Entry) sendOnce(
-	ctx context.Context,
-	candidate savorypinroute.Candidate,
-	call Call,
-	route savorypin.RouteSpec,
-	t savorypinclaim.Ticket,
-) (*savorypinclaim.Answer, error) {
+func (o *onceCall) pick(avoid map[string]bool) (savorypinclaim.Attempt, bool) {
+	purpose := savorypin.PurposeFirst
+	if len(avoid) > 0 {
+		purpose = savorypin.PurposeRetry
+	}
+	wait := o.entry.limits.limiter.Wait(o.call.Organisation, remaining(o.ctx))
+	candidate, err := o.entry.place(o.entry.callNeed(o.call.Service, purpose, avoid), wait)
+	if err != nil {
+		o.refused = err
+		return savorypinclaim.Attempt{}, false
+	}
+	o.candidate = candidate
+	m := candidate.Member()
+	return savorypinclaim.NewAttempt(m.Name, m.Incarnation, candidate.Endpoint().Name), true
+}
+
+// send sends an attempt. An error that leaves open whether it ran is neither
+// ErrNotSent nor ErrSuperseded.
+func (o *onceCall) send(ctx context.Context, t savorypinclaim.Ticket) (*savorypinclaim.Answer, error) {
 	started := time.Now()
-	answer, err := e.pass(ctx, candidate, call, route, &t)
-	e.observeCall(candidate, call, savorypin.PurposeFirst, started, err)
+	answer, err := o.entry.pass(ctx, o.candidate, o.call, o.route, &t)
+	o.candidate.Done(endpointFault(answer, err))
+	o.entry.observeCall(o.candidate, o.call, savorypin.PurposeFirst, started, err)
 	switch {
 	case savorypin.KindOf(err) == savorypin.KindNotRun && err != nil:
 		return nil, errors.Join(savorypinclaim.ErrNotSent, err)
@@ -108,6 +122,8 @@
 		return none, savorypin.Errorf(savorypin.KindIncomplete, key, "key has run; its answer was too large to keep")
 	case r.Outcome == savorypinclaim.OutcomeDone:
 		return CallAnswer{Answer: plainAnswer(*r.Answer), Replayed: r.Replayed}, nil
+	case r.Outcome == savorypinclaim.OutcomeNotRun && savorypin.KindOf(r.Err) == savorypin.KindNotRun:
+		return none, r.Err
 	case r.Outcome == savorypinclaim.OutcomeNotRun:
 		return none, notRun(key, r.Err)
 	case r.Outcome == savorypinclaim.OutcomeClosed:
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -2,20 +2,20 @@
 
 import (
 	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypinmove"
+	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinroute"
 )
 
 // admit asks whether an organisation may begin a request that may take a
-// number of tokens. The request must be released when it has ended.
-func (e *Entry) admit(_ string, _ int) (release func(), err error) {
-	return func() {}, nil
+// number of tokens. The admission must be released when the request has ended.
+func (e *Entry) admit(organisation string, maxTokens int) (*savorypinlimit.Admission, error) {
+	return e.limits.admit(organisation, maxTokens)
 }
 
 // chooseVersion returns the version for a generation that has delivered
 // nothing yet.
-func (e *Entry) chooseVersion(gen savorypin.Generation, _ savorypin.Purpose) string {
-	return savorypinmove.TrafficOf(e.daemon.Config(), gen.Service).Choose(e.cfg.Rand())
+func (e *Entry) chooseVersion(gen savorypin.Generation, purpose savorypin.Purpose) string {
+	return e.moves.choose(gen, purpose)
 }
 
 // generationNeed returns what a generation needs of an endpoint.
@@ -25,13 +25,20 @@
 	purpose savorypin.Purpose,
 	avoid map[string]bool,
 ) savorypinroute.Need {
-	return savorypinroute.Need{
-		Avoid:   avoid,
-		Purpose: purpose,
-		Region:  e.cfg.Settings.Region,
-		Service: gen.Service,
-		Version: version,
+	need := savorypinroute.Need{
+		Avoid:       avoid,
+		MaxTokens:   gen.MaxTokens,
+		Prefixes:    savorypinroute.Prefixes(gen.Prompt),
+		PromptBytes: len(gen.Prompt),
+		Purpose:     purpose,
+		Region:      e.cfg.Settings.Region,
+		Service:     gen.Service,
+		Version:     version,
+	}
+	if purpose == savorypin.PurposeFirst {
+		need.Within = e.limits.limiter.Wait(gen.Organisation, firstTokenLimit)
 	}
+	return need
 }
 
 // callNeed returns what a call needs of an endpoint.
@@ -49,9 +56,12 @@
 	if o.Err != nil {
 		e.daemon.Logger().Debug("Observed a failure", "endpoint", o.Endpoint, "version", o.Version, "err", o.Err)
 	}
+	e.moves.observe(o)
 }
 
-// pick returns the endpoint for a piece of work.
+// pick returns the endpoint for a piece of work, which counts as in flight there
+// from the candidate's Begin to its Done.
 func (e *Entry) pick(need savorypinroute.Need) (savorypinroute.Candidate, bool) {
-	return savorypinroute.Pick(savorypinroute.Candidates(e.daemon.Members(), need), need)
+	candidate, err := e.choose(need)
+	return candidate, err == nil
 }
