--- a/internal/savorypinentry/callonce.go
+++ b/internal/savorypinentry/callonce.go
@@ -42,7 +42,11 @@
 		if result.Outcome == savorypinclaim.OutcomeNotRun && o.refused != nil {
 			result.Err = o.refused
 		}
-		e.countCall("once." + string(result.Outcome))
+		if result.Mismatch {
+			e.countCall("once.mismatch")
+		} else {
+			e.countCall("once." + string(result.Outcome))
+		}
 		results <- result
 	}()
 	select {
