Let responses end before a stopped daemon closes its connections

Cause: work counts as ended before its response is written; the daemon then closed the HTTP server, which could cut the last responses of a planned stop. After: the server shuts down with a second for responses; a new spec stops the entry and the agent of a sale that is under way. Conclusion: the cause is read from the code; the failure was too rare to show its absence by repetition.

--- a/internal/savorypincluster/call_test.go
+++ b/internal/savorypincluster/call_test.go
@@ -250,6 +250,20 @@
 		Expect(runsOf(c, key)).To(Equal(1))
 	})
 
+	It("is answered if its entry and its agent are stopped while it runs", func(ctx SpecContext) {
+		c := start(ctx, 2, 1, func(cfg *savorypincluster.Config) { cfg.StopGrace = generous })
+		told := startSale(ctx, c, 0, key)
+		c.Agents()[0].Daemon().Stop()
+		c.Entries()[0].Daemon().Stop()
+		Expect(<-told).To(Equal("done"))
+		Eventually(c.Entries()[0].Done(), generous).Should(BeClosed())
+		Eventually(c.Agents()[0].Done(), generous).Should(BeClosed())
+		told2, _, err := sale(ctx, c, 1, key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(told2).To(Equal("replayed"))
+		Expect(runsOf(c, key)).To(Equal(1))
+	})
+
 	It("runs on another endpoint if the first was not reached", func(ctx SpecContext) {
 		c := start(ctx, 2, 2, withLedgers)
 		c.Agents()[0].Kill()
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -33,8 +33,10 @@
 	idleProbeAfter   = 15 * time.Second
 	platformTimeout  = 2 * time.Second
 	probeAfter       = 250 * time.Millisecond
-	silentAfter      = 500 * time.Millisecond
-	suspectAfter     = 2 * time.Second
+	// responseGrace is how long responses may take to end once no work is left.
+	responseGrace = time.Second
+	silentAfter   = 500 * time.Millisecond
+	suspectAfter  = 2 * time.Second
 )
 
 // Limits of the HTTP listener.
@@ -330,6 +332,7 @@
 	case <-ctx.Done():
 	case <-d.stopped:
 		d.drain(ctx, work)
+		d.finishResponses(ctx, server)
 	}
 	cancel()
 	server.Close()
@@ -338,6 +341,16 @@
 	return nil
 }
 
+// finishResponses lets the responses end whose work has ended. Without it, the
+// end of the process would cut the last of them.
+func (d *Daemon) finishResponses(ctx context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, responseGrace)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		d.logger.Warn("Stopping with responses left", "err", err)
+	}
+}
+
 func (d *Daemon) serve(server *http.Server) {
 	if err := server.Serve(d.web); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		d.logger.Error("HTTP server ended", "err", err)
