--- a/internal/savorypincluster/call_test.go
+++ b/internal/savorypincluster/call_test.go
@@ -16,6 +16,11 @@
 	"savorypin/pkg/savorypinclient"
 )
 
+// withLedgers puts two agents beside the ledger.
+func withLedgers(cfg *savorypincluster.Config) {
+	cfg.Ledgers = 2
+}
+
 // sale makes a sale through an entry and returns what the caller was told.
 func sale(ctx context.Context, c *savorypincluster.Cluster, entry int, key string) (string, savorypinclient.Answer, error) {
 	answer, err := c.Client(entry).Call(ctx, savorypincluster.Ledger, "sale", key, map[string]int{"crib": 7})
@@ -50,12 +55,12 @@
 		outcome, _, _ := sale(ctx, c, entry, key)
 		told <- outcome
 	}()
-	Eventually(func() int64 { return runningCalls(c) }, generous).Should(BeEquivalentTo(1))
+	Eventually(func() int64 { return underWay(c) }, generous).Should(BeEquivalentTo(1))
 	return told
 }
 
-// runningCalls returns how many attempts the agent beside the ledger runs.
-func runningCalls(c *savorypincluster.Cluster) int64 {
+// underWay returns how many attempts the agent beside the ledger runs.
+func underWay(c *savorypincluster.Cluster) int64 {
 	return int64(c.Agents()[0].Daemon().States()["attempts"].(savorypinclaim.AttemptLogState).Running)
 }
 
@@ -133,8 +138,8 @@
 		Expect(c.RestartAgent(0)).To(Succeed())
 		for entry := range 2 {
 			Expect(c.RestartEntry(entry)).To(Succeed())
+			Expect(c.WaitServing(entry)).To(Succeed())
 		}
-		Expect(c.WaitServing(1)).To(Succeed())
 		told, again, err := sale(ctx, c, 1, key)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(told).To(Equal("replayed"))
@@ -245,8 +250,22 @@
 		Expect(runsOf(c, key)).To(Equal(1))
 	})
 
+	It("is answered if its entry and its agent are stopped while it runs", func(ctx SpecContext) {
+		c := start(ctx, 2, 1, func(cfg *savorypincluster.Config) { cfg.StopGrace = generous })
+		told := startSale(ctx, c, 0, key)
+		c.Agents()[0].Daemon().Stop()
+		c.Entries()[0].Daemon().Stop()
+		Expect(<-told).To(Equal("done"))
+		Eventually(c.Entries()[0].Done(), generous).Should(BeClosed())
+		Eventually(c.Agents()[0].Done(), generous).Should(BeClosed())
+		told2, _, err := sale(ctx, c, 1, key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(told2).To(Equal("replayed"))
+		Expect(runsOf(c, key)).To(Equal(1))
+	})
+
 	It("runs on another endpoint if the first was not reached", func(ctx SpecContext) {
-		c := start(ctx, 2, 2, withLedgers(2))
+		c := start(ctx, 2, 2, withLedgers)
 		c.Agents()[0].Kill()
 		told, _, err := sale(ctx, c, 0, key)
 		Expect(err).NotTo(HaveOccurred())
@@ -255,7 +274,7 @@
 	})
 
 	It("does not run on another endpoint if the first may have run it", func(ctx SpecContext) {
-		c := start(ctx, 2, 2, withLedgers(2))
+		c := start(ctx, 2, 2, withLedgers)
 		c.Ledger().LoseAnswers(1)
 		told, _, _ := sale(ctx, c, 0, key)
 		Expect(told).To(Equal("unknown"))
@@ -265,14 +284,14 @@
 
 var _ = Describe("Idempotent call", func() {
 	It("is answered by another endpoint if the first loses its answer", func(ctx SpecContext) {
-		c := start(ctx, 1, 2, withLedgers(2))
+		c := start(ctx, 1, 2, withLedgers)
 		c.Ledger().LoseAnswers(1)
 		_, err := c.Client(0).Call(ctx, savorypincluster.Ledger, "stock", "", struct{}{})
 		Expect(err).NotTo(HaveOccurred())
 	})
 
 	It("is answered while the platform is out and an agent is dead", func(ctx SpecContext) {
-		c := start(ctx, 1, 2, withLedgers(2))
+		c := start(ctx, 1, 2, withLedgers)
 		c.Platform().SetOutage(true)
 		c.Agents()[0].Kill()
 		_, err := c.Client(0).Call(ctx, savorypincluster.Ledger, "stock", "", struct{}{})
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -125,10 +125,11 @@
 	if ticket != nil {
 		message.Key = call.Key
 	}
+	candidate.Begin()
 	if _, err := e.daemon.Transport().Get(ctx, candidate.Member().Address); err != nil {
+		candidate.Done(err)
 		return savorypinmember.PlainAnswer{}, notRun(candidate.Member().Name, err)
 	}
-	candidate.Begin()
 	answer, err := savorypinmember.Call[savorypinmember.PlainCall, savorypinmember.PlainAnswer](
 		ctx, e.daemon.Transport(), candidate.Member().Address, savorypinmember.FrameCall, message)
 	candidate.Done(endpointFault(answer, err))
--- a/internal/savorypinentry/callidempotent.go
+++ b/internal/savorypinentry/callidempotent.go
@@ -85,9 +85,11 @@
 // callIdempotent tries endpoints until one answers, within the budget.
 func (e *Entry) callIdempotent(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
 	avoid := map[string]bool{}
+	var refused error
 	attempt := func(ctx context.Context, reason savorypinretry.Reason) (func() (savorypinmember.PlainAnswer, error), bool) {
-		candidate, ok := e.pickAgain(call.Service, reason, avoid)
-		if !ok {
+		candidate, err := e.placeAgain(ctx, call, reason, avoid)
+		if err != nil {
+			refused = err
 			return nil, false
 		}
 		avoid[candidate.Endpoint().Name] = true
@@ -101,7 +103,7 @@
 	case err == nil, errors.Is(err, errEndpointStatus):
 		return CallAnswer{Answer: answer}, nil
 	case errors.Is(err, savorypinretry.ErrNoEndpoint):
-		return CallAnswer{}, notRun(call.Service, err)
+		return CallAnswer{}, refused
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return CallAnswer{}, savorypin.Errorf(savorypin.KindUnknown, call.Service, "%w", err)
 	default:
@@ -109,18 +111,20 @@
 	}
 }
 
-// pickAgain returns an endpoint that was not tried yet. If all were tried, a
+// placeAgain returns an endpoint that was not tried yet. If all were tried, a
 // retry may go to one of them again; a hedge may not.
-func (e *Entry) pickAgain(
-	service string,
+func (e *Entry) placeAgain(
+	ctx context.Context,
+	call Call,
 	reason savorypinretry.Reason,
 	avoid map[string]bool,
-) (savorypinroute.Candidate, bool) {
-	candidate, ok := e.pick(e.callNeed(service, purposes[reason], avoid))
-	if !ok && reason == savorypinretry.ReasonRetry {
-		candidate, ok = e.pick(e.callNeed(service, purposes[reason], nil))
+) (savorypinroute.Candidate, error) {
+	wait := e.callWait(ctx, call.Organisation)
+	candidate, err := e.place(e.callNeed(call.Service, purposes[reason], avoid), wait)
+	if err != nil && reason == savorypinretry.ReasonRetry {
+		return e.place(e.callNeed(call.Service, purposes[reason], nil), wait)
 	}
-	return candidate, ok
+	return candidate, err
 }
 
 func (e *Entry) tryIdempotent(
@@ -132,6 +136,7 @@
 ) (savorypinmember.PlainAnswer, error) {
 	started := time.Now()
 	answer, err := e.pass(ctx, candidate, call, route, nil)
+	candidate.Done(endpointFault(answer, err))
 	if err == nil && answer.Status >= http.StatusInternalServerError {
 		err = fmt.Errorf("%s: %w: status %d", candidate.Endpoint().Name, errEndpointStatus, answer.Status)
 	}
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -58,6 +58,7 @@
 	finds      singleflight.Group
 	gate       *savorypinresume.Gate
 	keeper     *savorypinclaim.Keeper
+	life       context.Context //nolint:containedctx // It is the life of the entry.
 	memory     *savorypinresume.Memory
 	moves      *moves
 	retries    *retryPolicies
