--- a/internal/savorypinslopes/measure.go
+++ b/internal/savorypinslopes/measure.go
@@ -63,6 +63,7 @@
 // Parts are all parts, in sorted order.
 var Parts = []Part{
 	{Measure: Control, Name: "control"},
+	{Measure: Naive, Name: "naive"},
 }
 
 // Control measures membership and configuration: what a daemon sends and
