--- a/internal/cmd/applycmd.go
+++ b/internal/cmd/applycmd.go
@@ -21,7 +21,7 @@
 // Times of apply --wait.
 const (
 	waitLimit = 30 * time.Second
-	waitPause = 200 * time.Millisecond
+	waitPause = 500 * time.Millisecond
 )
 
 func (c *Config) applyCmd() *cli.Command {
--- /dev/null
+++ b/internal/savorypincluster/config_test.go
@@ -0,0 +1,104 @@
+package savorypincluster_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypincluster"
+	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinplatform"
+)
+
+// eventually is generous: these tests wait for events, not for a time.
+const eventually = time.Minute
+
+// daemons returns all daemons of a cluster.
+func daemons(c *savorypincluster.Cluster) []*savorypindaemon.Daemon {
+	var all []*savorypindaemon.Daemon
+	for _, e := range c.Entries() {
+		all = append(all, e.Daemon())
+	}
+	for _, a := range c.Agents() {
+		all = append(all, a.Daemon())
+	}
+	return all
+}
+
+// expectInForce waits until an entry finds an object in force at all members.
+func expectInForce(ctx SpecContext, c *savorypincluster.Cluster, o savorypin.Object) {
+	n := len(daemons(c))
+	Eventually(ctx, func() savorypindaemon.Force {
+		return c.Entries()[0].Daemon().InForce(ctx, o.Key, o.Version)
+	}).WithTimeout(eventually).Should(Equal(savorypindaemon.Force{InForce: n, Members: n}))
+}
+
+var _ = Describe("Configuration", func() {
+	It("stands though every daemon is restarted one after another while the platform is out", func(ctx SpecContext) {
+		c := start(ctx, 2, 3)
+		o, err := c.Apply(savorypin.KindOrganisation, "wholesaler", savorypin.OrganisationSpec{Weight: 3})
+		Expect(err).NotTo(HaveOccurred())
+		expectInForce(ctx, c, o)
+		c.Platform().SetOutage(true)
+		for i := range 5 {
+			if i < 2 {
+				Expect(c.RestartEntry(i)).To(Succeed())
+			} else {
+				Expect(c.RestartAgent(i - 2)).To(Succeed())
+			}
+			d := daemons(c)[i]
+			Eventually(ctx, d.Ready).WithTimeout(eventually).Should(BeTrue())
+			held, _ := d.Config().Object(o.Key)
+			Expect(held.Version).To(Equal(o.Version))
+		}
+		expectInForce(ctx, c, o)
+	})
+
+	It("comes into force through new watches when all open ones have gone silent", func(ctx SpecContext) {
+		c := start(ctx, 2, 2)
+		c.Platform().Silence()
+		o, err := c.Apply(savorypin.KindOrganisation, "wholesaler", savorypin.OrganisationSpec{Weight: 3})
+		Expect(err).NotTo(HaveOccurred())
+		expectInForce(ctx, c, o)
+	})
+
+	It("loses what was deleted while nobody watched, even if the platform has forgotten when", func(ctx SpecContext) {
+		c := start(ctx, 2, 2)
+		o, err := c.Apply(savorypin.KindOrganisation, "wholesaler", savorypin.OrganisationSpec{Weight: 3})
+		Expect(err).NotTo(HaveOccurred())
+		expectInForce(ctx, c, o)
+		platform := c.Platform()
+		platform.SetOutage(true)
+		platform.Delete(savorypinplatform.Document{
+			Kind:     string(o.Kind),
+			Metadata: savorypinplatform.Metadata{Name: o.Name},
+		})
+		platform.Expire()
+		platform.SetOutage(false)
+		for _, d := range daemons(c) {
+			Eventually(ctx, func() bool {
+				_, exists := d.Config().Organisation(o.Name)
+				return exists
+			}).WithTimeout(eventually).Should(BeFalse())
+		}
+	})
+
+	It("names a member that does not answer as unreachable, and not one that has left", func(ctx SpecContext) {
+		c := start(ctx, 1, 3)
+		o, err := c.Apply(savorypin.KindOrganisation, "wholesaler", savorypin.OrganisationSpec{Weight: 3})
+		Expect(err).NotTo(HaveOccurred())
+		expectInForce(ctx, c, o)
+		c.Agents()[1].Daemon().Stop()
+		Eventually(c.Agents()[1].Done()).WithTimeout(eventually).Should(BeClosed())
+		c.Agents()[2].Kill()
+		Eventually(ctx, func() savorypindaemon.Force {
+			return c.Entries()[0].Daemon().InForce(ctx, o.Key, o.Version+1)
+		}).WithTimeout(eventually).Should(Equal(savorypindaemon.Force{
+			Lagging:     []string{"agent-0", "entry-0"},
+			Members:     3,
+			Unreachable: []string{"agent-2"},
+		}))
+	})
+})
--- a/internal/savorypindaemon/force.go
+++ b/internal/savorypindaemon/force.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	askAfter = 5 * time.Second
 	// askLimit is the number of members asked at once.
 	askLimit = 16
+	// askMost is the number of members asked in all; the others count as
+	// lagging until the next time.
+	askMost = 64
 )
 
 // Force says where an object is in force.
@@ -43,6 +47,7 @@
 	var force Force
 	var group errgroup.Group
 	group.SetLimit(askLimit)
+	asked := 0
 	mine := d.Config()
 	held := mine.Holds(key, version)
 	ask := time.Since(d.distributor.ChangedAt()) > askAfter
@@ -72,9 +77,10 @@
 			note(state.Name, false, false)
 		case held && live && state.Applied == mine.Digest():
 			note(state.Name, true, true)
-		case held && live && !ask:
+		case held && live && !ask, asked == askMost:
 			note(state.Name, false, true)
 		default:
+			asked++
 			group.Go(func() error {
 				inForce, reached := d.askVersion(ctx, state.Address, key, version)
 				note(state.Name, inForce, reached)
@@ -83,6 +89,8 @@
 		}
 	}
 	_ = group.Wait()
+	slices.Sort(force.Lagging)
+	slices.Sort(force.Unreachable)
 	return force
 }
 
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -117,8 +116,6 @@
 	}
 	key := savorypin.Key{Kind: savorypin.Kind(p.Kind), Name: p.Name}
 	force := s.daemon.InForce(ctx, key, p.Version)
-	slices.Sort(force.Lagging)
-	slices.Sort(force.Unreachable)
 	return &operator.ForceResult{
 		InForce:     force.InForce,
 		Lagging:     append([]string{}, force.Lagging...),
--- a/internal/savorypinstandin/platform.go
+++ b/internal/savorypinstandin/platform.go
@@ -79,6 +79,16 @@
 	p.wake()
 }
 
+// Delete deletes an object, as another program would, also in an outage.
+func (p *Platform) Delete(doc savorypinplatform.Document) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	doc.Metadata.ResourceVersion = strconv.FormatInt(p.version, 10)
+	delete(p.objects, doc.Kind+"/"+doc.Metadata.Name)
+	p.record(savorypinplatform.Event{Object: doc, Type: savorypinplatform.EventDeleted})
+}
+
 // Expire forgets all past events, so that a watch has to begin with a list.
 func (p *Platform) Expire() {
 	p.mu.Lock()
