Wait until others have heard that a daemon leaves

Cause: a daemon without work ended before its word was out, and was then taken for dead. Conclusion: also shows reading, resyncing and synced in the state dump.

--- a/internal/savorypindaemon/beat.go
+++ b/internal/savorypindaemon/beat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"savorypin/internal/savorypin"
@@ -36,6 +37,22 @@
 		Store:   d.config,
 		Synced:  d.readiness.Synced,
 	})
+	d.RegisterState("control", d.controlState)
+}
+
+// ControlState is the part of the state dump about configuration and
+// membership.
+type ControlState struct {
+	// Reading says that the daemon watches the platform.
+	Reading bool `json:"reading"`
+	// Resyncing says that the daemon was paused and has not caught up.
+	Resyncing bool `json:"resyncing"`
+	// Synced says that the daemon has the whole configuration.
+	Synced bool `json:"synced"`
+}
+
+func (d *Daemon) controlState() any {
+	return ControlState{Reading: d.reads(), Resyncing: d.Resyncing(), Synced: d.readiness.Synced()}
 }
 
 // Self returns what the daemon says of itself.
@@ -101,6 +118,17 @@
 	}
 }
 
+// sayLeave tells others that this daemon takes no new work, and waits until
+// they have answered or can't: a daemon without work would else be gone before
+// its word was out.
+func (d *Daemon) sayLeave(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, e := range d.members.Leave() {
+		wg.Go(func() { d.sendBeat(ctx, e) })
+	}
+	wg.Wait()
+}
+
 func (d *Daemon) sendBeats(ctx context.Context, beats []savorypinmembership.Envelope) {
 	for _, e := range beats {
 		d.tasks.start(func() { d.sendBeat(ctx, e) })
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -341,7 +341,7 @@
 // drain takes the daemon out of service without cutting a request.
 func (d *Daemon) drain(ctx context.Context, work Work) {
 	d.logger.Info("Stopping", "grace", d.cfg.Settings.StopGrace)
-	d.beat(ctx)
+	d.sayLeave(ctx)
 	limited, cancel := context.WithTimeout(ctx, d.cfg.Settings.StopGrace)
 	defer cancel()
 	if waitIdle(limited, work.Idle) {
--- a/internal/savorypinmembership/gossip.go
+++ b/internal/savorypinmembership/gossip.go
@@ -237,6 +237,16 @@
 	return out, reports
 }
 
+// Leave returns what has to be sent so that this daemon's leave is known. The
+// daemon must say by then that it drains.
+func (g *Gossip) Leave() []Envelope {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Now()
+	g.refreshSelf(now)
+	return g.broadcast(now)
+}
+
 // Request takes a message in and returns the answer, and what has to be sent
 // to others at once.
 func (g *Gossip) Request(m Message) (Message, []Envelope) {
