--- a/internal/savorypinagent/run.go
+++ b/internal/savorypinagent/run.go
@@ -17,10 +17,12 @@
 
 // run is one attempt at a generation and what it has produced.
 type run struct {
-	base   int
-	cancel context.CancelFunc
-	size   int
-	start  savorypinmember.Start
+	base     int
+	cancel   context.CancelFunc
+	deadline time.Time
+	// size is the memory that is reserved; it is guarded by the agent's mutex.
+	size  int
+	start savorypinmember.Start
 
 	mu   sync.Mutex
 	done bool
@@ -57,6 +59,7 @@
 func newRun(start savorypinmember.Start, size int) *run {
 	r := &run{
 		base:     len(start.Delivered),
+		deadline: time.Now().Add(start.Within),
 		lastUsed: time.Now(),
 		readers:  map[*readerState]bool{},
 		size:     size,
@@ -110,6 +113,13 @@
 	return nil
 }
 
+// bytes returns the memory that the attempt takes.
+func (r *run) bytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tokens.Bytes() + len(r.start.Generation.Prompt)
+}
+
 // wake lets all readers look again. The caller holds r.mu.
 func (r *run) wake() {
 	for state := range r.readers {
@@ -295,12 +305,13 @@
 	}
 	return savorypinmember.Held{
 		Attempt:    r.start.Attempt.ID,
-		Deadline:   r.start.Deadline,
 		Endpoint:   r.start.Endpoint,
 		Generation: r.start.Generation,
 		Lineage:    lineage,
+		Model:      r.start.Model,
 		Tokens:     r.tokens.Slice(0, r.tokens.Len()),
 		Version:    r.start.Version,
+		Within:     time.Until(r.deadline),
 	}
 }
 
--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -43,6 +43,7 @@
 	mux := goahttp.NewMuxer()
 	endpoints := caller.NewEndpoints(s)
 	server := callerserver.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, s.logError, nil)
+	server.Use(withStatus)
 	callerserver.Mount(mux, server)
 	savorypinoperator.Mount(mux, savorypinoperator.Config{Daemon: entry.Daemon()})
 	return mux
@@ -58,24 +59,51 @@
 	if err != nil {
 		return nil, failure(err)
 	}
-	reader := relay.OpenWhole()
-	defer reader.Close()
+	defer s.entry.Hold()()
 	answer := &caller.Generation{ID: string(relay.Generation().ID), Tokens: []int{}}
 	var text strings.Builder
+	for position := startOf(relay); ; {
+		var end savorypinentry.End
+		position, end, err = collect(ctx, relay, position, answer, &text)
+		if errors.Is(err, savorypinentry.ErrMoved) {
+			// This caller cannot attach again, so the entry does.
+			relay, err = s.entry.Find(ctx, position)
+			if err == nil {
+				continue
+			}
+		}
+		if err != nil {
+			return nil, failure(savorypin.Errorf(savorypin.KindIncomplete, answer.ID, "%w", err))
+		}
+		if end.Err != nil {
+			return nil, failure(end.Err)
+		}
+		answer.Attempts = relay.Attempts()
+		answer.FinishReason = string(end.Reason)
+		answer.Text = text.String()
+		answer.Version = relay.Version()
+		return answer, nil
+	}
+}
+
+// collect adds the tokens after a position to an answer until it ends. It
+// returns the position after the last one.
+func collect(
+	ctx context.Context,
+	relay *savorypinentry.Relay,
+	position savorypin.EventID,
+	answer *caller.Generation,
+	text *strings.Builder,
+) (savorypin.EventID, savorypinentry.End, error) {
+	reader := relay.OpenWhole(position)
+	defer reader.Close()
 	for {
 		tokens, end, err := reader.Next(ctx)
 		if err != nil {
-			return nil, failure(savorypin.Errorf(savorypin.KindIncomplete, answer.ID, "%w", err))
+			return reader.Position(), savorypinentry.End{}, err
 		}
 		if end != nil {
-			if end.Err != nil {
-				return nil, failure(end.Err)
-			}
-			answer.Attempts = relay.Attempts()
-			answer.FinishReason = string(end.Reason)
-			answer.Text = text.String()
-			answer.Version = relay.Version()
-			return answer, nil
+			return reader.Position(), *end, nil
 		}
 		for _, token := range tokens {
 			answer.Tokens = append(answer.Tokens, int(token.ID))
@@ -104,12 +132,13 @@
 	return prompt(p)
 }
 
-func (s *service) start(p prompt) (*savorypinentry.Relay, error) {
+// request returns what a prompt asks of the entry.
+func (s *service) request(p prompt) (savorypinentry.Request, error) {
 	organisation, err := s.authorize(p.Authorization)
 	if err != nil {
-		return nil, err
+		return savorypinentry.Request{}, err
 	}
-	return s.entry.Start(savorypinentry.Request{
+	return savorypinentry.Request{
 		Generation: savorypin.Generation{
 			MaxTokens:    p.MaxTokens,
 			Organisation: organisation,
@@ -120,7 +149,15 @@
 			Temperature:  deref(p.Temperature),
 		},
 		Timeout: time.Duration(deref(p.TimeoutMs)) * time.Millisecond,
-	})
+	}, nil
+}
+
+func (s *service) start(p prompt) (*savorypinentry.Relay, error) {
+	req, err := s.request(p)
+	if err != nil {
+		return nil, err
+	}
+	return s.entry.Start(req)
 }
 
 // Cancel cancels a generation.
@@ -165,10 +202,7 @@
 	if err != nil {
 		return nil, nil, failure(err)
 	}
-	if answer.Answer.Status >= http.StatusBadRequest {
-		return nil, nil, failure(savorypin.Errorf(savorypin.KindInvalid, p.Service+"/"+p.Route,
-			"endpoint answered with status %d: %s", answer.Answer.Status, answer.Answer.Body))
-	}
+	setStatus(ctx, answer.Answer.Status)
 	result := &caller.CallResult{ContentType: &answer.Answer.ContentType, Replayed: &answer.Replayed}
 	return result, io.NopCloser(bytes.NewReader(answer.Answer.Body)), nil
 }
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -54,8 +55,8 @@
 
 // Config configures a Cluster.
 type Config struct {
-	// Agents is the number of agents, each beside one engine. The first also
-	// stands beside the ledger.
+	// Agents is the number of agents, each beside one engine. The first ones
+	// also stand beside the ledger.
 	Agents int
 	// Dial opens the entries' connections to other daemons; nil means TCP.
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
@@ -63,6 +64,12 @@
 	Engine savorypinstandin.EngineConfig
 	// Entries is the number of entries.
 	Entries int
+	// Ledgers is the number of agents that also stand beside the ledger; zero
+	// means one.
+	Ledgers int
+	// Models returns the models of an engine at the start; nil if Engine says
+	// so for all.
+	Models func(agent int) []string
 	// Logger logs what the daemons do.
 	Logger *log.Logger
 	// Places are given to daemons in turn.
@@ -177,6 +184,11 @@
 	return c.platform
 }
 
+// PlatformURL returns the base URL of the platform.
+func (c *Cluster) PlatformURL() string {
+	return c.platformURL
+}
+
 // URLs returns the base URLs of the entries.
 func (c *Cluster) URLs() []string {
 	var urls []string
@@ -248,7 +260,11 @@
 }
 
 func (c *Cluster) addAgent(i int) error {
-	engine := savorypinstandin.NewEngine(c.cfg.Engine)
+	cfg := c.cfg.Engine
+	if c.cfg.Models != nil {
+		cfg.Models = c.cfg.Models(i)
+	}
+	engine := savorypinstandin.NewEngine(cfg)
 	url, err := c.Serve(engine)
 	if err != nil {
 		return err
@@ -264,9 +280,9 @@
 		Type:             savorypin.EndpointEngine,
 		URL:              url,
 	}}
-	if i == 0 {
+	if i < max(c.cfg.Ledgers, 1) {
 		endpoints = append(endpoints, savorypinagent.EndpointConfig{
-			Name:             "ledger-0",
+			Name:             fmt.Sprintf("ledger-%d", i),
 			PrefillPerSecond: 1,
 			Service:          Ledger,
 			Slots:            c.cfg.Engine.Slots,
@@ -382,6 +398,9 @@
 		return err
 	}
 	c.entries[i] = e
+	// Daemons that run read the old list.
+	c.seeds = slices.Clone(c.seeds)
+	c.seeds[i] = e.Daemon().Self().Address
 	return nil
 }
 
--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -55,18 +59,24 @@
 // setResume sets the resume policy of the service and waits until the entries
 // have it.
 func setResume(c *savorypincluster.Cluster, policy savorypin.ResumePolicy) {
+	Expect(applyResume(c, policy)).To(Succeed())
+}
+
+func applyResume(c *savorypincluster.Cluster, policy savorypin.ResumePolicy) error {
 	_, err := c.Apply(savorypin.KindService, savorypincluster.Service, savorypin.ServiceSpec{
 		Resume:  policy,
 		Type:    savorypin.ServiceGeneration,
 		Version: savorypincluster.Version,
 	})
-	Expect(err).NotTo(HaveOccurred())
 	for _, e := range c.Entries() {
-		Eventually(func() savorypin.ResumePolicy {
-			spec, _ := e.Daemon().Config().Service(savorypincluster.Service)
-			return spec.Resume
-		}).WithTimeout(generous).Should(Equal(policy))
+		for err == nil {
+			if spec, _ := e.Daemon().Config().Service(savorypincluster.Service); spec.Resume == policy {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
 	}
+	return err
 }
 
 var _ = Describe("Resume", func() {
@@ -128,6 +138,86 @@
 		Expect(counter(c, 1, "resume.adopted")).To(BeNumerically(">=", 1))
 	})
 
+	It("is whole when the entry and the agent die together", func(ctx SpecContext) {
+		c := start(ctx, 2, 3)
+		got, result, err := stream(ctx, c.Client(), tokens, func(i int) {
+			if i == tokens/2 {
+				busiest(c).Kill()
+				c.Entries()[0].Kill()
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(want))
+		Expect(result.Version).To(Equal(savorypincluster.Version))
+	})
+
+	It("keeps all answers whole when a failure domain is lost", func(ctx SpecContext) {
+		const callers = 30
+		c := start(ctx, 2, 6)
+		client := c.Client()
+		answers := make([][]int32, callers)
+		errs := make([]error, callers)
+		var begun, wg sync.WaitGroup
+		begun.Add(callers)
+		for i := range callers {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				answers[i], _, errs[i] = stream(ctx, client, tokens, func(n int) {
+					if n == tokens/4 {
+						begun.Done()
+					}
+				})
+			})
+		}
+		begun.Wait()
+		// Entry 0 and the agents 0 and 3 are in one failure domain.
+		for _, kill := range []func(){c.Entries()[0].Kill, c.Agents()[0].Kill, c.Agents()[3].Kill} {
+			wg.Go(kill)
+		}
+		wg.Wait()
+		for i := range callers {
+			Expect(errs[i]).NotTo(HaveOccurred())
+			Expect(answers[i]).To(Equal(want))
+		}
+	})
+
+	It("counts what resumes cost beyond a clean run", func(ctx SpecContext) {
+		c := start(ctx, 1, 2, func(cfg *savorypincluster.Config) {
+			cfg.Places = []savorypincluster.Place{{Domain: "d1", Region: "r1"}, {Domain: "d2", Region: "r2"}}
+		})
+		_, _, err := stream(ctx, c.Client(), tokens, func(i int) {
+			if i == tokens/2 {
+				c.Agents()[0].Engine.Kill()
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(counter(c, 0, "resume.attempts.resume")).To(BeEquivalentTo(1))
+		Expect(counter(c, 0, "resume.prefill_tokens")).To(BeNumerically(">=", tokens/2))
+		Expect(counter(c, 0, "resume.cross_region_bytes")).To(BeNumerically(">", tokens/2))
+	})
+
+	It("goes on when the caller's own connection is silent", func(ctx SpecContext) {
+		n := newNetwork()
+		c := start(ctx, 2, 2)
+		before := decoded(c)
+		client := savorypinclient.New(savorypinclient.Config{
+			Entries: c.URLs(),
+			HTTPClient: &http.Client{Transport: &http.Transport{
+				DialContext: func(_ context.Context, _, address string) (net.Conn, error) { return n.Dial(address, generous) },
+			}},
+		})
+		got, result, err := stream(ctx, client, tokens, func(i int) {
+			if i == tokens/3 {
+				n.Silence(strings.TrimPrefix(c.URLs()[0], "http://"), false)
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(want))
+		Expect(result.Attempts).To(Equal(1))
+		Expect(result.Attaches).To(BeNumerically(">=", 1))
+		Expect(decoded(c) - before).To(Equal(tokens))
+	})
+
 	It("gives the tail of an answer that finished after the entry died", func(ctx SpecContext) {
 		c := start(ctx, 2, 2)
 		before := decoded(c)
@@ -163,15 +253,65 @@
 		Expect(decoded(c) - before).To(Equal(tokens))
 	})
 
+	It("is whole for a caller that cannot attach again, when its entry stops or loses the generation", func(ctx SpecContext) {
+		c := start(ctx, 2, 2, func(cfg *savorypincluster.Config) { cfg.StopGrace = 10 * time.Millisecond })
+		type answer struct {
+			Tokens []int32 `json:"tokens"`
+		}
+		done := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			body := fmt.Sprintf(`{"service":"assistant","prompt":"a prompt","max_tokens":%d,"seed":7}`, tokens)
+			resp, err := http.Post(c.URLs()[0]+"/v1/generations", "application/json", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			var got answer
+			Expect(json.NewDecoder(resp.Body).Decode(&got)).To(Succeed())
+			done <- got
+		}()
+		Eventually(generationOf).WithArguments(c, 0).WithTimeout(generous).ShouldNot(BeEmpty())
+		resp, err := http.Get(c.URLs()[1] + "/v1/generations/" + generationOf(c, 0) + "/stream")
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		c.Entries()[0].Daemon().Stop()
+		var got answer
+		Eventually(done).WithTimeout(generous).Should(Receive(&got))
+		Expect(got.Tokens).To(Equal(want))
+		Eventually(c.Entries()[0].Done()).WithTimeout(generous).Should(BeClosed())
+	})
+
+	It("ends the attempt of a host that was silent when the host is back", func(ctx SpecContext) {
+		n := newNetwork()
+		c := start(ctx, 1, 2, with(n), func(cfg *savorypincluster.Config) {
+			// Without the entry's word, the attempt would go on for an hour.
+			cfg.Set = func(s *savorypindaemon.Settings) { s.CallerGrace = time.Hour }
+		})
+		var silent *savorypincluster.Agent
+		back := func() {}
+		got, _, err := stream(ctx, c.Client(), 20_000, func(i int) {
+			switch i {
+			case 20:
+				silent = busiest(c)
+				back = n.Silence(silent.Daemon().Self().Address, true)
+			case 60:
+				back()
+				Eventually(func() int { _, running := silent.Engine.Requests(); return running }).
+					WithTimeout(generous).Should(BeZero())
+				_, err := http.DefaultClient.Do(cancelOf(ctx, c))
+				Expect(err).NotTo(HaveOccurred())
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got[:60]).To(Equal(savorypinstandin.Answer(savorypincluster.Model, 7, "a prompt", 60)))
+	})
+
 	It("frees the engine when the generation is cancelled", func(ctx SpecContext) {
 		c := start(ctx, 2, 1)
 		_, result, err := stream(ctx, c.Client(), 10_000, func(i int) {
 			if i != 20 {
 				return
 			}
-			req, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.URLs()[1]+"/v1/generations/"+generationOf(c, 0), nil)
-			Expect(err).NotTo(HaveOccurred())
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := http.DefaultClient.Do(cancelOf(ctx, c))
 			Expect(err).NotTo(HaveOccurred())
 			resp.Body.Close()
 			Expect(resp.StatusCode).To(Equal(http.StatusNoContent))
@@ -227,6 +367,16 @@
 	})
 })
 
+// cancelOf returns a request to the last entry that cancels the generation of
+// the first.
+func cancelOf(ctx context.Context, c *savorypincluster.Cluster) *http.Request {
+	urls := c.URLs()
+	address := urls[len(urls)-1] + "/v1/generations/" + generationOf(c, 0)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, address, nil)
+	Expect(err).NotTo(HaveOccurred())
+	return req
+}
+
 // generationOf returns the id of the generation that an entry relays.
 func generationOf(c *savorypincluster.Cluster, entry int) string {
 	for _, g := range c.Entries()[entry].Relays() {
--- /dev/null
+++ b/internal/savorypincontroller/moves_internal_test.go
@@ -0,0 +1,88 @@
+package savorypincontroller
+
+import (
+	"io"
+	"net/http/httptest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinlease"
+	"savorypin/internal/savorypinstandin"
+)
+
+var _ = Describe("Moves", func() {
+	It("takes each report of an entry over once, and none that is late", func() {
+		c := &Moves{seen: map[string]mark{}}
+		for _, tc := range []struct {
+			from string
+			mark mark
+			want bool
+		}{
+			{"entry-1", mark{incarnation: 1, sequence: 1}, true},
+			{"entry-1", mark{incarnation: 1, sequence: 1}, false},
+			{"entry-1", mark{incarnation: 1, sequence: 3}, true},
+			{"entry-1", mark{incarnation: 1, sequence: 2}, false},
+			{"entry-2", mark{incarnation: 1, sequence: 1}, true},
+			{"entry-1", mark{incarnation: 2, sequence: 1}, true},
+			{"entry-1", mark{incarnation: 1, sequence: 9}, false},
+		} {
+			Expect(c.isNew(tc.from, tc.mark)).To(Equal(tc.want), "%v", tc)
+		}
+	})
+})
+
+var _ = Describe("fleet", func() {
+	It("names failure domains where there are several, else endpoints", func() {
+		f := &fleet{places: map[string][]place{
+			"near": {{domain: "d1", endpoint: "e1"}, {domain: "d1", endpoint: "e2"}},
+			"wide": {{domain: "d1", endpoint: "e1"}, {domain: "d1", endpoint: "e2"}, {domain: "d2", endpoint: "e3"}},
+		}}
+		Expect(f.units("near")).To(Equal([]string{"endpoint e1", "endpoint e2"}))
+		Expect(f.units("wide")).To(Equal([]string{"domain d1", "domain d2"}))
+		Expect(f.units("none")).To(BeEmpty())
+		Expect(f.serves("none")).To(BeFalse())
+	})
+})
+
+var _ = Describe("Moves.update", func() {
+	It("writes nothing after a pause longer than the lease, nor over a newer version", func(ctx SpecContext) {
+		server := httptest.NewServer(savorypinstandin.NewPlatform())
+		DeferCleanup(server.Close)
+		daemon, err := savorypindaemon.New(savorypindaemon.Config{
+			Logger: log.New(io.Discard),
+			Role:   savorypin.RoleEntry,
+			Settings: savorypindaemon.Settings{
+				HTTP: "127.0.0.1:0", Listen: "127.0.0.1:0", Name: "entry-1", Platform: server.URL,
+			},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		platform := daemon.Platform()
+		now := time.Unix(0, 0)
+		lease := savorypinlease.New(savorypinlease.Config{
+			Create: platform.Create, Duration: time.Second, Get: platform.Get, Holder: "entry-1",
+			Name: "controller-s", Now: func() time.Time { return now }, Update: platform.Update,
+		})
+		Expect(lease.Step(ctx)).To(Succeed())
+		c := &Moves{daemon: daemon, written: map[savorypin.Key]attempt{}}
+		first, err := platform.Create(ctx, savorypin.Object{
+			Key: savorypin.Key{Kind: savorypin.KindMove, Name: "m"}, Spec: []byte("{}"),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.update(ctx, lease, first)).To(BeTrue())
+		second, err := platform.Get(ctx, first.Key)
+		Expect(err).NotTo(HaveOccurred())
+
+		clear(c.written)
+		Expect(c.update(ctx, lease, first)).To(BeFalse(), "an old version")
+		now = now.Add(time.Minute)
+		Expect(c.update(ctx, lease, second)).To(BeFalse(), "a lapsed lease")
+		held, err := platform.Get(ctx, first.Key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held.Version).To(Equal(second.Version))
+	})
+})
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -30,8 +30,9 @@
 	idleProbeAfter   = 15 * time.Second
 	platformTimeout  = 2 * time.Second
 	probeAfter       = 250 * time.Millisecond
-	shutdownTimeout  = 2 * time.Second
-	silentAfter      = 500 * time.Millisecond
+	// responseGrace is how long responses may take to end once no work is left.
+	responseGrace = time.Second
+	silentAfter   = 500 * time.Millisecond
 )
 
 // Limits of the HTTP listener.
@@ -325,7 +326,7 @@
 	case <-ctx.Done():
 	case <-d.stopped:
 		d.drain(ctx, work)
-		d.shutdown(ctx, server)
+		d.finishResponses(ctx, server)
 	}
 	cancel()
 	server.Close()
@@ -335,6 +336,16 @@
 	return nil
 }
 
+// finishResponses lets the responses end whose work has ended. Without it, the
+// end of the process would cut the last of them.
+func (d *Daemon) finishResponses(ctx context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, responseGrace)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		d.logger.Warn("Stopping with responses left", "err", err)
+	}
+}
+
 func (d *Daemon) serve(server *http.Server) {
 	if err := server.Serve(d.web); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		d.logger.Error("HTTP server ended", "err", err)
@@ -357,15 +368,6 @@
 	})
 }
 
-// shutdown lets answers that are finished but not yet written leave.
-func (d *Daemon) shutdown(ctx context.Context, server *http.Server) {
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		d.logger.Warn("HTTP connections left at the stop", "err", err)
-	}
-}
-
 // waitIdle reports whether no work is left before ctx ends.
 func waitIdle(ctx context.Context, idle func() bool) bool {
 	const check = 20 * time.Millisecond
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -18,9 +19,7 @@
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
-	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinresume"
-	"savorypin/internal/savorypinroute"
 )
 
 // defaultTimeout bounds a request if neither caller nor service states one.
@@ -31,13 +30,19 @@
 	// AnonymousOrganisation is the organisation of callers without a token;
 	// empty if they are refused.
 	AnonymousOrganisation string
+	// ClaimRetention is how long an idempotency key is kept; zero means a day.
+	ClaimRetention time.Duration
 	// Dial opens connections to other daemons; nil means TCP.
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
-	// Logger logs.
-	Logger *log.Logger
+	// FirstTokenLimit is the longest estimated time to the first token with which
+	// new work begins, whatever time its caller has; zero means
+	// DefaultFirstTokenLimit.
+	FirstTokenLimit time.Duration
 	// LinkBytesPerSecond is what the link between regions may carry for all
 	// entries of the region together; zero means defaultLinkBytesPerSecond.
 	LinkBytesPerSecond float64
+	// Logger logs.
+	Logger *log.Logger
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 	// Settings are the settings of the daemon.
@@ -46,25 +51,34 @@
 
 // Entry is an entry daemon.
 type Entry struct {
-	book   *savorypinclaim.Book
-	cfg    Config
-	daemon *savorypindaemon.Daemon
-	limits *limits
-	moves  *moves
-	router *savorypinroute.Router
-
-	finds    singleflight.Group
-	gate     *savorypinresume.Gate
-	memory   *savorypinresume.Memory
-	suspects suspects
-
-	mu     sync.Mutex
-	calls  int
-	relays map[savorypin.GenerationID]*Relay
+	cfg        Config
+	daemon     *savorypindaemon.Daemon
+	evicted    atomic.Int64
+	exhaustive chan struct{}
+	finds      singleflight.Group
+	gate       *savorypinresume.Gate
+	keeper     *savorypinclaim.Keeper
+	life       context.Context //nolint:containedctx // It is the life of the entry.
+	memory     *savorypinresume.Memory
+	moves      *moves
+	retries    *retryPolicies
+	runner     *savorypinclaim.Runner
+	settling   atomic.Int64
+	suspects   suspects
+
+	routing
+
+	mu        sync.Mutex
+	callBytes int
+	calls     int
+	relays    map[savorypin.GenerationID]*Relay
 }
 
 // New returns an entry that listens but does not serve yet.
 func New(cfg Config) (*Entry, error) {
+	if cfg.FirstTokenLimit == 0 {
+		cfg.FirstTokenLimit = DefaultFirstTokenLimit
+	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Float64
 	}
@@ -78,21 +92,16 @@
 		return nil, err
 	}
 	e := &Entry{
-		book:   savorypinclaim.NewBook(daemon.Platform()),
-		cfg:    cfg,
-		daemon: daemon,
-		moves:  newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
-		relays: map[savorypin.GenerationID]*Relay{},
+		cfg:     cfg,
+		daemon:  daemon,
+		moves:   newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
+		relays:  map[savorypin.GenerationID]*Relay{},
+		retries: newRetryPolicies(),
 	}
 	e.registerGenerations()
-	e.limits = newLimits(e)
-	e.router = e.newRouter()
-	daemon.Background(e.limits.loop)
-	daemon.Background(e.routeLoop)
-	daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(e.limits.handleUsage))
-	daemon.RegisterState("limit", func() any { return e.limits.limiter.State() })
+	e.routing = newRouting(e)
+	e.startClaims()
 	daemon.RegisterState("entry", e.state)
-	daemon.RegisterState("route", func() any { return e.router.State() })
 	return e, nil
 }
 
@@ -119,7 +128,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.calls == 0
+	return e.calls == 0 && e.settling.Load() == 0 && e.keeper.Idle()
 }
 
 // State is the part of the state dump that only entries have.
--- a/internal/savorypinentry/move.go
+++ b/internal/savorypinentry/move.go
@@ -12,7 +12,7 @@
 )
 
 // evidenceInterval is how often evidence is sent to the evaluators.
-const evidenceInterval = 500 * time.Millisecond
+const evidenceInterval = time.Second
 
 // moves is the entry's part in moves of traffic: it holds the share of each
 // move over all work and gathers evidence on it.
@@ -47,7 +47,9 @@
 	if t.Moving() && m.goesToNew(t, gen.Service, purpose) {
 		version = t.To()
 	}
-	m.recorder.Began(t, gen.Route, version)
+	if purpose == savorypin.PurposeFirst {
+		m.recorder.Began(t, gen.Route, version)
+	}
 	return version
 }
 
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -15,10 +15,24 @@
 
 // Request is what a caller asks to be generated.
 type Request struct {
+	// Delivered are tokens that the caller holds of a generation that was lost;
+	// the answer goes on after them.
+	Delivered []savorypin.Token
 	// Generation is what to generate; its id is set by Start.
 	Generation savorypin.Generation
 	// Timeout is how long the caller waits; zero if the caller states none.
 	Timeout time.Duration
+	// Version is the version that produced the delivered tokens; empty if there
+	// are none.
+	Version string
+}
+
+// purpose says why the first attempt is made.
+func (r Request) purpose() savorypin.Purpose {
+	if len(r.Delivered) > 0 {
+		return savorypin.PurposeResume
+	}
+	return savorypin.PurposeFirst
 }
 
 // End is how a generation ended.
@@ -33,20 +47,24 @@
 	deadline  time.Time
 	entry     *Entry
 	gen       savorypin.Generation
-	// reserved is the memory of the answer, given back when the relay is
-	// forgotten.
-	reserved int
+	// held is the number of tokens that the caller held at the beginning.
+	held int
 
 	mu       sync.Mutex
 	lastUsed time.Time
 	// leaving are failed attempts whose agents stop.
 	leaving []*stream
 	machine *savorypinresume.Machine
+	// model is the name under which engines know the version.
+	model   string
 	readers map[*Reader]bool
-	streams map[savorypin.AttemptID]*stream
-	timer   *time.Timer
-	timerAt time.Time
-	version string
+	// reserved is the memory of the answer, given back when the relay is
+	// forgotten.
+	reserved int
+	streams  map[savorypin.AttemptID]*stream
+	timer    *time.Timer
+	timerAt  time.Time
+	version  string
 }
 
 // Start begins a generation.
@@ -58,15 +76,15 @@
 	if !e.daemon.Ready() {
 		return nil, savorypin.Errorf(savorypin.KindNotRun, e.cfg.Settings.Name, "entry is not ready").WithRetryAfter(time.Second)
 	}
-	if err := e.resumesFirst(req.Generation.Service); err != nil {
+	version, err := e.versionOf(req)
+	if err != nil {
 		return nil, err
 	}
-	admission, err := e.admitGeneration(req.Generation)
+	admission, err := e.admitGeneration(req)
 	if err != nil {
 		return nil, err
 	}
-	version := e.chooseVersion(req.Generation, savorypin.PurposeFirst)
-	candidate, err := e.placeFirst(req.Generation, version, timeout(req.Timeout, spec))
+	candidate, err := e.placeFirst(req, version, timeout(req.Timeout, spec))
 	if err != nil {
 		admission.Cancel()
 		e.memory.Release(savorypinresume.Size(req.Generation))
@@ -84,19 +102,41 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.setVersion(version)
+	r.held = len(req.Delivered)
+	r.machine.Log().Restore(nil, req.Delivered)
 	r.machine.Begin()
-	r.startAt(candidate, savorypin.PurposeFirst, nil)
+	r.startAt(candidate, req.purpose(), nil)
 	return r, nil
 }
 
-// admitGeneration admits a new generation and reserves the memory of its
-// answer.
-func (e *Entry) admitGeneration(gen savorypin.Generation) (*savorypinlimit.Admission, error) {
-	admission, err := e.admit(gen.Organisation, gen.MaxTokens)
+// versionOf returns the version that begins a generation. One that goes on
+// after delivered tokens keeps theirs.
+func (e *Entry) versionOf(req Request) (string, error) {
+	if len(req.Delivered) == 0 {
+		if err := e.resumesFirst(req.Generation.Service); err != nil {
+			return "", err
+		}
+		return e.chooseVersion(req.Generation, savorypin.PurposeFirst), nil
+	}
+	spec, ok := e.daemon.Config().Version(req.Version)
+	if !ok || spec.Service != req.Generation.Service {
+		return "", savorypin.Errorf(savorypin.KindInvalid, req.Version, "is no version of service %s", req.Generation.Service)
+	}
+	if len(req.Delivered) > req.Generation.MaxTokens {
+		return "", savorypin.Errorf(savorypin.KindInvalid, req.Generation.Service,
+			"%d delivered tokens are more than the largest number, %d", len(req.Delivered), req.Generation.MaxTokens)
+	}
+	return req.Version, nil
+}
+
+// admitGeneration admits a generation and reserves the memory of its answer.
+func (e *Entry) admitGeneration(req Request) (*savorypinlimit.Admission, error) {
+	admission, err := e.admit(req.Generation.Organisation, req.Generation.MaxTokens-len(req.Delivered))
 	if err != nil {
 		return nil, err
 	}
-	if err := e.memory.Reserve(savorypin.PurposeFirst, savorypinresume.Size(gen)); err != nil {
+	if err := e.memory.Reserve(req.purpose(), savorypinresume.Size(req.Generation)); err != nil {
 		admission.Cancel()
 		return nil, err
 	}
@@ -138,10 +178,11 @@
 	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if old, ok := e.relays[cfg.gen.ID]; ok {
-		e.memory.Release(old.reserved)
-	}
+	old, ok := e.relays[cfg.gen.ID]
 	e.relays[cfg.gen.ID] = r
+	if ok {
+		go old.releaseMemory()
+	}
 	return r
 }
 
@@ -164,6 +205,15 @@
 	return r.version
 }
 
+// setVersion sets the version that generates. Its model is kept, so that a
+// resume does not depend on the version being configured still. The caller
+// holds r.mu.
+func (r *Relay) setVersion(version string) {
+	spec, _ := r.entry.daemon.Config().Version(version)
+	r.model = spec.Model
+	r.version = version
+}
+
 // Attempts returns the number of attempts so far.
 func (r *Relay) Attempts() int {
 	r.mu.Lock()
@@ -217,13 +267,25 @@
 		s.cancel(errReplaced)
 	}
 	clear(r.streams)
+	if unused := r.reserved - r.machine.Log().Bytes() - len(r.gen.Prompt); unused > 0 {
+		r.entry.memory.Release(unused)
+		r.reserved -= unused
+	}
 	if r.admission != nil {
-		r.admission.Release(r.machine.Log().Len())
+		r.admission.Release(r.machine.Log().Len() - r.held)
 	}
 	r.lastUsed = time.Now()
 	r.wake()
 }
 
+// releaseMemory gives back the memory of the answer.
+func (r *Relay) releaseMemory() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entry.memory.Release(r.reserved)
+	r.reserved = 0
+}
+
 // sweep cancels a generation without readers, and reports whether the relay
 // can be forgotten.
 func (r *Relay) sweep(now time.Time) bool {
--- a/internal/savorypinentry/relayplace.go
+++ b/internal/savorypinentry/relayplace.go
@@ -73,21 +73,18 @@
 	return e.pick(e.generationNeed(gen, version, purpose, avoid))
 }
 
-// placeFirst returns an endpoint for a new generation whose caller waits for
-// the given time. It takes a suspected one only if there is no other.
-func (e *Entry) placeFirst(
-	gen savorypin.Generation,
-	version string,
-	wait time.Duration,
-) (savorypinroute.Candidate, error) {
+// placeFirst returns an endpoint for the first attempt of a request whose
+// caller waits for the given time. It takes a suspected one only if there is no
+// other.
+func (e *Entry) placeFirst(req Request, version string, wait time.Duration) (savorypinroute.Candidate, error) {
 	suspects := e.suspects.names(time.Now())
 	if len(suspects) > 0 {
-		need := e.generationNeed(gen, version, savorypin.PurposeFirst, suspects)
+		need := e.generationNeed(req.Generation, version, req.purpose(), suspects)
 		if c, err := e.place(need, wait); err == nil {
 			return c, nil
 		}
 	}
-	return e.place(e.generationNeed(gen, version, savorypin.PurposeFirst, nil), wait)
+	return e.place(e.generationNeed(req.Generation, version, req.purpose(), nil), wait)
 }
 
 // resumesFirst refuses new work of a service while its resumes wait.
@@ -102,22 +99,12 @@
 // prefillRate returns the rate at which the endpoints of a service read
 // prompts, in tokens a second, as far as it is this entry's.
 func (e *Entry) prefillRate(service string) float64 {
-	rate := 0.0
-	for _, c := range savorypinroute.Candidates(e.daemon.Members(), savorypinroute.Need{Service: service}) {
-		rate += c.Endpoint().PrefillPerSecond
-	}
-	return rate / e.entries()
+	return e.router.PrefillRate(service) / e.entries()
 }
 
 // entries returns the number of live entries, which share the endpoints.
 func (e *Entry) entries() float64 {
-	n := 0
-	for _, m := range e.daemon.Members().All() {
-		if m.State().Role == savorypin.RoleEntry && m.Usable() {
-			n++
-		}
-	}
-	return float64(max(n, 1))
+	return float64(e.router.Entries())
 }
 
 // place chooses an endpoint for the next attempt, in its turn.
@@ -139,17 +126,18 @@
 		return true
 	}
 	if r.machine.Log().Len() == 0 && purpose != savorypin.PurposeHedge {
-		r.version = r.entry.chooseVersion(r.gen, purpose)
+		r.setVersion(r.entry.chooseVersion(r.gen, purpose))
 	}
 	avoid := r.machine.Avoid()
 	full := false
+	entries := r.entry.entries()
 	for {
 		candidate, ok := r.entry.pickUnsuspected(r.gen, r.version, purpose, avoid)
 		if !ok {
 			break
 		}
 		endpoint := candidate.Endpoint()
-		if !t.Full(endpoint.Name, endpoint.PrefillPerSecond/r.entry.entries()) {
+		if !t.Full(endpoint.Name, endpoint.PrefillPerSecond/entries) {
 			if r.startAt(candidate, purpose, t) {
 				t.Take(endpoint.Name)
 			}
--- a/internal/savorypinentry/relayreader.go
+++ b/internal/savorypinentry/relayreader.go
@@ -25,22 +25,24 @@
 	stays bool
 }
 
-// Open returns a reader that goes on after a position. It must be closed.
+// Open returns a reader that goes on after a position. It must be closed. At a
+// planned stop its caller may be told to attach to another entry.
 func (r *Relay) Open(position savorypin.EventID) *Reader {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	reader := &Reader{changed: make(chan struct{}, 1), position: position, relay: r}
-	r.readers[reader] = true
-	return reader
+	return r.open(position, false)
 }
 
-// OpenWhole returns a reader of the whole answer for a caller that waits for
-// it and can't attach through another entry. It must be closed.
-func (r *Relay) OpenWhole() *Reader {
-	reader := r.Open(savorypin.NewEventID(r.gen.ID, 0, savorypin.AttemptID{}))
+// OpenWhole returns a reader like Open, but for a caller that waits for the
+// whole answer and can't attach through another entry. A planned stop waits for
+// it.
+func (r *Relay) OpenWhole(position savorypin.EventID) *Reader {
+	return r.open(position, true)
+}
+
+func (r *Relay) open(position savorypin.EventID, stays bool) *Reader {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reader.stays = true
+	reader := &Reader{changed: make(chan struct{}, 1), position: position, relay: r, stays: stays}
+	r.readers[reader] = true
 	return reader
 }
 
@@ -92,7 +94,7 @@
 	log, end := r.relay.machine.Log(), r.relay.machine.End()
 	next := r.position.Next()
 	if next <= log.Len() && !log.Continues(r.position) {
-		return nil, nil, savorypin.Errorf(savorypin.KindIncomplete, string(r.relay.gen.ID),
+		return nil, nil, savorypin.Errorf(savorypin.KindNotFound, string(r.relay.gen.ID),
 			"the rest of the answer after token %d is lost", next)
 	}
 	if next < log.Len() {
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// evictInterval is how often memory for new answers is looked for among the
+	// old ones, at most.
+	evictInterval = 100 * time.Millisecond
 	// gateInterval is how often waiting resumes are tried again.
 	gateInterval = 50 * time.Millisecond
 	// sweepInterval is how often relays without readers are looked for.
@@ -21,6 +24,7 @@
 
 // registerGenerations sets up what an entry needs to relay generations.
 func (e *Entry) registerGenerations() {
+	e.exhaustive = make(chan struct{}, findExhaustive)
 	e.gate = savorypinresume.NewGate(savorypinresume.GateConfig{Horizon: resumeHorizon})
 	e.memory = savorypinresume.NewMemory(savorypinresume.MemoryConfig{
 		Bytes:  e.cfg.Settings.AnswerMemory(),
@@ -60,6 +64,11 @@
 
 // evict forgets the answers that have ended and that nobody reads.
 func (e *Entry) evict() {
+	now := time.Now().UnixNano()
+	last := e.evicted.Load()
+	if now-last < int64(evictInterval) || !e.evicted.CompareAndSwap(last, now) {
+		return
+	}
 	e.forget((*Relay).idle)
 }
 
@@ -70,12 +79,26 @@
 			continue
 		}
 		e.mu.Lock()
-		if e.relays[r.gen.ID] == r {
+		held := e.relays[r.gen.ID] == r
+		if held {
 			delete(e.relays, r.gen.ID)
-			e.memory.Release(r.reserved)
 		}
 		e.mu.Unlock()
+		if held {
+			r.releaseMemory()
+		}
+	}
+}
+
+// Hold keeps a planned stop from ending until release is called.
+func (e *Entry) Hold() (release func()) {
+	hold := func(n int) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.calls += n
 	}
+	hold(1)
+	return func() { hold(-1) }
 }
 
 // handOver lets callers attach to their generations through other entries. The
@@ -112,7 +135,7 @@
 
 // count adds to a counter.
 func (e *Entry) count(name string, n int) {
-	metrics.GetOrRegisterCounter(name, e.daemon.Metrics()).Inc(int64(n))
+	e.counters.count(name, int64(n))
 }
 
 // countAttempt counts what an attempt after the first costs beyond a clean
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -5,20 +5,23 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinroute"
 )
 
+// DefaultFirstTokenLimit is the FirstTokenLimit of an entry that is given none.
+const DefaultFirstTokenLimit = 5 * time.Second
+
 // Settings of routing.
 const (
 	// defaultLinkBytesPerSecond is a link of 30 Mbit/s.
 	defaultLinkBytesPerSecond = 30e6 / 8
-	// firstTokenLimit is the longest estimated time to the first token with
-	// which work begins, whatever time the caller has.
-	firstTokenLimit = 20 * time.Second
 	// linkDelay is the time that a request and its first token spend on the
 	// link between two regions.
 	linkDelay = 25 * time.Millisecond
@@ -29,25 +32,55 @@
 	routeRefresh = 200 * time.Millisecond
 )
 
-func (e *Entry) newRouter() *savorypinroute.Router {
-	rate := e.cfg.LinkBytesPerSecond
+// routing is the part of an entry that admits requests and places them.
+type routing struct {
+	counters *counters
+	limits   *limits
+	router   *savorypinroute.Router
+}
+
+// newRouting returns the routing of an entry and registers its loops, handlers
+// and states.
+func newRouting(e *Entry) routing {
+	c := &counters{registry: e.daemon.Metrics()}
+	r := routing{counters: c, limits: newLimits(e, c)}
+	r.router = newRouter(e.cfg, c, r.limits)
+	e.daemon.Background(r.limits.loop)
+	e.daemon.Background(e.routeLoop)
+	e.daemon.Handle(savorypinmember.FrameUsage, savorypinmember.HandleCall(r.limits.handleUsage))
+	e.daemon.RegisterState("limit", func() any { return r.limits.limiter.State() })
+	e.daemon.RegisterState("route", func() any { return r.router.State() })
+	return r
+}
+
+func newRouter(cfg Config, c *counters, l *limits) *savorypinroute.Router {
+	rate := cfg.LinkBytesPerSecond
 	if rate == 0 {
 		rate = defaultLinkBytesPerSecond
 	}
 	return savorypinroute.NewRouter(savorypinroute.Config{
-		Begun:              e.limits.begun,
-		Count:              e.countEvents,
+		Begun:              l.begun,
+		Count:              c.count,
 		LinkBytesPerSecond: rate,
 		LinkDelay:          func(_, _ string) time.Duration { return linkDelay },
 		Now:                time.Now,
-		Rand:               e.cfg.Rand,
-		Region:             e.cfg.Settings.Region,
+		Rand:               cfg.Rand,
+		Region:             cfg.Settings.Region,
 	})
 }
 
-// countEvents is count for packages that count in 64 bits.
-func (e *Entry) countEvents(name string, n int64) {
-	e.count(name, int(n))
+// counters are metrics that are counted by name on the path of a request.
+type counters struct {
+	held     sync.Map
+	registry metrics.Registry
+}
+
+func (c *counters) count(name string, n int64) {
+	held, ok := c.held.Load(name)
+	if !ok {
+		held, _ = c.held.LoadOrStore(name, metrics.GetOrRegisterCounter(name, c.registry))
+	}
+	held.(metrics.Counter).Inc(n)
 }
 
 func (e *Entry) routeLoop(ctx context.Context) {
@@ -68,7 +101,7 @@
 // when to come back.
 func (e *Entry) place(need savorypinroute.Need, wait time.Duration) (savorypinroute.Candidate, error) {
 	if need.Within == 0 {
-		need.Within = firstTokenLimit
+		need.Within = e.cfg.FirstTokenLimit
 	}
 	need.Within = max(time.Millisecond, min(need.Within, wait))
 	candidate, err := e.choose(need)
@@ -100,13 +133,14 @@
 	return refused
 }
 
-// remaining returns the time until the deadline of ctx.
-func remaining(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return firstTokenLimit
+// callWait returns how long the answer of an organisation's call may be waited
+// for.
+func (e *Entry) callWait(ctx context.Context, organisation string) time.Duration {
+	wait := e.cfg.FirstTokenLimit
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline))
 	}
-	return min(time.Until(deadline), firstTokenLimit)
+	return e.limits.limiter.Wait(organisation, wait)
 }
 
 // endpointFault returns the error that a call says of its endpoint.
--- a/internal/savorypinmove/decide_test.go
+++ b/internal/savorypinmove/decide_test.go
@@ -62,6 +62,7 @@
 		{"a done move", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, false, "b", 1},
 		{"a done move that is condemned", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, true, "a", 0},
 		{"a move and one back, whatever their set times are now", []savorypinconfig.Move{back, early}, false, "a", 1},
+		{"a move taken back after the service's spec was set to its new version", []savorypinconfig.Move{with(moveAt("m", savorypin.MoveTakenBack, 3, 0), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })}, false, "b", 0},
 		{"a pending move", []savorypinconfig.Move{moveAt("m", savorypin.MovePending, 0, 0)}, false, "a", 0},
 		{"a running move", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, false, "a", 0.2},
 		{"a running move that is condemned", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, true, "a", 0},
@@ -75,6 +76,15 @@
 	}
 })
 
+var _ = Describe("Traffic", func() {
+	It("needs the old version of a done move until the service names the new one", func() {
+		done := moveAt("m", savorypin.MoveDone, 3, 1)
+		Expect(savorypinmove.TrafficOf(storeOf(done), "s").Versions()).To(ConsistOf("a", "b"))
+		done.Spec.From, done.Spec.To = "b", "a"
+		Expect(savorypinmove.TrafficOf(storeOf(done), "s").Versions()).To(ConsistOf("a"))
+	})
+})
+
 var _ = Describe("Decide", func() {
 	hold := func(m *savorypinconfig.Move) { m.Spec.Action = savorypin.MoveHold }
 	rollback := func(m *savorypinconfig.Move) { m.Spec.Action = savorypin.MoveRollback }
@@ -97,11 +107,14 @@
 		{"a doubtful version", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingCaution, 900, savorypin.MoveRunning, 0.1, "share kept"},
 		{"a held move", []savorypinconfig.Move{with(running, hold)}, 50 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MovePaused, 0.1, "held"},
 		{"a held move that turns bad", []savorypinconfig.Move{with(running, hold)}, 50 * time.Minute, savorypinmove.FindingBad, 900, savorypin.MoveTakenBack, 0, "worse"},
-		{"a move at its time", []savorypinconfig.Move{running}, 55 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MoveDone, 1, "all traffic"},
+		{"a move at its time", []savorypinconfig.Move{with(running, func(m *savorypinconfig.Move) { m.Status.Share = 0.7 })}, 55 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MoveDone, 1, "all traffic"},
 		{"a move at its time with little evidence", []savorypinconfig.Move{running}, time.Hour, savorypinmove.FindingFine, 30, savorypin.MoveDone, 1, "30 attempts only"},
 		{"a move at its time with no evidence", []savorypinconfig.Move{running}, time.Hour, savorypinmove.FindingFine, 3, savorypin.MoveRunning, 0.1, "too little traffic"},
-		{"a move on thin evidence", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingFine, 30, savorypin.MoveRunning, 0.25, "limited by evidence"},
+		{"a move on thin evidence", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingFine, 30, savorypin.MoveRunning, 0.2, "limited by the number"},
+		{"a move on evidence that is older than its share", []savorypinconfig.Move{with(running, func(m *savorypinconfig.Move) { m.Status.Requests = 890 })}, 50 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MoveRunning, 0.1, "limited by the number"},
+		{"a move whose evaluators are new", []savorypinconfig.Move{with(running, func(m *savorypinconfig.Move) { m.Status.Requests = 9000 })}, 50 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MoveRunning, 0.2, ""},
 		{"a move that is sped up", []savorypinconfig.Move{with(running, func(m *savorypinconfig.Move) { m.Spec.MinShare = 0.5 })}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRunning, 0.5, ""},
+		{"a move whose new version is gone", []savorypinconfig.Move{with(running, func(m *savorypinconfig.Move) { m.Spec.To = "gone" })}, time.Hour, savorypinmove.FindingFine, 900, savorypin.MoveRunning, 0.1, "no endpoint"},
 		{"a new move", []savorypinconfig.Move{pending}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRunning, 0.01, "first requests"},
 		{"a rollback", []savorypinconfig.Move{with(running, rollback)}, 0, savorypinmove.FindingFine, 0, savorypin.MoveTakenBack, 0, "operator"},
 		{"a rollback after done", []savorypinconfig.Move{with(done, rollback)}, time.Minute, savorypinmove.FindingFine, 0, savorypin.MoveTakenBack, 0, "operator"},
@@ -119,7 +132,7 @@
 				},
 				Moves:   tc.moves,
 				Now:     noon.Add(tc.now),
-				Serves:  func(string) bool { return true },
+				Serves:  func(version string) bool { return version != "gone" },
 				Version: "a",
 			}) {
 				if c.Move.Name == "m" {
@@ -133,6 +146,29 @@
 	}
 })
 
+var _ = Describe("Settled", func() {
+	done := moveAt("m", savorypin.MoveDone, 3, 1)
+	running := moveAt("n", savorypin.MoveRunning, 9, 0.5)
+	for _, tc := range []struct {
+		name  string
+		moves []savorypinconfig.Move
+		after time.Duration
+		want  string
+		ok    bool
+	}{
+		{"a done move after its watch", []savorypinconfig.Move{done}, time.Hour, "b", true},
+		{"a done move in its watch", []savorypinconfig.Move{done}, time.Minute, "b", false},
+		{"a move under way", []savorypinconfig.Move{done, running}, time.Hour, "", false},
+		{"no move", nil, time.Hour, "", false},
+	} {
+		It("judges "+tc.name, func() {
+			version, ok := savorypinmove.Settled(tc.moves, noon.Add(tc.after))
+			Expect(ok).To(Equal(tc.ok))
+			Expect(version).To(Equal(tc.want))
+		})
+	}
+})
+
 var _ = Describe("Sharer", func() {
 	It("keeps within one of the sum of the shares, or two where work was charged", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/internal/savorypinmove/model_test.go
+++ b/internal/savorypinmove/model_test.go
@@ -104,6 +104,7 @@
 	hurt     int
 	failed   [2]int
 	requests int
+	writes   int
 }
 
 var modelStart = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
@@ -181,6 +182,7 @@
 func (m *model) tick(p policy) {
 	for _, c := range p(m) {
 		m.put(savorypin.KindMove, "m", m.spec(), c.Status)
+		m.writes++
 	}
 	m.after(time.Second, func() { m.tick(p) })
 }
@@ -190,7 +192,7 @@
 	m.after(time.Duration(m.r.ExpFloat64()/m.s.perSecond*float64(time.Second)), m.arrive)
 	t := m.traffic()
 	w := &work{arrived: m.at, entry: m.r.IntN(modelEntries)}
-	w.o = savorypin.Observation{Route: "chat", Service: "s", Tokens: 50, Version: t.Current()}
+	w.o = savorypin.Observation{Purpose: savorypin.PurposeFirst, Route: "chat", Service: "s", Tokens: 50, Version: t.Current()}
 	if m.r.Float64() < 0.2 {
 		w.o.Route = "plan"
 	}
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,21 +22,20 @@
 
 // fixture is a router over a table of members.
 type fixture struct {
-	counts map[string]int64
 	now    time.Time
 	router *savorypinroute.Router
 	table  *savorypinmembership.Table
 }
 
 func newFixture(states ...savorypin.MemberState) *fixture {
-	f := &fixture{counts: map[string]int64{}, now: time.Unix(1000, 0)}
+	f := &fixture{now: time.Unix(1000, 0)}
 	f.table = savorypinmembership.NewTable(savorypinmembership.Config{
 		DeadAfter: time.Hour, ForgetAfter: time.Hour, Now: func() time.Time { return f.now }, SuspectAfter: time.Hour,
 	})
 	f.table.Merge(states...)
 	f.router = savorypinroute.NewRouter(savorypinroute.Config{
 		Begun:              func(savorypin.Purpose) {},
-		Count:              func(name string, n int64) { f.counts[name] += n },
+		Count:              func(string, int64) {},
 		LinkBytesPerSecond: 30e6 / 8,
 		LinkDelay:          func(_, _ string) time.Duration { return 25 * time.Millisecond },
 		Now:                func() time.Time { return f.now },
@@ -88,6 +88,12 @@
 			Expect(float64(o.crossBytes)).To(BeNumerically("<", link/2))
 		})
 	}
+	It("avoid an engine that is slower than it says", func() {
+		slow := func(s *simulation) { s.engines[3].slow = 10 }
+		o, naive := simulate(router, 0.5, 7, slow), simulate(roundRobin, 0.5, 7, slow)
+		Expect(float64(o.good)).To(BeNumerically(">=", wanted*float64(o.asked)))
+		Expect(o.wasted).To(BeNumerically("<=", naive.wasted))
+	})
 	It("avoid an engine that fails", func() {
 		o := simulate(router, 0.5, 7, func(s *simulation) { s.engines[3].fail = true })
 		// Three failures eject it; then it is tried after 1, 2, 4, 8 … seconds,
@@ -201,6 +207,7 @@
 			avoid := map[string]bool{}
 			for i := range states {
 				states[i].Draining = rapid.Bool().Draw(t, "draining")
+				states[i].Endpoints[0].Drained = rapid.Bool().Draw(t, "drained")
 				states[i].Endpoints[0].Healthy = rapid.Bool().Draw(t, "healthy")
 				if rapid.Bool().Draw(t, "avoid") {
 					avoid[states[i].Endpoints[0].Name] = true
@@ -213,6 +220,13 @@
 			for _, c := range savorypinroute.Candidates(f.table.View(), n) {
 				names[c.Endpoint().Name] = true
 			}
+			rate := 0.0
+			for _, c := range savorypinroute.Candidates(f.table.View(), savorypinroute.Need{Service: "s"}) {
+				rate += c.Endpoint().PrefillPerSecond
+			}
+			if rate != f.router.PrefillRate("s") {
+				t.Fatalf("prefill rate is %v, not %v", f.router.PrefillRate("s"), rate)
+			}
 			c, err := f.router.Choose(n)
 			if (err == nil) != (len(names) > 0) || (err == nil && !names[c.Endpoint().Name]) {
 				t.Fatalf("chose %q (%v) of %v", c.Endpoint().Name, err, names)
@@ -231,6 +245,19 @@
 	})
 })
 
+var _ = Describe("Hot", func() {
+	It("names the prefixes that save most, none of which extends another", func() {
+		var hot savorypinroute.Hot
+		prompts := []string{strings.Repeat("a", 1024), strings.Repeat("b", 512), strings.Repeat("c", 4096)}
+		for i, uses := range []int{5, 3, 1} {
+			for range uses {
+				hot.Add(savorypinroute.Prefixes(prompts[i]))
+			}
+		}
+		Expect(hot.Top(4)).To(Equal([]uint64{savorypinroute.Prefixes(prompts[0])[3], savorypinroute.Prefixes(prompts[1])[1]}))
+	})
+})
+
 var _ = Describe("Link", func() {
 	It("stops spill before resumes and never stops control", func() {
 		now := time.Unix(0, 0)
