Measure relay, routing and limits as slopes, and report usage less often

The first run of the new measurement showed that the limits of 670 organisations, all active at an entry, cost it 16.4 KB/s: each request of a small organisation raised its demand by more than a quarter and was reported. Before: 16,360 B/s at 670 organisations.

--- a/internal/savorypinlimit/limit.go
+++ b/internal/savorypinlimit/limit.go
@@ -35,7 +35,7 @@
 	// OwnerHold is how long an entry that has become an owner only renews.
 	OwnerHold = 8 * time.Second
 	// renewAfter is the age at which a grant is renewed.
-	renewAfter = 3 * time.Second
+	renewAfter = 5 * time.Second
 )
 
 // fallbackDivisor is the part of an equal share that an entry without a valid
--- a/internal/savorypinlimit/organisation.go
+++ b/internal/savorypinlimit/organisation.go
@@ -147,14 +147,15 @@
 	return !o.idle() && amountOf(*o.spec.Load()).limited()
 }
 
-// due reports whether the owner has to hear of the usage.
+// due reports whether the owner has to hear of the usage. Demand that has grown
+// within the grant can wait until the grant is renewed.
 func (o *organisation) due(u Usage, now time.Time) bool {
 	if !now.Before(o.grantUntil) || now.Sub(o.reportedAt) >= renewAfter {
 		return true
 	}
-	return u.Demand.Tokens > demandRoom*o.reported.Demand.Tokens ||
-		u.Demand.Requests > demandRoom*o.reported.Demand.Requests ||
-		u.Demand.Concurrency > o.reported.Demand.Concurrency
+	return u.Demand.Tokens > max(demandRoom*o.reported.Demand.Tokens, o.grant.Tokens) ||
+		u.Demand.Requests > max(demandRoom*o.reported.Demand.Requests, o.grant.Requests) ||
+		u.Demand.Concurrency > max(o.reported.Demand.Concurrency, o.grant.Concurrency)
 }
 
 // setRates brings the grant or the fallback share into force.
--- a/internal/savorypinslopes/measure.go
+++ b/internal/savorypinslopes/measure.go
@@ -63,7 +63,10 @@
 // Parts are all parts, in sorted order.
 var Parts = []Part{
 	{Measure: Control, Name: "control"},
+	{Measure: Limit, Name: "limit"},
 	{Measure: Naive, Name: "naive"},
+	{Measure: Relay, Name: "relay"},
+	{Measure: Route, Name: "route"},
 	{Measure: Start, Name: "start"},
 }
 
