--- a/internal/cmd/do_test.go
+++ b/internal/cmd/do_test.go
@@ -96,6 +96,18 @@
 		})
 	}
 
+	It("explains refusals", func(ctx SpecContext) {
+		_, err := c.Apply(savorypin.KindOrganisation, savorypincluster.Organisation, savorypin.OrganisationSpec{RequestsPerSecond: 0.001})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() error {
+			_, err := c.Client(0).Call(ctx, savorypincluster.Ledger, "stock", "", struct{}{})
+			return err
+		}, "30s").Should(MatchError(ContainSubstring("limited")))
+		code, out, errOut := run("explain refusals shops")
+		Expect(code).To(Equal(exitOK), errOut)
+		Expect(out).To(ContainSubstring("limit of requests is reached"))
+	})
+
 	It("sets limits and drains endpoints", func() {
 		code, out, errOut := run("limit shops tokens=500 weight=2")
 		Expect(code).To(Equal(exitOK), errOut)
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -42,6 +42,14 @@
 // Call calls a plain service. A call of a route that is not idempotent runs at
 // most once for each key.
 func (e *Entry) Call(ctx context.Context, call Call) (CallAnswer, error) {
+	answer, err := e.call(ctx, call)
+	if err != nil {
+		e.refusals.Note(call.Organisation, err, time.Now())
+	}
+	return answer, err
+}
+
+func (e *Entry) call(ctx context.Context, call Call) (CallAnswer, error) {
 	var none CallAnswer
 	spec, ok := e.daemon.Config().Service(call.Service)
 	if !ok || spec.Type != savorypin.ServicePlain {
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -19,6 +19,7 @@
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinrefusal"
 	"savorypin/internal/savorypinresume"
 )
 
@@ -61,6 +62,7 @@
 	life       context.Context //nolint:containedctx // It is the life of the entry.
 	memory     *savorypinresume.Memory
 	moves      *moves
+	refusals   savorypinrefusal.Log
 	retries    *retryPolicies
 	runner     *savorypinclaim.Runner
 	settling   atomic.Int64
@@ -102,6 +104,7 @@
 	e.routing = newRouting(e)
 	e.startClaims()
 	daemon.RegisterState("entry", e.state)
+	daemon.RegisterState("refusals", func() any { return e.refusals.State() })
 	return e, nil
 }
 
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -69,6 +69,14 @@
 
 // Start begins a generation.
 func (e *Entry) Start(req Request) (*Relay, error) {
+	r, err := e.start(req)
+	if err != nil {
+		e.refusals.Note(req.Generation.Organisation, err, time.Now())
+	}
+	return r, err
+}
+
+func (e *Entry) start(req Request) (*Relay, error) {
 	spec, ok := e.daemon.Config().Service(req.Generation.Service)
 	if !ok || spec.Type != savorypin.ServiceGeneration {
 		return nil, savorypin.Errorf(savorypin.KindNotFound, req.Generation.Service, "no such generating service")
--- /dev/null
+++ b/internal/savorypinrefusal/log_test.go
@@ -0,0 +1,54 @@
+package savorypinrefusal_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinrefusal"
+	"savorypin/internal/savorypintest"
+)
+
+func Test(t *testing.T) {
+	savorypintest.RunSuite(t, "savorypinrefusal")
+}
+
+var _ = Describe("Log", func() {
+	for _, tc := range []struct {
+		name string
+		err  error
+		want int
+	}{
+		{"a limit", savorypin.Errorf(savorypin.KindLimited, "shops", "over the limit"), 1},
+		{"a truth of not run", savorypin.Errorf(savorypin.KindNotRun, "assistant", "no endpoint"), 1},
+		{"an invalid request, which is no refusal", savorypin.Errorf(savorypin.KindInvalid, "assistant", "bad"), 0},
+		{"another error", errors.New("broken"), 0},
+	} {
+		It("notes "+tc.name, func() {
+			var log savorypinrefusal.Log
+			log.Note("shops", tc.err, time.Unix(1, 0))
+			Expect(log.State().Refusals).To(HaveLen(tc.want))
+		})
+	}
+
+	It("counts, keeps the last reason, and is bounded", func() {
+		var log savorypinrefusal.Log
+		for i := range savorypinrefusal.MaxRefusals + 5 {
+			log.Note("shops", savorypin.Errorf(savorypin.KindNotRun, fmt.Sprint(i), "reason %d", i), time.Unix(int64(i), 0))
+		}
+		log.Note("shops", savorypin.Errorf(savorypin.KindNotRun, "9", "again"), time.Unix(savorypinrefusal.MaxRefusals+9, 0))
+		all := log.State().Refusals
+		Expect(all).To(HaveLen(savorypinrefusal.MaxRefusals))
+		for _, known := range all {
+			if known.Object == "9" {
+				Expect(known.Reason).To(Equal("again"))
+				Expect(known.Total).To(Equal(int64(2)))
+			}
+		}
+	})
+})
