Let a paused controller wait until it knows who lives; say that a question closes a key

Cause: the membership tells whether a daemon was paused and has not caught up, and nobody asked; the API's description did not say that asking for the outcome of a key that has not run closes it. Conclusion: a holder that comes back decides nothing on what it knew before.

--- a/internal/savorypinapi/gen/caller/service.go
+++ b/internal/savorypinapi/gen/caller/service.go
@@ -32,7 +32,9 @@
 	// Consider [goa.design/goa/v3/pkg.SkipResponseWriter] to adapt existing
 	// implementations.
 	Call(context.Context, *CallPayload, io.ReadCloser) (res *CallResult, body io.ReadCloser, err error)
-	// Tells the outcome of an idempotency key: done, not_run or unknown.
+	// Tells the outcome of an idempotency key: done, not_run or unknown. A key
+	// that has not run is closed by the question: it never runs afterwards, so
+	// that not_run stays true.
 	Outcome(context.Context, *OutcomePayload) (res *OutcomeResult, err error)
 	// Says that the process serves.
 	Live(context.Context) (err error)
--- a/internal/savorypinapi/gen/http/cli/savorypin/cli.go
+++ b/internal/savorypinapi/gen/http/cli/savorypin/cli.go
@@ -319,7 +319,7 @@
 	fmt.Fprintln(os.Stderr, `    attach: Attaches again to a generation after the last event that the caller has seen.`)
 	fmt.Fprintln(os.Stderr, `    cancel: Cancels a generation and frees what it holds.`)
 	fmt.Fprintln(os.Stderr, `    call: Calls a plain service. A route that is not idempotent needs an Idempotency-Key and runs at most once for each key.`)
-	fmt.Fprintln(os.Stderr, `    outcome: Tells the outcome of an idempotency key: done, not_run or unknown.`)
+	fmt.Fprintln(os.Stderr, `    outcome: Tells the outcome of an idempotency key: done, not_run or unknown. A key that has not run is closed by the question: it never runs afterwards, so that not_run stays true.`)
 	fmt.Fprintln(os.Stderr, `    live: Says that the process serves.`)
 	fmt.Fprintln(os.Stderr, `    ready: Says whether the balancer may send requests here.`)
 	fmt.Fprintln(os.Stderr)
@@ -466,7 +466,7 @@
 
 	// Description
 	fmt.Fprintln(os.Stderr)
-	fmt.Fprintln(os.Stderr, `Tells the outcome of an idempotency key: done, not_run or unknown.`)
+	fmt.Fprintln(os.Stderr, `Tells the outcome of an idempotency key: done, not_run or unknown. A key that has not run is closed by the question: it never runs afterwards, so that not_run stays true.`)
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -service STRING: Service of the key.`)
--- a/internal/savorypincontroller/placement.go
+++ b/internal/savorypincontroller/placement.go
@@ -108,8 +108,12 @@
 	}
 }
 
-// tick looks at every generating service.
+// tick looks at every generating service. A daemon that was paused waits until
+// it knows again who lives.
 func (p *Placement) tick(ctx context.Context) {
+	if p.daemon.Resyncing() {
+		return
+	}
 	for service, spec := range p.daemon.Config().Services() {
 		if spec.Type != savorypin.ServiceGeneration {
 			continue
--- a/internal/savorypindesign/design.go
+++ b/internal/savorypindesign/design.go
@@ -192,7 +192,7 @@
 	})
 
 	Method("outcome", func() {
-		Description("Tells the outcome of an idempotency key: done, not_run or unknown.")
+		Description("Tells the outcome of an idempotency key: done, not_run or unknown. A key that has not run is closed by the question: it never runs afterwards, so that not_run stays true.")
 		Payload(func() {
 			Attribute("service", String, "Service of the key.", func() { MaxLength(63) })
 			Attribute("key", String, "Idempotency key.", func() { MaxLength(128) })
