Let calls and generations share one budget of retries

Cause: retries and hedges of idempotent calls were charged twice, to savorypinretry's Budget and to the entry's RetryBudget (savorypinlimit). Calls and generations did not share a bound, and calls.retrybudget showed only the first. A retry that the RetryBudget refused was placed a second time and counted twice in route.refusals.retry.

After: RetryBudget alone; choose asks it, Begin charges it. An attempt that is refused ends Do as a lack of endpoints did. calls.retrybudget shows the shared budget. Besides ratio and burst, which are as before, calls now earn the idle allowance that generations had. A call earns when its first attempt begins, not when it is asked for.

Tests: the property of the dropped Budget is now one of RetryBudget, bounded by burst, first attempts and intervals, with the constants in place of drawn settings.

Conclusion: one budget per entry.

--- a/internal/savorypinentry/callclaims.go
+++ b/internal/savorypinentry/callclaims.go
@@ -89,7 +89,7 @@
 		defer e.mu.Unlock()
 		return int64(e.calls)
 	})
-	gauge("calls.retrybudget", e.retries.budget.Tokens)
+	gauge("calls.retrybudget", e.limits.retries.Saved)
 	gauge("claims.keys", func() int64 { return int64(e.keeper.Keys()) })
 }
 
--- a/internal/savorypinentry/callidempotent.go
+++ b/internal/savorypinentry/callidempotent.go
@@ -16,14 +16,12 @@
 
 // Policy of retries and hedges of idempotent calls.
 const (
-	hedgeFraction    = 0.95
-	hedgeInitial     = 500 * time.Millisecond
-	hedgeMax         = 5 * time.Second
-	hedgeMin         = 10 * time.Millisecond
-	maxCallTries     = 3
-	retryBackoff     = 25 * time.Millisecond
-	retryBudgetBurst = 20
-	retryBudgetRatio = 0.1
+	hedgeFraction = 0.95
+	hedgeInitial  = 500 * time.Millisecond
+	hedgeMax      = 5 * time.Second
+	hedgeMin      = 10 * time.Millisecond
+	maxCallTries  = 3
+	retryBackoff  = 25 * time.Millisecond
 )
 
 // errEndpointStatus means that an endpoint answered that it failed.
@@ -31,8 +29,6 @@
 
 // retryPolicies holds what is known of the routes that are called.
 type retryPolicies struct {
-	budget *savorypinretry.Budget
-
 	mu     sync.Mutex
 	delays map[routeKey]*savorypinretry.Quantile
 }
@@ -43,10 +39,7 @@
 }
 
 func newRetryPolicies() *retryPolicies {
-	return &retryPolicies{
-		budget: savorypinretry.NewBudget(savorypinretry.BudgetConfig{Burst: retryBudgetBurst, Ratio: retryBudgetRatio}),
-		delays: map[routeKey]*savorypinretry.Quantile{},
-	}
+	return &retryPolicies{delays: map[routeKey]*savorypinretry.Quantile{}}
 }
 
 // hedger returns the policy of a route. Routes are those of the configuration,
@@ -67,7 +60,6 @@
 	}
 	return savorypinretry.HedgerConfig{
 		Backoff:  func(retry int) time.Duration { return retryBackoff << (retry - 1) },
-		Budget:   p.budget,
 		Delay:    delay,
 		MaxTries: maxCallTries,
 		Now:      time.Now,
@@ -82,7 +74,8 @@
 	savorypinretry.ReasonRetry: savorypin.PurposeRetry,
 }
 
-// callIdempotent tries endpoints until one answers, within the budget.
+// callIdempotent tries endpoints until one answers, within the entry's
+// budget of retries.
 func (e *Entry) callIdempotent(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
 	avoid := map[string]bool{}
 	var refused error
@@ -121,7 +114,7 @@
 ) (savorypinroute.Candidate, error) {
 	wait := e.callWait(ctx, call.Organisation)
 	candidate, err := e.place(e.callNeed(call.Service, purposes[reason], avoid), wait)
-	if err != nil && reason == savorypinretry.ReasonRetry {
+	if err != nil && reason == savorypinretry.ReasonRetry && !errors.Is(err, errRetryBudget) {
 		return e.place(e.callNeed(call.Service, purposes[reason], nil), wait)
 	}
 	return candidate, err
--- a/internal/savorypinlimit/limit_test.go
+++ b/internal/savorypinlimit/limit_test.go
@@ -222,4 +222,27 @@
 		Expect(retries).To(BeNumerically("<=", 1000/10+20))
 		Expect(retries).To(BeNumerically(">=", 100))
 	})
+
+	It("never grants more than its burst and its share of the first attempts and intervals", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var b savorypinlimit.RetryBudget
+			earned, retries := 20_000, 0
+			for _, event := range rapid.SliceOf(rapid.IntRange(0, 9)).Draw(t, "events") {
+				switch {
+				case event == 0:
+					b.Earn()
+					earned += 100
+				case event == 1:
+					b.EarnIdle()
+					earned += 250
+				case b.Left():
+					b.Spend()
+					retries++
+				}
+				if retries*1000 > earned {
+					t.Fatalf("%d retries for %d thousandths", retries, earned)
+				}
+			}
+		})
+	})
 })
--- a/internal/savorypinlimit/retry.go
+++ b/internal/savorypinlimit/retry.go
@@ -42,7 +42,12 @@
 
 // Left reports whether there is a retry left.
 func (b *RetryBudget) Left() bool {
-	return b.spent.Load()+retryCost <= retrySaved
+	return b.Saved() > 0
+}
+
+// Saved returns how many retries are left, rounded down.
+func (b *RetryBudget) Saved() int64 {
+	return max(0, retrySaved-b.spent.Load()) / retryCost
 }
 
 // Spend takes one retry. It may leave a debt.
--- a/internal/savorypinretry/hedger.go
+++ b/internal/savorypinretry/hedger.go
@@ -1,3 +1,6 @@
+// Package savorypinretry decides when an idempotent call is tried again or
+// hedged. Whether a try may be made at all, its attempt says; that is where a
+// budget bounds the extra load.
 package savorypinretry
 
 import (
@@ -13,8 +16,6 @@
 type HedgerConfig struct {
 	// Backoff returns how long to wait before the given retry, from 1.
 	Backoff func(retry int) time.Duration
-	// Budget bounds the retries and hedges.
-	Budget *Budget
 	// Delay estimates after how long a call is slow.
 	Delay *Quantile
 	// MaxTries is the largest number of tries of one call.
@@ -39,7 +40,7 @@
 )
 
 // Attempt makes one try. It reports false if there is no other endpoint to
-// make it on.
+// make it on, or if it may not be made now.
 type Attempt[T any] func(ctx context.Context, reason Reason) (run func() (T, error), ok bool)
 
 // result is how a try ended.
@@ -58,13 +59,12 @@
 	tries   int
 }
 
-// Do makes tries until one succeeds, the tries or the budget are used up, or
-// ctx ends, and returns the first success or the last failure. The other tries
-// are cancelled. It returns ErrNoEndpoint if no try could be made.
+// Do makes tries until one succeeds, none is left or allowed, or ctx ends, and
+// returns the first success or the last failure. The other tries are
+// cancelled. It returns ErrNoEndpoint if no try could be made.
 func Do[T any](ctx context.Context, cfg HedgerConfig, attempt Attempt[T]) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	cfg.Budget.Deposit()
 	h := &hedged[T]{attempt: attempt, cfg: cfg, ctx: ctx, results: make(chan result[T], cfg.MaxTries)}
 	var last result[T]
 	if !h.start(ReasonFirst) {
@@ -84,7 +84,7 @@
 		case <-slow:
 			slow = nil
 			cfg.Delay.Observe(cfg.Delay.Estimate() + 1)
-			h.startWithin(ReasonHedge)
+			h.start(ReasonHedge)
 		case <-ctx.Done():
 			return last.value, ctx.Err()
 		}
@@ -99,22 +99,14 @@
 	case <-h.ctx.Done():
 		return false
 	}
-	return h.startWithin(ReasonRetry)
+	return h.start(ReasonRetry)
 }
 
-// startWithin makes a try if the budget allows it.
-func (h *hedged[T]) startWithin(reason Reason) bool {
-	if h.tries >= h.cfg.MaxTries || !h.cfg.Budget.Withdraw() {
-		return false
-	}
-	if !h.start(reason) {
-		h.cfg.Budget.Refund()
+// start makes a try if there is one left and it is allowed.
+func (h *hedged[T]) start(reason Reason) bool {
+	if h.tries >= h.cfg.MaxTries {
 		return false
 	}
-	return true
-}
-
-func (h *hedged[T]) start(reason Reason) bool {
 	run, ok := h.attempt(h.ctx, reason)
 	if !ok {
 		return false
