Run the loops of daemons by one function

Cause: loops that call a function in intervals until their context ends stood in the agent, controller, entry and daemon; savorypinentry had every for its own two.

--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -151,15 +151,8 @@
 }
 
 func (a *Agent) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			a.sweepGenerations(time.Now())
-			a.attempts.Sweep()
-		case <-ctx.Done():
-			return
-		}
-	}
+	savorypindaemon.Every(ctx, time.Second, func() {
+		a.sweepGenerations(time.Now())
+		a.attempts.Sweep()
+	})
 }
--- a/internal/savorypinagent/endpoint.go
+++ b/internal/savorypinagent/endpoint.go
@@ -10,6 +10,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinendpoint"
 	"savorypin/internal/savorypinorder"
 	"savorypin/internal/savorypinroute"
@@ -71,16 +72,8 @@
 }
 
 func (e *endpoint) pollLoop(ctx context.Context, config func() *savorypinconfig.Snapshot) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		e.poll(ctx, config())
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	e.poll(ctx, config())
+	savorypindaemon.Every(ctx, pollInterval, func() { e.poll(ctx, config()) })
 }
 
 func (e *endpoint) poll(ctx context.Context, config *savorypinconfig.Snapshot) {
--- a/internal/savorypincontroller/movelead.go
+++ b/internal/savorypincontroller/movelead.go
@@ -10,26 +10,23 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinlease"
 	"savorypin/internal/savorypinmove"
 )
 
 // loop evaluates, decides and spreads verdicts until ctx ends.
 func (c *Moves) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		c.fleet.Store(newFleet(c.daemon.Members()))
-		c.judgeAll(ctx)
-		c.exchange(ctx)
-		c.leadAll(ctx)
-		c.forget()
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	c.tick(ctx)
+	savorypindaemon.Every(ctx, tickInterval, func() { c.tick(ctx) })
+}
+
+func (c *Moves) tick(ctx context.Context) {
+	c.fleet.Store(newFleet(c.daemon.Members()))
+	c.judgeAll(ctx)
+	c.exchange(ctx)
+	c.leadAll(ctx)
+	c.forget()
 }
 
 // judgeAll condemns the moves whose evidence says so.
--- a/internal/savorypincontroller/placement.go
+++ b/internal/savorypincontroller/placement.go
@@ -96,16 +96,7 @@
 }
 
 func (p *Placement) loop(ctx context.Context) {
-	ticker := time.NewTicker(placementInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			p.tick(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
+	savorypindaemon.Every(ctx, placementInterval, func() { p.tick(ctx) })
 }
 
 // tick looks at every generating service.
--- a/internal/savorypindaemon/beat.go
+++ b/internal/savorypindaemon/beat.go
@@ -97,16 +97,7 @@
 }
 
 func (d *Daemon) beatLoop(ctx context.Context) {
-	ticker := time.NewTicker(savorypinmembership.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			d.beat(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
+	Every(ctx, savorypinmembership.TickInterval, func() { d.beat(ctx) })
 }
 
 // beat lets the membership go on and sends what it wants to send.
--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -11,6 +11,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinrank"
@@ -76,17 +77,9 @@
 
 // loop exchanges usage and grants with the other entries.
 func (l *limits) loop(ctx context.Context) {
-	ticker := time.NewTicker(savorypinlimit.ExchangeInterval)
-	defer ticker.Stop()
 	defer l.wg.Wait()
-	for {
-		l.exchange(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	l.exchange(ctx)
+	savorypindaemon.Every(ctx, savorypinlimit.ExchangeInterval, func() { l.exchange(ctx) })
 }
 
 // exchange reports what is due to the owners.
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinresume"
 )
 
@@ -36,27 +37,13 @@
 	metrics.NewRegisteredFunctionalGauge("answers.limit", registry, func() int64 { return int64(e.memory.Limit()) })
 	metrics.NewRegisteredFunctionalGauge("resume.waiting", registry, func() int64 { return int64(e.gate.Waiting()) })
 	e.daemon.Background(func(ctx context.Context) {
-		every(ctx, sweepInterval, func() { e.sweep(time.Now()) })
+		savorypindaemon.Every(ctx, sweepInterval, func() { e.sweep(time.Now()) })
 	})
 	e.daemon.Background(func(ctx context.Context) {
-		every(ctx, gateInterval, e.gate.Tick)
+		savorypindaemon.Every(ctx, gateInterval, e.gate.Tick)
 	})
 }
 
-// every calls f in intervals until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			f()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // sweep cancels generations that nobody reads, and forgets old ones.
 func (e *Entry) sweep(now time.Time) {
 	e.forget(func(r *Relay) bool { return r.sweep(now) })
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinroute"
 )
@@ -84,16 +85,9 @@
 }
 
 func (e *Entry) routeLoop(ctx context.Context) {
-	ticker := time.NewTicker(routeRefresh)
-	defer ticker.Stop()
-	for {
-		e.router.Refresh(e.daemon.Members())
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	refresh := func() { e.router.Refresh(e.daemon.Members()) }
+	refresh()
+	savorypindaemon.Every(ctx, routeRefresh, refresh)
 }
 
 // place chooses the endpoint for new work whose caller waits for the given
