--- a/internal/savorypin/error.go
+++ b/internal/savorypin/error.go
@@ -81,3 +81,13 @@
 	}
 	return KindUnknown
 }
+
+// RetryAfterSecondsOf returns after how many seconds a retry makes sense,
+// rounded up; zero if the error does not say.
+func RetryAfterSecondsOf(err error) int {
+	var e *Error
+	if !errors.As(err, &e) {
+		return 0
+	}
+	return int((e.RetryAfter + time.Second - 1) / time.Second)
+}
--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -15,6 +15,7 @@
 	goahttp "goa.design/goa/v3/http"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinapi"
 	caller "savorypin/internal/savorypinapi/gen/caller"
 	callerserver "savorypin/internal/savorypinapi/gen/http/caller/server"
 	"savorypin/internal/savorypinentry"
@@ -143,12 +144,12 @@
 			MaxTokens:    p.MaxTokens,
 			Organisation: organisation,
 			Prompt:       p.Prompt,
-			Route:        deref(p.Route),
-			Seed:         deref(p.Seed),
+			Route:        savorypinapi.ValueOf(p.Route),
+			Seed:         savorypinapi.ValueOf(p.Seed),
 			Service:      p.Service,
-			Temperature:  deref(p.Temperature),
+			Temperature:  savorypinapi.ValueOf(p.Temperature),
 		},
-		Timeout: time.Duration(deref(p.TimeoutMs)) * time.Millisecond,
+		Timeout: time.Duration(savorypinapi.ValueOf(p.TimeoutMs)) * time.Millisecond,
 	}, nil
 }
 
@@ -193,11 +194,11 @@
 	answer, err := s.entry.Call(ctx, savorypinentry.Call{
 		Body:         data,
 		ContentType:  "application/json",
-		Key:          scopedKey(organisation, deref(p.Key)),
+		Key:          scopedKey(organisation, savorypinapi.ValueOf(p.Key)),
 		Organisation: organisation,
 		Route:        p.Route,
 		Service:      p.Service,
-		Timeout:      time.Duration(deref(p.TimeoutMs)) * time.Millisecond,
+		Timeout:      time.Duration(savorypinapi.ValueOf(p.TimeoutMs)) * time.Millisecond,
 	})
 	if err != nil {
 		return nil, nil, failure(err)
@@ -252,7 +253,7 @@
 // authorize returns the organisation of a bearer token. Tokens are looked up
 // by their SHA-256 sum, so that the time of the lookup tells nothing of them.
 func (s *service) authorize(header *string) (string, error) {
-	token := strings.TrimPrefix(deref(header), "Bearer ")
+	token := strings.TrimPrefix(savorypinapi.ValueOf(header), "Bearer ")
 	if token == "" {
 		if name := s.entry.AnonymousOrganisation(); name != "" {
 			return name, nil
@@ -267,31 +268,14 @@
 	return name, nil
 }
 
-func deref[T any](v *T) T {
-	if v == nil {
-		var none T
-		return none
-	}
-	return *v
-}
-
 func failure(err error) error {
 	var e *savorypin.Error
 	if !errors.As(err, &e) {
 		return &caller.Failure{Kind: string(savorypin.KindUnknown), Message: err.Error()}
 	}
 	f := &caller.Failure{Kind: string(e.Kind), Message: e.Error(), Object: &e.Object}
-	if seconds := retryAfter(err); seconds > 0 {
+	if seconds := savorypin.RetryAfterSecondsOf(e); seconds > 0 {
 		f.RetryAfter = &seconds
 	}
 	return f
 }
-
-// retryAfter returns after how many seconds a retry makes sense, rounded up.
-func retryAfter(err error) int {
-	var e *savorypin.Error
-	if !errors.As(err, &e) {
-		return 0
-	}
-	return int((e.RetryAfter + time.Second - 1) / time.Second)
-}
--- a/internal/savorypincaller/stream.go
+++ b/internal/savorypincaller/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinapi"
 	caller "savorypin/internal/savorypinapi/gen/caller"
 	"savorypin/internal/savorypinentry"
 )
@@ -79,7 +80,7 @@
 // positionOf returns the position after the last event that a caller has seen.
 func positionOf(p *caller.AttachPayload) (savorypin.EventID, error) {
 	id := savorypin.GenerationID(p.ID)
-	last := deref(p.LastEventID)
+	last := savorypinapi.ValueOf(p.LastEventID)
 	if last == "" {
 		return savorypin.NewEventID(id, 0, savorypin.AttemptID{}), nil
 	}
@@ -211,7 +212,7 @@
 	end savorypinentry.End,
 ) error {
 	if end.Err != nil {
-		body := failed{Kind: savorypin.KindOf(end.Err), Message: end.Err.Error(), RetryAfter: retryAfter(end.Err)}
+		body := failed{Kind: savorypin.KindOf(end.Err), Message: end.Err.Error(), RetryAfter: savorypin.RetryAfterSecondsOf(end.Err)}
 		return sendEvent(ctx, send, position, eventError, body)
 	}
 	body := done{
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -14,6 +14,7 @@
 	goahttp "goa.design/goa/v3/http"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinapi"
 	operatorserver "savorypin/internal/savorypinapi/gen/http/operator/server"
 	operator "savorypin/internal/savorypinapi/gen/operator"
 	"savorypin/internal/savorypindaemon"
@@ -138,7 +139,7 @@
 		return failure(savorypin.Errorf(savorypin.KindNotFound, p.Member, "no such member"))
 	}
 	_, err := savorypinmember.Call[savorypinmember.Stop, savorypinmember.Empty](
-		ctx, s.daemon.Transport(), m.State().Address, savorypinmember.FrameStop, savorypinmember.Stop{By: deref(p.By)})
+		ctx, s.daemon.Transport(), m.State().Address, savorypinmember.FrameStop, savorypinmember.Stop{By: savorypinapi.ValueOf(p.By)})
 	if err != nil {
 		return failure(savorypin.Errorf(savorypin.KindUnreachable, p.Member, "%w", err))
 	}
@@ -179,7 +180,7 @@
 // authorize checks the operators' bearer token in constant time.
 func (s *service) authorize(header *string) error {
 	want := sha256.Sum256([]byte(s.daemon.Settings().OperatorToken))
-	got := sha256.Sum256([]byte(strings.TrimPrefix(deref(header), "Bearer ")))
+	got := sha256.Sum256([]byte(strings.TrimPrefix(savorypinapi.ValueOf(header), "Bearer ")))
 	if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
 		return failure(savorypin.Errorf(savorypin.KindUnauthorized, "operator", "bearer token is missing or wrong"))
 	}
@@ -190,13 +191,6 @@
 	return want == nil || *want == "" || *want == have
 }
 
-func deref(s *string) string {
-	if s == nil {
-		return ""
-	}
-	return *s
-}
-
 func translatePlatform(key savorypin.Key, err error) error {
 	var e *savorypin.Error
 	switch {
@@ -219,8 +213,7 @@
 		return &operator.Failure{Kind: string(savorypin.KindUnknown), Message: err.Error()}
 	}
 	f := &operator.Failure{Kind: string(e.Kind), Message: e.Error(), Object: &e.Object}
-	if e.RetryAfter > 0 {
-		seconds := int((e.RetryAfter + time.Second - 1) / time.Second)
+	if seconds := savorypin.RetryAfterSecondsOf(e); seconds > 0 {
 		f.RetryAfter = &seconds
 	}
 	return f
@@ -229,9 +222,9 @@
 func fromAPI(in *operator.Object) (savorypin.Object, error) {
 	o := savorypin.Object{
 		At:    time.Now(),
-		By:    deref(in.By),
+		By:    savorypinapi.ValueOf(in.By),
 		Key:   savorypin.Key{Kind: savorypin.Kind(in.Kind), Name: in.Name},
-		Order: deref(in.Order),
+		Order: savorypinapi.ValueOf(in.Order),
 	}
 	if in.Version != nil {
 		o.Version = *in.Version
