--- a/internal/savorypin/error.go
+++ b/internal/savorypin/error.go
@@ -46,10 +46,16 @@
 
 // Error returns the text of the error, which names the object.
 func (e *Error) Error() string {
+	return string(e.Kind) + ": " + e.Detail()
+}
+
+// Detail returns the text of the error without its kind, for messages that
+// carry the kind in a field of its own.
+func (e *Error) Detail() string {
 	if e.Object == "" {
-		return fmt.Sprintf("%s: %v", e.Kind, e.Err)
+		return fmt.Sprint(e.Err)
 	}
-	return fmt.Sprintf("%s: %s: %v", e.Kind, e.Object, e.Err)
+	return fmt.Sprintf("%s: %v", e.Object, e.Err)
 }
 
 // Unwrap returns the cause.
--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -185,6 +185,14 @@
 		c := start(ctx, 1, 2, func(cfg *savorypincluster.Config) {
 			cfg.Places = []savorypincluster.Place{{Domain: "d1", Region: "r1"}, {Domain: "d2", Region: "r2"}}
 		})
+		// The router takes new members over a moment after the membership; until
+		// then the endpoint of the other region is the only one that it knows.
+		Eventually(func() int {
+			_, _, err := stream(ctx, c.Client(), 1, func(int) {})
+			Expect(err).NotTo(HaveOccurred())
+			local, _ := c.Agents()[0].Engine.Requests()
+			return local
+		}, generous).Should(BeNumerically(">", 0))
 		_, _, err := stream(ctx, c.Client(), tokens, func(i int) {
 			if i == tokens/2 {
 				c.Agents()[0].Engine.Kill()
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -212,7 +212,7 @@
 	if !errors.As(err, &e) {
 		return &operator.Failure{Kind: string(savorypin.KindUnknown), Message: err.Error()}
 	}
-	f := &operator.Failure{Kind: string(e.Kind), Message: e.Error(), Object: &e.Object}
+	f := &operator.Failure{Kind: string(e.Kind), Message: e.Detail(), Object: &e.Object}
 	if seconds := savorypin.RetryAfterSecondsOf(e); seconds > 0 {
 		f.RetryAfter = &seconds
 	}
