--- a/internal/savorypinagent/endpoint.go
+++ b/internal/savorypinagent/endpoint.go
@@ -44,11 +44,11 @@
 
 // endpoint is an endpoint beside the agent.
 type endpoint struct {
-	cfg    EndpointConfig
-	engine *savorypinendpoint.Engine
-	gate   *savorypinorder.Gate
-	hot    savorypinroute.Hot
-	plain  *savorypinendpoint.Plain
+	cfg      EndpointConfig
+	engine   *savorypinendpoint.Engine
+	gate     *savorypinorder.Gate
+	prefixes savorypinroute.PrefixCounter
+	plain    *savorypinendpoint.Plain
 
 	mu       sync.Mutex
 	drained  bool
@@ -62,7 +62,7 @@
 	e := &endpoint{cfg: cfg, gate: savorypinorder.NewGate()}
 	if cfg.Type == savorypin.EndpointEngine {
 		e.engine = savorypinendpoint.NewEngine(savorypinendpoint.EngineConfig{
-			Sent: func(prompt string) { e.hot.Add(savorypinroute.Prefixes(prompt)) },
+			Sent: func(prompt string) { e.prefixes.Add(savorypinroute.Prefixes(prompt)) },
 			URL:  cfg.URL,
 		})
 	} else {
@@ -128,7 +128,7 @@
 		load.Running = e.plain.Running()
 	}
 	return savorypin.EndpointState{
-		CachedPrefixes:   e.hot.Top(reportedPrefixes),
+		CachedPrefixes:   e.prefixes.Top(reportedPrefixes),
 		Drained:          e.drained,
 		Healthy:          e.healthy,
 		MaxVersions:      e.cfg.MaxVersions,
--- a/internal/savorypinclaim/claims_bench_test.go
+++ b/internal/savorypinclaim/claims_bench_test.go
@@ -20,21 +20,21 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newFakeStore(1)
 		f.delay = 3 * time.Millisecond
-		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+		shards := savorypinclaim.NewShardSet(savorypinclaim.ShardSetConfig{
 			MaxKeys: 1_000_000,
 			Owner:   func(int) string { return "" },
 			Shard:   shardConfig(f.store(func() {})),
 		})
 		for shard := range savorypinclaim.Shards {
-			go keeper.Run(ctx, shard)
+			go shards.Run(ctx, shard)
 		}
 		var wg sync.WaitGroup
 		for i := range perSecond * seconds {
-			wg.Go(func() { sellOnce(ctx, t, keeper, i) })
+			wg.Go(func() { sellOnce(ctx, t, shards, i) })
 			time.Sleep(time.Second / time.Duration(perSecond))
 		}
 		wg.Wait()
-		for !keeper.Idle() {
+		for !shards.Idle() {
 			time.Sleep(time.Second)
 		}
 		w, r := f.calls()
@@ -46,14 +46,14 @@
 	return writes, reads
 }
 
-func sellOnce(ctx context.Context, t *testing.T, keeper *savorypinclaim.Keeper, i int) {
+func sellOnce(ctx context.Context, t *testing.T, shards *savorypinclaim.ShardSet, i int) {
 	c := claimOf(savorypinclaim.NewKeyID("ledger", fmt.Sprint(i)), fmt.Sprint(i))
-	v, err := keeper.Claim(ctx, c)
+	v, err := shards.Claim(ctx, c)
 	if err != nil || v.Kind != savorypinclaim.VerdictGranted {
 		t.Errorf("sale %d: %v %v", i, v.Kind, err)
 	}
 	time.Sleep(20 * time.Millisecond)
-	keeper.Settle(ctx, savorypinclaim.Settlement{
+	shards.Settle(ctx, savorypinclaim.Settlement{
 		Answer:  &savorypinclaim.Answer{Body: make([]byte, 100), Status: 200},
 		Attempt: c.Attempt.ID, Key: c.Key, Outcome: savorypinclaim.OutcomeDone,
 	})
@@ -87,16 +87,16 @@
 		f := newFakeStore(1)
 		f.delay = 3 * time.Millisecond
 		cfg := shardConfig(f.store(func() {}))
-		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+		shards := savorypinclaim.NewShardSet(savorypinclaim.ShardSetConfig{
 			MaxKeys: b.N,
 			Owner:   func(int) string { return "" },
 			Shard:   cfg,
 		})
 		for shard := range savorypinclaim.Shards {
-			go keeper.Run(b.Context(), shard)
+			go shards.Run(b.Context(), shard)
 		}
 		measure(b, f, func(c savorypinclaim.Claim) error {
-			_, err := keeper.Claim(b.Context(), c)
+			_, err := shards.Claim(b.Context(), c)
 			return err
 		})
 	})
--- a/internal/savorypinclaim/schedule_test.go
+++ b/internal/savorypinclaim/schedule_test.go
@@ -60,7 +60,7 @@
 type fakeEntry struct {
 	cancel context.CancelFunc
 	dead   bool
-	keeper *savorypinclaim.Keeper
+	shards *savorypinclaim.ShardSet
 	mu     sync.Mutex
 	paused time.Time
 	runner *savorypinclaim.Runner
@@ -122,14 +122,14 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	e := &fakeEntry{cancel: cancel}
 	gate := func() { e.gate(w.ctx) }
-	e.keeper = savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+	e.shards = savorypinclaim.NewShardSet(savorypinclaim.ShardSetConfig{
 		Await: func(ctx context.Context, address string, key savorypinclaim.KeyID, attempt string) (savorypinclaim.Verdict, error) {
 			return remote(w, e, func(o *fakeEntry) (savorypinclaim.Verdict, error) {
-				return o.keeper.Shard(key).Await(ctx, key, attempt)
+				return o.shards.Shard(key).Await(ctx, key, attempt)
 			}, address)
 		},
 		Claim: func(ctx context.Context, address string, c savorypinclaim.Claim) (savorypinclaim.Verdict, error) {
-			return remote(w, e, func(o *fakeEntry) (savorypinclaim.Verdict, error) { return o.keeper.Shard(c.Key).Claim(ctx, c) }, address)
+			return remote(w, e, func(o *fakeEntry) (savorypinclaim.Verdict, error) { return o.shards.Shard(c.Key).Claim(ctx, c) }, address)
 		},
 		MaxKeys: 1000,
 		Owner: func(shard int) string {
@@ -140,7 +140,7 @@
 		},
 		Settle: func(_ context.Context, address string, s savorypinclaim.Settlement) error {
 			_, err := remote(w, e, func(o *fakeEntry) (savorypinclaim.Verdict, error) {
-				o.keeper.Shard(s.Key).Settle(s)
+				o.shards.Shard(s.Key).Settle(s)
 				return savorypinclaim.Verdict{}, nil
 			}, address)
 			return err
@@ -148,7 +148,7 @@
 		Shard: shardConfig(w.store.store(gate)),
 	})
 	e.runner = savorypinclaim.NewRunner(savorypinclaim.RunnerConfig{
-		Await: e.keeper.Await,
+		Await: e.shards.Await,
 		Bar: func(ctx context.Context, t savorypinclaim.Ticket) (savorypinclaim.Outcome, *savorypinclaim.Answer, error) {
 			gate()
 			if w.chance(w.faults) {
@@ -159,16 +159,16 @@
 			gate()
 			return outcome, answer, nil
 		},
-		Claim: e.keeper.Claim,
+		Claim: e.shards.Claim,
 		Gone: func(a savorypinclaim.Attempt) bool {
 			_, incarnation := w.agentOf(a).current()
 			return incarnation != a.Incarnation
 		},
 		Patience: 100 * time.Millisecond,
-		Settle:   func(s savorypinclaim.Settlement) { go e.keeper.Settle(w.ctx, s) },
+		Settle:   func(s savorypinclaim.Settlement) { go e.shards.Settle(w.ctx, s) },
 	})
 	for shard := range savorypinclaim.Shards {
-		go e.keeper.Run(ctx, shard)
+		go e.shards.Run(ctx, shard)
 	}
 	w.mu.Lock()
 	w.entries[i] = e
--- a/internal/savorypinclaim/shard_test.go
+++ b/internal/savorypinclaim/shard_test.go
@@ -245,21 +245,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		keeper := savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+		shards := savorypinclaim.NewShardSet(savorypinclaim.ShardSetConfig{
 			MaxKeys: 3,
 			Owner:   func(int) string { return "" },
 			Shard:   shardConfig(newFakeStore(1).store(func() {})),
 		})
 		for shard := range savorypinclaim.Shards {
-			go keeper.Run(ctx, shard)
+			go shards.Run(ctx, shard)
 		}
 		for i, want := range []savorypinclaim.VerdictKind{"granted", "granted", "granted", "full"} {
-			v, err := keeper.Claim(ctx, claimOf(savorypinclaim.KeyID{byte(i)}, fmt.Sprint(i)))
+			v, err := shards.Claim(ctx, claimOf(savorypinclaim.KeyID{byte(i)}, fmt.Sprint(i)))
 			if err != nil || v.Kind != want {
 				t.Errorf("claim %d: %v %v", i, v.Kind, err)
 			}
 		}
-		if v, _ := keeper.Claim(ctx, claimOf(savorypinclaim.KeyID{1}, "repeat")); v.Kind != savorypinclaim.VerdictTaken {
+		if v, _ := shards.Claim(ctx, claimOf(savorypinclaim.KeyID{1}, "repeat")); v.Kind != savorypinclaim.VerdictTaken {
 			t.Errorf("repeat while full: %v", v.Kind)
 		}
 	})
--- a/internal/savorypinclaim/keeper.go
+++ b/internal/savorypinclaim/shardset.go
@@ -14,8 +14,8 @@
 	settleTimeout = time.Second
 )
 
-// KeeperConfig configures a Keeper.
-type KeeperConfig struct {
+// ShardSetConfig configures a ShardSet.
+type ShardSetConfig struct {
 	// Await, Claim and Settle pass on to the daemon at an address.
 	Await  func(ctx context.Context, address string, key KeyID, attempt string) (Verdict, error)
 	Claim  func(ctx context.Context, address string, c Claim) (Verdict, error)
@@ -30,65 +30,65 @@
 	Shard ShardConfig
 }
 
-// Keeper holds all shards. Claims go to the daemon that commits their shard,
+// ShardSet holds all shards. Claims go to the daemon that commits their shard,
 // so that groups grow large; if it does not answer, they are committed here.
-type Keeper struct {
-	cfg    KeeperConfig
+type ShardSet struct {
+	cfg    ShardSetConfig
 	shards [Shards]*Shard
 }
 
-// NewKeeper returns a keeper that has read nothing.
-func NewKeeper(cfg KeeperConfig) *Keeper {
-	k := &Keeper{cfg: cfg}
-	for i := range k.shards {
+// NewShardSet returns a set of shards that has read nothing.
+func NewShardSet(cfg ShardSetConfig) *ShardSet {
+	set := &ShardSet{cfg: cfg}
+	for i := range set.shards {
 		shard := cfg.Shard
 		shard.Number = i
-		shard.Room = k.room
+		shard.Room = set.room
 		shard.Trusted = func() bool { return cfg.Owner(i) == "" }
-		k.shards[i] = NewShard(shard)
+		set.shards[i] = NewShard(shard)
 	}
-	return k
+	return set
 }
 
 // Await waits until an attempt no longer holds its key as claimed, or ctx
 // ends.
-func (k *Keeper) Await(ctx context.Context, key KeyID, attempt string) (Verdict, error) {
-	if address := k.cfg.Owner(key.Shard()); address != "" {
-		return k.cfg.Await(ctx, address, key, attempt)
+func (set *ShardSet) Await(ctx context.Context, key KeyID, attempt string) (Verdict, error) {
+	if address := set.cfg.Owner(key.Shard()); address != "" {
+		return set.cfg.Await(ctx, address, key, attempt)
 	}
-	return k.Shard(key).Await(ctx, key, attempt)
+	return set.Shard(key).Await(ctx, key, attempt)
 }
 
 // Claim decides a claim. Its attempt may be claimed more than once.
-func (k *Keeper) Claim(ctx context.Context, c Claim) (Verdict, error) {
-	address := k.cfg.Owner(c.Key.Shard())
+func (set *ShardSet) Claim(ctx context.Context, c Claim) (Verdict, error) {
+	address := set.cfg.Owner(c.Key.Shard())
 	if address == "" {
-		return k.Shard(c.Key).Claim(ctx, c)
+		return set.Shard(c.Key).Claim(ctx, c)
 	}
 	askCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	verdict, err := k.cfg.Claim(askCtx, address, c)
+	verdict, err := set.cfg.Claim(askCtx, address, c)
 	if err == nil || errors.Is(err, ErrNotClaimed) {
 		return verdict, err
 	}
-	return k.Shard(c.Key).Claim(ctx, c)
+	return set.Shard(c.Key).Claim(ctx, c)
 }
 
 // Settle takes note of an outcome.
-func (k *Keeper) Settle(ctx context.Context, s Settlement) {
-	if address := k.cfg.Owner(s.Key.Shard()); address != "" {
+func (set *ShardSet) Settle(ctx context.Context, s Settlement) {
+	if address := set.cfg.Owner(s.Key.Shard()); address != "" {
 		ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 		defer cancel()
-		if k.cfg.Settle(ctx, address, s) == nil {
+		if set.cfg.Settle(ctx, address, s) == nil {
 			return
 		}
 	}
-	k.Shard(s.Key).Settle(s)
+	set.Shard(s.Key).Settle(s)
 }
 
 // Idle reports whether nothing waits to be written.
-func (k *Keeper) Idle() bool {
-	for _, s := range k.shards {
+func (set *ShardSet) Idle() bool {
+	for _, s := range set.shards {
 		if !s.Idle() {
 			return false
 		}
@@ -97,33 +97,33 @@
 }
 
 // Keys returns the number of keys.
-func (k *Keeper) Keys() int {
+func (set *ShardSet) Keys() int {
 	n := 0
-	for _, s := range k.shards {
+	for _, s := range set.shards {
 		n += int(s.keys.Load())
 	}
 	return n
 }
 
 // room returns how many new keys there is room for.
-func (k *Keeper) room() int {
-	return k.cfg.MaxKeys - k.Keys()
+func (set *ShardSet) room() int {
+	return set.cfg.MaxKeys - set.Keys()
 }
 
 // Run commits groups of one shard until ctx ends.
-func (k *Keeper) Run(ctx context.Context, shard int) {
-	k.shards[shard].Run(ctx)
+func (set *ShardSet) Run(ctx context.Context, shard int) {
+	set.shards[shard].Run(ctx)
 }
 
 // Shard returns the shard of a key.
-func (k *Keeper) Shard(key KeyID) *Shard {
-	return k.shards[key.Shard()]
+func (set *ShardSet) Shard(key KeyID) *Shard {
+	return set.shards[key.Shard()]
 }
 
 // State returns the states of the shards.
-func (k *Keeper) State() []ShardState {
+func (set *ShardSet) State() []ShardState {
 	states := make([]ShardState, 0, Shards)
-	for _, s := range k.shards {
+	for _, s := range set.shards {
 		states = append(states, s.State())
 	}
 	return states
--- a/internal/savorypincluster/move_test.go
+++ b/internal/savorypincluster/move_test.go
@@ -146,8 +146,8 @@
 	return n
 }
 
-// condemnedAt returns how many daemons know that the move was judged bad.
-func condemnedAt(c *savorypincluster.Cluster) int {
+// rejectedAt returns how many daemons know that the move was judged bad.
+func rejectedAt(c *savorypincluster.Cluster) int {
 	var daemons []*savorypindaemon.Daemon
 	for _, e := range c.Entries() {
 		daemons = append(daemons, e.Daemon())
@@ -158,7 +158,7 @@
 	n := 0
 	for _, d := range daemons {
 		state, _ := d.States()["moves"].(savorypincontroller.State)
-		n += len(state.Condemned)
+		n += len(state.Rejected)
 	}
 	return n
 }
@@ -241,7 +241,7 @@
 		stop := drive(c, 8)
 		Eventually(func() int { return newRequests(c) }, moveLimit).Should(BeNumerically(">", 400))
 		stop()
-		Expect(condemnedAt(c)).To(BeZero())
+		Expect(rejectedAt(c)).To(BeZero())
 		Expect(moveStatus(c).State).To(Equal(savorypin.MoveRunning))
 	})
 
@@ -273,7 +273,7 @@
 		Expect(refused).To(BeNumerically(">=", sent-int(share*float64(sent))-entries))
 	})
 
-	It("condemns a bad version while the platform is out, and writes it afterwards", func(ctx SpecContext) {
+	It("rejects a bad version while the platform is out, and writes it afterwards", func(ctx SpecContext) {
 		c := startMove(ctx, 0.2, bothModels)
 		stop := drive(c, 8)
 		c.Platform().SetOutage(true)
@@ -281,14 +281,14 @@
 			return savorypinstandin.Fault{Fails: model == newModel}
 		})
 		daemons := len(c.Entries()) + len(c.Agents())
-		Eventually(func() int { return condemnedAt(c) }, moveLimit).Should(Equal(daemons))
+		Eventually(func() int { return rejectedAt(c) }, moveLimit).Should(Equal(daemons))
 		stop()
 		expectNoneNew(ctx, c)
 		Expect(moveStatus(c).State).To(Equal(savorypin.MoveRunning))
 
 		By("restarting a daemon that heard the verdict")
 		Expect(c.RestartAgent(1)).To(Succeed())
-		Eventually(func() int { return condemnedAt(c) }, moveLimit).Should(Equal(daemons))
+		Eventually(func() int { return rejectedAt(c) }, moveLimit).Should(Equal(daemons))
 
 		By("ending the outage")
 		c.Platform().SetOutage(false)
--- a/internal/savorypincontroller/movelead.go
+++ b/internal/savorypincontroller/movelead.go
@@ -29,18 +29,18 @@
 	c.forget()
 }
 
-// judgeAll condemns the moves whose evidence says so.
+// judgeAll rejects the moves whose evidence says so.
 func (c *Moves) judgeAll(ctx context.Context) {
 	config := c.daemon.Config()
 	for service := range config.Services() {
 		for _, m := range config.Moves(service) {
 			key := savorypinmove.KeyOf(m)
-			if !watched(m, time.Now()) || c.book.Condemned(key) {
+			if !watched(m, time.Now()) || c.book.Rejected(key) {
 				continue
 			}
 			v := c.judge(m, m.Status.State == savorypin.MoveDone)
 			if v.Finding == savorypinmove.FindingBad {
-				c.learn(ctx, savorypinmove.Condemnation{Move: key, Reason: v.Reason, Service: service})
+				c.learn(ctx, savorypinmove.Rejection{Move: key, Reason: v.Reason, Service: service})
 			}
 		}
 	}
@@ -88,7 +88,7 @@
 func (c *Moves) decide(service string, spec savorypin.ServiceSpec) []savorypinmove.Change {
 	moves := c.daemon.Config().Moves(service)
 	return savorypinmove.Decide(savorypinmove.Input{
-		Condemned: c.book.Reason,
+		Rejected: c.book.Reason,
 		Judge: func(key savorypinmove.Key, done bool) savorypinmove.Verdict {
 			i := slices.IndexFunc(moves, func(m savorypinconfig.Move) bool { return savorypinmove.KeyOf(m) == key })
 			return c.judge(moves[i], done)
@@ -172,8 +172,8 @@
 // forget drops what is held of moves that have ended.
 func (c *Moves) forget() {
 	config := c.daemon.Config()
-	c.book.Forget(func(condemned savorypinmove.Condemnation) bool {
-		o, ok := config.Object(savorypin.Key{Kind: savorypin.KindMove, Name: condemned.Move.Name})
+	c.book.Forget(func(rejected savorypinmove.Rejection) bool {
+		o, ok := config.Object(savorypin.Key{Kind: savorypin.KindMove, Name: rejected.Move.Name})
 		if !ok {
 			return true
 		}
@@ -181,8 +181,8 @@
 		if o.Deleted || err != nil {
 			return !o.Deleted
 		}
-		settled := status.Epoch == condemned.Move.Epoch && status.State == savorypin.MoveTakenBack
-		return !settled && status.Epoch <= condemned.Move.Epoch
+		settled := status.Epoch == rejected.Move.Epoch && status.State == savorypin.MoveTakenBack
+		return !settled && status.Epoch <= rejected.Move.Epoch
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/savorypincontroller/moves.go
+++ b/internal/savorypincontroller/moves.go
@@ -96,7 +96,7 @@
 // Traffic returns how new work of a service is shared, verdicts included that
 // the platform has not heard of.
 func (c *Moves) Traffic(service string) savorypinmove.Traffic {
-	return savorypinmove.TrafficWith(c.daemon.Config(), service, c.book.Condemned)
+	return savorypinmove.TrafficWith(c.daemon.Config(), service, c.book.Rejected)
 }
 
 // Report sends evidence to the evaluators of the services. If none of them can
@@ -252,5 +252,5 @@
 // Watched reports whether attempts tell about a move at this moment.
 func (c *Moves) Watched(key savorypinmove.Key) bool {
 	_, ok := c.find(key)
-	return ok && !c.book.Condemned(key)
+	return ok && !c.book.Rejected(key)
 }
--- a/internal/savorypincontroller/movespread.go
+++ b/internal/savorypincontroller/movespread.go
@@ -11,13 +11,13 @@
 
 // learn takes verdicts over and passes those that are new to a few members,
 // which do the same. What this misses, the regular exchange finds.
-func (c *Moves) learn(ctx context.Context, condemned ...savorypinmove.Condemnation) {
-	added := c.book.Merge(condemned...)
+func (c *Moves) learn(ctx context.Context, rejected ...savorypinmove.Rejection) {
+	added := c.book.Merge(rejected...)
 	if len(added) == 0 {
 		return
 	}
 	for _, bad := range added {
-		c.daemon.Logger().Warn("Version condemned", "move", bad.Move.Name, "service", bad.Service, "reason", bad.Reason)
+		c.daemon.Logger().Warn("Version rejected", "move", bad.Move.Name, "service", bad.Service, "reason", bad.Reason)
 	}
 	for _, m := range c.somePeers(fanOut) {
 		go c.exchangeWith(context.WithoutCancel(ctx), m, added)
@@ -36,7 +36,7 @@
 	}
 }
 
-// moving reports whether any move could be condemned.
+// moving reports whether any move could be rejected.
 func (c *Moves) moving() bool {
 	config := c.daemon.Config()
 	for service := range config.Services() {
@@ -47,16 +47,16 @@
 	return false
 }
 
-func (c *Moves) exchangeWith(ctx context.Context, m savorypin.MemberState, condemned []savorypinmove.Condemnation) {
+func (c *Moves) exchangeWith(ctx context.Context, m savorypin.MemberState, rejected []savorypinmove.Rejection) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := savorypinmember.Call[savorypinmember.Verdicts, savorypinmember.Verdicts](
-		ctx, c.daemon.Transport(), m.Address, savorypinmember.FrameVerdicts, savorypinmember.Verdicts{Condemned: condemned})
+		ctx, c.daemon.Transport(), m.Address, savorypinmember.FrameVerdicts, savorypinmember.Verdicts{Rejected: rejected})
 	if err != nil {
 		c.daemon.Logger().Debug("Verdicts not exchanged", "member", m.Name, "err", err)
 		return
 	}
-	c.learn(ctx, reply.Condemned...)
+	c.learn(ctx, reply.Rejected...)
 }
 
 func (c *Moves) handleVerdicts(
@@ -64,8 +64,8 @@
 	_ savorypinmember.Hello,
 	req savorypinmember.Verdicts,
 ) (savorypinmember.Verdicts, error) {
-	c.learn(ctx, req.Condemned...)
-	return savorypinmember.Verdicts{Condemned: c.book.All()}, nil
+	c.learn(ctx, req.Rejected...)
+	return savorypinmember.Verdicts{Rejected: c.book.All()}, nil
 }
 
 // somePeers returns up to n other live members, chosen at random.
@@ -85,8 +85,8 @@
 
 // State is the section of the state dump about moves.
 type State struct {
-	Condemned []savorypinmove.Condemnation `json:"condemned"`
-	Judged    []Judgement                  `json:"judged"`
+	Rejected []savorypinmove.Rejection `json:"rejected"`
+	Judged   []Judgement               `json:"judged"`
 }
 
 // Judgement is what this daemon thinks of a move whose evidence it evaluates.
@@ -97,7 +97,7 @@
 }
 
 func (c *Moves) state() any {
-	s := State{Condemned: c.book.All(), Judged: []Judgement{}}
+	s := State{Rejected: c.book.All(), Judged: []Judgement{}}
 	c.mu.Lock()
 	var phases []phase
 	for p := range c.evaluators {
--- a/internal/savorypinentry/callclaims.go
+++ b/internal/savorypinentry/callclaims.go
@@ -33,7 +33,7 @@
 // startClaims sets up the claims of the entry and registers what serves them.
 func (e *Entry) startClaims() {
 	platform := e.daemon.Platform()
-	e.keeper = savorypinclaim.NewKeeper(savorypinclaim.KeeperConfig{
+	e.shards = savorypinclaim.NewShardSet(savorypinclaim.ShardSetConfig{
 		Await:   e.remoteAwait,
 		Claim:   e.remoteClaim,
 		MaxKeys: maxClaimKeys,
@@ -57,9 +57,9 @@
 		},
 	})
 	e.runner = savorypinclaim.NewRunner(savorypinclaim.RunnerConfig{
-		Await:    e.keeper.Await,
+		Await:    e.shards.Await,
 		Bar:      e.bar,
-		Claim:    e.keeper.Claim,
+		Claim:    e.shards.Claim,
 		Gone:     e.gone,
 		Patience: claimPatience,
 		Settle:   e.settle,
@@ -74,9 +74,9 @@
 		end()
 	})
 	for shard := range savorypinclaim.Shards {
-		e.daemon.Background(func(ctx context.Context) { e.keeper.Run(ctx, shard) })
+		e.daemon.Background(func(ctx context.Context) { e.shards.Run(ctx, shard) })
 	}
-	e.daemon.RegisterState("claims", func() any { return e.keeper.State() })
+	e.daemon.RegisterState("claims", func() any { return e.shards.State() })
 	e.registerCallGauges()
 }
 
@@ -90,7 +90,7 @@
 		return int64(e.calls)
 	})
 	gauge("calls.retrybudget", e.limits.retries.Saved)
-	gauge("claims.keys", func() int64 { return int64(e.keeper.Keys()) })
+	gauge("claims.keys", func() int64 { return int64(e.shards.Keys()) })
 }
 
 func (e *Entry) countCall(name string) {
@@ -142,7 +142,7 @@
 	e.settling.Add(1)
 	go func() {
 		defer e.settling.Add(-1)
-		e.keeper.Settle(e.life, s)
+		e.shards.Settle(e.life, s)
 	}()
 }
 
@@ -205,7 +205,7 @@
 ) (savorypinclaim.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Wait)
 	defer cancel()
-	verdict, err := e.keeper.Shard(req.Key).Await(ctx, req.Key, req.Attempt)
+	verdict, err := e.shards.Shard(req.Key).Await(ctx, req.Key, req.Attempt)
 	return verdict, peerError(req.Key, err)
 }
 
@@ -214,7 +214,7 @@
 	_ savorypinmember.Hello,
 	req savorypinclaim.Claim,
 ) (savorypinclaim.Verdict, error) {
-	verdict, err := e.keeper.Shard(req.Key).Claim(ctx, req)
+	verdict, err := e.shards.Shard(req.Key).Claim(ctx, req)
 	return verdict, peerError(req.Key, err)
 }
 
@@ -223,6 +223,6 @@
 	_ savorypinmember.Hello,
 	req savorypinclaim.Settlement,
 ) (savorypinmember.Empty, error) {
-	e.keeper.Shard(req.Key).Settle(req)
+	e.shards.Shard(req.Key).Settle(req)
 	return savorypinmember.Empty{}, nil
 }
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -58,7 +58,7 @@
 	exhaustive chan struct{}
 	finds      singleflight.Group
 	gate       *savorypinresume.Gate
-	keeper     *savorypinclaim.Keeper
+	shards     *savorypinclaim.ShardSet
 	life       context.Context //nolint:containedctx // It is the life of the entry.
 	memory     *savorypinresume.Memory
 	moves      *moves
@@ -131,7 +131,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.calls == 0 && e.settling.Load() == 0 && e.keeper.Idle()
+	return e.calls == 0 && e.settling.Load() == 0 && e.shards.Idle()
 }
 
 // State is the part of the state dump that only entries have.
--- a/internal/savorypinmember/movemessages.go
+++ b/internal/savorypinmember/movemessages.go
@@ -21,5 +21,5 @@
 // Verdicts are the bad verdicts that the sender knows. The answer has those
 // that the receiver knows.
 type Verdicts struct {
-	Condemned []savorypinmove.Condemnation `msgpack:"bad"`
+	Rejected []savorypinmove.Rejection `msgpack:"bad"`
 }
--- a/internal/savorypinmove/block.go
+++ b/internal/savorypinmove/block.go
@@ -22,7 +22,7 @@
 // Metrics are all metrics.
 var Metrics = []Metric{MetricBetween, MetricError, MetricFirst}
 
-// What counts as worse. Differences up to the tolerance never condemn a
+// What counts as worse. Differences up to the tolerance never reject a
 // version.
 const (
 	// firstSlack is added to the time to first token that is tolerated, since
--- a/internal/savorypinmove/book.go
+++ b/internal/savorypinmove/book.go
@@ -6,35 +6,35 @@
 	"sync/atomic"
 )
 
-// Condemnation says that a move's new version was judged bad. It is never
+// Rejection says that a move's new version was judged bad. It is never
 // withdrawn.
-type Condemnation struct {
+type Rejection struct {
 	Move    Key    `msgpack:"k"`
 	Reason  string `msgpack:"why"`
 	Service string `msgpack:"svc"`
 }
 
-// Book holds the condemnations that a daemon knows. Readers take no lock.
+// Book holds the rejections that a daemon knows. Readers take no lock.
 type Book struct {
 	mu   sync.Mutex
-	held atomic.Pointer[map[Key]Condemnation]
+	held atomic.Pointer[map[Key]Rejection]
 }
 
-// NewBook returns a book without condemnations.
+// NewBook returns a book without rejections.
 func NewBook() *Book {
 	b := &Book{}
-	b.held.Store(&map[Key]Condemnation{})
+	b.held.Store(&map[Key]Rejection{})
 	return b
 }
 
-// Merge takes over the condemnations that are not held and returns them.
-func (b *Book) Merge(condemnations ...Condemnation) []Condemnation {
+// Merge takes over the rejections that are not held and returns them.
+func (b *Book) Merge(rejections ...Rejection) []Rejection {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := *b.held.Load()
-	var added []Condemnation
+	var added []Rejection
 	next := maps.Clone(held)
-	for _, c := range condemnations {
+	for _, c := range rejections {
 		if _, ok := next[c.Move]; ok {
 			continue
 		}
@@ -47,26 +47,26 @@
 	return added
 }
 
-// Forget drops the condemnations for which keep reports false.
-func (b *Book) Forget(keep func(Condemnation) bool) {
+// Forget drops the rejections for which keep reports false.
+func (b *Book) Forget(keep func(Rejection) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	next := maps.Clone(*b.held.Load())
-	maps.DeleteFunc(next, func(_ Key, c Condemnation) bool { return !keep(c) })
+	maps.DeleteFunc(next, func(_ Key, c Rejection) bool { return !keep(c) })
 	b.held.Store(&next)
 }
 
-// All returns all condemnations.
-func (b *Book) All() []Condemnation {
-	var all []Condemnation
+// All returns all rejections.
+func (b *Book) All() []Rejection {
+	var all []Rejection
 	for _, c := range *b.held.Load() {
 		all = append(all, c)
 	}
 	return all
 }
 
-// Condemned reports whether a move was judged bad.
-func (b *Book) Condemned(key Key) bool {
+// Rejected reports whether a move was judged bad.
+func (b *Book) Rejected(key Key) bool {
 	_, ok := (*b.held.Load())[key]
 	return ok
 }
--- a/internal/savorypinmove/cost_test.go
+++ b/internal/savorypinmove/cost_test.go
@@ -82,7 +82,7 @@
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
-					t := savorypinmove.TrafficWith(snapshot, "s", book.Condemned)
+					t := savorypinmove.TrafficWith(snapshot, "s", book.Rejected)
 					s.Take(t.Move(), t.Share())
 				}
 			})
--- a/internal/savorypinmove/decide.go
+++ b/internal/savorypinmove/decide.go
@@ -42,8 +42,8 @@
 
 // Input is what the moves of one service are decided from.
 type Input struct {
-	// Condemned returns why a move was judged bad, if it was.
-	Condemned func(Key) (string, bool)
+	// Rejected returns why a move was judged bad, if it was.
+	Rejected func(Key) (string, bool)
 	// Judge returns the verdict on a move; done asks for the time since the move
 	// was done.
 	Judge func(key Key, done bool) Verdict
@@ -106,7 +106,7 @@
 	if m.Status.State == savorypin.MoveTakenBack {
 		return m.Status
 	}
-	if reason, ok := in.Condemned(KeyOf(m)); ok && m.Status.Epoch != 0 {
+	if reason, ok := in.Rejected(KeyOf(m)); ok && m.Status.Epoch != 0 {
 		return in.takeBack(m, "the new version is worse than the old one", reason)
 	}
 	switch m.Status.State {
--- a/internal/savorypinmove/decide_test.go
+++ b/internal/savorypinmove/decide_test.go
@@ -53,23 +53,23 @@
 	back := with(moveAt("m2", savorypin.MoveDone, 5, 1), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })
 	early := with(moveAt("m1", savorypin.MoveDone, 3, 1), func(m *savorypinconfig.Move) { m.Spec.By = noon.Add(9 * time.Hour) })
 	for _, tc := range []struct {
-		name      string
-		moves     []savorypinconfig.Move
-		condemned bool
-		current   string
-		share     float64
+		name     string
+		moves    []savorypinconfig.Move
+		rejected bool
+		current  string
+		share    float64
 	}{
 		{"a done move", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, false, "b", 1},
-		{"a done move that is condemned", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, true, "a", 0},
+		{"a done move that is rejected", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, true, "a", 0},
 		{"a move and one back, whatever their set times are now", []savorypinconfig.Move{back, early}, false, "a", 1},
 		{"a move taken back after the service's spec was set to its new version", []savorypinconfig.Move{with(moveAt("m", savorypin.MoveTakenBack, 3, 0), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })}, false, "b", 0},
 		{"a pending move", []savorypinconfig.Move{moveAt("m", savorypin.MovePending, 0, 0)}, false, "a", 0},
 		{"a running move", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, false, "a", 0.2},
-		{"a running move that is condemned", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, true, "a", 0},
+		{"a running move that is rejected", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, true, "a", 0},
 		{"no move", nil, false, "a", 0},
 	} {
 		It("follows "+tc.name, func() {
-			t := savorypinmove.TrafficWith(storeOf(tc.moves...), "s", func(savorypinmove.Key) bool { return tc.condemned })
+			t := savorypinmove.TrafficWith(storeOf(tc.moves...), "s", func(savorypinmove.Key) bool { return tc.rejected })
 			Expect(t.Current()).To(Equal(tc.current))
 			Expect(t.Share()).To(Equal(tc.share))
 		})
@@ -126,7 +126,7 @@
 		It("decides on "+tc.name, func() {
 			status := tc.moves[0].Status
 			for _, c := range savorypinmove.Decide(savorypinmove.Input{
-				Condemned: func(savorypinmove.Key) (string, bool) { return "", false },
+				Rejected: func(savorypinmove.Key) (string, bool) { return "", false },
 				Judge: func(savorypinmove.Key, bool) savorypinmove.Verdict {
 					return savorypinmove.Verdict{Finding: tc.finding, New: tc.new}
 				},
@@ -197,10 +197,10 @@
 var _ = Describe("Book", func() {
 	It("keeps verdicts whatever order and number they come in", func() {
 		b := savorypinmove.NewBook()
-		bad := savorypinmove.Condemnation{Move: savorypinmove.Key{Epoch: 3, Name: "m"}, Reason: "first"}
+		bad := savorypinmove.Rejection{Move: savorypinmove.Key{Epoch: 3, Name: "m"}, Reason: "first"}
 		Expect(b.Merge(bad, bad)).To(HaveLen(1))
-		Expect(b.Merge(savorypinmove.Condemnation{Move: bad.Move, Reason: "second"})).To(BeEmpty())
-		Expect(b.Condemned(bad.Move)).To(BeTrue())
-		Expect(b.Condemned(savorypinmove.Key{Epoch: 4, Name: "m"})).To(BeFalse())
+		Expect(b.Merge(savorypinmove.Rejection{Move: bad.Move, Reason: "second"})).To(BeEmpty())
+		Expect(b.Rejected(bad.Move)).To(BeTrue())
+		Expect(b.Rejected(savorypinmove.Key{Epoch: 4, Name: "m"})).To(BeFalse())
 	})
 })
--- a/internal/savorypinmove/evaluator.go
+++ b/internal/savorypinmove/evaluator.go
@@ -235,7 +235,7 @@
 
 // Judge returns the verdict on the evidence. Live are the units that the new
 // version runs in. If there are several, the evidence must hold with any one of
-// them left out, so that a bad host, link or failure domain does not condemn a
+// them left out, so that a bad host, link or failure domain does not reject a
 // version.
 func (e *Evaluator) Judge(live []string) Verdict {
 	s := e.sum()
--- a/internal/savorypinmove/model_test.go
+++ b/internal/savorypinmove/model_test.go
@@ -154,7 +154,7 @@
 }
 
 func (m *model) traffic() savorypinmove.Traffic {
-	return savorypinmove.TrafficWith(m.store.Snapshot(), "s", m.book.Condemned)
+	return savorypinmove.TrafficWith(m.store.Snapshot(), "s", m.book.Rejected)
 }
 
 func (m *model) after(d time.Duration, do func()) {
@@ -287,12 +287,12 @@
 // sequential is the policy under test.
 func sequential(m *model) []savorypinmove.Change {
 	return savorypinmove.Decide(savorypinmove.Input{
-		Condemned: m.book.Reason,
-		Judge:     m.judge,
-		Moves:     m.store.Snapshot().Moves("s"),
-		Now:       m.now(),
-		Serves:    func(string) bool { return true },
-		Version:   "old",
+		Rejected: m.book.Reason,
+		Judge:    m.judge,
+		Moves:    m.store.Snapshot().Moves("s"),
+		Now:      m.now(),
+		Serves:   func(string) bool { return true },
+		Version:  "old",
 	})
 }
 
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -71,8 +71,8 @@
 // TrafficWith returns how new work of a service is shared. Moves apply in the
 // order in which they were taken on, which later edits do not change: a done
 // move stays done whatever its spec or the service's spec says afterwards.
-// Moves that are condemned are taken back before the platform says so.
-func TrafficWith(snapshot *savorypinconfig.Snapshot, service string, condemned func(Key) bool) Traffic {
+// Moves that are rejected are taken back before the platform says so.
+func TrafficWith(snapshot *savorypinconfig.Snapshot, service string, rejected func(Key) bool) Traffic {
 	spec, _ := snapshot.Service(service)
 	t := Traffic{from: spec.Version}
 	var back, done, open *savorypinconfig.Move
@@ -83,7 +83,7 @@
 			continue
 		}
 		state := m.Status.State
-		if condemned(KeyOf(*m)) {
+		if rejected(KeyOf(*m)) {
 			state = savorypin.MoveTakenBack
 		}
 		switch state {
--- a/internal/savorypinresume/judge.go
+++ b/internal/savorypinresume/judge.go
@@ -53,7 +53,7 @@
 	case a.produced == 0:
 		return a.first, gapsFirst * a.first
 	default:
-		return a.rhythm.Suspected(), a.rhythm.Sure()
+		return a.tokenGaps.Suspected(), a.tokenGaps.Sure()
 	}
 }
 
--- a/internal/savorypinresume/machine.go
+++ b/internal/savorypinresume/machine.go
@@ -37,7 +37,7 @@
 	gaps      int
 	id        savorypin.AttemptID
 	produced  int
-	rhythm    Rhythm
+	tokenGaps TokenGaps
 	since     time.Time
 	suspected bool
 }
@@ -165,7 +165,7 @@
 	a.gaps = 0
 	m.refusals = 0
 	if a.produced > 0 {
-		a.rhythm.Observe(now.Sub(a.since))
+		a.tokenGaps.Observe(now.Sub(a.since))
 	}
 	a.produced += taken
 	a.since = now
--- a/internal/savorypinresume/rhythm.go
+++ b/internal/savorypinresume/tokengaps.go
@@ -16,39 +16,39 @@
 	maxSure       = 2500 * time.Millisecond
 )
 
-// Rhythm estimates the gaps between the tokens of one attempt, by the
+// TokenGaps estimates the gaps between the tokens of one attempt, by the
 // exponentially weighted mean and mean deviation of RFC 6298. The gaps follow
 // the engine's batch: when it grows, all its streams slow down, and so does
 // what counts as a stall.
-type Rhythm struct {
+type TokenGaps struct {
 	deviation time.Duration
 	gaps      int
 	mean      time.Duration
 }
 
 // Observe takes note of a gap between two batches of tokens.
-func (r *Rhythm) Observe(gap time.Duration) {
-	if r.gaps == 0 {
-		r.mean = gap
-		r.deviation = gap / 2
+func (g *TokenGaps) Observe(gap time.Duration) {
+	if g.gaps == 0 {
+		g.mean = gap
+		g.deviation = gap / 2
 	} else {
-		off := (gap - r.mean).Abs()
-		r.deviation += time.Duration(spreadWeight * float64(off-r.deviation))
-		r.mean += time.Duration(meanWeight * float64(gap-r.mean))
+		off := (gap - g.mean).Abs()
+		g.deviation += time.Duration(spreadWeight * float64(off-g.deviation))
+		g.mean += time.Duration(meanWeight * float64(gap-g.mean))
 	}
-	r.gaps++
+	g.gaps++
 }
 
 // Suspected returns the gap after which the attempt is suspected to have
 // stalled.
-func (r *Rhythm) Suspected() time.Duration {
-	if r.gaps == 0 {
+func (g *TokenGaps) Suspected() time.Duration {
+	if g.gaps == 0 {
 		return maxSuspected
 	}
-	return min(max(gapsSuspected*(r.mean+deviations*r.deviation), minSuspected), maxSuspected)
+	return min(max(gapsSuspected*(g.mean+deviations*g.deviation), minSuspected), maxSuspected)
 }
 
 // Sure returns the gap after which the attempt is taken as stalled.
-func (r *Rhythm) Sure() time.Duration {
-	return min(max(gapsSure*r.Suspected(), minSure), maxSure)
+func (g *TokenGaps) Sure() time.Duration {
+	return min(max(gapsSure*g.Suspected(), minSure), maxSure)
 }
--- a/internal/savorypinroute/hot.go
+++ b/internal/savorypinroute/prefixcounter.go
@@ -6,24 +6,24 @@
 	"sync"
 )
 
-// Sizes of Hot.
+// Sizes of PrefixCounter.
 const (
-	// hotPrefixes is how many prefixes are counted. Those counted once are
+	// countedPrefixes is how many prefixes are counted. Those counted once are
 	// forgotten when there are more.
-	hotPrefixes = 512
+	countedPrefixes = 512
 	// minUses is how often a prefix must have come to be worth a report.
 	minUses = 2
 )
 
-// Hot counts the prefixes of the prompts that an engine was sent, and names
+// PrefixCounter counts the prefixes of the prompts that an engine was sent, and names
 // those that save most. It is safe for concurrent use; its zero value is ready.
-type Hot struct {
+type PrefixCounter struct {
 	mu       sync.Mutex
-	prefixes map[uint64]hotPrefix
+	prefixes map[uint64]countedPrefix
 }
 
-// hotPrefix is a prefix of a number of blocks that extends its parent.
-type hotPrefix struct {
+// countedPrefix is a prefix of a number of blocks that extends its parent.
+type countedPrefix struct {
 	blocks int
 	hash   uint64
 	parent uint64
@@ -31,25 +31,25 @@
 }
 
 // Add counts the prefixes of a prompt.
-func (h *Hot) Add(prefixes []uint64) {
+func (h *PrefixCounter) Add(prefixes []uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.prefixes == nil {
-		h.prefixes = map[uint64]hotPrefix{}
+		h.prefixes = map[uint64]countedPrefix{}
 	}
 	parent := uint64(0)
 	for i, hash := range prefixes {
 		uses := h.prefixes[hash].uses + 1
-		h.prefixes[hash] = hotPrefix{blocks: i + 1, hash: hash, parent: parent, uses: uses}
+		h.prefixes[hash] = countedPrefix{blocks: i + 1, hash: hash, parent: parent, uses: uses}
 		parent = hash
 	}
-	if len(h.prefixes) > hotPrefixes {
+	if len(h.prefixes) > countedPrefixes {
 		h.age()
 	}
 }
 
 // age halves all counts and forgets the prefixes with none.
-func (h *Hot) age() {
+func (h *PrefixCounter) age() {
 	const half = 2
 	for hash, p := range h.prefixes {
 		p.uses /= half
@@ -63,16 +63,16 @@
 
 // Top returns up to n prefixes, none of which extends another, by how many
 // blocks they have saved.
-func (h *Hot) Top(n int) []uint64 {
+func (h *PrefixCounter) Top(n int) []uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var order []hotPrefix
+	var order []countedPrefix
 	for _, p := range h.prefixes {
 		if p.uses >= minUses {
 			order = append(order, p)
 		}
 	}
-	slices.SortFunc(order, func(a, b hotPrefix) int {
+	slices.SortFunc(order, func(a, b countedPrefix) int {
 		return cmp.Or(cmp.Compare(b.blocks*b.uses, a.blocks*a.uses), cmp.Compare(a.hash, b.hash))
 	})
 	var top []uint64
@@ -88,7 +88,7 @@
 }
 
 // extends reports whether a prefix begins with another one.
-func (h *Hot) extends(hash, other uint64) bool {
+func (h *PrefixCounter) extends(hash, other uint64) bool {
 	for hash != 0 {
 		if hash == other {
 			return true
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -245,16 +245,16 @@
 	})
 })
 
-var _ = Describe("Hot", func() {
+var _ = Describe("PrefixCounter", func() {
 	It("names the prefixes that save most, none of which extends another", func() {
-		var hot savorypinroute.Hot
+		var prefixes savorypinroute.PrefixCounter
 		prompts := []string{strings.Repeat("a", 1024), strings.Repeat("b", 512), strings.Repeat("c", 4096)}
 		for i, uses := range []int{5, 3, 1} {
 			for range uses {
-				hot.Add(savorypinroute.Prefixes(prompts[i]))
+				prefixes.Add(savorypinroute.Prefixes(prompts[i]))
 			}
 		}
-		Expect(hot.Top(4)).To(Equal([]uint64{savorypinroute.Prefixes(prompts[0])[3], savorypinroute.Prefixes(prompts[1])[1]}))
+		Expect(prefixes.Top(4)).To(Equal([]uint64{savorypinroute.Prefixes(prompts[0])[3], savorypinroute.Prefixes(prompts[1])[1]}))
 	})
 })
 
