Give an endpoint work again when its drain is taken back

Cause: an agent reported an endpoint as drained from its order to drain until its next order to load; taking the drain back orders no load, so the endpoint stayed without work for good. Before: the extended spec times out waiting for it (30 s). After: it passes; the agent reports an endpoint as drained only while operators want it so.

--- a/internal/cmd/do_test.go
+++ b/internal/cmd/do_test.go
@@ -116,5 +116,10 @@
 		Expect(code).To(Equal(exitOK), errOut)
 		Eventually(func() bool { return c.Entries()[0].Daemon().Config().Endpoint("engine-1").Drain }, "30s").Should(BeTrue())
 		Eventually(func() string { return strings.Join(c.Agents()[1].Engine.Orders(), " ") }, "30s").Should(ContainSubstring("drain"))
+		drained := func() bool { return c.Agents()[1].Daemon().Self().Endpoints[0].Drained }
+		Eventually(drained, "30s").Should(BeTrue())
+		code, _, errOut = run("undrain engine-1")
+		Expect(code).To(Equal(exitOK), errOut)
+		Eventually(drained, "30s").Should(BeFalse())
 	})
 })
--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -145,7 +145,11 @@
 func (a *Agent) states() []savorypin.EndpointState {
 	var states []savorypin.EndpointState
 	for _, e := range a.cfg.Endpoints {
-		states = append(states, a.endpoints[e.Name].state())
+		endpoint := a.endpoints[e.Name]
+		if !a.daemon.Config().Endpoint(e.Name).Drain {
+			endpoint.undrain()
+		}
+		states = append(states, endpoint.state())
 	}
 	return states
 }
--- a/internal/savorypinagent/order.go
+++ b/internal/savorypinagent/order.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// undrain gives work to an endpoint again that operators no longer want drained.
+// It needs no order, since only this agent gives it work.
+func (e *endpoint) undrain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drained = false
+}
+
 // translateOrder turns an error of an engine into one of the core.
 func translateOrder(endpoint string, err error) error {
 	if errors.Is(err, savorypinendpoint.ErrFenced) || errors.Is(err, savorypinendpoint.ErrRefused) {
