--- a/internal/savorypincluster/stop_test.go
+++ b/internal/savorypincluster/stop_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"savorypin/internal/savorypincluster"
+	"savorypin/internal/savorypinplatform"
 	"savorypin/internal/savorypinstandin"
 	"savorypin/pkg/savorypinclient"
 )
@@ -152,4 +153,18 @@
 		after, _ := leaving.Engine.Requests()
 		Expect(after).To(Equal(before))
 	})
+
+	It("begins when the platform marks the host as leaving", func(ctx SpecContext) {
+		c := start(ctx, 2, 2, graceOf(time.Minute))
+		leaving := c.Agents()[1]
+		c.Platform().SetHosts([]savorypinplatform.Host{{
+			Addresses: []string{leaving.Daemon().Self().Address},
+			Leaving:   true,
+			Name:      "host-1",
+		}})
+		Eventually(leaving.Done(), generous).Should(BeClosed())
+		got, _, err := stream(ctx, c.Client(), tokens, func(int) {})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(want))
+	})
 })
