Let `savorypin do help` show the statements

Cause: the command line took the word help for its own command, so that the page that the description names was shown at the prompt only. Before: `savorypin do help` printed the flags. After: the statements; a new spec, and the tests of internal/cmd pass.

--- a/internal/cmd/do_test.go
+++ b/internal/cmd/do_test.go
@@ -96,6 +96,12 @@
 		})
 	}
 
+	It("shows the statements of the language for help", func() {
+		code, out, errOut := run("help")
+		Expect(code).To(Equal(exitOK), errOut)
+		Expect(out).To(ContainSubstring("rollback MOVE"))
+	})
+
 	It("explains refusals", func(ctx SpecContext) {
 		_, err := c.Apply(savorypin.KindOrganisation, savorypincluster.Organisation, savorypin.OrganisationSpec{RequestsPerSecond: 0.001})
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/cmd/docmd.go
+++ b/internal/cmd/docmd.go
@@ -24,8 +24,9 @@
 			"Type help for the statements.",
 		Flags: append(c.clientFlags(),
 			&cli.BoolFlag{Destination: &c.dryRun, Name: "dry-run", Usage: "only say what an order would change"}),
-		Name:  "do",
-		Usage: "ask what runs where, and order moves, rollbacks, limits and planned stops",
+		HideHelpCommand: true,
+		Name:            "do",
+		Usage:           "ask what runs where, and order moves, rollbacks, limits and planned stops",
 	}
 }
 
