End a call's work once, and declare the API's errors once

Cause: the read-through found that `pass` ends the work at the endpoint on every path, and both of its callers ended it again (only the first call counts, so it did nothing); the design declared the same errors and responses for the callers' and the operators' service. Before: three places that end a call, two equal blocks of 11 lines. After: one of each; the generated code is the same to the byte. The tests of entry, caller and route pass, and those of calls, limits and routing over real sockets. Conclusion: no behaviour changed.

--- a/internal/savorypindesign/design.go
+++ b/internal/savorypindesign/design.go
@@ -66,8 +66,8 @@
 	Required("service", "prompt", "max_tokens")
 }
 
-var _ = Service("caller", func() {
-	Description("What callers use.")
+// failures declares the errors that every method of a service may return.
+func failures() {
 	for _, kind := range kinds {
 		Error(kind.name, failure)
 	}
@@ -78,6 +78,11 @@
 			})
 		}
 	})
+}
+
+var _ = Service("caller", func() {
+	Description("What callers use.")
+	failures()
 
 	Method("generate", func() {
 		Description("Generates a whole answer.")
@@ -245,16 +250,7 @@
 
 var _ = Service("operator", func() {
 	Description("What operators use.")
-	for _, kind := range kinds {
-		Error(kind.name, failure)
-	}
-	HTTP(func() {
-		for _, kind := range kinds {
-			Response(kind.name, kind.status, func() {
-				Header("retry_after:Retry-After")
-			})
-		}
-	})
+	failures()
 
 	Method("apply", func() {
 		Description("Creates or replaces one object.")
--- a/internal/savorypinentry/callidempotent.go
+++ b/internal/savorypinentry/callidempotent.go
@@ -129,7 +129,6 @@
 ) (savorypinmember.PlainAnswer, error) {
 	started := time.Now()
 	answer, err := e.pass(ctx, candidate, call, route, nil)
-	candidate.Done(endpointFault(answer, err))
 	if err == nil && answer.Status >= http.StatusInternalServerError {
 		err = fmt.Errorf("%s: %w: status %d", candidate.Endpoint().Name, errEndpointStatus, answer.Status)
 	}
--- a/internal/savorypinentry/callonce.go
+++ b/internal/savorypinentry/callonce.go
@@ -99,7 +99,6 @@
 func (o *onceCall) send(ctx context.Context, t savorypinclaim.Ticket) (*savorypinclaim.Answer, error) {
 	started := time.Now()
 	answer, err := o.entry.pass(ctx, o.candidate, o.call, o.route, &t)
-	o.candidate.Done(endpointFault(answer, err))
 	o.entry.observeCall(o.candidate, o.call, savorypin.PurposeFirst, started, err)
 	switch {
 	case savorypin.KindOf(err) == savorypin.KindNotRun && err != nil:
