--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -46,6 +46,7 @@
 	logFormat      string
 	logLevel       string
 	output         string
+	settings       string
 	sizes          []int
 	standin        standinConfig
 	stderr         io.Writer
@@ -101,6 +102,7 @@
 			c.demoCmd(),
 			c.doCmd(),
 			c.entryCmd(),
+			c.gatewayCmd(),
 			c.getCmd(),
 			c.moveCmd(),
 			c.slopesCmd(),
--- /dev/null
+++ b/internal/savorypinfleet/message.go
@@ -0,0 +1,77 @@
+package savorypinfleet
+
+import (
+	"net/http"
+	"time"
+)
+
+// Call is a caller's request as a gateway handles it.
+type Call struct {
+	// Body is the whole body.
+	Body []byte
+	// Deadline is how long the caller waits; zero if it does not say.
+	Deadline time.Duration
+	// Header holds the headers that are passed on.
+	Header http.Header
+	// Host and URI are the request's, as the caller sent them.
+	Host   string
+	ID     string
+	Key    string
+	Method string
+	// LastEvent is the number of the last event that the caller has; empty if it
+	// has none.
+	LastEvent string
+	// OutputTokens is the most tokens that the answer may have.
+	OutputTokens int
+	// PromptTokens is the number of tokens of the prompt.
+	PromptTokens int
+	URI          string
+}
+
+// Attempt is a call as it is sent to one endpoint.
+type Attempt struct {
+	// Backup is the endpoint to which the run's memory is copied; nil for none.
+	Backup *Endpoint
+	Call   *Call
+	// Deadline is the time that is left.
+	Deadline time.Duration
+	// Endpoint is the incarnation that may run the call.
+	Endpoint *Endpoint
+	// LastEvent is the number of the last event that was delivered; empty for
+	// none.
+	LastEvent string
+	// Organisation is the name of the caller's organisation; empty for none.
+	Organisation string
+	// Priority is the rank among waiting requests from 0, which is first, to 9.
+	Priority int
+	// Restore says that the endpoint holds a copy of the run's memory.
+	Restore bool
+}
+
+// Reply says what the head of an endpoint's answer means.
+type Reply struct {
+	// ID is the id of the request that is answered; empty if it is missing.
+	ID string
+	// KeepAlive is how long the connection may stay idle; zero if unknown.
+	KeepAlive time.Duration
+	// NotRun says that the endpoint did not run the request.
+	NotRun bool
+	// Signed says that the answer bears the endpoint's signature.
+	Signed bool
+	// Encoded says that the body isn't the plain body that was asked for.
+	Encoded bool
+}
+
+// Codec spells calls and answers for the callers and endpoints of a platform.
+type Codec struct {
+	// DecodeCall reads the head of a caller's request.
+	DecodeCall func(*http.Request) *Call
+	// DecodeReply reads the head of an endpoint's answer.
+	DecodeReply func(*http.Response) Reply
+	// EncodeAttempt returns the headers of a request to an endpoint.
+	EncodeAttempt func(Attempt) http.Header
+	// EncodeReply copies the headers of an endpoint's answer for the caller.
+	EncodeReply func(dst http.Header, resp *http.Response, call *Call)
+	// EncodeFailure sets the headers of an answer that the gateway gives itself.
+	EncodeFailure func(dst http.Header, call *Call, retryAfter time.Duration)
+}
--- /dev/null
+++ b/internal/savorypingateway/counters.go
@@ -0,0 +1,32 @@
+package savorypingateway
+
+import "github.com/rcrowley/go-metrics"
+
+// counters are the numbers that the metrics page shows.
+type counters struct {
+	answered    metrics.Counter
+	brokenOff   metrics.Counter
+	failed      metrics.Counter
+	refused     metrics.Counter
+	repeated    metrics.Counter
+	requests    metrics.Counter
+	resumed     metrics.Counter
+	storeCalls  metrics.Counter
+	firstEvent  metrics.Timer
+	plainAnswer metrics.Timer
+}
+
+func newCounters(r metrics.Registry) counters {
+	return counters{
+		answered:    metrics.GetOrRegisterCounter("gateway_answered", r),
+		brokenOff:   metrics.GetOrRegisterCounter("gateway_broken_off", r),
+		failed:      metrics.GetOrRegisterCounter("gateway_failed", r),
+		firstEvent:  metrics.GetOrRegisterTimer("gateway_first_event", r),
+		plainAnswer: metrics.GetOrRegisterTimer("gateway_plain_answer", r),
+		refused:     metrics.GetOrRegisterCounter("gateway_refused", r),
+		repeated:    metrics.GetOrRegisterCounter("gateway_repeated", r),
+		requests:    metrics.GetOrRegisterCounter("gateway_requests", r),
+		resumed:     metrics.GetOrRegisterCounter("gateway_resumed", r),
+		storeCalls:  metrics.GetOrRegisterCounter("gateway_store_calls", r),
+	}
+}
--- /dev/null
+++ b/internal/savorypingateway/gateway.go
@@ -0,0 +1,214 @@
+// Package savorypingateway is the daemon that relays callers' requests straight
+// to endpoints over HTTP, without agents beside them. It follows the operator's
+// configuration and the list of endpoints in the platform's object store and
+// keeps nothing that must last.
+package savorypingateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinmetrics"
+	"savorypin/internal/savorypinpick"
+	"savorypin/internal/savorypinplatform"
+	"savorypin/internal/savorypinpool"
+)
+
+// memoryShare is the part of the memory limit at which the collector works
+// harder; the rest holds stacks, buffers of the kernel and the program itself.
+const memoryShare = 0.6
+
+// Objects is how the platform spells the operator's and the endpoints' objects.
+type Objects struct {
+	// Configuration is the key of the operator's configuration.
+	Configuration       savorypin.Key
+	DecodeConfiguration func(savorypin.Object) (*savorypinfleet.Configuration, error)
+	DecodeEndpoint      func(savorypin.Object) (*savorypinfleet.Endpoint, error)
+	DecodeRollout       func(savorypin.Object) (savorypinfleet.Rollout, error)
+	EncodeRolloutStatus func(savorypinfleet.Rollout) (json.RawMessage, error)
+	EndpointKind        savorypin.Kind
+	RolloutKind         savorypin.Kind
+}
+
+// Config configures a Gateway.
+type Config struct {
+	Codec   savorypinfleet.Codec
+	Dialect savorypinplatform.Dialect
+	Logger  *log.Logger
+	Objects Objects
+	// Reload reads the settings again.
+	Reload   func() (Settings, error)
+	Settings Settings
+}
+
+// Gateway is the daemon. Create it by New.
+type Gateway struct {
+	budgets  budgets
+	cfg      Config
+	counters counters
+	log      *log.Logger
+	picker   *savorypinpick.Picker
+	pool     *savorypinpool.Pool
+	registry metrics.Registry
+	settings atomic.Pointer[Settings]
+	stopping atomic.Bool
+	store    *store
+	streams  streamSet
+	view     view
+}
+
+// New returns a gateway that has not started.
+func New(cfg Config) *Gateway {
+	registry := metrics.NewRegistry()
+	g := &Gateway{
+		cfg:      cfg,
+		counters: newCounters(registry),
+		log:      cfg.Logger,
+		pool:     savorypinpool.New(savorypinpool.Config{}),
+		registry: registry,
+	}
+	g.settings.Store(&cfg.Settings)
+	g.picker = savorypinpick.New(savorypinpick.Config{
+		Now:     time.Now,
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Region:  cfg.Settings.Region,
+		Regions: cfg.Settings.Regions,
+	})
+	g.budgets = newBudgets(cfg.Settings)
+	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
+	g.view.rollouts.Store(&rolloutSet{})
+	g.store = newStore(cfg, &g.view, g.counters)
+	g.store.changed = g.directoryChanged
+	if cfg.Settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Settings.MemoryBytes)))
+	}
+	return g
+}
+
+// Run serves until ctx ends, finishes what was begun within the grace, and
+// returns.
+func (g *Gateway) Run(ctx context.Context) error {
+	s := g.settings.Load()
+	front, err := listen(s.Listen)
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(s.Readiness)
+	if err != nil {
+		return err
+	}
+	introspection, err := listen(net.JoinHostPort(s.Host, strconv.Itoa(s.MetricsPort)))
+	if err != nil {
+		return err
+	}
+	g.log.Info("gateway started", "name", s.Name, "domain", s.Domain, "listen", s.Listen)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return serve(work, readiness, http.HandlerFunc(g.serveReadiness)) })
+	group.Go(func() error { return serve(work, introspection, g.introspection()) })
+	g.store.follow(work, group)
+	group.Go(func() error { return g.sweep(work) })
+	group.Go(func() error {
+		defer cancel()
+		return g.serveCallers(ctx, front)
+	})
+	err = group.Wait()
+	g.log.Info("gateway stopped", "name", s.Name)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Reload reads the settings file again. Settings that can't be read leave the
+// old ones in force.
+func (g *Gateway) Reload() {
+	s, err := g.cfg.Reload()
+	if err != nil {
+		g.log.Error("settings not reloaded", "err", err)
+		return
+	}
+	g.settings.Store(&s)
+	g.log.Info("settings reloaded")
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// serve serves HTTP until ctx ends.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout}
+	defer context.AfterFunc(ctx, func() { server.Close() })()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// internalHeaderTimeout bounds how long a head of the balancer or a scraper may
+// take.
+const internalHeaderTimeout = 5 * time.Second
+
+func (g *Gateway) introspection() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", savorypinmetrics.NewHandler(g.registry))
+	mux.HandleFunc("GET /state", g.serveState)
+	return mux
+}
+
+// sweepInterval is how often idle connections and old knowledge are dropped.
+const sweepInterval = 2 * time.Second
+
+func (g *Gateway) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			g.pool.Sweep()
+			g.picker.Forget(g.view.directory.Load())
+		}
+	}
+}
+
+// directoryChanged closes idle connections to endpoints that have left.
+func (g *Gateway) directoryChanged(gone []*savorypinfleet.Endpoint) {
+	for _, e := range gone {
+		g.pool.Drop(e.Address())
+	}
+}
+
+// bootClock returns the time since the host's start, including the time for
+// which it was suspended, which the monotonic clock leaves out.
+func bootClock() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// The kernel has had this clock since 2.6.39; a failure is a bug.
+		panic(fmt.Sprintf("read boot-time clock: %v", err))
+	}
+	return time.Duration(ts.Nano())
+}
--- /dev/null
+++ b/internal/savorypingateway/handler.go
@@ -0,0 +1,95 @@
+package savorypingateway
+
+import (
+	"net/http"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinpick"
+)
+
+// ServeHTTP relays a caller's request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.counters.requests.Inc(1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	call := g.cfg.Codec.DecodeCall(r)
+	req, refused := g.admit(w, r, call)
+	if refused != nil {
+		g.refuse(w, call, refused)
+		return
+	}
+	if req == nil {
+		return
+	}
+	if req.route.Kind() == savorypinfleet.RouteStreaming {
+		g.relayStream(w, r, req)
+		return
+	}
+	g.relayPlain(w, r, req)
+}
+
+// refuse gives an answer of the gateway itself.
+func (g *Gateway) refuse(w http.ResponseWriter, call *savorypinfleet.Call, refused *refusal) {
+	g.counters.refused.Inc(1)
+	g.log.Info("request refused", "id", call.ID, "status", refused.status, "reason", refused.reason)
+	g.cfg.Codec.EncodeFailure(w.Header(), call, refused.retryAfter)
+	http.Error(w, refused.reason, refused.status)
+}
+
+// candidates returns the endpoints that may serve a request.
+func (g *Gateway) candidates(service string) []*savorypinfleet.Endpoint {
+	all := g.view.directory.Load().Service(service)
+	ready := make([]*savorypinfleet.Endpoint, 0, len(all))
+	for _, e := range all {
+		if e.Ready() {
+			ready = append(ready, e)
+		}
+	}
+	return ready
+}
+
+// query returns the query of a request that was sent to some endpoints already.
+func (g *Gateway) query(req *request, tried map[string]bool) savorypinpick.Query {
+	return savorypinpick.Query{
+		Candidates: g.candidates(req.service.Name()),
+		Excluded:   tried,
+		Plain:      req.route.Kind() != savorypinfleet.RouteStreaming,
+	}
+}
+
+// endpointFailed takes note that an endpoint was out of reach, silent, or broke
+// off. When its whole domain is taken as failed, the streams there are checked
+// at once.
+func (g *Gateway) endpointFailed(e *savorypinfleet.Endpoint, reason string) {
+	g.pool.Drop(e.Address())
+	domainFailed := g.picker.Fail(e)
+	g.log.Info("endpoint suspect", "endpoint", e.ID(), "domain", e.Domain(), "reason", reason, "domainFailed", domainFailed)
+	if !domainFailed {
+		return
+	}
+	var neighbours []*savorypinfleet.Endpoint
+	for _, other := range g.view.directory.Load().Service(e.Service()) {
+		if other.Domain() == e.Domain() {
+			neighbours = append(neighbours, other)
+		}
+	}
+	g.picker.FailDomain(neighbours)
+	g.streams.check(e.Domain(), e.Service())
+}
+
+// connectTimeout bounds the time in which an endpoint accepts a connection. Its
+// host answers without waiting for a slot, so that a few round trips are enough.
+func (g *Gateway) connectTimeout(e *savorypinfleet.Endpoint) time.Duration {
+	if g.settings.Load().Regions[e.Domain()] == g.settings.Load().Region {
+		return nearConnectTimeout
+	}
+	return farConnectTimeout
+}
+
+// Bounds of a connection attempt within a region and between regions.
+const (
+	nearConnectTimeout = 80 * time.Millisecond
+	farConnectTimeout  = 150 * time.Millisecond
+)
--- /dev/null
+++ b/internal/savorypingateway/plain.go
@@ -0,0 +1,238 @@
+package savorypingateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinpool"
+)
+
+// Settings of plain requests.
+const (
+	// plainPatiencePart is the part of the target latency after which a request
+	// that may be repeated is sent to another endpoint.
+	plainPatiencePart = 0.6
+	// maxUnsent bounds the endpoints that are tried without sending anything.
+	maxUnsent = 4
+	// answerBytes bounds the body of a plain answer.
+	answerBytes = 64 << 20
+)
+
+// outcomeKind says what is known of an attempt.
+type outcomeKind string
+
+// The outcomes of attempts, in sorted order.
+const (
+	// outcomeAnswered means that there is a whole answer.
+	outcomeAnswered outcomeKind = "answered"
+	// outcomeNotRun means that the endpoint said that it did not run the request.
+	outcomeNotRun outcomeKind = "not run"
+	// outcomeUnknown means that the request may have run.
+	outcomeUnknown outcomeKind = "unknown"
+	// outcomeUnsent means that nothing was sent.
+	outcomeUnsent outcomeKind = "unsent"
+)
+
+// outcome is the result of an attempt.
+type outcome struct {
+	body []byte
+	err  error
+	kind outcomeKind
+	resp *http.Response
+}
+
+// succeeded reports whether the answer is a success.
+func (o *outcome) succeeded() bool {
+	return o.kind == outcomeAnswered && o.resp.StatusCode < http.StatusInternalServerError
+}
+
+// relayPlain relays a request whose answer is delivered whole.
+func (g *Gateway) relayPlain(w http.ResponseWriter, r *http.Request, req *request) {
+	ctx, cancel := context.WithDeadline(r.Context(), req.until)
+	defer cancel()
+	result, refused := g.tryPlain(ctx, req)
+	if r.Context().Err() != nil {
+		return
+	}
+	if refused != nil {
+		g.refuse(w, req.call, refused)
+		return
+	}
+	g.counters.answered.Inc(1)
+	g.counters.plainAnswer.UpdateSince(req.arrived)
+	g.cfg.Codec.EncodeReply(w.Header(), result.resp, req.call)
+	w.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
+	w.WriteHeader(result.resp.StatusCode)
+	if _, err := w.Write(result.body); err != nil {
+		g.log.Debug("answer not delivered", "id", req.call.ID, "err", err)
+	}
+}
+
+// tryPlain sends a request to endpoints until one answers, or returns why none
+// will.
+func (g *Gateway) tryPlain(ctx context.Context, req *request) (*outcome, *refusal) {
+	budget := g.budgets.of(req.service.Name())
+	budget.Earn()
+	tried := map[string]bool{}
+	last := &outcome{kind: outcomeUnsent}
+	sent, unsent := 0, 0
+	for sent < req.route.MaxAttempts() && unsent < maxUnsent && ctx.Err() == nil {
+		e := g.picker.Choose(g.query(req, tried))
+		if e == nil || sent > 0 && !budget.Spend() {
+			break
+		}
+		tried[e.ID()] = true
+		result := g.attemptPlain(ctx, req, e, sent+1 < req.route.MaxAttempts())
+		g.logAttempt(req, e, result, sent)
+		if result.kind == outcomeUnsent {
+			unsent++
+			continue
+		}
+		sent++
+		if sent > 1 {
+			g.counters.repeated.Inc(1)
+		}
+		// An answer of an endpoint, even a failure, says more than what came later.
+		if last.kind != outcomeAnswered || result.succeeded() {
+			last = result
+		}
+		if result.succeeded() || !req.route.Repeatable() && result.kind != outcomeNotRun {
+			break
+		}
+	}
+	return last, g.plainRefusal(ctx, last)
+}
+
+// plainRefusal returns what the caller is told if there is no answer.
+func (g *Gateway) plainRefusal(ctx context.Context, last *outcome) *refusal {
+	switch {
+	case last.kind == outcomeAnswered:
+		return nil
+	case last.kind == outcomeUnsent, last.kind == outcomeNotRun:
+		return notRun("no endpoint took the request", retrySoon)
+	case ctx.Err() != nil:
+		return &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout}
+	default:
+		return &refusal{reason: "endpoint failed", status: http.StatusBadGateway}
+	}
+}
+
+func (g *Gateway) logAttempt(req *request, e *savorypinfleet.Endpoint, o *outcome, earlier int) {
+	if o.succeeded() && earlier == 0 {
+		return
+	}
+	status := 0
+	if o.resp != nil {
+		status = o.resp.StatusCode
+	}
+	g.log.Info("attempt ended", "id", req.call.ID, "endpoint", e.ID(), "outcome", string(o.kind),
+		"status", status, "earlier", earlier, "age", time.Since(req.arrived), "err", o.err)
+}
+
+// attemptPlain sends a request to one endpoint and reads the whole answer.
+func (g *Gateway) attemptPlain(ctx context.Context, req *request, e *savorypinfleet.Endpoint, more bool) *outcome {
+	until := req.until
+	if target := req.route.TargetLatency(); more && req.route.Repeatable() && target > 0 {
+		patience := time.Now().Add(time.Duration(plainPatiencePart * float64(target)))
+		if patience.Before(until) {
+			until = patience
+		}
+	}
+	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
+	if err != nil {
+		if ctx.Err() == nil {
+			g.endpointFailed(e, "connect")
+		}
+		return &outcome{err: err, kind: outcomeUnsent}
+	}
+	defer context.AfterFunc(ctx, conn.Close)()
+	work := g.picker.Begin(e, nil, 0)
+	defer work.End()
+	result, keepAlive := g.exchange(conn, req, savorypinfleet.Attempt{
+		Call: req.call, Deadline: req.left(), Endpoint: e, Organisation: req.organisation, Priority: -1,
+	}, until)
+	if ctx.Err() == nil {
+		work.Answered(!result.succeeded())
+		g.judgePlain(e, result)
+	}
+	if keepAlive < 0 {
+		conn.Close()
+	} else {
+		g.pool.Put(conn, keepAlive)
+	}
+	return result
+}
+
+// judgePlain puts an endpoint under suspicion that broke off, and clears one
+// that answered.
+func (g *Gateway) judgePlain(e *savorypinfleet.Endpoint, o *outcome) {
+	switch o.kind {
+	case outcomeAnswered:
+		g.picker.Clear(e)
+	case outcomeNotRun:
+		if o.resp.StatusCode == http.StatusMisdirectedRequest {
+			g.endpointFailed(e, "another incarnation answers")
+		}
+	case outcomeUnknown, outcomeUnsent:
+	}
+}
+
+// exchange sends a request and reads the whole answer. It returns how long the
+// connection may stay idle; a negative time means that it can't be used again.
+func (g *Gateway) exchange(
+	conn *savorypinpool.Conn,
+	req *request,
+	attempt savorypinfleet.Attempt,
+	until time.Time,
+) (*outcome, time.Duration) {
+	unknown := func(err error) (*outcome, time.Duration) {
+		return &outcome{err: err, kind: outcomeUnknown}, -1
+	}
+	if err := conn.Send(wireRequest(g.cfg.Codec, attempt), until); err != nil {
+		return unknown(err)
+	}
+	if err := conn.SetReadDeadline(until); err != nil {
+		return unknown(err)
+	}
+	resp, err := conn.Receive(req.call.Method)
+	if err != nil {
+		return unknown(err)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes))
+	if err != nil {
+		return unknown(err)
+	}
+	reply := g.cfg.Codec.DecodeReply(resp)
+	keepAlive := reply.KeepAlive
+	if resp.Close || conn.Buffered() > 0 {
+		keepAlive = -1
+	}
+	switch {
+	case reply.ID != "" && reply.ID != req.call.ID:
+		return unknown(savorypinpool.ErrUnrelated)
+	case reply.NotRun:
+		return &outcome{kind: outcomeNotRun, resp: resp}, keepAlive
+	case reply.Encoded, !reply.Signed:
+		return &outcome{err: errUnsigned, kind: outcomeUnknown}, -1
+	}
+	return &outcome{body: body, kind: outcomeAnswered, resp: resp}, keepAlive
+}
+
+// errUnsigned means that an answer does not come from an endpoint as it made it.
+var errUnsigned = errors.New("answer is not signed or not plain")
+
+// wireRequest returns an attempt as it is sent.
+func wireRequest(codec savorypinfleet.Codec, a savorypinfleet.Attempt) savorypinpool.Request {
+	return savorypinpool.Request{
+		Body:   a.Call.Body,
+		Header: codec.EncodeAttempt(a),
+		Host:   a.Call.Host,
+		Method: a.Call.Method,
+		URI:    a.Call.URI,
+	}
+}
--- /dev/null
+++ b/internal/savorypingateway/stream.go
@@ -0,0 +1,292 @@
+package savorypingateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinpool"
+)
+
+// Settings of streams.
+const (
+	// resumePriority lets streams that have begun go before new ones.
+	resumePriority = 1
+	// noPriority leaves the rank of a request to the endpoint.
+	noPriority = -1
+	// endpointPause is the time between two looks for an endpoint.
+	endpointPause = 50 * time.Millisecond
+)
+
+// Errors of streams.
+var (
+	errGap      = errors.New("events are missing")
+	errNotRun   = errors.New("endpoint did not run the request")
+	errSilent   = errors.New("endpoint is silent")
+	errFailed   = errors.New("endpoint answered with a failure")
+	errNoCaller = errors.New("caller does not read")
+)
+
+// stream is a request whose answer is a series of events, over all attempts.
+type stream struct {
+	// backup keeps a copy of the run's memory; nil for none.
+	backup *savorypinfleet.Endpoint
+	// begun says that the head of the answer was sent to the caller.
+	begun bool
+	// failure is an endpoint's own failure, which is passed on if nothing better
+	// comes.
+	failure *outcome
+	gateway *Gateway
+	// last is the number of the last event that was sent to the caller.
+	last int64
+	// mayHaveRun says that an endpoint may have run the request.
+	mayHaveRun bool
+	req        *request
+	rc         *http.ResponseController
+	sent       int
+	tried      map[string]bool
+	w          http.ResponseWriter
+}
+
+// relayStream relays a request whose answer is a series of events. An answer
+// that can't be finished is broken off, so that it does not look complete.
+func (g *Gateway) relayStream(w http.ResponseWriter, r *http.Request, req *request) {
+	ctx, cancel := context.WithDeadline(r.Context(), req.until)
+	defer cancel()
+	s := &stream{gateway: g, rc: http.NewResponseController(w), req: req, tried: map[string]bool{}, w: w}
+	if last, err := strconv.ParseInt(req.call.LastEvent, 10, 64); err == nil {
+		s.last = last
+	}
+	err := s.run(ctx)
+	if err == nil {
+		g.counters.answered.Inc(1)
+		return
+	}
+	if r.Context().Err() != nil {
+		g.log.Info("caller left", "id", req.call.ID, "event", s.last, "age", time.Since(req.arrived))
+		return
+	}
+	g.log.Info("stream failed", "id", req.call.ID, "event", s.last, "sent", s.sent, "age", time.Since(req.arrived), "err", err)
+	if s.begun {
+		g.counters.brokenOff.Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+	s.fail(ctx)
+}
+
+// fail answers a stream that has not begun.
+func (s *stream) fail(ctx context.Context) {
+	g := s.gateway
+	switch {
+	case s.failure != nil:
+		g.counters.failed.Inc(1)
+		g.cfg.Codec.EncodeReply(s.w.Header(), s.failure.resp, s.req.call)
+		s.w.WriteHeader(s.failure.resp.StatusCode)
+		if _, err := s.w.Write(s.failure.body); err != nil {
+			g.log.Debug("failure not delivered", "id", s.req.call.ID, "err", err)
+		}
+	case !s.mayHaveRun:
+		g.refuse(s.w, s.req.call, notRun("no endpoint took the request", retrySoon))
+	case ctx.Err() != nil:
+		g.refuse(s.w, s.req.call, &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout})
+	default:
+		g.refuse(s.w, s.req.call, &refusal{reason: "endpoint failed", status: http.StatusBadGateway})
+	}
+}
+
+// run sends the request to endpoints until the answer is complete.
+func (s *stream) run(ctx context.Context) error {
+	budget := s.gateway.budgets.of(s.req.service.Name())
+	budget.Earn()
+	lastErr := errNotRun
+	for s.sent < s.req.route.MaxAttempts() {
+		if s.mayHaveRun && !s.req.route.Repeatable() {
+			return lastErr
+		}
+		e, restore, err := s.next(ctx)
+		if err != nil {
+			return fmt.Errorf("%w after %w", err, lastErr)
+		}
+		if s.sent > 0 && !budget.Spend() {
+			return fmt.Errorf("retry budget is spent: %w", lastErr)
+		}
+		if lastErr = s.attempt(ctx, e, restore); lastErr == nil {
+			return nil
+		}
+		if ctx.Err() != nil || errors.Is(lastErr, errNoCaller) {
+			return lastErr
+		}
+		s.gateway.counters.resumed.Inc(1)
+		s.gateway.log.Info("stream goes on elsewhere", "id", s.req.call.ID, "endpoint", e.ID(), "domain", e.Domain(),
+			"restored", restore, "event", s.last, "age", time.Since(s.req.arrived), "err", lastErr)
+	}
+	return lastErr
+}
+
+// next returns the endpoint of the next attempt and whether it holds a copy of
+// the run's memory.
+func (s *stream) next(ctx context.Context) (*savorypinfleet.Endpoint, bool, error) {
+	if b := s.backup; b != nil {
+		s.backup = nil
+		if s.gateway.view.directory.Load().Has(b) && b.Ready() && !s.gateway.picker.Suspect(b) {
+			return b, true, nil
+		}
+	}
+	for {
+		if e := s.gateway.picker.Choose(s.gateway.query(s.req, s.tried)); e != nil {
+			return e, false, nil
+		}
+		if !s.mayHaveRun {
+			return nil, false, errNotRun
+		}
+		// A lost endpoint is back within seconds; what was read is worth the wait.
+		clear(s.tried)
+		if err := wait(ctx, endpointPause); err != nil {
+			return nil, false, err
+		}
+	}
+}
+
+// attempt relays what one endpoint answers. It returns nil if the answer is
+// complete.
+func (s *stream) attempt(ctx context.Context, e *savorypinfleet.Endpoint, restore bool) error {
+	g := s.gateway
+	s.tried[e.ID()] = true
+	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
+	if err != nil {
+		if ctx.Err() == nil {
+			g.endpointFailed(e, "connect")
+		}
+		return err
+	}
+	defer context.AfterFunc(ctx, conn.Close)()
+	if s.req.service.Backups() {
+		s.backup = g.picker.ChooseBackup(e, g.query(s.req, s.tried))
+	}
+	tokens := s.req.call.PromptTokens
+	if restore {
+		tokens = 0
+	}
+	work := g.picker.Begin(e, s.backup, tokens)
+	defer work.End()
+	w := g.watch(ctx, s.req, e, conn)
+	defer w.stop()
+	s.sent++
+	a := savorypinfleet.Attempt{
+		Backup: s.backup, Call: s.req.call, Deadline: s.req.left(), Endpoint: e, LastEvent: s.lastEvent(),
+		Organisation: s.req.organisation, Priority: noPriority, Restore: restore,
+	}
+	if s.last > 0 {
+		a.Priority = resumePriority
+	}
+	err = s.exchange(conn, a, w, work.Read)
+	if err == nil {
+		g.picker.Clear(e)
+		return nil
+	}
+	conn.Close()
+	if w.silent.Load() {
+		err = errSilent
+	}
+	if ctx.Err() == nil && !errors.Is(err, errNotRun) && !errors.Is(err, errNoCaller) && !errors.Is(err, errFailed) {
+		g.endpointFailed(e, err.Error())
+	}
+	return err
+}
+
+func (s *stream) lastEvent() string {
+	if s.last == 0 {
+		return s.req.call.LastEvent
+	}
+	return strconv.FormatInt(s.last, 10)
+}
+
+// exchange sends the request and relays the events of the answer.
+func (s *stream) exchange(conn *savorypinpool.Conn, a savorypinfleet.Attempt, w *watch, read func()) error {
+	s.mayHaveRun = true
+	if err := conn.Send(wireRequest(s.gateway.cfg.Codec, a), s.req.until); err != nil {
+		return err
+	}
+	resp, err := conn.Receive(s.req.call.Method)
+	if err != nil {
+		return err
+	}
+	reply := s.gateway.cfg.Codec.DecodeReply(resp)
+	switch {
+	case reply.ID != "" && reply.ID != s.req.call.ID:
+		return savorypinpool.ErrUnrelated
+	case reply.NotRun:
+		s.mayHaveRun = s.sent > 1
+		return errNotRun
+	case resp.StatusCode != http.StatusOK:
+		return s.failed(resp)
+	case reply.Encoded, !reply.Signed:
+		return errUnsigned
+	}
+	return s.relay(resp, w, read)
+}
+
+// failed keeps an endpoint's failure.
+func (s *stream) failed(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes))
+	if err != nil {
+		return err
+	}
+	s.failure = &outcome{body: body, kind: outcomeAnswered, resp: resp}
+	return fmt.Errorf("%w: status %d", errFailed, resp.StatusCode)
+}
+
+// relay passes whole events on, each once.
+func (s *stream) relay(resp *http.Response, w *watch, read func()) error {
+	events := newEventReader(resp.Body)
+	first := true
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if first {
+			first = false
+			w.began(s.req.route)
+			read()
+		}
+		w.event()
+		if e.id != 0 && e.id <= s.last {
+			continue
+		}
+		if e.id > s.last+1 && s.last > 0 {
+			return fmt.Errorf("%w: %d after %d", errGap, e.id, s.last)
+		}
+		if err := s.deliver(resp, e, !events.buffered()); err != nil {
+			return fmt.Errorf("%w: %w", errNoCaller, err)
+		}
+	}
+}
+
+// deliver sends an event to the caller.
+func (s *stream) deliver(resp *http.Response, e event, flush bool) error {
+	if !s.begun {
+		s.begun = true
+		s.gateway.counters.firstEvent.UpdateSince(s.req.arrived)
+		s.gateway.cfg.Codec.EncodeReply(s.w.Header(), resp, s.req.call)
+		s.w.WriteHeader(resp.StatusCode)
+	}
+	if _, err := s.w.Write(e.raw); err != nil {
+		return err
+	}
+	if e.id > 0 {
+		s.last = e.id
+	}
+	if !flush {
+		return nil
+	}
+	return s.rc.Flush()
+}
--- /dev/null
+++ b/internal/savorypingateway/view.go
@@ -0,0 +1,59 @@
+package savorypingateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+)
+
+// view is what the gateway believes. Requests read it without locks; only the
+// followers of the store write it.
+type view struct {
+	configuration atomic.Pointer[savorypinfleet.Configuration]
+	// confirmed is when the question was sent whose answer last confirmed the
+	// configuration, by the boot-time clock in nanoseconds; zero for never.
+	confirmed atomic.Int64
+	directory atomic.Pointer[savorypinfleet.Directory]
+	// listed says that the list of endpoints was read once.
+	listed   atomic.Bool
+	rollouts atomic.Pointer[rolloutSet]
+}
+
+// rolloutSet holds the roll-outs by service.
+type rolloutSet struct {
+	byService map[string]savorypinfleet.Rollout
+}
+
+// confirmation returns the age of the last confirmation of the configuration.
+func (v *view) confirmation(now time.Duration) (time.Duration, bool) {
+	at := v.confirmed.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return now - time.Duration(at), true
+}
+
+// confirm takes note that the configuration was in force when the question was
+// sent.
+func (v *view) confirm(sent time.Duration) {
+	for {
+		old := v.confirmed.Load()
+		if int64(sent) <= old || v.confirmed.CompareAndSwap(old, int64(sent)) {
+			return
+		}
+	}
+}
+
+// adopt puts a configuration in force if it is newer than the present one.
+func (v *view) adopt(c *savorypinfleet.Configuration) bool {
+	for {
+		old := v.configuration.Load()
+		if old != nil && c.Version() <= old.Version() {
+			return false
+		}
+		if v.configuration.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/savorypingateway/watch.go
@@ -0,0 +1,119 @@
+package savorypingateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinpool"
+)
+
+// Bounds on the silence of a stream.
+const (
+	// firstCheck is after which silence before the first event the endpoint's
+	// host is checked: reading a prompt takes about as long.
+	firstCheck = 1200 * time.Millisecond
+	// gapCheck is the same between events: several times the usual gap, and short
+	// enough to go on elsewhere within the longest pause on time.
+	gapCheck = 160 * time.Millisecond
+	// gapPart is the part of the longest pause on time after which an endpoint is
+	// given up although its host answers.
+	gapPart = 0.6
+	// defaultGap stands for the longest pause where the route names none.
+	defaultGap = time.Second
+	// firstPart is the part of the target latency after which an endpoint without
+	// a first event is given up although its host answers.
+	firstPart = 0.6
+	// defaultTarget stands for the target latency where the route names none.
+	defaultTarget = 5 * time.Second
+)
+
+// watch notices that the endpoint of a stream is silent. It closes the
+// connection, so that the reader sees an error.
+type watch struct {
+	check    time.Duration
+	checking atomic.Bool
+	conn     *savorypinpool.Conn
+	ctx      context.Context //nolint:containedctx // the timer's callback has no other way to end with the request
+	endpoint *savorypinfleet.Endpoint
+	gateway  *Gateway
+	last     atomic.Int64
+	limit    time.Duration
+	silent   atomic.Bool
+	timer    *time.Timer
+}
+
+func (g *Gateway) watch(ctx context.Context, req *request, e *savorypinfleet.Endpoint, conn *savorypinpool.Conn) *watch {
+	target := req.route.TargetLatency()
+	if target == 0 {
+		target = defaultTarget
+	}
+	w := &watch{
+		check:    firstCheck,
+		conn:     conn,
+		ctx:      ctx,
+		endpoint: e,
+		gateway:  g,
+		limit:    time.Duration(firstPart * float64(target)),
+	}
+	w.last.Store(time.Now().UnixNano())
+	w.timer = time.AfterFunc(w.check, w.run)
+	g.streams.add(w)
+	return w
+}
+
+// began takes note of the first event, after which events come often.
+func (w *watch) began(route *savorypinfleet.Route) {
+	gap := route.TargetGap()
+	if gap == 0 {
+		gap = defaultGap
+	}
+	w.check = gapCheck
+	w.limit = time.Duration(gapPart * float64(gap))
+}
+
+// event takes note of an event.
+func (w *watch) event() {
+	w.last.Store(time.Now().UnixNano())
+	w.timer.Reset(w.check)
+}
+
+// stop ends the watch.
+func (w *watch) stop() {
+	w.timer.Stop()
+	w.gateway.streams.remove(w)
+}
+
+// checkNow lets the watch check the endpoint at once.
+func (w *watch) checkNow() {
+	w.timer.Reset(0)
+}
+
+// run checks the endpoint's host by a new connection, which it answers even if
+// the endpoint is busy, and gives the endpoint up if it does not, or if the
+// silence has lasted too long.
+func (w *watch) run() {
+	if w.checking.Swap(true) {
+		return
+	}
+	defer w.checking.Store(false)
+	if w.ctx.Err() != nil {
+		return
+	}
+	began := w.last.Load()
+	conn, err := w.gateway.pool.Open(w.ctx, w.endpoint.Address(), w.gateway.connectTimeout(w.endpoint))
+	if err == nil {
+		w.gateway.pool.Put(conn, 0)
+	}
+	if w.last.Load() != began || w.ctx.Err() != nil {
+		return
+	}
+	silence := time.Since(time.Unix(0, began))
+	if err != nil || silence > w.limit {
+		w.silent.Store(true)
+		w.conn.Close()
+		return
+	}
+	w.timer.Reset(min(w.check, max(w.limit-silence, time.Millisecond)))
+}
--- /dev/null
+++ b/internal/savorypinpick/picker.go
@@ -0,0 +1,270 @@
+// Package savorypinpick chooses the endpoint of a request and the endpoint that
+// keeps a copy of its memory. It knows of an endpoint what this gateway has seen
+// of it; it uses no network and no clock of its own.
+package savorypinpick
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+)
+
+// Settings of the choice.
+const (
+	// suspectTime is how long an endpoint that failed is only chosen if there is
+	// no other. An endpoint that comes back has another incarnation.
+	suspectTime = 1500 * time.Millisecond
+	// domainWindow is the time within which failures of several endpoints count
+	// as a failure of their domain.
+	domainWindow = 400 * time.Millisecond
+	// domainFailures is how many endpoints have to fail for that.
+	domainFailures = 2
+	// domainSuspectTime is how long a failed domain is avoided.
+	domainSuspectTime = 1200 * time.Millisecond
+	// farPenaltyTokens is what an endpoint of another region must be better by:
+	// a prompt of usual size, since its bytes cross the link between regions.
+	farPenaltyTokens = 8000
+	// runningTokens is what a running request weighs against prompt tokens that
+	// wait: it slows each further token down by little.
+	runningTokens = 400
+	// latencyWeight is the weight of a new latency in the average.
+	latencyWeight = 0.1
+	// farPenalty is the same for plain requests: a round trip between regions.
+	farPenalty = 25 * time.Millisecond
+	// firstLatency stands for the latency of an endpoint without answers.
+	firstLatency = 20 * time.Millisecond
+	// failurePenalty is what a failed answer costs in the comparison.
+	failurePenalty = 500 * time.Millisecond
+)
+
+// Config configures a Picker.
+type Config struct {
+	// Now is the clock.
+	Now func() time.Time
+	// Rand breaks ties.
+	Rand *rand.Rand
+	// Region is the region of this gateway.
+	Region string
+	// Regions maps failure domains to regions.
+	Regions map[string]string
+}
+
+// load is what this gateway knows of one endpoint.
+type load struct {
+	backups      atomic.Int64
+	failures     atomic.Int64 // average share of failed answers, in millionths
+	latency      atomic.Int64 // average in nanoseconds
+	running      atomic.Int64
+	suspectUntil atomic.Int64
+	waiting      atomic.Int64 // prompt tokens without a first event
+}
+
+// domain is what this gateway knows of one failure domain.
+type domain struct {
+	failed       map[string]time.Time
+	suspectUntil time.Time
+}
+
+// Picker chooses endpoints. It is safe for concurrent use.
+type Picker struct {
+	cfg   Config
+	loads sync.Map
+
+	mu      sync.Mutex
+	domains map[string]*domain
+}
+
+// New returns a picker that knows nothing yet.
+func New(cfg Config) *Picker {
+	return &Picker{cfg: cfg, domains: map[string]*domain{}}
+}
+
+func (p *Picker) load(e *savorypinfleet.Endpoint) *load {
+	if l, ok := p.loads.Load(e.ID()); ok {
+		return l.(*load)
+	}
+	l, _ := p.loads.LoadOrStore(e.ID(), &load{})
+	return l.(*load)
+}
+
+// Query says what is chosen for.
+type Query struct {
+	// Avoid is the failure domain to keep away from if possible; empty for none.
+	Avoid string
+	// Candidates are the endpoints that may be chosen.
+	Candidates []*savorypinfleet.Endpoint
+	// Excluded are the IDs that must not be chosen.
+	Excluded map[string]bool
+	// Plain says that the answer is no stream.
+	Plain bool
+	// Sure says that endpoints under suspicion must not be chosen.
+	Sure bool
+}
+
+// Choose returns the endpoint that is expected to answer first, or nil if there
+// is none.
+func (p *Picker) Choose(q Query) *savorypinfleet.Endpoint {
+	now := p.cfg.Now()
+	var best *savorypinfleet.Endpoint
+	var bestScore float64
+	ties := 0
+	for _, e := range q.Candidates {
+		if q.Excluded[e.ID()] {
+			continue
+		}
+		suspect := p.suspect(e, now)
+		if suspect && q.Sure {
+			continue
+		}
+		s := p.score(e, q)
+		if suspect {
+			s += suspectScore
+		}
+		if q.Avoid != "" && e.Domain() == q.Avoid {
+			s += avoidScore
+		}
+		switch {
+		case best == nil || s < bestScore:
+			best, bestScore, ties = e, s, 1
+		case s == bestScore:
+			ties++
+			if p.intN(ties) == 0 {
+				best = e
+			}
+		}
+	}
+	return best
+}
+
+// suspectScore and avoidScore exceed every score of load.
+const (
+	suspectScore = 1e12
+	avoidScore   = 1e9
+)
+
+func (p *Picker) intN(n int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.Rand.IntN(n)
+}
+
+// score is in tokens for streams and in nanoseconds for plain requests.
+func (p *Picker) score(e *savorypinfleet.Endpoint, q Query) float64 {
+	l := p.load(e)
+	far := p.cfg.Regions[e.Domain()] != p.cfg.Region
+	running := float64(l.running.Load())
+	if !q.Plain {
+		s := float64(l.waiting.Load()) + running*runningTokens
+		if far {
+			s += farPenaltyTokens
+		}
+		return s
+	}
+	latency := float64(l.latency.Load())
+	if latency == 0 {
+		latency = float64(firstLatency)
+	}
+	s := latency + latency*running/float64(e.Slots())
+	s += float64(failurePenalty) * float64(l.failures.Load()) / 1e6
+	if far {
+		s += float64(farPenalty)
+	}
+	return s
+}
+
+// ChooseBackup returns the endpoint that keeps a copy of the memory of a run on
+// primary: one of another failure domain that keeps few copies. It returns nil
+// if there is no endpoint in another domain that isn't under suspicion.
+func (p *Picker) ChooseBackup(primary *savorypinfleet.Endpoint, q Query) *savorypinfleet.Endpoint {
+	now := p.cfg.Now()
+	var best *savorypinfleet.Endpoint
+	var bestScore float64
+	ties := 0
+	for _, e := range q.Candidates {
+		if q.Excluded[e.ID()] || e.Domain() == primary.Domain() || p.suspect(e, now) {
+			continue
+		}
+		l := p.load(e)
+		s := float64(l.backups.Load()) + float64(l.running.Load())
+		if p.cfg.Regions[e.Domain()] != p.cfg.Region {
+			s++
+		}
+		switch {
+		case best == nil || s < bestScore:
+			best, bestScore, ties = e, s, 1
+		case s == bestScore:
+			ties++
+			if p.intN(ties) == 0 {
+				best = e
+			}
+		}
+	}
+	return best
+}
+
+// Suspect reports whether an endpoint or its failure domain has just failed.
+func (p *Picker) Suspect(e *savorypinfleet.Endpoint) bool {
+	return p.suspect(e, p.cfg.Now())
+}
+
+func (p *Picker) suspect(e *savorypinfleet.Endpoint, now time.Time) bool {
+	return now.UnixNano() < p.load(e).suspectUntil.Load()
+}
+
+// Fail takes note that an endpoint did not answer: it was out of reach, silent,
+// or broke off. It reports whether the failure domain is now taken as failed.
+func (p *Picker) Fail(e *savorypinfleet.Endpoint) bool {
+	now := p.cfg.Now()
+	p.load(e).suspectUntil.Store(now.Add(suspectTime).UnixNano())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := e.Domain() + "/" + e.Service()
+	d := p.domains[key]
+	if d == nil {
+		d = &domain{failed: map[string]time.Time{}}
+		p.domains[key] = d
+	}
+	for id, at := range d.failed {
+		if now.Sub(at) > domainWindow {
+			delete(d.failed, id)
+		}
+	}
+	d.failed[e.ID()] = now
+	if len(d.failed) < domainFailures {
+		return false
+	}
+	d.suspectUntil = now.Add(domainSuspectTime)
+	return true
+}
+
+// FailDomain puts endpoints of a failed domain under suspicion.
+func (p *Picker) FailDomain(endpoints []*savorypinfleet.Endpoint) {
+	until := p.cfg.Now().Add(domainSuspectTime).UnixNano()
+	for _, e := range endpoints {
+		l := p.load(e)
+		if l.suspectUntil.Load() < until {
+			l.suspectUntil.Store(until)
+		}
+	}
+}
+
+// Clear takes note that an endpoint has answered.
+func (p *Picker) Clear(e *savorypinfleet.Endpoint) {
+	l := p.load(e)
+	if l.suspectUntil.Load() != 0 {
+		l.suspectUntil.Store(0)
+	}
+}
+
+// Forget drops what is known of endpoints that are not in the directory.
+func (p *Picker) Forget(d *savorypinfleet.Directory) {
+	p.loads.Range(func(id, _ any) bool {
+		if d.Endpoint(id.(string)) == nil {
+			p.loads.Delete(id)
+		}
+		return true
+	})
+}
--- a/internal/savorypinplatform/client.go
+++ b/internal/savorypinplatform/client.go
@@ -14,7 +14,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -128,6 +127,9 @@
 	// WatchTimeout is how long the platform keeps a watch open; zero means
 	// DefaultWatchTimeout.
 	WatchTimeout time.Duration
+	// Dialect is how the platform spells its calls; the zero value means
+	// Kubernetes conventions.
+	Dialect Dialect
 }
 
 // Client calls the platform. It is safe for concurrent use.
@@ -146,64 +148,85 @@
 	if cfg.HTTPClient == nil {
 		cfg.HTTPClient = &http.Client{}
 	}
+	if cfg.Dialect.ObjectPath == nil {
+		cfg.Dialect = kubernetesDialect()
+	}
 	return &Client{cfg: cfg}
 }
 
 // Get returns the named object.
 func (c *Client) Get(ctx context.Context, key savorypin.Key) (savorypin.Object, error) {
-	var doc Document
-	if err := c.do(ctx, http.MethodGet, objectPath(key), nil, &doc); err != nil {
+	o, err := c.call(ctx, http.MethodGet, c.cfg.Dialect.ObjectPath(key), key.Kind, nil)
+	if err != nil {
 		return savorypin.Object{}, fmt.Errorf("get %s: %w", key, err)
 	}
-	return FromDocument(doc)
+	return o, nil
 }
 
-// List returns all objects of a kind and the version of the list.
+// List returns all objects of a kind and the version of the list. The version
+// is that of the first page, so that a watch from it misses nothing.
 func (c *Client) List(ctx context.Context, kind savorypin.Kind) ([]savorypin.Object, int64, error) {
-	var list List
-	if err := c.do(ctx, http.MethodGet, BasePath+string(kind), nil, &list); err != nil {
-		return nil, 0, fmt.Errorf("list %s: %w", kind, err)
-	}
-	objects := make([]savorypin.Object, 0, len(list.Items))
-	for _, doc := range list.Items {
-		object, err := FromDocument(doc)
+	var objects []savorypin.Object
+	var version int64
+	after := ""
+	for {
+		data, err := c.do(ctx, http.MethodGet, c.cfg.Dialect.ListPath(kind, after), nil)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", kind, err)
+		}
+		page, err := c.cfg.Dialect.DecodeList(kind, data)
 		if err != nil {
-			return nil, 0, err
+			return nil, 0, fmt.Errorf("list %s: %w", kind, err)
 		}
-		objects = append(objects, object)
+		objects = append(objects, page.Objects...)
+		if version == 0 {
+			version = page.Version
+		}
+		if page.Next == "" || page.Next == after {
+			return objects, version, nil
+		}
+		after = page.Next
 	}
-	version, err := parseVersion(list.Metadata.ResourceVersion)
-	return objects, version, err
 }
 
 // Create creates o and returns it with its version. It returns ErrConflict if
 // the object exists.
 func (c *Client) Create(ctx context.Context, o savorypin.Object) (savorypin.Object, error) {
-	var doc Document
-	if err := c.do(ctx, http.MethodPost, BasePath+string(o.Kind), ToDocument(o), &doc); err != nil {
+	created, err := c.write(ctx, http.MethodPost, c.cfg.Dialect.ListPath(o.Kind, ""), o)
+	if err != nil {
 		return savorypin.Object{}, fmt.Errorf("create %s: %w", o.Key, err)
 	}
-	return FromDocument(doc)
+	return created, nil
 }
 
 // Update replaces the object if it still has the version of o. It returns
 // ErrConflict if it has another one.
 func (c *Client) Update(ctx context.Context, o savorypin.Object) (savorypin.Object, error) {
-	var doc Document
-	if err := c.do(ctx, http.MethodPut, objectPath(o.Key), ToDocument(o), &doc); err != nil {
+	updated, err := c.write(ctx, http.MethodPut, c.cfg.Dialect.ObjectPath(o.Key), o)
+	if err != nil {
 		return savorypin.Object{}, fmt.Errorf("update %s at version %d: %w", o.Key, o.Version, err)
 	}
-	return FromDocument(doc)
+	return updated, nil
+}
+
+// UpdateStatus replaces the status of the object if it still has the version
+// of o, and leaves the rest to whoever owns it.
+func (c *Client) UpdateStatus(ctx context.Context, o savorypin.Object) (savorypin.Object, error) {
+	updated, err := c.write(ctx, http.MethodPut, c.cfg.Dialect.StatusPath(o.Key), o)
+	if err != nil {
+		return savorypin.Object{}, fmt.Errorf("update status of %s at version %d: %w", o.Key, o.Version, err)
+	}
+	return updated, nil
 }
 
 // Delete deletes the object if it still has the version; version 0 deletes it
 // at any version.
 func (c *Client) Delete(ctx context.Context, key savorypin.Key, version int64) error {
-	path := objectPath(key)
+	path := c.cfg.Dialect.ObjectPath(key)
 	if version != 0 {
-		path += "?resourceVersion=" + strconv.FormatInt(version, 10)
+		path += "?" + c.cfg.Dialect.VersionParameter + "=" + strconv.FormatInt(version, 10)
 	}
-	if err := c.do(ctx, http.MethodDelete, path, nil, nil); err != nil {
+	if _, err := c.do(ctx, http.MethodDelete, path, nil); err != nil {
 		return fmt.Errorf("delete %s: %w", key, err)
 	}
 	return nil
@@ -212,9 +235,13 @@
 // Hosts returns the platform's list of hosts, which lags behind the truth.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
 	var hosts []Host
-	if err := c.do(ctx, http.MethodGet, HostsPath, nil, &hosts); err != nil {
+	data, err := c.do(ctx, http.MethodGet, HostsPath, nil)
+	if err != nil {
 		return nil, fmt.Errorf("list hosts: %w", err)
 	}
+	if err := json.Unmarshal(data, &hosts); err != nil {
+		return nil, fmt.Errorf("list hosts: %w: decode answer: %w", ErrUnavailable, err)
+	}
 	return hosts, nil
 }
 
@@ -232,40 +259,42 @@
 	c.cfg.Count("watch")
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.WatchTimeout+watchGrace)
 	defer cancel()
-	seconds := int((c.cfg.WatchTimeout + time.Second - 1) / time.Second)
-	path := fmt.Sprintf("%s%s?watch=true&allowWatchBookmarks=true&resourceVersion=%d&timeoutSeconds=%d",
-		BasePath, kind, version, seconds)
-	resp, err := c.send(ctx, http.MethodGet, path, nil)
+	resp, err := c.send(ctx, http.MethodGet, c.cfg.Dialect.WatchPath(kind, version, c.cfg.WatchTimeout), nil)
 	if err != nil {
 		return fmt.Errorf("watch %s: %w", kind, err)
 	}
 	defer resp.Body.Close()
-	dec := json.NewDecoder(resp.Body)
-	for {
-		var event Event
-		err := dec.Decode(&event)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("watch %s: %w: %w", kind, ErrUnavailable, err)
-		}
-		if event.Type == EventError {
-			return fmt.Errorf("watch %s: %w", kind, ErrExpired)
-		}
-		object, err := FromDocument(event.Object)
-		if err != nil {
-			return err
-		}
-		object.Kind = kind
-		object.Deleted = event.Type == EventDeleted
-		if err := handle(object); err != nil {
-			return err
-		}
+	if err := c.cfg.Dialect.ReadWatch(kind, resp.Body, handle); err != nil {
+		return fmt.Errorf("watch %s: %w", kind, err)
+	}
+	return nil
+}
+
+// write sends an object and returns it as the platform holds it.
+func (c *Client) write(ctx context.Context, method, path string, o savorypin.Object) (savorypin.Object, error) {
+	data, err := c.cfg.Dialect.Encode(o)
+	if err != nil {
+		return savorypin.Object{}, fmt.Errorf("%w: encode request: %w", ErrRejected, err)
+	}
+	return c.call(ctx, method, path, o.Kind, data)
+}
+
+// call makes a call whose answer is one object of a kind.
+func (c *Client) call(
+	ctx context.Context,
+	method, path string,
+	kind savorypin.Kind,
+	body []byte,
+) (savorypin.Object, error) {
+	data, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return savorypin.Object{}, err
 	}
+	return c.cfg.Dialect.Decode(kind, data)
 }
 
-func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+// do makes a call and returns the body of the answer.
+func (c *Client) do(ctx context.Context, method, path string, in []byte) ([]byte, error) {
 	c.cfg.Count(method)
 	if c.cfg.Timeout > 0 {
 		var cancel context.CancelFunc
@@ -274,24 +303,18 @@
 	}
 	var body io.Reader
 	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
-			return fmt.Errorf("encode request: %w", err)
-		}
-		body = bytes.NewReader(data)
+		body = bytes.NewReader(in)
 	}
 	resp, err := c.send(ctx, method, path, body)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer resp.Body.Close()
-	if out == nil {
-		return nil
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(out); err != nil {
-		return fmt.Errorf("%w: decode answer: %w", ErrUnavailable, err)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: read answer: %w", ErrUnavailable, err)
 	}
-	return nil
+	return data, nil
 }
 
 func (c *Client) send(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
@@ -332,7 +355,3 @@
 		return fmt.Errorf("%w: status %d", ErrRejected, status)
 	}
 }
-
-func objectPath(key savorypin.Key) string {
-	return BasePath + string(key.Kind) + "/" + url.PathEscape(key.Name)
-}
--- /dev/null
+++ b/internal/savorypinplatform/dialect.go
@@ -0,0 +1,122 @@
+package savorypinplatform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// Page is a part of the list of a kind.
+type Page struct {
+	// Next is where the next page begins; empty after the last one.
+	Next string
+	// Objects are the objects of the page.
+	Objects []savorypin.Object
+	// Version is the version of the list.
+	Version int64
+}
+
+// Dialect is how a platform spells the calls of its object API. It holds names
+// and formats only; the Client makes the calls and decides nothing by them.
+type Dialect struct {
+	// Decode returns the object of an answer.
+	Decode func(savorypin.Kind, []byte) (savorypin.Object, error)
+	// DecodeList returns the page of an answer to a list call.
+	DecodeList func(savorypin.Kind, []byte) (Page, error)
+	// Encode returns the body of a write.
+	Encode func(savorypin.Object) ([]byte, error)
+	// ListPath is the path of a page of a kind, and of creations.
+	ListPath func(kind savorypin.Kind, after string) string
+	// ObjectPath is the path of an object.
+	ObjectPath func(savorypin.Key) string
+	// ReadWatch reads the answer to a watch and calls handle for each event. An
+	// object without a name reports progress only.
+	ReadWatch func(kind savorypin.Kind, r io.Reader, handle func(savorypin.Object) error) error
+	// StatusPath is the path at which only the status is written.
+	StatusPath func(savorypin.Key) string
+	// VersionParameter is the query parameter of a condition on the version.
+	VersionParameter string
+	// WatchPath is the path of a watch that may last for the given time.
+	WatchPath func(kind savorypin.Kind, version int64, d time.Duration) string
+}
+
+// kubernetesDialect returns the dialect of the Kubernetes API.
+func kubernetesDialect() Dialect {
+	return Dialect{
+		Decode: func(_ savorypin.Kind, data []byte) (savorypin.Object, error) {
+			var doc Document
+			if err := json.Unmarshal(data, &doc); err != nil {
+				return savorypin.Object{}, fmt.Errorf("%w: decode answer: %w", ErrUnavailable, err)
+			}
+			return FromDocument(doc)
+		},
+		DecodeList: decodeDocuments,
+		Encode:     func(o savorypin.Object) ([]byte, error) { return json.Marshal(ToDocument(o)) },
+		ListPath:   func(kind savorypin.Kind, _ string) string { return BasePath + string(kind) },
+		ObjectPath: documentPath,
+		ReadWatch:  readDocumentWatch,
+		StatusPath: func(key savorypin.Key) string { return documentPath(key) + "/status" },
+		WatchPath: func(kind savorypin.Kind, version int64, d time.Duration) string {
+			seconds := int((d + time.Second - 1) / time.Second)
+			return fmt.Sprintf("%s%s?watch=true&allowWatchBookmarks=true&resourceVersion=%d&timeoutSeconds=%s",
+				BasePath, kind, version, strconv.Itoa(seconds))
+		},
+		VersionParameter: "resourceVersion",
+	}
+}
+
+func documentPath(key savorypin.Key) string {
+	return BasePath + string(key.Kind) + "/" + url.PathEscape(key.Name)
+}
+
+func decodeDocuments(_ savorypin.Kind, data []byte) (Page, error) {
+	var list List
+	if err := json.Unmarshal(data, &list); err != nil {
+		return Page{}, fmt.Errorf("%w: decode answer: %w", ErrUnavailable, err)
+	}
+	page := Page{Objects: make([]savorypin.Object, 0, len(list.Items))}
+	for _, doc := range list.Items {
+		object, err := FromDocument(doc)
+		if err != nil {
+			return Page{}, err
+		}
+		page.Objects = append(page.Objects, object)
+	}
+	var err error
+	page.Version, err = parseVersion(list.Metadata.ResourceVersion)
+	return page, err
+}
+
+// readDocumentWatch reads one JSON event a line until the platform ends the
+// watch.
+func readDocumentWatch(kind savorypin.Kind, r io.Reader, handle func(savorypin.Object) error) error {
+	dec := json.NewDecoder(r)
+	for {
+		var event Event
+		err := dec.Decode(&event)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		if event.Type == EventError {
+			return ErrExpired
+		}
+		object, err := FromDocument(event.Object)
+		if err != nil {
+			return err
+		}
+		object.Kind = kind
+		object.Deleted = event.Type == EventDeleted
+		if err := handle(object); err != nil {
+			return err
+		}
+	}
+}
