--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -11,6 +11,7 @@
 	repeated    metrics.Counter
 	requests    metrics.Counter
 	resumed     metrics.Counter
+	resumeGap   metrics.Timer
 	storeCalls  metrics.Counter
 	firstEvent  metrics.Timer
 	plainAnswer metrics.Timer
@@ -27,6 +28,7 @@
 		repeated:    metrics.GetOrRegisterCounter("gateway_repeated", r),
 		requests:    metrics.GetOrRegisterCounter("gateway_requests", r),
 		resumed:     metrics.GetOrRegisterCounter("gateway_resumed", r),
+		resumeGap:   metrics.GetOrRegisterTimer("gateway_resume_gap", r),
 		storeCalls:  metrics.GetOrRegisterCounter("gateway_store_calls", r),
 	}
 }
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -79,8 +79,12 @@
 // follow starts the followers.
 func (s *store) follow(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return s.followConfiguration(ctx) })
-	group.Go(func() error { return s.followKind(ctx, s.cfg.Objects.EndpointKind, s.listEndpoints, s.applyEndpoint, s.publishEndpoints) })
-	group.Go(func() error { return s.followKind(ctx, s.cfg.Objects.RolloutKind, s.listRollouts, s.applyRollout, s.publishRollouts) })
+	group.Go(func() error {
+		return s.followKind(ctx, s.cfg.Objects.EndpointKind, s.listEndpoints, s.applyEndpoint, s.publishEndpoints)
+	})
+	group.Go(func() error {
+		return s.followKind(ctx, s.cfg.Objects.RolloutKind, s.listRollouts, s.applyRollout, s.publishRollouts)
+	})
 }
 
 // followConfiguration reads the configuration again and again, since a watch
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -43,6 +43,9 @@
 	// comes.
 	failure *outcome
 	gateway *Gateway
+	// lastAt is when the last event was sent to the caller, or when the request
+	// came.
+	lastAt time.Time
 	// last is the number of the last event that was sent to the caller.
 	last int64
 	// mayHaveRun says that an endpoint may have run the request.
@@ -59,7 +62,7 @@
 func (g *Gateway) relayStream(w http.ResponseWriter, r *http.Request, req *request) {
 	ctx, cancel := context.WithDeadline(r.Context(), req.until)
 	defer cancel()
-	s := &stream{gateway: g, rc: http.NewResponseController(w), req: req, tried: map[string]bool{}, w: w}
+	s := &stream{gateway: g, lastAt: req.arrived, rc: http.NewResponseController(w), req: req, tried: map[string]bool{}, w: w}
 	if last, err := strconv.ParseInt(req.call.LastEvent, 10, 64); err == nil {
 		s.last = last
 	}
@@ -230,7 +233,7 @@
 	case reply.Encoded, !reply.Signed:
 		return errUnsigned
 	}
-	return s.relay(resp, a.Backup, w, read)
+	return s.relay(resp, a, w, read)
 }
 
 // failed keeps an endpoint's failure.
@@ -244,7 +247,7 @@
 }
 
 // relay passes whole events on, each once.
-func (s *stream) relay(resp *http.Response, backup *savorypinfleet.Endpoint, w *watch, read func()) error {
+func (s *stream) relay(resp *http.Response, a savorypinfleet.Attempt, w *watch, read func()) error {
 	events := newEventReader(resp.Body)
 	first := true
 	for {
@@ -259,8 +262,9 @@
 			first = false
 			w.began(s.req.route)
 			read()
+			s.noteFirst(a)
 			// A request that has not begun to run has no memory to copy.
-			s.backup = backup
+			s.backup = a.Backup
 		}
 		w.event()
 		if e.id != 0 && e.id <= s.last {
@@ -275,17 +279,29 @@
 	}
 }
 
+// noteFirst takes note of the first event of an attempt.
+func (s *stream) noteFirst(a savorypinfleet.Attempt) {
+	pause := time.Since(s.lastAt)
+	if s.sent == 1 {
+		s.gateway.counters.firstEvent.Update(pause)
+		return
+	}
+	s.gateway.counters.resumeGap.Update(pause)
+	s.gateway.log.Info("stream resumed", "id", s.req.call.ID, "endpoint", a.Endpoint.ID(), "domain", a.Endpoint.Domain(),
+		"restored", a.Restore, "event", s.last, "pause", pause, "age", time.Since(s.req.arrived))
+}
+
 // deliver sends an event to the caller.
 func (s *stream) deliver(resp *http.Response, e event, flush bool) error {
 	if !s.begun {
 		s.begun = true
-		s.gateway.counters.firstEvent.UpdateSince(s.req.arrived)
 		s.gateway.cfg.Codec.EncodeReply(s.w.Header(), resp, s.req.call)
 		s.w.WriteHeader(resp.StatusCode)
 	}
 	if _, err := s.w.Write(e.raw); err != nil {
 		return err
 	}
+	s.lastAt = time.Now()
 	if e.id > 0 {
 		s.last = e.id
 	}
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -14,9 +14,10 @@
 	// firstCheck is after which silence before the first event the endpoint's
 	// host is checked: reading a prompt takes about as long.
 	firstCheck = 1200 * time.Millisecond
-	// gapCheck is the same between events: several times the usual gap, and short
-	// enough to go on elsewhere within the longest pause on time.
-	gapCheck = 160 * time.Millisecond
+	// gapCheckPart is the part of the longest pause on time after which the host
+	// is checked between events. The rest has to suffice for the check and for
+	// the first event from another endpoint.
+	gapCheckPart = 0.4
 	// gapPart is the part of the longest pause on time after which an endpoint is
 	// given up although its host answers.
 	gapPart = 0.6
@@ -69,7 +70,7 @@
 	if gap == 0 {
 		gap = defaultGap
 	}
-	w.check = gapCheck
+	w.check = time.Duration(gapCheckPart * float64(gap))
 	w.limit = time.Duration(gapPart * float64(gap))
 }
 
