Let gateways tell each other of failed domains and loads, and learn which domain is next

Cause: a gateway that avoids a domain does not see it fail, and streams were placed where a third of them was lost each six seconds. Gossip by datagrams shares failures, suspicions, loads and confirmations; the hazard estimate keeps streams away from the domain that is likely to fail within their duration.

--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -9,10 +9,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -24,6 +26,8 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypingossip"
+	"savorypin/internal/savorypinhazard"
 	"savorypin/internal/savorypinmetrics"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinplatform"
@@ -62,7 +66,9 @@
 	budgets  budgets
 	cfg      Config
 	counters counters
+	gossip   *savorypingossip.Gossip
 	log      *log.Logger
+	peers    *savorypingossip.Table
 	picker   *savorypinpick.Picker
 	pool     *savorypinpool.Pool
 	registry metrics.Registry
@@ -85,6 +91,7 @@
 	}
 	g.settings.Store(&cfg.Settings)
 	g.picker = savorypinpick.New(savorypinpick.Config{
+		Hazard:  savorypinhazard.New(slices.Collect(maps.Keys(cfg.Settings.Regions))),
 		Now:     time.Now,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Region:  cfg.Settings.Region,
@@ -93,6 +100,7 @@
 	g.budgets = newBudgets(cfg.Settings)
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
 	g.view.rollouts.Store(&rolloutSet{})
+	g.gossip = g.newGossip()
 	g.store = newStore(cfg, &g.view, g.counters)
 	g.store.changed = g.directoryChanged
 	if cfg.Settings.MemoryBytes > 0 {
@@ -124,6 +132,8 @@
 	group.Go(func() error { return serve(work, readiness, http.HandlerFunc(g.serveReadiness)) })
 	group.Go(func() error { return serve(work, introspection, g.introspection()) })
 	g.store.follow(work, group)
+	group.Go(func() error { return g.gossip.Run(work) })
+	group.Go(func() error { return g.register(work) })
 	group.Go(func() error { return g.sweep(work) })
 	group.Go(func() error {
 		defer cancel()
@@ -191,6 +201,7 @@
 		case <-ticker.C:
 			g.pool.Sweep()
 			g.picker.Forget(g.view.directory.Load())
+			g.picker.KeepGateways(g.alivePeers())
 		}
 	}
 }
--- /dev/null
+++ b/internal/savorypingateway/gossip.go
@@ -0,0 +1,157 @@
+package savorypingateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"time"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypingossip"
+	"savorypin/internal/savorypinpick"
+	"savorypin/internal/savorypinplatform"
+)
+
+// kindGateway is the system's own kind of objects, by which gateways find each
+// other.
+const kindGateway savorypin.Kind = "savorypin-gateways"
+
+// meetInterval is how often the list of gateways is read.
+const meetInterval = 5 * time.Second
+
+// gatewaySpec is the object of a gateway.
+type gatewaySpec struct {
+	// Address is where the gateway receives messages of other gateways.
+	Address string `json:"address"`
+}
+
+func (g *Gateway) newGossip() *savorypingossip.Gossip {
+	s := g.settings.Load()
+	address := net.JoinHostPort(s.Host, strconv.Itoa(s.PeerPort))
+	g.peers = savorypingossip.NewTable(address, time.Now)
+	for _, host := range s.Seeds {
+		g.peers.Meet([]string{net.JoinHostPort(host, strconv.Itoa(s.PeerPort))})
+	}
+	return savorypingossip.New(savorypingossip.Config{
+		Address: address,
+		Clock:   bootClock,
+		Compose: g.composeGossip,
+		Heard:   g.heard,
+		Logger:  g.log,
+		Started: time.Now().UnixNano(),
+		Table:   g.peers,
+	})
+}
+
+// composeGossip returns what this gateway tells the others.
+func (g *Gateway) composeGossip() savorypingossip.Message {
+	m := savorypingossip.Message{
+		Confirmed: -1,
+		Domain:    g.settings.Load().Domain,
+		Leaving:   g.stopping.Load(),
+		Name:      g.settings.Load().Name,
+	}
+	if c := g.view.configuration.Load(); c != nil {
+		m.Version = c.Version()
+	}
+	if age, ok := g.view.confirmation(bootClock()); ok {
+		m.Confirmed = age
+	}
+	for _, l := range g.picker.Loads() {
+		m.Loads = append(m.Loads, savorypingossip.Load(l))
+	}
+	for _, f := range g.picker.Failures() {
+		m.Failures = append(m.Failures, savorypingossip.Failure(f))
+	}
+	m.Suspects = g.picker.Suspects()
+	return m
+}
+
+// heard takes over what another gateway tells.
+func (g *Gateway) heard(m savorypingossip.Message) {
+	g.confirmBy(m)
+	loads := make([]savorypinpick.Load, 0, len(m.Loads))
+	for _, l := range m.Loads {
+		loads = append(loads, savorypinpick.Load(l))
+	}
+	g.picker.SetLoads(m.Address, loads)
+	d := g.view.directory.Load()
+	for _, id := range m.Suspects {
+		if e := d.Endpoint(id); e != nil {
+			g.picker.HearSuspect(e)
+		}
+	}
+	for _, f := range m.Failures {
+		if g.picker.HearFailure(savorypinpick.Failure(f)) {
+			g.domainFailed(f.Domain, f.Service, m.Name)
+		}
+	}
+}
+
+// confirmBy takes over the confirmation of a gateway with the same
+// configuration. Its age counts from when this gateway's last message to it was
+// sent, since the answer was given after that.
+func (g *Gateway) confirmBy(m savorypingossip.Message) {
+	c := g.view.configuration.Load()
+	if c == nil || m.Version != c.Version() || m.Confirmed < 0 || m.Echo == 0 {
+		return
+	}
+	g.view.confirm(m.Echo - m.Confirmed)
+}
+
+// register tells the other gateways by the store where this one is, and reads
+// where they are.
+func (g *Gateway) register(ctx context.Context) error {
+	s := g.settings.Load()
+	registered := false
+	for {
+		if !registered {
+			registered = g.writeRegistration(ctx, s)
+		}
+		objects, _, err := g.store.client.List(ctx, kindGateway)
+		if err != nil {
+			g.log.Debug("gateways not listed", "err", err)
+		}
+		for _, o := range objects {
+			var spec gatewaySpec
+			if err := json.Unmarshal(o.Spec, &spec); err != nil {
+				g.log.Warn("gateway ignored", "name", o.Name, "err", err)
+				continue
+			}
+			g.peers.Meet([]string{spec.Address})
+		}
+		if err := wait(ctx, meetInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// writeRegistration creates or replaces the gateway's object.
+func (g *Gateway) writeRegistration(ctx context.Context, s *Settings) bool {
+	spec, err := json.Marshal(gatewaySpec{Address: net.JoinHostPort(s.Host, strconv.Itoa(s.PeerPort))})
+	if err != nil {
+		g.log.Error("gateway not registered", "err", err)
+		return false
+	}
+	o := savorypin.Object{Key: savorypin.Key{Kind: kindGateway, Name: s.Name}, Spec: spec}
+	_, err = g.store.client.Create(ctx, o)
+	if savorypinplatform.IsConflict(err) {
+		// An earlier incarnation has left its entry.
+		_, err = g.store.client.Update(ctx, o)
+	}
+	if err != nil {
+		g.log.Warn("gateway not registered", "err", err)
+		return false
+	}
+	return true
+}
+
+// alivePeers returns the addresses of the other gateways that are alive.
+func (g *Gateway) alivePeers() map[string]bool {
+	alive := map[string]bool{}
+	for _, m := range g.peers.Alive() {
+		alive[m.Address] = true
+	}
+	return alive
+}
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -53,9 +53,10 @@
 // query returns the query of a request that was sent to some endpoints already.
 func (g *Gateway) query(req *request, tried map[string]bool) savorypinpick.Query {
 	return savorypinpick.Query{
-		Candidates: g.candidates(req.service.Name()),
-		Excluded:   tried,
-		Plain:      req.route.Kind() != savorypinfleet.RouteStreaming,
+		Candidates:   g.candidates(req.service.Name()),
+		Excluded:     tried,
+		PromptTokens: req.call.PromptTokens,
+		Plain:        req.route.Kind() != savorypinfleet.RouteStreaming,
 	}
 }
 
@@ -66,17 +67,24 @@
 	g.pool.Drop(e.Address())
 	domainFailed := g.picker.Fail(e)
 	g.log.Info("endpoint suspect", "endpoint", e.ID(), "domain", e.Domain(), "reason", reason, "domainFailed", domainFailed)
-	if !domainFailed {
-		return
+	if domainFailed {
+		g.domainFailed(e.Domain(), e.Service(), g.settings.Load().Name)
+		g.gossip.Hurry()
 	}
+}
+
+// domainFailed puts the endpoints of a service in a domain under suspicion and
+// checks the streams there at once.
+func (g *Gateway) domainFailed(domain, service, seenBy string) {
 	var neighbours []*savorypinfleet.Endpoint
-	for _, other := range g.view.directory.Load().Service(e.Service()) {
-		if other.Domain() == e.Domain() {
-			neighbours = append(neighbours, other)
+	for _, e := range g.view.directory.Load().Service(service) {
+		if e.Domain() == domain {
+			neighbours = append(neighbours, e)
 		}
 	}
 	g.picker.FailDomain(neighbours)
-	g.streams.check(e.Domain(), e.Service())
+	g.log.Info("failure domain suspect", "domain", domain, "service", service, "endpoints", len(neighbours), "seenBy", seenBy)
+	g.streams.check(domain, service)
 }
 
 // connectTimeout bounds the time in which an endpoint accepts a connection. Its
--- a/internal/savorypingateway/settings.go
+++ b/internal/savorypingateway/settings.go
@@ -44,6 +44,8 @@
 	RevocationDelay time.Duration
 	// RollbackDelay is the time after which a bad version gets nothing.
 	RollbackDelay time.Duration
+	// Seeds are IP addresses of hosts where there may be gateways.
+	Seeds []string
 	// Store is the base URL of the object store.
 	Store string
 	// StrictKeys says that the bound on keys holds without the store too.
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -69,6 +69,7 @@
 	err := s.run(ctx)
 	if err == nil {
 		g.counters.answered.Inc(1)
+		g.picker.Completed(time.Since(req.arrived))
 		return
 	}
 	if r.Context().Err() != nil {
--- /dev/null
+++ b/internal/savorypingossip/message.go
@@ -0,0 +1,72 @@
+// Package savorypingossip lets gateways tell each other what they have seen:
+// which failure domains and endpoints fail, how much work they have placed, and
+// how fresh their configuration is. What is told is soft state: a lost message
+// is made good by the next one, and nothing that must last depends on it.
+//
+// Messages are msgpack in UDP datagrams. Unlike a connection, a datagram socket
+// can't go silent unnoticed.
+package savorypingossip
+
+import "time"
+
+// Message is what a gateway tells another one. Its fields are exported for the
+// codec.
+type Message struct {
+	// Address is where the sender receives messages.
+	Address string `msgpack:"a"`
+	// Confirmed is the age of the confirmation of the sender's configuration;
+	// negative if it has none.
+	Confirmed time.Duration `msgpack:"c"`
+	// Domain is the sender's failure domain.
+	Domain string `msgpack:"d"`
+	// Echo is the Sent of the last message that the sender had from the receiver.
+	Echo time.Duration `msgpack:"e"`
+	// Exposures are what the sender has seen of versions that are rolled out.
+	Exposures []Exposure `msgpack:"x,omitempty"`
+	// Failures are the domain failures that the sender has seen lately.
+	Failures []Failure `msgpack:"f,omitempty"`
+	// Leaving says that the sender takes no new callers.
+	Leaving bool `msgpack:"l,omitempty"`
+	// Loads are the sender's work at endpoints.
+	Loads []Load `msgpack:"w,omitempty"`
+	// Name names the sender.
+	Name string `msgpack:"n"`
+	// Peers are addresses of gateways that the sender knows.
+	Peers []string `msgpack:"p,omitempty"`
+	// Sent is when the message was sent, by the sender's boot-time clock.
+	Sent time.Duration `msgpack:"s"`
+	// Started tells incarnations of the sender apart.
+	Started int64 `msgpack:"b"`
+	// Suspects are the endpoints that the sender takes as failed.
+	Suspects []string `msgpack:"u,omitempty"`
+	// Version is the version of the sender's configuration.
+	Version int64 `msgpack:"v"`
+}
+
+// Failure is a failure of a domain.
+type Failure struct {
+	// Age is how long ago it was seen.
+	Age     time.Duration `msgpack:"a"`
+	Domain  string        `msgpack:"d"`
+	Service string        `msgpack:"s"`
+}
+
+// Load is a gateway's work at one endpoint.
+type Load struct {
+	Endpoint string `msgpack:"e"`
+	Running  int64  `msgpack:"r"`
+	// Waiting is the number of prompt tokens that have not been read.
+	Waiting int64 `msgpack:"w"`
+}
+
+// Exposure is what a gateway has sent to a version since its roll-out began.
+type Exposure struct {
+	// Bad is the number of failed or very slow answers, over all routes.
+	Bad int64 `msgpack:"b"`
+	// Revision is the platform's version of the order.
+	Revision int64 `msgpack:"r"`
+	// New and Old are the requests sent to the new and the old versions.
+	New     int64  `msgpack:"n"`
+	Old     int64  `msgpack:"o"`
+	Service string `msgpack:"s"`
+}
--- /dev/null
+++ b/internal/savorypinhazard/hazard_test.go
@@ -0,0 +1,72 @@
+package savorypinhazard_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypinhazard"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// failure is a failure of a domain at a time in seconds.
+type failure struct {
+	at     float64
+	domain string
+}
+
+var _ = Describe("Domains of endpoints that fail one after the other", func() {
+	rotation := []failure{{4.5, "a"}, {11, "b"}, {17, "c"}, {24, "a"}}
+	span := 6500 * time.Millisecond
+
+	cases := []struct {
+		name     string
+		failures []failure
+		now      float64
+		// most and least are the domains with the largest and the smallest risk.
+		most, least string
+	}{
+		{name: "the domain that was hit longest ago is next", failures: rotation, now: 24.5, most: "b", least: "a"},
+		{name: "a domain that was never hit is next", failures: rotation[:2], now: 11.5, most: "c", least: "b"},
+		{
+			name:     "the same domain again and again",
+			failures: []failure{{5, "a"}, {11, "a"}, {17, "a"}, {23, "a"}, {29, "a"}, {35, "a"}},
+			now:      36, most: "a", least: "b",
+		},
+	}
+	for _, c := range cases {
+		It("knows that "+c.name, func() {
+			e := savorypinhazard.New([]string{"c", "b", "a"})
+			for _, f := range c.failures {
+				e.Record(f.domain, at(f.at))
+			}
+			for _, domain := range []string{"a", "b", "c"} {
+				Expect(e.Risk(c.most, at(c.now), span)).To(BeNumerically(">=", e.Risk(domain, at(c.now), span)))
+				Expect(e.Risk(c.least, at(c.now), span)).To(BeNumerically("<=", e.Risk(domain, at(c.now), span)))
+			}
+			Expect(e.Risk(c.most, at(c.now), span)).To(BeNumerically(">", 2*e.Risk(c.least, at(c.now), span)))
+		})
+	}
+
+	It("sees no risk before the first failure and long after the last", func() {
+		e := savorypinhazard.New([]string{"a", "b", "c"})
+		Expect(e.Risk("a", at(0), span)).To(BeZero())
+		for _, f := range rotation {
+			e.Record(f.domain, at(f.at))
+		}
+		Expect(e.Risk("b", at(60), span)).To(BeZero())
+	})
+
+	It("counts the endpoints of a domain as one failure", func() {
+		e := savorypinhazard.New([]string{"a", "b"})
+		Expect(e.Record("a", at(1))).To(BeTrue())
+		Expect(e.Record("a", at(1.3))).To(BeFalse())
+		Expect(e.Record("unknown", at(2))).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/savorypinpick/others.go
@@ -0,0 +1,151 @@
+package savorypinpick
+
+import (
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+)
+
+// failureTime is how long a failure of a domain is told to other gateways.
+const failureTime = 1500 * time.Millisecond
+
+// Load is a gateway's work at one endpoint.
+type Load struct {
+	Endpoint string
+	Running  int64
+	// Waiting is the number of prompt tokens that have not been read.
+	Waiting int64
+}
+
+// Failure is a failure of the endpoints of a service in a domain.
+type Failure struct {
+	// Age is how long ago it was seen.
+	Age     time.Duration
+	Domain  string
+	Service string
+}
+
+// failureRecord is a failure with the time when it was seen.
+type failureRecord struct {
+	at      time.Time
+	domain  string
+	service string
+}
+
+// recordFailure takes note of a failure of a domain. It reports whether it is
+// new. The caller holds p.mu.
+func (p *Picker) recordFailure(domain, service string, at time.Time) bool {
+	kept := p.failures[:0]
+	for _, f := range p.failures {
+		if p.cfg.Now().Sub(f.at) < failureTime {
+			kept = append(kept, f)
+		}
+	}
+	p.failures = kept
+	for _, f := range p.failures {
+		if f.domain == domain && f.service == service {
+			return false
+		}
+	}
+	p.failures = append(p.failures, failureRecord{at: at, domain: domain, service: service})
+	p.cfg.Hazard.Record(domain, at)
+	return true
+}
+
+// Failures returns the failures of domains that were seen lately.
+func (p *Picker) Failures() []Failure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var failures []Failure
+	for _, f := range p.failures {
+		if age := p.cfg.Now().Sub(f.at); age < failureTime {
+			failures = append(failures, Failure{Age: age, Domain: f.domain, Service: f.service})
+		}
+	}
+	return failures
+}
+
+// HearFailure takes note of a failure that another gateway has seen. It reports
+// whether it is new.
+func (p *Picker) HearFailure(f Failure) bool {
+	if f.Age < 0 || f.Age >= failureTime {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.recordFailure(f.Domain, f.Service, p.cfg.Now().Add(-f.Age))
+}
+
+// Loads returns this gateway's work at all endpoints.
+func (p *Picker) Loads() []Load {
+	var loads []Load
+	p.loads.Range(func(id, value any) bool {
+		l := value.(*load)
+		if running := l.running.Load(); running > 0 {
+			loads = append(loads, Load{Endpoint: id.(string), Running: running, Waiting: l.waiting.Load()})
+		}
+		return true
+	})
+	return loads
+}
+
+// SetLoads replaces what another gateway told of its work. Nil loads take the
+// gateway out.
+func (p *Picker) SetLoads(gateway string, loads []Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.others[gateway] {
+		p.addOthers(l, -1)
+	}
+	for _, l := range loads {
+		p.addOthers(l, 1)
+	}
+	p.others[gateway] = loads
+	if len(loads) == 0 {
+		delete(p.others, gateway)
+	}
+}
+
+func (p *Picker) addOthers(l Load, sign int64) {
+	known := p.loadOf(l.Endpoint)
+	known.othersRunning.Add(sign * l.Running)
+	known.othersWaiting.Add(sign * l.Waiting)
+}
+
+// KeepGateways drops the work of gateways that are not alive.
+func (p *Picker) KeepGateways(alive map[string]bool) {
+	p.mu.Lock()
+	var gone []string
+	for gateway := range p.others {
+		if !alive[gateway] {
+			gone = append(gone, gateway)
+		}
+	}
+	p.mu.Unlock()
+	for _, gateway := range gone {
+		p.SetLoads(gateway, nil)
+	}
+}
+
+// Suspects returns the endpoints that this gateway itself found failed.
+func (p *Picker) Suspects() []string {
+	now := p.cfg.Now().UnixNano()
+	var suspects []string
+	p.loads.Range(func(id, value any) bool {
+		if now < value.(*load).ownSuspectUntil.Load() {
+			suspects = append(suspects, id.(string))
+		}
+		return true
+	})
+	return suspects
+}
+
+// HearSuspect puts an endpoint under suspicion that another gateway found
+// failed.
+func (p *Picker) HearSuspect(e *savorypinfleet.Endpoint) {
+	l := p.load(e)
+	until := p.cfg.Now().Add(heardSuspectTime).UnixNano()
+	if l.suspectUntil.Load() < until {
+		l.suspectUntil.Store(until)
+	}
+}
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinhazard"
 )
 
 // Settings of the choice.
@@ -17,6 +18,9 @@
 	// suspectTime is how long an endpoint that failed is only chosen if there is
 	// no other. An endpoint that comes back has another incarnation.
 	suspectTime = 1500 * time.Millisecond
+	// heardSuspectTime is how long a suspicion is passed on to other gateways,
+	// and how long it lasts there after each message.
+	heardSuspectTime = 600 * time.Millisecond
 	// domainWindow is the time within which failures of several endpoints count
 	// as a failure of their domain.
 	domainWindow = 400 * time.Millisecond
@@ -25,8 +29,18 @@
 	// domainSuspectTime is how long a failed domain is avoided.
 	domainSuspectTime = 1200 * time.Millisecond
 	// farPenaltyTokens is what an endpoint of another region must be better by:
-	// a prompt of usual size, since its bytes cross the link between regions.
-	farPenaltyTokens = 8000
+	// its events cross the link between regions and come later by a round trip.
+	farPenaltyTokens = 1000
+	// lossPart is the part of a prompt that is lost when its domain fails: it is
+	// read again, and the answer is late.
+	lossPart = 1.0
+	// backupRisk is what a certain failure weighs against copies and running
+	// requests in the choice of a backup.
+	backupRisk = 4
+	// firstDuration stands for the usual duration of a stream before one ended.
+	firstDuration = 6 * time.Second
+	// durationWeight is the weight of a new duration in the average.
+	durationWeight = 0.05
 	// runningTokens is what a running request weighs against prompt tokens that
 	// wait: it slows each further token down by little.
 	runningTokens = 400
@@ -42,6 +56,8 @@
 
 // Config configures a Picker.
 type Config struct {
+	// Hazard estimates the risks of failure domains.
+	Hazard *savorypinhazard.Estimator
 	// Now is the clock.
 	Now func() time.Time
 	// Rand breaks ties.
@@ -54,39 +70,53 @@
 
 // load is what this gateway knows of one endpoint.
 type load struct {
-	backups      atomic.Int64
-	failures     atomic.Int64 // average share of failed answers, in millionths
-	latency      atomic.Int64 // average in nanoseconds
-	running      atomic.Int64
-	suspectUntil atomic.Int64
-	waiting      atomic.Int64 // prompt tokens without a first event
+	backups  atomic.Int64
+	failures atomic.Int64 // average share of failed answers, in millionths
+	latency  atomic.Int64 // average in nanoseconds
+	// othersRunning and othersWaiting are what other gateways told.
+	othersRunning atomic.Int64
+	othersWaiting atomic.Int64
+	running       atomic.Int64
+	// ownSuspectUntil is the part of the suspicion that this gateway found.
+	ownSuspectUntil atomic.Int64
+	suspectUntil    atomic.Int64
+	waiting         atomic.Int64 // prompt tokens without a first event
 }
 
 // domain is what this gateway knows of one failure domain.
 type domain struct {
-	failed       map[string]time.Time
-	suspectUntil time.Time
+	failed map[string]time.Time
 }
 
 // Picker chooses endpoints. It is safe for concurrent use.
 type Picker struct {
-	cfg   Config
-	loads sync.Map
+	cfg Config
+	// duration is the average duration of a stream in nanoseconds.
+	duration atomic.Int64
+	loads    sync.Map
 
-	mu      sync.Mutex
-	domains map[string]*domain
+	mu       sync.Mutex
+	domains  map[string]*domain
+	failures []failureRecord
+	others   map[string][]Load
 }
 
 // New returns a picker that knows nothing yet.
 func New(cfg Config) *Picker {
-	return &Picker{cfg: cfg, domains: map[string]*domain{}}
+	p := &Picker{cfg: cfg, domains: map[string]*domain{}, others: map[string][]Load{}}
+	p.duration.Store(int64(firstDuration))
+	return p
 }
 
 func (p *Picker) load(e *savorypinfleet.Endpoint) *load {
-	if l, ok := p.loads.Load(e.ID()); ok {
+	return p.loadOf(e.ID())
+}
+
+func (p *Picker) loadOf(id string) *load {
+	if l, ok := p.loads.Load(id); ok {
 		return l.(*load)
 	}
-	l, _ := p.loads.LoadOrStore(e.ID(), &load{})
+	l, _ := p.loads.LoadOrStore(id, &load{})
 	return l.(*load)
 }
 
@@ -100,6 +130,8 @@
 	Excluded map[string]bool
 	// Plain says that the answer is no stream.
 	Plain bool
+	// PromptTokens is the number of tokens of the prompt.
+	PromptTokens int
 	// Sure says that endpoints under suspicion must not be chosen.
 	Sure bool
 }
@@ -111,6 +143,7 @@
 	var best *savorypinfleet.Endpoint
 	var bestScore float64
 	ties := 0
+	risks := p.risks(q, now)
 	for _, e := range q.Candidates {
 		if q.Excluded[e.ID()] {
 			continue
@@ -119,7 +152,7 @@
 		if suspect && q.Sure {
 			continue
 		}
-		s := p.score(e, q)
+		s := p.score(e, q) + risks[e.Domain()]*lossPart*float64(q.PromptTokens)
 		if suspect {
 			s += suspectScore
 		}
@@ -139,6 +172,26 @@
 	return best
 }
 
+// risks returns the probability of each domain that it fails before a stream
+// that begins now ends. Plain requests are too short to care.
+func (p *Picker) risks(q Query, now time.Time) map[string]float64 {
+	if q.Plain {
+		return nil
+	}
+	risks := map[string]float64{}
+	span := time.Duration(p.duration.Load())
+	for domain := range p.cfg.Regions {
+		risks[domain] = p.cfg.Hazard.Risk(domain, now, span)
+	}
+	return risks
+}
+
+// Completed takes note of how long a stream took that was completed.
+func (p *Picker) Completed(took time.Duration) {
+	old := p.duration.Load()
+	p.duration.Store(old + int64(durationWeight*float64(int64(took)-old)))
+}
+
 // suspectScore and avoidScore exceed every score of load.
 const (
 	suspectScore = 1e12
@@ -155,9 +208,9 @@
 func (p *Picker) score(e *savorypinfleet.Endpoint, q Query) float64 {
 	l := p.load(e)
 	far := p.cfg.Regions[e.Domain()] != p.cfg.Region
-	running := float64(l.running.Load())
+	running := float64(l.running.Load() + l.othersRunning.Load())
 	if !q.Plain {
-		s := float64(l.waiting.Load()) + running*runningTokens
+		s := float64(l.waiting.Load()+l.othersWaiting.Load()) + running*runningTokens
 		if far {
 			s += farPenaltyTokens
 		}
@@ -183,12 +236,13 @@
 	var best *savorypinfleet.Endpoint
 	var bestScore float64
 	ties := 0
+	risks := p.risks(q, now)
 	for _, e := range q.Candidates {
 		if q.Excluded[e.ID()] || e.Domain() == primary.Domain() || p.suspect(e, now) {
 			continue
 		}
 		l := p.load(e)
-		s := float64(l.backups.Load()) + float64(l.running.Load())
+		s := float64(l.backups.Load()) + float64(l.running.Load()+l.othersRunning.Load()) + backupRisk*risks[e.Domain()]
 		if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 			s++
 		}
@@ -218,7 +272,9 @@
 // or broke off. It reports whether the failure domain is now taken as failed.
 func (p *Picker) Fail(e *savorypinfleet.Endpoint) bool {
 	now := p.cfg.Now()
-	p.load(e).suspectUntil.Store(now.Add(suspectTime).UnixNano())
+	l := p.load(e)
+	l.suspectUntil.Store(now.Add(suspectTime).UnixNano())
+	l.ownSuspectUntil.Store(now.Add(heardSuspectTime).UnixNano())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	key := e.Domain() + "/" + e.Service()
@@ -236,8 +292,7 @@
 	if len(d.failed) < domainFailures {
 		return false
 	}
-	d.suspectUntil = now.Add(domainSuspectTime)
-	return true
+	return p.recordFailure(e.Domain(), e.Service(), now)
 }
 
 // FailDomain puts endpoints of a failed domain under suspicion.
@@ -256,6 +311,7 @@
 	l := p.load(e)
 	if l.suspectUntil.Load() != 0 {
 		l.suspectUntil.Store(0)
+		l.ownSuspectUntil.Store(0)
 	}
 }
 
--- a/internal/savorypinplatform/client.go
+++ b/internal/savorypinplatform/client.go
@@ -339,6 +339,12 @@
 	return resp, nil
 }
 
+// IsConflict reports whether a write failed because the object exists or has
+// changed.
+func IsConflict(err error) bool {
+	return errors.Is(err, ErrConflict)
+}
+
 func statusError(status int) error {
 	switch {
 	case status < http.StatusMultipleChoices:
