Keep lost endpoints out until their entries lapse; check what a broken answer means

Cause: endpoints of a failed domain were tried again 1.2 s later through their old entries, prompts in a queue were given up after 2.7 s and read again elsewhere, and answers that were cut by a living endpoint put whole domains under suspicion. Now suspicion lasts three heartbeats, a broken answer is followed by a connection that tells a lost endpoint from a lost answer, and an endpoint where other prompts wait gets more time.

--- a/internal/savorypinfleet/endpoint.go
+++ b/internal/savorypinfleet/endpoint.go
@@ -157,3 +157,20 @@
 	}
 	return gone
 }
+
+// Replaced returns the endpoints of d whose address belonged to another
+// incarnation in old: those that were lost and have started again.
+func (d *Directory) Replaced(old *Directory) []*Endpoint {
+	holders := map[string]*Endpoint{}
+	for _, e := range old.byID {
+		holders[e.Address()] = e
+	}
+	var replaced []*Endpoint
+	for _, e := range d.byID {
+		before := holders[e.Address()]
+		if before != nil && !before.same(e) && before.Service() == e.Service() {
+			replaced = append(replaced, e)
+		}
+	}
+	return replaced
+}
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -96,6 +96,8 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Region:  cfg.Settings.Region,
 		Regions: cfg.Settings.Regions,
+		// An entry lapses after three heartbeats of silence.
+		SuspectTime: 3 * cfg.Settings.Heartbeat,
 	})
 	g.budgets = newBudgets(cfg.Settings)
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
@@ -206,11 +208,18 @@
 	}
 }
 
-// directoryChanged closes idle connections to endpoints that have left.
-func (g *Gateway) directoryChanged(gone []*savorypinfleet.Endpoint) {
+// directoryChanged closes idle connections to endpoints that have left, and
+// learns from those that were lost and have started again.
+func (g *Gateway) directoryChanged(old, next *savorypinfleet.Directory) {
+	gone := old.Without(next)
 	for _, e := range gone {
 		g.pool.Drop(e.Address())
 	}
+	restarted := next.Replaced(old)
+	g.picker.Restarted(restarted)
+	if len(gone) > 0 || len(restarted) > 0 {
+		g.log.Info("endpoints changed", "now", next.Len(), "gone", len(gone), "restarted", len(restarted))
+	}
 }
 
 // bootClock returns the time since the host's start, including the time for
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -1,6 +1,7 @@
 package savorypingateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -60,9 +61,23 @@
 	}
 }
 
-// endpointFailed takes note that an endpoint was out of reach, silent, or broke
-// off. When its whole domain is taken as failed, the streams there are checked
-// at once.
+// brokeOff takes note that an endpoint broke off an answer. Whether the endpoint
+// is lost, or has lost just this connection, is found out by another one.
+func (g *Gateway) brokeOff(e *savorypinfleet.Endpoint, reason string) {
+	g.pool.Drop(e.Address())
+	go func() {
+		conn, err := g.pool.Open(context.Background(), e.Address(), g.connectTimeout(e))
+		if err == nil {
+			g.pool.Put(conn, 0)
+			g.log.Debug("endpoint lives", "endpoint", e.ID(), "reason", reason)
+			return
+		}
+		g.endpointFailed(e, reason)
+	}()
+}
+
+// endpointFailed takes note that an endpoint was out of reach or silent. When
+// its whole domain is taken as failed, the streams there are checked at once.
 func (g *Gateway) endpointFailed(e *savorypinfleet.Endpoint, reason string) {
 	g.pool.Drop(e.Address())
 	domainFailed := g.picker.Fail(e)
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -43,8 +43,8 @@
 	counters counters
 	log      *log.Logger
 	view     *view
-	// changed is called with the endpoints that have left.
-	changed func(gone []*savorypinfleet.Endpoint)
+	// changed is called with each new list of endpoints.
+	changed func(old, next *savorypinfleet.Directory)
 	// endpoints are the entries as read, by ID. Only the follower uses them.
 	endpoints map[string]*savorypinfleet.Endpoint
 	rollouts  map[string]savorypinfleet.Rollout
@@ -230,7 +230,7 @@
 	next := savorypinfleet.NewDirectory(list)
 	s.view.directory.Store(next)
 	s.view.listed.Store(true)
-	s.changed(old.Without(next))
+	s.changed(old, next)
 }
 
 func (s *store) listRollouts(objects []savorypin.Object) {
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -196,11 +196,16 @@
 		return nil
 	}
 	conn.Close()
-	if w.silent.Load() {
-		err = errSilent
+	if ctx.Err() != nil {
+		return err
 	}
-	if ctx.Err() == nil && !errors.Is(err, errNotRun) && !errors.Is(err, errNoCaller) && !errors.Is(err, errFailed) {
+	switch {
+	case w.silent.Load():
+		err = errSilent
 		g.endpointFailed(e, err.Error())
+	case errors.Is(err, errNotRun), errors.Is(err, errNoCaller), errors.Is(err, errFailed):
+	default:
+		g.brokeOff(e, err.Error())
 	}
 	return err
 }
@@ -268,6 +273,7 @@
 			s.backup = a.Backup
 		}
 		w.event()
+		s.gateway.picker.Clear(a.Endpoint)
 		if e.id != 0 && e.id <= s.last {
 			continue
 		}
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -24,8 +24,11 @@
 	// defaultGap stands for the longest pause where the route names none.
 	defaultGap = time.Second
 	// firstPart is the part of the target latency after which an endpoint without
-	// a first event is given up although its host answers.
+	// a first event is given up although its host answers, if no other prompts
+	// wait there that would explain it.
 	firstPart = 0.6
+	// busyPart is the same if other prompts wait: what was read is lost by leaving.
+	busyPart = 2
 	// defaultTarget stands for the target latency where the route names none.
 	defaultTarget = 5 * time.Second
 )
@@ -33,16 +36,26 @@
 // watch notices that the endpoint of a stream is silent. It closes the
 // connection, so that the reader sees an error.
 type watch struct {
-	check    time.Duration
+	bounds   atomic.Pointer[bounds]
 	checking atomic.Bool
 	conn     *savorypinpool.Conn
 	ctx      context.Context //nolint:containedctx // the timer's callback has no other way to end with the request
 	endpoint *savorypinfleet.Endpoint
 	gateway  *Gateway
 	last     atomic.Int64
-	limit    time.Duration
 	silent   atomic.Bool
 	timer    *time.Timer
+	tokens   int
+}
+
+// bounds are the bounds on a stream's silence.
+type bounds struct {
+	// busyLimit is the limit while other prompts wait at the endpoint.
+	busyLimit time.Duration
+	// check is the silence after which the host is checked.
+	check time.Duration
+	// limit is the silence after which the endpoint is given up.
+	limit time.Duration
 }
 
 func (g *Gateway) watch(ctx context.Context, req *request, e *savorypinfleet.Endpoint, conn *savorypinpool.Conn) *watch {
@@ -50,16 +63,14 @@
 	if target == 0 {
 		target = defaultTarget
 	}
-	w := &watch{
-		check:    firstCheck,
-		conn:     conn,
-		ctx:      ctx,
-		endpoint: e,
-		gateway:  g,
-		limit:    time.Duration(firstPart * float64(target)),
-	}
+	w := &watch{conn: conn, ctx: ctx, endpoint: e, gateway: g, tokens: req.call.PromptTokens}
+	w.bounds.Store(&bounds{
+		busyLimit: time.Duration(busyPart * float64(target)),
+		check:     firstCheck,
+		limit:     time.Duration(firstPart * float64(target)),
+	})
 	w.last.Store(time.Now().UnixNano())
-	w.timer = time.AfterFunc(w.check, w.run)
+	w.timer = time.AfterFunc(firstCheck, w.run)
 	g.streams.add(w)
 	return w
 }
@@ -70,14 +81,18 @@
 	if gap == 0 {
 		gap = defaultGap
 	}
-	w.check = time.Duration(gapCheckPart * float64(gap))
-	w.limit = time.Duration(gapPart * float64(gap))
+	limit := time.Duration(gapPart * float64(gap))
+	w.bounds.Store(&bounds{
+		busyLimit: limit,
+		check:     time.Duration(gapCheckPart * float64(gap)),
+		limit:     limit,
+	})
 }
 
 // event takes note of an event.
 func (w *watch) event() {
 	w.last.Store(time.Now().UnixNano())
-	w.timer.Reset(w.check)
+	w.timer.Reset(w.bounds.Load().check)
 }
 
 // stop ends the watch.
@@ -111,10 +126,15 @@
 		return
 	}
 	silence := time.Since(time.Unix(0, began))
-	if err != nil || silence > w.limit {
+	b := w.bounds.Load()
+	limit := b.limit
+	if w.gateway.picker.Waiting(w.endpoint) > w.tokens {
+		limit = b.busyLimit
+	}
+	if err != nil || silence > limit {
 		w.silent.Store(true)
 		w.conn.Close()
 		return
 	}
-	w.timer.Reset(min(w.check, max(w.limit-silence, time.Millisecond)))
+	w.timer.Reset(min(b.check, max(limit-silence, time.Millisecond)))
 }
--- a/internal/savorypinhazard/hazard.go
+++ b/internal/savorypinhazard/hazard.go
@@ -15,8 +15,9 @@
 	// maxIntervals bounds the intervals between failures that are remembered, so
 	// that old habits are forgotten.
 	maxIntervals = 8
-	// mergeTime is the time within which failures of a domain count as one.
-	mergeTime = 2 * time.Second
+	// mergeTime is the time within which failures of a domain count as one. It
+	// covers the time from a failure to the restart that tells of it too.
+	mergeTime = 3 * time.Second
 	// leastSpread is the least spread of the intervals, as a part of their mean:
 	// a few equal intervals don't prove that all are equal.
 	leastSpread = 0.15
--- a/internal/savorypinpick/others.go
+++ b/internal/savorypinpick/others.go
@@ -9,6 +9,10 @@
 // failureTime is how long a failure of a domain is told to other gateways.
 const failureTime = 1500 * time.Millisecond
 
+// restartWindow is the time within which restarts of several endpoints count as
+// a failure of their domain; their entries come one by one.
+const restartWindow = 2 * time.Second
+
 // Load is a gateway's work at one endpoint.
 type Load struct {
 	Endpoint string
@@ -149,3 +153,25 @@
 		l.suspectUntil.Store(until)
 	}
 }
+
+// Restarted takes note that endpoints were lost and have started again. A domain
+// in which several did so at once has failed, even if no work was there that
+// could have shown it.
+func (p *Picker) Restarted(endpoints []*savorypinfleet.Endpoint) {
+	now := p.cfg.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range endpoints {
+		d := p.domain(e.Domain(), e.Service())
+		for id, at := range d.restarted {
+			if now.Sub(at) > restartWindow {
+				delete(d.restarted, id)
+			}
+		}
+		d.restarted[e.ID()] = now
+		if len(d.restarted) >= domainFailures {
+			age := max(0, min(now.Sub(e.Started()), restartWindow))
+			p.cfg.Hazard.Record(e.Domain(), now.Add(-age))
+		}
+	}
+}
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -15,9 +15,6 @@
 
 // Settings of the choice.
 const (
-	// suspectTime is how long an endpoint that failed is only chosen if there is
-	// no other. An endpoint that comes back has another incarnation.
-	suspectTime = 1500 * time.Millisecond
 	// heardSuspectTime is how long a suspicion is passed on to other gateways,
 	// and how long it lasts there after each message.
 	heardSuspectTime = 600 * time.Millisecond
@@ -26,8 +23,6 @@
 	domainWindow = 400 * time.Millisecond
 	// domainFailures is how many endpoints have to fail for that.
 	domainFailures = 2
-	// domainSuspectTime is how long a failed domain is avoided.
-	domainSuspectTime = 1200 * time.Millisecond
 	// farPenaltyTokens is what an endpoint of another region must be better by:
 	// its events cross the link between regions and come later by a round trip.
 	farPenaltyTokens = 1000
@@ -66,6 +61,10 @@
 	Region string
 	// Regions maps failure domains to regions.
 	Regions map[string]string
+	// SuspectTime is how long an endpoint that failed is only chosen if there is
+	// no other: as long as the entry of a lost endpoint stays in the list. An
+	// endpoint that comes back has another incarnation.
+	SuspectTime time.Duration
 }
 
 // load is what this gateway knows of one endpoint.
@@ -85,7 +84,8 @@
 
 // domain is what this gateway knows of one failure domain.
 type domain struct {
-	failed map[string]time.Time
+	failed    map[string]time.Time
+	restarted map[string]time.Time
 }
 
 // Picker chooses endpoints. It is safe for concurrent use.
@@ -120,6 +120,18 @@
 	return l.(*load)
 }
 
+// domain returns what is known of a service in a failure domain. The caller
+// holds p.mu.
+func (p *Picker) domain(name, service string) *domain {
+	key := name + "/" + service
+	d := p.domains[key]
+	if d == nil {
+		d = &domain{failed: map[string]time.Time{}, restarted: map[string]time.Time{}}
+		p.domains[key] = d
+	}
+	return d
+}
+
 // Query says what is chosen for.
 type Query struct {
 	// Avoid is the failure domain to keep away from if possible; empty for none.
@@ -273,16 +285,11 @@
 func (p *Picker) Fail(e *savorypinfleet.Endpoint) bool {
 	now := p.cfg.Now()
 	l := p.load(e)
-	l.suspectUntil.Store(now.Add(suspectTime).UnixNano())
+	l.suspectUntil.Store(now.Add(p.cfg.SuspectTime).UnixNano())
 	l.ownSuspectUntil.Store(now.Add(heardSuspectTime).UnixNano())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := e.Domain() + "/" + e.Service()
-	d := p.domains[key]
-	if d == nil {
-		d = &domain{failed: map[string]time.Time{}}
-		p.domains[key] = d
-	}
+	d := p.domain(e.Domain(), e.Service())
 	for id, at := range d.failed {
 		if now.Sub(at) > domainWindow {
 			delete(d.failed, id)
@@ -297,7 +304,7 @@
 
 // FailDomain puts endpoints of a failed domain under suspicion.
 func (p *Picker) FailDomain(endpoints []*savorypinfleet.Endpoint) {
-	until := p.cfg.Now().Add(domainSuspectTime).UnixNano()
+	until := p.cfg.Now().Add(p.cfg.SuspectTime).UnixNano()
 	for _, e := range endpoints {
 		l := p.load(e)
 		if l.suspectUntil.Load() < until {
@@ -315,6 +322,13 @@
 	}
 }
 
+// Waiting returns the number of prompt tokens that wait at an endpoint, as far
+// as is known.
+func (p *Picker) Waiting(e *savorypinfleet.Endpoint) int {
+	l := p.load(e)
+	return int(l.waiting.Load() + l.othersWaiting.Load())
+}
+
 // Forget drops what is known of endpoints that are not in the directory.
 func (p *Picker) Forget(d *savorypinfleet.Directory) {
 	p.loads.Range(func(id, _ any) bool {
