Let the prompt decide among equal endpoints; share the retry slack by the number of gateways

Cause: a prompt that came again through another gateway was read again, and a gateway's fixed part of the slack (4.7 of 150) ran out when a domain was lost.

--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -23,6 +23,8 @@
 	LastEvent string
 	// OutputTokens is the most tokens that the answer may have.
 	OutputTokens int
+	// Prompt names the last part of the prompt; empty if unknown.
+	Prompt string
 	// PromptTokens is the number of tokens of the prompt.
 	PromptTokens int
 	URI          string
--- a/internal/savorypingateway/budget.go
+++ b/internal/savorypingateway/budget.go
@@ -7,24 +7,22 @@
 	"savorypin/internal/savorypinlimit"
 )
 
-// Parts of the shared retry budget that one gateway takes.
-const (
-	// budgetRatioPart leaves room for windows that are cut differently.
-	budgetRatioPart = 0.8
-	// budgetGateways is how many gateways share the slack at most.
-	budgetGateways = 32
-)
+// budgetPart is the part of the shared retry budget that the gateways take
+// together: each counts windows that begin at other moments.
+const budgetPart = 0.8
 
 // budgets holds the retry budget of each service.
 type budgets struct {
+	// gateways returns the number of gateways that share the budget.
+	gateways func() int
 	settings Settings
 
 	mu        *sync.Mutex
 	byService map[string]*savorypinlimit.WindowBudget
 }
 
-func newBudgets(s Settings) budgets {
-	return budgets{byService: map[string]*savorypinlimit.WindowBudget{}, mu: &sync.Mutex{}, settings: s}
+func newBudgets(s Settings, gateways func() int) budgets {
+	return budgets{gateways: gateways, byService: map[string]*savorypinlimit.WindowBudget{}, mu: &sync.Mutex{}, settings: s}
 }
 
 func (b *budgets) of(service string) *savorypinlimit.WindowBudget {
@@ -34,8 +32,8 @@
 	if !ok {
 		budget = savorypinlimit.NewWindowBudget(savorypinlimit.WindowConfig{
 			Now:    time.Now,
-			Ratio:  b.settings.RetryRatio * budgetRatioPart,
-			Slack:  b.settings.RetrySlack / budgetGateways,
+			Ratio:  b.settings.RetryRatio * budgetPart,
+			Slack:  func() float64 { return b.settings.RetrySlack * budgetPart / float64(b.gateways()) },
 			Window: b.settings.RetryWindow,
 		})
 		b.byService[service] = budget
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -93,13 +92,12 @@
 	g.picker = savorypinpick.New(savorypinpick.Config{
 		Hazard:  savorypinhazard.New(slices.Collect(maps.Keys(cfg.Settings.Regions))),
 		Now:     time.Now,
-		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Region:  cfg.Settings.Region,
 		Regions: cfg.Settings.Regions,
 		// An entry lapses after three heartbeats of silence.
 		SuspectTime: 3 * cfg.Settings.Heartbeat,
 	})
-	g.budgets = newBudgets(cfg.Settings)
+	g.budgets = newBudgets(cfg.Settings, g.gateways)
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
 	g.view.rollouts.Store(&rolloutSet{})
 	g.gossip = g.newGossip()
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -155,3 +155,10 @@
 	}
 	return alive
 }
+
+// gateways returns the number of gateways that may share a budget with this one.
+// One that has just started does not know the others yet, but each failure
+// domain has one at least.
+func (g *Gateway) gateways() int {
+	return 1 + max(len(g.peers.Addresses()), len(g.settings.Load().Regions))
+}
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -56,6 +56,7 @@
 	return savorypinpick.Query{
 		Candidates:   g.candidates(req.service.Name()),
 		Excluded:     tried,
+		Prompt:       req.call.Prompt,
 		PromptTokens: req.call.PromptTokens,
 		Plain:        req.route.Kind() != savorypinfleet.RouteStreaming,
 	}
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -25,6 +25,7 @@
 
 // Errors of streams.
 var (
+	errBudget   = errors.New("retry budget is spent")
 	errGap      = errors.New("events are missing")
 	errNotRun   = errors.New("endpoint did not run the request")
 	errSilent   = errors.New("endpoint is silent")
@@ -106,8 +107,7 @@
 
 // run sends the request to endpoints until the answer is complete.
 func (s *stream) run(ctx context.Context) error {
-	budget := s.gateway.budgets.of(s.req.service.Name())
-	budget.Earn()
+	s.gateway.budgets.of(s.req.service.Name()).Earn()
 	lastErr := errNotRun
 	for s.sent < s.req.route.MaxAttempts() {
 		if s.mayHaveRun && !s.req.route.Repeatable() {
@@ -117,13 +117,10 @@
 		if err != nil {
 			return fmt.Errorf("%w after %w", err, lastErr)
 		}
-		if s.sent > 0 && !budget.Spend() {
-			return fmt.Errorf("retry budget is spent: %w", lastErr)
-		}
 		if lastErr = s.attempt(ctx, e, restore); lastErr == nil {
 			return nil
 		}
-		if ctx.Err() != nil || errors.Is(lastErr, errNoCaller) {
+		if ctx.Err() != nil || errors.Is(lastErr, errNoCaller) || errors.Is(lastErr, errBudget) {
 			return lastErr
 		}
 		s.gateway.counters.resumed.Inc(1)
@@ -169,6 +166,10 @@
 		}
 		return err
 	}
+	if s.sent > 0 && !g.budgets.of(s.req.service.Name()).Spend() {
+		g.pool.Put(conn, 0)
+		return errBudget
+	}
 	defer context.AfterFunc(ctx, conn.Close)()
 	var backup *savorypinfleet.Endpoint
 	if s.req.service.Backups() {
--- a/internal/savorypinlimit/window.go
+++ b/internal/savorypinlimit/window.go
@@ -14,8 +14,8 @@
 	Now func() time.Time
 	// Ratio is the number of repeats that a first send allows.
 	Ratio float64
-	// Slack is the number of repeats that are always allowed in a window.
-	Slack float64
+	// Slack returns the number of repeats that are always allowed in a window.
+	Slack func() float64
 	// Window is the time over which sends are counted.
 	Window time.Duration
 }
@@ -53,7 +53,7 @@
 		first += b.first[j]
 		repeats += b.repeats[j]
 	}
-	if repeats+1 > b.cfg.Ratio*first+b.cfg.Slack {
+	if repeats+1 > b.cfg.Ratio*first+b.cfg.Slack() {
 		return false
 	}
 	b.repeats[i]++
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -4,11 +4,15 @@
 package savorypinpick
 
 import (
+	"encoding/binary"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinhazard"
 )
@@ -29,6 +33,9 @@
 	// lossPart is the part of a prompt that is lost when its domain fails: it is
 	// read again, and the answer is late.
 	lossPart = 1.0
+	// equalTokens is by how much endpoints may differ that count as equal: some
+	// running requests.
+	equalTokens = 400
 	// backupRisk is what a certain failure weighs against copies and running
 	// requests in the choice of a backup.
 	backupRisk = 4
@@ -55,8 +62,6 @@
 	Hazard *savorypinhazard.Estimator
 	// Now is the clock.
 	Now func() time.Time
-	// Rand breaks ties.
-	Rand *rand.Rand
 	// Region is the region of this gateway.
 	Region string
 	// Regions maps failure domains to regions.
@@ -134,54 +139,84 @@
 
 // Query says what is chosen for.
 type Query struct {
-	// Avoid is the failure domain to keep away from if possible; empty for none.
-	Avoid string
 	// Candidates are the endpoints that may be chosen.
 	Candidates []*savorypinfleet.Endpoint
 	// Excluded are the IDs that must not be chosen.
 	Excluded map[string]bool
 	// Plain says that the answer is no stream.
 	Plain bool
+	// Prompt names the last part of the prompt; empty if unknown.
+	Prompt string
 	// PromptTokens is the number of tokens of the prompt.
 	PromptTokens int
-	// Sure says that endpoints under suspicion must not be chosen.
-	Sure bool
+}
+
+// scored is an endpoint with its score; less is better.
+type scored struct {
+	endpoint *savorypinfleet.Endpoint
+	score    float64
 }
 
 // Choose returns the endpoint that is expected to answer first, or nil if there
-// is none.
+// is none. Among endpoints that are about equal the prompt decides, so that a
+// prompt that comes again, also through another gateway, finds what was read.
 func (p *Picker) Choose(q Query) *savorypinfleet.Endpoint {
 	now := p.cfg.Now()
-	var best *savorypinfleet.Endpoint
-	var bestScore float64
-	ties := 0
 	risks := p.risks(q, now)
+	candidates := make([]scored, 0, len(q.Candidates))
+	best := math.Inf(1)
 	for _, e := range q.Candidates {
 		if q.Excluded[e.ID()] {
 			continue
 		}
-		suspect := p.suspect(e, now)
-		if suspect && q.Sure {
-			continue
-		}
 		s := p.score(e, q) + risks[e.Domain()]*lossPart*float64(q.PromptTokens)
-		if suspect {
+		if p.suspect(e, now) {
 			s += suspectScore
 		}
-		if q.Avoid != "" && e.Domain() == q.Avoid {
-			s += avoidScore
+		best = min(best, s)
+		candidates = append(candidates, scored{endpoint: e, score: s})
+	}
+	margin := 0.0
+	if !q.Plain {
+		margin = equalTokens
+	}
+	return pickEqual(candidates, best+margin, q.affinity())
+}
+
+// pickEqual returns the endpoint that the affinity prefers among those that
+// score no more than most.
+func pickEqual(candidates []scored, most float64, affinity uint64) *savorypinfleet.Endpoint {
+	var chosen *savorypinfleet.Endpoint
+	var highest uint64
+	for _, c := range candidates {
+		if c.score > most {
+			continue
 		}
-		switch {
-		case best == nil || s < bestScore:
-			best, bestScore, ties = e, s, 1
-		case s == bestScore:
-			ties++
-			if p.intN(ties) == 0 {
-				best = e
-			}
+		// Rendezvous hashing: each endpoint has a weight of its own for a prompt.
+		if weight := rendezvous(affinity, c.endpoint.Address()); chosen == nil || weight > highest {
+			chosen, highest = c.endpoint, weight
 		}
 	}
-	return best
+	return chosen
+}
+
+// rendezvous returns the weight of an endpoint for an affinity.
+func rendezvous(affinity uint64, address string) uint64 {
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], affinity)
+	d := xxhash.New()
+	// Writes to the digest can't fail.
+	_, _ = d.Write(key[:])
+	_, _ = d.WriteString(address)
+	return d.Sum64()
+}
+
+// affinity returns what decides among equal endpoints: the prompt, or chance.
+func (q Query) affinity() uint64 {
+	if q.Prompt == "" {
+		return rand.Uint64()
+	}
+	return xxhash.Sum64String(q.Prompt)
 }
 
 // risks returns the probability of each domain that it fails before a stream
@@ -204,17 +239,8 @@
 	p.duration.Store(old + int64(durationWeight*float64(int64(took)-old)))
 }
 
-// suspectScore and avoidScore exceed every score of load.
-const (
-	suspectScore = 1e12
-	avoidScore   = 1e9
-)
-
-func (p *Picker) intN(n int) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cfg.Rand.IntN(n)
-}
+// suspectScore exceeds every score of load.
+const suspectScore = 1e12
 
 // score is in tokens for streams and in nanoseconds for plain requests.
 func (p *Picker) score(e *savorypinfleet.Endpoint, q Query) float64 {
@@ -245,10 +271,9 @@
 // if there is no endpoint in another domain that isn't under suspicion.
 func (p *Picker) ChooseBackup(primary *savorypinfleet.Endpoint, q Query) *savorypinfleet.Endpoint {
 	now := p.cfg.Now()
-	var best *savorypinfleet.Endpoint
-	var bestScore float64
-	ties := 0
 	risks := p.risks(q, now)
+	candidates := make([]scored, 0, len(q.Candidates))
+	best := math.Inf(1)
 	for _, e := range q.Candidates {
 		if q.Excluded[e.ID()] || e.Domain() == primary.Domain() || p.suspect(e, now) {
 			continue
@@ -258,17 +283,10 @@
 		if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 			s++
 		}
-		switch {
-		case best == nil || s < bestScore:
-			best, bestScore, ties = e, s, 1
-		case s == bestScore:
-			ties++
-			if p.intN(ties) == 0 {
-				best = e
-			}
-		}
+		best = min(best, s)
+		candidates = append(candidates, scored{endpoint: e, score: s})
 	}
-	return best
+	return pickEqual(candidates, best, rand.Uint64())
 }
 
 // Suspect reports whether an endpoint or its failure domain has just failed.
