Let few gateways read the store, and others get changes from them

Two readers, found alike by all, read for all; the others hear of changes by gossip, fetch deltas over TCP, and read by themselves when they hear nothing in time.

--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -103,6 +103,8 @@
 	g.gossip = g.newGossip()
 	g.store = newStore(cfg, &g.view, g.counters)
 	g.store.changed = g.directoryChanged
+	g.store.news = g.gossip.Hurry
+	g.store.reader = g.reader
 	if cfg.Settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Settings.MemoryBytes)))
 	}
@@ -133,6 +135,7 @@
 	group.Go(func() error { return serve(work, introspection, g.introspection()) })
 	g.store.follow(work, group)
 	group.Go(func() error { return g.gossip.Run(work) })
+	group.Go(func() error { return g.syncServer().Run(work) })
 	group.Go(func() error { return g.register(work) })
 	group.Go(func() error { return g.sweep(work) })
 	group.Go(func() error {
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,7 +29,7 @@
 
 func (g *Gateway) newGossip() *savorypingossip.Gossip {
 	s := g.settings.Load()
-	address := net.JoinHostPort(s.Host, strconv.Itoa(s.PeerPort))
+	address := g.address()
 	g.peers = savorypingossip.NewTable(address, time.Now)
 	for _, host := range s.Seeds {
 		g.peers.Meet([]string{net.JoinHostPort(host, strconv.Itoa(s.PeerPort))})
@@ -47,16 +48,10 @@
 // composeGossip returns what this gateway tells the others.
 func (g *Gateway) composeGossip() savorypingossip.Message {
 	m := savorypingossip.Message{
-		Confirmed: -1,
-		Domain:    g.settings.Load().Domain,
-		Leaving:   g.stopping.Load(),
-		Name:      g.settings.Load().Name,
-	}
-	if c := g.view.configuration.Load(); c != nil {
-		m.Version = c.Version()
-	}
-	if age, ok := g.view.confirmation(bootClock()); ok {
-		m.Confirmed = age
+		Copies:  g.store.copies(),
+		Domain:  g.settings.Load().Domain,
+		Leaving: g.stopping.Load(),
+		Name:    g.settings.Load().Name,
 	}
 	for _, l := range g.picker.Loads() {
 		m.Loads = append(m.Loads, savorypingossip.Load(l))
@@ -70,7 +65,7 @@
 
 // heard takes over what another gateway tells.
 func (g *Gateway) heard(m savorypingossip.Message) {
-	g.confirmBy(m)
+	g.store.heard(m)
 	loads := make([]savorypinpick.Load, 0, len(m.Loads))
 	for _, l := range m.Loads {
 		loads = append(loads, savorypinpick.Load(l))
@@ -89,17 +84,6 @@
 	}
 }
 
-// confirmBy takes over the confirmation of a gateway with the same
-// configuration. Its age counts from when this gateway's last message to it was
-// sent, since the answer was given after that.
-func (g *Gateway) confirmBy(m savorypingossip.Message) {
-	c := g.view.configuration.Load()
-	if c == nil || m.Version != c.Version() || m.Confirmed < 0 || m.Echo == 0 {
-		return
-	}
-	g.view.confirm(m.Echo - m.Confirmed)
-}
-
 // register tells the other gateways by the store where this one is, and reads
 // where they are.
 func (g *Gateway) register(ctx context.Context) error {
@@ -109,6 +93,13 @@
 		if !registered {
 			registered = g.writeRegistration(ctx, s)
 		}
+		// Gateways tell each other of those that they know.
+		if len(g.peers.Alive()) > 0 && registered {
+			if err := wait(ctx, meetInterval); err != nil {
+				return err
+			}
+			continue
+		}
 		objects, _, err := g.store.client.List(ctx, kindGateway)
 		if err != nil {
 			g.log.Debug("gateways not listed", "err", err)
@@ -129,7 +120,7 @@
 
 // writeRegistration creates or replaces the gateway's object.
 func (g *Gateway) writeRegistration(ctx context.Context, s *Settings) bool {
-	spec, err := json.Marshal(gatewaySpec{Address: net.JoinHostPort(s.Host, strconv.Itoa(s.PeerPort))})
+	spec, err := json.Marshal(gatewaySpec{Address: g.address()})
 	if err != nil {
 		g.log.Error("gateway not registered", "err", err)
 		return false
@@ -147,6 +138,22 @@
 	return true
 }
 
+// syncServer serves this gateway's copies to others.
+func (g *Gateway) syncServer() *savorypingossip.SyncServer {
+	return &savorypingossip.SyncServer{Address: g.address(), Mirrors: g.store.mirrors}
+}
+
+// address is where this gateway talks to others.
+func (g *Gateway) address() string {
+	s := g.settings.Load()
+	return net.JoinHostPort(s.Host, strconv.Itoa(s.PeerPort))
+}
+
+// reader reports whether this gateway reads the store for all.
+func (g *Gateway) reader() bool {
+	return slices.Contains(g.peers.Readers(), g.address())
+}
+
 // alivePeers returns the addresses of the other gateways that are alive.
 func (g *Gateway) alivePeers() map[string]bool {
 	alive := map[string]bool{}
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -12,16 +13,13 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypingossip"
+	"savorypin/internal/savorypinmirror"
 	"savorypin/internal/savorypinplatform"
 )
 
 // Settings of the calls to the store.
 const (
-	// confirmParts is how often the configuration is confirmed within the time
-	// for which a confirmation is good.
-	confirmParts = 5
-	// maxConfirmInterval bounds the interval where keys are not strict.
-	maxConfirmInterval = 2 * time.Second
 	// storeTimeout bounds a call; a slow store takes some hundred milliseconds.
 	storeTimeout = 1500 * time.Millisecond
 	// storeConnectTimeout bounds a connection attempt: a few round trips between
@@ -29,25 +27,53 @@
 	storeConnectTimeout = 500 * time.Millisecond
 	// watchTime is how long the store may hold a watch: a connection that has
 	// gone silent is noticed after it.
-	watchTime = 3 * time.Second
+	watchTime = 2 * time.Second
 	// watchPause is the time between two watches, in which changes add up.
 	watchPause = 200 * time.Millisecond
 	// storePause is the time after a failed call.
 	storePause = 300 * time.Millisecond
+	// lookInterval is how often a gateway that does not read looks whether it has
+	// to.
+	lookInterval = 100 * time.Millisecond
+)
+
+// Parts of the bounds within which changes must be in force.
+const (
+	// confirmParts is how often a reader confirms the configuration within the
+	// time for which a confirmation is good.
+	confirmParts = 5
+	// maxConfirmInterval bounds the interval where keys are not strict.
+	maxConfirmInterval = 2 * time.Second
+	// confirmLimitPart and configLimitPart are the parts of the revocation and
+	// configuration delays after which a gateway without news reads by itself.
+	confirmLimitPart = 0.4
+	configLimitPart  = 0.7
+	// drainLimitPart is the part of the drain delay after which a gateway without
+	// news reads the endpoints by itself.
+	drainLimitPart = 0.6
 )
 
-// store follows the objects in the platform's store.
+// store keeps copies of the objects in the platform's store. Few gateways read
+// it; the others get the changes from them, and read by themselves only if they
+// hear nothing for too long.
 type store struct {
-	cfg      Config
-	client   *savorypinplatform.Client
-	counters counters
-	log      *log.Logger
-	view     *view
+	cfg     Config
+	client  *savorypinplatform.Client
+	log     *log.Logger
+	mirrors map[savorypin.Kind]*savorypinmirror.Mirror
+	// publish are the functions that put a changed copy in force.
+	publish map[savorypin.Kind]func()
+	// reader reports whether this gateway reads for all.
+	reader func() bool
+	view   *view
 	// changed is called with each new list of endpoints.
 	changed func(old, next *savorypinfleet.Directory)
-	// endpoints are the entries as read, by ID. Only the follower uses them.
-	endpoints map[string]*savorypinfleet.Endpoint
-	rollouts  map[string]savorypinfleet.Rollout
+	// news is called when a copy has changed, so that others hear of it.
+	news func()
+
+	mu       sync.Mutex
+	fetching map[savorypin.Kind]bool
+	lost     bool
 }
 
 func newStore(cfg Config, v *view, c counters) *store {
@@ -58,7 +84,7 @@
 		MaxIdleConnsPerHost:   4,
 		ResponseHeaderTimeout: watchTime + storeTimeout,
 	}
-	return &store{
+	s := &store{
 		cfg: cfg,
 		client: savorypinplatform.NewClient(savorypinplatform.Config{
 			Count:        func(string) { c.storeCalls.Inc(1) },
@@ -68,52 +94,86 @@
 			URL:          cfg.Settings.Store,
 			WatchTimeout: watchTime,
 		}),
-		counters:  c,
-		endpoints: map[string]*savorypinfleet.Endpoint{},
-		log:       cfg.Logger,
-		rollouts:  map[string]savorypinfleet.Rollout{},
-		view:      v,
+		fetching: map[savorypin.Kind]bool{},
+		log:      cfg.Logger,
+		mirrors:  map[savorypin.Kind]*savorypinmirror.Mirror{},
+		view:     v,
+	}
+	s.publish = map[savorypin.Kind]func(){
+		cfg.Objects.Configuration.Kind: s.publishConfiguration,
+		cfg.Objects.EndpointKind:       s.publishEndpoints,
+		cfg.Objects.RolloutKind:        s.publishRollouts,
 	}
+	for kind := range s.publish {
+		s.mirrors[kind] = savorypinmirror.New()
+	}
+	v.confirmed = func() time.Duration {
+		return s.mirrors[cfg.Objects.Configuration.Kind].State().Confirmed
+	}
+	return s
 }
 
 // follow starts the followers.
 func (s *store) follow(ctx context.Context, group *errgroup.Group) {
-	group.Go(func() error { return s.followConfiguration(ctx) })
-	group.Go(func() error {
-		return s.followKind(ctx, s.cfg.Objects.EndpointKind, s.listEndpoints, s.applyEndpoint, s.publishEndpoints)
-	})
-	group.Go(func() error {
-		return s.followKind(ctx, s.cfg.Objects.RolloutKind, s.listRollouts, s.applyRollout, s.publishRollouts)
-	})
+	b := s.cfg.Settings
+	configLimit := time.Duration(configLimitPart * float64(b.ConfigDelay))
+	interval := min(maxConfirmInterval, b.ConfigDelay/2)
+	if b.StrictKeys {
+		configLimit = min(configLimit, time.Duration(confirmLimitPart*float64(b.RevocationDelay)))
+		interval = min(interval, b.RevocationDelay/confirmParts)
+	}
+	endpointLimit := time.Duration(drainLimitPart * float64(b.DrainDelay))
+	group.Go(func() error { return s.followConfiguration(ctx, interval, configLimit) })
+	group.Go(func() error { return s.followKind(ctx, s.cfg.Objects.EndpointKind, endpointLimit) })
+	group.Go(func() error { return s.followKind(ctx, s.cfg.Objects.RolloutKind, configLimit) })
+}
+
+// age is how long ago a copy was confirmed. One that never was is very old.
+func (s *store) age(kind savorypin.Kind) time.Duration {
+	return bootClock() - s.mirrors[kind].State().Confirmed
+}
+
+// due waits until this gateway has to read a kind: as a reader when the copy is
+// older than interval, else when it is older than limit.
+func (s *store) due(ctx context.Context, kind savorypin.Kind, interval, limit time.Duration) error {
+	for {
+		age := s.age(kind)
+		if age >= limit || age >= interval && s.reader() {
+			return ctx.Err()
+		}
+		if err := wait(ctx, lookInterval); err != nil {
+			return err
+		}
+	}
 }
 
 // followConfiguration reads the configuration again and again, since a watch
 // that waits confirms nothing.
-func (s *store) followConfiguration(ctx context.Context) error {
-	interval := maxConfirmInterval
-	if s.cfg.Settings.StrictKeys {
-		interval = min(interval, s.cfg.Settings.RevocationDelay/confirmParts)
-	}
-	interval = min(interval, s.cfg.Settings.ConfigDelay/2)
-	failed := false
+func (s *store) followConfiguration(ctx context.Context, interval, limit time.Duration) error {
 	for {
-		pause := interval
-		err := s.readConfiguration(ctx)
-		if err != nil {
-			pause = storePause
+		if err := s.due(ctx, s.cfg.Objects.Configuration.Kind, interval, limit); err != nil {
+			return err
 		}
-		if (err != nil) != failed {
-			failed = err != nil
-			s.logDependency(failed, err)
+		err := s.readConfiguration(ctx)
+		s.noteStore(err)
+		if err == nil {
+			continue
 		}
-		if err := wait(ctx, pause); err != nil {
+		if err := wait(ctx, storePause); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *store) logDependency(lost bool, err error) {
-	if lost {
+// noteStore logs when the store is lost and regained.
+func (s *store) noteStore(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if (err != nil) == s.lost {
+		return
+	}
+	s.lost = err != nil
+	if s.lost {
 		s.log.Warn("store lost", "err", err)
 		return
 	}
@@ -126,104 +186,188 @@
 	if err != nil {
 		return err
 	}
-	c, err := s.cfg.Objects.DecodeConfiguration(o)
-	if err != nil {
-		return err
-	}
-	if s.view.adopt(c) {
-		s.log.Info("configuration in force", "version", c.Version(), "revision", o.Version)
-	}
-	s.view.confirm(sent)
+	s.apply(o)
+	s.mirrors[o.Kind].Confirm(sent)
 	return nil
 }
 
+// apply takes over an object and puts it in force.
+func (s *store) apply(o savorypin.Object) {
+	if s.mirrors[o.Kind].Apply(o) {
+		s.publish[o.Kind]()
+		s.news()
+	}
+}
+
 // followKind lists a kind and watches it, and lists it anew when the store has
 // dropped the history that the watch needs.
-func (s *store) followKind(
-	ctx context.Context,
-	kind savorypin.Kind,
-	list func([]savorypin.Object),
-	apply func(savorypin.Object),
-	publish func(),
-) error {
-	for ctx.Err() == nil {
-		objects, version, err := s.client.List(ctx, kind)
-		if err != nil {
-			s.log.Debug("list failed", "kind", kind, "err", err)
-			if err := wait(ctx, storePause); err != nil {
-				return err
+func (s *store) followKind(ctx context.Context, kind savorypin.Kind, limit time.Duration) error {
+	mirror := s.mirrors[kind]
+	listed := false
+	for {
+		if err := s.due(ctx, kind, 0, limit); err != nil {
+			return err
+		}
+		pause := watchPause
+		var err error
+		if listed || mirror.State().At > 0 {
+			err = s.watchOnce(ctx, kind)
+		} else {
+			err = s.list(ctx, kind)
+		}
+		listed = err == nil
+		switch {
+		case errors.Is(err, savorypinplatform.ErrExpired):
+			s.log.Info("history lost, listing again", "kind", kind, "version", mirror.State().At)
+			if err = s.list(ctx, kind); err == nil {
+				continue
 			}
-			continue
+			pause = storePause
+		case err != nil:
+			s.log.Debug("kind not read", "kind", kind, "err", err)
+			pause = storePause
 		}
-		list(objects)
-		publish()
-		if err := s.watchKind(ctx, kind, version, apply, publish); err != nil {
+		if err := wait(ctx, pause); err != nil {
 			return err
 		}
 	}
-	return ctx.Err()
 }
 
-// watchKind watches until the history is lost. It returns an error when ctx
-// ends.
-func (s *store) watchKind(
-	ctx context.Context,
-	kind savorypin.Kind,
-	version int64,
-	apply func(savorypin.Object),
-	publish func(),
-) error {
-	for {
-		pause := watchPause
-		seen := false
-		err := s.client.Watch(ctx, kind, version, func(o savorypin.Object) error {
-			version = max(version, o.Version)
-			if o.Name != "" {
-				seen = true
-				apply(o)
-			}
+func (s *store) list(ctx context.Context, kind savorypin.Kind) error {
+	sent := bootClock()
+	objects, at, err := s.client.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	mirror := s.mirrors[kind]
+	changed := mirror.Replace(objects, at)
+	mirror.Confirm(sent)
+	s.publish[kind]()
+	if changed {
+		s.news()
+	}
+	return nil
+}
+
+// watchOnce waits for changes after those that are known.
+func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind) error {
+	mirror := s.mirrors[kind]
+	changed := false
+	err := s.client.Watch(ctx, kind, mirror.State().At, func(o savorypin.Object) error {
+		if o.Name == "" {
+			mirror.Advance(o.Version)
 			return nil
-		})
-		if seen {
-			publish()
 		}
-		if errors.Is(err, savorypinplatform.ErrExpired) {
-			s.log.Info("history lost, listing again", "kind", kind, "version", version)
-			return nil
+		changed = mirror.Apply(o) || changed
+		return nil
+	})
+	if changed {
+		s.publish[kind]()
+		s.news()
+	}
+	if err == nil {
+		mirror.Confirm(bootClock())
+	}
+	return err
+}
+
+// copies says how far the copies are.
+func (s *store) copies() []savorypingossip.Copy {
+	now := bootClock()
+	copies := make([]savorypingossip.Copy, 0, len(s.mirrors))
+	for kind, mirror := range s.mirrors {
+		state := mirror.State()
+		c := savorypingossip.Copy{Age: -1, At: state.At, Changed: state.Changed, Kind: kind}
+		if state.Confirmed > 0 {
+			c.Age = now - state.Confirmed
 		}
-		if err != nil {
-			s.log.Debug("watch failed", "kind", kind, "err", err)
-			pause = storePause
+		copies = append(copies, c)
+	}
+	return copies
+}
+
+// heard takes over how far another gateway's copies are, and fetches changes
+// that this one lacks.
+func (s *store) heard(m savorypingossip.Message) {
+	for _, c := range m.Copies {
+		mirror, ok := s.mirrors[c.Kind]
+		if !ok || c.Age < 0 {
+			continue
 		}
-		if err := wait(ctx, pause); err != nil {
-			return err
+		if c.Changed > mirror.State().Changed {
+			go s.fetch(m.Address, c.Kind)
+			continue
 		}
+		s.confirmBy(mirror, m, c)
 	}
 }
 
-func (s *store) listEndpoints(objects []savorypin.Object) {
-	s.endpoints = map[string]*savorypinfleet.Endpoint{}
-	for _, o := range objects {
-		s.applyEndpoint(o)
+// confirmBy takes over the confirmation of a copy that is no newer than the own
+// one. Its age counts from when this gateway's last message to the other was
+// sent, since the other spoke after that.
+func (s *store) confirmBy(mirror *savorypinmirror.Mirror, m savorypingossip.Message, c savorypingossip.Copy) {
+	if m.Echo == 0 {
+		return
 	}
+	mirror.Advance(c.At)
+	mirror.Confirm(m.Echo - c.Age)
 }
 
-func (s *store) applyEndpoint(o savorypin.Object) {
-	delete(s.endpoints, o.Name)
-	if o.Deleted {
+// fetch gets the changes of a kind from another gateway, one fetch at a time.
+func (s *store) fetch(address string, kind savorypin.Kind) {
+	s.mu.Lock()
+	busy := s.fetching[kind]
+	s.fetching[kind] = true
+	s.mu.Unlock()
+	if busy {
 		return
 	}
-	e, err := s.cfg.Objects.DecodeEndpoint(o)
+	defer func() {
+		s.mu.Lock()
+		s.fetching[kind] = false
+		s.mu.Unlock()
+	}()
+	mirror := s.mirrors[kind]
+	delta, err := savorypingossip.Fetch(context.Background(), address, kind, mirror.State().Changed)
 	if err != nil {
-		s.log.Debug("endpoint ignored", "err", err)
+		s.log.Debug("changes not fetched", "kind", kind, "peer", address, "err", err)
 		return
 	}
-	s.endpoints[o.Name] = e
+	for i := range delta.Objects {
+		delta.Objects[i].Kind = kind
+	}
+	if mirror.Merge(delta) {
+		s.publish[kind]()
+		s.news()
+	}
+}
+
+func (s *store) publishConfiguration() {
+	for _, o := range s.mirrors[s.cfg.Objects.Configuration.Kind].Objects() {
+		if o.Key != s.cfg.Objects.Configuration {
+			continue
+		}
+		c, err := s.cfg.Objects.DecodeConfiguration(o)
+		if err != nil {
+			s.log.Error("configuration ignored", "revision", o.Version, "err", err)
+			continue
+		}
+		if s.view.adopt(c) {
+			s.log.Info("configuration in force", "version", c.Version(), "revision", o.Version)
+		}
+	}
 }
 
 func (s *store) publishEndpoints() {
-	list := make([]*savorypinfleet.Endpoint, 0, len(s.endpoints))
-	for _, e := range s.endpoints {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*savorypinfleet.Endpoint
+	for _, o := range s.mirrors[s.cfg.Objects.EndpointKind].Objects() {
+		e, err := s.cfg.Objects.DecodeEndpoint(o)
+		if err != nil {
+			s.log.Debug("endpoint ignored", "err", err)
+			continue
+		}
 		list = append(list, e)
 	}
 	old := s.view.directory.Load()
@@ -233,32 +377,16 @@
 	s.changed(old, next)
 }
 
-func (s *store) listRollouts(objects []savorypin.Object) {
-	s.rollouts = map[string]savorypinfleet.Rollout{}
-	for _, o := range objects {
-		s.applyRollout(o)
-	}
-}
-
-func (s *store) applyRollout(o savorypin.Object) {
-	if o.Deleted {
-		// The object bears the name of its service.
-		delete(s.rollouts, o.Name)
-		return
-	}
-	r, err := s.cfg.Objects.DecodeRollout(o)
-	if err != nil {
-		s.log.Warn("rollout ignored", "err", err)
-		return
-	}
-	s.rollouts[r.Service] = r
-	s.log.Info("rollout seen", "service", r.Service, "version", r.Version, "state", r.State, "revision", r.Revision)
-}
-
 func (s *store) publishRollouts() {
 	set := &rolloutSet{byService: map[string]savorypinfleet.Rollout{}}
-	for service, r := range s.rollouts {
-		set.byService[service] = r
+	for _, o := range s.mirrors[s.cfg.Objects.RolloutKind].Objects() {
+		r, err := s.cfg.Objects.DecodeRollout(o)
+		if err != nil {
+			s.log.Warn("rollout ignored", "err", err)
+			continue
+		}
+		set.byService[r.Service] = r
+		s.log.Info("rollout seen", "service", r.Service, "version", r.Version, "state", r.State, "revision", r.Revision)
 	}
 	s.view.rollouts.Store(set)
 }
--- a/internal/savorypingateway/view.go
+++ b/internal/savorypingateway/view.go
@@ -11,9 +11,9 @@
 // followers of the store write it.
 type view struct {
 	configuration atomic.Pointer[savorypinfleet.Configuration]
-	// confirmed is when the question was sent whose answer last confirmed the
-	// configuration, by the boot-time clock in nanoseconds; zero for never.
-	confirmed atomic.Int64
+	// confirmed returns when the configuration was last confirmed, by the
+	// boot-time clock; zero for never.
+	confirmed func() time.Duration
 	directory atomic.Pointer[savorypinfleet.Directory]
 	// listed says that the list of endpoints was read once.
 	listed   atomic.Bool
@@ -27,22 +27,11 @@
 
 // confirmation returns the age of the last confirmation of the configuration.
 func (v *view) confirmation(now time.Duration) (time.Duration, bool) {
-	at := v.confirmed.Load()
+	at := v.confirmed()
 	if at == 0 {
 		return 0, false
 	}
-	return now - time.Duration(at), true
-}
-
-// confirm takes note that the configuration was in force when the question was
-// sent.
-func (v *view) confirm(sent time.Duration) {
-	for {
-		old := v.confirmed.Load()
-		if int64(sent) <= old || v.confirmed.CompareAndSwap(old, int64(sent)) {
-			return
-		}
-	}
+	return now - at, true
 }
 
 // adopt puts a configuration in force if it is newer than the present one.
--- a/internal/savorypingossip/gossip.go
+++ b/internal/savorypingossip/gossip.go
@@ -1,12 +1,14 @@
 package savorypingossip
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -20,7 +22,7 @@
 	roundTime = 200 * time.Millisecond
 	// roundPeers is the number of gateways that get a message in a round, which
 	// bounds what gossip costs however many gateways there are.
-	roundPeers = 6
+	roundPeers = 10
 	// datagramBytes bounds a message.
 	datagramBytes = 32 << 10
 	// passedPeers is the number of addresses that a message passes on.
@@ -121,6 +123,11 @@
 		return
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	// Those that read the store come first: their answers are the freshest.
+	readers := g.cfg.Table.Readers()
+	slices.SortStableFunc(addresses, func(a, b string) int {
+		return cmp.Compare(slices.Index(readers, b), slices.Index(readers, a))
+	})
 	m := g.cfg.Compose()
 	m.Address = g.cfg.Address
 	m.Started = g.cfg.Started
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -7,16 +7,19 @@
 // can't go silent unnoticed.
 package savorypingossip
 
-import "time"
+import (
+	"time"
+
+	"savorypin/internal/savorypin"
+)
 
 // Message is what a gateway tells another one. Its fields are exported for the
 // codec.
 type Message struct {
 	// Address is where the sender receives messages.
 	Address string `msgpack:"a"`
-	// Confirmed is the age of the confirmation of the sender's configuration;
-	// negative if it has none.
-	Confirmed time.Duration `msgpack:"c"`
+	// Copies say how far the sender's copies of the store's objects are.
+	Copies []Copy `msgpack:"k,omitempty"`
 	// Domain is the sender's failure domain.
 	Domain string `msgpack:"d"`
 	// Echo is the Sent of the last message that the sender had from the receiver.
@@ -39,8 +42,17 @@
 	Started int64 `msgpack:"b"`
 	// Suspects are the endpoints that the sender takes as failed.
 	Suspects []string `msgpack:"u,omitempty"`
-	// Version is the version of the sender's configuration.
-	Version int64 `msgpack:"v"`
+}
+
+// Copy says how far a copy of a kind is.
+type Copy struct {
+	// Age is how long ago the copy was confirmed; negative for never.
+	Age time.Duration `msgpack:"g"`
+	// At is the store's version up to which changes were read.
+	At int64 `msgpack:"a"`
+	// Changed is the version of the newest change.
+	Changed int64          `msgpack:"c"`
+	Kind    savorypin.Kind `msgpack:"k"`
 }
 
 // Failure is a failure of a domain.
--- /dev/null
+++ b/internal/savorypingossip/sync.go
@@ -0,0 +1,143 @@
+package savorypingossip
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinmirror"
+)
+
+// Settings of the transfer of changes.
+const (
+	// frameBytes bounds a frame: the largest value of the platform's store for
+	// each of some hundred objects would be more than a gateway can hold.
+	frameBytes = 16 << 20
+	// syncTimeout bounds a transfer.
+	syncTimeout = time.Second
+	// headBytes is the size of the length before a frame.
+	headBytes = 4
+)
+
+// errFrame means that a frame is too long.
+var errFrame = errors.New("frame is too long")
+
+// request asks for the changes of a kind.
+type request struct {
+	Kind  savorypin.Kind `msgpack:"k"`
+	Since int64          `msgpack:"s"`
+}
+
+// SyncServer serves the changes of mirrors over TCP to other gateways.
+type SyncServer struct {
+	// Address is where it listens.
+	Address string
+	// Mirrors are the mirrors by kind.
+	Mirrors map[savorypin.Kind]*savorypinmirror.Mirror
+}
+
+// Run serves until ctx ends.
+func (s *SyncServer) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return fmt.Errorf("listen for changes on %s: %w", s.Address, err)
+	}
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("accept requests for changes: %w", err)
+		}
+		if err != nil {
+			// Too many open files or a connection that broke at once; both pass.
+			time.Sleep(acceptPause)
+			continue
+		}
+		go s.serve(conn)
+	}
+}
+
+// acceptPause is the time after a failed accept.
+const acceptPause = 50 * time.Millisecond
+
+// serve answers one request. A peer that does not finish it in time has lost
+// the connection and asks again.
+func (s *SyncServer) serve(conn net.Conn) {
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(syncTimeout)); err != nil {
+		return
+	}
+	var req request
+	if err := readFrame(conn, &req); err != nil {
+		return
+	}
+	mirror := s.Mirrors[req.Kind]
+	if mirror == nil {
+		return
+	}
+	// The asker sees a broken connection if the answer can't be written.
+	_ = writeFrame(conn, mirror.Since(req.Since))
+}
+
+// Fetch returns the changes of a kind at another gateway since a version.
+func Fetch(ctx context.Context, address string, kind savorypin.Kind, since int64) (savorypinmirror.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return savorypinmirror.Delta{}, fmt.Errorf("ask for changes: %w", err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(syncTimeout)); err != nil {
+		return savorypinmirror.Delta{}, fmt.Errorf("ask for changes: %w", err)
+	}
+	if err := writeFrame(conn, request{Kind: kind, Since: since}); err != nil {
+		return savorypinmirror.Delta{}, fmt.Errorf("ask for changes: %w", err)
+	}
+	var d savorypinmirror.Delta
+	if err := readFrame(conn, &d); err != nil {
+		return savorypinmirror.Delta{}, fmt.Errorf("read changes: %w", err)
+	}
+	return d, nil
+}
+
+func writeFrame[T any](w io.Writer, v T) error {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(data) > frameBytes {
+		return errFrame
+	}
+	frame := make([]byte, headBytes, headBytes+len(data))
+	binary.BigEndian.PutUint32(frame, uint32(len(data)))
+	_, err = w.Write(append(frame, data...))
+	return err
+}
+
+func readFrame[T any](r io.Reader, v *T) error {
+	var head [headBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > frameBytes {
+		return errFrame
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(data, v)
+}
--- a/internal/savorypingossip/table.go
+++ b/internal/savorypingossip/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Settings of the table.
@@ -129,3 +131,27 @@
 	slices.Sort(addresses)
 	return addresses
 }
+
+// readersAtLeast and readersPer say how many gateways read the store for all:
+// more than one, so that a paused one does no harm, and one more for so many.
+const (
+	readersAtLeast = 2
+	readersPer     = 64
+)
+
+// Readers returns the addresses of the gateways that read the store for all, the
+// first in the order of their hashes among those that are alive. All gateways
+// find the same ones as soon as they know each other.
+func (t *Table) Readers() []string {
+	addresses := []string{t.self}
+	for _, m := range t.Alive() {
+		if !m.Leaving {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	slices.SortFunc(addresses, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))
+	})
+	n := readersAtLeast + len(addresses)/readersPer
+	return addresses[:min(n, len(addresses))]
+}
--- /dev/null
+++ b/internal/savorypinmirror/mirror.go
@@ -0,0 +1,211 @@
+// Package savorypinmirror keeps a copy of all objects of a kind of the
+// platform's store, fed by the store itself or by other mirrors. A copy never
+// goes back: of each object the newest version stays, and a deletion is kept for
+// as long as an older version might still arrive.
+package savorypinmirror
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"savorypin/internal/savorypin"
+)
+
+// maxRemovals bounds the deletions that are remembered. A mirror that asks for
+// changes since before the oldest one gets all objects.
+const maxRemovals = 512
+
+// State says how far a mirror is.
+type State struct {
+	// At is the store's version up to which changes have been read.
+	At int64
+	// Changed is the version of the newest change of the kind.
+	Changed int64
+	// Confirmed is when the question was sent whose answer last confirmed the
+	// copy, by the boot-time clock; zero for never.
+	Confirmed time.Duration
+}
+
+// Delta is what has changed in a mirror since a version.
+type Delta struct {
+	// At is the store's version up to which the changes have been read.
+	At int64 `msgpack:"a"`
+	// Full says that the objects are all there are.
+	Full    bool               `msgpack:"f"`
+	Objects []savorypin.Object `msgpack:"o"`
+	Removed []Removal          `msgpack:"r"`
+}
+
+// Removal is the deletion of an object.
+type Removal struct {
+	Name    string `msgpack:"n"`
+	Version int64  `msgpack:"v"`
+}
+
+// Mirror is a copy of a kind. It is safe for concurrent use.
+type Mirror struct {
+	mu      sync.Mutex
+	floor   int64
+	objects map[string]savorypin.Object
+	removed map[string]int64
+	state   State
+}
+
+// New returns an empty mirror that was never confirmed.
+func New() *Mirror {
+	return &Mirror{objects: map[string]savorypin.Object{}, removed: map[string]int64{}}
+}
+
+// Apply takes over one change. It reports whether it is new.
+func (m *Mirror) Apply(o savorypin.Object) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.apply(o)
+}
+
+func (m *Mirror) apply(o savorypin.Object) bool {
+	if o.Deleted {
+		return m.remove(Removal{Name: o.Name, Version: o.Version})
+	}
+	known, ok := m.objects[o.Name]
+	if ok && known.Version >= o.Version || m.removed[o.Name] >= o.Version {
+		return false
+	}
+	m.objects[o.Name] = o
+	m.state.Changed = max(m.state.Changed, o.Version)
+	return true
+}
+
+func (m *Mirror) remove(r Removal) bool {
+	known, ok := m.objects[r.Name]
+	if ok && known.Version > r.Version || m.removed[r.Name] >= r.Version {
+		return false
+	}
+	delete(m.objects, r.Name)
+	m.removed[r.Name] = r.Version
+	m.state.Changed = max(m.state.Changed, r.Version)
+	m.prune()
+	return ok
+}
+
+// prune forgets the older half of the deletions when there are too many.
+func (m *Mirror) prune() {
+	if len(m.removed) <= maxRemovals {
+		return
+	}
+	versions := make([]int64, 0, len(m.removed))
+	for _, v := range m.removed {
+		versions = append(versions, v)
+	}
+	slices.Sort(versions)
+	m.floor = versions[len(versions)/2]
+	for name, v := range m.removed {
+		if v <= m.floor {
+			delete(m.removed, name)
+		}
+	}
+}
+
+// Replace takes over a list that the store made at a version. Objects that are
+// missing from it are gone, unless they are newer.
+func (m *Mirror) Replace(objects []savorypin.Object, at int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.replace(objects, at)
+}
+
+func (m *Mirror) replace(objects []savorypin.Object, at int64) bool {
+	changed := false
+	listed := map[string]bool{}
+	for _, o := range objects {
+		listed[o.Name] = true
+		changed = m.apply(o) || changed
+	}
+	for name, o := range m.objects {
+		if !listed[name] && o.Version <= at {
+			changed = m.remove(Removal{Name: name, Version: at}) || changed
+		}
+	}
+	m.state.At = max(m.state.At, at)
+	return changed
+}
+
+// Advance takes note that the changes up to a version have been read.
+func (m *Mirror) Advance(at int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.At = max(m.state.At, at)
+}
+
+// Confirm takes note that the copy was complete when a question was sent.
+func (m *Mirror) Confirm(sent time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.Confirmed = max(m.state.Confirmed, sent)
+}
+
+// State says how far the mirror is.
+func (m *Mirror) State() State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
+// Objects returns all objects, sorted by name.
+func (m *Mirror) Objects() []savorypin.Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sorted(0)
+}
+
+// sorted returns the objects with a larger version, sorted by name.
+func (m *Mirror) sorted(since int64) []savorypin.Object {
+	var objects []savorypin.Object
+	for _, o := range m.objects {
+		if o.Version > since {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b savorypin.Object) int { return cmp.Compare(a.Name, b.Name) })
+	return objects
+}
+
+// Since returns what has changed since a version.
+func (m *Mirror) Since(version int64) Delta {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := Delta{At: m.state.At}
+	if version <= m.floor {
+		d.Full = true
+		d.Objects = m.sorted(0)
+		return d
+	}
+	d.Objects = m.sorted(version)
+	for name, v := range m.removed {
+		if v > version {
+			d.Removed = append(d.Removed, Removal{Name: name, Version: v})
+		}
+	}
+	slices.SortFunc(d.Removed, func(a, b Removal) int { return cmp.Compare(a.Name, b.Name) })
+	return d
+}
+
+// Merge takes over what another mirror has. It reports whether anything is new.
+func (m *Mirror) Merge(d Delta) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d.Full {
+		return m.replace(d.Objects, d.At)
+	}
+	changed := false
+	for _, o := range d.Objects {
+		changed = m.apply(o) || changed
+	}
+	for _, r := range d.Removed {
+		changed = m.remove(r) || changed
+	}
+	m.state.At = max(m.state.At, d.At)
+	return changed
+}
