Let pauses grow while the store is out, and watch for as long as news may be late

Cause: 22 gateways repeated three calls each 300 ms through an outage, and a watch outlasted the time after which the others read by themselves.

--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
@@ -25,13 +26,21 @@
 	// storeConnectTimeout bounds a connection attempt: a few round trips between
 	// regions.
 	storeConnectTimeout = 500 * time.Millisecond
-	// watchTime is how long the store may hold a watch: a connection that has
-	// gone silent is noticed after it.
-	watchTime = 2 * time.Second
+	// watchPart is the part of the time for which news may be late for which the
+	// store may hold a watch: a connection that has gone silent is noticed after it.
+	watchPart = 0.5
 	// watchPause is the time between two watches, in which changes add up.
-	watchPause = 200 * time.Millisecond
-	// storePause is the time after a failed call.
+	watchPause = 400 * time.Millisecond
+	// rolloutLimit is how late news of roll-outs may be: versions that no roll-out
+	// names get nothing anyway.
+	rolloutLimit = 6 * time.Second
+	// storePause is the time after a first failed call; it grows with each further
+	// one.
 	storePause = 300 * time.Millisecond
+	// readerPauseMost and pauseMost bound that time, for those that read for all
+	// and for the others, which hear from those when the store is back.
+	readerPauseMost = 600 * time.Millisecond
+	pauseMost       = 3 * time.Second
 	// lookInterval is how often a gateway that does not read looks whether it has
 	// to.
 	lookInterval = 100 * time.Millisecond
@@ -50,7 +59,7 @@
 	configLimitPart  = 0.7
 	// drainLimitPart is the part of the drain delay after which a gateway without
 	// news reads the endpoints by itself.
-	drainLimitPart = 0.6
+	drainLimitPart = 0.7
 )
 
 // store keeps copies of the objects in the platform's store. Few gateways read
@@ -79,20 +88,18 @@
 func newStore(cfg Config, v *view, c counters) *store {
 	dialer := &net.Dialer{Timeout: storeConnectTimeout}
 	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
-		DisableCompression:    true,
-		MaxIdleConnsPerHost:   4,
-		ResponseHeaderTimeout: watchTime + storeTimeout,
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 4,
 	}
 	s := &store{
 		cfg: cfg,
 		client: savorypinplatform.NewClient(savorypinplatform.Config{
-			Count:        func(string) { c.storeCalls.Inc(1) },
-			Dialect:      cfg.Dialect,
-			HTTPClient:   &http.Client{Transport: transport},
-			Timeout:      storeTimeout,
-			URL:          cfg.Settings.Store,
-			WatchTimeout: watchTime,
+			Count:      func(string) { c.storeCalls.Inc(1) },
+			Dialect:    cfg.Dialect,
+			HTTPClient: &http.Client{Transport: transport},
+			Timeout:    storeTimeout,
+			URL:        cfg.Settings.Store,
 		}),
 		fetching: map[savorypin.Kind]bool{},
 		log:      cfg.Logger,
@@ -125,7 +132,7 @@
 	endpointLimit := time.Duration(drainLimitPart * float64(b.DrainDelay))
 	group.Go(func() error { return s.followConfiguration(ctx, interval, configLimit) })
 	group.Go(func() error { return s.followKind(ctx, s.cfg.Objects.EndpointKind, endpointLimit) })
-	group.Go(func() error { return s.followKind(ctx, s.cfg.Objects.RolloutKind, configLimit) })
+	group.Go(func() error { return s.followKind(ctx, s.cfg.Objects.RolloutKind, rolloutLimit) })
 }
 
 // age is how long ago a copy was confirmed. One that never was is very old.
@@ -133,6 +140,23 @@
 	return bootClock() - s.mirrors[kind].State().Confirmed
 }
 
+// newPause returns the growing time after failed calls.
+func newPause() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = storePause
+	b.MaxInterval = pauseMost
+	return b
+}
+
+// pauseAfterFailure waits after a failed call.
+func (s *store) pauseAfterFailure(ctx context.Context, b *backoff.ExponentialBackOff) error {
+	pause := b.NextBackOff()
+	if s.reader() {
+		pause = min(pause, readerPauseMost)
+	}
+	return wait(ctx, pause)
+}
+
 // due waits until this gateway has to read a kind: as a reader when the copy is
 // older than interval, else when it is older than limit.
 func (s *store) due(ctx context.Context, kind savorypin.Kind, interval, limit time.Duration) error {
@@ -150,6 +174,7 @@
 // followConfiguration reads the configuration again and again, since a watch
 // that waits confirms nothing.
 func (s *store) followConfiguration(ctx context.Context, interval, limit time.Duration) error {
+	failing := newPause()
 	for {
 		if err := s.due(ctx, s.cfg.Objects.Configuration.Kind, interval, limit); err != nil {
 			return err
@@ -157,9 +182,10 @@
 		err := s.readConfiguration(ctx)
 		s.noteStore(err)
 		if err == nil {
+			failing.Reset()
 			continue
 		}
-		if err := wait(ctx, storePause); err != nil {
+		if err := s.pauseAfterFailure(ctx, failing); err != nil {
 			return err
 		}
 	}
@@ -202,37 +228,40 @@
 // followKind lists a kind and watches it, and lists it anew when the store has
 // dropped the history that the watch needs.
 func (s *store) followKind(ctx context.Context, kind savorypin.Kind, limit time.Duration) error {
-	mirror := s.mirrors[kind]
-	listed := false
+	failing := newPause()
 	for {
 		if err := s.due(ctx, kind, 0, limit); err != nil {
 			return err
 		}
-		pause := watchPause
-		var err error
-		if listed || mirror.State().At > 0 {
-			err = s.watchOnce(ctx, kind)
-		} else {
-			err = s.list(ctx, kind)
-		}
-		listed = err == nil
-		switch {
-		case errors.Is(err, savorypinplatform.ErrExpired):
-			s.log.Info("history lost, listing again", "kind", kind, "version", mirror.State().At)
-			if err = s.list(ctx, kind); err == nil {
-				continue
-			}
-			pause = storePause
-		case err != nil:
+		if err := s.read(ctx, kind, time.Duration(watchPart*float64(limit))); err != nil {
 			s.log.Debug("kind not read", "kind", kind, "err", err)
-			pause = storePause
+			if err := s.pauseAfterFailure(ctx, failing); err != nil {
+				return err
+			}
+			continue
 		}
-		if err := wait(ctx, pause); err != nil {
+		failing.Reset()
+		if err := wait(ctx, watchPause); err != nil {
 			return err
 		}
 	}
 }
 
+// read waits for changes of a kind for as long as hold, or lists it if the changes since the last
+// read are not to be had.
+func (s *store) read(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
+	at := s.mirrors[kind].State().At
+	if at == 0 {
+		return s.list(ctx, kind)
+	}
+	err := s.watchOnce(ctx, kind, hold)
+	if !errors.Is(err, savorypinplatform.ErrExpired) {
+		return err
+	}
+	s.log.Info("history lost, listing again", "kind", kind, "version", at)
+	return s.list(ctx, kind)
+}
+
 func (s *store) list(ctx context.Context, kind savorypin.Kind) error {
 	sent := bootClock()
 	objects, at, err := s.client.List(ctx, kind)
@@ -250,10 +279,10 @@
 }
 
 // watchOnce waits for changes after those that are known.
-func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind) error {
+func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
 	mirror := s.mirrors[kind]
 	changed := false
-	err := s.client.Watch(ctx, kind, mirror.State().At, func(o savorypin.Object) error {
+	err := s.client.WatchFor(ctx, kind, mirror.State().At, hold, func(o savorypin.Object) error {
 		if o.Name == "" {
 			mirror.Advance(o.Version)
 			return nil
--- a/internal/savorypinplatform/client.go
+++ b/internal/savorypinplatform/client.go
@@ -255,11 +255,23 @@
 	kind savorypin.Kind,
 	version int64,
 	handle func(savorypin.Object) error,
+) error {
+	return c.WatchFor(ctx, kind, version, c.cfg.WatchTimeout, handle)
+}
+
+// WatchFor is Watch with a time of its own for which the platform keeps the
+// watch open.
+func (c *Client) WatchFor(
+	ctx context.Context,
+	kind savorypin.Kind,
+	version int64,
+	d time.Duration,
+	handle func(savorypin.Object) error,
 ) error {
 	c.cfg.Count("watch")
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.WatchTimeout+watchGrace)
+	ctx, cancel := context.WithTimeout(ctx, d+watchGrace)
 	defer cancel()
-	resp, err := c.send(ctx, http.MethodGet, c.cfg.Dialect.WatchPath(kind, version, c.cfg.WatchTimeout), nil)
+	resp, err := c.send(ctx, http.MethodGet, c.cfg.Dialect.WatchPath(kind, version, d), nil)
 	if err != nil {
 		return fmt.Errorf("watch %s: %w", kind, err)
 	}
