--- /dev/null
+++ b/internal/savorypingossip/table_test.go
@@ -0,0 +1,109 @@
+package savorypingossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypingossip"
+	"savorypin/internal/savorypinmirror"
+)
+
+// clock is a clock that tests set.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+var _ = Describe("The table of gateways", func() {
+	var c *clock
+	var t *savorypingossip.Table
+	BeforeEach(func() {
+		c = &clock{now: time.Unix(1000, 0)}
+		t = savorypingossip.NewTable("self", c.read)
+	})
+
+	for _, tc := range []struct {
+		name   string
+		second savorypingossip.Message
+		heard  bool
+	}{
+		{"takes a later message", savorypingossip.Message{Address: "a", Started: 5, Sent: 20}, true},
+		{"ignores a message that came out of order", savorypingossip.Message{Address: "a", Started: 5, Sent: 5}, false},
+		{"ignores a copy", savorypingossip.Message{Address: "a", Started: 5, Sent: 10}, false},
+		{"takes a new incarnation, whose clock begins anew", savorypingossip.Message{Address: "a", Started: 6, Sent: 1}, true},
+		{"ignores an old incarnation", savorypingossip.Message{Address: "a", Started: 4, Sent: 30}, false},
+		{"ignores a message of its own", savorypingossip.Message{Address: "self", Started: 9, Sent: 9}, false},
+	} {
+		It(tc.name, func() {
+			Expect(t.Hear(savorypingossip.Message{Address: "a", Started: 5, Sent: 10})).To(BeTrue())
+			Expect(t.Hear(tc.second)).To(Equal(tc.heard))
+		})
+	}
+
+	It("takes silent gateways as dead and forgets them later", func() {
+		t.Hear(savorypingossip.Message{Address: "a", Sent: 1, Peers: []string{"b", "self"}})
+		Expect(t.Alive()).To(HaveLen(1))
+		Expect(t.Addresses()).To(Equal([]string{"a", "b"}))
+		c.now = c.now.Add(4 * time.Second)
+		Expect(t.Alive()).To(BeEmpty())
+		Expect(t.Addresses()).To(Equal([]string{"a", "b"}))
+		c.now = c.now.Add(2 * time.Minute)
+		Expect(t.Addresses()).To(BeEmpty())
+	})
+
+	It("lets all gateways find the same readers, without those that leave", func() {
+		const n = 9
+		tables := map[string]*savorypingossip.Table{}
+		for i := range n {
+			address := fmt.Sprint("gateway-", i)
+			tables[address] = savorypingossip.NewTable(address, c.read)
+		}
+		for _, table := range tables {
+			for i := range n {
+				table.Hear(savorypingossip.Message{Address: fmt.Sprint("gateway-", i), Sent: 1, Leaving: i == 4})
+			}
+		}
+		readers := tables["gateway-0"].Readers()
+		Expect(readers).To(HaveLen(2))
+		Expect(readers).NotTo(ContainElement("gateway-4"))
+		for address, table := range tables {
+			if address != "gateway-4" {
+				Expect(table.Readers()).To(Equal(readers))
+			}
+		}
+	})
+})
+
+var _ = Describe("Changes between gateways", func() {
+	It("are fetched from the version on that the asker has", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		l.Close()
+		m := savorypinmirror.New()
+		m.Apply(savorypin.Object{Key: savorypin.Key{Name: "a"}, Version: 1, Spec: []byte(`{"x":1}`)})
+		m.Apply(savorypin.Object{Key: savorypin.Key{Name: "b"}, Version: 2})
+		m.Apply(savorypin.Object{Key: savorypin.Key{Name: "c"}, Version: 3, Deleted: true})
+		server := &savorypingossip.SyncServer{Address: address, Mirrors: map[savorypin.Kind]*savorypinmirror.Mirror{"k": m}}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- server.Run(ctx) }()
+		var d savorypinmirror.Delta
+		Eventually(func() (err error) {
+			d, err = savorypingossip.Fetch(ctx, address, "k", 1)
+			return err
+		}, "5s").Should(Succeed())
+		Expect(d.Objects).To(HaveLen(1))
+		Expect(d.Objects[0].Name).To(Equal("b"))
+		Expect(d.Removed).To(Equal([]savorypinmirror.Removal{{Name: "c", Version: 3}}))
+		_, err = savorypingossip.Fetch(ctx, address, "unknown", 0)
+		Expect(err).To(MatchError(ContainSubstring("read changes")))
+		cancel()
+		Expect(<-done).To(MatchError(context.Canceled))
+	})
+})
--- /dev/null
+++ b/internal/savorypinlimit/window_test.go
@@ -0,0 +1,69 @@
+package savorypinlimit_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"savorypin/internal/savorypinlimit"
+)
+
+var _ = Describe("The budget of repeats in a window", func() {
+	It("allows its slack at once, and a part of the first sends beyond", func() {
+		now := time.Unix(1000, 0)
+		b := savorypinlimit.NewWindowBudget(savorypinlimit.WindowConfig{
+			Now: func() time.Time { return now }, Ratio: 0.5, Slack: func() float64 { return 3 }, Window: 10 * time.Second,
+		})
+		for range 4 {
+			b.Earn()
+		}
+		spent := 0
+		for b.Spend() {
+			spent++
+		}
+		Expect(spent).To(Equal(5))
+		now = now.Add(20 * time.Second)
+		Expect(b.Spend()).To(BeTrue())
+	})
+
+	It("holds in every window of one part less, under a storm of repeats", func() {
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			const ratio, slack = 0.8, 10
+			window := 10 * time.Second
+			now := time.Unix(1000, 0)
+			b := savorypinlimit.NewWindowBudget(savorypinlimit.WindowConfig{
+				Now: func() time.Time { return now }, Ratio: ratio, Slack: func() float64 { return slack }, Window: window,
+			})
+			var first, repeats []time.Time
+			for range 400 {
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
+				if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+					b.Earn()
+					first = append(first, now)
+				} else if b.Spend() {
+					repeats = append(repeats, now)
+				}
+			}
+			for _, end := range repeats {
+				begin := end.Add(-window * 9 / 10)
+				allowed := ratio*float64(count(first, end.Add(-window), end)) + slack
+				if got := float64(count(repeats, begin, end)); got > allowed {
+					t.Fatalf("%g repeats in a window that allows %g", got, allowed)
+				}
+			}
+		})
+	})
+})
+
+// count returns how many times lie after begin and no later than end.
+func count(times []time.Time, begin, end time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(begin) && !at.After(end) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/savorypinpick/picker_test.go
@@ -0,0 +1,242 @@
+package savorypinpick_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinhazard"
+	"savorypin/internal/savorypinpick"
+)
+
+const promptTokens = 8000
+
+// fleet is a picker before six engines in three failure domains, of which a and
+// b are near.
+type fleet struct {
+	endpoints []*savorypinfleet.Endpoint
+	now       time.Time
+	picker    *savorypinpick.Picker
+}
+
+func newFleet() *fleet {
+	f := &fleet{now: time.Unix(1000, 0)}
+	regions := map[string]string{"a": "near", "b": "near", "c": "far"}
+	f.picker = savorypinpick.New(savorypinpick.Config{
+		Hazard: savorypinhazard.New([]string{"a", "b", "c"}), Now: func() time.Time { return f.now },
+		Region: "near", Regions: regions, SuspectTime: 3600 * time.Millisecond,
+	})
+	for i := range 6 {
+		f.endpoints = append(f.endpoints, f.endpoint(i, 0))
+	}
+	return f
+}
+
+func (f *fleet) endpoint(i, incarnation int) *savorypinfleet.Endpoint {
+	domain := []string{"a", "b", "c"}[i%3]
+	return savorypinfleet.NewEndpoint(savorypinfleet.EndpointConfig{
+		Address: fmt.Sprintf("10.0.0.%d:80", i), Domain: domain, ID: fmt.Sprintf("%s%d-%d", domain, i, incarnation),
+		Service: "llm", Slots: 4, Started: f.now, State: savorypinfleet.EndpointReady,
+	})
+}
+
+func (f *fleet) query() savorypinpick.Query {
+	return savorypinpick.Query{Candidates: f.endpoints, PromptTokens: promptTokens}
+}
+
+// fail lets all endpoints of a domain fail.
+func (f *fleet) fail(domain string) {
+	var failed []*savorypinfleet.Endpoint
+	lost := false
+	for _, e := range f.endpoints {
+		if e.Domain() == domain {
+			failed = append(failed, e)
+			lost = f.picker.Fail(e) || lost
+		}
+	}
+	Expect(lost).To(BeTrue())
+	f.picker.FailDomain(failed)
+}
+
+// shares places n streams that stay and returns how many are in each domain.
+func (f *fleet) shares(n int) map[string]int {
+	shares := map[string]int{}
+	for range n {
+		e := f.picker.Choose(f.query())
+		f.picker.Begin(e, nil, promptTokens)
+		shares[e.Domain()]++
+	}
+	return shares
+}
+
+var _ = Describe("New streams", func() {
+	It("are spread over endpoints whose prompts are read", func() {
+		f := newFleet()
+		chosen := map[string]int{}
+		for range 12 {
+			e := f.picker.Choose(f.query())
+			f.picker.Begin(e, nil, promptTokens)
+			chosen[e.ID()]++
+		}
+		for id, n := range chosen {
+			Expect(n).To(Equal(2), id)
+		}
+	})
+
+	It("stay in the region while its endpoints are as good", func() {
+		f := newFleet()
+		Expect(f.shares(4)["c"]).To(BeZero())
+	})
+
+	It("take account of what other gateways have placed", func() {
+		f := newFleet()
+		var loads []savorypinpick.Load
+		for _, e := range f.endpoints[1:] {
+			loads = append(loads, savorypinpick.Load{Endpoint: e.ID(), Running: 1, Waiting: promptTokens})
+		}
+		f.picker.SetLoads("other", loads)
+		Expect(f.picker.Choose(f.query())).To(Equal(f.endpoints[0]))
+		f.picker.KeepGateways(map[string]bool{})
+		Expect(f.shares(4)).To(Equal(map[string]int{"a": 2, "b": 2}))
+	})
+
+	It("go back to the endpoint that has read the prompt, whichever gateway gets them", func() {
+		for prompt := range 20 {
+			one, two := newFleet(), newFleet()
+			q := one.query()
+			q.Prompt = fmt.Sprint(prompt)
+			Expect(one.picker.Choose(q).ID()).To(Equal(two.picker.Choose(q).ID()))
+		}
+	})
+
+	It("avoid a failed domain until the entries of what was lost have lapsed", func() {
+		f := newFleet()
+		f.fail("a")
+		Expect(f.shares(4)["a"]).To(BeZero())
+		f.now = f.now.Add(3 * time.Second)
+		Expect(f.shares(4)["a"]).To(BeZero())
+		f.now = f.now.Add(time.Second)
+		Expect(f.picker.Suspect(f.endpoints[0])).To(BeFalse())
+	})
+
+	It("use endpoints under suspicion if there are no others", func() {
+		f := newFleet()
+		for _, domain := range []string{"a", "b", "c"} {
+			f.fail(domain)
+		}
+		Expect(f.picker.Choose(f.query())).NotTo(BeNil())
+	})
+
+	It("avoid the domain that is likely to fail before they end", func() {
+		f := newFleet()
+		for _, domain := range []string{"a", "b", "c", "a", "b", "c", "a"} {
+			f.fail(domain)
+			f.now = f.now.Add(6 * time.Second)
+		}
+		// The domains fail in turn, each six seconds: b is due.
+		Expect(f.shares(4)["b"]).To(BeZero())
+	})
+
+	It("learn of a failed domain in which they had nothing, from its restarts", func() {
+		f := newFleet()
+		for i, domain := range []string{"a", "b", "c", "a", "b", "c", "a"} {
+			var restarted []*savorypinfleet.Endpoint
+			for j, e := range f.endpoints {
+				if e.Domain() == domain {
+					f.endpoints[j] = f.endpoint(j, i+1)
+					restarted = append(restarted, f.endpoints[j])
+				}
+			}
+			f.picker.Restarted(restarted)
+			f.now = f.now.Add(6 * time.Second)
+		}
+		Expect(f.shares(4)["b"]).To(BeZero())
+	})
+
+	It("take no single endpoint's failure for its domain's", func() {
+		f := newFleet()
+		Expect(f.picker.Fail(f.endpoints[0])).To(BeFalse())
+		f.now = f.now.Add(time.Second)
+		Expect(f.picker.Fail(f.endpoints[3])).To(BeFalse())
+		Expect(f.picker.Failures()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Copies of a run's memory", func() {
+	It("are kept in another domain that is not suspect, where few are kept", func() {
+		f := newFleet()
+		f.fail("b")
+		q := f.query()
+		for range 2 {
+			backup := f.picker.ChooseBackup(f.endpoints[0], q)
+			Expect(backup.Domain()).To(Equal("c"))
+			f.picker.Begin(f.endpoints[0], backup, promptTokens)
+		}
+		Expect(f.picker.ChooseBackup(f.endpoints[2], q).Domain()).To(Equal("a"))
+	})
+
+	It("are left out if no other domain is left", func() {
+		f := newFleet()
+		f.fail("b")
+		f.fail("c")
+		Expect(f.picker.ChooseBackup(f.endpoints[0], f.query())).To(BeNil())
+	})
+})
+
+var _ = Describe("Failures that another gateway has seen", func() {
+	It("count once, and not when they are old", func() {
+		f := newFleet()
+		failure := savorypinpick.Failure{Age: 100 * time.Millisecond, Domain: "a", Service: "llm"}
+		Expect(f.picker.HearFailure(failure)).To(BeTrue())
+		Expect(f.picker.HearFailure(failure)).To(BeFalse())
+		Expect(f.picker.HearFailure(savorypinpick.Failure{Age: time.Minute, Domain: "b", Service: "llm"})).To(BeFalse())
+		Expect(f.picker.Failures()).To(HaveLen(1))
+	})
+
+	It("of an endpoint are passed on by who found them, not by who heard of them", func() {
+		f := newFleet()
+		f.picker.HearSuspect(f.endpoints[0])
+		f.picker.Fail(f.endpoints[1])
+		Expect(f.picker.Suspects()).To(Equal([]string{f.endpoints[1].ID()}))
+		Expect(f.picker.Suspect(f.endpoints[0])).To(BeTrue())
+		f.picker.Clear(f.endpoints[0])
+		Expect(f.picker.Suspect(f.endpoints[0])).To(BeFalse())
+	})
+})
+
+var _ = Describe("Plain requests", func() {
+	plain := func(f *fleet) savorypinpick.Query {
+		q := f.query()
+		q.Plain = true
+		return q
+	}
+
+	It("go where answers are fast and whole", func() {
+		f := newFleet()
+		for i, e := range f.endpoints {
+			for range 50 {
+				w := f.picker.Begin(e, nil, 0)
+				f.now = f.now.Add(map[bool]time.Duration{true: 10 * time.Millisecond, false: 90 * time.Millisecond}[i == 3])
+				w.Answered(false)
+				w.End()
+			}
+		}
+		Expect(f.picker.Choose(plain(f))).To(Equal(f.endpoints[3]))
+	})
+
+	It("leave an endpoint that fails though it is fast", func() {
+		f := newFleet()
+		for i, e := range f.endpoints {
+			for range 50 {
+				w := f.picker.Begin(e, nil, 0)
+				f.now = f.now.Add(map[bool]time.Duration{true: time.Millisecond, false: 20 * time.Millisecond}[i == 3])
+				w.Answered(i == 3)
+				w.End()
+			}
+		}
+		Expect(f.picker.Choose(plain(f))).NotTo(Equal(f.endpoints[3]))
+	})
+})
--- /dev/null
+++ b/internal/savorypinpool/pool_test.go
@@ -0,0 +1,140 @@
+package savorypinpool_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypinpool"
+)
+
+// peer accepts connections and hands them to the test.
+type peer struct {
+	address string
+	conns   chan net.Conn
+}
+
+func newPeer() *peer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	p := &peer{address: ln.Addr().String(), conns: make(chan net.Conn, 10)}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.conns <- conn
+		}
+	}()
+	return p
+}
+
+var _ = Describe("A connection of the pool", func() {
+	var now atomic.Int64
+	var p *peer
+	var pool *savorypinpool.Pool
+	BeforeEach(func() {
+		now.Store(time.Unix(1000, 0).UnixNano())
+		p = newPeer()
+		pool = savorypinpool.New(savorypinpool.Config{Now: func() time.Time { return time.Unix(0, now.Load()) }})
+	})
+	get := func() *savorypinpool.Conn {
+		c, err := pool.Get(context.Background(), p.address, 5*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+
+	It("is used again while the endpoint keeps it", func() {
+		pool.Put(get(), 10*time.Second)
+		now.Add(int64(9 * time.Second))
+		Expect(get().Reused()).To(BeTrue())
+		Expect(pool.Opened()).To(Equal(int64(1)))
+	})
+
+	It("is used again although the deadlines of its last request are past", func() {
+		c := get()
+		Expect(c.SetReadDeadline(time.Unix(1, 0))).To(Succeed())
+		pool.Put(c, 10*time.Second)
+		Expect(get().Reused()).To(BeTrue())
+	})
+
+	for _, tc := range []struct {
+		name   string
+		spoil  func(server net.Conn)
+		passed time.Duration
+	}{
+		{"shortly before the endpoint closes it", func(net.Conn) {}, 9600 * time.Millisecond},
+		{"that the endpoint has closed", func(server net.Conn) { server.Close() }, 0},
+		{"on which an answer came that nobody waits for", func(server net.Conn) {
+			_, err := io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+		}, 0},
+	} {
+		It("is not used again "+tc.name, func() {
+			c := get()
+			server := <-p.conns
+			tc.spoil(server)
+			if tc.passed == 0 {
+				// What the endpoint did arrives over loopback in a moment.
+				Eventually(func() bool {
+					pool.Put(c, 10*time.Second)
+					c = get()
+					return c.Reused()
+				}, "5s").Should(BeFalse())
+				return
+			}
+			pool.Put(c, 10*time.Second)
+			now.Add(int64(tc.passed))
+			Expect(get().Reused()).To(BeFalse())
+		})
+	}
+
+	It("is dropped when the endpoint is not trusted any more, or idle for too long", func() {
+		pool.Put(get(), 10*time.Second)
+		pool.Drop(p.address)
+		Expect(get().Reused()).To(BeFalse())
+		pool.Put(get(), 10*time.Second)
+		now.Add(int64(time.Minute))
+		pool.Sweep()
+		Expect(get().Reused()).To(BeFalse())
+	})
+
+	It("carries the request as it was given, and passes over interim answers", func() {
+		c := get()
+		server := <-p.conns
+		go func() {
+			defer GinkgoRecover()
+			buf := make([]byte, 1024)
+			n, err := server.Read(buf)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(buf[:n])).To(Equal("POST /a%20b?c HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nhi"))
+			_, err = io.WriteString(server, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			Expect(err).NotTo(HaveOccurred())
+		}()
+		Expect(c.Send(savorypinpool.Request{
+			Body: []byte("hi"), Header: http.Header{"X-A": {"1"}}, Host: "h", Method: "POST", URI: "/a%20b?c",
+		}, time.Now().Add(5*time.Second))).To(Succeed())
+		resp, err := c.Receive("POST")
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("ok"))
+	})
+
+	It("that can't be made says so", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := ln.Addr().String()
+		ln.Close()
+		_, err = pool.Get(context.Background(), address, time.Second)
+		Expect(err).To(MatchError(savorypinpool.ErrConnect))
+	})
+})
