Ask other gateways for changes since the version up to which a copy is complete

Cause: a gateway that had listed a kind did not know of deletions before its list, and one that asked it since its own newest change kept deleted endpoints (found by the model of store and mirrors, rapid). Now a list sets the version since which deletions are known, askers say up to where they are complete, and get all objects if that is earlier.

--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -203,6 +203,7 @@
 	if err != nil {
 		return unknown(err)
 	}
+	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes))
 	if err != nil {
 		return unknown(err)
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -213,6 +213,8 @@
 		return err
 	}
 	s.apply(o)
+	// There is one object of the kind.
+	s.mirrors[o.Kind].Advance(o.Version)
 	s.mirrors[o.Kind].Confirm(sent)
 	return nil
 }
@@ -323,7 +325,7 @@
 		if !ok || c.Age < 0 {
 			continue
 		}
-		if c.Changed > mirror.State().Changed {
+		if c.Changed > mirror.State().At {
 			go s.fetch(m.Address, c.Kind)
 			continue
 		}
@@ -331,8 +333,7 @@
 	}
 }
 
-// confirmBy takes over the confirmation of a copy that is no newer than the own
-// one. Its age counts from when this gateway's last message to the other was
+// confirmBy takes over the confirmation of a copy whose changes this one has. Its age counts from when this gateway's last message to the other was
 // sent, since the other spoke after that.
 func (s *store) confirmBy(mirror *savorypinmirror.Mirror, m savorypingossip.Message, c savorypingossip.Copy) {
 	if m.Echo == 0 {
@@ -357,7 +358,7 @@
 		s.mu.Unlock()
 	}()
 	mirror := s.mirrors[kind]
-	delta, err := savorypingossip.Fetch(context.Background(), address, kind, mirror.State().Changed)
+	delta, err := savorypingossip.Fetch(context.Background(), address, kind, mirror.State().At)
 	if err != nil {
 		s.log.Debug("changes not fetched", "kind", kind, "peer", address, "err", err)
 		return
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -224,7 +224,7 @@
 	if err := conn.Send(wireRequest(s.gateway.cfg.Codec, a), s.req.until); err != nil {
 		return err
 	}
-	resp, err := conn.Receive(s.req.call.Method)
+	resp, err := conn.Receive(s.req.call.Method) //nolint:bodyclose // closing would wait for the rest; the connection is closed instead
 	if err != nil {
 		return err
 	}
--- a/internal/savorypingossip/gossip.go
+++ b/internal/savorypingossip/gossip.go
@@ -71,7 +71,11 @@
 		return fmt.Errorf("listen for gossip on %s: %w", g.cfg.Address, err)
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	defer context.AfterFunc(ctx, func() { pc.Close() })()
+	defer context.AfterFunc(ctx, func() {
+		if err := pc.Close(); err != nil {
+			g.cfg.Logger.Debug("gossip socket not closed", "err", err)
+		}
+	})()
 	group.Go(func() error { return g.receive(ctx, pc) })
 	group.Go(func() error { return g.send(ctx, pc) })
 	return group.Wait()
--- a/internal/savorypinmirror/mirror.go
+++ b/internal/savorypinmirror/mirror.go
@@ -19,7 +19,7 @@
 
 // State says how far a mirror is.
 type State struct {
-	// At is the store's version up to which changes have been read.
+	// At is the store's version up to which the copy is complete.
 	At int64
 	// Changed is the version of the newest change of the kind.
 	Changed int64
@@ -30,7 +30,7 @@
 
 // Delta is what has changed in a mirror since a version.
 type Delta struct {
-	// At is the store's version up to which the changes have been read.
+	// At is the store's version up to which the changes are complete.
 	At int64 `msgpack:"a"`
 	// Full says that the objects are all there are.
 	Full    bool               `msgpack:"f"`
@@ -46,7 +46,8 @@
 
 // Mirror is a copy of a kind. It is safe for concurrent use.
 type Mirror struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// floor is the version since which all deletions are known.
 	floor   int64
 	objects map[string]savorypin.Object
 	removed map[string]int64
@@ -100,7 +101,7 @@
 		versions = append(versions, v)
 	}
 	slices.Sort(versions)
-	m.floor = versions[len(versions)/2]
+	m.floor = max(m.floor, versions[len(versions)/2])
 	for name, v := range m.removed {
 		if v <= m.floor {
 			delete(m.removed, name)
@@ -128,6 +129,8 @@
 			changed = m.remove(Removal{Name: name, Version: at}) || changed
 		}
 	}
+	// A list does not tell of deletions of objects that were never seen.
+	m.floor = max(m.floor, at)
 	m.state.At = max(m.state.At, at)
 	return changed
 }
@@ -172,12 +175,13 @@
 	return objects
 }
 
-// Since returns what has changed since a version.
+// Since returns what has changed since a version up to which the asker is
+// complete.
 func (m *Mirror) Since(version int64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := Delta{At: m.state.At}
-	if version <= m.floor {
+	if version < m.floor {
 		d.Full = true
 		d.Objects = m.sorted(0)
 		return d
--- a/internal/savorypinmirror/mirror_test.go
+++ b/internal/savorypinmirror/mirror_test.go
@@ -113,7 +113,7 @@
 		w.watch(m)
 	default:
 		other := w.mirrors[rapid.IntRange(0, len(w.mirrors)-1).Draw(t, "other")]
-		m.Merge(other.Since(m.State().Changed))
+		m.Merge(other.Since(m.State().At))
 	}
 }
 
@@ -140,6 +140,6 @@
 func (w *world) settle() {
 	w.watch(w.mirrors[0])
 	for _, m := range w.mirrors[1:] {
-		m.Merge(w.mirrors[0].Since(m.State().Changed))
+		m.Merge(w.mirrors[0].Since(m.State().At))
 	}
 }
