Roll out versions by what gateways tell each other

Cause: orders to move a service's traffic were read and ignored. Each gateway keeps its part of the allowed exposure, moves the rest as late as the bound demands, judges by a sequential test over the answers that all have seen, and any of them writes the state, conditional on the order's version.

--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -31,6 +31,7 @@
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinplatform"
 	"savorypin/internal/savorypinpool"
+	"savorypin/internal/savorypinrollout"
 )
 
 // memoryShare is the part of the memory limit at which the collector works
@@ -71,6 +72,7 @@
 	picker   *savorypinpick.Picker
 	pool     *savorypinpool.Pool
 	registry metrics.Registry
+	rollouts *savorypinrollout.Tracker
 	settings atomic.Pointer[Settings]
 	stopping atomic.Bool
 	store    *store
@@ -99,12 +101,18 @@
 	})
 	g.budgets = newBudgets(cfg.Settings, g.gateways)
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
-	g.view.rollouts.Store(&rolloutSet{})
 	g.gossip = g.newGossip()
 	g.store = newStore(cfg, &g.view, g.counters)
 	g.store.changed = g.directoryChanged
 	g.store.news = g.gossip.Hurry
 	g.store.reader = g.reader
+	g.rollouts = savorypinrollout.New(savorypinrollout.Config{
+		Gateways: g.gateways,
+		Now:      time.Now,
+		Share:    cfg.Settings.ExposureShare,
+		Slack:    cfg.Settings.ExposureSlack,
+	})
+	g.store.rollouts = g.rollouts.Update
 	if cfg.Settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Settings.MemoryBytes)))
 	}
@@ -137,6 +145,7 @@
 	group.Go(func() error { return g.gossip.Run(work) })
 	group.Go(func() error { return g.syncServer().Run(work) })
 	group.Go(func() error { return g.register(work) })
+	group.Go(func() error { return g.writeRollouts(work) })
 	group.Go(func() error { return g.sweep(work) })
 	group.Go(func() error {
 		defer cancel()
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -60,6 +60,7 @@
 		m.Failures = append(m.Failures, savorypingossip.Failure(f))
 	}
 	m.Suspects = g.picker.Suspects()
+	m.Rollouts = g.rollouts.Reports()
 	return m
 }
 
@@ -71,6 +72,9 @@
 		loads = append(loads, savorypinpick.Load(l))
 	}
 	g.picker.SetLoads(m.Address, loads)
+	if g.rollouts.Hear(m.Address, m.Rollouts) {
+		g.versionRejected(m.Name)
+	}
 	d := g.view.directory.Load()
 	for _, id := range m.Suspects {
 		if e := d.Endpoint(id); e != nil {
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -7,6 +7,7 @@
 
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinpick"
+	"savorypin/internal/savorypinrollout"
 )
 
 // ServeHTTP relays a caller's request.
@@ -39,15 +40,26 @@
 	http.Error(w, refused.reason, refused.status)
 }
 
-// candidates returns the endpoints that may serve a request.
+// candidates returns the endpoints that may serve a request, of the versions that
+// a roll-out allows.
 func (g *Gateway) candidates(service string) []*savorypinfleet.Endpoint {
+	side, version := g.rollouts.Choose(service)
 	all := g.view.directory.Load().Service(service)
 	ready := make([]*savorypinfleet.Endpoint, 0, len(all))
+	var others []*savorypinfleet.Endpoint
 	for _, e := range all {
-		if e.Ready() {
+		switch {
+		case !e.Ready():
+		case side == savorypinrollout.SideAny, (e.Version() == version) == (side == savorypinrollout.SideNew):
 			ready = append(ready, e)
+		default:
+			others = append(others, e)
 		}
 	}
+	if len(ready) == 0 && side == savorypinrollout.SideNew {
+		// The new version has no endpoint yet, or not any more.
+		return others
+	}
 	return ready
 }
 
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -153,11 +153,14 @@
 	defer context.AfterFunc(ctx, conn.Close)()
 	work := g.picker.Begin(e, nil, 0)
 	defer work.End()
+	began := time.Now()
+	g.rollouts.Sent(e.Service(), e.Version())
 	result, keepAlive := g.exchange(conn, req, savorypinfleet.Attempt{
 		Call: req.call, Deadline: req.left(), Endpoint: e, Organisation: req.organisation, Priority: -1,
 	}, until)
 	if ctx.Err() == nil {
 		work.Answered(!result.succeeded())
+		g.noteVersion(req, e, !result.succeeded(), time.Since(began))
 		g.judgePlain(e, result)
 	}
 	if keepAlive < 0 {
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -77,6 +77,8 @@
 	view   *view
 	// changed is called with each new list of endpoints.
 	changed func(old, next *savorypinfleet.Directory)
+	// rollouts is called with each new list of roll-outs.
+	rollouts func([]savorypinfleet.Rollout)
 	// news is called when a copy has changed, so that others hear of it.
 	news func()
 
@@ -408,17 +410,17 @@
 }
 
 func (s *store) publishRollouts() {
-	set := &rolloutSet{byService: map[string]savorypinfleet.Rollout{}}
+	var rollouts []savorypinfleet.Rollout
 	for _, o := range s.mirrors[s.cfg.Objects.RolloutKind].Objects() {
 		r, err := s.cfg.Objects.DecodeRollout(o)
 		if err != nil {
 			s.log.Warn("rollout ignored", "err", err)
 			continue
 		}
-		set.byService[r.Service] = r
+		rollouts = append(rollouts, r)
 		s.log.Info("rollout seen", "service", r.Service, "version", r.Version, "state", r.State, "revision", r.Revision)
 	}
-	s.view.rollouts.Store(set)
+	s.rollouts(rollouts)
 }
 
 // wait returns after d, or with an error when ctx ends.
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -191,15 +191,19 @@
 	if s.last > 0 {
 		a.Priority = resumePriority
 	}
+	began := time.Now()
+	g.rollouts.Sent(e.Service(), e.Version())
 	err = s.exchange(conn, a, w, work.Read)
 	if err == nil {
 		g.picker.Clear(e)
+		g.noteVersion(s.req, e, false, time.Since(began))
 		return nil
 	}
 	conn.Close()
 	if ctx.Err() != nil {
 		return err
 	}
+	g.noteVersion(s.req, e, true, time.Since(began))
 	switch {
 	case w.silent.Load():
 		err = errSilent
--- a/internal/savorypingateway/view.go
+++ b/internal/savorypingateway/view.go
@@ -16,13 +16,7 @@
 	confirmed func() time.Duration
 	directory atomic.Pointer[savorypinfleet.Directory]
 	// listed says that the list of endpoints was read once.
-	listed   atomic.Bool
-	rollouts atomic.Pointer[rolloutSet]
-}
-
-// rolloutSet holds the roll-outs by service.
-type rolloutSet struct {
-	byService map[string]savorypinfleet.Rollout
+	listed atomic.Bool
 }
 
 // confirmation returns the age of the last confirmation of the configuration.
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinrollout"
 )
 
 // Message is what a gateway tells another one. Its fields are exported for the
@@ -24,8 +25,6 @@
 	Domain string `msgpack:"d"`
 	// Echo is the Sent of the last message that the sender had from the receiver.
 	Echo time.Duration `msgpack:"e"`
-	// Exposures are what the sender has seen of versions that are rolled out.
-	Exposures []Exposure `msgpack:"x,omitempty"`
 	// Failures are the domain failures that the sender has seen lately.
 	Failures []Failure `msgpack:"f,omitempty"`
 	// Leaving says that the sender takes no new callers.
@@ -36,6 +35,8 @@
 	Name string `msgpack:"n"`
 	// Peers are addresses of gateways that the sender knows.
 	Peers []string `msgpack:"p,omitempty"`
+	// Rollouts are what the sender has seen of versions that are rolled out.
+	Rollouts []savorypinrollout.Report `msgpack:"r,omitempty"`
 	// Sent is when the message was sent, by the sender's boot-time clock.
 	Sent time.Duration `msgpack:"s"`
 	// Started tells incarnations of the sender apart.
@@ -70,15 +71,3 @@
 	// Waiting is the number of prompt tokens that have not been read.
 	Waiting int64 `msgpack:"w"`
 }
-
-// Exposure is what a gateway has sent to a version since its roll-out began.
-type Exposure struct {
-	// Bad is the number of failed or very slow answers, over all routes.
-	Bad int64 `msgpack:"b"`
-	// Revision is the platform's version of the order.
-	Revision int64 `msgpack:"r"`
-	// New and Old are the requests sent to the new and the old versions.
-	New     int64  `msgpack:"n"`
-	Old     int64  `msgpack:"o"`
-	Service string `msgpack:"s"`
-}
