Log decisions as typed events, in bounded volume and without waiting

Cause: lines were written by hand, with other fields each time, and a blocked standard output would have held up requests.

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -141,8 +141,13 @@
 	}
 }
 
-// logger returns the logger that the flags ask for.
+// logger returns the logger that the flags ask for, to the standard error.
 func (c *Config) logger() (*log.Logger, error) {
+	return c.loggerTo(c.stderr)
+}
+
+// loggerTo returns the logger that the flags ask for.
+func (c *Config) loggerTo(w io.Writer) (*log.Logger, error) {
 	level, err := log.ParseLevel(c.logLevel)
 	if err != nil {
 		return nil, savorypin.Errorf(savorypin.KindInvalid, "--log-level", "%q is not debug, info, warn or error", c.logLevel)
@@ -156,7 +161,7 @@
 	if !ok {
 		return nil, savorypin.Errorf(savorypin.KindInvalid, "--log-format", "%q is not json, logfmt or text", c.logFormat)
 	}
-	return log.NewWithOptions(c.stderr, log.Options{
+	return log.NewWithOptions(w, log.Options{
 		Formatter:       formatter,
 		Level:           level,
 		ReportTimestamp: true,
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -8,10 +8,15 @@
 
 	"github.com/urfave/cli/v3"
 
+	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypingateway"
 	"savorypin/platform"
 )
 
+// gatewayTimeFormat is the format of the time of a line; milliseconds tell the
+// order of lines of several gateways.
+const gatewayTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 func (c *Config) gatewayCmd() *cli.Command {
 	return &cli.Command{
 		Action: c.runGatewayCmd,
@@ -31,15 +36,17 @@
 	if err != nil {
 		return err
 	}
-	c.stderr = c.stdout
-	logger, err := c.logger()
+	lines := savorypinevent.NewWriter(c.stdout)
+	defer lines.Close()
+	logger, err := c.loggerTo(lines)
 	if err != nil {
 		return err
 	}
+	logger.SetTimeFormat(gatewayTimeFormat)
 	gateway := savorypingateway.New(savorypingateway.Config{
 		Codec:    platform.NewCodec(),
 		Dialect:  platform.StoreDialect(),
-		Logger:   logger,
+		Log:      savorypinevent.New(savorypinevent.Config{Logger: logger.With("gateway", settings.Name)}),
 		Objects:  platform.Objects(),
 		Reload:   func() (savorypingateway.Settings, error) { return platform.ReadSettings(c.settings) },
 		Settings: settings,
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -18,12 +18,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinhazard"
@@ -54,7 +54,8 @@
 type Config struct {
 	Codec   savorypinfleet.Codec
 	Dialect savorypinplatform.Dialect
-	Logger  *log.Logger
+	// Log gets the events.
+	Log     *savorypinevent.Log
 	Objects Objects
 	// Reload reads the settings again.
 	Reload   func() (Settings, error)
@@ -63,21 +64,25 @@
 
 // Gateway is the daemon. Create it by New.
 type Gateway struct {
+	// alive are the addresses of other gateways that were alive at the last sweep.
+	alive    map[string]bool
 	budgets  budgets
 	cfg      Config
 	counters counters
 	gossip   *savorypingossip.Gossip
-	log      *log.Logger
+	log      *savorypinevent.Log
 	peers    *savorypingossip.Table
 	picker   *savorypinpick.Picker
 	pool     *savorypinpool.Pool
-	registry metrics.Registry
-	rollouts *savorypinrollout.Tracker
-	settings atomic.Pointer[Settings]
-	stopping atomic.Bool
-	store    *store
-	streams  streamSet
-	view     view
+	// readiness is the reason why the gateway was not ready at the last sweep.
+	readiness string
+	registry  metrics.Registry
+	rollouts  *savorypinrollout.Tracker
+	settings  atomic.Pointer[Settings]
+	stopping  atomic.Bool
+	store     *store
+	streams   streamSet
+	view      view
 }
 
 // New returns a gateway that has not started.
@@ -86,7 +91,7 @@
 	g := &Gateway{
 		cfg:      cfg,
 		counters: newCounters(registry),
-		log:      cfg.Logger,
+		log:      cfg.Log,
 		pool:     savorypinpool.New(savorypinpool.Config{}),
 		registry: registry,
 	}
@@ -135,7 +140,8 @@
 	if err != nil {
 		return err
 	}
-	g.log.Info("gateway started", "name", s.Name, "domain", s.Domain, "listen", s.Listen)
+	g.log.Emit(savorypinevent.Process{What: "started"})
+	defer g.log.Emit(savorypinevent.Process{What: "stopped"})
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, work := errgroup.WithContext(work)
@@ -147,12 +153,12 @@
 	group.Go(func() error { return g.register(work) })
 	group.Go(func() error { return g.writeRollouts(work) })
 	group.Go(func() error { return g.sweep(work) })
+	group.Go(func() error { return g.log.Run(work) })
 	group.Go(func() error {
 		defer cancel()
 		return g.serveCallers(ctx, front)
 	})
 	err = group.Wait()
-	g.log.Info("gateway stopped", "name", s.Name)
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -164,11 +170,11 @@
 func (g *Gateway) Reload() {
 	s, err := g.cfg.Reload()
 	if err != nil {
-		g.log.Error("settings not reloaded", "err", err)
+		g.log.Emit(savorypinevent.Process{Err: err, What: "not reloaded"})
 		return
 	}
 	g.settings.Store(&s)
-	g.log.Info("settings reloaded")
+	g.log.Emit(savorypinevent.Process{What: "reloaded"})
 }
 
 func listen(address string) (net.Listener, error) {
@@ -213,7 +219,8 @@
 		case <-ticker.C:
 			g.pool.Sweep()
 			g.picker.Forget(g.view.directory.Load())
-			g.picker.KeepGateways(g.alivePeers())
+			g.notePeers()
+			g.noteReadiness()
 		}
 	}
 }
@@ -228,7 +235,10 @@
 	restarted := next.Replaced(old)
 	g.picker.Restarted(restarted)
 	if len(gone) > 0 || len(restarted) > 0 {
-		g.log.Info("endpoints changed", "now", next.Len(), "gone", len(gone), "restarted", len(restarted))
+		g.log.Emit(savorypinevent.EndpointsChanged{
+			Gone: len(gone), Now: next.Len(), Restarted: len(restarted),
+			Revision: g.store.mirrors[g.cfg.Objects.EndpointKind].State().Changed,
+		})
 	}
 }
 
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinplatform"
@@ -39,7 +40,7 @@
 		Clock:   bootClock,
 		Compose: g.composeGossip,
 		Heard:   g.heard,
-		Logger:  g.log,
+		Log:     g.log,
 		Started: time.Now().UnixNano(),
 		Table:   g.peers,
 	})
@@ -111,7 +112,7 @@
 		for _, o := range objects {
 			var spec gatewaySpec
 			if err := json.Unmarshal(o.Spec, &spec); err != nil {
-				g.log.Warn("gateway ignored", "name", o.Name, "err", err)
+				g.log.Emit(savorypinevent.Ignored{Err: err, What: "gateway " + o.Name})
 				continue
 			}
 			g.peers.Meet([]string{spec.Address})
@@ -126,7 +127,7 @@
 func (g *Gateway) writeRegistration(ctx context.Context, s *Settings) bool {
 	spec, err := json.Marshal(gatewaySpec{Address: g.address()})
 	if err != nil {
-		g.log.Error("gateway not registered", "err", err)
+		g.log.Emit(savorypinevent.Process{Err: err, What: "not registered"})
 		return false
 	}
 	o := savorypin.Object{Key: savorypin.Key{Kind: kindGateway, Name: s.Name}, Spec: spec}
@@ -136,7 +137,7 @@
 		_, err = g.store.client.Update(ctx, o)
 	}
 	if err != nil {
-		g.log.Warn("gateway not registered", "err", err)
+		g.log.Debug("gateway not registered", "err", err)
 		return false
 	}
 	return true
@@ -158,13 +159,23 @@
 	return slices.Contains(g.peers.Readers(), g.address())
 }
 
-// alivePeers returns the addresses of the other gateways that are alive.
-func (g *Gateway) alivePeers() map[string]bool {
+// notePeers drops the work of gateways that are not alive, and logs which were
+// lost and regained. Only the sweep calls it.
+func (g *Gateway) notePeers() {
 	alive := map[string]bool{}
 	for _, m := range g.peers.Alive() {
 		alive[m.Address] = true
+		if !g.alive[m.Address] {
+			g.log.Emit(savorypinevent.Dependency{Name: m.Name + " at " + m.Address})
+		}
+	}
+	for address := range g.alive {
+		if !alive[address] {
+			g.log.Emit(savorypinevent.Dependency{Lost: true, Name: "gateway at " + address})
+		}
 	}
-	return alive
+	g.alive = alive
+	g.picker.KeepGateways(alive)
 }
 
 // gateways returns the number of gateways that may share a budget with this one.
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinrollout"
@@ -19,7 +20,7 @@
 	call := g.cfg.Codec.DecodeCall(r)
 	req, refused := g.admit(w, r, call)
 	if refused != nil {
-		g.refuse(w, call, refused)
+		g.refuse(w, call, "", refused)
 		return
 	}
 	if req == nil {
@@ -33,13 +34,40 @@
 }
 
 // refuse gives an answer of the gateway itself.
-func (g *Gateway) refuse(w http.ResponseWriter, call *savorypinfleet.Call, refused *refusal) {
+func (g *Gateway) refuse(w http.ResponseWriter, call *savorypinfleet.Call, service string, refused *refusal) {
 	g.counters.refused.Inc(1)
-	g.log.Info("request refused", "id", call.ID, "status", refused.status, "reason", refused.reason)
+	g.logRefusal(call, service, refused)
 	g.cfg.Codec.EncodeFailure(w.Header(), call, refused.retryAfter)
 	http.Error(w, refused.reason, refused.status)
 }
 
+// logRefusal logs a refusal with what decided it.
+func (g *Gateway) logRefusal(call *savorypinfleet.Call, service string, refused *refusal) {
+	e := savorypinevent.RequestRefused{
+		ID: call.ID, Path: call.URI, Reason: refused.reason, RetryAfter: refused.retryAfter, Status: refused.status,
+		Configuration: g.configurationVersion(),
+	}
+	if age, ok := g.view.confirmation(bootClock()); ok {
+		e.ConfirmationAge = age
+	}
+	for _, endpoint := range g.candidates(service) {
+		e.Endpoints++
+		if g.picker.Suspect(endpoint) {
+			e.Suspects++
+		}
+	}
+	g.log.Emit(e)
+}
+
+// configurationVersion is the version of the configuration in force; zero for
+// none.
+func (g *Gateway) configurationVersion() int64 {
+	if c := g.view.configuration.Load(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
 // candidates returns the endpoints that may serve a request, of the versions that
 // a roll-out allows.
 func (g *Gateway) candidates(service string) []*savorypinfleet.Endpoint {
@@ -94,7 +122,7 @@
 func (g *Gateway) endpointFailed(e *savorypinfleet.Endpoint, reason string) {
 	g.pool.Drop(e.Address())
 	domainFailed := g.picker.Fail(e)
-	g.log.Info("endpoint suspect", "endpoint", e.ID(), "domain", e.Domain(), "reason", reason, "domainFailed", domainFailed)
+	g.log.Emit(savorypinevent.EndpointSuspect{Domain: e.Domain(), DomainFailed: domainFailed, Endpoint: e.ID(), Reason: reason})
 	if domainFailed {
 		g.domainFailed(e.Domain(), e.Service(), g.settings.Load().Name)
 		g.gossip.Hurry()
@@ -111,7 +139,7 @@
 		}
 	}
 	g.picker.FailDomain(neighbours)
-	g.log.Info("failure domain suspect", "domain", domain, "service", service, "endpoints", len(neighbours), "seenBy", seenBy)
+	g.log.Emit(savorypinevent.DomainSuspect{Domain: domain, Endpoints: len(neighbours), SeenBy: seenBy, Service: service})
 	g.streams.check(domain, service)
 }
 
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinpool"
 )
@@ -40,10 +41,13 @@
 
 // outcome is the result of an attempt.
 type outcome struct {
-	body []byte
-	err  error
-	kind outcomeKind
-	resp *http.Response
+	// attempts is the number of endpoints that the request was sent to by then.
+	attempts int
+	body     []byte
+	endpoint *savorypinfleet.Endpoint
+	err      error
+	kind     outcomeKind
+	resp     *http.Response
 }
 
 // succeeded reports whether the answer is a success.
@@ -57,14 +61,20 @@
 	defer cancel()
 	result, refused := g.tryPlain(ctx, req)
 	if r.Context().Err() != nil {
+		g.logCallerLeft(req)
 		return
 	}
 	if refused != nil {
-		g.refuse(w, req.call, refused)
+		g.refuse(w, req.call, req.service.Name(), refused)
 		return
 	}
 	g.counters.answered.Inc(1)
 	g.counters.plainAnswer.UpdateSince(req.arrived)
+	g.log.Emit(savorypinevent.Ended{
+		Age: time.Since(req.arrived), Attempts: result.attempts, Configuration: g.configurationVersion(),
+		Endpoint: result.endpoint.ID(), ID: req.call.ID, Route: req.route.Name(), Status: result.resp.StatusCode,
+		What: savorypinevent.KindRequestAnswered,
+	})
 	g.cfg.Codec.EncodeReply(w.Header(), result.resp, req.call)
 	w.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
 	w.WriteHeader(result.resp.StatusCode)
@@ -73,6 +83,14 @@
 	}
 }
 
+// logCallerLeft logs that a caller has gone before its answer.
+func (g *Gateway) logCallerLeft(req *request) {
+	g.log.Emit(savorypinevent.Ended{
+		Age: time.Since(req.arrived), Configuration: g.configurationVersion(), ID: req.call.ID, Route: req.route.Name(),
+		What: savorypinevent.KindCallerLeft,
+	})
+}
+
 // tryPlain sends a request to endpoints until one answers, or returns why none
 // will.
 func (g *Gateway) tryPlain(ctx context.Context, req *request) (*outcome, *refusal) {
@@ -88,12 +106,15 @@
 		}
 		tried[e.ID()] = true
 		result := g.attemptPlain(ctx, req, e, sent+1 < req.route.MaxAttempts())
-		g.logAttempt(req, e, result, sent)
+		if !result.succeeded() {
+			g.logAttempt(req, e, result, sent)
+		}
 		if result.kind == outcomeUnsent {
 			unsent++
 			continue
 		}
 		sent++
+		result.attempts, result.endpoint = sent, e
 		if sent > 1 {
 			g.counters.repeated.Inc(1)
 		}
@@ -123,15 +144,14 @@
 }
 
 func (g *Gateway) logAttempt(req *request, e *savorypinfleet.Endpoint, o *outcome, earlier int) {
-	if o.succeeded() && earlier == 0 {
-		return
-	}
 	status := 0
 	if o.resp != nil {
 		status = o.resp.StatusCode
 	}
-	g.log.Info("attempt ended", "id", req.call.ID, "endpoint", e.ID(), "outcome", string(o.kind),
-		"status", status, "earlier", earlier, "age", time.Since(req.arrived), "err", o.err)
+	g.log.Emit(savorypinevent.AttemptEnded{
+		Age: time.Since(req.arrived), Earlier: earlier, Endpoint: e.ID(), Err: o.err, ID: req.call.ID,
+		Outcome: string(o.kind), Status: status,
+	})
 }
 
 // attemptPlain sends a request to one endpoint and reads the whole answer.
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"savorypin/internal/savorypinevent"
 )
 
 // readyPart is the part of the revocation delay for which a gateway without
@@ -32,6 +34,17 @@
 	return "", true
 }
 
+// noteReadiness logs when the gateway becomes ready, or why it no longer is. Only
+// the sweep calls it.
+func (g *Gateway) noteReadiness() {
+	reason, ok := g.ready()
+	if reason == g.readiness {
+		return
+	}
+	g.readiness = reason
+	g.log.Emit(savorypinevent.ReadinessChanged{Ready: ok, Reason: reason})
+}
+
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	reason, ok := g.ready()
 	if !ok {
--- a/internal/savorypingateway/rollout.go
+++ b/internal/savorypingateway/rollout.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 )
 
@@ -27,11 +28,19 @@
 // versionRejected tells the other gateways at once of a version that is bad.
 func (g *Gateway) versionRejected(seenBy string) {
 	for _, r := range g.rollouts.Due() {
-		g.log.Warn("version rejected", "service", r.Service, "version", r.Version, "seenBy", seenBy)
+		if r.State == savorypinfleet.RolloutRolledBack {
+			g.log.Emit(rolloutEvent("rejected by "+seenBy, r, nil))
+		}
 	}
 	g.gossip.Hurry()
 }
 
+func rolloutEvent(what string, r savorypinfleet.Rollout, err error) savorypinevent.Rollout {
+	return savorypinevent.Rollout{
+		Err: err, Revision: r.Revision, Service: r.Service, State: string(r.State), Version: r.Version, What: what,
+	}
+}
+
 // writeRollouts writes the states of roll-outs to the store. Every gateway can
 // do it: a write is conditional on the version of the order that it is about, so
 // that a late or repeated one changes nothing. The order of their addresses says
@@ -73,7 +82,7 @@
 func (g *Gateway) writeRollout(ctx context.Context, r savorypinfleet.Rollout) {
 	status, err := g.cfg.Objects.EncodeRolloutStatus(r)
 	if err != nil {
-		g.log.Error("rollout not written", "service", r.Service, "err", err)
+		g.log.Emit(rolloutEvent("not written", r, err))
 		return
 	}
 	o, err := g.store.client.UpdateStatus(ctx, savorypin.Object{
@@ -81,7 +90,7 @@
 		Status:  status,
 		Version: r.Revision,
 	})
-	g.log.Info("rollout written", "service", r.Service, "version", r.Version, "state", r.State, "revision", r.Revision, "err", err)
+	g.log.Emit(rolloutEvent("written", r, err))
 	if err != nil {
 		// A conflict or a lost answer shows in the next read of the order.
 		return
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"savorypin/internal/savorypinevent"
 )
 
 // Times of a planned stop.
@@ -41,7 +43,7 @@
 		return fmt.Errorf("serve callers: %w", err)
 	case <-ctx.Done():
 	}
-	g.log.Info("stop begun")
+	g.log.Emit(savorypinevent.Process{What: "stop begun"})
 	g.stopping.Store(true)
 	began := time.Now()
 	grace := g.settings.Load().Grace
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinmirror"
@@ -68,7 +68,7 @@
 type store struct {
 	cfg     Config
 	client  *savorypinplatform.Client
-	log     *log.Logger
+	log     *savorypinevent.Log
 	mirrors map[savorypin.Kind]*savorypinmirror.Mirror
 	// publish are the functions that put a changed copy in force.
 	publish map[savorypin.Kind]func()
@@ -104,7 +104,7 @@
 			URL:        cfg.Settings.Store,
 		}),
 		fetching: map[savorypin.Kind]bool{},
-		log:      cfg.Logger,
+		log:      cfg.Log,
 		mirrors:  map[savorypin.Kind]*savorypinmirror.Mirror{},
 		view:     v,
 	}
@@ -201,11 +201,7 @@
 		return
 	}
 	s.lost = err != nil
-	if s.lost {
-		s.log.Warn("store lost", "err", err)
-		return
-	}
-	s.log.Info("store regained")
+	s.log.Emit(savorypinevent.Dependency{Err: err, Lost: s.lost, Name: "store"})
 }
 
 func (s *store) readConfiguration(ctx context.Context) error {
@@ -262,7 +258,7 @@
 	if !errors.Is(err, savorypinplatform.ErrExpired) {
 		return err
 	}
-	s.log.Info("history lost, listing again", "kind", kind, "version", at)
+	s.log.Emit(savorypinevent.HistoryLost{Of: string(kind), Version: at})
 	return s.list(ctx, kind)
 }
 
@@ -381,11 +377,11 @@
 		}
 		c, err := s.cfg.Objects.DecodeConfiguration(o)
 		if err != nil {
-			s.log.Error("configuration ignored", "revision", o.Version, "err", err)
+			s.log.Emit(savorypinevent.Ignored{Err: err, What: "configuration"})
 			continue
 		}
 		if s.view.adopt(c) {
-			s.log.Info("configuration in force", "version", c.Version(), "revision", o.Version)
+			s.log.Emit(savorypinevent.ConfigurationInForce{Revision: o.Version, Version: c.Version()})
 		}
 	}
 }
@@ -414,11 +410,11 @@
 	for _, o := range s.mirrors[s.cfg.Objects.RolloutKind].Objects() {
 		r, err := s.cfg.Objects.DecodeRollout(o)
 		if err != nil {
-			s.log.Warn("rollout ignored", "err", err)
+			s.log.Emit(savorypinevent.Ignored{Err: err, What: "rollout " + o.Name})
 			continue
 		}
 		rollouts = append(rollouts, r)
-		s.log.Info("rollout seen", "service", r.Service, "version", r.Version, "state", r.State, "revision", r.Revision)
+		s.log.Emit(rolloutEvent("seen", r, nil))
 	}
 	s.rollouts(rollouts)
 }
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinpool"
 )
@@ -40,6 +41,10 @@
 	backup *savorypinfleet.Endpoint
 	// begun says that the head of the answer was sent to the caller.
 	begun bool
+	// firstAfter is the time from the request to the first event.
+	firstAfter time.Duration
+	// longestPause is the longest time between two events at the caller.
+	longestPause time.Duration
 	// failure is an endpoint's own failure, which is passed on if nothing better
 	// comes.
 	failure *outcome
@@ -71,13 +76,14 @@
 	if err == nil {
 		g.counters.answered.Inc(1)
 		g.picker.Completed(time.Since(req.arrived))
+		s.logEnd(savorypinevent.KindStreamCompleted, nil)
 		return
 	}
 	if r.Context().Err() != nil {
-		g.log.Info("caller left", "id", req.call.ID, "event", s.last, "age", time.Since(req.arrived))
+		s.logEnd(savorypinevent.KindCallerLeft, nil)
 		return
 	}
-	g.log.Info("stream failed", "id", req.call.ID, "event", s.last, "sent", s.sent, "age", time.Since(req.arrived), "err", err)
+	s.logEnd(savorypinevent.KindStreamFailed, err)
 	if s.begun {
 		g.counters.brokenOff.Inc(1)
 		panic(http.ErrAbortHandler)
@@ -85,6 +91,28 @@
 	s.fail(ctx)
 }
 
+// logEnd logs how the stream ended.
+func (s *stream) logEnd(what savorypinevent.Kind, err error) {
+	s.gateway.log.Emit(savorypinevent.Ended{
+		Age: time.Since(s.req.arrived), Attempts: s.sent, Configuration: s.gateway.configurationVersion(), Err: err,
+		Event: s.last, First: s.firstAfter, ID: s.req.call.ID, LongestPause: s.longestPause, Route: s.req.route.Name(), What: what,
+	})
+}
+
+// logSent logs where the stream is sent and what decided that.
+func (s *stream) logSent(a savorypinfleet.Attempt) {
+	backup := ""
+	if a.Backup != nil {
+		backup = a.Backup.ID()
+	}
+	g := s.gateway
+	g.log.Emit(savorypinevent.StreamSent{
+		Age: time.Since(s.req.arrived), Attempt: s.sent, Backup: backup, DirectoryAge: g.store.age(g.cfg.Objects.EndpointKind),
+		Domain: a.Endpoint.Domain(), Endpoint: a.Endpoint.ID(), Event: s.last, ID: s.req.call.ID, Restored: a.Restore,
+		Waiting: g.picker.Waiting(a.Endpoint) - s.req.call.PromptTokens,
+	})
+}
+
 // fail answers a stream that has not begun.
 func (s *stream) fail(ctx context.Context) {
 	g := s.gateway
@@ -97,11 +125,11 @@
 			g.log.Debug("failure not delivered", "id", s.req.call.ID, "err", err)
 		}
 	case !s.mayHaveRun:
-		g.refuse(s.w, s.req.call, notRun("no endpoint took the request", retrySoon))
+		g.refuse(s.w, s.req.call, s.req.service.Name(), notRun("no endpoint took the request", retrySoon))
 	case ctx.Err() != nil:
-		g.refuse(s.w, s.req.call, &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout})
+		g.refuse(s.w, s.req.call, s.req.service.Name(), &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout})
 	default:
-		g.refuse(s.w, s.req.call, &refusal{reason: "endpoint failed", status: http.StatusBadGateway})
+		g.refuse(s.w, s.req.call, s.req.service.Name(), &refusal{reason: "endpoint failed", status: http.StatusBadGateway})
 	}
 }
 
@@ -124,8 +152,9 @@
 			return lastErr
 		}
 		s.gateway.counters.resumed.Inc(1)
-		s.gateway.log.Info("stream goes on elsewhere", "id", s.req.call.ID, "endpoint", e.ID(), "domain", e.Domain(),
-			"restored", restore, "event", s.last, "age", time.Since(s.req.arrived), "err", lastErr)
+		s.gateway.log.Emit(savorypinevent.StreamBroken{
+			Age: time.Since(s.req.arrived), Endpoint: e.ID(), Err: lastErr, Event: s.last, ID: s.req.call.ID,
+		})
 	}
 	return lastErr
 }
@@ -191,6 +220,7 @@
 	if s.last > 0 {
 		a.Priority = resumePriority
 	}
+	s.logSent(a)
 	began := time.Now()
 	g.rollouts.Sent(e.Service(), e.Version())
 	err = s.exchange(conn, a, w, work.Read)
@@ -299,8 +329,20 @@
 		return
 	}
 	s.gateway.counters.resumeGap.Update(pause)
-	s.gateway.log.Info("stream resumed", "id", s.req.call.ID, "endpoint", a.Endpoint.ID(), "domain", a.Endpoint.Domain(),
-		"restored", a.Restore, "event", s.last, "pause", pause, "age", time.Since(s.req.arrived))
+	s.gateway.log.Emit(savorypinevent.StreamResumed{
+		Age: time.Since(s.req.arrived), Endpoint: a.Endpoint.ID(), Event: s.last, ID: s.req.call.ID, Pause: pause, Restored: a.Restore,
+	})
+}
+
+// notePause takes note of the time since the last event.
+func (s *stream) notePause(now time.Time) {
+	pause := now.Sub(s.lastAt)
+	s.lastAt = now
+	if s.firstAfter == 0 {
+		s.firstAfter = pause
+		return
+	}
+	s.longestPause = max(s.longestPause, pause)
 }
 
 // deliver sends an event to the caller.
@@ -313,7 +355,7 @@
 	if _, err := s.w.Write(e.raw); err != nil {
 		return err
 	}
-	s.lastAt = time.Now()
+	s.notePause(time.Now())
 	if e.id > 0 {
 		s.last = e.id
 	}
--- a/internal/savorypingossip/gossip.go
+++ b/internal/savorypingossip/gossip.go
@@ -11,9 +11,10 @@
 	"slices"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
+
+	"savorypin/internal/savorypinevent"
 )
 
 // Settings of the exchange.
@@ -36,9 +37,9 @@
 	// Compose returns what is told to all gateways alike.
 	Compose func() Message
 	// Heard is called with each new message.
-	Heard  func(Message)
-	Logger *log.Logger
-	Table  *Table
+	Heard func(Message)
+	Log   *savorypinevent.Log
+	Table *Table
 	// Address is where the gateway receives messages.
 	Address string
 	// Started tells incarnations apart.
@@ -73,7 +74,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, func() {
 		if err := pc.Close(); err != nil {
-			g.cfg.Logger.Debug("gossip socket not closed", "err", err)
+			g.cfg.Log.Debug("gossip socket not closed", "err", err)
 		}
 	})()
 	group.Go(func() error { return g.receive(ctx, pc) })
@@ -92,12 +93,12 @@
 			return fmt.Errorf("receive gossip: %w", err)
 		}
 		if err != nil {
-			g.cfg.Logger.Debug("gossip not received", "err", err)
+			g.cfg.Log.Debug("gossip not received", "err", err)
 			continue
 		}
 		var m Message
 		if err := msgpack.Unmarshal(buf[:n], &m); err != nil {
-			g.cfg.Logger.Warn("gossip ignored", "err", err)
+			g.cfg.Log.Emit(savorypinevent.Ignored{Err: err, What: "gossip"})
 			continue
 		}
 		if g.cfg.Table.Hear(m) {
@@ -140,7 +141,7 @@
 		m.Echo = g.cfg.Table.Echo(address)
 		m.Sent = g.cfg.Clock()
 		if err := sendTo(pc, address, &m); err != nil {
-			g.cfg.Logger.Debug("gossip not sent", "peer", address, "err", err)
+			g.cfg.Log.Debug("gossip not sent", "peer", address, "err", err)
 		}
 	}
 }
