--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -29,6 +29,7 @@
 	errBudget   = errors.New("retry budget is spent")
 	errGap      = errors.New("events are missing")
 	errNotRun   = errors.New("endpoint did not run the request")
+	errStuck    = errors.New("endpoint lives but the stream is silent")
 	errSilent   = errors.New("endpoint is silent")
 	errFailed   = errors.New("endpoint answered with a failure")
 	errNoCaller = errors.New("caller does not read")
@@ -235,9 +236,12 @@
 	}
 	g.noteVersion(s.req, e, true, time.Since(began))
 	switch {
-	case w.silent.Load():
+	case w.lost.Load():
 		err = errSilent
 		g.endpointFailed(e, err.Error())
+	case w.stuck.Load():
+		// The answer was lost, or the engine hangs; others get theirs from there.
+		err = errStuck
 	case errors.Is(err, errNotRun), errors.Is(err, errNoCaller), errors.Is(err, errFailed):
 	default:
 		g.brokeOff(e, err.Error())
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -43,9 +43,12 @@
 	endpoint *savorypinfleet.Endpoint
 	gateway  *Gateway
 	last     atomic.Int64
-	silent   atomic.Bool
-	timer    *time.Timer
-	tokens   int
+	// lost says that the endpoint's host did not answer, and stuck that it did but
+	// the stream was silent for too long.
+	lost   atomic.Bool
+	stuck  atomic.Bool
+	timer  *time.Timer
+	tokens int
 }
 
 // bounds are the bounds on a stream's silence.
@@ -131,10 +134,11 @@
 	if w.gateway.picker.Waiting(w.endpoint) > w.tokens {
 		limit = b.busyLimit
 	}
-	if err != nil || silence > limit {
-		w.silent.Store(true)
-		w.conn.Close()
+	if err == nil && silence <= limit {
+		w.timer.Reset(min(b.check, max(limit-silence, time.Millisecond)))
 		return
 	}
-	w.timer.Reset(min(b.check, max(limit-silence, time.Millisecond)))
+	w.lost.Store(err != nil)
+	w.stuck.Store(err == nil)
+	w.conn.Close()
 }
