--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -66,7 +66,7 @@
 type Gateway struct {
 	// alive are the addresses of other gateways that were alive at the last sweep.
 	alive    map[string]bool
-	budgets  budgets
+	budgets  *budgets
 	cfg      Config
 	counters counters
 	gossip   *savorypingossip.Gossip
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -60,6 +60,10 @@
 	for _, f := range g.picker.Failures() {
 		m.Failures = append(m.Failures, savorypingossip.Failure(f))
 	}
+	for _, f := range g.picker.History() {
+		m.History = append(m.History, savorypingossip.Failure(f))
+	}
+	m.Budgets = g.budgets.told()
 	m.Suspects = g.picker.Suspects()
 	m.Rollouts = g.rollouts.Reports()
 	return m
@@ -82,6 +86,12 @@
 			g.picker.HearSuspect(e)
 		}
 	}
+	history := make([]savorypinpick.Failure, 0, len(m.History))
+	for _, f := range m.History {
+		history = append(history, savorypinpick.Failure(f))
+	}
+	g.picker.HearHistory(history)
+	g.budgets.hear(m)
 	for _, f := range m.Failures {
 		if g.picker.HearFailure(savorypinpick.Failure(f)) {
 			g.domainFailed(f.Domain, f.Service, m.Name)
@@ -176,9 +186,10 @@
 	}
 	g.alive = alive
 	g.picker.KeepGateways(alive)
+	g.budgets.keep(alive)
 }
 
-// gateways returns the number of gateways that may share a budget with this one.
+// gateways returns the number of gateways that may share a bound with this one.
 // One that has just started does not know the others yet, but each failure
 // domain has one at least.
 func (g *Gateway) gateways() int {
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -17,6 +17,8 @@
 // Message is what a gateway tells another one. Its fields are exported for the
 // codec.
 type Message struct {
+	// Budgets are what the sender has spent of the shared retry budgets.
+	Budgets []Budget `msgpack:"b2,omitempty"`
 	// Address is where the sender receives messages.
 	Address string `msgpack:"a"`
 	// Copies say how far the sender's copies of the store's objects are.
@@ -27,6 +29,8 @@
 	Echo time.Duration `msgpack:"e"`
 	// Failures are the domain failures that the sender has seen lately.
 	Failures []Failure `msgpack:"f,omitempty"`
+	// History are the older failures that the sender remembers.
+	History []Failure `msgpack:"h,omitempty"`
 	// Leaving says that the sender takes no new callers.
 	Leaving bool `msgpack:"l,omitempty"`
 	// Loads are the sender's work at endpoints.
@@ -61,7 +65,15 @@
 	// Age is how long ago it was seen.
 	Age     time.Duration `msgpack:"a"`
 	Domain  string        `msgpack:"d"`
-	Service string        `msgpack:"s"`
+	Service string        `msgpack:"s,omitempty"`
+}
+
+// Budget is what a gateway has sent to a service within the window of the retry
+// budget.
+type Budget struct {
+	First   float64 `msgpack:"f"`
+	Repeats float64 `msgpack:"r"`
+	Service string  `msgpack:"s"`
 }
 
 // Load is a gateway's work at one endpoint.
--- a/internal/savorypinhazard/hazard.go
+++ b/internal/savorypinhazard/hazard.go
@@ -12,9 +12,9 @@
 
 // Settings of the estimate.
 const (
-	// maxIntervals bounds the intervals between failures that are remembered, so
-	// that old habits are forgotten.
-	maxIntervals = 8
+	// maxFailures bounds the failures that are remembered, so that old habits are
+	// forgotten.
+	maxFailures = 9
 	// mergeTime is the time within which failures of a domain count as one. It
 	// covers the time from a failure to the restart that tells of it too.
 	mergeTime = 3 * time.Second
@@ -29,11 +29,21 @@
 	lastWeight = 0.5
 )
 
+// Failure is a failure of a domain.
+type Failure struct {
+	At     time.Time
+	Domain string
+}
+
 // Estimator estimates the risks of failure domains. It is safe for concurrent
 // use.
 type Estimator struct {
-	mu        sync.Mutex
-	domains   []string
+	mu      sync.Mutex
+	domains []string
+	// failures are the failures that are remembered, from the oldest on.
+	failures []Failure
+
+	// What follows is derived from the failures.
 	intervals []time.Duration
 	last      time.Time
 	lastOf    map[string]time.Time
@@ -46,33 +56,54 @@
 func New(domains []string) *Estimator {
 	sorted := slices.Clone(domains)
 	slices.Sort(sorted)
-	return &Estimator{domains: sorted, lastOf: map[string]time.Time{}, ranks: make([]float64, len(sorted))}
+	e := &Estimator{domains: sorted}
+	e.derive()
+	return e
 }
 
-// Record takes note that a domain has failed. It reports whether this is a new
-// failure.
-func (e *Estimator) Record(domain string, now time.Time) bool {
+// Record takes note that a domain has failed. Failures may come in any order,
+// as others tell of them. It reports whether this is a new failure.
+func (e *Estimator) Record(domain string, at time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if last, ok := e.lastOf[domain]; ok && now.Sub(last) < mergeTime {
+	if !slices.Contains(e.domains, domain) {
 		return false
 	}
-	rank := slices.Index(e.order(), domain)
-	if rank < 0 {
-		return false
-	}
-	if !e.last.IsZero() {
-		e.ranks[e.firstOfRank(rank)]++
-		e.intervals = append(e.intervals, now.Sub(e.last))
-		if len(e.intervals) > maxIntervals {
-			e.intervals = e.intervals[1:]
+	for _, f := range e.failures {
+		if f.Domain == domain && f.At.Sub(at).Abs() < mergeTime {
+			return false
 		}
 	}
-	e.last = now
-	e.lastOf[domain] = now
+	e.failures = append(e.failures, Failure{At: at, Domain: domain})
+	slices.SortStableFunc(e.failures, func(a, b Failure) int { return a.At.Compare(b.At) })
+	e.failures = e.failures[max(0, len(e.failures)-maxFailures):]
+	e.derive()
 	return true
 }
 
+// Failures returns the failures that are remembered, from the oldest on.
+func (e *Estimator) Failures() []Failure {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.failures)
+}
+
+// derive learns from the failures anew.
+func (e *Estimator) derive() {
+	e.intervals = nil
+	e.last = time.Time{}
+	e.lastOf = map[string]time.Time{}
+	e.ranks = make([]float64, len(e.domains))
+	for _, f := range e.failures {
+		if !e.last.IsZero() {
+			e.ranks[e.firstOfRank(slices.Index(e.order(), f.Domain))]++
+			e.intervals = append(e.intervals, f.At.Sub(e.last))
+		}
+		e.last = f.At
+		e.lastOf[f.Domain] = f.At
+	}
+}
+
 // Risk returns the probability that a domain fails within a span from now.
 func (e *Estimator) Risk(domain string, now time.Time, span time.Duration) float64 {
 	e.mu.Lock()
--- a/internal/savorypinhazard/hazard_test.go
+++ b/internal/savorypinhazard/hazard_test.go
@@ -63,6 +63,19 @@
 		Expect(e.Risk("b", at(60), span)).To(BeZero())
 	})
 
+	It("learns the same from failures that it is told of later, in any order", func() {
+		known, told := savorypinhazard.New([]string{"a", "b", "c"}), savorypinhazard.New([]string{"a", "b", "c"})
+		for i := range rotation {
+			known.Record(rotation[i].domain, at(rotation[i].at))
+			late := rotation[len(rotation)-1-i]
+			told.Record(late.domain, at(late.at))
+		}
+		Expect(told.Failures()).To(Equal(known.Failures()))
+		for _, domain := range []string{"a", "b", "c"} {
+			Expect(told.Risk(domain, at(25), span)).To(Equal(known.Risk(domain, at(25), span)))
+		}
+	})
+
 	It("counts the endpoints of a domain as one failure", func() {
 		e := savorypinhazard.New([]string{"a", "b"})
 		Expect(e.Record("a", at(1))).To(BeTrue())
--- a/internal/savorypinlimit/window_test.go
+++ b/internal/savorypinlimit/window_test.go
@@ -14,7 +14,7 @@
 	It("allows its slack at once, and a part of the first sends beyond", func() {
 		now := time.Unix(1000, 0)
 		b := savorypinlimit.NewWindowBudget(savorypinlimit.WindowConfig{
-			Now: func() time.Time { return now }, Ratio: 0.5, Slack: func() float64 { return 3 }, Window: 10 * time.Second,
+			Now: func() time.Time { return now }, Ratio: 0.5, Slack: 3, Window: 10 * time.Second,
 		})
 		for range 4 {
 			b.Earn()
@@ -28,13 +28,28 @@
 		Expect(b.Spend()).To(BeTrue())
 	})
 
+	It("is shared with others that tell what they have sent", func() {
+		now := time.Unix(1000, 0)
+		b := savorypinlimit.NewWindowBudget(savorypinlimit.WindowConfig{
+			Now: func() time.Time { return now }, Ratio: 0.5, Slack: 3, Window: 10 * time.Second,
+		})
+		b.SetOthers(map[string]savorypinlimit.Spent{"a": {First: 4, Repeats: 2}, "b": {First: 2, Repeats: 3}}, 1)
+		Expect(b.Spend()).To(BeTrue())
+		Expect(b.Spend()).To(BeFalse())
+		Expect(b.Spent()).To(Equal(savorypinlimit.Spent{Repeats: 1}))
+		b.SetOthers(nil, 1)
+		Expect(b.Spend()).To(BeTrue())
+		b.SetOthers(nil, 1.0/3)
+		Expect(b.Spend()).To(BeFalse())
+	})
+
 	It("holds in every window of one part less, under a storm of repeats", func() {
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
 			const ratio, slack = 0.8, 10
 			window := 10 * time.Second
 			now := time.Unix(1000, 0)
 			b := savorypinlimit.NewWindowBudget(savorypinlimit.WindowConfig{
-				Now: func() time.Time { return now }, Ratio: ratio, Slack: func() float64 { return slack }, Window: window,
+				Now: func() time.Time { return now }, Ratio: ratio, Slack: slack, Window: window,
 			})
 			var first, repeats []time.Time
 			for range 400 {
--- a/internal/savorypinpick/others.go
+++ b/internal/savorypinpick/others.go
@@ -56,6 +56,25 @@
 	return true
 }
 
+// History returns the failures of domains that the hazard estimate rests on, for
+// gateways that have just started.
+func (p *Picker) History() []Failure {
+	now := p.cfg.Now()
+	var history []Failure
+	for _, f := range p.cfg.Hazard.Failures() {
+		history = append(history, Failure{Age: now.Sub(f.At), Domain: f.Domain})
+	}
+	return history
+}
+
+// HearHistory takes note of failures that another gateway remembers.
+func (p *Picker) HearHistory(history []Failure) {
+	now := p.cfg.Now()
+	for _, f := range history {
+		p.cfg.Hazard.Record(f.Domain, now.Add(-f.Age))
+	}
+}
+
 // Failures returns the failures of domains that were seen lately.
 func (p *Picker) Failures() []Failure {
 	p.mu.Lock()
