--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -66,8 +66,10 @@
 
 // Fields are names and values in turn.
 func (e AttemptEnded) Fields() []any {
-	return withErr([]any{"id", e.ID, "endpoint", e.Endpoint, "outcome", e.Outcome, "status", e.Status, "earlier", e.Earlier,
-		"age", milliseconds(e.Age)}, e.Err)
+	return withErr([]any{
+		"id", e.ID, "endpoint", e.Endpoint, "outcome", e.Outcome, "status", e.Status, "earlier", e.Earlier,
+		"age", milliseconds(e.Age),
+	}, e.Err)
 }
 
 // Ended tells how a request ended; its kind says in which way.
@@ -142,8 +144,10 @@
 
 // Fields are names and values in turn.
 func (e RequestRefused) Fields() []any {
-	return []any{"id", e.ID, "status", e.Status, "reason", e.Reason, "path", e.Path, "retryAfter", milliseconds(e.RetryAfter),
-		"configuration", e.Configuration, "confirmationAge", milliseconds(e.ConfirmationAge), "endpoints", e.Endpoints, "suspects", e.Suspects}
+	return []any{
+		"id", e.ID, "status", e.Status, "reason", e.Reason, "path", e.Path, "retryAfter", milliseconds(e.RetryAfter),
+		"configuration", e.Configuration, "confirmationAge", milliseconds(e.ConfirmationAge), "endpoints", e.Endpoints, "suspects", e.Suspects,
+	}
 }
 
 // StreamSent tells where a stream is sent and by what that was decided.
@@ -172,8 +176,10 @@
 
 // Fields are names and values in turn.
 func (e StreamSent) Fields() []any {
-	return []any{"id", e.ID, "endpoint", e.Endpoint, "domain", e.Domain, "attempt", e.Attempt, "backup", e.Backup, "restored", e.Restored,
-		"event", e.Event, "waiting", e.Waiting, "directoryAge", milliseconds(e.DirectoryAge), "age", milliseconds(e.Age)}
+	return []any{
+		"id", e.ID, "endpoint", e.Endpoint, "domain", e.Domain, "attempt", e.Attempt, "backup", e.Backup, "restored", e.Restored,
+		"event", e.Event, "waiting", e.Waiting, "directoryAge", milliseconds(e.DirectoryAge), "age", milliseconds(e.Age),
+	}
 }
 
 // StreamBroken tells why a stream leaves an endpoint.
@@ -251,8 +257,10 @@
 
 // Fields are names and values in turn.
 func (e StreamResumed) Fields() []any {
-	return []any{"id", e.ID, "endpoint", e.Endpoint, "restored", e.Restored, "event", e.Event,
-		"pause", milliseconds(e.Pause), "age", milliseconds(e.Age)}
+	return []any{
+		"id", e.ID, "endpoint", e.Endpoint, "restored", e.Restored, "event", e.Event,
+		"pause", milliseconds(e.Pause), "age", milliseconds(e.Age),
+	}
 }
 
 // EndpointSuspect tells why an endpoint gets no new work for a while.
