Explain a request from the logs of all gateways

savorypin explain REQUEST-ID [LOG...] orders what all gateways logged of a request, with what they believed shortly before, and says how it ended and why.

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -50,6 +50,7 @@
 	sizes          []int
 	standin        standinConfig
 	stderr         io.Writer
+	stdin          io.Reader
 	stdout         io.Writer
 	wait           bool
 }
@@ -60,7 +61,7 @@
 	defer stop()
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, stop)
-	c := &Config{stderr: stderr, stdout: stdout}
+	c := &Config{stderr: stderr, stdin: os.Stdin, stdout: stdout}
 	err := c.rootCmd().Run(ctx, args)
 	if err == nil {
 		return exitOK
@@ -102,6 +103,7 @@
 			c.demoCmd(),
 			c.doCmd(),
 			c.entryCmd(),
+			c.explainCmd(),
 			c.gatewayCmd(),
 			c.getCmd(),
 			c.moveCmd(),
--- /dev/null
+++ b/internal/savorypinexplain/account_test.go
@@ -0,0 +1,69 @@
+package savorypinexplain_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypinexplain"
+)
+
+const logs = `
+other program's line
+  22.794 edge-1 time=2026-12-04T05:00:00.100Z level=info msg="stream sent" gateway=edge-1 id=r1 endpoint=i-1 domain=a attempt=1 age=4
+  24.011 edge-1 time=2026-12-04T05:00:00.100Z level=info msg="stream broken" gateway=edge-1 id=r1 endpoint=i-1 event=7 age=1213 err="unexpected EOF"
+  24.020 edge-1 time=2026-12-04T05:00:00.100Z level=warn msg="stream failed" gateway=edge-1 id=r1 attempts=1 age=1240 event=7 err="retry budget is spent"
+  11.000 edge-1 time=2026-12-04T05:00:00.100Z level=warn msg=dependency gateway=edge-1 name=store state=lost
+  20.000 edge-1 time=2026-12-04T05:00:00.100Z level=warn msg="failure domain suspect" gateway=edge-1 domain=a
+  20.000 edge-2 time=2026-12-04T05:00:00.100Z level=warn msg="failure domain suspect" gateway=edge-2 domain=b
+  25.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="attempt ended" gateway=edge-2 id=r2 endpoint=i-9 outcome=unknown age=80 err="connection reset"
+  25.001 edge-2 time=2026-12-04T05:00:00.100Z level=warn msg="request refused" gateway=edge-2 id=r2 status=502 reason="endpoint failed" configuration=4 confirmationAge=300 endpoints=3 suspects=1
+  26.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="stream sent" gateway=edge-2 id=r3 endpoint=i-9
+`
+
+var _ = Describe("An account of a request", func() {
+	lines := func(text string) []savorypinexplain.Line {
+		lines, err := savorypinexplain.Read(strings.NewReader(text))
+		Expect(err).NotTo(HaveOccurred())
+		return lines
+	}
+
+	for _, c := range []struct{ id, cause string }{
+		{"r1", "the stream was broken off after event 7 and 1 attempts: retry budget is spent"},
+		{"r2", "the gateway answered 502 by itself: endpoint failed; configuration 4, confirmed 300 ms before, 3 endpoints of which 1 suspect; " +
+			"the last attempt, at i-9, ended after 80 ms: unknown connection reset"},
+		{"r3", `the log ends with "stream sent": the gateway edge-2 may have been killed, or lines were left out`},
+	} {
+		It("says how "+c.id+" ended and why", func() {
+			account, err := savorypinexplain.Explain(c.id, lines(logs))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(account.Cause).To(Equal(c.cause))
+		})
+	}
+
+	It("tells what its own gateways believed shortly before, in order", func() {
+		account, err := savorypinexplain.Explain("r1", lines(logs))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(account.History).To(HaveLen(3))
+		Expect(account.Beliefs).To(HaveLen(1))
+		Expect(account.Beliefs[0].Value("domain")).To(Equal("a"))
+		var text strings.Builder
+		Expect(account.Write(&text)).To(Succeed())
+		Expect(text.String()).To(ContainSubstring("-2.794 s  edge-1               failure domain suspect domain=a"))
+		Expect(text.String()).To(ContainSubstring("+1.217 s  edge-1               stream broken          endpoint=i-1"))
+	})
+
+	It("goes by the gateways' own clocks if nothing stands before the lines", func() {
+		line := `time=2026-12-04T05:00:00.250Z level=info msg="stream sent" gateway=edge-1 id=r1`
+		Expect(lines(line)[0].At).To(Equal(time.Duration(time.Date(2026, 12, 4, 5, 0, 0, 250e6, time.UTC).UnixNano())))
+	})
+
+	It("is refused if no line names the request, or there are none", func() {
+		_, err := savorypinexplain.Explain("r9", lines(logs))
+		Expect(err).To(MatchError(savorypinexplain.ErrUnknownRequest))
+		_, err = savorypinexplain.Read(strings.NewReader("nothing"))
+		Expect(err).To(MatchError(savorypinexplain.ErrNoLines))
+	})
+})
