--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -45,6 +45,7 @@
 	linkRate       float64
 	logFormat      string
 	logLevel       string
+	metricsPort    int
 	output         string
 	settings       string
 	sizes          []int
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypingateway"
 	"savorypin/platform"
@@ -25,6 +27,9 @@
 		Flags: []cli.Flag{&cli.StringFlag{
 			Destination: &c.settings, Name: "settings", Usage: "`FILE` with the settings of the host",
 			Value: platform.SettingsPath(),
+		}, &cli.IntFlag{
+			Destination: &c.metricsPort, Name: "metrics-port", Sources: env("METRICS_PORT"),
+			Usage: "`PORT` of the metrics and the state dump; 0 means the last port that the settings file gives to daemons",
 		}},
 		Name:  "gateway",
 		Usage: "run the daemon that serves callers on the users' platform",
@@ -32,7 +37,7 @@
 }
 
 func (c *Config) runGatewayCmd(ctx context.Context, _ *cli.Command) error {
-	settings, err := platform.ReadSettings(c.settings)
+	settings, err := c.readSettings()
 	if err != nil {
 		return err
 	}
@@ -48,7 +53,7 @@
 		Dialect:  platform.StoreDialect(),
 		Log:      savorypinevent.New(savorypinevent.Config{Logger: logger.With("gateway", settings.Name)}),
 		Objects:  platform.Objects(),
-		Reload:   func() (savorypingateway.Settings, error) { return platform.ReadSettings(c.settings) },
+		Reload:   c.readSettings,
 		Settings: settings,
 	})
 	hangups := make(chan os.Signal, 1)
@@ -61,3 +66,18 @@
 	}()
 	return gateway.Run(ctx)
 }
+
+// readSettings reads the settings file and checks the flags.
+func (c *Config) readSettings() (savorypingateway.Settings, error) {
+	settings, err := platform.ReadSettings(c.settings)
+	if err != nil {
+		return savorypingateway.Settings{}, savorypin.Errorf(savorypin.KindInvalid, "--settings", "%w", err)
+	}
+	if c.metricsPort < 0 || c.metricsPort > math.MaxUint16 {
+		return savorypingateway.Settings{}, savorypin.Errorf(savorypin.KindInvalid, "--metrics-port", "%d is not a port", c.metricsPort)
+	}
+	if c.metricsPort != 0 {
+		settings.MetricsPort = c.metricsPort
+	}
+	return settings, nil
+}
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -20,6 +20,14 @@
 	stopMargin = 600 * time.Millisecond
 )
 
+const (
+	// knowledgeWait is how long callers wait at the start: a few calls to the
+	// store, and less than a caller waits for its request to be read.
+	knowledgeWait = 300 * time.Millisecond
+	// knowledgeLook is how often it is looked whether they may come in.
+	knowledgeLook = 2 * time.Millisecond
+)
+
 // Limits of callers until the first configuration names them.
 const (
 	firstHeaderTimeout = 10 * time.Second
@@ -27,6 +35,19 @@
 	firstHeaderBytes   = 64 << 10
 )
 
+// awaitKnowledge waits a moment for the first configuration and list of
+// endpoints. Until then connections wait in the listener's queue, for less time
+// than a refusal would cost the caller.
+func (g *Gateway) awaitKnowledge(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, knowledgeWait)
+	defer cancel()
+	for g.view.configuration.Load() == nil || !g.view.listed.Load() {
+		if err := wait(ctx, knowledgeLook); err != nil {
+			return
+		}
+	}
+}
+
 // serveCallers serves callers until ctx ends and what was begun is finished, or
 // the grace is over.
 func (g *Gateway) serveCallers(ctx context.Context, l net.Listener) error {
@@ -36,6 +57,7 @@
 		MaxHeaderBytes:    firstHeaderBytes,
 		ReadHeaderTimeout: firstHeaderTimeout,
 	}
+	g.awaitKnowledge(ctx)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	select {
