Bring callers back to the engine that has read their prompt

Gateways now tell each other which engines run their streams' prompts; such an engine is preferred, and only what was generated is read again.

--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -97,10 +97,11 @@
 	}
 	g.settings.Store(&cfg.Settings)
 	g.picker = savorypinpick.New(savorypinpick.Config{
-		Hazard:  savorypinhazard.New(slices.Collect(maps.Keys(cfg.Settings.Regions))),
-		Now:     time.Now,
-		Region:  cfg.Settings.Region,
-		Regions: cfg.Settings.Regions,
+		Hazard:     savorypinhazard.New(slices.Collect(maps.Keys(cfg.Settings.Regions))),
+		Now:        time.Now,
+		PromptTime: cfg.Settings.PromptTime,
+		Region:     cfg.Settings.Region,
+		Regions:    cfg.Settings.Regions,
 		// An entry lapses after three heartbeats of silence.
 		SuspectTime: 3 * cfg.Settings.Heartbeat,
 	})
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -63,6 +63,9 @@
 	for _, f := range g.picker.History() {
 		m.History = append(m.History, savorypingossip.Failure(f))
 	}
+	for _, p := range g.picker.RunningPrompts() {
+		m.Prompts = append(m.Prompts, savorypingossip.Prompt(p))
+	}
 	m.Budgets = g.budgets.told()
 	m.Suspects = g.picker.Suspects()
 	m.Rollouts = g.rollouts.Reports()
@@ -91,6 +94,11 @@
 		history = append(history, savorypinpick.Failure(f))
 	}
 	g.picker.HearHistory(history)
+	prompts := make([]savorypinpick.Prompt, 0, len(m.Prompts))
+	for _, p := range m.Prompts {
+		prompts = append(prompts, savorypinpick.Prompt(p))
+	}
+	g.picker.HearPrompts(prompts)
 	g.budgets.hear(m)
 	for _, f := range m.Failures {
 		if g.picker.HearFailure(savorypinpick.Failure(f)) {
--- a/internal/savorypingateway/settings.go
+++ b/internal/savorypingateway/settings.go
@@ -29,6 +29,8 @@
 	Name string
 	// PeerPort is the port for other gateways.
 	PeerPort int
+	// PromptTime is how long an engine keeps a prompt that it has read, at least.
+	PromptTime time.Duration
 	// Readiness is the address at which the balancer asks.
 	Readiness string
 	// Region is the region of the host.
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -73,6 +73,7 @@
 	if last, err := strconv.ParseInt(req.call.LastEvent, 10, 64); err == nil {
 		s.last = last
 	}
+	defer g.picker.PromptDone(req.call.Prompt)
 	err := s.run(ctx)
 	if err == nil {
 		g.counters.answered.Inc(1)
@@ -206,7 +207,7 @@
 		backup = g.picker.ChooseBackup(e, g.query(s.req, s.tried))
 	}
 	tokens := s.req.call.PromptTokens
-	if restore {
+	if restore || g.picker.HasRead(e, s.req.call.Prompt) {
 		tokens = 0
 	}
 	work := g.picker.Begin(e, backup, tokens)
@@ -308,6 +309,7 @@
 			w.began(s.req.route)
 			read()
 			s.noteFirst(a)
+			s.gateway.picker.PromptRead(a.Endpoint, s.req.call.Prompt)
 			// A request that has not begun to run has no memory to copy.
 			s.backup = a.Backup
 		}
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -39,6 +39,8 @@
 	Name string `msgpack:"n"`
 	// Peers are addresses of gateways that the sender knows.
 	Peers []string `msgpack:"p,omitempty"`
+	// Prompts say which engines run the sender's streams.
+	Prompts []Prompt `msgpack:"q,omitempty"`
 	// Rollouts are what the sender has seen of versions that are rolled out.
 	Rollouts []savorypinrollout.Report `msgpack:"r,omitempty"`
 	// Sent is when the message was sent, by the sender's boot-time clock.
@@ -76,6 +78,12 @@
 	Service string  `msgpack:"s"`
 }
 
+// Prompt says which engine has read a prompt.
+type Prompt struct {
+	Endpoint string `msgpack:"e"`
+	Name     string `msgpack:"n"`
+}
+
 // Load is a gateway's work at one endpoint.
 type Load struct {
 	Endpoint string `msgpack:"e"`
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -33,6 +33,9 @@
 	// lossPart is the part of a prompt that is lost when its domain fails: it is
 	// read again, and the answer is late.
 	lossPart = 1.0
+	// keptFactor is what a prompt that an engine has kept weighs against the
+	// tokens that wait there.
+	keptFactor = 2
 	// equalTokens is by how much endpoints may differ that count as equal: some
 	// running requests.
 	equalTokens = 400
@@ -62,6 +65,8 @@
 	Hazard *savorypinhazard.Estimator
 	// Now is the clock.
 	Now func() time.Time
+	// PromptTime is how long an engine keeps a prompt that it has read.
+	PromptTime time.Duration
 	// Region is the region of this gateway.
 	Region string
 	// Regions maps failure domains to regions.
@@ -99,6 +104,7 @@
 	// duration is the average duration of a stream in nanoseconds.
 	duration atomic.Int64
 	loads    sync.Map
+	prompts  *prompts
 
 	mu       sync.Mutex
 	domains  map[string]*domain
@@ -110,6 +116,7 @@
 func New(cfg Config) *Picker {
 	p := &Picker{cfg: cfg, domains: map[string]*domain{}, others: map[string][]Load{}}
 	p.duration.Store(int64(firstDuration))
+	p.prompts = newPrompts(cfg.PromptTime, cfg.Now)
 	return p
 }
 
@@ -165,6 +172,10 @@
 	risks := p.risks(q, now)
 	candidates := make([]scored, 0, len(q.Candidates))
 	best := math.Inf(1)
+	reader := ""
+	if !q.Plain {
+		reader = p.prompts.endpoint(q.Prompt)
+	}
 	for _, e := range q.Candidates {
 		if q.Excluded[e.ID()] {
 			continue
@@ -173,6 +184,10 @@
 		if p.suspect(e, now) {
 			s += suspectScore
 		}
+		if e.ID() == reader {
+			// What need not be read again counts twice: it is also not read in vain.
+			s -= keptFactor * float64(q.PromptTokens)
+		}
 		best = min(best, s)
 		candidates = append(candidates, scored{endpoint: e, score: s})
 	}
--- a/internal/savorypinpick/picker_test.go
+++ b/internal/savorypinpick/picker_test.go
@@ -27,7 +27,7 @@
 	regions := map[string]string{"a": "near", "b": "near", "c": "far"}
 	f.picker = savorypinpick.New(savorypinpick.Config{
 		Hazard: savorypinhazard.New([]string{"a", "b", "c"}), Now: func() time.Time { return f.now },
-		Region: "near", Regions: regions, SuspectTime: 3600 * time.Millisecond,
+		PromptTime: 10 * time.Second, Region: "near", Regions: regions, SuspectTime: 3600 * time.Millisecond,
 	})
 	for i := range 6 {
 		f.endpoints = append(f.endpoints, f.endpoint(i, 0))
@@ -112,6 +112,29 @@
 		}
 	})
 
+	It("go back to the engine that has read the prompt for another gateway, for as long as it is kept", func() {
+		one, two := newFleet(), newFleet()
+		for i, e := range two.endpoints {
+			// Chance alone would not find it: the engine has more to do than others.
+			if i == 1 {
+				two.picker.Begin(e, nil, promptTokens)
+			}
+		}
+		one.picker.PromptRead(one.endpoints[1], "prompt")
+		two.picker.HearPrompts(one.picker.RunningPrompts())
+		q := two.query()
+		q.Prompt = "prompt"
+		Expect(two.picker.Choose(q)).To(Equal(two.endpoints[1]))
+		Expect(two.picker.HasRead(two.endpoints[1], "prompt")).To(BeTrue())
+		two.picker.Fail(two.endpoints[1])
+		Expect(two.picker.Choose(q)).NotTo(Equal(two.endpoints[1]))
+		two.now = two.now.Add(time.Minute)
+		Expect(two.picker.HasRead(two.endpoints[1], "prompt")).To(BeFalse())
+		one.picker.PromptDone("prompt")
+		Expect(one.picker.RunningPrompts()).To(BeEmpty())
+		Expect(one.picker.HasRead(one.endpoints[1], "prompt")).To(BeTrue())
+	})
+
 	It("avoid a failed domain until the entries of what was lost have lapsed", func() {
 		f := newFleet()
 		f.fail("a")
--- /dev/null
+++ b/internal/savorypinpick/prompts.go
@@ -0,0 +1,135 @@
+package savorypinpick
+
+import (
+	"sync"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+)
+
+// maxPrompts bounds the prompts whose place is known.
+const maxPrompts = 8192
+
+// Prompt says which engine has read a prompt.
+type Prompt struct {
+	Endpoint string
+	// Name names the last part of the prompt.
+	Name string
+}
+
+// promptPlace is where a prompt was read last.
+type promptPlace struct {
+	at       time.Time
+	endpoint string
+}
+
+// prompts knows which engines have read which prompts. A caller whose gateway is
+// lost comes back through another one, which then finds the engine that need not
+// read the prompt again. It is safe for concurrent use.
+type prompts struct {
+	keep time.Duration
+	now  func() time.Time
+
+	mu     sync.Mutex
+	places map[string]promptPlace
+	// running are the engines of this gateway's streams that run, by prompt.
+	running map[string]string
+}
+
+func newPrompts(keep time.Duration, now func() time.Time) *prompts {
+	return &prompts{keep: keep, now: now, places: map[string]promptPlace{}, running: map[string]string{}}
+}
+
+// note takes note of where a prompt was read. The caller holds p.mu.
+func (p *prompts) note(prompt Prompt) {
+	if prompt.Name == "" {
+		return
+	}
+	if len(p.places) >= maxPrompts {
+		p.prune()
+	}
+	p.places[prompt.Name] = promptPlace{at: p.now(), endpoint: prompt.Endpoint}
+}
+
+// hear takes note of prompts that run through another gateway.
+func (p *prompts) hear(prompts []Prompt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, prompt := range prompts {
+		p.note(prompt)
+	}
+}
+
+// begin takes note that a stream of this gateway runs.
+func (p *prompts) begin(prompt Prompt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.note(prompt)
+	p.running[prompt.Name] = prompt.Endpoint
+}
+
+// end takes note that a stream of this gateway runs no longer.
+func (p *prompts) end(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if endpoint, ok := p.running[name]; ok {
+		p.note(Prompt{Endpoint: endpoint, Name: name})
+		delete(p.running, name)
+	}
+}
+
+// prune drops the prompts that engines have probably dropped. The caller holds
+// p.mu.
+func (p *prompts) prune() {
+	now := p.now()
+	for name, place := range p.places {
+		if now.Sub(place.at) > p.keep {
+			delete(p.places, name)
+		}
+	}
+}
+
+// endpoint returns the ID of the engine that has read a prompt; empty if unknown.
+func (p *prompts) endpoint(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	place, ok := p.places[name]
+	if !ok || p.now().Sub(place.at) > p.keep {
+		return ""
+	}
+	return place.endpoint
+}
+
+// PromptRead takes note that an engine has read the prompt of a stream.
+func (p *Picker) PromptRead(e *savorypinfleet.Endpoint, name string) {
+	if name != "" {
+		p.prompts.begin(Prompt{Endpoint: e.ID(), Name: name})
+	}
+}
+
+// PromptDone takes note that a stream has ended.
+func (p *Picker) PromptDone(name string) {
+	p.prompts.end(name)
+}
+
+// RunningPrompts returns the prompts of this gateway's streams, for other
+// gateways: should this one be lost, its callers come to them.
+func (p *Picker) RunningPrompts() []Prompt {
+	p.prompts.mu.Lock()
+	defer p.prompts.mu.Unlock()
+	var running []Prompt
+	for name, endpoint := range p.prompts.running {
+		running = append(running, Prompt{Endpoint: endpoint, Name: name})
+	}
+	return running
+}
+
+// HearPrompts takes note of prompts that run through another gateway.
+func (p *Picker) HearPrompts(prompts []Prompt) {
+	p.prompts.hear(prompts)
+}
+
+// HasRead reports whether an engine has probably kept a prompt.
+func (p *Picker) HasRead(e *savorypinfleet.Endpoint, name string) bool {
+	return name != "" && p.prompts.endpoint(name) == e.ID()
+}
