--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -34,6 +34,10 @@
 	"savorypin/internal/savorypinrollout"
 )
 
+// promptTimeFactor is how many times the promised time a prompt is looked for at
+// the engine that has read it: engines drop prompts only when they need room.
+const promptTimeFactor = 3
+
 // memoryShare is the part of the memory limit at which the collector works
 // harder; the rest holds stacks, buffers of the kernel and the program itself.
 const memoryShare = 0.6
@@ -99,7 +103,7 @@
 	g.picker = savorypinpick.New(savorypinpick.Config{
 		Hazard:     savorypinhazard.New(slices.Collect(maps.Keys(cfg.Settings.Regions))),
 		Now:        time.Now,
-		PromptTime: cfg.Settings.PromptTime,
+		PromptTime: promptTimeFactor * cfg.Settings.PromptTime,
 		Region:     cfg.Settings.Region,
 		Regions:    cfg.Settings.Regions,
 		// An entry lapses after three heartbeats of silence.
@@ -153,6 +157,7 @@
 	group.Go(func() error { return g.syncServer().Run(work) })
 	group.Go(func() error { return g.register(work) })
 	group.Go(func() error { return g.writeRollouts(work) })
+	group.Go(func() error { return g.rememberPrompts(work) })
 	group.Go(func() error { return g.sweep(work) })
 	group.Go(func() error { return g.log.Run(work) })
 	group.Go(func() error {
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -94,11 +94,7 @@
 		history = append(history, savorypinpick.Failure(f))
 	}
 	g.picker.HearHistory(history)
-	prompts := make([]savorypinpick.Prompt, 0, len(m.Prompts))
-	for _, p := range m.Prompts {
-		prompts = append(prompts, savorypinpick.Prompt(p))
-	}
-	g.picker.HearPrompts(prompts)
+	g.hearPrompts(m.Prompts)
 	g.budgets.hear(m)
 	for _, f := range m.Failures {
 		if g.picker.HearFailure(savorypinpick.Failure(f)) {
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -80,8 +80,8 @@
 
 // Prompt says which engine has read a prompt.
 type Prompt struct {
-	Endpoint string `msgpack:"e"`
-	Name     string `msgpack:"n"`
+	Endpoint string `json:"endpoint" msgpack:"e"`
+	Name     string `json:"name" msgpack:"n"`
 }
 
 // Load is a gateway's work at one endpoint.
--- a/internal/savorypinpick/prompts.go
+++ b/internal/savorypinpick/prompts.go
@@ -124,6 +124,21 @@
 	return running
 }
 
+// KnownPrompts returns the prompts of all gateways' streams that have run within
+// a time.
+func (p *Picker) KnownPrompts(within time.Duration) []Prompt {
+	p.prompts.mu.Lock()
+	defer p.prompts.mu.Unlock()
+	now := p.cfg.Now()
+	var known []Prompt
+	for name, place := range p.prompts.places {
+		if _, running := p.prompts.running[name]; running || now.Sub(place.at) < within {
+			known = append(known, Prompt{Endpoint: place.endpoint, Name: name})
+		}
+	}
+	return known
+}
+
 // HearPrompts takes note of prompts that run through another gateway.
 func (p *Picker) HearPrompts(prompts []Prompt) {
 	p.prompts.hear(prompts)
