--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -64,16 +64,28 @@
 	Encoded bool
 }
 
+// Report is what an engine says of its work, some hundred milliseconds late.
+type Report struct {
+	// Pending is the number of requests that wait or whose prompt is being read.
+	Pending int
+	// Running are the ids of the requests that generate tokens.
+	Running []string
+}
+
 // Codec spells calls and answers for the callers and endpoints of a platform.
 type Codec struct {
 	// DecodeCall reads the head of a caller's request.
 	DecodeCall func(*http.Request) *Call
+	// DecodeReport reads an engine's report.
+	DecodeReport func([]byte) (Report, error)
 	// DecodeReply reads the head of an endpoint's answer.
 	DecodeReply func(*http.Response) Reply
 	// EncodeAttempt returns the headers of a request to an endpoint.
 	EncodeAttempt func(Attempt) http.Header
 	// EncodeReply copies the headers of an endpoint's answer for the caller.
 	EncodeReply func(dst http.Header, resp *http.Response, call *Call)
+	// ReportPath is where an engine reports.
+	ReportPath string
 	// EncodeFailure sets the headers of an answer that the gateway gives itself.
 	EncodeFailure func(dst http.Header, call *Call, retryAfter time.Duration)
 }
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,9 +15,14 @@
 
 // Bounds on the silence of a stream.
 const (
-	// firstCheck is after which silence before the first event the endpoint's
-	// host is checked: reading a prompt takes about as long.
-	firstCheck = 1200 * time.Millisecond
+	// firstCheckPart is the part of the target latency after which an endpoint
+	// without a first event is asked for its work: reading a prompt takes about as
+	// long.
+	firstCheckPart = 0.35
+	// reportTimeout bounds the answer to that question.
+	reportTimeout = 400 * time.Millisecond
+	// reportBytes bounds the size of that answer.
+	reportBytes = 1 << 20
 	// gapCheckPart is the part of the longest pause on time after which the host
 	// is checked between events. The rest has to suffice for the check and for
 	// the first event from another endpoint.
@@ -23,12 +32,10 @@
 	gapPart = 0.6
 	// defaultGap stands for the longest pause where the route names none.
 	defaultGap = time.Second
-	// firstPart is the part of the target latency after which an endpoint without
-	// a first event is given up although its host answers, if no other prompts
-	// wait there that would explain it.
-	firstPart = 0.6
-	// busyPart is the same if other prompts wait: what was read is lost by leaving.
-	busyPart = 2
+	// firstPart is how many times the target latency an endpoint without a first
+	// event may take that says it has the request: what was read is lost by
+	// leaving.
+	firstPart = 2
 	// defaultTarget stands for the target latency where the route names none.
 	defaultTarget = 5 * time.Second
 )
@@ -38,6 +45,8 @@
 type watch struct {
 	bounds   atomic.Pointer[bounds]
 	checking atomic.Bool
+	// begun says that the first event has come.
+	begun    atomic.Bool
 	conn     *savorypinpool.Conn
 	ctx      context.Context //nolint:containedctx // the timer's callback has no other way to end with the request
 	endpoint *savorypinfleet.Endpoint
@@ -45,16 +54,14 @@
 	last     atomic.Int64
 	// lost says that the endpoint's host did not answer, and stuck that it did but
 	// the stream was silent for too long.
-	lost   atomic.Bool
-	stuck  atomic.Bool
-	timer  *time.Timer
-	tokens int
+	lost  atomic.Bool
+	stuck atomic.Bool
+	id    string
+	timer *time.Timer
 }
 
 // bounds are the bounds on a stream's silence.
 type bounds struct {
-	// busyLimit is the limit while other prompts wait at the endpoint.
-	busyLimit time.Duration
 	// check is the silence after which the host is checked.
 	check time.Duration
 	// limit is the silence after which the endpoint is given up.
@@ -66,14 +73,13 @@
 	if target == 0 {
 		target = defaultTarget
 	}
-	w := &watch{conn: conn, ctx: ctx, endpoint: e, gateway: g, tokens: req.call.PromptTokens}
+	w := &watch{conn: conn, ctx: ctx, endpoint: e, gateway: g, id: req.call.ID}
 	w.bounds.Store(&bounds{
-		busyLimit: time.Duration(busyPart * float64(target)),
-		check:     firstCheck,
-		limit:     time.Duration(firstPart * float64(target)),
+		check: time.Duration(firstCheckPart * float64(target)),
+		limit: time.Duration(firstPart * float64(target)),
 	})
 	w.last.Store(time.Now().UnixNano())
-	w.timer = time.AfterFunc(firstCheck, w.run)
+	w.timer = time.AfterFunc(w.bounds.Load().check, w.run)
 	g.streams.add(w)
 	return w
 }
@@ -86,10 +92,10 @@
 	}
 	limit := time.Duration(gapPart * float64(gap))
 	w.bounds.Store(&bounds{
-		busyLimit: limit,
-		check:     time.Duration(gapCheckPart * float64(gap)),
-		limit:     limit,
+		check: time.Duration(gapCheckPart * float64(gap)),
+		limit: limit,
 	})
+	w.begun.Store(true)
 }
 
 // event takes note of an event.
@@ -110,8 +116,8 @@
 }
 
 // run checks the endpoint's host by a new connection, which it answers even if
-// the endpoint is busy, and gives the endpoint up if it does not, or if the
-// silence has lasted too long.
+// the endpoint is busy, and gives the endpoint up if it does not, if the engine
+// does not know the request, or if the silence has lasted too long.
 func (w *watch) run() {
 	if w.checking.Swap(true) {
 		return
@@ -122,23 +128,64 @@
 	}
 	began := w.last.Load()
 	conn, err := w.gateway.pool.Open(w.ctx, w.endpoint.Address(), w.gateway.connectTimeout(w.endpoint))
+	known := true
 	if err == nil {
-		w.gateway.pool.Put(conn, 0)
+		known = w.known(conn)
 	}
 	if w.last.Load() != began || w.ctx.Err() != nil {
 		return
 	}
 	silence := time.Since(time.Unix(0, began))
 	b := w.bounds.Load()
-	limit := b.limit
-	if w.gateway.picker.Waiting(w.endpoint) > w.tokens {
-		limit = b.busyLimit
-	}
-	if err == nil && silence <= limit {
-		w.timer.Reset(min(b.check, max(limit-silence, time.Millisecond)))
+	if err == nil && known && silence <= b.limit {
+		w.timer.Reset(min(b.check, max(b.limit-silence, time.Millisecond)))
 		return
 	}
 	w.lost.Store(err != nil)
 	w.stuck.Store(err == nil)
 	w.conn.Close()
 }
+
+// known reports whether the engine may have a request whose first event is
+// awaited, among those that it does not name. It takes over the connection. Between events
+// silence alone decides, since a run may be known whose answer is lost.
+func (w *watch) known(conn *savorypinpool.Conn) bool {
+	if w.begun.Load() {
+		w.gateway.pool.Put(conn, 0)
+		return true
+	}
+	report, keepAlive, err := w.gateway.askReport(conn, w.endpoint)
+	if err != nil {
+		conn.Close()
+		w.gateway.log.Debug("no report", "id", w.id, "endpoint", w.endpoint.ID(), "err", err)
+		return false
+	}
+	w.gateway.pool.Put(conn, keepAlive)
+	return report.Pending > 0 || slices.Contains(report.Running, w.id)
+}
+
+// askReport asks an engine for its work.
+func (g *Gateway) askReport(conn *savorypinpool.Conn, e *savorypinfleet.Endpoint) (savorypinfleet.Report, time.Duration, error) {
+	deadline := time.Now().Add(reportTimeout)
+	question := savorypinpool.Request{Header: http.Header{}, Host: e.Address(), Method: http.MethodGet, URI: g.cfg.Codec.ReportPath}
+	if err := conn.Send(question, deadline); err != nil {
+		return savorypinfleet.Report{}, 0, err
+	}
+	if err := conn.SetReadDeadline(deadline); err != nil {
+		return savorypinfleet.Report{}, 0, err
+	}
+	resp, err := conn.Receive(http.MethodGet)
+	if err != nil {
+		return savorypinfleet.Report{}, 0, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, reportBytes))
+	if err != nil {
+		return savorypinfleet.Report{}, 0, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return savorypinfleet.Report{}, 0, fmt.Errorf("report: status %d", resp.StatusCode)
+	}
+	report, err := g.cfg.Codec.DecodeReport(data)
+	return report, g.cfg.Codec.DecodeReply(resp).KeepAlive, err
+}
