Gossip less between regions, and not in floods

Now two a round go to other regions, hurried rounds keep 50 ms apart, and the history is told in one round of eight.

--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -41,6 +41,7 @@
 		Compose: g.composeGossip,
 		Heard:   g.heard,
 		Log:     g.log,
+		Near:    func(domain string) bool { return s.Regions[domain] == s.Region },
 		Started: time.Now().UnixNano(),
 		Table:   g.peers,
 	})
--- a/internal/savorypingossip/gossip.go
+++ b/internal/savorypingossip/gossip.go
@@ -21,9 +21,17 @@
 const (
 	// roundTime is the time between two rounds.
 	roundTime = 200 * time.Millisecond
-	// roundPeers is the number of gateways that get a message in a round, which
-	// bounds what gossip costs however many gateways there are.
-	roundPeers = 10
+	// hurriedTime is the least time between two rounds, so that a wave of news does
+	// not become a flood of messages.
+	hurriedTime = 50 * time.Millisecond
+	// nearPeers and farPeers are the numbers of gateways in the own region and in
+	// others that get a message in a round, which bounds what gossip costs however
+	// many gateways there are. Bytes between regions are dear.
+	nearPeers = 6
+	farPeers  = 2
+	// historyRounds is in how many rounds the history is told once: it changes
+	// seldom, and only gateways that have just started need it.
+	historyRounds = 8
 	// datagramBytes bounds a message.
 	datagramBytes = 32 << 10
 	// passedPeers is the number of addresses that a message passes on.
@@ -38,6 +46,8 @@
 	Compose func() Message
 	// Heard is called with each new message.
 	Heard func(Message)
+	// Near reports whether a failure domain is in the own region.
+	Near  func(domain string) bool
 	Log   *savorypinevent.Log
 	Table *Table
 	// Address is where the gateway receives messages.
@@ -118,6 +128,11 @@
 		case <-g.now:
 		}
 		g.round(pc)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(hurriedTime):
+		}
 	}
 }
 
@@ -128,16 +143,14 @@
 		return
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	// Those that read the store come first: their answers are the freshest.
-	readers := g.cfg.Table.Readers()
-	slices.SortStableFunc(addresses, func(a, b string) int {
-		return cmp.Compare(slices.Index(readers, b), slices.Index(readers, a))
-	})
 	m := g.cfg.Compose()
 	m.Address = g.cfg.Address
 	m.Started = g.cfg.Started
 	m.Peers = addresses[:min(passedPeers, len(addresses))]
-	for _, address := range addresses[:min(roundPeers, len(addresses))] {
+	if rand.IntN(historyRounds) > 0 {
+		m.History = nil
+	}
+	for _, address := range g.receivers(addresses) {
 		m.Echo = g.cfg.Table.Echo(address)
 		m.Sent = g.cfg.Clock()
 		if err := sendTo(pc, address, &m); err != nil {
@@ -146,6 +159,31 @@
 	}
 }
 
+// receivers returns who gets a message in a round. Those that read the store come
+// first: their answers are the freshest.
+func (g *Gossip) receivers(addresses []string) []string {
+	readers := g.cfg.Table.Readers()
+	ordered := slices.Clone(addresses)
+	slices.SortStableFunc(ordered, func(a, b string) int {
+		return cmp.Compare(slices.Index(readers, b), slices.Index(readers, a))
+	})
+	var receivers []string
+	near, far := 0, 0
+	for _, address := range ordered {
+		domain := g.cfg.Table.Domain(address)
+		switch {
+		case (domain == "" || g.cfg.Near(domain)) && near < nearPeers:
+			near++
+		case domain != "" && !g.cfg.Near(domain) && far < farPeers:
+			far++
+		default:
+			continue
+		}
+		receivers = append(receivers, address)
+	}
+	return receivers
+}
+
 func sendTo(pc net.PacketConn, address string, m *Message) error {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
--- a/internal/savorypingossip/table.go
+++ b/internal/savorypingossip/table.go
@@ -94,6 +94,17 @@
 	return 0
 }
 
+// Domain returns the failure domain of the gateway at an address; empty if it was
+// never heard.
+func (t *Table) Domain(address string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[address]; ok {
+		return p.message.Domain
+	}
+	return ""
+}
+
 // Alive returns the last messages of the gateways that are alive, sorted by
 // address.
 func (t *Table) Alive() []Message {
