--- /dev/null
+++ b/internal/cmd/gatewaycmd_test.go
@@ -0,0 +1,32 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("The gateway command", func() {
+	run := func(args ...string) error {
+		c := &Config{stderr: GinkgoWriter, stdout: &strings.Builder{}}
+		return c.rootCmd().Run(context.Background(), append([]string{"savorypin", "gateway"}, args...))
+	}
+
+	It("names a settings file that it can't read", func() {
+		err := run("--settings", "/nowhere/settings.yaml")
+		Expect(err).To(MatchError(ContainSubstring("/nowhere/settings.yaml")))
+		Expect(exitCode(err)).To(Equal(exitInvalid))
+	})
+
+	It("names the fields that the settings file lacks", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
+		Expect(os.WriteFile(file, []byte("zone: a"), 0o600)).To(Succeed())
+		err := run("--settings", file)
+		Expect(err).To(MatchError(ContainSubstring("missing: ip, listen.front")))
+		Expect(exitCode(err)).To(Equal(exitInvalid))
+	})
+})
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -14,7 +14,6 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
-	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinmirror"
 	"savorypin/internal/savorypinplatform"
 )
@@ -300,125 +299,6 @@
 	return err
 }
 
-// copies says how far the copies are.
-func (s *store) copies() []savorypingossip.Copy {
-	now := bootClock()
-	copies := make([]savorypingossip.Copy, 0, len(s.mirrors))
-	for kind, mirror := range s.mirrors {
-		state := mirror.State()
-		c := savorypingossip.Copy{Age: -1, At: state.At, Changed: state.Changed, Kind: kind}
-		if state.Confirmed > 0 {
-			c.Age = now - state.Confirmed
-		}
-		copies = append(copies, c)
-	}
-	return copies
-}
-
-// heard takes over how far another gateway's copies are, and fetches changes
-// that this one lacks.
-func (s *store) heard(m savorypingossip.Message) {
-	for _, c := range m.Copies {
-		mirror, ok := s.mirrors[c.Kind]
-		if !ok || c.Age < 0 {
-			continue
-		}
-		if c.Changed > mirror.State().At {
-			go s.fetch(m.Address, c.Kind)
-			continue
-		}
-		s.confirmBy(mirror, m, c)
-	}
-}
-
-// confirmBy takes over the confirmation of a copy whose changes this one has. Its age counts from when this gateway's last message to the other was
-// sent, since the other spoke after that.
-func (s *store) confirmBy(mirror *savorypinmirror.Mirror, m savorypingossip.Message, c savorypingossip.Copy) {
-	if m.Echo == 0 {
-		return
-	}
-	mirror.Advance(c.At)
-	mirror.Confirm(m.Echo - c.Age)
-}
-
-// fetch gets the changes of a kind from another gateway, one fetch at a time.
-func (s *store) fetch(address string, kind savorypin.Kind) {
-	s.mu.Lock()
-	busy := s.fetching[kind]
-	s.fetching[kind] = true
-	s.mu.Unlock()
-	if busy {
-		return
-	}
-	defer func() {
-		s.mu.Lock()
-		s.fetching[kind] = false
-		s.mu.Unlock()
-	}()
-	mirror := s.mirrors[kind]
-	delta, err := savorypingossip.Fetch(context.Background(), address, kind, mirror.State().At)
-	if err != nil {
-		s.log.Debug("changes not fetched", "kind", kind, "peer", address, "err", err)
-		return
-	}
-	for i := range delta.Objects {
-		delta.Objects[i].Kind = kind
-	}
-	if mirror.Merge(delta) {
-		s.publish[kind]()
-		s.news()
-	}
-}
-
-func (s *store) publishConfiguration() {
-	for _, o := range s.mirrors[s.cfg.Objects.Configuration.Kind].Objects() {
-		if o.Key != s.cfg.Objects.Configuration {
-			continue
-		}
-		c, err := s.cfg.Objects.DecodeConfiguration(o)
-		if err != nil {
-			s.log.Emit(savorypinevent.Ignored{Err: err, What: "configuration"})
-			continue
-		}
-		if s.view.adopt(c) {
-			s.log.Emit(savorypinevent.ConfigurationInForce{Revision: o.Version, Version: c.Version()})
-		}
-	}
-}
-
-func (s *store) publishEndpoints() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []*savorypinfleet.Endpoint
-	for _, o := range s.mirrors[s.cfg.Objects.EndpointKind].Objects() {
-		e, err := s.cfg.Objects.DecodeEndpoint(o)
-		if err != nil {
-			s.log.Debug("endpoint ignored", "err", err)
-			continue
-		}
-		list = append(list, e)
-	}
-	old := s.view.directory.Load()
-	next := savorypinfleet.NewDirectory(list)
-	s.view.directory.Store(next)
-	s.view.listed.Store(true)
-	s.changed(old, next)
-}
-
-func (s *store) publishRollouts() {
-	var rollouts []savorypinfleet.Rollout
-	for _, o := range s.mirrors[s.cfg.Objects.RolloutKind].Objects() {
-		r, err := s.cfg.Objects.DecodeRollout(o)
-		if err != nil {
-			s.log.Emit(savorypinevent.Ignored{Err: err, What: "rollout " + o.Name})
-			continue
-		}
-		rollouts = append(rollouts, r)
-		s.log.Emit(rolloutEvent("seen", r, nil))
-	}
-	s.rollouts(rollouts)
-}
-
 // wait returns after d, or with an error when ctx ends.
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
