--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -19,6 +19,9 @@
 	retryStore = 700 * time.Millisecond
 )
 
+// defaultTimeout bounds a request if neither its route nor its caller does.
+const defaultTimeout = time.Minute
+
 // defaultBodyBytes bounds a body where the configuration does not.
 const defaultBodyBytes = 4 << 20
 
@@ -89,6 +92,9 @@
 	if call.Deadline > 0 && (d == 0 || call.Deadline < d) {
 		d = call.Deadline
 	}
+	if d == 0 {
+		return defaultTimeout
+	}
 	return d
 }
 
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -12,6 +12,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"reflect"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -179,6 +180,11 @@
 		g.log.Emit(savorypinevent.Process{Err: err, What: "not reloaded"})
 		return
 	}
+	// The file may also have changed without a signal, so that this is called from
+	// time to time.
+	if reflect.DeepEqual(&s, g.settings.Load()) {
+		return
+	}
 	g.settings.Store(&s)
 	g.log.Emit(savorypinevent.Process{What: "reloaded"})
 }
@@ -212,17 +218,23 @@
 	return mux
 }
 
+// reloadSweeps is after how many sweeps the settings are read again.
+const reloadSweeps = 5
+
 // sweepInterval is how often idle connections and old knowledge are dropped.
 const sweepInterval = 2 * time.Second
 
 func (g *Gateway) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			if n%reloadSweeps == 0 {
+				g.Reload()
+			}
 			g.pool.Sweep()
 			g.picker.Forget(g.view.directory.Load())
 			g.notePeers()
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -30,11 +30,35 @@
 
 // Limits of callers until the first configuration names them.
 const (
-	firstHeaderTimeout = 10 * time.Second
-	firstIdleTimeout   = 60 * time.Second
-	firstHeaderBytes   = 64 << 10
+	firstIdleTimeout = 60 * time.Second
+	firstHeaderBytes = 64 << 10
 )
 
+// callersServer returns the server for callers, with the limits of the first
+// configuration. Later ones bound bodies only.
+func (g *Gateway) callersServer() *http.Server {
+	server := &http.Server{
+		Handler:           g,
+		IdleTimeout:       firstIdleTimeout,
+		MaxHeaderBytes:    firstHeaderBytes,
+		ReadHeaderTimeout: firstIdleTimeout,
+	}
+	c := g.view.configuration.Load()
+	if c == nil {
+		return server
+	}
+	limits := c.Limits()
+	if limits.HeaderBytes > 0 {
+		server.MaxHeaderBytes = limits.HeaderBytes
+	}
+	if limits.IdleTimeout > 0 {
+		server.IdleTimeout = limits.IdleTimeout
+		// A new connection may be idle before its first head, too.
+		server.ReadHeaderTimeout = limits.IdleTimeout + limits.HeaderTimeout
+	}
+	return server
+}
+
 // awaitKnowledge waits a moment for the first configuration and list of
 // endpoints. Until then connections wait in the listener's queue, for less time
 // than a refusal would cost the caller.
@@ -51,13 +75,8 @@
 // serveCallers serves callers until ctx ends and what was begun is finished, or
 // the grace is over.
 func (g *Gateway) serveCallers(ctx context.Context, l net.Listener) error {
-	server := &http.Server{
-		Handler:           g,
-		IdleTimeout:       firstIdleTimeout,
-		MaxHeaderBytes:    firstHeaderBytes,
-		ReadHeaderTimeout: firstHeaderTimeout,
-	}
 	g.awaitKnowledge(ctx)
+	server := g.callersServer()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	select {
