Say truly that a stream was not run; take another incarnation for a lost endpoint

Cause: a stream that two endpoints rejected was answered 502, though nothing had run; and an address that another incarnation had taken was asked again by other streams until the list changed. Tests: 'is refused as not run if each endpoint says that it did not run it' failed before.

--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -28,6 +28,7 @@
 var (
 	errBudget   = errors.New("retry budget is spent")
 	errGap      = errors.New("events are missing")
+	errOther    = errors.New("another incarnation answers")
 	errNotRun   = errors.New("endpoint did not run the request")
 	errStuck    = errors.New("endpoint lives but the stream is silent")
 	errSilent   = errors.New("endpoint is silent")
@@ -213,7 +214,15 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	g.noteVersion(s.req, e, true, time.Since(began))
+	return s.ended(e, w, err, time.Since(began))
+}
+
+// ended takes note of why an attempt at an endpoint ended, and returns that.
+func (s *stream) ended(e *savorypinfleet.Endpoint, w *watch, err error, took time.Duration) error {
+	g := s.gateway
+	if !errors.Is(err, errOther) && !errors.Is(err, errNotRun) {
+		g.noteVersion(s.req, e, true, took)
+	}
 	switch {
 	case w.lost.Load():
 		err = errSilent
@@ -221,6 +230,8 @@
 	case w.stuck.Load():
 		// The answer was lost, or the engine hangs; others get theirs from there.
 		err = errStuck
+	case errors.Is(err, errOther):
+		g.endpointFailed(e, err.Error())
 	case errors.Is(err, errNotRun), errors.Is(err, errNoCaller), errors.Is(err, errFailed):
 	default:
 		g.brokeOff(e, err.Error())
@@ -228,6 +239,7 @@
 	return err
 }
 
+// lastEvent is the number of the last event that the caller has, as it is sent.
 func (s *stream) lastEvent() string {
 	if s.last == 0 {
 		return s.req.call.LastEvent
@@ -237,6 +249,7 @@
 
 // exchange sends the request and relays the events of the answer.
 func (s *stream) exchange(conn *savorypinpool.Conn, a savorypinfleet.Attempt, w *watch, read func()) error {
+	before := s.mayHaveRun
 	s.mayHaveRun = true
 	if err := conn.Send(wireRequest(s.gateway.cfg.Codec, a), s.req.until); err != nil {
 		return err
@@ -249,8 +262,11 @@
 	switch {
 	case reply.ID != "" && reply.ID != s.req.call.ID:
 		return savorypinpool.ErrUnrelated
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		s.mayHaveRun = before
+		return errOther
 	case reply.NotRun:
-		s.mayHaveRun = s.sent > 1
+		s.mayHaveRun = before
 		return errNotRun
 	case resp.StatusCode != http.StatusOK:
 		return s.failed(resp)
