Refuse streams that a stopping gateway would cut

Now a stream that comes after the balancer has stopped sending is refused as not run, unless twice the usual duration is left.

--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -15,6 +15,8 @@
 const (
 	// retrySoon is for what passes in a moment: a full or lost endpoint.
 	retrySoon = 150 * time.Millisecond
+	// retryElsewhere is for what another gateway can serve at once.
+	retryElsewhere = 10 * time.Millisecond
 	// retryStore is for what waits on the store.
 	retryStore = 700 * time.Millisecond
 )
@@ -66,6 +68,9 @@
 	if route == nil {
 		return nil, &refusal{reason: "no route", status: http.StatusNotFound}
 	}
+	if route.Kind() == savorypinfleet.RouteStreaming && !takesStream(g.stoppedFor(), g.settings.Load().Grace, g.picker.UsualDuration()) {
+		return nil, notRun("gateway stops", retryElsewhere)
+	}
 	organisation, refused := g.authorise(c, route, call)
 	if refused != nil {
 		return nil, refused
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -84,6 +84,7 @@
 	registry  metrics.Registry
 	rollouts  *savorypinrollout.Tracker
 	settings  atomic.Pointer[Settings]
+	stopBegan atomic.Pointer[time.Time]
 	stopping  atomic.Bool
 	store     *store
 	streams   streamSet
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -16,6 +16,12 @@
 	// stopAcceptPart is the part of the grace for which new requests are still
 	// taken: the balancer needs some seconds to send them elsewhere.
 	stopAcceptPart = 0.5
+	// balancerTime is how long the balancer goes on sending new callers: it asks
+	// each second and takes a gateway out after two misses.
+	balancerTime = 2500 * time.Millisecond
+	// finishFactor is how many times the usual duration of a stream must be left
+	// for one that comes later.
+	finishFactor = 2
 	// stopMargin is how long before the end of the grace the process exits.
 	stopMargin = 600 * time.Millisecond
 )
@@ -34,6 +40,22 @@
 	firstHeaderBytes = 64 << 10
 )
 
+// takesStream reports whether a stream is taken that comes some time after the
+// stop began, given the grace and the usual duration of streams. One that would
+// be cut is better served by another gateway from the beginning.
+func takesStream(since, grace, usual time.Duration) bool {
+	return since < balancerTime || grace-stopMargin-since > finishFactor*usual
+}
+
+// stoppedFor is how long ago the stop began; zero if it has not.
+func (g *Gateway) stoppedFor() time.Duration {
+	at := g.stopBegan.Load()
+	if at == nil {
+		return 0
+	}
+	return time.Since(*at)
+}
+
 // callersServer returns the server for callers, with the limits of the first
 // configuration. Later ones bound bodies only.
 func (g *Gateway) callersServer() *http.Server {
@@ -85,8 +107,9 @@
 	case <-ctx.Done():
 	}
 	g.log.Emit(savorypinevent.Process{What: "stop begun"})
-	g.stopping.Store(true)
 	began := time.Now()
+	g.stopBegan.Store(&began)
+	g.stopping.Store(true)
 	grace := g.settings.Load().Grace
 	// Callers keep sending on open connections; each answer now asks them to
 	// close.
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -248,6 +248,11 @@
 	return risks
 }
 
+// UsualDuration is how long streams usually take.
+func (p *Picker) UsualDuration() time.Duration {
+	return time.Duration(p.duration.Load())
+}
+
 // Completed takes note of how long a stream took that was completed.
 func (p *Picker) Completed(took time.Duration) {
 	old := p.duration.Load()
