--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -43,6 +43,12 @@
 	return time.Until(r.until)
 }
 
+// over reports whether the request has no time left. The clock decides, since the
+// deadline of a read passes before that of the request's context is noticed.
+func (r *request) over() bool {
+	return r.left() <= 0
+}
+
 // refusal is an answer that the gateway gives itself.
 type refusal struct {
 	reason     string
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -126,17 +126,17 @@
 			break
 		}
 	}
-	return last, g.plainRefusal(ctx, last)
+	return last, plainRefusal(req, last)
 }
 
 // plainRefusal returns what the caller is told if there is no answer.
-func (g *Gateway) plainRefusal(ctx context.Context, last *outcome) *refusal {
+func plainRefusal(req *request, last *outcome) *refusal {
 	switch {
 	case last.kind == outcomeAnswered:
 		return nil
 	case last.kind == outcomeUnsent, last.kind == outcomeNotRun:
 		return notRun("no endpoint took the request", retrySoon)
-	case ctx.Err() != nil:
+	case req.over():
 		return &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout}
 	default:
 		return &refusal{reason: "endpoint failed", status: http.StatusBadGateway}
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -91,11 +91,11 @@
 		g.counters.brokenOff.Inc(1)
 		panic(http.ErrAbortHandler)
 	}
-	s.fail(ctx)
+	s.fail()
 }
 
 // fail answers a stream that has not begun.
-func (s *stream) fail(ctx context.Context) {
+func (s *stream) fail() {
 	g := s.gateway
 	switch {
 	case s.failure != nil:
@@ -107,7 +107,7 @@
 		}
 	case !s.mayHaveRun:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), notRun("no endpoint took the request", retrySoon))
-	case ctx.Err() != nil:
+	case s.req.over():
 		g.refuse(s.w, s.req.call, s.req.service.Name(), &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout})
 	default:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), &refusal{reason: "endpoint failed", status: http.StatusBadGateway})
