--- a/internal/savorypinfleet/configuration.go
+++ b/internal/savorypinfleet/configuration.go
@@ -112,9 +112,7 @@
 	MaxConns int
 	// MemoryTokens is the number of tokens that the memory of an engine holds.
 	MemoryTokens int
-	// Moves says that engines can move a run to another engine.
-	Moves bool
-	Name  string
+	Name         string
 	// Slots is the number of requests that an engine runs at once.
 	Slots int
 }
@@ -144,9 +142,6 @@
 // MemoryTokens is the number of tokens that an engine can hold.
 func (s *Service) MemoryTokens() int { return s.cfg.MemoryTokens }
 
-// Moves reports whether engines can move a run.
-func (s *Service) Moves() bool { return s.cfg.Moves }
-
 // Name names the service.
 func (s *Service) Name() string { return s.cfg.Name }
 
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -46,32 +46,8 @@
 	Organisation string
 	// Priority is the rank among waiting requests from 0, which is first, to 9.
 	Priority int
-	// Memory is the copy of the run's memory that the endpoint goes on from; nil
-	// for none.
-	Memory *Memory
-}
-
-// Memory names a copy of a run's memory.
-type Memory struct {
-	// Address is the endpoint that gave the handle out.
-	Address string
-	// Handle names the copy there. A copy that an engine keeps as a backup bears
-	// the id of the call.
-	Handle string
-}
-
-// Move asks an engine to stop a run and to copy its memory to another engine.
-type Move struct {
-	// ID is the id of the call that runs.
-	ID string
-	// Target gets the memory.
-	Target *Endpoint
-}
-
-// Moved is the answer to a Move.
-type Moved struct {
-	// Handle names the copy at the engine that was asked.
-	Handle string
+	// Restore says that the endpoint holds a copy of the run's memory.
+	Restore bool
 }
 
 // Reply says what the head of an endpoint's answer means.
@@ -100,20 +76,14 @@
 type Codec struct {
 	// DecodeCall reads the head of a caller's request.
 	DecodeCall func(*http.Request) *Call
-	// DecodeMoved reads the answer to a move.
-	DecodeMoved func([]byte) (Moved, error)
 	// DecodeReport reads an engine's report.
 	DecodeReport func([]byte) (Report, error)
 	// DecodeReply reads the head of an endpoint's answer.
 	DecodeReply func(*http.Response) Reply
 	// EncodeAttempt returns the headers of a request to an endpoint.
 	EncodeAttempt func(Attempt) http.Header
-	// EncodeMove returns the body of a request to move a run.
-	EncodeMove func(Move) ([]byte, error)
 	// EncodeReply copies the headers of an endpoint's answer for the caller.
 	EncodeReply func(dst http.Header, resp *http.Response, call *Call)
-	// MovePath is where an engine moves runs.
-	MovePath string
 	// ReportPath is where an engine reports.
 	ReportPath string
 	// EncodeFailure sets the headers of an answer that the gateway gives itself.
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -34,7 +34,6 @@
 	errSilent   = errors.New("endpoint is silent")
 	errFailed   = errors.New("endpoint answered with a failure")
 	errNoCaller = errors.New("caller does not read")
-	errMoved    = errors.New("run has moved to another engine")
 )
 
 // stream is a request whose answer is a series of events, over all attempts.
@@ -59,8 +58,6 @@
 	last int64
 	// mayHaveRun says that an endpoint may have run the request.
 	mayHaveRun bool
-	// move is the move of the run to another engine; nil for none.
-	move *move
 	req        *request
 	rc         *http.ResponseController
 	sent       int
@@ -125,19 +122,16 @@
 		if s.mayHaveRun && !s.req.route.Repeatable() {
 			return lastErr
 		}
-		e, memory, err := s.next(ctx)
+		e, restore, err := s.next(ctx)
 		if err != nil {
 			return fmt.Errorf("%w after %w", err, lastErr)
 		}
-		if lastErr = s.attempt(ctx, e, memory); lastErr == nil {
+		if lastErr = s.attempt(ctx, e, restore); lastErr == nil {
 			return nil
 		}
 		if ctx.Err() != nil || errors.Is(lastErr, errNoCaller) || errors.Is(lastErr, errBudget) {
 			return lastErr
 		}
-		if errors.Is(lastErr, errMoved) {
-			continue
-		}
 		s.gateway.counters.resumed.Inc(1)
 		s.gateway.log.Emit(savorypinevent.StreamBroken{
 			Age: time.Since(s.req.arrived), Endpoint: e.ID(), Err: lastErr, Event: s.last, ID: s.req.call.ID,
@@ -146,38 +140,33 @@
 	return lastErr
 }
 
-// next returns the endpoint of the next attempt and the copy of the run's memory
-// that it holds; nil for none.
-func (s *stream) next(ctx context.Context) (*savorypinfleet.Endpoint, *savorypinfleet.Memory, error) {
-	e, memory := s.move.result()
-	s.move = nil
-	if e != nil {
-		return e, memory, nil
-	}
+// next returns the endpoint of the next attempt and whether it holds a copy of
+// the run's memory.
+func (s *stream) next(ctx context.Context) (*savorypinfleet.Endpoint, bool, error) {
 	if b := s.backup; b != nil {
 		s.backup = nil
 		if s.gateway.view.directory.Load().Has(b) && b.Ready() && !s.gateway.picker.Suspect(b) {
-			return b, &savorypinfleet.Memory{Address: b.Address(), Handle: s.req.call.ID}, nil
+			return b, true, nil
 		}
 	}
 	for {
 		if e := s.gateway.picker.Choose(s.gateway.query(s.req, s.tried)); e != nil {
-			return e, nil, nil
+			return e, false, nil
 		}
 		if !s.mayHaveRun {
-			return nil, nil, errNotRun
+			return nil, false, errNotRun
 		}
 		// A lost endpoint is back within seconds; what was read is worth the wait.
 		clear(s.tried)
 		if err := wait(ctx, endpointPause); err != nil {
-			return nil, nil, err
+			return nil, false, err
 		}
 	}
 }
 
 // attempt relays what one endpoint answers. It returns nil if the answer is
 // complete.
-func (s *stream) attempt(ctx context.Context, e *savorypinfleet.Endpoint, memory *savorypinfleet.Memory) error {
+func (s *stream) attempt(ctx context.Context, e *savorypinfleet.Endpoint, restore bool) error {
 	g := s.gateway
 	s.tried[e.ID()] = true
 	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
@@ -193,16 +182,11 @@
 	}
 	defer context.AfterFunc(ctx, conn.Close)()
 	var backup *savorypinfleet.Endpoint
-	switch {
-	case !s.req.service.Backups():
-	case s.backup != nil && s.backup.Domain() != e.Domain():
-		// The copy of what was read is still there.
-		backup = s.backup
-	default:
+	if s.req.service.Backups() {
 		backup = g.picker.ChooseBackup(e, g.query(s.req, s.tried))
 	}
 	tokens := s.req.call.PromptTokens
-	if memory != nil || g.picker.HasRead(e, s.req.call.Prompt) {
+	if restore || g.picker.HasRead(e, s.req.call.Prompt) {
 		tokens = 0
 	}
 	work := g.picker.Begin(e, backup, tokens)
@@ -212,7 +196,7 @@
 	s.sent++
 	a := savorypinfleet.Attempt{
 		Backup: backup, Call: s.req.call, Deadline: s.req.left(), Endpoint: e, LastEvent: s.lastEvent(),
-		Organisation: s.req.organisation, Memory: memory, Priority: noPriority,
+		Organisation: s.req.organisation, Priority: noPriority, Restore: restore,
 	}
 	if s.last > 0 {
 		a.Priority = resumePriority
@@ -230,9 +214,6 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	if moved, _ := s.move.result(); moved != nil {
-		return errMoved
-	}
 	return s.ended(e, w, err, time.Since(began))
 }
 
@@ -325,9 +306,6 @@
 			s.gateway.picker.PromptRead(a.Endpoint, s.req.call.Prompt)
 			// A request that has not begun to run has no memory to copy.
 			s.backup = a.Backup
-			if a.Memory == nil {
-				s.startMove(a)
-			}
 		}
 		w.event()
 		s.gateway.picker.Clear(a.Endpoint)
@@ -352,7 +330,7 @@
 	}
 	s.gateway.counters.resumeGap.Update(pause)
 	s.gateway.log.Emit(savorypinevent.StreamResumed{
-		Age: time.Since(s.req.arrived), Endpoint: a.Endpoint.ID(), Event: s.last, ID: s.req.call.ID, Pause: pause, Restored: a.Memory != nil,
+		Age: time.Since(s.req.arrived), Endpoint: a.Endpoint.ID(), Event: s.last, ID: s.req.call.ID, Pause: pause, Restored: a.Restore,
 	})
 }
 
--- a/internal/savorypingateway/streamlog.go
+++ b/internal/savorypingateway/streamlog.go
@@ -24,7 +24,7 @@
 	g := s.gateway
 	g.log.Emit(savorypinevent.StreamSent{
 		Age: time.Since(s.req.arrived), Attempt: s.sent, Backup: backup, DirectoryAge: g.store.age(g.cfg.Objects.EndpointKind),
-		Domain: a.Endpoint.Domain(), Endpoint: a.Endpoint.ID(), Event: s.last, ID: s.req.call.ID, Restored: a.Memory != nil,
+		Domain: a.Endpoint.Domain(), Endpoint: a.Endpoint.ID(), Event: s.last, ID: s.req.call.ID, Restored: a.Restore,
 		Waiting: g.picker.Waiting(a.Endpoint) - s.req.call.PromptTokens,
 	})
 }
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 	firstCheckPart = 0.35
 	// reportTimeout bounds the answer to that question.
 	reportTimeout = 400 * time.Millisecond
+	// reportBytes bounds the size of that answer.
+	reportBytes = 1 << 20
 	// gapCheckPart is the part of the longest pause on time after which the host
 	// is checked between events. The rest has to suffice for the check and for
 	// the first event from another endpoint.
@@ -163,11 +166,26 @@
 
 // askReport asks an engine for its work.
 func (g *Gateway) askReport(conn *savorypinpool.Conn, e *savorypinfleet.Endpoint) (savorypinfleet.Report, time.Duration, error) {
+	deadline := time.Now().Add(reportTimeout)
 	question := savorypinpool.Request{Header: http.Header{}, Host: e.Address(), Method: http.MethodGet, URI: g.cfg.Codec.ReportPath}
-	data, keepAlive, err := g.ask(conn, question, time.Now().Add(reportTimeout))
+	if err := conn.Send(question, deadline); err != nil {
+		return savorypinfleet.Report{}, 0, err
+	}
+	if err := conn.SetReadDeadline(deadline); err != nil {
+		return savorypinfleet.Report{}, 0, err
+	}
+	resp, err := conn.Receive(http.MethodGet)
 	if err != nil {
-		return savorypinfleet.Report{}, 0, fmt.Errorf("report: %w", err)
+		return savorypinfleet.Report{}, 0, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, reportBytes))
+	if err != nil {
+		return savorypinfleet.Report{}, 0, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return savorypinfleet.Report{}, 0, fmt.Errorf("report: status %d", resp.StatusCode)
 	}
 	report, err := g.cfg.Codec.DecodeReport(data)
-	return report, keepAlive, err
+	return report, g.cfg.Codec.DecodeReply(resp).KeepAlive, err
 }
--- a/internal/savorypinpick/others.go
+++ b/internal/savorypinpick/others.go
@@ -104,9 +104,8 @@
 	var loads []Load
 	p.loads.Range(func(id, value any) bool {
 		l := value.(*load)
-		running, waiting := l.running.Load(), l.waiting.Load()
-		if running > 0 || waiting > 0 {
-			loads = append(loads, Load{Endpoint: id.(string), Running: running, Waiting: waiting})
+		if running := l.running.Load(); running > 0 {
+			loads = append(loads, Load{Endpoint: id.(string), Running: running, Waiting: l.waiting.Load()})
 		}
 		return true
 	})
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -48,7 +48,7 @@
 	durationWeight = 0.05
 	// runningTokens is what a running request weighs against prompt tokens that
 	// wait: it slows each further token down by little.
-	runningTokens = 4000
+	runningTokens = 400
 	// latencyWeight is the weight of a new latency in the average.
 	latencyWeight = 0.1
 	// farPenalty is the same for plain requests: a round trip between regions.
--- a/internal/savorypinpick/work.go
+++ b/internal/savorypinpick/work.go
@@ -21,9 +21,7 @@
 // given number of tokens, and that backup keeps a copy; backup may be nil.
 func (p *Picker) Begin(e, backup *savorypinfleet.Endpoint, tokens int) *Work {
 	w := &Work{began: p.cfg.Now(), load: p.load(e), picker: p, tokens: int64(tokens)}
-	if tokens == 0 {
-		w.load.running.Add(1)
-	}
+	w.load.running.Add(1)
 	w.load.waiting.Add(w.tokens)
 	if backup != nil {
 		w.backup = p.load(backup)
@@ -34,10 +32,6 @@
 
 // Read takes note that the prompt has been read.
 func (w *Work) Read() {
-	if w.tokens == 0 {
-		return
-	}
-	w.load.running.Add(1)
 	w.load.waiting.Add(-w.tokens)
 	w.tokens = 0
 }
