Load engines as meant in the check of a version that slows under load

Cause: the check timed out at 60 s beside other work. Twelve copies under the race detector all failed; a trace of the engines showed about 100 requests a second in place of 1,400, and 0 to 7 running on the new version where a quiet machine has 8 to 11. The fault shows from 6 on, so that it was hardly there: requests took 20 ms at engines and waited for the processor the rest.

Change: engines generate 10 tokens a second in this check, so that requests spend their time there. The fault, the limit and what is expected are the same.

--- a/internal/savorypincluster/move_test.go
+++ b/internal/savorypincluster/move_test.go
@@ -28,6 +28,12 @@
 	newVersion    = "assistant-new-v1"
 	planPrompt    = "plan"
 	streamTimeout = 3000
+	// decodeRate is how many tokens a second an engine generates for a request.
+	decodeRate = 200
+	// busyDecodeRate lets requests spend nearly all of their time at engines, so
+	// that these are as loaded as the callers mean them to be however slow the
+	// machine is.
+	busyDecodeRate = 10
 )
 
 // faults decides on the fault of a request.
@@ -36,9 +42,14 @@
 // startMove starts a cluster whose engines serve models, and a move that gives
 // the new version a share at once.
 func startMove(ctx context.Context, share float64, models func(int) []string) *savorypincluster.Cluster {
+	return startMoveAt(ctx, share, decodeRate, models)
+}
+
+// startMoveAt is startMove with engines that generate at a rate.
+func startMoveAt(ctx context.Context, share, rate float64, models func(int) []string) *savorypincluster.Cluster {
 	c, err := savorypincluster.Start(context.WithoutCancel(ctx), savorypincluster.Config{
 		Agents:  4,
-		Engine:  savorypinstandin.EngineConfig{PrefillPerSecond: 100_000, Slots: 16, TokensPerSecond: 200},
+		Engine:  savorypinstandin.EngineConfig{PrefillPerSecond: 100_000, Slots: 16, TokensPerSecond: rate},
 		Entries: 2,
 		Logger:  log.New(io.Discard),
 		Models:  models,
@@ -177,15 +188,16 @@
 	for _, tc := range []struct {
 		name    string
 		workers int
+		rate    float64
 		faults  faults
 	}{
-		{"fails at once", 8, func(model string, _ []int32, _ int) savorypinstandin.Fault {
+		{"fails at once", 8, decodeRate, func(model string, _ []int32, _ int) savorypinstandin.Fault {
 			return savorypinstandin.Fault{Fails: model == newModel}
 		}},
-		{"fails on one route only", 8, func(model string, prompt []int32, _ int) savorypinstandin.Fault {
+		{"fails on one route only", 8, decodeRate, func(model string, prompt []int32, _ int) savorypinstandin.Fault {
 			return savorypinstandin.Fault{Fails: model == newModel && prompt[0] == savorypinstandin.Tokenize(planPrompt)[0]}
 		}},
-		{"slows under load", 48, func(model string, _ []int32, running int) savorypinstandin.Fault {
+		{"slows under load", 48, busyDecodeRate, func(model string, _ []int32, running int) savorypinstandin.Fault {
 			if model != newModel || running < 6 {
 				return savorypinstandin.Fault{}
 			}
@@ -193,7 +205,7 @@
 		}},
 	} {
 		It("takes back a version that "+tc.name, func(ctx SpecContext) {
-			c := startMove(ctx, 0.2, bothModels)
+			c := startMoveAt(ctx, 0.2, tc.rate, bothModels)
 			breakEngines(c, tc.faults)
 			stop := drive(c, tc.workers)
 			expectState(c, savorypin.MoveTakenBack)
