Renew what an entry holds of the limits as a whole

Change: an entry names its grants of an owner by their number and a sum of their hashes. The owner renews them if it knows the same ones, and names those whose usage it needs anew; else all are reported one by one. Organisations whose limits are reached are still reported every 5 s, and given back when idle.

The bench of limits now spreads the organisations over 20 owners, as the product does, where one owner took all; new tests: no names while grants suffice, a third of the answers lost, an owner that starts again, an idle holder.

--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -89,8 +89,8 @@
 	due := l.limiter.Tick(known, func(organisation string) string {
 		return savorypinrank.Names(organisation, l.entries)[0]
 	})
-	for owner, usages := range due {
-		l.wg.Go(func() { l.report(ctx, owner, addresses[owner], usages) })
+	for owner, report := range due {
+		l.wg.Go(func() { l.report(ctx, owner, addresses[owner], report) })
 	}
 	l.owner.Sweep(time.Now())
 	l.retries.EarnIdle()
@@ -122,21 +122,22 @@
 }
 
 // report reports usage to the owner and takes over what it grants.
-func (l *limits) report(ctx context.Context, owner, address string, usages []savorypinlimit.Usage) {
+func (l *limits) report(ctx context.Context, owner, address string, report savorypinlimit.Report) {
 	sent := time.Now()
 	if address == "" {
-		l.limiter.Granted(owner, usages, l.grant(owner, usages), sent)
+		l.limiter.Granted(owner, report, l.grant(owner, report), sent)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	reply, err := savorypinmember.Call[savorypinmember.Usage, savorypinmember.Grants](
-		ctx, l.entry.daemon.Transport(), address, savorypinmember.FrameUsage, savorypinmember.Usage{Organisations: usages})
+		ctx, l.entry.daemon.Transport(), address, savorypinmember.FrameUsage,
+		savorypinmember.Usage{Organisations: report.Usages, Renewal: report.Renewal})
 	if err != nil {
 		l.entry.daemon.Logger().Debug("Usage not reported", "owner", owner, "err", err)
 		return
 	}
-	l.limiter.Granted(owner, usages, reply.Amounts, sent)
+	l.limiter.Granted(owner, report, reply.Answer(), sent)
 }
 
 func (l *limits) handleUsage(
@@ -147,12 +148,12 @@
 	if peer.Role != savorypin.RoleEntry {
 		return savorypinmember.Grants{}, savorypin.Errorf(savorypin.KindInvalid, peer.Name, "only entries report usage")
 	}
-	return savorypinmember.Grants{Amounts: l.grant(peer.Name, req.Organisations)}, nil
+	return savorypinmember.NewGrants(l.grant(peer.Name, req.Report())), nil
 }
 
-func (l *limits) grant(entry string, usages []savorypinlimit.Usage) []savorypinlimit.Amount {
+func (l *limits) grant(entry string, report savorypinlimit.Report) savorypinlimit.Answer {
 	config, share := l.entry.daemon.Config(), *l.share.Load()
-	return l.owner.Grant(entry, usages, func(organisation string) savorypinlimit.Amount {
+	return l.owner.Grant(entry, report, func(organisation string) savorypinlimit.Amount {
 		spec, _ := config.Organisation(organisation)
 		return savorypinlimit.LimitOf(spec, share)
 	}, time.Now())
--- a/internal/savorypinlimit/fleet_test.go
+++ b/internal/savorypinlimit/fleet_test.go
@@ -14,9 +14,13 @@
 // fleet is a number of entries that exchange usage without sockets.
 type fleet struct {
 	entries []*entry
-	now     time.Time
-	rand    *rand.Rand
-	specs   map[string]savorypin.OrganisationSpec
+	// lost is the share of answers that are lost.
+	lost float64
+	now  time.Time
+	rand *rand.Rand
+	// reported is the number of usages that were reported.
+	reported int
+	specs    map[string]savorypin.OrganisationSpec
 	// static splits the limits evenly and exchanges nothing: the naive twin.
 	static bool
 }
@@ -100,11 +104,15 @@
 		}
 		due := e.limiter.Tick(known, func(o string) string { return savorypinrank.Names(o, names)[0] })
 		for _, owner := range f.entries {
-			if usages := due[owner.name]; len(usages) > 0 {
-				grants := owner.owner.Grant(e.name, usages, func(o string) savorypinlimit.Amount {
+			if report, ok := due[owner.name]; ok {
+				f.reported += len(report.Usages)
+				answer := owner.owner.Grant(e.name, report, func(o string) savorypinlimit.Amount {
 					return savorypinlimit.LimitOf(f.specs[o], share)
 				}, f.now)
-				e.limiter.Granted(owner.name, usages, grants, f.now)
+				if f.rand.Float64() < f.lost {
+					continue
+				}
+				e.limiter.Granted(owner.name, report, answer, f.now)
 			}
 		}
 		e.owner.Sweep(f.now)
--- a/internal/savorypinlimit/limit.go
+++ b/internal/savorypinlimit/limit.go
@@ -4,6 +4,8 @@
 // to the store. For each organisation one entry, the first by rendezvous among
 // the live ones, is the owner of its limits. The others report their demand to
 // it and get grants: parts of the limit that end after GrantTerm unless renewed.
+// What an entry holds of an owner is renewed as a whole, by a sum that both sides
+// know; usage is named when it outgrows its grant, or when the owner asks for it.
 // The owner never grants more than the limit in all. An entry without a valid
 // grant uses a small fallback share, so that a request is never held up by the
 // exchange.
@@ -89,11 +91,12 @@
 	Demand Amount
 	// Running is the number of its requests that run.
 	Running int
-	// Held is the grant that the entry holds of another owner, if any.
+	// Held is the grant that the entry holds and that the owner may not know, if
+	// any.
 	Held *Amount
 }
 
-// held returns the grant of another owner.
+// held returns the grant that the owner may not know.
 func (u Usage) held() Amount {
 	if u.Held == nil {
 		return Amount{}
@@ -115,6 +118,24 @@
 	return a.Tokens > 0 || a.Requests > 0 || a.Concurrency > 0
 }
 
+// staleTolerance is by how much a grant may exceed what would be granted now
+// before it is replaced: others still get what they ask for.
+const staleTolerance = 1.25
+
+// under reports whether a is clearly less than a grant.
+func (a Amount) under(grant Amount) bool {
+	return staleTolerance*a.Tokens < grant.Tokens ||
+		staleTolerance*a.Requests < grant.Requests ||
+		staleTolerance*float64(a.Concurrency) < float64(grant.Concurrency)
+}
+
+// serves reports whether a has more than a grant of what was asked for in vain.
+func (a Amount) serves(demand, grant Amount) bool {
+	return a.Tokens > grant.Tokens && demand.Tokens > grant.Tokens ||
+		a.Requests > grant.Requests && demand.Requests > grant.Requests ||
+		a.Concurrency > grant.Concurrency && demand.Concurrency > grant.Concurrency
+}
+
 // fallback returns the share of an entry without a valid grant.
 func (a Amount) fallback(entries int) Amount {
 	divisor := fallbackDivisor * max(1, entries)
--- a/internal/savorypinlimit/limit_test.go
+++ b/internal/savorypinlimit/limit_test.go
@@ -54,6 +54,7 @@
 			f.restart(e)
 		}
 	}},
+	{"a third of the answers are lost", 0, n, func(f *fleet) { f.lost = 1.0 / 3 }},
 	{"an entry is cut off", 1.0 / n, 0, func(f *fleet) { f.entries[0].side = 1 }},
 	{"a region is cut off", 0, 0, func(f *fleet) {
 		for i := 0; i < n; i += 3 {
@@ -91,15 +92,69 @@
 		leaving := slices.IndexFunc(f.entries, func(e *entry) bool { return e.name != owner })
 		f.entries[leaving].dead = true
 		f.run(time.Second, "quiet", skewed)
-		usage := []savorypinlimit.Usage{{Organisation: "shops", Demand: savorypinlimit.Amount{Tokens: 100}}}
+		report := savorypinlimit.Report{
+			Usages: []savorypinlimit.Usage{{Organisation: "shops", Demand: savorypinlimit.Amount{Tokens: 100}}},
+		}
 		for _, e := range f.entries {
 			if e.name == owner {
-				grants := e.owner.Grant(owner, usage, func(string) savorypinlimit.Amount {
+				answer := e.owner.Grant(owner, report, func(string) savorypinlimit.Amount {
 					return savorypinlimit.Amount{Tokens: limit}
 				}, f.now)
-				Expect(grants[0].Tokens).To(BeNumerically(">=", 100))
+				Expect(answer.Amounts[0].Tokens).To(BeNumerically(">=", 100))
+			}
+		}
+	})
+
+	It("names no organisations while their grants suffice", func() {
+		const organisations = 50
+		f := newFleet(n, map[string]savorypin.OrganisationSpec{})
+		for i := range organisations {
+			f.specs[fmt.Sprintf("org-%d", i)] = savorypin.OrganisationSpec{TokensPerSecond: limit}
+		}
+		for _, e := range f.entries {
+			e.limiter.Configure(f.specs)
+		}
+		load := func(seconds int) {
+			for range seconds * int(time.Second/savorypinlimit.ExchangeInterval) {
+				for name := range f.specs {
+					for _, e := range f.entries {
+						if a, err := e.limiter.Admit(name, 10); err == nil {
+							a.Release(10)
+						}
+					}
+				}
+				f.now = f.now.Add(savorypinlimit.ExchangeInterval)
+				f.exchange()
 			}
 		}
+		load(20)
+		f.reported = 0
+		load(20)
+		Expect(f.reported).To(BeZero())
+		for _, e := range f.entries {
+			for _, state := range e.limiter.State() {
+				Expect(state.Granted).To(BeTrue())
+			}
+		}
+	})
+
+	It("keeps its grants when the owner starts again with nothing", func() {
+		f := newFleet(n, oneOrganisation())
+		even := func(int) float64 { return 8 }
+		before := sum(f.run(20*time.Second, "shops", even)[10:]) / 10
+		owner := savorypinrank.Names("shops", f.entries[0].names)[0]
+		f.restart(f.entries[slices.IndexFunc(f.entries, func(e *entry) bool { return e.name == owner })])
+		after := sum(f.run(savorypinlimit.OwnerHold, "shops", even)) / savorypinlimit.OwnerHold.Seconds()
+		// The owner's own part is the fallback share until its hold ends.
+		Expect(after).To(BeNumerically(">=", (1-1.0/n)*0.95*before))
+	})
+
+	It("gives back what an idle entry holds when others need it", func() {
+		const limit = 8000.0
+		f := newFleet(2, map[string]savorypin.OrganisationSpec{"shops": {TokensPerSecond: limit}})
+		f.run(20*time.Second, "shops", func(int) float64 { return 40 })
+		admitted := f.run(30*time.Second, "shops", func(i int) float64 { return float64(1-i) * 90 })
+		Expect(sum(admitted[20:]) / 10).To(BeNumerically(">=", 0.9*limit))
 	})
 
 	It("holds the number of requests at one time", func() {
--- a/internal/savorypinlimit/limiter.go
+++ b/internal/savorypinlimit/limiter.go
@@ -34,12 +34,16 @@
 
 	mu      sync.Mutex
 	entries int
+	// released are the organisations whose grants are given back, by owner.
+	released map[string][]string
+	// renewed are when the grants of an owner were renewed last.
+	renewed map[string]time.Time
 	specs   map[string]savorypin.OrganisationSpec
 }
 
 // NewLimiter returns a limiter without organisations.
 func NewLimiter(cfg Config) *Limiter {
-	l := &Limiter{cfg: cfg, entries: 1}
+	l := &Limiter{cfg: cfg, entries: 1, released: map[string][]string{}, renewed: map[string]time.Time{}}
 	l.organisations.Store(&map[string]*organisation{})
 	return l
 }
@@ -130,49 +134,134 @@
 }
 
 // Tick is called at every exchange interval. It takes over the number of known
-// entries, brings grants and fallback shares into force, and returns the usage
-// that is due to be reported, by the owner of the organisation.
-func (l *Limiter) Tick(entries int, ownerOf func(organisation string) string) map[string][]Usage {
+// entries, brings grants and fallback shares into force, and returns what is due
+// to be reported, by the owner of the organisations.
+func (l *Limiter) Tick(entries int, ownerOf func(organisation string) string) map[string]Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entries = entries
 	now := l.cfg.Now()
-	due := map[string][]Usage{}
+	due := map[string]Report{}
+	held := map[string]*Renewal{}
 	for _, o := range *l.organisations.Load() {
 		o.admitted.tick(ExchangeInterval)
 		o.demand.tick(ExchangeInterval)
 		o.requestDemand.tick(ExchangeInterval)
 		o.setRates(entries, now)
+		owner := ownerOf(o.name)
+		if o.tight && !o.reports() {
+			l.release(owner, o)
+		}
+		if o.holds(owner, now) {
+			hold(held, owner, o)
+		}
 		if !o.reports() {
 			continue
 		}
-		owner := ownerOf(o.name)
-		if u := o.usage(owner, now); o.due(u, now) {
-			due[owner] = append(due[owner], u)
+		if u := o.usage(now); o.due(owner, u, now) {
+			report := due[owner]
+			report.Usages = append(report.Usages, u)
+			due[owner] = report
 		}
 	}
+	l.renew(due, held, now)
 	l.judgeFairness()
 	return due
 }
 
+// hold adds what is held of an owner to the renewal.
+func hold(held map[string]*Renewal, owner string, o *organisation) {
+	r := held[owner]
+	if r == nil {
+		r = &Renewal{}
+		held[owner] = r
+	}
+	r.add(o.name, o.grant)
+}
+
+// renew adds to the reports the renewals that are due.
+func (l *Limiter) renew(due map[string]Report, held map[string]*Renewal, now time.Time) {
+	for owner, r := range held {
+		if now.Sub(l.renewed[owner]) < renewAfter {
+			continue
+		}
+		r.Released = slices.Clone(l.released[owner])
+		report := due[owner]
+		report.Renewal = r
+		due[owner] = report
+	}
+	for owner := range l.renewed {
+		if held[owner] == nil {
+			delete(l.renewed, owner)
+			delete(l.released, owner)
+		}
+	}
+}
+
 // Granted takes over the answer of an owner to a report that was sent at a
 // time.
-func (l *Limiter) Granted(owner string, usages []Usage, grants []Amount, sent time.Time) {
+func (l *Limiter) Granted(owner string, report Report, answer Answer, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if report.Renewal != nil {
+		l.takeRenewal(owner, *report.Renewal, answer, sent)
+	}
 	now := l.cfg.Now()
-	for i := range min(len(usages), len(grants)) {
-		o, ok := (*l.organisations.Load())[usages[i].Organisation]
+	for i := range min(len(report.Usages), len(answer.Amounts)) {
+		usage := report.Usages[i]
+		o, ok := (*l.organisations.Load())[usage.Organisation]
 		if !ok {
 			continue
 		}
-		o.grant = grants[i]
+		o.asked = false
+		// A grant that is used again is not given back.
+		l.released[owner] = slices.DeleteFunc(l.released[owner], func(name string) bool { return name == o.name })
+		o.grant = answer.Amounts[i]
 		o.grantedBy = owner
 		o.grantUntil = sent.Add(GrantTerm)
-		o.reported = usages[i]
+		o.reported = usage
 		o.reportedAt = sent
+		o.tight = i < len(answer.Tight) && answer.Tight[i]
 		o.setRates(l.entries, now)
+		if _, ok := l.renewed[owner]; !ok {
+			l.renewed[owner] = sent
+		}
+	}
+}
+
+// takeRenewal takes over the answer of an owner to a renewal. The grants that the
+// owner does not renew are reported one by one.
+func (l *Limiter) takeRenewal(owner string, r Renewal, answer Answer, sent time.Time) {
+	l.renewed[owner] = sent
+	l.released[owner] = slices.DeleteFunc(l.released[owner], func(name string) bool { return slices.Contains(r.Released, name) })
+	organisations := *l.organisations.Load()
+	for _, o := range organisations {
+		if !o.holds(owner, sent) {
+			continue
+		}
+		if !answer.Renewed {
+			o.asked = true
+			continue
+		}
+		o.grantUntil = sent.Add(GrantTerm)
 	}
+	for _, name := range answer.Stale {
+		o, ok := organisations[name]
+		switch {
+		case !ok:
+		case o.reports():
+			o.asked = true
+		default:
+			l.release(owner, o)
+		}
+	}
+}
+
+// release gives the grant of an organisation back that is not used.
+func (l *Limiter) release(owner string, o *organisation) {
+	o.tight = false
+	o.grantUntil = time.Time{}
+	l.released[owner] = append(l.released[owner], o.name)
 }
 
 // judgeFairness finds the organisations that get more than their weighted
--- a/internal/savorypinlimit/organisation.go
+++ b/internal/savorypinlimit/organisation.go
@@ -59,11 +59,15 @@
 	spec          atomic.Pointer[savorypin.OrganisationSpec]
 	tokens        bucket
 
+	// asked says that the owner needs the usage anew.
+	asked      bool
 	grant      Amount
 	grantUntil time.Time
 	grantedBy  string
 	reported   Usage
 	reportedAt time.Time
+	// tight says that the owner wants the usage often.
+	tight bool
 }
 
 func newOrganisation(name string, spec savorypin.OrganisationSpec) *organisation {
@@ -117,8 +121,8 @@
 	return 1
 }
 
-// usage returns what to report to an owner.
-func (o *organisation) usage(owner string, now time.Time) Usage {
+// usage returns what to report to the owner.
+func (o *organisation) usage(now time.Time) Usage {
 	running := int(o.running.Load())
 	u := Usage{
 		Demand: Amount{
@@ -129,7 +133,8 @@
 		Organisation: o.name,
 		Running:      running,
 	}
-	if now.Before(o.grantUntil) && o.grantedBy != owner {
+	if now.Before(o.grantUntil) {
+		// The owner may be another one than before, or may have started again.
 		held := o.grant
 		u.Held = &held
 	}
@@ -147,10 +152,19 @@
 	return !o.idle() && amountOf(*o.spec.Load()).limited()
 }
 
+// holds reports whether a grant of an owner is valid.
+func (o *organisation) holds(owner string, now time.Time) bool {
+	return o.grantedBy == owner && now.Before(o.grantUntil)
+}
+
 // due reports whether the owner has to hear of the usage. Demand that has grown
-// within the grant can wait until the grant is renewed.
-func (o *organisation) due(u Usage, now time.Time) bool {
-	if !now.Before(o.grantUntil) || now.Sub(o.reportedAt) >= renewAfter {
+// within the grant can wait until the owner asks; the grants of the owner are
+// renewed together.
+func (o *organisation) due(owner string, u Usage, now time.Time) bool {
+	if o.asked || !now.Before(o.grantUntil) {
+		return true
+	}
+	if (o.tight || o.grantedBy != owner) && now.Sub(o.reportedAt) >= renewAfter {
 		return true
 	}
 	return u.Demand.Tokens > max(demandRoom*o.reported.Demand.Tokens, o.grant.Tokens) ||
--- a/internal/savorypinlimit/owner.go
+++ b/internal/savorypinlimit/owner.go
@@ -42,8 +42,10 @@
 // holder is an entry that has a grant.
 type holder struct {
 	granted Amount
-	until   time.Time
-	usage   Usage
+	// tight says that the holder was told to report its usage often.
+	tight bool
+	until time.Time
+	usage Usage
 }
 
 // NewOwner returns an owner that has granted nothing. Another owner may have.
@@ -76,14 +78,92 @@
 
 // Grant answers the report of an entry. The limit of an organisation is what
 // may be granted in all.
-func (o *Owner) Grant(entry string, usages []Usage, limit func(organisation string) Amount, now time.Time) []Amount {
+func (o *Owner) Grant(entry string, report Report, limit func(organisation string) Amount, now time.Time) Answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	grants := make([]Amount, 0, len(usages))
-	for _, usage := range usages {
-		grants = append(grants, o.grant(entry, usage, limit(usage.Organisation), now))
+	var answer Answer
+	if report.Renewal != nil {
+		answer.Renewed = o.renew(entry, *report.Renewal, now)
 	}
-	return grants
+	if answer.Renewed {
+		answer.Stale = o.stale(entry, limit, now)
+	}
+	for _, usage := range report.Usages {
+		l := limit(usage.Organisation)
+		answer.Amounts = append(answer.Amounts, o.grant(entry, usage, l, now))
+		answer.Tight = append(answer.Tight, o.organisations[usage.Organisation].tighten(entry, l))
+	}
+	return answer
+}
+
+// renew keeps the grants of an entry valid if both sides know the same ones, and
+// reports whether they do.
+func (o *Owner) renew(entry string, r Renewal, now time.Time) bool {
+	for _, name := range r.Released {
+		if org := o.organisations[name]; org != nil {
+			delete(org.holders, entry)
+		}
+	}
+	var known Renewal
+	var held []*holder
+	for name, org := range o.organisations {
+		org.expire(now)
+		if h := org.holders[entry]; h != nil {
+			known.add(name, h.granted)
+			held = append(held, h)
+		}
+	}
+	if known.Grants != r.Grants || known.Sum != r.Sum {
+		return false
+	}
+	for _, h := range held {
+		h.until = now.Add(GrantTerm)
+	}
+	return true
+}
+
+// stale returns the organisations, sorted, of which the entry holds too much by
+// now, or less than it asked for and can have, or for which all entries together
+// have come to ask for more than there is.
+func (o *Owner) stale(entry string, limit func(organisation string) Amount, now time.Time) []string {
+	var names []string
+	for name, org := range o.organisations {
+		h := org.holders[entry]
+		if h == nil || h.tight || now.Before(org.holdUntil) {
+			continue
+		}
+		l := limit(name)
+		share := org.share(h, l)
+		if org.contended(l) || share.under(h.granted) || share.serves(h.usage.Demand, h.granted) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// tighten takes note of whether the holders ask for more than a limit, and tells
+// the entry.
+func (org *owned) tighten(entry string, limit Amount) bool {
+	h := org.holders[entry]
+	h.tight = org.contended(limit)
+	return h.tight
+}
+
+// contended reports whether the holders ask for more than a limit.
+func (org *owned) contended(limit Amount) bool {
+	var demand Amount
+	for _, h := range org.holders {
+		demand.Tokens += demandRoom * h.usage.Demand.Tokens
+		demand.Requests += demandRoom * h.usage.Demand.Requests
+		demand.Concurrency += h.usage.Demand.Concurrency
+	}
+	return over(demand.Tokens, limit.Tokens) || over(demand.Requests, limit.Requests) || over(demand.Concurrency, limit.Concurrency)
+}
+
+// over reports whether a demand exceeds a limit; zero is no limit.
+func over[T float32 | int](demand, limit T) bool {
+	return limit > 0 && demand > limit
 }
 
 func (o *Owner) grant(entry string, usage Usage, limit Amount, now time.Time) Amount {
--- a/internal/savorypinslopes/limit.go
+++ b/internal/savorypinslopes/limit.go
@@ -7,6 +7,7 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinmember"
+	"savorypin/internal/savorypinrank"
 )
 
 // Sizes of the measurement of limits.
@@ -23,48 +24,72 @@
 	limitTime = 30 * time.Second
 )
 
+// Limits of an organisation: ample for what it asks for at all entries, and so
+// tight that each entry has to tell what is asked for again and again.
+var (
+	ampleLimits = savorypin.OrganisationSpec{RequestsPerSecond: 100, TokensPerSecond: 10_000}
+	tightLimits = savorypin.OrganisationSpec{RequestsPerSecond: 0.1, TokensPerSecond: 10}
+)
+
 // Limit measures what an entry sends and receives to hold the limits of
 // organisations over all entries, where all of them are active at it. It drives
-// the real limiter and owner on a clock of its own.
+// the real limiter and owners on a clock of its own.
 func Limit(members int) []Row {
 	organisations := limitOrganisations * members / limitMembers
-	specs := map[string]savorypin.OrganisationSpec{}
-	for i := range organisations {
-		specs[fmt.Sprintf("organisation-%04d", i)] = savorypin.OrganisationSpec{RequestsPerSecond: 100, TokensPerSecond: 10_000}
+	rows := []Row{
+		{Name: "active organisations", Unit: "organisations", Value: float64(organisations)},
+		{Name: "usage and grants", Unit: "B/s", Value: limitBytes(members, organisations, ampleLimits)},
+		{Name: "the same, all limits reached", Unit: "B/s", Value: limitBytes(members, organisations, tightLimits)},
 	}
-	now := time.Unix(1_800_000_000, 0)
-	m := &limitMeter{
-		limiter: savorypinlimit.NewLimiter(savorypinlimit.Config{Count: func(string, int64) {}, Now: func() time.Time { return now }}),
-		owner:   savorypinlimit.NewOwner(now),
-		specs:   specs,
+	for i := range rows {
+		rows[i].Members = members
 	}
-	m.limiter.Configure(specs)
+	return rows
+}
+
+// limitBytes returns the bytes a second that one entry exchanges for
+// organisations that each have the given limits.
+func limitBytes(members, organisations int, limits savorypin.OrganisationSpec) float64 {
+	now := time.Unix(1_800_000_000, 0)
+	m := newLimitMeter(organisations, limits, func() time.Time { return now })
 	half := now.Add(limitTime)
 	for end := half.Add(limitTime); now.Before(end); now = now.Add(savorypinlimit.ExchangeInterval) {
-		if now.Equal(half) || (now.Before(half) && !now.Add(savorypinlimit.ExchangeInterval).Before(half)) {
-			m.bytes, m.frames = 0, 0
+		if now.Before(half) {
+			m.bytes = 0
 		}
 		m.request(float64(members) / limitMembers)
 		m.exchange(now)
 	}
-	rows := []Row{
-		{Name: "active organisations", Unit: "organisations", Value: float64(organisations)},
-		{Name: "usage and grants", Unit: "B/s", Value: float64(m.bytes) / limitTime.Seconds()},
+	return float64(m.bytes) / limitTime.Seconds()
+}
+
+// newLimitMeter returns a meter of an entry that has not exchanged anything.
+func newLimitMeter(organisations int, limits savorypin.OrganisationSpec, now func() time.Time) *limitMeter {
+	m := &limitMeter{
+		limiter: savorypinlimit.NewLimiter(savorypinlimit.Config{Count: func(string, int64) {}, Now: now}),
+		owners:  map[string]*savorypinlimit.Owner{},
+		specs:   map[string]savorypin.OrganisationSpec{},
 	}
-	for i := range rows {
-		rows[i].Members = members
+	for i := range organisations {
+		m.specs[fmt.Sprintf("organisation-%04d", i)] = limits
 	}
-	return rows
+	for i := range limitEntries {
+		name := fmt.Sprintf("entry-%02d", i)
+		m.entries = append(m.entries, name)
+		m.owners[name] = savorypinlimit.NewOwner(now())
+	}
+	m.limiter.Configure(m.specs)
+	return m
 }
 
 // limitMeter counts what one entry exchanges with the owners of limits.
 type limitMeter struct {
 	bytes   int
 	credit  float64
-	frames  int
+	entries []string
 	limiter *savorypinlimit.Limiter
 	next    int
-	owner   *savorypinlimit.Owner
+	owners  map[string]*savorypinlimit.Owner
 	specs   map[string]savorypin.OrganisationSpec
 }
 
@@ -82,14 +107,16 @@
 }
 
 func (m *limitMeter) exchange(now time.Time) {
-	due := m.limiter.Tick(limitEntries, func(string) string { return "owner" })
-	for owner, usages := range due {
-		grants := m.owner.Grant("entry", usages, func(organisation string) savorypinlimit.Amount {
+	due := m.limiter.Tick(limitEntries, func(organisation string) string {
+		return savorypinrank.Names(organisation, m.entries)[0]
+	})
+	for name, report := range due {
+		answer := m.owners[name].Grant("entry", report, func(organisation string) savorypinlimit.Amount {
 			return savorypinlimit.LimitOf(m.specs[organisation], 1)
 		}, now)
-		m.count(savorypinmember.Usage{Organisations: usages})
-		m.count(savorypinmember.Grants{Amounts: grants})
-		m.limiter.Granted(owner, usages, grants, now)
+		m.count(savorypinmember.Usage{Organisations: report.Usages, Renewal: report.Renewal})
+		m.count(savorypinmember.NewGrants(answer))
+		m.limiter.Granted(name, report, answer, now)
 	}
 }
 
@@ -97,6 +124,5 @@
 	data, err := savorypinmember.EncodeFrame(savorypinmember.FrameUsage, 1, message)
 	if err == nil {
 		m.bytes += len(data)
-		m.frames++
 	}
 }
--- a/internal/savorypinslopes/measure_test.go
+++ b/internal/savorypinslopes/measure_test.go
@@ -1,8 +1,6 @@
 package savorypinslopes_test
 
 import (
-	"os"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -32,9 +30,6 @@
 	})
 
 	It("leaves an entry room for the limits of all organisations", func() {
-		if os.Getenv("SAVORYPIN_KNOWN_RED") == "" {
-			Skip("fails at the target size; see KNOWN-RED.txt")
-		}
 		control := valueOf(savorypinslopes.Control(targetMembers), "the same, worst daemon")
 		limits := valueOf(savorypinslopes.Limit(targetMembers), "usage and grants")
 		// An entry reports to the owners, and is an owner itself.
