Count work right at endpoints that lapse; drop what nothing reads

Change: what is known stays until no gateway has work there. The line gives what waited before. Every stands in a package of its own, savorypinloop, and the two loops that repeated it call it. Fields and settings that were decoded and never read are gone.

--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -16,6 +16,7 @@
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincontroller"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinoperator"
 )
@@ -155,7 +156,7 @@
 }
 
 func (a *Agent) sweepLoop(ctx context.Context) {
-	savorypindaemon.Every(ctx, time.Second, func() {
+	savorypinloop.Every(ctx, time.Second, func() {
 		a.sweepGenerations(time.Now())
 		a.attempts.Sweep()
 	})
--- a/internal/savorypinagent/endpoint.go
+++ b/internal/savorypinagent/endpoint.go
@@ -10,8 +10,8 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
-	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinendpoint"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinorder"
 	"savorypin/internal/savorypinroute"
 )
@@ -73,7 +73,7 @@
 
 func (e *endpoint) pollLoop(ctx context.Context, config func() *savorypinconfig.Snapshot) {
 	e.poll(ctx, config())
-	savorypindaemon.Every(ctx, pollInterval, func() { e.poll(ctx, config()) })
+	savorypinloop.Every(ctx, pollInterval, func() { e.poll(ctx, config()) })
 }
 
 func (e *endpoint) poll(ctx context.Context, config *savorypinconfig.Snapshot) {
--- a/internal/savorypincontroller/movelead.go
+++ b/internal/savorypincontroller/movelead.go
@@ -10,15 +10,15 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
-	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinlease"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmove"
 )
 
 // loop evaluates, decides and spreads verdicts until ctx ends.
 func (c *Moves) loop(ctx context.Context) {
 	c.tick(ctx)
-	savorypindaemon.Every(ctx, tickInterval, func() { c.tick(ctx) })
+	savorypinloop.Every(ctx, tickInterval, func() { c.tick(ctx) })
 }
 
 func (c *Moves) tick(ctx context.Context) {
--- a/internal/savorypincontroller/placement.go
+++ b/internal/savorypincontroller/placement.go
@@ -12,6 +12,7 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinlease"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinmove"
 	"savorypin/internal/savorypinplacement"
@@ -96,7 +97,7 @@
 }
 
 func (p *Placement) loop(ctx context.Context) {
-	savorypindaemon.Every(ctx, placementInterval, func() { p.tick(ctx) })
+	savorypinloop.Every(ctx, placementInterval, func() { p.tick(ctx) })
 }
 
 // tick looks at every generating service. A daemon that was paused waits until
--- a/internal/savorypindaemon/beat.go
+++ b/internal/savorypindaemon/beat.go
@@ -8,6 +8,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinmembership"
 )
@@ -97,7 +98,7 @@
 }
 
 func (d *Daemon) beatLoop(ctx context.Context) {
-	Every(ctx, savorypinmembership.TickInterval, func() { d.beat(ctx) })
+	savorypinloop.Every(ctx, savorypinmembership.TickInterval, func() { d.beat(ctx) })
 }
 
 // beat lets the membership go on and sends what it wants to send.
--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -11,8 +11,8 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinconfig"
-	"savorypin/internal/savorypindaemon"
 	"savorypin/internal/savorypinlimit"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinrank"
 )
@@ -79,7 +79,7 @@
 func (l *limits) loop(ctx context.Context) {
 	defer l.wg.Wait()
 	l.exchange(ctx)
-	savorypindaemon.Every(ctx, savorypinlimit.ExchangeInterval, func() { l.exchange(ctx) })
+	savorypinloop.Every(ctx, savorypinlimit.ExchangeInterval, func() { l.exchange(ctx) })
 }
 
 // exchange reports what is due to the owners.
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -9,7 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinresume"
 )
 
@@ -37,10 +37,10 @@
 	metrics.NewRegisteredFunctionalGauge("answers.limit", registry, func() int64 { return int64(e.memory.Limit()) })
 	metrics.NewRegisteredFunctionalGauge("resume.waiting", registry, func() int64 { return int64(e.gate.Waiting()) })
 	e.daemon.Background(func(ctx context.Context) {
-		savorypindaemon.Every(ctx, sweepInterval, func() { e.sweep(time.Now()) })
+		savorypinloop.Every(ctx, sweepInterval, func() { e.sweep(time.Now()) })
 	})
 	e.daemon.Background(func(ctx context.Context) {
-		savorypindaemon.Every(ctx, gateInterval, e.gate.Tick)
+		savorypinloop.Every(ctx, gateInterval, e.gate.Tick)
 	})
 }
 
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -11,7 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmember"
 	"savorypin/internal/savorypinroute"
 )
@@ -87,7 +87,7 @@
 func (e *Entry) routeLoop(ctx context.Context) {
 	refresh := func() { e.router.Refresh(e.daemon.Members()) }
 	refresh()
-	savorypindaemon.Every(ctx, routeRefresh, refresh)
+	savorypinloop.Every(ctx, routeRefresh, refresh)
 }
 
 // place chooses the endpoint for new work whose caller waits for the given
--- a/internal/savorypinevent/log.go
+++ b/internal/savorypinevent/log.go
@@ -7,6 +7,8 @@
 
 	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
+
+	"savorypin/internal/savorypinloop"
 )
 
 // Bounds on the volume, for each kind of event.
@@ -102,14 +104,6 @@
 
 // Run tells from time to time how many lines were left out, until ctx ends.
 func (l *Log) Run(ctx context.Context) error {
-	ticker := time.NewTicker(leftOutInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			l.TellLeftOut()
-		}
-	}
+	savorypinloop.Every(ctx, leftOutInterval, l.TellLeftOut)
+	return ctx.Err()
 }
--- a/internal/savorypinfleet/configuration.go
+++ b/internal/savorypinfleet/configuration.go
@@ -105,14 +105,8 @@
 	// Backups says that engines can send the memory of a run to another engine.
 	Backups bool
 	// Engine says that the service consists of model engines.
-	Engine     bool
-	HealthPath string
-	// MaxConns is the number of connections that an endpoint accepts from all
-	// gateways together.
-	MaxConns int
-	// MemoryTokens is the number of tokens that the memory of an engine holds.
-	MemoryTokens int
-	Name         string
+	Engine bool
+	Name   string
 	// Slots is the number of requests that an engine runs at once.
 	Slots int
 }
@@ -133,15 +127,6 @@
 // Engine reports whether the service consists of model engines.
 func (s *Service) Engine() bool { return s.cfg.Engine }
 
-// HealthPath is the path of the endpoints' health check.
-func (s *Service) HealthPath() string { return s.cfg.HealthPath }
-
-// MaxConns bounds the connections to an endpoint, over all gateways.
-func (s *Service) MaxConns() int { return s.cfg.MaxConns }
-
-// MemoryTokens is the number of tokens that an engine can hold.
-func (s *Service) MemoryTokens() int { return s.cfg.MemoryTokens }
-
 // Name names the service.
 func (s *Service) Name() string { return s.cfg.Name }
 
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -28,6 +28,7 @@
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinhazard"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmetrics"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinplatform"
@@ -226,22 +227,18 @@
 const sweepInterval = 2 * time.Second
 
 func (g *Gateway) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for n := 1; ; n++ {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			if n%reloadSweeps == 0 {
-				g.Reload()
-			}
-			g.pool.Sweep()
-			g.picker.Forget(g.view.directory.Load())
-			g.notePeers()
-			g.noteReadiness()
+	sweeps := 0
+	savorypinloop.Every(ctx, sweepInterval, func() {
+		sweeps++
+		if sweeps%reloadSweeps == 0 {
+			g.Reload()
 		}
-	}
+		g.pool.Sweep()
+		g.picker.Forget(g.view.directory.Load())
+		g.notePeers()
+		g.noteReadiness()
+	})
+	return ctx.Err()
 }
 
 // directoryChanged closes idle connections to endpoints that have left, and
--- a/internal/savorypingateway/settings.go
+++ b/internal/savorypingateway/settings.go
@@ -44,8 +44,6 @@
 	// RevocationDelay is the time after which a key that was taken away must not
 	// be served.
 	RevocationDelay time.Duration
-	// RollbackDelay is the time after which a bad version gets nothing.
-	RollbackDelay time.Duration
 	// Seeds are IP addresses of hosts where there may be gateways.
 	Seeds []string
 	// Store is the base URL of the object store.
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -189,6 +189,7 @@
 	if restore || g.picker.HasRead(e, s.req.call.Prompt) {
 		tokens = 0
 	}
+	waiting := g.picker.Waiting(e)
 	work := g.picker.Begin(e, backup, tokens)
 	defer work.End()
 	w := g.watch(ctx, s.req, e, conn)
@@ -201,7 +202,7 @@
 	if s.last > 0 {
 		a.Priority = resumePriority
 	}
-	s.logSent(a)
+	s.logSent(a, waiting)
 	began := time.Now()
 	g.rollouts.Sent(e.Service(), e.Version())
 	err = s.exchange(conn, a, w, work.Read)
--- a/internal/savorypingateway/streamlog.go
+++ b/internal/savorypingateway/streamlog.go
@@ -15,8 +15,9 @@
 	})
 }
 
-// logSent logs where the stream is sent and what decided that.
-func (s *stream) logSent(a savorypinfleet.Attempt) {
+// logSent logs where the stream is sent and what decided that. Waiting is the
+// number of prompt tokens that waited there.
+func (s *stream) logSent(a savorypinfleet.Attempt, waiting int) {
 	backup := ""
 	if a.Backup != nil {
 		backup = a.Backup.ID()
@@ -25,6 +26,6 @@
 	g.log.Emit(savorypinevent.StreamSent{
 		Age: time.Since(s.req.arrived), Attempt: s.sent, Backup: backup, DirectoryAge: g.store.age(g.cfg.Objects.EndpointKind),
 		Domain: a.Endpoint.Domain(), Endpoint: a.Endpoint.ID(), Event: s.last, ID: s.req.call.ID, Restored: a.Restore,
-		Waiting: g.picker.Waiting(a.Endpoint) - s.req.call.PromptTokens,
+		Waiting: waiting,
 	})
 }
--- a/internal/savorypindaemon/every.go
+++ b/internal/savorypinloop/loop.go
@@ -1,4 +1,5 @@
-package savorypindaemon
+// Package savorypinloop repeats work in intervals.
+package savorypinloop
 
 import (
 	"context"
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -316,12 +316,21 @@
 	return int(l.waiting.Load() + l.othersWaiting.Load())
 }
 
-// Forget drops what is known of endpoints that are not in the directory.
+// Forget drops what is known of endpoints that are not in the directory and have
+// no work. Counts of work have to stay until the work ends: an entry that lapsed
+// may come back, and what is taken off then must have been added here.
 func (p *Picker) Forget(d *savorypinfleet.Directory) {
-	p.loads.Range(func(id, _ any) bool {
-		if d.Endpoint(id.(string)) == nil {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads.Range(func(id, value any) bool {
+		if d.Endpoint(id.(string)) == nil && value.(*load).idle() {
 			p.loads.Delete(id)
 		}
 		return true
 	})
 }
+
+// idle reports whether no gateway has work at the endpoint.
+func (l *load) idle() bool {
+	return l.backups.Load() == 0 && l.running.Load() == 0 && l.othersRunning.Load() == 0
+}
--- a/internal/savorypinpick/picker_test.go
+++ b/internal/savorypinpick/picker_test.go
@@ -103,6 +103,15 @@
 		Expect(f.shares(4)).To(Equal(map[string]int{"a": 2, "b": 2}))
 	})
 
+	It("count right at an endpoint whose entry lapsed and came back", func() {
+		f := newFleet()
+		e := f.endpoints[0]
+		f.picker.SetLoads("other", []savorypinpick.Load{{Endpoint: e.ID(), Running: 1, Waiting: promptTokens}})
+		f.picker.Forget(savorypinfleet.NewDirectory(f.endpoints[1:]))
+		f.picker.SetLoads("other", nil)
+		Expect(f.picker.Waiting(e)).To(BeZero())
+	})
+
 	It("go back to the endpoint that has read the prompt, whichever gateway gets them", func() {
 		for prompt := range 20 {
 			one, two := newFleet(), newFleet()
