Bound the calls to a store that fails over all gateways and kinds

Change: savorypinoutage.Gate lets one call at a time through to a store whose last call failed. The pause doubles up to a bound that grows with the gateways; readers try each 0.6 s at the most, and the others go on when they hear from those that the store is back. What those that do not read may call by themselves is spread over a fifth of their limit.

--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -118,6 +118,7 @@
 	g.store = newStore(cfg, &g.view, g.counters)
 	g.store.changed = g.directoryChanged
 	g.store.news = g.gossip.Hurry
+	g.store.gateways = g.gateways
 	g.store.reader = g.reader
 	g.rollouts = savorypinrollout.New(savorypinrollout.Config{
 		Gateways: g.gateways,
--- a/internal/savorypingateway/prompts.go
+++ b/internal/savorypingateway/prompts.go
@@ -34,7 +34,7 @@
 		if err := wait(ctx, promptsInterval); err != nil {
 			return err
 		}
-		if readers := g.peers.Readers(); readers[0] == g.address() {
+		if readers := g.peers.Readers(); readers[0] == g.address() && !g.store.gate.Failing() {
 			g.writePrompts(ctx)
 		}
 	}
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -3,18 +3,19 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/sync/errgroup"
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinmirror"
+	"savorypin/internal/savorypinoutage"
 	"savorypin/internal/savorypinplatform"
 )
 
@@ -33,13 +34,9 @@
 	// rolloutLimit is how late news of roll-outs may be: versions that no roll-out
 	// names get nothing anyway.
 	rolloutLimit = 6 * time.Second
-	// storePause is the time after a first failed call; it grows with each further
-	// one.
-	storePause = 300 * time.Millisecond
-	// readerPauseMost and pauseMost bound that time, for those that read for all
-	// and for the others, which hear from those when the store is back.
-	readerPauseMost = 600 * time.Millisecond
-	pauseMost       = 3 * time.Second
+	// limitSpread is the part of a limit over which the calls of those that do not
+	// read are spread.
+	limitSpread = 0.2
 	// lookInterval is how often a gateway that does not read looks whether it has
 	// to.
 	lookInterval = 100 * time.Millisecond
@@ -81,6 +78,11 @@
 	// news is called when a copy has changed, so that others hear of it.
 	news func()
 
+	// gate bounds the calls while the store fails.
+	gate *savorypinoutage.Gate
+	// gateways returns the number of gateways.
+	gateways func() int
+
 	mu       sync.Mutex
 	fetching map[savorypin.Kind]bool
 	lost     bool
@@ -103,6 +105,7 @@
 			URL:        cfg.Settings.Store,
 		}),
 		fetching: map[savorypin.Kind]bool{},
+		gate:     savorypinoutage.New(),
 		log:      cfg.Log,
 		mirrors:  map[savorypin.Kind]*savorypinmirror.Mirror{},
 		view:     v,
@@ -141,29 +144,15 @@
 	return bootClock() - s.mirrors[kind].State().Confirmed
 }
 
-// newPause returns the growing time after failed calls.
-func newPause() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = storePause
-	b.MaxInterval = pauseMost
-	return b
-}
-
-// pauseAfterFailure waits after a failed call.
-func (s *store) pauseAfterFailure(ctx context.Context, b *backoff.ExponentialBackOff) error {
-	pause := b.NextBackOff()
-	if s.reader() {
-		pause = min(pause, readerPauseMost)
-	}
-	return wait(ctx, pause)
-}
-
-// due waits until this gateway has to read a kind: as a reader when the copy is
-// older than interval, else when it is older than limit.
+// due waits until this gateway has to read a kind, as a reader when the copy is
+// older than interval, else when it is older than limit, and may call the store.
 func (s *store) due(ctx context.Context, kind savorypin.Kind, interval, limit time.Duration) error {
+	// Those that do not read would all call at the same moment; one answer
+	// suffices for all.
+	limit += time.Duration(rand.Float64() * limitSpread * float64(limit))
 	for {
 		age := s.age(kind)
-		if age >= limit || age >= interval && s.reader() {
+		if (age >= limit || age >= interval && s.reader()) && s.gate.Enter(bootClock(), s.confirmed(), s.reader()) {
 			return ctx.Err()
 		}
 		if err := wait(ctx, lookInterval); err != nil {
@@ -175,25 +164,32 @@
 // followConfiguration reads the configuration again and again, since a watch
 // that waits confirms nothing.
 func (s *store) followConfiguration(ctx context.Context, interval, limit time.Duration) error {
-	failing := newPause()
 	for {
 		if err := s.due(ctx, s.cfg.Objects.Configuration.Kind, interval, limit); err != nil {
 			return err
 		}
-		err := s.readConfiguration(ctx)
-		s.noteStore(err)
-		if err == nil {
-			failing.Reset()
-			continue
-		}
-		if err := s.pauseAfterFailure(ctx, failing); err != nil {
-			return err
-		}
+		s.noteStore(s.readConfiguration(ctx))
+	}
+}
+
+// confirmed is when the store last answered this gateway or, as far as it knows,
+// another one.
+func (s *store) confirmed() time.Duration {
+	var last time.Duration
+	for _, mirror := range s.mirrors {
+		last = max(last, mirror.State().Confirmed)
 	}
+	return last
 }
 
-// noteStore logs when the store is lost and regained.
+// noteStore takes note of how a call ended, and logs when the store is lost and
+// regained.
 func (s *store) noteStore(err error) {
+	if err == nil {
+		s.gate.Succeeded()
+	} else {
+		s.gate.Failed(bootClock(), s.gateways())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if (err != nil) == s.lost {
@@ -227,19 +223,15 @@
 // followKind lists a kind and watches it, and lists it anew when the store has
 // dropped the history that the watch needs.
 func (s *store) followKind(ctx context.Context, kind savorypin.Kind, limit time.Duration) error {
-	failing := newPause()
 	for {
 		if err := s.due(ctx, kind, 0, limit); err != nil {
 			return err
 		}
-		if err := s.read(ctx, kind, time.Duration(watchPart*float64(limit))); err != nil {
+		err := s.read(ctx, kind, time.Duration(watchPart*float64(limit)))
+		s.noteStore(err)
+		if err != nil {
 			s.log.Debug("kind not read", "kind", kind, "err", err)
-			if err := s.pauseAfterFailure(ctx, failing); err != nil {
-				return err
-			}
-			continue
 		}
-		failing.Reset()
 		if err := wait(ctx, watchPause); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/savorypinoutage/suite_test.go
@@ -0,0 +1,13 @@
+package savorypinoutage_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func Test(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "savorypinoutage")
+}
