--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -168,7 +168,7 @@
 		if err := s.due(ctx, s.cfg.Objects.Configuration.Kind, interval, limit); err != nil {
 			return err
 		}
-		s.noteStore(s.readConfiguration(ctx))
+		s.noteStore(ctx, s.readConfiguration(ctx))
 	}
 }
 
@@ -184,7 +184,11 @@
 
 // noteStore takes note of how a call ended, and logs when the store is lost and
 // regained.
-func (s *store) noteStore(err error) {
+func (s *store) noteStore(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		// The call was given up here.
+		return
+	}
 	if err == nil {
 		s.gate.Succeeded()
 	} else {
@@ -228,7 +232,7 @@
 			return err
 		}
 		err := s.read(ctx, kind, time.Duration(watchPart*float64(limit)))
-		s.noteStore(err)
+		s.noteStore(ctx, err)
 		if err != nil {
 			s.log.Debug("kind not read", "kind", kind, "err", err)
 		}
