Ask the other entries before a key is told not run in an outage

TestAbsentKeyDuringOutage plays it: claimed by another daemon, tried by one without an answer, a daemon that cannot be asked. All three were told "not claimed".

Change: before it says so, the committer asks all other entries (frame "head") whether they have tried to write the shard from where it has read, and since when they run. If one has, has started since, or does not answer, the key is unknown. Claims that wait at one moment share a question: at most 4 for 40 claims (test). The number of the next segment and the time of the last read are now written under the lock under which claims read them.

Price: while an entry is dead, keys are told unknown rather than not run in an outage.

--- /dev/null
+++ b/internal/savorypinclaim/alone_test.go
@@ -0,0 +1,110 @@
+package savorypinclaim_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"savorypin/internal/savorypinclaim"
+)
+
+var errAhead = errors.New("another daemon may have written")
+
+// TestAbsentKeyDuringOutage claims a key during an outage at the daemon that
+// commits for all, right after another daemon that could not reach it may have
+// committed the same key by itself.
+func TestAbsentKeyDuringOutage(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// other is what the other daemon does before or during the outage.
+		other   func(ctx context.Context, f *fakeStore, other *savorypinclaim.Shard)
+		reached bool
+		notRun  bool
+	}{
+		{"nothing", func(_ context.Context, f *fakeStore, _ *savorypinclaim.Shard) { f.setOut(true) }, true, true},
+		{"it cannot be asked", func(_ context.Context, f *fakeStore, _ *savorypinclaim.Shard) { f.setOut(true) }, false, false},
+		{"it claims the key", func(ctx context.Context, f *fakeStore, other *savorypinclaim.Shard) {
+			v, err := other.Claim(ctx, claimOf(keyOf(1), "other"))
+			if err != nil || v.Kind != savorypinclaim.VerdictGranted {
+				t.Fatalf("claim by the other daemon: %v %v", v.Kind, err)
+			}
+			f.setOut(true)
+		}, true, false},
+		{"it tries to, without an answer", func(ctx context.Context, f *fakeStore, other *savorypinclaim.Shard) {
+			f.setOut(true)
+			if _, err := other.Claim(ctx, claimOf(keyOf(1), "other")); err == nil {
+				t.Fatal("claim during an outage is granted")
+			}
+		}, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := newFakeStore(1)
+				other := savorypinclaim.NewShard(shardConfig(f.store(func() {})))
+				cfg := shardConfig(f.store(func() {}))
+				cfg.Trusted = func() bool { return true }
+				cfg.Alone = func(_ context.Context, _ int, next uint64, _ time.Duration) error {
+					if !tc.reached || other.Tried() >= next {
+						return errAhead
+					}
+					return nil
+				}
+				committer := savorypinclaim.NewShard(cfg)
+				go committer.Run(ctx)
+				go other.Run(ctx)
+				claimAll(ctx, t, committer, 100, 101)
+				claimAll(ctx, t, other, 200, 201)
+				// The committer reads what the other one has written.
+				time.Sleep(5 * time.Second)
+				tc.other(ctx, f, other)
+				v, err := committer.Claim(ctx, claimOf(keyOf(1), "repeat"))
+				if err == nil || errors.Is(err, savorypinclaim.ErrNotClaimed) != tc.notRun {
+					t.Errorf("%+v, %v, want not run: %t", v, err, tc.notRun)
+				}
+			})
+		})
+	}
+}
+
+// TestRoundsShareQuestions lets many callers ask at once: each gets an answer that
+// was begun after it asked, and the questions are few.
+func TestRoundsShareQuestions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFakeStore(1)
+		var asked atomic.Int64
+		cfg := shardConfig(f.store(func() {}))
+		cfg.Trusted = func() bool { return true }
+		cfg.Alone = func(context.Context, int, uint64, time.Duration) error {
+			asked.Add(1)
+			time.Sleep(20 * time.Millisecond)
+			return nil
+		}
+		s := savorypinclaim.NewShard(cfg)
+		go s.Run(ctx)
+		claimAll(ctx, t, s, 100, 101)
+		f.setOut(true)
+		const claims = 40
+		results := make(chan error, claims)
+		for i := range claims {
+			go func() {
+				_, err := s.Claim(ctx, claimOf(keyOf(i), "first"))
+				results <- err
+			}()
+		}
+		for range claims {
+			if err := <-results; !errors.Is(err, savorypinclaim.ErrNotClaimed) {
+				t.Errorf("claim during an outage: %v", err)
+			}
+		}
+		if n := asked.Load(); n > claims/10 {
+			t.Errorf("%d questions for %d claims at once", n, claims)
+		}
+	})
+}
--- a/internal/savorypinclaim/load.go
+++ b/internal/savorypinclaim/load.go
@@ -153,7 +153,7 @@
 			return err
 		}
 		if s.next == before || s.next%pageSegments != 1 {
-			s.fresh = s.cfg.Now()
+			s.refreshed()
 			s.relearn()
 			return nil
 		}
@@ -168,9 +168,9 @@
 		s.mu.Lock()
 		s.index.ApplyPage(page)
 		s.keys.Store(int64(s.index.Len()))
+		s.next = number*pageSegments + 1
 		s.notify()
 		s.mu.Unlock()
-		s.next = number*pageSegments + 1
 		s.pages = append(s.pages, pageTime{at: page.At, number: number})
 		s.separate = nil
 	})
--- a/internal/savorypinclaim/shard.go
+++ b/internal/savorypinclaim/shard.go
@@ -34,6 +34,10 @@
 
 // ShardConfig configures a Shard.
 type ShardConfig struct {
+	// Alone returns an error unless all other daemons say that they have neither
+	// written nor tried to write a segment from next on, and that they would know
+	// of one within a time that has passed; nil if there are no others.
+	Alone func(ctx context.Context, shard int, next uint64, within time.Duration) error
 	// Count adds to a counter.
 	Count func(name string, n int64)
 	// Interval is the shortest time between two segments.
@@ -68,6 +72,10 @@
 type decision struct {
 	verdict Verdict
 	err     error
+	// fresh and next say up to where the shard was read: ErrNotClaimed is only true
+	// if no other daemon has gone on from there.
+	fresh time.Time
+	next  uint64
 }
 
 // Shard commits the claims of a shard in groups. Any number of daemons may do
@@ -77,24 +85,29 @@
 	keys atomic.Int64
 	wake chan struct{}
 
-	// Only Run and Step use these. fresh is when the shard was last known to
-	// be read to its end.
+	alone rounds
+	// tried is the number of the last segment that this daemon tried to write.
+	tried atomic.Uint64
+
+	// Only Run and Step use these.
 	duePages    []duePage
-	fresh       time.Time
 	last        time.Time
 	mark        Mark
 	markVersion int64
-	next        uint64
 	pages       []pageTime
 	separate    []string
 	sweep       sweep
 
-	mu          sync.Mutex
-	changed     chan struct{}
-	committing  int
-	failing     bool
+	mu         sync.Mutex
+	changed    chan struct{}
+	committing int
+	failing    bool
+	// fresh is when the shard was last known to be read to its end, and next the
+	// number of the segment after that. Only Run and Step write them.
+	fresh       time.Time
 	index       *Index
 	loaded      bool
+	next        uint64
 	settlements []Settlement
 	// stale says that the shard was not fresh when the platform failed.
 	stale   bool
@@ -121,7 +134,7 @@
 	if len(s.waiters) >= maxWaitingClaims {
 		s.mu.Unlock()
 		d := s.undecided(c, fmt.Errorf("shard %d: %w: too many claims wait", s.cfg.Number, ErrUnavailable))
-		return d.verdict, d.err
+		return d.verdict, s.confirm(ctx, d)
 	}
 	s.waiters = append(s.waiters, w)
 	s.mu.Unlock()
@@ -129,7 +142,7 @@
 	select {
 	case d := <-w.done:
 		if d.err != nil {
-			return d.verdict, d.err
+			return d.verdict, s.confirm(ctx, d)
 		}
 		return s.withAnswer(ctx, c.Key, d.verdict)
 	case <-ctx.Done():
@@ -137,6 +150,28 @@
 	}
 }
 
+// confirm returns the error of a decision. That a key is not claimed is only true
+// if no other daemon has claimed it since this one has read the shard: one that
+// could not reach this daemon commits by itself.
+func (s *Shard) confirm(ctx context.Context, d decision) error {
+	if s.cfg.Alone == nil || !errors.Is(d.err, ErrNotClaimed) {
+		return d.err
+	}
+	err := s.alone.ask(func() error {
+		return s.cfg.Alone(context.WithoutCancel(ctx), s.cfg.Number, d.next, s.cfg.Now().Sub(d.fresh))
+	})
+	if err != nil {
+		return fmt.Errorf("shard %d: %w: %w", s.cfg.Number, ErrUnavailable, err)
+	}
+	return d.err
+}
+
+// Tried returns the number of the last segment that this daemon has tried to
+// write; zero if it has tried none.
+func (s *Shard) Tried() uint64 {
+	return s.tried.Load()
+}
+
 // Settle takes note of the outcome of an attempt. It is known here at once and
 // durable with one of the next segments.
 func (s *Shard) Settle(settlement Settlement) {
@@ -316,7 +351,9 @@
 	if !s.loaded || s.stale || !s.cfg.Trusted() || errors.Is(err, context.Canceled) {
 		return decision{err: err}
 	}
-	return decision{err: fmt.Errorf("%w: %w", ErrNotClaimed, err)}
+	return decision{
+		err: fmt.Errorf("%w: %w", ErrNotClaimed, err), fresh: s.fresh, next: s.next,
+	}
 }
 
 // commit decides claims and writes what has to be durable.
@@ -358,6 +395,7 @@
 		return false, err
 	}
 	s.cfg.Count("segments", 1)
+	s.tried.Store(segment.Number)
 	won := true
 	if _, err := s.cfg.Store.Create(ctx, o); err != nil {
 		// The answer of the write may be lost; the order id tells whose it is.
@@ -376,7 +414,7 @@
 	}
 	s.apply(segment)
 	if won {
-		s.fresh = s.cfg.Now()
+		s.refreshed()
 		return true, nil
 	}
 	return false, s.catchUp(ctx)
@@ -386,9 +424,9 @@
 	s.mu.Lock()
 	s.index.Apply(segment)
 	s.keys.Store(int64(s.index.Len()))
+	s.next = segment.Number + 1
 	s.notify()
 	s.mu.Unlock()
-	s.next = segment.Number + 1
 	for _, settlement := range segment.Settlements {
 		if settlement.Answer != nil && settlement.Answer.Separate {
 			s.separate = append(s.separate, settlement.Attempt)
@@ -399,6 +437,13 @@
 	}
 }
 
+// refreshed takes note that the shard is read to its end.
+func (s *Shard) refreshed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fresh = s.cfg.Now()
+}
+
 // notify wakes those that await an outcome. The caller holds s.mu.
 func (s *Shard) notify() {
 	close(s.changed)
--- a/internal/savorypinclaim/shardset.go
+++ b/internal/savorypinclaim/shardset.go
@@ -115,6 +115,12 @@
 	set.shards[shard].Run(ctx)
 }
 
+// Tried returns the number of the last segment of a shard that this daemon has
+// tried to write; zero if it has tried none.
+func (set *ShardSet) Tried(shard int) uint64 {
+	return set.shards[shard].Tried()
+}
+
 // Shard returns the shard of a key.
 func (set *ShardSet) Shard(key KeyID) *Shard {
 	return set.shards[key.Shard()]
--- a/internal/savorypinentry/callclaims.go
+++ b/internal/savorypinentry/callclaims.go
@@ -40,6 +40,7 @@
 		Owner:   e.shardOwner,
 		Settle:  e.remoteSettle,
 		Shard: savorypinclaim.ShardConfig{
+			Alone:       e.aloneAt,
 			Count:       e.countClaims,
 			Interval:    claimInterval,
 			NewOrder:    uuid.NewString,
@@ -66,6 +67,7 @@
 	})
 	e.daemon.Handle(savorypinmember.FrameAwait, savorypinmember.HandleCall(e.handleAwait))
 	e.daemon.Handle(savorypinmember.FrameClaim, savorypinmember.HandleCall(e.handleClaim))
+	e.daemon.Handle(savorypinmember.FrameHead, savorypinmember.HandleCall(e.handleHead))
 	e.daemon.Handle(savorypinmember.FrameSettle, savorypinmember.HandleCall(e.handleSettle))
 	var end context.CancelFunc
 	e.life, end = context.WithCancel(context.Background())
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -66,6 +66,7 @@
 	retries    *retryPolicies
 	runner     *savorypinclaim.Runner
 	settling   atomic.Int64
+	started    time.Time
 	suspects   suspects
 
 	routing
@@ -99,6 +100,7 @@
 		moves:   newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
 		relays:  map[savorypin.GenerationID]*Relay{},
 		retries: newRetryPolicies(),
+		started: time.Now(),
 	}
 	e.registerGenerations()
 	e.routing = newRouting(e)
--- a/internal/savorypinmember/callmessages.go
+++ b/internal/savorypinmember/callmessages.go
@@ -17,10 +17,26 @@
 	FrameCall FrameKind = "call"
 	// FrameClaim claims a key.
 	FrameClaim FrameKind = "claim"
+	// FrameHead asks which segment of a shard an entry has tried to write last.
+	FrameHead FrameKind = "head"
 	// FrameSettle tells the outcome of an attempt.
 	FrameSettle FrameKind = "settle"
 )
 
+// Head asks for the last segment of a shard.
+type Head struct {
+	Shard int `msgpack:"sh"`
+}
+
+// HeadAnswer is the answer to Head.
+type HeadAnswer struct {
+	// Tried is the number of the last segment that the entry has tried to write;
+	// zero if it has tried none.
+	Tried uint64 `msgpack:"tri"`
+	// Up is how long the entry has run: it knows of nothing before.
+	Up time.Duration `msgpack:"up"`
+}
+
 // PlainCall asks an agent to run a call at an endpoint.
 type PlainCall struct {
 	Body        []byte    `msgpack:"body"`
