Let an echo of an earlier incarnation confirm nothing

Cause: found by reading gossip for clocks that misbehave. A gateway that doesn't read the store takes its configuration as confirmed from the time that others echo of its last message. That was a time of the boot clock alone: after a restart of its host the clock begins anew, and until the others hear of it they echo a time of the incarnation before, an hour ahead for instance. Keys would then count as confirmed for an hour whatever the store says, against strict revocation. An incarnation whose time of day was set back was ignored for a minute, and its peers' echoes were those of the one before.

Change: an echo names the incarnation too; one of another incarnation, or from the future, counts for nothing. An incarnation that looks older is taken once the one before has been silent for three seconds.

--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -42,11 +42,11 @@
 // confirmBy takes over the confirmation of a copy whose changes this one has. Its age counts from when this gateway's last message to the other was
 // sent, since the other spoke after that.
 func (s *store) confirmBy(mirror *savorypinmirror.Mirror, m savorypingossip.Message, c savorypingossip.Copy) {
-	if m.Echo == 0 {
+	if m.Echo == (savorypingossip.Echo{}) {
 		return
 	}
 	mirror.Advance(c.At)
-	mirror.Confirm(m.Echo - c.Age)
+	mirror.Confirm(m.Echo.Sent - c.Age)
 }
 
 // fetch gets the changes of a kind from another gateway, one fetch at a time.
--- a/internal/savorypingossip/gossip.go
+++ b/internal/savorypingossip/gossip.go
@@ -111,9 +111,18 @@
 			g.cfg.Log.Emit(savorypinevent.Ignored{Err: err, What: "gossip"})
 			continue
 		}
-		if g.cfg.Table.Hear(m) {
-			g.cfg.Heard(m)
-		}
+		g.hear(m)
+	}
+}
+
+// hear passes a new message on. One that answers an earlier incarnation of this
+// gateway confirms nothing to this one.
+func (g *Gossip) hear(m Message) {
+	if m.Echo.Started != g.cfg.Started || m.Echo.Sent > g.cfg.Clock() {
+		m.Echo = Echo{}
+	}
+	if g.cfg.Table.Hear(m) {
+		g.cfg.Heard(m)
 	}
 }
 
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -25,8 +25,8 @@
 	Copies []Copy `msgpack:"k,omitempty"`
 	// Domain is the sender's failure domain.
 	Domain string `msgpack:"d"`
-	// Echo is the Sent of the last message that the sender had from the receiver.
-	Echo time.Duration `msgpack:"e"`
+	// Echo names the last message that the sender had from the receiver.
+	Echo Echo `msgpack:"e"`
 	// Failures are the domain failures that the sender has seen lately.
 	Failures []Failure `msgpack:"f,omitempty"`
 	// History are the older failures that the sender remembers.
@@ -51,6 +51,15 @@
 	Suspects []string `msgpack:"u,omitempty"`
 }
 
+// Echo names a message. Clocks of one host begin anew when it starts again, so
+// that a time alone may be that of an earlier incarnation.
+type Echo struct {
+	// Sent is when the message was sent, by the clock of its sender.
+	Sent time.Duration `msgpack:"s"`
+	// Started is the incarnation of its sender.
+	Started int64 `msgpack:"b"`
+}
+
 // Copy says how far a copy of a kind is.
 type Copy struct {
 	// Age is how long ago the copy was confirmed; negative for never.
--- a/internal/savorypingossip/table.go
+++ b/internal/savorypingossip/table.go
@@ -73,10 +73,14 @@
 		return false
 	}
 	old := p.message
-	if m.Started < old.Started || m.Started == old.Started && m.Sent <= old.Sent {
+	now := t.now()
+	// The order of incarnations is by the time of day, which may have been set
+	// back. What an earlier one has sent does not arrive after so long.
+	late := m.Started < old.Started && now.Sub(p.heard) < aliveTime
+	if late || m.Started == old.Started && m.Sent <= old.Sent {
 		return false
 	}
-	p.heard = t.now()
+	p.heard = now
 	p.message = m
 	for _, address := range m.Peers {
 		t.meet(address)
@@ -84,14 +88,14 @@
 	return true
 }
 
-// Echo returns the Sent of the last message from an address; zero for none.
-func (t *Table) Echo(address string) time.Duration {
+// Echo names the last message from an address; it is zero for none.
+func (t *Table) Echo(address string) Echo {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p, ok := t.peers[address]; ok {
-		return p.message.Sent
+		return Echo{Sent: p.message.Sent, Started: p.message.Started}
 	}
-	return 0
+	return Echo{}
 }
 
 // Domain returns the failure domain of the gateway at an address; empty if it was
--- a/internal/savorypingossip/table_test.go
+++ b/internal/savorypingossip/table_test.go
@@ -45,6 +45,13 @@
 		})
 	}
 
+	It("takes an incarnation that looks older once the one before is silent", func() {
+		Expect(t.Hear(savorypingossip.Message{Address: "a", Started: 5, Sent: 10})).To(BeTrue())
+		c.now = c.now.Add(3 * time.Second)
+		Expect(t.Hear(savorypingossip.Message{Address: "a", Started: 4, Sent: 1})).To(BeTrue())
+		Expect(t.Echo("a")).To(Equal(savorypingossip.Echo{Sent: 1, Started: 4}))
+	})
+
 	It("takes silent gateways as dead and forgets them later", func() {
 		t.Hear(savorypingossip.Message{Address: "a", Sent: 1, Peers: []string{"b", "self"}})
 		Expect(t.Alive()).To(HaveLen(1))
