--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -215,12 +215,7 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	err = s.ended(e, w, err, time.Since(began))
-	if errors.Is(err, errStuck) && s.backup == nil {
-		// Only the answer may be lost: what has run was copied.
-		s.backup = a.Backup
-	}
-	return err
+	return s.ended(e, w, err, time.Since(began))
 }
 
 // ended takes note of why an attempt at an endpoint ended, and returns that.
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -19,9 +19,6 @@
 	// without a first event is asked for its work: reading a prompt takes about as
 	// long.
 	firstCheckPart = 0.35
-	// againPart is the part of that time after which it is asked again: it may have
-	// been at the prompts of others.
-	againPart = 3
 	// reportTimeout bounds the answer to that question.
 	reportTimeout = 400 * time.Millisecond
 	// reportBytes bounds the size of that answer.
@@ -141,7 +138,7 @@
 	silence := time.Since(time.Unix(0, began))
 	b := w.bounds.Load()
 	if err == nil && known && silence <= b.limit {
-		w.timer.Reset(min(b.check/againPart, max(b.limit-silence, time.Millisecond)))
+		w.timer.Reset(min(b.check, max(b.limit-silence, time.Millisecond)))
 		return
 	}
 	w.lost.Store(err != nil)
