Reach endpoints of both deployments over one kind of connection

Change: savorypinpool.Transport makes an http.Client's requests over pooled connections: each is sent once, an error says whether anything was sent, an idle connection on which bytes have come is not used, a peer that has gone silent is noticed, and TLS is spoken as before. Agents' engines and plain services use it; the trace of the connection and the sorting of dial errors are gone.

--- a/internal/savorypinendpoint/engine.go
+++ b/internal/savorypinendpoint/engine.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +17,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinpool"
 )
 
 // maxAnswerBytes bounds an answer that is read whole.
@@ -59,7 +59,7 @@
 // NewEngine returns a client of an engine.
 func NewEngine(cfg EngineConfig) *Engine {
 	if cfg.HTTPClient == nil {
-		cfg.HTTPClient = &http.Client{Transport: newTransport()}
+		cfg.HTTPClient = newClient()
 	}
 	return &Engine{cfg: cfg}
 }
@@ -365,8 +365,7 @@
 
 // unreachable tells a request that was never sent from one that may have been.
 func unreachable(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.Is(err, savorypinpool.ErrConnect) {
 		return ErrNotSent
 	}
 	return ErrUnreachable
--- a/internal/savorypinendpoint/plain.go
+++ b/internal/savorypinendpoint/plain.go
@@ -3,29 +3,24 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
-)
 
-// Limits of the connections to one endpoint.
-const (
-	// idleConnTimeout is shorter than that of servers, so that calls seldom
-	// meet a connection that the server is about to close.
-	idleConnTimeout = 2 * time.Second
-	// maxConnsPerHost is the number of idle connections kept.
-	maxConnsPerHost = 256
+	"savorypin/internal/savorypinpool"
 )
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		IdleConnTimeout:     idleConnTimeout,
-		MaxIdleConns:        maxConnsPerHost,
-		MaxIdleConnsPerHost: maxConnsPerHost,
-	}
+// idleTime is how long a connection may be idle. It is shorter than that of
+// servers, so that calls seldom meet a connection that the server is about to
+// close.
+const idleTime = 2 * time.Second
+
+// newClient returns a client that sends each request once.
+func newClient() *http.Client {
+	return &http.Client{Transport: savorypinpool.NewTransport(savorypinpool.TransportConfig{Idle: idleTime})}
 }
 
 // PlainConfig configures a Plain.
@@ -45,7 +40,7 @@
 // NewPlain returns a client of a plain service.
 func NewPlain(cfg PlainConfig) *Plain {
 	if cfg.HTTPClient == nil {
-		cfg.HTTPClient = &http.Client{Transport: newTransport()}
+		cfg.HTTPClient = newClient()
 	}
 	return &Plain{cfg: cfg}
 }
@@ -76,25 +71,19 @@
 func (p *Plain) Do(ctx context.Context, call Call) (answer Answer, sent bool, err error) {
 	p.running.Add(1)
 	defer p.running.Add(-1)
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.cfg.URL+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return Answer{}, false, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
-	// The transport of net/http repeats a call that has an idempotency key if
-	// the connection breaks. Without GetBody it cannot.
+	// A redirect must not repeat a call.
 	req.GetBody = nil
-	req.Body = io.NopCloser(bytes.NewReader(call.Body))
 	req.Header.Set("Content-Type", call.ContentType)
 	if call.Key != "" {
 		req.Header.Set("Idempotency-Key", call.Key)
 	}
 	resp, err := p.cfg.HTTPClient.Do(req)
 	if err != nil {
-		return Answer{}, connected.Load(), fmt.Errorf("%w: %w", ErrUnreachable, err)
+		return Answer{}, !errors.Is(err, savorypinpool.ErrConnect), fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
--- a/internal/savorypinpool/pool.go
+++ b/internal/savorypinpool/pool.go
@@ -42,6 +42,9 @@
 type Config struct {
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Idle is how long a connection may be idle if the endpoint does not name its
+	// timeout; zero means idleUnknown.
+	Idle time.Duration
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -58,19 +61,27 @@
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
 	if cfg.Dial == nil {
-		dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		}}
+		dialer := newDialer()
 		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
+	if cfg.Idle == 0 {
+		cfg.Idle = idleUnknown
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
 	return &Pool{cfg: cfg, idle: map[string][]*Conn{}}
 }
 
+// newDialer returns a dialer whose connections notice a peer that has gone silent.
+func newDialer() *net.Dialer {
+	return &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+}
+
 // Opened is the number of connections that were opened.
 func (p *Pool) Opened() int64 {
 	return p.opened.Load()
@@ -123,7 +134,7 @@
 // Put keeps a connection whose answer was read whole. KeepAlive is the time
 // after which the endpoint closes it; zero if unknown.
 func (p *Pool) Put(c *Conn, keepAlive time.Duration) {
-	usable := idleUnknown
+	usable := p.cfg.Idle
 	if keepAlive > 0 {
 		usable = keepAlive - idleMargin
 	}
--- /dev/null
+++ b/internal/savorypinpool/transport_test.go
@@ -0,0 +1,127 @@
+package savorypinpool_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"savorypin/internal/savorypinpool"
+)
+
+var _ = Describe("A transport", func() {
+	var opened atomic.Int64
+	var client *http.Client
+	serve := func(h http.HandlerFunc) string {
+		server := httptest.NewUnstartedServer(h)
+		opened.Store(0)
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				opened.Add(1)
+			}
+		}
+		server.Start()
+		DeferCleanup(server.Close)
+		return server.URL
+	}
+	BeforeEach(func() {
+		client = &http.Client{Transport: savorypinpool.NewTransport(savorypinpool.TransportConfig{})}
+	})
+
+	It("passes a request on and reuses the connection of an answer that was read", func() {
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			w.Header().Set("X-Host", r.Host)
+			io.WriteString(w, r.Method+" "+r.URL.RequestURI()+" "+string(body))
+		})
+		for range 3 {
+			resp, err := client.Post(url+"/a?b=c", "text/plain", strings.NewReader("hello"))
+			Expect(err).NotTo(HaveOccurred())
+			text, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(string(text)).To(Equal("POST /a?b=c hello"))
+			Expect("http://" + resp.Header.Get("X-Host")).To(Equal(url))
+		}
+		Expect(opened.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("reads an answer while it is being made, and leaves when it is closed", func() {
+		left := make(chan struct{})
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, "first")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			close(left)
+		})
+		resp, err := client.Get(url)
+		Expect(err).NotTo(HaveOccurred())
+		buf := make([]byte, 5)
+		_, err = io.ReadFull(resp.Body, buf)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Eventually(left, "10s").Should(BeClosed())
+	})
+
+	It("leaves an endpoint that does not answer when the request ends", func() {
+		arrived, left := make(chan struct{}), make(chan struct{})
+		url := serve(func(_ http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			<-r.Context().Done()
+			close(left)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		resp, err := client.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+		Eventually(left, "10s").Should(BeClosed())
+	})
+
+	It("does not use a connection again that the endpoint closes", func() {
+		url := serve(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })
+		for range 2 {
+			resp, err := client.Get(url)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+		}
+		Expect(opened.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("speaks TLS", func() {
+		server := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		DeferCleanup(server.Close)
+		// The certificate is the test's own, so that nothing may be sent.
+		resp, err := client.Get(server.URL)
+		if err == nil {
+			resp.Body.Close()
+		}
+		Expect(err).To(MatchError(ContainSubstring("certificate")))
+		Expect(errors.Is(err, savorypinpool.ErrConnect)).To(BeTrue())
+	})
+
+	It("says that nothing was sent if it can't connect", func() {
+		url := serve(nil)
+		resp, err := client.Get(strings.Replace(url, "http", "gopher", 1))
+		if err == nil {
+			resp.Body.Close()
+		}
+		Expect(errors.Is(err, savorypinpool.ErrConnect)).To(BeTrue())
+	})
+})
