--- a/internal/savorypinpool/transport.go
+++ b/internal/savorypinpool/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -138,7 +139,7 @@
 // Read reads from the answer.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.rest.Read(p)
-	if err == io.EOF { //nolint:errorlint // a reader returns io.EOF itself at its end
+	if errors.Is(err, io.EOF) {
 		b.end(b.keep)
 	}
 	return n, err
