Find the owner of an organisation's limits once, not each tick

Cause: the renewal asks for the owner of every organisation at each tick, also of idle ones: 670 x 20 hashes each 250 ms.

--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -32,9 +32,9 @@
 	share    atomic.Pointer[float64]
 
 	// The fields below belong to the exchange loop.
-	entries []string
-	reach   *savorypinlimit.Reach
-	wg      sync.WaitGroup
+	owners savorypinlimit.Owners
+	reach  *savorypinlimit.Reach
+	wg     sync.WaitGroup
 }
 
 func newLimits(e *Entry, c *counters) *limits {
@@ -86,9 +86,7 @@
 func (l *limits) exchange(ctx context.Context) {
 	l.configure()
 	addresses, known := l.findEntries()
-	due := l.limiter.Tick(known, func(organisation string) string {
-		return savorypinrank.Names(organisation, l.entries)[0]
-	})
+	due := l.limiter.Tick(known, l.owners.Of)
 	for owner, report := range due {
 		l.wg.Go(func() { l.report(ctx, owner, addresses[owner], report) })
 	}
@@ -111,9 +109,7 @@
 	}
 	known, share := l.reach.Update(regions, time.Now())
 	l.share.Store(&share)
-	if entries := slices.Sorted(maps.Keys(addresses)); !slices.Equal(entries, l.entries) {
-		before := l.entries
-		l.entries = entries
+	if before, changed := l.owners.SetEntries(slices.Sorted(maps.Keys(addresses))); changed {
 		l.owner.EntriesChanged(func(organisation string) bool {
 			return len(before) > 0 && savorypinrank.Names(organisation, before)[0] == self.Name
 		}, time.Now())
--- a/internal/savorypinslopes/limit.go
+++ b/internal/savorypinslopes/limit.go
@@ -7,7 +7,6 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinmember"
-	"savorypin/internal/savorypinrank"
 )
 
 // Sizes of the measurement of limits.
@@ -73,11 +72,13 @@
 	for i := range organisations {
 		m.specs[fmt.Sprintf("organisation-%04d", i)] = limits
 	}
+	var entries []string
 	for i := range limitEntries {
 		name := fmt.Sprintf("entry-%02d", i)
-		m.entries = append(m.entries, name)
+		entries = append(entries, name)
 		m.owners[name] = savorypinlimit.NewOwner(now())
 	}
+	m.ranking.SetEntries(entries)
 	m.limiter.Configure(m.specs)
 	return m
 }
@@ -86,10 +87,10 @@
 type limitMeter struct {
 	bytes   int
 	credit  float64
-	entries []string
 	limiter *savorypinlimit.Limiter
 	next    int
 	owners  map[string]*savorypinlimit.Owner
+	ranking savorypinlimit.Owners
 	specs   map[string]savorypin.OrganisationSpec
 }
 
@@ -107,9 +108,7 @@
 }
 
 func (m *limitMeter) exchange(now time.Time) {
-	due := m.limiter.Tick(limitEntries, func(organisation string) string {
-		return savorypinrank.Names(organisation, m.entries)[0]
-	})
+	due := m.limiter.Tick(limitEntries, m.ranking.Of)
 	for name, report := range due {
 		answer := m.owners[name].Grant("entry", report, func(organisation string) savorypinlimit.Amount {
 			return savorypinlimit.LimitOf(m.specs[organisation], 1)
