Never shorten a grant by a renewal

A renewal whose answer comes after a newer grant took back some of its term; found on reading the change once more. The specs of limits pass.

--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -242,8 +242,8 @@
 	}
 }
 
-// read waits for changes of a kind for as long as hold, or lists it if the changes since the last
-// read are not to be had.
+// read waits for changes of a kind for as long as hold, or lists it if the changes
+// since the last read are not to be had.
 func (s *store) read(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
 	at := s.mirrors[kind].State().At
 	if at == 0 {
--- a/internal/savorypinlimit/limiter.go
+++ b/internal/savorypinlimit/limiter.go
@@ -235,15 +235,15 @@
 	l.renewed[owner] = sent
 	l.released[owner] = slices.DeleteFunc(l.released[owner], func(name string) bool { return slices.Contains(r.Released, name) })
 	organisations := *l.organisations.Load()
+	until := sent.Add(GrantTerm)
 	for _, o := range organisations {
-		if !o.holds(owner, sent) {
-			continue
-		}
-		if !answer.Renewed {
+		switch {
+		case !o.holds(owner, sent):
+		case !answer.Renewed:
 			o.asked = true
-			continue
+		case until.After(o.grantUntil):
+			o.grantUntil = until
 		}
-		o.grantUntil = sent.Add(GrantTerm)
 	}
 	for _, name := range answer.Stale {
 		o, ok := organisations[name]
