--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -224,7 +224,7 @@
 // reloadSweeps is after how many sweeps the settings are read again.
 const reloadSweeps = 5
 
-// sweepInterval is how often idle connections and old knowledge are dropped.
+// sweepInterval is how often old knowledge is dropped.
 const sweepInterval = 2 * time.Second
 
 func (g *Gateway) sweep(ctx context.Context) error {
@@ -234,7 +234,6 @@
 		if sweeps%reloadSweeps == 0 {
 			g.Reload()
 		}
-		g.pool.Sweep()
 		g.picker.Forget(g.view.directory.Load())
 		g.notePeers()
 		g.noteReadiness()
--- a/internal/savorypinpool/pool.go
+++ b/internal/savorypinpool/pool.go
@@ -28,6 +28,8 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// sweepInterval is how often idle connections are looked at while there are any.
+	sweepInterval = 2 * time.Second
 )
 
 // Errors of connections.
@@ -56,6 +58,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
+	// sweeping says that the next look at the idle connections is due.
+	sweeping bool
 }
 
 // New returns a pool without connections.
@@ -151,6 +155,7 @@
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
+	p.sweepLater()
 }
 
 // Drop closes the idle connections to an address that is not trusted any more.
@@ -161,7 +166,24 @@
 	delete(p.idle, address)
 }
 
-// Sweep closes connections that have been idle for too long.
+// sweepLater lets the idle connections be looked at, if there are any. The caller
+// holds p.mu.
+func (p *Pool) sweepLater() {
+	if p.sweeping || len(p.idle) == 0 {
+		return
+	}
+	p.sweeping = true
+	time.AfterFunc(sweepInterval, func() {
+		p.Sweep()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.sweeping = false
+		p.sweepLater()
+	})
+}
+
+// Sweep closes connections that have been idle for too long. The pool does so from
+// time to time by itself.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/savorypinpool/transport_test.go
+++ b/internal/savorypinpool/transport_test.go
@@ -104,6 +104,24 @@
 		Expect(opened.Load()).To(BeEquivalentTo(2))
 	})
 
+	It("closes a connection that is not used any more", func() {
+		closed := make(chan struct{})
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				close(closed)
+			}
+		}
+		server.Start()
+		DeferCleanup(server.Close)
+		resp, err := client.Get(server.URL)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Eventually(closed, "10s").Should(BeClosed())
+	})
+
 	It("speaks TLS", func() {
 		server := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 		DeferCleanup(server.Close)
