Gossip what the picker tells as it tells it

Cause: loads, failures and prompts stood twice, as types of the picker and of the gossip, with five loops that copied one into the other.

--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -11,7 +11,6 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypingossip"
-	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinplatform"
 )
 
@@ -49,38 +48,25 @@
 
 // composeGossip returns what this gateway tells the others.
 func (g *Gateway) composeGossip() savorypingossip.Message {
-	m := savorypingossip.Message{
-		Copies:  g.store.copies(),
-		Domain:  g.settings.Load().Domain,
-		Leaving: g.stopping.Load(),
-		Name:    g.settings.Load().Name,
+	return savorypingossip.Message{
+		Budgets:  g.budgets.told(),
+		Copies:   g.store.copies(),
+		Domain:   g.settings.Load().Domain,
+		Failures: g.picker.Failures(),
+		History:  g.picker.History(),
+		Leaving:  g.stopping.Load(),
+		Loads:    g.picker.Loads(),
+		Name:     g.settings.Load().Name,
+		Prompts:  g.picker.RunningPrompts(),
+		Rollouts: g.rollouts.Reports(),
+		Suspects: g.picker.Suspects(),
 	}
-	for _, l := range g.picker.Loads() {
-		m.Loads = append(m.Loads, savorypingossip.Load(l))
-	}
-	for _, f := range g.picker.Failures() {
-		m.Failures = append(m.Failures, savorypingossip.Failure(f))
-	}
-	for _, f := range g.picker.History() {
-		m.History = append(m.History, savorypingossip.Failure(f))
-	}
-	for _, p := range g.picker.RunningPrompts() {
-		m.Prompts = append(m.Prompts, savorypingossip.Prompt(p))
-	}
-	m.Budgets = g.budgets.told()
-	m.Suspects = g.picker.Suspects()
-	m.Rollouts = g.rollouts.Reports()
-	return m
 }
 
 // heard takes over what another gateway tells.
 func (g *Gateway) heard(m savorypingossip.Message) {
 	g.store.heard(m)
-	loads := make([]savorypinpick.Load, 0, len(m.Loads))
-	for _, l := range m.Loads {
-		loads = append(loads, savorypinpick.Load(l))
-	}
-	g.picker.SetLoads(m.Address, loads)
+	g.picker.SetLoads(m.Address, m.Loads)
 	if g.rollouts.Hear(m.Address, m.Rollouts) {
 		g.versionRejected(m.Name)
 	}
@@ -90,15 +76,11 @@
 			g.picker.HearSuspect(e)
 		}
 	}
-	history := make([]savorypinpick.Failure, 0, len(m.History))
-	for _, f := range m.History {
-		history = append(history, savorypinpick.Failure(f))
-	}
-	g.picker.HearHistory(history)
-	g.hearPrompts(m.Prompts)
+	g.picker.HearHistory(m.History)
+	g.picker.HearPrompts(m.Prompts)
 	g.budgets.hear(m)
 	for _, f := range m.Failures {
-		if g.picker.HearFailure(savorypinpick.Failure(f)) {
+		if g.picker.HearFailure(f) {
 			g.domainFailed(f.Domain, f.Service, m.Name)
 		}
 	}
--- a/internal/savorypingateway/prompts.go
+++ b/internal/savorypingateway/prompts.go
@@ -8,7 +8,6 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinevent"
-	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinplatform"
 )
@@ -23,7 +22,7 @@
 
 // promptsSpec is the object's content.
 type promptsSpec struct {
-	Prompts []savorypingossip.Prompt `json:"prompts"`
+	Prompts []savorypinpick.Prompt `json:"prompts"`
 }
 
 // rememberPrompts reads the prompts that ran when the gateways were last alive,
@@ -54,14 +53,11 @@
 		g.log.Emit(savorypinevent.Ignored{Err: err, What: "prompts of running streams"})
 		return
 	}
-	g.hearPrompts(spec.Prompts)
+	g.picker.HearPrompts(spec.Prompts)
 }
 
 func (g *Gateway) writePrompts(ctx context.Context) {
-	var spec promptsSpec
-	for _, p := range g.picker.KnownPrompts(2 * promptsInterval) {
-		spec.Prompts = append(spec.Prompts, savorypingossip.Prompt(p))
-	}
+	spec := promptsSpec{Prompts: g.picker.KnownPrompts(2 * promptsInterval)}
 	if len(spec.Prompts) == 0 {
 		return
 	}
@@ -80,12 +76,3 @@
 		g.log.Debug("prompts not written", "err", err)
 	}
 }
-
-// hearPrompts takes over which engines run which prompts.
-func (g *Gateway) hearPrompts(told []savorypingossip.Prompt) {
-	prompts := make([]savorypinpick.Prompt, 0, len(told))
-	for _, p := range told {
-		prompts = append(prompts, savorypinpick.Prompt(p))
-	}
-	g.picker.HearPrompts(prompts)
-}
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinrollout"
 )
 
@@ -28,19 +29,19 @@
 	// Echo names the last message that the sender had from the receiver.
 	Echo Echo `msgpack:"e"`
 	// Failures are the domain failures that the sender has seen lately.
-	Failures []Failure `msgpack:"f,omitempty"`
+	Failures []savorypinpick.Failure `msgpack:"f,omitempty"`
 	// History are the older failures that the sender remembers.
-	History []Failure `msgpack:"h,omitempty"`
+	History []savorypinpick.Failure `msgpack:"h,omitempty"`
 	// Leaving says that the sender takes no new callers.
 	Leaving bool `msgpack:"l,omitempty"`
 	// Loads are the sender's work at endpoints.
-	Loads []Load `msgpack:"w,omitempty"`
+	Loads []savorypinpick.Load `msgpack:"w,omitempty"`
 	// Name names the sender.
 	Name string `msgpack:"n"`
 	// Peers are addresses of gateways that the sender knows.
 	Peers []string `msgpack:"p,omitempty"`
 	// Prompts say which engines run the sender's streams.
-	Prompts []Prompt `msgpack:"q,omitempty"`
+	Prompts []savorypinpick.Prompt `msgpack:"q,omitempty"`
 	// Rollouts are what the sender has seen of versions that are rolled out.
 	Rollouts []savorypinrollout.Report `msgpack:"r,omitempty"`
 	// Sent is when the message was sent, by the sender's boot-time clock.
@@ -71,14 +72,6 @@
 	Kind    savorypin.Kind `msgpack:"k"`
 }
 
-// Failure is a failure of a domain.
-type Failure struct {
-	// Age is how long ago it was seen.
-	Age     time.Duration `msgpack:"a"`
-	Domain  string        `msgpack:"d"`
-	Service string        `msgpack:"s,omitempty"`
-}
-
 // Budget is what a gateway has sent to a service within the window of the retry
 // budget.
 type Budget struct {
@@ -86,17 +79,3 @@
 	Repeats float64 `msgpack:"r"`
 	Service string  `msgpack:"s"`
 }
-
-// Prompt says which engine has read a prompt.
-type Prompt struct {
-	Endpoint string `json:"endpoint" msgpack:"e"`
-	Name     string `json:"name" msgpack:"n"`
-}
-
-// Load is a gateway's work at one endpoint.
-type Load struct {
-	Endpoint string `msgpack:"e"`
-	Running  int64  `msgpack:"r"`
-	// Waiting is the number of prompt tokens that have not been read.
-	Waiting int64 `msgpack:"w"`
-}
--- a/internal/savorypinpick/others.go
+++ b/internal/savorypinpick/others.go
@@ -13,20 +13,21 @@
 // a failure of their domain; their entries come one by one.
 const restartWindow = 2 * time.Second
 
-// Load is a gateway's work at one endpoint.
+// Load is a gateway's work at one endpoint, as gateways tell each other.
 type Load struct {
-	Endpoint string
-	Running  int64
+	Endpoint string `msgpack:"e"`
+	Running  int64  `msgpack:"r"`
 	// Waiting is the number of prompt tokens that have not been read.
-	Waiting int64
+	Waiting int64 `msgpack:"w"`
 }
 
-// Failure is a failure of the endpoints of a service in a domain.
+// Failure is a failure of the endpoints of a service in a domain, as gateways tell
+// each other.
 type Failure struct {
 	// Age is how long ago it was seen.
-	Age     time.Duration
-	Domain  string
-	Service string
+	Age     time.Duration `msgpack:"a"`
+	Domain  string        `msgpack:"d"`
+	Service string        `msgpack:"s,omitempty"`
 }
 
 // failureRecord is a failure with the time when it was seen.
--- a/internal/savorypinpick/prompts.go
+++ b/internal/savorypinpick/prompts.go
@@ -10,11 +10,12 @@
 // maxPrompts bounds the prompts whose place is known.
 const maxPrompts = 8192
 
-// Prompt says which engine has read a prompt.
+// Prompt says which engine has read a prompt, as gateways tell each other and
+// keep it in the store.
 type Prompt struct {
-	Endpoint string
+	Endpoint string `json:"endpoint" msgpack:"e"`
 	// Name names the last part of the prompt.
-	Name string
+	Name string `json:"name" msgpack:"n"`
 }
 
 // promptPlace is where a prompt was read last.
