Say once what the gateway said twice

Cause: read once more.

Change: one piece of code for each (connect, suspectAtLeast, TimeFormat), the loops call Every, the registration waits in one place. Nothing behaves otherwise.

--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -15,10 +15,6 @@
 	"savorypin/platform"
 )
 
-// gatewayTimeFormat is the format of the time of a line; milliseconds tell the
-// order of lines of several gateways.
-const gatewayTimeFormat = "2006-01-02T15:04:05.000Z07:00"
-
 func (c *Config) gatewayCmd() *cli.Command {
 	return &cli.Command{
 		Action: c.runGatewayCmd,
@@ -47,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	logger.SetTimeFormat(gatewayTimeFormat)
+	logger.SetTimeFormat(savorypinevent.TimeFormat)
 	gateway := savorypingateway.New(savorypingateway.Config{
 		Codec:    platform.NewCodec(),
 		Dialect:  platform.StoreDialect(),
--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -10,6 +10,10 @@
 	"github.com/charmbracelet/log"
 )
 
+// TimeFormat is the format of the time of a line; milliseconds tell the order of
+// lines of several gateways.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Kind names an event; it is the message of its line.
 type Kind string
 
--- a/internal/savorypinexplain/line.go
+++ b/internal/savorypinexplain/line.go
@@ -12,14 +12,13 @@
 	"time"
 
 	"github.com/go-logfmt/logfmt"
+
+	"savorypin/internal/savorypinevent"
 )
 
 // maxLineBytes bounds a line.
 const maxLineBytes = 1 << 20
 
-// timeFormat is the format of the time of a line.
-const timeFormat = "2006-01-02T15:04:05.000Z07:00"
-
 // ErrNoLines means that a log holds no line of a gateway.
 var ErrNoLines = errors.New("no lines of a gateway")
 
@@ -110,7 +109,7 @@
 func (l *Line) take(name, value string) {
 	switch name {
 	case "time":
-		if at, err := time.Parse(timeFormat, value); err == nil {
+		if at, err := time.Parse(savorypinevent.TimeFormat, value); err == nil {
 			l.At = time.Duration(at.UnixNano())
 		}
 	case "level":
--- a/internal/savorypinfleet/configuration.go
+++ b/internal/savorypinfleet/configuration.go
@@ -104,11 +104,7 @@
 type ServiceConfig struct {
 	// Backups says that engines can send the memory of a run to another engine.
 	Backups bool
-	// Engine says that the service consists of model engines.
-	Engine bool
-	Name   string
-	// Slots is the number of requests that an engine runs at once.
-	Slots int
+	Name    string
 }
 
 // Service is a set of endpoints that serve the same requests.
@@ -124,9 +120,6 @@
 // Backups reports whether engines can copy the memory of a run.
 func (s *Service) Backups() bool { return s.cfg.Backups }
 
-// Engine reports whether the service consists of model engines.
-func (s *Service) Engine() bool { return s.cfg.Engine }
-
 // Name names the service.
 func (s *Service) Name() string { return s.cfg.Name }
 
--- a/internal/savorypingateway/budget.go
+++ b/internal/savorypingateway/budget.go
@@ -1,6 +1,7 @@
 package savorypingateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -96,10 +97,7 @@
 
 // share gives a budget a copy of what the others told. The caller holds b.mu.
 func (b *budgets) share(service string) {
-	others := map[string]savorypinlimit.Spent{}
-	for gateway, spent := range b.others[service] {
-		others[gateway] = spent
-	}
+	others := maps.Clone(b.others[service])
 	part := float64(len(others)+1) / float64(max(len(others)+1, b.gateways()))
 	b.get(service).SetOthers(others, part)
 }
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -96,23 +96,8 @@
 			registered = g.writeRegistration(ctx, s)
 		}
 		// Gateways tell each other of those that they know.
-		if len(g.peers.Alive()) > 0 && registered {
-			if err := wait(ctx, meetInterval); err != nil {
-				return err
-			}
-			continue
-		}
-		objects, _, err := g.store.client.List(ctx, kindGateway)
-		if err != nil {
-			g.log.Debug("gateways not listed", "err", err)
-		}
-		for _, o := range objects {
-			var spec gatewaySpec
-			if err := json.Unmarshal(o.Spec, &spec); err != nil {
-				g.log.Emit(savorypinevent.Ignored{Err: err, What: "gateway " + o.Name})
-				continue
-			}
-			g.peers.Meet([]string{spec.Address})
+		if !registered || len(g.peers.Alive()) == 0 {
+			g.meetRegistered(ctx)
 		}
 		if err := wait(ctx, meetInterval); err != nil {
 			return err
@@ -120,6 +105,22 @@
 	}
 }
 
+// meetRegistered reads from the store where other gateways are.
+func (g *Gateway) meetRegistered(ctx context.Context) {
+	objects, _, err := g.store.client.List(ctx, kindGateway)
+	if err != nil {
+		g.log.Debug("gateways not listed", "err", err)
+	}
+	for _, o := range objects {
+		var spec gatewaySpec
+		if err := json.Unmarshal(o.Spec, &spec); err != nil {
+			g.log.Emit(savorypinevent.Ignored{Err: err, What: "gateway " + o.Name})
+			continue
+		}
+		g.peers.Meet([]string{spec.Address})
+	}
+}
+
 // writeRegistration creates or replaces the gateway's object.
 func (g *Gateway) writeRegistration(ctx context.Context, s *Settings) bool {
 	spec, err := json.Marshal(gatewaySpec{Address: g.address()})
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -8,6 +8,7 @@
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinpick"
+	"savorypin/internal/savorypinpool"
 	"savorypin/internal/savorypinrollout"
 )
 
@@ -143,6 +144,19 @@
 	g.streams.check(domain, service)
 }
 
+// noPriority leaves the rank of a request to the endpoint.
+const noPriority = -1
+
+// connect returns a connection to an endpoint. One that can't be had in time speaks
+// against the endpoint.
+func (g *Gateway) connect(ctx context.Context, e *savorypinfleet.Endpoint) (*savorypinpool.Conn, error) {
+	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
+	if err != nil && ctx.Err() == nil {
+		g.endpointFailed(e, "connect")
+	}
+	return conn, err
+}
+
 // connectTimeout bounds the time in which an endpoint accepts a connection. Its
 // host answers without waiting for a slot, so that a few round trips are enough.
 func (g *Gateway) connectTimeout(e *savorypinfleet.Endpoint) time.Duration {
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -163,11 +163,8 @@
 			until = patience
 		}
 	}
-	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
+	conn, err := g.connect(ctx, e)
 	if err != nil {
-		if ctx.Err() == nil {
-			g.endpointFailed(e, "connect")
-		}
 		return &outcome{err: err, kind: outcomeUnsent}
 	}
 	defer context.AfterFunc(ctx, conn.Close)()
@@ -176,7 +173,7 @@
 	began := time.Now()
 	g.rollouts.Sent(e.Service(), e.Version())
 	result, keepAlive := g.exchange(conn, req, savorypinfleet.Attempt{
-		Call: req.call, Deadline: req.left(), Endpoint: e, Organisation: req.organisation, Priority: -1,
+		Call: req.call, Deadline: req.left(), Endpoint: e, Organisation: req.organisation, Priority: noPriority,
 	}, until)
 	if ctx.Err() == nil {
 		work.Answered(!result.succeeded())
--- a/internal/savorypingateway/prompts.go
+++ b/internal/savorypingateway/prompts.go
@@ -8,6 +8,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinevent"
+	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinplatform"
 )
@@ -29,14 +30,12 @@
 // and then writes them from time to time if it is the first of the readers.
 func (g *Gateway) rememberPrompts(ctx context.Context) error {
 	g.recallPrompts(ctx)
-	for {
-		if err := wait(ctx, promptsInterval); err != nil {
-			return err
-		}
+	savorypinloop.Every(ctx, promptsInterval, func() {
 		if readers := g.peers.Readers(); readers[0] == g.address() && !g.store.gate.Failing() {
 			g.writePrompts(ctx)
 		}
-	}
+	})
+	return ctx.Err()
 }
 
 func (g *Gateway) recallPrompts(ctx context.Context) {
--- a/internal/savorypingateway/rollout.go
+++ b/internal/savorypingateway/rollout.go
@@ -8,6 +8,7 @@
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinloop"
 )
 
 const (
@@ -47,10 +48,7 @@
 // who tries first.
 func (g *Gateway) writeRollouts(ctx context.Context) error {
 	since := map[savorypinfleet.Rollout]time.Time{}
-	for {
-		if err := wait(ctx, rolloutInterval); err != nil {
-			return err
-		}
+	savorypinloop.Every(ctx, rolloutInterval, func() {
 		due := g.rollouts.Due()
 		for r := range since {
 			if !slices.Contains(due, r) {
@@ -65,7 +63,8 @@
 				g.writeRollout(ctx, r)
 			}
 		}
-	}
+	})
+	return ctx.Err()
 }
 
 // rank is the place of this gateway in the order of addresses.
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -145,15 +145,18 @@
 }
 
 // due waits until this gateway has to read a kind, as a reader when the copy is
-// older than interval, else when it is older than limit, and may call the store.
+// older than interval, else when it is older than limit, which is longer, and may
+// call the store.
 func (s *store) due(ctx context.Context, kind savorypin.Kind, interval, limit time.Duration) error {
 	// Those that do not read would all call at the same moment; one answer
 	// suffices for all.
 	limit += time.Duration(rand.Float64() * limitSpread * float64(limit))
 	for {
-		age := s.age(kind)
-		if (age >= limit || age >= interval && s.reader()) && s.gate.Enter(bootClock(), s.confirmed(), s.reader()) {
-			return ctx.Err()
+		if age := s.age(kind); age >= interval {
+			reader := s.reader()
+			if (reader || age >= limit) && s.gate.Enter(bootClock(), s.confirmed(), reader) {
+				return ctx.Err()
+			}
 		}
 		if err := wait(ctx, lookInterval); err != nil {
 			return err
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -18,8 +18,6 @@
 const (
 	// resumePriority lets streams that have begun go before new ones.
 	resumePriority = 1
-	// noPriority leaves the rank of a request to the endpoint.
-	noPriority = -1
 	// endpointPause is the time between two looks for an endpoint.
 	endpointPause = 50 * time.Millisecond
 )
@@ -169,11 +167,8 @@
 func (s *stream) attempt(ctx context.Context, e *savorypinfleet.Endpoint, restore bool) error {
 	g := s.gateway
 	s.tried[e.ID()] = true
-	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
+	conn, err := g.connect(ctx, e)
 	if err != nil {
-		if ctx.Err() == nil {
-			g.endpointFailed(e, "connect")
-		}
 		return err
 	}
 	if s.sent > 0 && !g.budgets.of(s.req.service.Name()).Spend() {
--- a/internal/savorypinpick/others.go
+++ b/internal/savorypinpick/others.go
@@ -167,11 +167,7 @@
 // HearSuspect puts an endpoint under suspicion that another gateway found
 // failed.
 func (p *Picker) HearSuspect(e *savorypinfleet.Endpoint) {
-	l := p.load(e)
-	until := p.cfg.Now().Add(heardSuspectTime).UnixNano()
-	if l.suspectUntil.Load() < until {
-		l.suspectUntil.Store(until)
-	}
+	p.load(e).suspectAtLeast(p.cfg.Now().Add(heardSuspectTime).UnixNano())
 }
 
 // Restarted takes note that endpoints were lost and have started again. A domain
--- a/internal/savorypinpick/suspicion.go
+++ b/internal/savorypinpick/suspicion.go
@@ -41,10 +41,15 @@
 func (p *Picker) FailDomain(endpoints []*savorypinfleet.Endpoint) {
 	until := p.cfg.Now().Add(p.cfg.SuspectTime).UnixNano()
 	for _, e := range endpoints {
-		l := p.load(e)
-		if l.suspectUntil.Load() < until {
-			l.suspectUntil.Store(until)
-		}
+		p.load(e).suspectAtLeast(until)
+	}
+}
+
+// suspectAtLeast puts an endpoint under suspicion until a time, or for longer if it
+// is already. A change at the same moment may win.
+func (l *load) suspectAtLeast(until int64) {
+	if l.suspectUntil.Load() < until {
+		l.suspectUntil.Store(until)
 	}
 }
 
--- a/internal/savorypinplatform/dialect.go
+++ b/internal/savorypinplatform/dialect.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/url"
-	"strconv"
 	"time"
 
 	"savorypin/internal/savorypin"
@@ -64,8 +63,8 @@
 		StatusPath: func(key savorypin.Key) string { return documentPath(key) + "/status" },
 		WatchPath: func(kind savorypin.Kind, version int64, d time.Duration) string {
 			seconds := int((d + time.Second - 1) / time.Second)
-			return fmt.Sprintf("%s%s?watch=true&allowWatchBookmarks=true&resourceVersion=%d&timeoutSeconds=%s",
-				BasePath, kind, version, strconv.Itoa(seconds))
+			return fmt.Sprintf("%s%s?watch=true&allowWatchBookmarks=true&resourceVersion=%d&timeoutSeconds=%d",
+				BasePath, kind, version, seconds)
 		},
 		VersionParameter: "resourceVersion",
 	}
