Hash grants only when a renewal is due

Cause: read once more: each tick hashed all grants of an entry (670 at the target, each 250 ms), although an owner is asked to renew them every 5 s only.

Change: the renewal of an owner is summed up only in the tick in which it is due.

--- a/internal/savorypinlimit/limiter.go
+++ b/internal/savorypinlimit/limiter.go
@@ -153,7 +153,7 @@
 			l.release(owner, o)
 		}
 		if o.holds(owner, now) {
-			hold(held, owner, o)
+			l.hold(held, owner, o, now)
 		}
 		if !o.reports() {
 			continue
@@ -164,34 +164,40 @@
 			due[owner] = report
 		}
 	}
-	l.renew(due, held, now)
+	l.renew(due, held)
 	l.judgeFairness()
 	return due
 }
 
-// hold adds what is held of an owner to the renewal.
-func hold(held map[string]*Renewal, owner string, o *organisation) {
-	r := held[owner]
-	if r == nil {
-		r = &Renewal{}
+// hold adds what is held of an owner to the renewal; it is nil if none is due.
+func (l *Limiter) hold(held map[string]*Renewal, owner string, o *organisation, now time.Time) {
+	r, ok := held[owner]
+	if !ok {
+		if now.Sub(l.renewed[owner]) >= renewAfter {
+			r = &Renewal{}
+		}
 		held[owner] = r
 	}
-	r.add(o.name, o.grant)
+	if r != nil {
+		r.add(o.name, o.grant)
+	}
 }
 
-// renew adds to the reports the renewals that are due.
-func (l *Limiter) renew(due map[string]Report, held map[string]*Renewal, now time.Time) {
+// renew adds to the reports the renewals that are due, and forgets the owners of
+// which nothing is held.
+func (l *Limiter) renew(due map[string]Report, held map[string]*Renewal) {
 	for owner, r := range held {
-		if now.Sub(l.renewed[owner]) < renewAfter {
+		if r == nil {
 			continue
 		}
+		// More may have been released since it was begun.
 		r.Released = slices.Clone(l.released[owner])
 		report := due[owner]
 		report.Renewal = r
 		due[owner] = report
 	}
 	for owner := range l.renewed {
-		if held[owner] == nil {
+		if _, ok := held[owner]; !ok {
 			delete(l.renewed, owner)
 			delete(l.released, owner)
 		}
