--- a/internal/savorypin/object.go
+++ b/internal/savorypin/object.go
@@ -49,6 +49,9 @@
 	// Earlier are the order ids of the last writes before this one. They settle
 	// a write whose answer was lost and that another one has followed.
 	Earlier []string `json:"earlier,omitempty" msgpack:"ear,omitempty"`
+	// Era counts how often the platform's store has come back from an older copy of
+	// itself. A version of a later era is newer, whatever its number.
+	Era int64 `json:"era,omitempty" msgpack:"era,omitempty"`
 	// Order is the id of the write; it settles writes whose answer was lost.
 	Order string `json:"order" msgpack:"ord"`
 	// Spec is what the operator wants.
--- a/internal/savorypinevent/beliefevents.go
+++ b/internal/savorypinevent/beliefevents.go
@@ -1,6 +1,10 @@
 package savorypinevent
 
-import "github.com/charmbracelet/log"
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+)
 
 // Ignored tells of input that can't be used.
 type Ignored struct {
@@ -38,6 +42,61 @@
 	return []any{"of", e.Of, "version", e.Version}
 }
 
+// EndpointLeaves tells that an endpoint said in an answer that it stops.
+type EndpointLeaves struct {
+	Domain   string
+	Endpoint string
+	// ID is the request that was answered.
+	ID string
+}
+
+// Kind names the event.
+func (EndpointLeaves) Kind() Kind { return KindEndpointLeaves }
+
+// Level is how much it matters.
+func (EndpointLeaves) Level() log.Level { return log.InfoLevel }
+
+// Fields are names and values in turn.
+func (e EndpointLeaves) Fields() []any {
+	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "id", e.ID}
+}
+
+// EndpointPauses tells that an endpoint wants no requests for some time.
+type EndpointPauses struct {
+	Endpoint string
+	For      time.Duration
+	// ID is the request that was answered.
+	ID string
+}
+
+// Kind names the event.
+func (EndpointPauses) Kind() Kind { return KindEndpointPauses }
+
+// Level is how much it matters.
+func (EndpointPauses) Level() log.Level { return log.InfoLevel }
+
+// Fields are names and values in turn.
+func (e EndpointPauses) Fields() []any {
+	return []any{"endpoint", e.Endpoint, "for", milliseconds(e.For), "id", e.ID}
+}
+
+// EraBegan tells that the store has come back from an older copy of itself, so that
+// all kinds are listed anew.
+type EraBegan struct {
+	Era int64
+}
+
+// Kind names the event.
+func (EraBegan) Kind() Kind { return KindEraBegan }
+
+// Level is how much it matters.
+func (EraBegan) Level() log.Level { return log.WarnLevel }
+
+// Fields are names and values in turn.
+func (e EraBegan) Fields() []any {
+	return []any{"era", e.Era}
+}
+
 // EndpointSuspect tells why an endpoint gets no new work for a while.
 type EndpointSuspect struct {
 	Domain       string
@@ -78,6 +137,11 @@
 
 // EndpointsChanged tells that the list of endpoints has changed.
 type EndpointsChanged struct {
+	// Age is how long ago the list was confirmed.
+	Age time.Duration
+	// Draining is the number of endpoints that take no new requests any more.
+	Draining  int
+	Era       int64
 	Gone      int
 	Now       int
 	Restarted int
@@ -92,11 +156,15 @@
 
 // Fields are names and values in turn.
 func (e EndpointsChanged) Fields() []any {
-	return []any{"now", e.Now, "gone", e.Gone, "restarted", e.Restarted, "revision", e.Revision}
+	return []any{
+		"now", e.Now, "gone", e.Gone, "draining", e.Draining, "restarted", e.Restarted, "age", milliseconds(e.Age),
+		"era", e.Era, "revision", e.Revision,
+	}
 }
 
 // ConfigurationInForce tells that a configuration is in force.
 type ConfigurationInForce struct {
+	Era      int64
 	Revision int64
 	Version  int64
 }
@@ -109,7 +177,7 @@
 
 // Fields are names and values in turn.
 func (e ConfigurationInForce) Fields() []any {
-	return []any{"version", e.Version, "revision", e.Revision}
+	return []any{"version", e.Version, "era", e.Era, "revision", e.Revision}
 }
 
 // Dependency tells that a dependency was lost or regained.
--- a/internal/savorypinfleet/endpoint.go
+++ b/internal/savorypinfleet/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -74,9 +75,17 @@
 // Version is the version of the software.
 func (e *Endpoint) Version() string { return e.cfg.Version }
 
-// same reports whether both are the same incarnation of a process.
-func (e *Endpoint) same(other *Endpoint) bool {
-	return e.cfg.ID == other.cfg.ID && e.cfg.Address == other.cfg.Address && e.cfg.Started.Equal(other.cfg.Started)
+// Incarnation names one start of an endpoint's process. It can be a map key.
+type Incarnation struct {
+	address string
+	id      string
+	// started is in milliseconds since the Unix epoch.
+	started int64
+}
+
+// Incarnation returns which start of the process the endpoint is.
+func (e *Endpoint) Incarnation() Incarnation {
+	return Incarnation{address: e.cfg.Address, id: e.cfg.ID, started: e.cfg.Started.UnixMilli()}
 }
 
 // Directory is one version of the list of endpoints.
@@ -109,6 +118,9 @@
 // Endpoint returns the endpoint with an ID, or nil.
 func (d *Directory) Endpoint(id string) *Endpoint { return d.byID[id] }
 
+// All returns all endpoints, in no order.
+func (d *Directory) All() []*Endpoint { return slices.Collect(maps.Values(d.byID)) }
+
 // Len is the number of endpoints.
 func (d *Directory) Len() int { return len(d.byID) }
 
@@ -119,7 +131,7 @@
 // Has reports whether the incarnation of an endpoint is in the directory.
 func (d *Directory) Has(e *Endpoint) bool {
 	known := d.byID[e.ID()]
-	return known != nil && known.same(e)
+	return known != nil && known.Incarnation() == e.Incarnation()
 }
 
 // RolloutState says how far a roll-out is.
@@ -139,6 +151,8 @@
 	Created time.Time
 	// Duration is the time within which the traffic has to be moved.
 	Duration time.Duration
+	// Era is the era of the platform's store to which the revision belongs.
+	Era int64
 	// Revision is the platform's version of the order.
 	Revision int64
 	Service  string
@@ -158,6 +172,20 @@
 	return gone
 }
 
+// Draining returns the endpoints of d that take no new requests although they did, or
+// were missing, in old.
+func (d *Directory) Draining(old *Directory) []*Endpoint {
+	var draining []*Endpoint
+	for _, e := range d.byID {
+		before := old.byID[e.ID()]
+		known := before != nil && before.Incarnation() == e.Incarnation() && !before.Ready()
+		if !e.Ready() && !known {
+			draining = append(draining, e)
+		}
+	}
+	return draining
+}
+
 // Replaced returns the endpoints of d whose address belonged to another
 // incarnation in old: those that were lost and have started again.
 func (d *Directory) Replaced(old *Directory) []*Endpoint {
@@ -168,7 +196,7 @@
 	var replaced []*Endpoint
 	for _, e := range d.byID {
 		before := holders[e.Address()]
-		if before != nil && !before.same(e) && before.Service() == e.Service() {
+		if before != nil && before.Incarnation() != e.Incarnation() && before.Service() == e.Service() {
 			replaced = append(replaced, e)
 		}
 	}
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -56,8 +56,12 @@
 	ID string
 	// KeepAlive is how long the connection may stay idle; zero if unknown.
 	KeepAlive time.Duration
+	// Leaving says that the endpoint is about to stop.
+	Leaving bool
 	// NotRun says that the endpoint did not run the request.
 	NotRun bool
+	// RetryAfter is how long the endpoint wants no requests; zero if it does not say.
+	RetryAfter time.Duration
 	// Signed says that the answer bears the endpoint's signature.
 	Signed bool
 	// Encoded says that the body isn't the plain body that was asked for.
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -29,7 +29,9 @@
 
 // request is a caller's request that was admitted.
 type request struct {
-	arrived      time.Time
+	arrived time.Time
+	// bodies are the answers that are held whole.
+	bodies       heldBodies
 	call         *savorypinfleet.Call
 	organisation string
 	route        *savorypinfleet.Route
@@ -81,7 +83,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	req := &request{arrived: arrived, call: call, organisation: organisation, route: route}
+	req := &request{arrived: arrived, bodies: heldBodies{all: g.bodies}, call: call, organisation: organisation, route: route}
 	req.until = arrived.Add(deadline(call, route))
 	if refused := g.readBody(w, r, call, c.Limits()); refused != nil {
 		if r.Context().Err() != nil {
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -4,9 +4,14 @@
 
 // counters are the numbers that the metrics page shows.
 type counters struct {
-	answered    metrics.Counter
-	brokenOff   metrics.Counter
+	answered  metrics.Counter
+	brokenOff metrics.Counter
+	// distrusted counts endpoints that sent what is no answer, and left those that said
+	// in an answer that they stop.
+	distrusted  metrics.Counter
 	failed      metrics.Counter
+	left        metrics.Counter
+	pauses      metrics.Counter
 	refused     metrics.Counter
 	repeated    metrics.Counter
 	requests    metrics.Counter
@@ -21,8 +26,11 @@
 	return counters{
 		answered:    metrics.GetOrRegisterCounter("gateway_answered", r),
 		brokenOff:   metrics.GetOrRegisterCounter("gateway_broken_off", r),
+		distrusted:  metrics.GetOrRegisterCounter("gateway_endpoints_distrusted", r),
 		failed:      metrics.GetOrRegisterCounter("gateway_failed", r),
 		firstEvent:  metrics.GetOrRegisterTimer("gateway_first_event", r),
+		left:        metrics.GetOrRegisterCounter("gateway_endpoints_left", r),
+		pauses:      metrics.GetOrRegisterCounter("gateway_endpoint_pauses", r),
 		plainAnswer: metrics.GetOrRegisterTimer("gateway_plain_answer", r),
 		refused:     metrics.GetOrRegisterCounter("gateway_refused", r),
 		repeated:    metrics.GetOrRegisterCounter("gateway_repeated", r),
--- a/internal/savorypingateway/events.go
+++ b/internal/savorypingateway/events.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"savorypin/internal/savorypinpool"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, of which each stream holds one.
+const maxEventBytes = 64 << 10
 
 // errEvent means that a stream holds something that is no event.
 var errEvent = errors.New("not an event of a stream")
@@ -56,7 +58,7 @@
 			return event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return event{}, err
+			return event{}, savorypinpool.ReadError(err)
 		}
 		if len(e.raw) > maxEventBytes {
 			return event{}, fmt.Errorf("%w: longer than %d bytes", errEvent, maxEventBytes)
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -27,6 +27,7 @@
 	"savorypin/internal/savorypinforecast"
 	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinhazard"
+	"savorypin/internal/savorypinintake"
 	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmetrics"
 	"savorypin/internal/savorypinpick"
@@ -40,6 +41,9 @@
 // the engine that has read it: engines drop prompts only when they need room.
 const promptTimeFactor = 3
 
+// lapseBeats is after how many heartbeats of silence the entry of an endpoint lapses.
+const lapseBeats = 3
+
 // memoryShare is the part of the memory limit at which the collector works
 // harder; the rest holds stacks, buffers of the kernel and the program itself.
 const memoryShare = 0.6
@@ -71,12 +75,15 @@
 // Gateway is the daemon. Create it by New.
 type Gateway struct {
 	// alive are the addresses of other gateways that were alive at the last sweep.
-	alive    map[string]bool
+	alive map[string]bool
+	// bodies bounds the answers that are held whole.
+	bodies   *bodies
 	budgets  *budgets
 	cfg      Config
 	counters counters
 	forecast *savorypinforecast.Forecast
 	gossip   *savorypingossip.Gossip
+	intake   *savorypinintake.Register
 	log      *savorypinevent.Log
 	// met is closed once the list of gateways was read, or could not be.
 	met    chan struct{}
@@ -101,6 +108,7 @@
 func New(cfg Config) *Gateway {
 	registry := metrics.NewRegistry()
 	g := &Gateway{
+		bodies:   newBodies(cfg.Settings.MemoryBytes),
 		cfg:      cfg,
 		counters: newCounters(registry),
 		forecast: savorypinforecast.New(),
@@ -112,15 +120,19 @@
 	}
 	g.settings.Store(&cfg.Settings)
 	g.picker = savorypinpick.New(savorypinpick.Config{
-		Gateways:   g.gateways,
-		Hazard:     savorypinhazard.New(cfg.Settings.Domains),
-		Listed:     func() time.Time { return time.Now().Add(-g.store.age(cfg.Objects.EndpointKind)) },
+		Gateways:    g.gateways,
+		Hazard:      savorypinhazard.New(cfg.Settings.Domains),
+		Listed:      func() time.Time { return time.Now().Add(-g.store.age(cfg.Objects.EndpointKind)) },
+		Now:         time.Now,
+		PromptTime:  promptTimeFactor * cfg.Settings.PromptTime,
+		Region:      cfg.Settings.Region,
+		Regions:     cfg.Settings.Regions,
+		SuspectTime: lapseBeats * cfg.Settings.Heartbeat,
+	})
+	g.intake = savorypinintake.New(savorypinintake.Config{
+		DrainDelay: cfg.Settings.DrainDelay,
+		LapseTime:  lapseBeats * cfg.Settings.Heartbeat,
 		Now:        time.Now,
-		PromptTime: promptTimeFactor * cfg.Settings.PromptTime,
-		Region:     cfg.Settings.Region,
-		Regions:    cfg.Settings.Regions,
-		// An entry lapses after three heartbeats of silence.
-		SuspectTime: 3 * cfg.Settings.Heartbeat,
 	})
 	g.budgets = newBudgets(cfg.Settings, g.gateways)
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
@@ -260,17 +272,20 @@
 
 // directoryChanged closes idle connections to endpoints that have left, and
 // learns from those that were lost and have started again.
-func (g *Gateway) directoryChanged(old, next *savorypinfleet.Directory) {
+func (g *Gateway) directoryChanged(old, next *savorypinfleet.Directory, era int64) {
+	g.intake.Listed(old, next, era)
 	gone := old.Without(next)
 	for _, e := range gone {
 		g.pool.Drop(e.Address())
 	}
 	restarted := next.Replaced(old)
 	g.picker.Restarted(restarted)
-	if len(gone) > 0 || len(restarted) > 0 {
+	draining := next.Draining(old)
+	if len(draining) > 0 || len(gone) > 0 || len(restarted) > 0 {
+		state := g.store.mirrors[g.cfg.Objects.EndpointKind].State()
 		g.log.Emit(savorypinevent.EndpointsChanged{
-			Gone: len(gone), Now: next.Len(), Restarted: len(restarted),
-			Revision: g.store.mirrors[g.cfg.Objects.EndpointKind].State().Changed,
+			Age: g.store.age(g.cfg.Objects.EndpointKind), Draining: len(draining), Gone: len(gone), Now: next.Len(),
+			Restarted: len(restarted), Era: state.Era, Revision: state.Changed,
 		})
 	}
 }
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -57,7 +57,9 @@
 	switch part {
 	case savorypingossip.PartAlive:
 		s := g.settings.Load()
-		return savorypingossip.News{Domain: s.Domain, Leaving: g.stopping.Load(), Name: s.Name}
+		return savorypingossip.News{
+			Configuration: g.configurationVersion(), Domain: s.Domain, Leaving: g.stopping.Load(), Name: s.Name,
+		}
 	case savorypingossip.PartBudget:
 		return savorypingossip.News{Budgets: g.budgets.told()}
 	case savorypingossip.PartFailure:
@@ -80,6 +82,7 @@
 func (g *Gateway) hearFact(f savorypingossip.Fact) {
 	switch f.Part {
 	case savorypingossip.PartAlive:
+		g.store.heardConfiguration(f.Origin, f.News.Configuration)
 	case savorypingossip.PartBudget:
 		g.budgets.hear(f.Origin, f.News.Budgets)
 	case savorypingossip.PartFailure:
@@ -115,7 +118,12 @@
 	s := g.settings.Load()
 	registered := g.meetRegistered(ctx)
 	close(g.met)
+	era := g.store.client.Era()
 	for {
+		// A store that came back from a copy may have lost the entry.
+		if now := g.store.client.Era(); now != era {
+			era, registered = now, false
+		}
 		registered = registered || g.writeRegistration(ctx, s)
 		if err := wait(ctx, meetInterval); err != nil {
 			return err
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -7,9 +7,7 @@
 
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
-	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinpool"
-	"savorypin/internal/savorypinrollout"
 )
 
 // ServeHTTP relays a caller's request.
@@ -86,40 +84,6 @@
 	return 0
 }
 
-// candidates returns the endpoints that may serve a request, of the versions that
-// a roll-out allows.
-func (g *Gateway) candidates(service string) []*savorypinfleet.Endpoint {
-	side, version := g.rollouts.Choose(service)
-	all := g.view.directory.Load().Service(service)
-	ready := make([]*savorypinfleet.Endpoint, 0, len(all))
-	var others []*savorypinfleet.Endpoint
-	for _, e := range all {
-		switch {
-		case !e.Ready():
-		case side == savorypinrollout.SideAny, (e.Version() == version) == (side == savorypinrollout.SideNew):
-			ready = append(ready, e)
-		default:
-			others = append(others, e)
-		}
-	}
-	if len(ready) == 0 && side == savorypinrollout.SideNew {
-		// The new version has no endpoint yet, or not any more.
-		return others
-	}
-	return ready
-}
-
-// query returns the query of a request that was sent to some endpoints already.
-func (g *Gateway) query(req *request, tried map[string]bool) savorypinpick.Query {
-	return savorypinpick.Query{
-		Candidates:   g.candidates(req.service.Name()),
-		Excluded:     tried,
-		Prompt:       req.call.Prompt,
-		PromptTokens: req.call.PromptTokens,
-		Plain:        req.route.Kind() != savorypinfleet.RouteStreaming,
-	}
-}
-
 // brokeOff takes note that an endpoint broke off an answer. Whether the endpoint
 // is lost, or has lost just this connection, is found out by another one.
 func (g *Gateway) brokeOff(e *savorypinfleet.Endpoint, reason string) {
@@ -135,6 +99,15 @@
 	})
 }
 
+// endpointDistrusted takes note that an endpoint sent what is no answer. That says
+// nothing of its failure domain.
+func (g *Gateway) endpointDistrusted(e *savorypinfleet.Endpoint, reason string) {
+	g.pool.Drop(e.Address())
+	g.counters.distrusted.Inc(1)
+	g.picker.Distrust(e)
+	g.log.Emit(savorypinevent.EndpointSuspect{Domain: e.Domain(), Endpoint: e.ID(), Reason: reason})
+}
+
 // endpointFailed takes note that an endpoint was out of reach or silent. When
 // its whole domain is taken as failed, the streams there are checked at once.
 func (g *Gateway) endpointFailed(e *savorypinfleet.Endpoint, reason string) {
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,8 +19,6 @@
 	plainPatiencePart = 0.6
 	// maxUnsent bounds the endpoints that are tried without sending anything.
 	maxUnsent = 4
-	// answerBytes bounds the body of a plain answer.
-	answerBytes = 64 << 20
 )
 
 // outcomeKind says what is known of an attempt.
@@ -60,6 +57,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.until)
 	defer cancel()
 	defer g.boundWrites(w, req.until)()
+	defer req.bodies.release()
 	result, refused := g.tryPlain(ctx, req)
 	if r.Context().Err() != nil {
 		g.logCallerLeft(req)
@@ -127,16 +125,18 @@
 			break
 		}
 	}
-	return last, plainRefusal(req, last)
+	if last.kind == outcomeAnswered {
+		return last, nil
+	}
+	return nil, plainRefusal(req, last, g.returnTime(req.service.Name()))
 }
 
-// plainRefusal returns what the caller is told if there is no answer.
-func plainRefusal(req *request, last *outcome) *refusal {
+// plainRefusal returns what the caller is told if there is no answer. A request that
+// has not run may come again after a time.
+func plainRefusal(req *request, last *outcome, again time.Duration) *refusal {
 	switch {
-	case last.kind == outcomeAnswered:
-		return nil
 	case last.kind == outcomeUnsent, last.kind == outcomeNotRun:
-		return notRun("no endpoint took the request", retrySoon)
+		return notRun("no endpoint took the request", again)
 	case req.over():
 		return &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout}
 	default:
@@ -158,11 +158,8 @@
 // attemptPlain sends a request to one endpoint and reads the whole answer.
 func (g *Gateway) attemptPlain(ctx context.Context, req *request, e *savorypinfleet.Endpoint, more bool) *outcome {
 	until := req.until
-	if target := req.route.TargetLatency(); more && req.route.Repeatable() && target > 0 {
-		patience := time.Now().Add(time.Duration(plainPatiencePart * float64(target)))
-		if patience.Before(until) {
-			until = patience
-		}
+	if more && req.route.Repeatable() {
+		until = time.Now().Add(patience(req.route.TargetLatency(), req.left()))
 	}
 	conn, err := g.connect(ctx, e)
 	if err != nil {
@@ -189,8 +186,17 @@
 	return result
 }
 
-// judgePlain puts an endpoint under suspicion that broke off, and clears one
-// that answered.
+// patience is how long an endpoint may take for a request that can go on elsewhere,
+// given the target latency, if there is one, and the time that is left.
+func patience(target, left time.Duration) time.Duration {
+	if target > 0 {
+		return min(left, time.Duration(plainPatiencePart*float64(target)))
+	}
+	return left / 2
+}
+
+// judgePlain puts an endpoint under suspicion that sent what is no answer, and clears
+// one that answered.
 func (g *Gateway) judgePlain(e *savorypinfleet.Endpoint, o *outcome) {
 	switch o.kind {
 	case outcomeAnswered:
@@ -200,7 +206,11 @@
 			g.picker.Replaced(e)
 			g.endpointFailed(e, "another incarnation answers")
 		}
-	case outcomeUnknown, outcomeUnsent:
+	case outcomeUnknown:
+		if noAnswer(o.err) {
+			g.endpointDistrusted(e, o.err.Error())
+		}
+	case outcomeUnsent:
 	}
 }
 
@@ -226,7 +236,7 @@
 		return unknown(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes))
+	body, err := req.bodies.read(resp.Body)
 	if err != nil {
 		return unknown(err)
 	}
@@ -235,9 +245,11 @@
 	if resp.Close || conn.Buffered() > 0 {
 		keepAlive = -1
 	}
-	switch {
-	case !related(conn, reply, req.call):
+	if !related(conn, reply, req.call) {
 		return unknown(savorypinpool.ErrUnrelated)
+	}
+	g.noteIntake(attempt.Endpoint, req.call, resp.StatusCode, reply)
+	switch {
 	case reply.NotRun:
 		return &outcome{kind: outcomeNotRun, resp: resp}, keepAlive
 	case reply.Encoded, !reply.Signed:
@@ -258,6 +270,12 @@
 // errUnsigned means that an answer does not come from an endpoint as it made it.
 var errUnsigned = errors.New("answer is not signed or not plain")
 
+// noAnswer reports whether an attempt ended since what the endpoint sent is no answer
+// of the protocol, or has no end.
+func noAnswer(err error) bool {
+	return errors.Is(err, savorypinpool.ErrMalformed) || errors.Is(err, errTooLong) || errors.Is(err, errEvent)
+}
+
 // wireRequest returns an attempt as it is sent.
 func wireRequest(codec savorypinfleet.Codec, a savorypinfleet.Attempt) savorypinpool.Request {
 	return savorypinpool.Request{
--- a/internal/savorypingateway/plain_test.go
+++ b/internal/savorypingateway/plain_test.go
@@ -22,7 +22,7 @@
 	} {
 		It(c.name+" is told so", func() {
 			req := &request{until: time.Now().Add(c.left)}
-			Expect(plainRefusal(req, &outcome{kind: c.kind}).status).To(Equal(c.status))
+			Expect(plainRefusal(req, &outcome{kind: c.kind}, retrySoon).status).To(Equal(c.status))
 		})
 	}
 })
--- a/internal/savorypingateway/publish.go
+++ b/internal/savorypingateway/publish.go
@@ -1,13 +1,39 @@
 package savorypingateway
 
 import (
+	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 )
 
-// publishConfiguration puts the newest configuration in force.
+// publishConfiguration puts the newest configuration in force. Where the store has
+// come back from an older copy, the one that is in force stays, and this gateway's
+// copy keeps it for those that ask for it.
 func (s *store) publishConfiguration() {
-	for _, o := range s.mirrors[s.cfg.Objects.Configuration.Kind].Objects() {
+	mirror := s.mirrors[s.cfg.Objects.Configuration.Kind]
+	s.adoptConfiguration(mirror.Objects())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce.Name != "" {
+		mirror.Keep(s.inForce, s.laterConfiguration)
+	}
+}
+
+// laterConfiguration reports whether a configuration is later than another one by
+// the operator's versions.
+func (s *store) laterConfiguration(a, b savorypin.Object) bool {
+	first, err := s.cfg.Objects.DecodeConfiguration(a)
+	if err != nil {
+		return false
+	}
+	second, err := s.cfg.Objects.DecodeConfiguration(b)
+	return err != nil || first.Version() > second.Version()
+}
+
+// adoptConfiguration puts the configuration among some objects in force if it is
+// later than the present one.
+func (s *store) adoptConfiguration(objects []savorypin.Object) {
+	for _, o := range objects {
 		if o.Key != s.cfg.Objects.Configuration {
 			continue
 		}
@@ -16,10 +42,19 @@
 			s.log.Emit(savorypinevent.Ignored{Err: err, What: "configuration"})
 			continue
 		}
-		if s.view.adopt(c) {
-			s.log.Emit(savorypinevent.ConfigurationInForce{Revision: o.Version, Version: c.Version()})
-		}
+		s.adopt(o, c)
+	}
+}
+
+// adopt puts a configuration in force if it is later than the present one.
+func (s *store) adopt(o savorypin.Object, c *savorypinfleet.Configuration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.view.adopt(c) {
+		return
 	}
+	s.inForce = o
+	s.log.Emit(savorypinevent.ConfigurationInForce{Era: o.Era, Revision: o.Version, Version: c.Version()})
 }
 
 // publishEndpoints puts the list of endpoints in force.
@@ -39,7 +74,7 @@
 	next := savorypinfleet.NewDirectory(list)
 	s.view.directory.Store(next)
 	s.view.listed.Store(true)
-	s.changed(old, next)
+	s.changed(old, next, s.mirrors[s.cfg.Objects.EndpointKind].State().Era)
 }
 
 // publishRollouts passes the roll-outs on.
@@ -54,5 +89,5 @@
 		rollouts = append(rollouts, r)
 		s.log.Emit(rolloutEvent("seen", r, nil))
 	}
-	s.rollouts(rollouts)
+	s.rollouts(rollouts, s.mirrors[s.cfg.Objects.RolloutKind].State().Era)
 }
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -59,16 +59,23 @@
 	ConfigurationVersion int64         `json:"configurationVersion"`
 	ConfirmationAge      time.Duration `json:"confirmationAgeNs"`
 	Endpoints            int           `json:"endpoints"`
-	Name                 string        `json:"name"`
-	NotReady             string        `json:"notReady,omitempty"`
-	Streams              int           `json:"streams"`
+	// EndpointsHeld are those that are listed but take no new requests, or only if there
+	// are no others.
+	EndpointsHeld int    `json:"endpointsHeld"`
+	Name          string `json:"name"`
+	NotReady      string `json:"notReady,omitempty"`
+	// StoreEra counts how often the store has come back from an older copy.
+	StoreEra int64 `json:"storeEra"`
+	Streams  int   `json:"streams"`
 }
 
 func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
 	s := state{
-		Endpoints: g.view.directory.Load().Len(),
-		Name:      g.settings.Load().Name,
-		Streams:   g.streams.len(),
+		Endpoints:     g.view.directory.Load().Len(),
+		EndpointsHeld: g.intake.Held(g.view.directory.Load()),
+		Name:          g.settings.Load().Name,
+		StoreEra:      g.store.client.Era(),
+		Streams:       g.streams.len(),
 	}
 	s.NotReady, _ = g.ready()
 	if c := g.view.configuration.Load(); c != nil {
--- a/internal/savorypingateway/rollout.go
+++ b/internal/savorypingateway/rollout.go
@@ -85,6 +85,7 @@
 		return
 	}
 	o, err := g.store.client.UpdateStatus(ctx, savorypin.Object{
+		Era:     r.Era,
 		Key:     savorypin.Key{Kind: g.cfg.Objects.RolloutKind, Name: r.Service},
 		Status:  status,
 		Version: r.Revision,
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -27,6 +27,9 @@
 	// storeConnectTimeout bounds a connection attempt: a few round trips between
 	// regions.
 	storeConnectTimeout = 500 * time.Millisecond
+	// storeAnswerBytes and storeHeadBytes bound the body and head of an answer.
+	storeAnswerBytes = 8 << 20
+	storeHeadBytes   = 64 << 10
 	// watchPart is the part of the time for which news may be late for which the
 	// store may hold a watch: a connection that has gone silent is noticed after it.
 	watchPart = 0.5
@@ -80,10 +83,10 @@
 	// awaitFirstList returns when this gateway is to list the endpoints by itself, or
 	// has the list.
 	awaitFirstList func(context.Context) error
-	// changed is called with each new list of endpoints.
-	changed func(old, next *savorypinfleet.Directory)
-	// rollouts is called with each new list of roll-outs.
-	rollouts func([]savorypinfleet.Rollout)
+	// changed is called with each new list of endpoints and its era.
+	changed func(old, next *savorypinfleet.Directory, era int64)
+	// rollouts is called with each new list of roll-outs and its era.
+	rollouts func(rollouts []savorypinfleet.Rollout, era int64)
 	// news is called when a copy has changed, so that others hear of it.
 	news func()
 
@@ -97,24 +100,31 @@
 
 	mu       sync.Mutex
 	fetching map[savorypin.Kind]bool
-	lost     bool
+	// inForce is the object of the configuration in force.
+	inForce savorypin.Object
+	later   heardVersion
+	lost    bool
 }
 
 func newStore(cfg Config, v *view, c counters) *store {
 	dialer := &net.Dialer{Timeout: storeConnectTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 4,
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    4,
+		MaxResponseHeaderBytes: storeHeadBytes,
 	}
 	s := &store{
 		cfg: cfg,
 		client: savorypinplatform.NewClient(savorypinplatform.Config{
 			Count:      func(string) { c.storeCalls.Inc(1) },
 			Dialect:    cfg.Dialect,
+			EraBegan:   func(era int64) { cfg.Log.Emit(savorypinevent.EraBegan{Era: era}) },
 			HTTPClient: &http.Client{Transport: transport},
-			Timeout:    storeTimeout,
-			URL:        cfg.Settings.Store,
+			// A list has pages of a megabyte.
+			MaxAnswerBytes: storeAnswerBytes,
+			Timeout:        storeTimeout,
+			URL:            cfg.Settings.Store,
 		}),
 		fetching: map[savorypin.Kind]bool{},
 		gate:     savorypinoutage.New(),
@@ -262,10 +272,8 @@
 	if err != nil {
 		return err
 	}
-	s.apply(o)
 	// There is one object of the kind.
-	s.mirrors[o.Kind].Advance(o.Version)
-	s.mirrors[o.Kind].Confirm(sent)
+	s.takeList(savorypinplatform.Listing{Era: o.Era, Objects: []savorypin.Object{o}, Version: o.Version}, o.Kind, sent)
 	return nil
 }
 
@@ -314,27 +322,40 @@
 
 func (s *store) list(ctx context.Context, kind savorypin.Kind) error {
 	sent := bootClock()
-	objects, at, err := s.client.List(ctx, kind)
+	listing, err := s.client.ListAll(ctx, kind)
 	if err != nil {
 		return err
 	}
+	s.takeList(listing, kind, sent)
+	return nil
+}
+
+// takeList takes over a list that was asked for at a time, and puts it in force.
+func (s *store) takeList(listing savorypinplatform.Listing, kind savorypin.Kind, sent time.Duration) {
 	mirror := s.mirrors[kind]
-	changed := mirror.Replace(objects, at)
-	mirror.Confirm(sent)
-	s.publish[kind]()
+	first := mirror.State().Confirmed == 0
+	changed := mirror.Replace(listing.Objects, listing.Version, listing.Era)
+	mirror.Confirm(sent, listing.Era)
+	if changed || first {
+		s.publish[kind]()
+	}
 	if changed {
 		s.news()
 	}
-	return nil
 }
 
 // watchOnce waits for changes after those that are known.
 func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
 	mirror := s.mirrors[kind]
+	state := mirror.State()
 	changed := false
-	err := s.client.WatchFor(ctx, kind, mirror.State().At, hold, func(o savorypin.Object) error {
+	err := s.client.WatchFor(ctx, kind, state.At, hold, func(o savorypin.Object) error {
+		if o.Era != state.Era {
+			// The store has come back from a copy, in which the version means another one.
+			return savorypinplatform.ErrExpired
+		}
 		if o.Name == "" {
-			mirror.Advance(o.Version)
+			mirror.Advance(o.Version, o.Era)
 			return nil
 		}
 		changed = mirror.Apply(o) || changed
@@ -345,7 +366,7 @@
 		s.news()
 	}
 	if err == nil {
-		mirror.Confirm(bootClock())
+		mirror.Confirm(bootClock(), state.Era)
 	}
 	return err
 }
--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypingossip"
@@ -14,9 +15,9 @@
 	copies := make([]savorypingossip.Copy, 0, len(s.mirrors))
 	for kind, mirror := range s.mirrors {
 		state := mirror.State()
-		c := savorypingossip.Copy{Age: -1, At: state.At, Changed: state.Changed, Floor: state.Floor, Kind: kind}
+		c := savorypingossip.Copy{Age: savorypingossip.Never, At: state.At, Changed: state.Changed, Era: state.Era, Floor: state.Floor, Kind: kind}
 		if state.Confirmed > 0 {
-			c.Age = now - state.Confirmed
+			c.Age = savorypingossip.Age(now - state.Confirmed)
 		}
 		copies = append(copies, c)
 	}
@@ -31,7 +32,7 @@
 		if !ok || c.Age < 0 {
 			continue
 		}
-		switch mirror.State().Relate(savorypinmirror.State{At: c.At, Changed: c.Changed, Floor: c.Floor}) {
+		switch mirror.State().Relate(savorypinmirror.State{At: c.At, Changed: c.Changed, Era: c.Era, Floor: c.Floor}) {
 		case savorypinmirror.RelationAhead:
 			go s.log.Contain("fetch changes", func() { s.fetch(m.Address, c.Kind) })
 		case savorypinmirror.RelationCovered:
@@ -48,35 +49,82 @@
 	if m.Echo == (savorypingossip.Echo{}) {
 		return
 	}
-	mirror.Advance(c.At)
-	mirror.Confirm(m.Echo.Sent - c.Age)
+	mirror.Advance(c.At, c.Era)
+	mirror.Confirm(m.Echo.Sent-time.Duration(c.Age), c.Era)
 }
 
-// fetch gets the changes of a kind from another gateway, one fetch at a time.
+// fetch gets the changes of a kind from another gateway.
 func (s *store) fetch(address string, kind savorypin.Kind) {
+	mirror := s.mirrors[kind]
+	state := mirror.State()
+	delta, ok := s.transfer(address, kind, state.At, state.Era)
+	if ok && mirror.Merge(delta) {
+		s.publish[kind]()
+		s.news()
+	}
+}
+
+// laterHeardPart is the part of the configuration delay after which a configuration
+// that others have in force is fetched from them: until then it comes by the store.
+const laterHeardPart = 0.25
+
+// heardVersion is a later version of the configuration than the one in force, and
+// since when it is known of.
+type heardVersion struct {
+	since   time.Time
+	version int64
+}
+
+// heardConfiguration takes note of the operator's version of the configuration that is
+// in force at another gateway. One that stays later than the one in force here is
+// fetched from there: the store may have come back from a copy that lacks it.
+func (s *store) heardConfiguration(address string, version int64) {
+	if c := s.view.configuration.Load(); c != nil && c.Version() >= version {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	if s.later.version != version {
+		s.later = heardVersion{since: now, version: version}
+	}
+	waited := now.Sub(s.later.since)
+	s.mu.Unlock()
+	if waited < time.Duration(laterHeardPart*float64(s.cfg.Settings.ConfigDelay)) {
+		return
+	}
+	go s.log.Contain("fetch configuration", func() {
+		delta, ok := s.transfer(address, s.cfg.Objects.Configuration.Kind, 0, noEra)
+		if ok {
+			s.adoptConfiguration(delta.Objects)
+		}
+	})
+}
+
+// noEra is the era of an asker that has nothing: the answer holds all objects.
+const noEra = -1
+
+// transfer gets the changes of a kind since a version from another gateway, one
+// transfer of a kind at a time.
+func (s *store) transfer(address string, kind savorypin.Kind, since, era int64) (savorypinmirror.Delta, bool) {
 	s.mu.Lock()
 	busy := s.fetching[kind]
 	s.fetching[kind] = true
 	s.mu.Unlock()
 	if busy {
-		return
+		return savorypinmirror.Delta{}, false
 	}
 	defer func() {
 		s.mu.Lock()
 		s.fetching[kind] = false
 		s.mu.Unlock()
 	}()
-	mirror := s.mirrors[kind]
-	delta, err := savorypingossip.Fetch(context.Background(), s.sealer, address, kind, mirror.State().At)
+	delta, err := savorypingossip.Fetch(context.Background(), s.sealer, address, kind, since, era)
 	if err != nil {
 		s.log.Debug("changes not fetched", "kind", kind, "peer", address, "err", err)
-		return
+		return savorypinmirror.Delta{}, false
 	}
 	for i := range delta.Objects {
 		delta.Objects[i].Kind = kind
 	}
-	if mirror.Merge(delta) {
-		s.publish[kind]()
-		s.news()
-	}
+	return delta, true
 }
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -21,6 +21,8 @@
 	resumePriority = 1
 	// endpointPause is the time between two looks for an endpoint.
 	endpointPause = 50 * time.Millisecond
+	// failureTime bounds the time in which an endpoint's failure is read.
+	failureTime = 2 * time.Second
 )
 
 // Errors of streams.
@@ -76,6 +78,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.until)
 	defer cancel()
 	defer g.boundWrites(w, req.until)()
+	defer req.bodies.release()
 	s := &stream{gateway: g, lastAt: req.arrived, rc: http.NewResponseController(w), req: req, tried: map[string]bool{}, w: w}
 	if last, err := strconv.ParseInt(req.call.LastEvent, 10, 64); err == nil {
 		s.last = last
@@ -115,7 +118,7 @@
 		// No attempt within this deadline can be whole.
 		g.refuse(s.w, s.req.call, s.req.service.Name(), notRun(errTooLate.Error(), s.req.left()))
 	case !s.mayHaveRun:
-		g.refuse(s.w, s.req.call, s.req.service.Name(), notRun("no endpoint took the request", retrySoon))
+		g.refuse(s.w, s.req.call, s.req.service.Name(), notRun("no endpoint took the request", g.returnTime(s.req.service.Name())))
 	case s.req.over():
 		g.refuse(s.w, s.req.call, s.req.service.Name(), &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout})
 	default:
@@ -180,7 +183,7 @@
 func (s *stream) next(ctx context.Context) (*savorypinfleet.Endpoint, bool, error) {
 	if b := s.backup; b != nil {
 		s.backup = nil
-		if s.gateway.view.directory.Load().Has(b) && b.Ready() && !s.gateway.picker.Suspect(b) {
+		if s.gateway.restores(b) && !s.gateway.picker.Suspect(b) {
 			return b, true, nil
 		}
 	}
@@ -188,7 +191,7 @@
 		if e := s.gateway.picker.Choose(s.gateway.query(s.req, s.tried)); e != nil {
 			return e, false, nil
 		}
-		if !s.mayHaveRun {
+		if !s.mayHaveRun || s.gateway.returnTime(s.req.service.Name()) > s.req.left() {
 			return nil, false, errNotRun
 		}
 		// A lost endpoint is back within seconds; what was read is worth the wait.
@@ -269,6 +272,8 @@
 		g.picker.Replaced(e)
 		g.endpointFailed(e, err.Error())
 	case errors.Is(err, errNotRun), errors.Is(err, errNoCaller), errors.Is(err, errFailed):
+	case noAnswer(err):
+		g.endpointDistrusted(e, err.Error())
 	default:
 		g.brokeOff(e, err.Error())
 	}
@@ -295,9 +300,11 @@
 		return err
 	}
 	reply := s.gateway.cfg.Codec.DecodeReply(resp)
-	switch {
-	case !related(conn, reply, s.req.call):
+	if !related(conn, reply, s.req.call) {
 		return savorypinpool.ErrUnrelated
+	}
+	s.gateway.noteIntake(a.Endpoint, s.req.call, resp.StatusCode, reply)
+	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		s.mayHaveRun = before
 		return errOther
@@ -305,7 +312,7 @@
 		s.mayHaveRun = before
 		return errNotRun
 	case resp.StatusCode != http.StatusOK:
-		return s.failed(resp)
+		return s.failed(conn, resp)
 	case reply.Encoded, !reply.Signed:
 		return errUnsigned
 	}
@@ -313,8 +320,11 @@
 }
 
 // failed keeps an endpoint's failure.
-func (s *stream) failed(resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes))
+func (s *stream) failed(conn *savorypinpool.Conn, resp *http.Response) error {
+	if err := conn.SetReadDeadline(time.Now().Add(failureTime)); err != nil {
+		return err
+	}
+	body, err := s.req.bodies.read(resp.Body)
 	if err != nil {
 		return err
 	}
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -164,9 +164,10 @@
 
 // known reports whether the engine may have a request whose first event is
 // awaited, among those that it does not name. It takes over the connection. Between events
-// silence alone decides, since a run may be known whose answer is lost.
+// silence alone decides, since a run may be known whose answer is lost; so it does if the
+// endpoint wants no questions now.
 func (w *watch) known(conn *savorypinpool.Conn) bool {
-	if w.begun.Load() {
+	if w.begun.Load() || w.gateway.intake.Paused(w.endpoint) {
 		w.gateway.pool.Put(conn, 0)
 		return true
 	}
--- a/internal/savorypingossip/check.go
+++ b/internal/savorypingossip/check.go
@@ -17,6 +17,8 @@
 	ageMost = 24 * time.Hour
 	// listMost bounds lists.
 	listMost = 1024
+	// eraMost bounds eras of the store.
+	eraMost = 1 << 31
 	// countMost bounds counts of requests, and tokensMost counts of tokens.
 	countMost  = 1 << 20
 	tokensMost = 1 << 30
@@ -40,7 +42,9 @@
 		checkFailures(m.History),
 	)
 	for _, c := range m.Copies {
-		err = errors.Join(err, claim("age of copy", c.Age <= ageMost), claim("version", c.At >= 0 && c.Changed >= 0 && c.Floor >= 0))
+		err = errors.Join(err, claim("age of copy", c.Age <= Age(ageMost)),
+			claim("version", c.At >= 0 && c.Changed >= 0 && c.Floor >= 0),
+			claim("era", c.Era >= 0 && c.Era <= eraMost))
 	}
 	for _, r := range m.Rumors {
 		err = errors.Join(err, claim("start of origin", r.Started <= now.Add(aheadMost).UnixNano()))
--- a/internal/savorypingossip/gossip.go
+++ b/internal/savorypingossip/gossip.go
@@ -206,7 +206,7 @@
 		if !g.rumors.Newer(rumor) {
 			continue
 		}
-		fact := Fact{Age: rumor.Age, Origin: rumor.Origin, Part: rumor.Part}
+		fact := Fact{Age: time.Duration(rumor.Age), Origin: rumor.Origin, Part: rumor.Part}
 		err := savorypinpack.Unmarshal(rumor.Body, &fact.News)
 		if err == nil {
 			err = fact.News.check()
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -72,7 +72,7 @@
 type Rumor struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to leave the names out
 	// Age is how long ago it was told, without the time on the way.
-	Age time.Duration `msgpack:"a"`
+	Age Age `msgpack:"a"`
 	// Body is the encoded News.
 	Body msgpack.RawMessage `msgpack:"n"`
 	// Origin is where the gateway that tells it receives messages.
@@ -87,6 +87,8 @@
 // News is what a gateway tells of itself; a part uses some of the fields.
 type News struct {
 	Budgets []Budget `msgpack:"b,omitempty"`
+	// Configuration is the operator's version of the configuration in force.
+	Configuration int64 `msgpack:"c,omitempty"`
 	// Domain is the gateway's failure domain.
 	Domain string `msgpack:"d,omitempty"`
 	// Failures are the domain failures that the gateway itself has found lately.
@@ -122,7 +124,7 @@
 type Copy struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to leave the names out
 	// Age is how long ago the copy was confirmed; negative for never.
-	Age time.Duration `msgpack:"g"`
+	Age Age `msgpack:"g"`
 	// At is the store's version up to which changes were read.
 	At int64 `msgpack:"a"`
 	// Changed is the version of the newest change.
@@ -130,6 +132,8 @@
 	// Floor is the version since which all deletions are known.
 	Floor int64          `msgpack:"f"`
 	Kind  savorypin.Kind `msgpack:"k"`
+	// Era is the era of the store to which the versions belong.
+	Era int64 `msgpack:"e"`
 }
 
 // Budget is what a gateway has sent to a service within the window of the retry
--- a/internal/savorypingossip/rumors.go
+++ b/internal/savorypingossip/rumors.go
@@ -142,7 +142,7 @@
 }
 
 func (r *Rumors) newer(rumor Rumor) bool {
-	if rumor.Origin == r.cfg.Origin || rumor.Age < 0 || rumor.Age >= r.cfg.Stale() ||
+	if rumor.Origin == r.cfg.Origin || rumor.Age < 0 || time.Duration(rumor.Age) >= r.cfg.Stale() ||
 		len(rumor.Body) > rumorBytes || !slices.Contains(parts, rumor.Part) {
 		return false
 	}
@@ -184,7 +184,7 @@
 // passed on or not.
 func (r *Rumors) All(most int) []Rumor {
 	now, stale := r.cfg.Now(), r.cfg.Stale()
-	fresh := func(h *heldRumor) bool { return h.rumor.Age+now.Sub(h.at) < stale }
+	fresh := func(h *heldRumor) bool { return time.Duration(h.rumor.Age)+now.Sub(h.at) < stale }
 	return r.take(most, fresh, func(*heldRumor) {})
 }
 
@@ -201,7 +201,7 @@
 		}
 		taken(h)
 		rumor := h.rumor
-		rumor.Age += now.Sub(h.at)
+		rumor.Age += Age(now.Sub(h.at))
 		rumors = append(rumors, rumor)
 	}
 	return rumors
--- a/internal/savorypingossip/sync.go
+++ b/internal/savorypingossip/sync.go
@@ -35,6 +35,8 @@
 
 // request asks for the changes of a kind.
 type request struct {
+	// Era is the era of the store to which Since belongs.
+	Era  int64          `msgpack:"e,omitempty"`
 	Kind savorypin.Kind `msgpack:"k"`
 	// Nonce is drawn for each request, so that an old answer is none to it.
 	Nonce []byte `msgpack:"n"`
@@ -105,18 +107,18 @@
 		return
 	}
 	// The asker sees a broken connection if the answer can't be written.
-	_ = writeFrame(conn, s.Sealer, answerPurpose(req.Nonce), mirror.Since(req.Since))
+	_ = writeFrame(conn, s.Sealer, answerPurpose(req.Nonce), mirror.Since(req.Since, req.Era))
 }
 
-// Fetch returns the changes of a kind at another gateway since a version.
+// Fetch returns the changes of a kind at another gateway since a version of an era.
 func Fetch(
 	ctx context.Context,
 	sealer *savorypinseal.Sealer,
 	address string,
 	kind savorypin.Kind,
-	since int64,
+	since, era int64,
 ) (savorypinmirror.Delta, error) {
-	req := request{Kind: kind, Nonce: make([]byte, nonceBytes), Since: since}
+	req := request{Era: era, Kind: kind, Nonce: make([]byte, nonceBytes), Since: since}
 	if _, err := rand.Read(req.Nonce); err != nil {
 		return savorypinmirror.Delta{}, fmt.Errorf("draw nonce: %w", err)
 	}
--- a/internal/savorypingossip/table_test.go
+++ b/internal/savorypingossip/table_test.go
@@ -125,15 +125,15 @@
 		go func() { done <- server.Run(ctx) }()
 		var d savorypinmirror.Delta
 		Eventually(func() (err error) {
-			d, err = savorypingossip.Fetch(ctx, key, address, "k", 1)
+			d, err = savorypingossip.Fetch(ctx, key, address, "k", 1, 0)
 			return err
 		}, "5s").Should(Succeed())
 		Expect(d.Objects).To(HaveLen(1))
 		Expect(d.Objects[0].Name).To(Equal("b"))
 		Expect(d.Removed).To(Equal([]savorypinmirror.Removal{{Name: "c", Version: 3}}))
-		_, err = savorypingossip.Fetch(ctx, key, address, "unknown", 0)
+		_, err = savorypingossip.Fetch(ctx, key, address, "unknown", 0, 0)
 		Expect(err).To(MatchError(ContainSubstring("read changes")))
-		_, err = savorypingossip.Fetch(ctx, savorypinseal.New("some other key"), address, "k", 1)
+		_, err = savorypingossip.Fetch(ctx, savorypinseal.New("some other key"), address, "k", 1, 0)
 		Expect(err).To(HaveOccurred())
 		cancel()
 		Expect(<-done).To(MatchError(context.Canceled))
--- a/internal/savorypinmirror/mirror.go
+++ b/internal/savorypinmirror/mirror.go
@@ -2,6 +2,10 @@
 // platform's store, fed by the store itself or by other mirrors. A copy never
 // goes back: of each object the newest version stays, and a deletion is kept for
 // as long as an older version might still arrive.
+//
+// The store may come back from an older copy of itself and give versions out again.
+// It then begins another era. A mirror holds versions of one era; it passes over to
+// a later one only as a whole, by a list of all objects, and never to an earlier one.
 package savorypinmirror
 
 import (
@@ -26,6 +30,8 @@
 	// Confirmed is when the question was sent whose answer last confirmed the
 	// copy, by the boot-time clock; zero for never.
 	Confirmed time.Duration
+	// Era is the era of the store to which the versions belong.
+	Era int64
 	// Floor is the version since which all deletions are known. A copy that was
 	// listed at a version does not know what was deleted before.
 	Floor int64
@@ -42,13 +48,17 @@
 	// which the other one is complete.
 	RelationCovered Relation = "covered"
 	// RelationUnknown means that something may have been deleted of which the other
-	// copy does not know.
+	// copy does not know, or that it is of an earlier era.
 	RelationUnknown Relation = "unknown"
 )
 
 // Relate returns what a copy elsewhere that is as far as other means for this one.
 func (s State) Relate(other State) Relation {
 	switch {
+	case other.Era > s.Era:
+		return RelationAhead
+	case other.Era < s.Era:
+		return RelationUnknown
 	case other.Changed > s.At:
 		return RelationAhead
 	case other.Floor > s.At:
@@ -61,6 +71,8 @@
 type Delta struct {
 	// At is the store's version up to which the changes are complete.
 	At int64 `msgpack:"a"`
+	// Era is the era of the store to which the versions belong.
+	Era int64 `msgpack:"e,omitempty"`
 	// Full says that the objects are all there are.
 	Full    bool               `msgpack:"f"`
 	Objects []savorypin.Object `msgpack:"o"`
@@ -86,11 +98,11 @@
 	return &Mirror{objects: map[string]savorypin.Object{}, removed: map[string]int64{}}
 }
 
-// Apply takes over one change. It reports whether it is new.
+// Apply takes over one change of the mirror's era. It reports whether it is new.
 func (m *Mirror) Apply(o savorypin.Object) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.apply(o)
+	return o.Era == m.state.Era && m.apply(o)
 }
 
 func (m *Mirror) apply(o savorypin.Object) bool {
@@ -136,15 +148,23 @@
 	}
 }
 
-// Replace takes over a list that the store made at a version. Objects that are
-// missing from it are gone, unless they are newer.
-func (m *Mirror) Replace(objects []savorypin.Object, at int64) bool {
+// Replace takes over a list that the store made at a version of an era. Objects
+// that are missing from it are gone, unless they are newer. It reports whether
+// anything has changed.
+func (m *Mirror) Replace(objects []savorypin.Object, at, era int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.replace(objects, at)
+	return m.replace(objects, at, era)
 }
 
-func (m *Mirror) replace(objects []savorypin.Object, at int64) bool {
+func (m *Mirror) replace(objects []savorypin.Object, at, era int64) bool {
+	switch {
+	case era < m.state.Era:
+		return false
+	case era > m.state.Era:
+		m.begin(objects, at, era)
+		return true
+	}
 	changed := false
 	listed := map[string]bool{}
 	for _, o := range objects {
@@ -162,18 +182,48 @@
 	return changed
 }
 
-// Advance takes note that the changes up to a version have been read.
-func (m *Mirror) Advance(at int64) {
+// begin puts a list of a later era in place of all that is known. When the copy was
+// confirmed last stays: what was in force then is still known to have been.
+func (m *Mirror) begin(objects []savorypin.Object, at, era int64) {
+	m.objects, m.removed = map[string]savorypin.Object{}, map[string]int64{}
+	m.state = State{At: at, Confirmed: m.state.Confirmed, Era: era, Floor: at}
+	for _, o := range objects {
+		o.Era = era
+		m.apply(o)
+	}
+}
+
+// Keep puts the content of an object in place of the one that is held under its
+// name, at that one's version, if it is later by the content itself. It is for
+// objects whose writers number them: the store may have come back from a copy that
+// lacks the latest one.
+func (m *Mirror) Keep(o savorypin.Object, later func(a, b savorypin.Object) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state.At = max(m.state.At, at)
+	held, ok := m.objects[o.Name]
+	if !ok || !later(o, held) {
+		return
+	}
+	o.Era, o.Version = held.Era, held.Version
+	m.objects[o.Name] = o
+}
+
+// Advance takes note that the changes up to a version of an era have been read.
+func (m *Mirror) Advance(at, era int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if era == m.state.Era {
+		m.state.At = max(m.state.At, at)
+	}
 }
 
-// Confirm takes note that the copy was complete when a question was sent.
-func (m *Mirror) Confirm(sent time.Duration) {
+// Confirm takes note that the copy of an era was complete when a question was sent.
+func (m *Mirror) Confirm(sent time.Duration, era int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state.Confirmed = max(m.state.Confirmed, sent)
+	if era == m.state.Era {
+		m.state.Confirmed = max(m.state.Confirmed, sent)
+	}
 }
 
 // State says how far the mirror is.
@@ -202,13 +252,13 @@
 	return objects
 }
 
-// Since returns what has changed since a version up to which the asker is
+// Since returns what has changed since a version of an era up to which the asker is
 // complete.
-func (m *Mirror) Since(version int64) Delta {
+func (m *Mirror) Since(version, era int64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{At: m.state.At}
-	if version < m.state.Floor {
+	d := Delta{At: m.state.At, Era: m.state.Era}
+	if era != m.state.Era || version < m.state.Floor {
 		d.Full = true
 		d.Objects = m.sorted(0)
 		return d
@@ -228,7 +278,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if d.Full {
-		return m.replace(d.Objects, d.At)
+		return m.replace(d.Objects, d.At, d.Era)
+	}
+	if d.Era != m.state.Era {
+		return false
 	}
 	changed := false
 	for _, o := range d.Objects {
--- a/internal/savorypinpick/suspicion.go
+++ b/internal/savorypinpick/suspicion.go
@@ -58,6 +58,15 @@
 	return p.recordFailure(failureRecord{at: now, domain: e.Domain(), own: true, service: e.Service()})
 }
 
+// Distrust takes note that an endpoint answers, but not in the protocol. Its domain is
+// not suspected for that.
+func (p *Picker) Distrust(e *savorypinfleet.Endpoint) {
+	now := p.cfg.Now()
+	l := p.load(e)
+	l.suspectAtLeast(now.Add(p.cfg.SuspectTime).UnixNano())
+	l.ownSuspectUntil.Store(now.Add(heardSuspectTime).UnixNano())
+}
+
 // expected reports whether a domain is likely to fail at this moment: where little
 // work is left because of that, one endpoint has to tell of all.
 func (p *Picker) expected(domain string, now time.Time) bool {
--- a/internal/savorypinplatform/client.go
+++ b/internal/savorypinplatform/client.go
@@ -53,6 +53,9 @@
 var (
 	// ErrConflict means that the object exists or has another version.
 	ErrConflict = errors.New("platform object has changed")
+	// ErrEra means that an answer, or the version that a write is conditional on, is of
+	// an earlier era of the store than is known.
+	ErrEra = errors.New("platform answer or version is of an earlier era")
 	// ErrExpired means that a watch starts before what the platform still has.
 	ErrExpired = errors.New("platform watch version has expired")
 	// ErrNotFound means that there is no such object.
@@ -116,8 +119,13 @@
 type Config struct {
 	// Count is called before each call with what the call is for.
 	Count func(purpose string)
+	// EraBegan is called when an answer is the first one of an era, but for the first
+	// era that is seen.
+	EraBegan func(era int64)
 	// HTTPClient makes the calls.
 	HTTPClient *http.Client
+	// MaxAnswerBytes bounds the body of an answer; zero means 64 MiB.
+	MaxAnswerBytes int64
 	// Timeout bounds each call but a watch.
 	Timeout time.Duration
 	// Token is the bearer token of the system; empty if the platform wants
@@ -136,6 +144,7 @@
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
 	cfg Config
+	era eras
 }
 
 // NewClient returns a client of the platform.
@@ -143,6 +152,12 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
+	if cfg.EraBegan == nil {
+		cfg.EraBegan = func(int64) {}
+	}
+	if cfg.MaxAnswerBytes == 0 {
+		cfg.MaxAnswerBytes = maxAnswerBytes
+	}
 	if cfg.WatchTimeout == 0 {
 		cfg.WatchTimeout = DefaultWatchTimeout
 	}
@@ -177,8 +192,8 @@
 // ListStale returns all objects of a kind as they were some time ago. Nothing that
 // must not go back may rest on them.
 func (c *Client) ListStale(ctx context.Context, kind savorypin.Kind) ([]savorypin.Object, error) {
-	objects, _, err := c.list(ctx, kind, c.stale)
-	return objects, err
+	listing, err := c.list(ctx, kind, c.stale)
+	return listing.Objects, err
 }
 
 // stale returns the path of a read that may be answered from an old copy.
@@ -189,36 +204,52 @@
 	return path + "?" + c.cfg.Dialect.StaleQuery
 }
 
-// List returns all objects of a kind and the version of the list. The version
-// is that of the first page, so that a watch from it misses nothing.
+// Listing is all objects of a kind.
+type Listing struct {
+	// Era is the era of the store in which the list was made.
+	Era     int64
+	Objects []savorypin.Object
+	// Version is that of the first page, so that a watch from it misses nothing.
+	Version int64
+}
+
+// List returns all objects of a kind and the version of the list.
 func (c *Client) List(ctx context.Context, kind savorypin.Kind) ([]savorypin.Object, int64, error) {
+	listing, err := c.ListAll(ctx, kind)
+	return listing.Objects, listing.Version, err
+}
+
+// ListAll returns all objects of a kind. Pages of different eras are no list; the
+// error then wraps ErrUnavailable.
+func (c *Client) ListAll(ctx context.Context, kind savorypin.Kind) (Listing, error) {
 	return c.list(ctx, kind, func(path string) string { return path })
 }
 
 // list reads the pages of a kind, at the paths as they are marked.
-func (c *Client) list(
-	ctx context.Context,
-	kind savorypin.Kind,
-	mark func(path string) string,
-) ([]savorypin.Object, int64, error) {
-	var objects []savorypin.Object
-	var version int64
+func (c *Client) list(ctx context.Context, kind savorypin.Kind, mark func(path string) string) (Listing, error) {
+	var listing Listing
 	after := ""
-	for {
-		data, err := c.do(ctx, http.MethodGet, mark(c.cfg.Dialect.ListPath(kind, after)), nil)
+	for first := true; ; first = false {
+		data, era, err := c.do(ctx, http.MethodGet, mark(c.cfg.Dialect.ListPath(kind, after)), nil)
 		if err != nil {
-			return nil, 0, fmt.Errorf("list %s: %w", kind, err)
+			return Listing{}, fmt.Errorf("list %s: %w", kind, err)
 		}
 		page, err := c.cfg.Dialect.DecodeList(kind, data)
 		if err != nil {
-			return nil, 0, fmt.Errorf("list %s: %w", kind, err)
+			return Listing{}, fmt.Errorf("list %s: %w", kind, err)
+		}
+		if first {
+			listing.Era, listing.Version = era, page.Version
 		}
-		objects = append(objects, page.Objects...)
-		if version == 0 {
-			version = page.Version
+		if era != listing.Era {
+			return Listing{}, fmt.Errorf("list %s: %w: pages of eras %d and %d", kind, ErrUnavailable, listing.Era, era)
 		}
+		for i := range page.Objects {
+			page.Objects[i].Era = era
+		}
+		listing.Objects = append(listing.Objects, page.Objects...)
 		if page.Next == "" || page.Next == after {
-			return objects, version, nil
+			return listing, nil
 		}
 		after = page.Next
 	}
@@ -261,7 +292,7 @@
 	if version != 0 {
 		path += "?" + c.cfg.Dialect.VersionParameter + "=" + strconv.FormatInt(version, 10)
 	}
-	if _, err := c.do(ctx, http.MethodDelete, path, nil); err != nil {
+	if _, _, err := c.do(ctx, http.MethodDelete, path, nil); err != nil {
 		return fmt.Errorf("delete %s: %w", key, err)
 	}
 	return nil
@@ -270,7 +301,7 @@
 // Hosts returns the platform's list of hosts, which lags behind the truth.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
 	var hosts []Host
-	data, err := c.do(ctx, http.MethodGet, HostsPath, nil)
+	data, _, err := c.do(ctx, http.MethodGet, HostsPath, nil)
 	if err != nil {
 		return nil, fmt.Errorf("list hosts: %w", err)
 	}
@@ -306,12 +337,17 @@
 	c.cfg.Count("watch")
 	ctx, cancel := context.WithTimeout(ctx, d+watchGrace)
 	defer cancel()
-	resp, err := c.send(ctx, http.MethodGet, c.cfg.Dialect.WatchPath(kind, version, d), nil)
+	resp, era, err := c.send(ctx, http.MethodGet, c.cfg.Dialect.WatchPath(kind, version, d), nil)
 	if err != nil {
 		return fmt.Errorf("watch %s: %w", kind, err)
 	}
 	defer resp.Body.Close()
-	if err := c.cfg.Dialect.ReadWatch(kind, resp.Body, handle); err != nil {
+	body := io.LimitReader(resp.Body, c.cfg.MaxAnswerBytes)
+	err = c.cfg.Dialect.ReadWatch(kind, body, func(o savorypin.Object) error {
+		o.Era = era
+		return handle(o)
+	})
+	if err != nil {
 		return fmt.Errorf("watch %s: %w", kind, err)
 	}
 	return nil
@@ -319,6 +355,10 @@
 
 // write sends an object and returns it as the platform holds it.
 func (c *Client) write(ctx context.Context, method, path string, o savorypin.Object) (savorypin.Object, error) {
+	if o.Version > 0 && o.Era < c.era.newest() {
+		// Its number may have been given to another version since.
+		return savorypin.Object{}, fmt.Errorf("%w: %w", ErrConflict, ErrEra)
+	}
 	data, err := c.cfg.Dialect.Encode(o)
 	if err != nil {
 		return savorypin.Object{}, fmt.Errorf("%w: encode request: %w", ErrRejected, err)
@@ -333,15 +373,17 @@
 	kind savorypin.Kind,
 	body []byte,
 ) (savorypin.Object, error) {
-	data, err := c.do(ctx, method, path, body)
+	data, era, err := c.do(ctx, method, path, body)
 	if err != nil {
 		return savorypin.Object{}, err
 	}
-	return c.cfg.Dialect.Decode(kind, data)
+	o, err := c.cfg.Dialect.Decode(kind, data)
+	o.Era = era
+	return o, err
 }
 
-// do makes a call and returns the body of the answer.
-func (c *Client) do(ctx context.Context, method, path string, in []byte) ([]byte, error) {
+// do makes a call and returns the body of the answer and the store's era.
+func (c *Client) do(ctx context.Context, method, path string, in []byte) ([]byte, int64, error) {
 	c.cfg.Count(method)
 	if c.cfg.Timeout > 0 {
 		var cancel context.CancelFunc
@@ -352,22 +394,23 @@
 	if in != nil {
 		body = bytes.NewReader(in)
 	}
-	resp, err := c.send(ctx, method, path, body)
+	resp, era, err := c.send(ctx, method, path, body)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxAnswerBytes))
 	if err != nil {
-		return nil, fmt.Errorf("%w: read answer: %w", ErrUnavailable, err)
+		return nil, 0, fmt.Errorf("%w: read answer: %w", ErrUnavailable, err)
 	}
-	return data, nil
+	return data, era, nil
 }
 
-func (c *Client) send(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
+// send makes a call and returns the answer, if it is a success, and the store's era.
+func (c *Client) send(ctx context.Context, method, path string, body io.Reader) (*http.Response, int64, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, body)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrRejected, err)
+		return nil, 0, fmt.Errorf("%w: %w", ErrRejected, err)
 	}
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
@@ -377,13 +420,17 @@
 	}
 	resp, err := c.cfg.HTTPClient.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	era, err := c.eraOf(resp.Header)
+	if err == nil {
+		err = statusError(resp.StatusCode)
 	}
-	if err := statusError(resp.StatusCode); err != nil {
+	if err != nil {
 		resp.Body.Close()
-		return nil, err
+		return nil, 0, err
 	}
-	return resp, nil
+	return resp, era, nil
 }
 
 // IsConflict reports whether a write failed because the object exists or has
--- a/internal/savorypinplatform/dialect.go
+++ b/internal/savorypinplatform/dialect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/url"
 	"time"
 
@@ -26,6 +27,9 @@
 type Dialect struct {
 	// Decode returns the object of an answer.
 	Decode func(savorypin.Kind, []byte) (savorypin.Object, error)
+	// DecodeEra returns the era of the store from the head of an answer, and false if
+	// the answer does not name it. Nil means that the store has only one.
+	DecodeEra func(http.Header) (era int64, named bool, err error)
 	// DecodeList returns the page of an answer to a list call.
 	DecodeList func(savorypin.Kind, []byte) (Page, error)
 	// Encode returns the body of a write.
--- a/internal/savorypinpool/conn.go
+++ b/internal/savorypinpool/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,21 +15,49 @@
 	"golang.org/x/sys/unix"
 )
 
-// readBufferBytes is the size of a connection's read buffer.
-const readBufferBytes = 4 << 10
+// Settings of reads.
+const (
+	// readBufferBytes is the size of a connection's read buffer.
+	readBufferBytes = 4 << 10
+	// headBytes bounds the head of an answer, with all interim answers before it.
+	headBytes = 64 << 10
+)
 
 // Conn is a connection to an endpoint that carries one request at a time. Only
 // Close may be called from another goroutine.
 type Conn struct {
 	address   string
 	br        *bufio.Reader
+	head      *headReader
 	idleUntil time.Time
 	nc        net.Conn
 	reused    bool
 }
 
 func newConn(nc net.Conn, address string) *Conn {
-	return &Conn{address: address, br: bufio.NewReaderSize(nc, readBufferBytes), nc: nc}
+	head := &headReader{nc: nc}
+	return &Conn{address: address, br: bufio.NewReaderSize(head, readBufferBytes), head: head, nc: nc}
+}
+
+// headReader reads from a connection and bounds the bytes of a head.
+type headReader struct {
+	left    int
+	limited bool
+	nc      net.Conn
+}
+
+// Read reads from the connection. Past the bound of a head it returns an error that
+// wraps ErrMalformed.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.nc.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, fmt.Errorf("%w: head is longer than %d bytes", ErrMalformed, headBytes)
+	}
+	n, err := h.nc.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
 }
 
 // Request is a request on the wire.
@@ -79,12 +109,14 @@
 }
 
 // Receive reads the head of the answer. The body must be read before the next
-// request.
+// request. The error wraps ErrMalformed if what came is no head.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.head.left, c.head.limited = headBytes, true
+	defer func() { c.head.limited = false }()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
-			return nil, fmt.Errorf("read answer head: %w", err)
+			return nil, fmt.Errorf("read answer head: %w", ReadError(err))
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -93,6 +125,17 @@
 	}
 }
 
+// ReadError returns the error of a read of an answer, and wraps ErrMalformed if the
+// connection holds but what came is not in the protocol.
+func ReadError(err error) error {
+	var broken net.Error
+	switch {
+	case errors.Is(err, ErrMalformed), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrMalformed, err)
+}
+
 // usable reports whether an idle connection is open and silent. Bytes that
 // arrived while no request waited make it unusable.
 func (c *Conn) usable() bool {
--- a/internal/savorypinpool/pool.go
+++ b/internal/savorypinpool/pool.go
@@ -36,6 +36,8 @@
 var (
 	// ErrConnect means that no connection could be made, so that nothing was sent.
 	ErrConnect = errors.New("endpoint cannot be reached")
+	// ErrMalformed means that what came is no answer of the protocol.
+	ErrMalformed = errors.New("answer is malformed")
 	// ErrUnrelated means that an answer belongs to another request.
 	ErrUnrelated = errors.New("answer belongs to another request")
 )
--- a/internal/savorypinrollout/tracker.go
+++ b/internal/savorypinrollout/tracker.go
@@ -60,10 +60,20 @@
 	Version  string `msgpack:"v"`
 }
 
+// missingTime is for how long an order is remembered that the store has lost with an
+// era: the operator writes it again.
+const missingTime = 5 * time.Minute
+
 // trial is one roll-out as a gateway sees it.
 type trial struct {
-	byRoute  map[string]Counts
-	others   map[string]map[string]Counts
+	byRoute map[string]Counts
+	// completed says that the roll-out was completed, in this era of the store or an
+	// earlier one.
+	completed bool
+	// missingSince is since when the store lacks the order; zero while it has it.
+	missingSince time.Time
+	others       map[string]map[string]Counts
+	// rejected says that the version was found bad; it is never taken back.
 	rejected bool
 	rollout  savorypinfleet.Rollout
 	sentNew  int64
@@ -77,6 +87,7 @@
 	cfg Config
 
 	mu     sync.Mutex
+	era    int64
 	trials map[string]*trial
 }
 
@@ -85,25 +96,57 @@
 	return &Tracker{cfg: cfg, trials: map[string]*trial{}}
 }
 
-// Update takes over the roll-outs that the store holds.
-func (t *Tracker) Update(rollouts []savorypinfleet.Rollout) {
+// Update takes over the roll-outs that the store holds in an era. What an earlier era
+// has lost stays in force: a version that was found bad stays so, a state is written
+// again, and an order that is missing is remembered until the operator has written
+// it again.
+func (t *Tracker) Update(rollouts []savorypinfleet.Rollout, era int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := map[string]bool{}
 	for _, r := range rollouts {
 		held[r.Service] = true
 		known := t.trials[r.Service]
-		if known == nil || known.rollout.Version != r.Version || ended(known.rollout) && !ended(r) {
+		if known == nil || t.another(known, r) {
 			known = &trial{
 				byRoute: map[string]Counts{}, others: map[string]map[string]Counts{},
 				since: t.cfg.Now(), usual: map[string]*usual{},
 			}
 			t.trials[r.Service] = known
 		}
-		known.rollout = r
+		known.take(r)
 	}
-	for service := range t.trials {
-		if !held[service] {
+	t.dropMissing(held, era)
+	t.era = max(t.era, era)
+}
+
+// another reports whether an entry of the store is another order than the one that is
+// known. Within an era an order that is carried out is not carried out again.
+func (t *Tracker) another(known *trial, r savorypinfleet.Rollout) bool {
+	if known.rollout.Version != r.Version {
+		return true
+	}
+	return ended(known.rollout) && !ended(r) && known.rollout.Era == r.Era
+}
+
+// take takes over an entry of the store about the trial's order.
+func (tr *trial) take(r savorypinfleet.Rollout) {
+	tr.missingSince = time.Time{}
+	tr.rollout = r
+	tr.completed = tr.completed || r.State == savorypinfleet.RolloutCompleted
+	tr.rejected = tr.rejected || r.State == savorypinfleet.RolloutRolledBack
+}
+
+// dropMissing drops the orders that the store holds no more, but for those that it
+// has lost with its last era. The caller holds t.mu.
+func (t *Tracker) dropMissing(held map[string]bool, era int64) {
+	now := t.cfg.Now()
+	for service, tr := range t.trials {
+		switch {
+		case held[service]:
+		case era > t.era && tr.missingSince.IsZero():
+			tr.missingSince = now
+		case tr.missingSince.IsZero(), now.Sub(tr.missingSince) > missingTime:
 			delete(t.trials, service)
 		}
 	}
@@ -125,9 +168,9 @@
 	}
 	version := tr.rollout.Version
 	switch {
-	case tr.rejected, tr.rollout.State == savorypinfleet.RolloutRolledBack:
+	case tr.rejected:
 		return SideOld, version
-	case tr.rollout.State == savorypinfleet.RolloutCompleted, t.moving(tr):
+	case tr.completed, t.moving(tr):
 		return SideNew, version
 	case t.mayExpose(tr):
 		return SideNew, version
@@ -212,7 +255,7 @@
 
 // judge reports whether the version was found bad just now. A rejection stays.
 func (t *Tracker) judge(tr *trial) bool {
-	if tr.rejected || ended(tr.rollout) || strongest(tr.total()) < evidenceBad {
+	if tr.rejected || tr.completed || ended(tr.rollout) || strongest(tr.total()) < evidenceBad {
 		return false
 	}
 	tr.rejected = true
@@ -289,7 +332,7 @@
 	defer t.mu.Unlock()
 	var due []savorypinfleet.Rollout
 	for _, tr := range t.trials {
-		if ended(tr.rollout) {
+		if ended(tr.rollout) || !tr.missingSince.IsZero() {
 			continue
 		}
 		next := t.next(tr)
@@ -309,6 +352,8 @@
 	switch {
 	case tr.rejected:
 		return savorypinfleet.RolloutRolledBack
+	case tr.completed:
+		return savorypinfleet.RolloutCompleted
 	case t.left(tr) > completionTime:
 		return savorypinfleet.RolloutRunning
 	case strongest(tr.total()) >= evidenceDoubt:
--- a/internal/savorypinrollout/tracker_test.go
+++ b/internal/savorypinrollout/tracker_test.go
@@ -55,7 +55,7 @@
 
 func (f *fleet) update() {
 	for _, t := range f.trackers {
-		t.Update([]savorypinfleet.Rollout{f.rollout})
+		t.Update([]savorypinfleet.Rollout{f.rollout}, f.rollout.Era)
 	}
 }
 
@@ -158,7 +158,7 @@
 
 	It("stays rejected for gateways that hear of it, and in a later state of the order", func() {
 		f := newFleet(2)
-		f.trackers[0].Update([]savorypinfleet.Rollout{f.rollout})
+		f.trackers[0].Update([]savorypinfleet.Rollout{f.rollout}, f.rollout.Era)
 		for range 20 {
 			f.trackers[0].Answered(service, "r", "v2", true, usualAnswer)
 		}
@@ -178,12 +178,61 @@
 		f.trackers[1] = savorypinrollout.New(savorypinrollout.Config{
 			Gateways: func() int { return 2 }, Now: func() time.Time { return f.now }, Share: share, Slack: slack,
 		})
-		f.trackers[1].Update([]savorypinfleet.Rollout{f.rollout})
+		f.trackers[1].Update([]savorypinfleet.Rollout{f.rollout}, f.rollout.Era)
 		Expect(f.trackers[1].Due()[0].State).To(Equal(savorypinfleet.RolloutRunning))
 		f.gossip()
 		Expect(f.trackers[1].Due()[0].State).To(Equal(savorypinfleet.RolloutCompleted))
 	})
 
+	for _, c := range []struct {
+		name string
+		// before is the state that the store loses with its era.
+		before savorypinfleet.RolloutState
+		reject bool
+		want   savorypinrollout.Side
+		due    savorypinfleet.RolloutState
+	}{
+		{"found bad stays so, and is written again", savorypinfleet.RolloutRolledBack, true, savorypinrollout.SideOld, savorypinfleet.RolloutRolledBack},
+		{"found bad, but not yet written, stays so", savorypinfleet.RolloutRunning, true, savorypinrollout.SideOld, savorypinfleet.RolloutRolledBack},
+		{"completed stays so, and is written again", savorypinfleet.RolloutCompleted, false, savorypinrollout.SideNew, savorypinfleet.RolloutCompleted},
+	} {
+		It(c.name+" in another era of the store that has lost the state", func() {
+			f := newFleet(1)
+			t := f.trackers[0]
+			for range 20 {
+				t.Answered(service, "r", "v2", c.reject, usualAnswer)
+			}
+			f.rollout.State = c.before
+			f.update()
+			f.rollout.Era, f.rollout.State = 1, savorypinfleet.RolloutRunning
+			f.update()
+			side, _ := t.Choose(service)
+			Expect(side).To(Equal(c.want))
+			Expect(t.Due()[0].State).To(Equal(c.due))
+			Expect(t.Due()[0].Era).To(Equal(int64(1)))
+		})
+	}
+
+	It("stays known in another era that lacks the order, until the operator writes it again", func() {
+		f := newFleet(1)
+		t := f.trackers[0]
+		for range 20 {
+			t.Answered(service, "r", "v2", true, usualAnswer)
+		}
+		t.Update(nil, 1)
+		t.Update(nil, 1)
+		side, _ := t.Choose(service)
+		Expect(side).To(Equal(savorypinrollout.SideOld))
+		Expect(t.Due()).To(BeEmpty(), "there is no entry to write to")
+		f.rollout.Era = 1
+		f.update()
+		side, _ = t.Choose(service)
+		Expect(side).To(Equal(savorypinrollout.SideOld))
+		t.Update(nil, 1)
+		side, _ = t.Choose(service)
+		Expect(side).To(Equal(savorypinrollout.SideAny), "the operator took the order away")
+	})
+
 	It("does not matter where no roll-out is ordered, and gets all once it is completed", func() {
 		f := newFleet(1)
 		side, _ := f.trackers[0].Choose("other")
