Bound by the drain delay how long a gateway may go without news of endpoints

By reading, three links of the chain could take longer than the bound: a gateway without news waited 0.84 of the delay and then up to 1.5 s, or for a watch that hung for its hold and 2 s more; while the store had failed it once, one call at a time went out, and that could be a watch of roll-outs, held for 3 s; and a gateway that starts served by a list that it had fetched from another one, however old that one's copy was.

Change: it asks after 0.61 of the delay at the latest, at once, twice, the second time on another connection (in all 0.94 of 2.5 s); a store that has failed is tried by short calls only; readers' watches end soon after their hold; a fetched list serves once it is confirmed as fresh, or if the store is out.

--- a/internal/savorypingateway/publish.go
+++ b/internal/savorypingateway/publish.go
@@ -73,10 +73,18 @@
 	old := s.view.directory.Load()
 	next := savorypinfleet.NewDirectory(list)
 	s.view.directory.Store(next)
-	s.view.listed.Store(true)
 	s.changed(old, next, s.mirrors[s.cfg.Objects.EndpointKind].State().Era)
 }
 
+// noteListed takes note that a kind was read from the store, or that another gateway
+// has confirmed what was fetched. Requests are served only then: what a gateway
+// fetches when it starts may come from one that has heard no news for long.
+func (s *store) noteListed(kind savorypin.Kind) {
+	if kind == s.cfg.Objects.EndpointKind {
+		s.view.listed.Store(true)
+	}
+}
+
 // publishRollouts passes the roll-outs on.
 func (s *store) publishRollouts() {
 	var rollouts []savorypinfleet.Rollout
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -40,7 +40,14 @@
 	rolloutLimit = 6 * time.Second
 	// limitSpread is the part of a limit over which the calls of those that do not
 	// read are spread.
-	limitSpread = 0.2
+	limitSpread = 0.1
+	// catchUpFirst and catchUpSecond are the parts of the limit that the two tries may
+	// take by which a gateway asks the store that has waited for news until its limit.
+	// The second one is on another connection, and long enough for a slow store.
+	catchUpFirst  = 0.2
+	catchUpSecond = 0.4
+	// atOnce is how long the store may hold a watch whose answer is wanted at once.
+	atOnce = time.Millisecond
 	// lookInterval is how often a gateway that does not read looks whether it has
 	// to.
 	lookInterval = 100 * time.Millisecond
@@ -58,8 +65,9 @@
 	confirmLimitPart = 0.4
 	configLimitPart  = 0.7
 	// drainLimitPart is the part of the drain delay after which a gateway without
-	// news reads the endpoints by itself.
-	drainLimitPart = 0.7
+	// news reads the endpoints by itself. The rest suffices for the spread of the
+	// limit and for all tries.
+	drainLimitPart = 0.55
 	// askLimitPart is the part of a limit after which another gateway is asked how
 	// fresh its copies are. The rest suffices for a second question.
 	askLimitPart = 0.5
@@ -69,10 +77,12 @@
 // it; the others get the changes from them, and read by themselves only if they
 // hear nothing for too long.
 type store struct {
-	cfg     Config
-	client  *savorypinplatform.Client
-	log     *savorypinevent.Log
-	mirrors map[savorypin.Kind]*savorypinmirror.Mirror
+	cfg    Config
+	client *savorypinplatform.Client
+	// closeIdle closes the connections that wait for the next call.
+	closeIdle func()
+	log       *savorypinevent.Log
+	mirrors   map[savorypin.Kind]*savorypinmirror.Mirror
 	// publish are the functions that put a changed copy in force.
 	publish map[savorypin.Kind]func()
 	// reader reports whether this gateway reads for all.
@@ -115,7 +125,8 @@
 		MaxResponseHeaderBytes: storeHeadBytes,
 	}
 	s := &store{
-		cfg: cfg,
+		cfg:       cfg,
+		closeIdle: transport.CloseIdleConnections,
 		client: savorypinplatform.NewClient(savorypinplatform.Config{
 			Count:      func(string) { c.storeCalls.Inc(1) },
 			Dialect:    cfg.Dialect,
@@ -293,7 +304,15 @@
 			return err
 		}
 		err := s.log.Do("read "+string(kind), func() error {
-			return s.read(ctx, kind, time.Duration(watchPart*float64(limit)))
+			switch {
+			case s.mirrors[kind].State().At == 0:
+				// The first list may be long; the client bounds it.
+				return s.list(ctx, kind)
+			case s.reader() && !s.gate.Failing():
+				return s.await(ctx, kind, limit)
+			default:
+				return s.catchUp(ctx, kind, limit)
+			}
 		})
 		s.noteStore(ctx, err)
 		if err != nil {
@@ -305,6 +324,30 @@
 	}
 }
 
+// catchUp reads the changes of a kind at once. An answer that does not come is asked
+// for again on another connection, since the first one may have gone silent.
+func (s *store) catchUp(ctx context.Context, kind savorypin.Kind, limit time.Duration) error {
+	err := s.readWithin(ctx, kind, atOnce, time.Duration(catchUpFirst*float64(limit)))
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	s.closeIdle()
+	return s.readWithin(ctx, kind, atOnce, time.Duration(catchUpSecond*float64(limit)))
+}
+
+// await waits for changes of a kind for a part of its limit.
+func (s *store) await(ctx context.Context, kind savorypin.Kind, limit time.Duration) error {
+	hold := time.Duration(watchPart * float64(limit))
+	return s.readWithin(ctx, kind, hold, hold+time.Duration(catchUpSecond*float64(limit)))
+}
+
+// readWithin is read with a bound on its time.
+func (s *store) readWithin(ctx context.Context, kind savorypin.Kind, hold, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return s.read(ctx, kind, hold)
+}
+
 // read waits for changes of a kind for as long as hold, or lists it if the changes
 // since the last read are not to be had.
 func (s *store) read(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
@@ -339,6 +382,7 @@
 	if changed || first {
 		s.publish[kind]()
 	}
+	s.noteListed(kind)
 	if changed {
 		s.news()
 	}
@@ -347,7 +391,7 @@
 // watchOnce waits for changes after those that are known.
 func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
 	mirror := s.mirrors[kind]
-	state := mirror.State()
+	state, sent := mirror.State(), bootClock()
 	changed := false
 	err := s.client.WatchFor(ctx, kind, state.At, hold, func(o savorypin.Object) error {
 		if o.Era != state.Era {
@@ -366,7 +410,12 @@
 		s.news()
 	}
 	if err == nil {
-		mirror.Confirm(bootClock(), state.Era)
+		if hold > atOnce {
+			// The store has answered at the end of the time, or with the last change.
+			sent = bootClock()
+		}
+		mirror.Confirm(sent, state.Era)
+		s.noteListed(kind)
 	}
 	return err
 }
--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -51,6 +51,10 @@
 	}
 	mirror.Advance(c.At, c.Era)
 	mirror.Confirm(m.Echo.Sent-time.Duration(c.Age), c.Era)
+	// An old copy is better than none only if the store does not answer.
+	if time.Duration(c.Age) < s.limits[c.Kind] || s.gate.Failing() {
+		s.noteListed(c.Kind)
+	}
 }
 
 // fetch gets the changes of a kind from another gateway.
--- a/internal/savorypingateway/view.go
+++ b/internal/savorypingateway/view.go
@@ -15,7 +15,7 @@
 	// boot-time clock; zero for never.
 	confirmed func() time.Duration
 	directory atomic.Pointer[savorypinfleet.Directory]
-	// listed says that the list of endpoints was read once.
+	// listed says that the list of endpoints was confirmed once.
 	listed atomic.Bool
 }
 
