Weigh the next failing domain by what a copy leaves exposed

Hypothesis: a stream's prompt is lost with its domain only until the first event, from which on another engine has a copy. The whole prompt was weighed, so that streams crowded in the other domains, were longer, and more of them were on their way when the gateways lost power.

Change: the risk is weighed by the observed share of a stream's time until its first event where engines keep copies (about a quarter here), by all of it where they don't. The constant lossPart is gone.

--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -60,6 +60,7 @@
 func (g *Gateway) query(req *request, tried map[string]bool) savorypinpick.Query {
 	return savorypinpick.Query{
 		Candidates:   g.candidates(req.service.Name()),
+		Copied:       req.service.Backups(),
 		Excluded:     tried,
 		Prompt:       req.call.Prompt,
 		PromptTokens: req.call.PromptTokens,
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -34,9 +34,6 @@
 	// farPenaltyTokens is what an endpoint of another region must be better by:
 	// its events cross the link between regions and come later by a round trip.
 	farPenaltyTokens = 1000
-	// lossPart is the part of a prompt that is lost when its domain fails: it is
-	// read again, and the answer is late.
-	lossPart = 1.0
 	// keptFactor is what a prompt that an engine has kept weighs against the
 	// tokens that wait there.
 	keptFactor = 2
@@ -46,9 +43,11 @@
 	// backupRisk is what a certain failure weighs against copies and running
 	// requests in the choice of a backup.
 	backupRisk = 4
-	// firstDuration stands for the usual duration of a stream before one ended.
+	// firstDuration stands for the usual duration of a stream before one ended, and
+	// firstReading for the usual time until its prompt is read.
 	firstDuration = 6 * time.Second
-	// durationWeight is the weight of a new duration in the average.
+	firstReading  = 1500 * time.Millisecond
+	// durationWeight is the weight of a new duration in the averages.
 	durationWeight = 0.05
 	// runningTokens is what a running request weighs against prompt tokens that
 	// wait: it slows each further token down by little.
@@ -115,8 +114,10 @@
 // Picker chooses endpoints. It is safe for concurrent use.
 type Picker struct {
 	cfg Config
-	// duration is the average duration of a stream in nanoseconds.
+	// duration is the average duration of a stream in nanoseconds, and reading that of
+	// the time until its prompt is read.
 	duration atomic.Int64
+	reading  atomic.Int64
 	loads    sync.Map
 	prompts  *prompts
 
@@ -130,6 +131,7 @@
 func New(cfg Config) *Picker {
 	p := &Picker{cfg: cfg, domains: map[string]*domain{}, others: map[string][]Load{}}
 	p.duration.Store(int64(firstDuration))
+	p.reading.Store(int64(firstReading))
 	p.prompts = newPrompts(cfg.PromptTime, cfg.Now)
 	return p
 }
@@ -162,6 +164,8 @@
 type Query struct {
 	// Candidates are the endpoints that may be chosen.
 	Candidates []*savorypinfleet.Endpoint
+	// Copied says that the memory of a run is copied to another endpoint.
+	Copied bool
 	// Excluded are the IDs that must not be chosen.
 	Excluded map[string]bool
 	// Plain says that the answer is no stream.
@@ -298,8 +302,23 @@
 
 // Completed takes note of how long a stream took that was completed.
 func (p *Picker) Completed(took time.Duration) {
-	old := p.duration.Load()
-	p.duration.Store(old + int64(durationWeight*float64(int64(took)-old)))
+	moveAverage(&p.duration, took)
+}
+
+// moveAverage moves the average of durations towards one.
+func moveAverage(average *atomic.Int64, d time.Duration) {
+	old := average.Load()
+	average.Store(old + int64(durationWeight*float64(int64(d)-old)))
+}
+
+// exposedPart is the part of a stream's time in which its prompt has to be read again
+// if its domain fails: until the first event, from which on there is a copy, or
+// always if there is none.
+func (p *Picker) exposedPart(q Query) float64 {
+	if !q.Copied {
+		return 1
+	}
+	return min(1, float64(p.reading.Load())/float64(max(1, p.duration.Load())))
 }
 
 // suspectScore exceeds every score of load.
@@ -317,7 +336,7 @@
 func (p *Picker) streamScore(e *savorypinfleet.Endpoint, q Query, risks map[string]float64) float64 {
 	l := p.load(e)
 	s := float64(l.waiting.Load()+l.othersWaiting.Load()) + p.running(l)*runningTokens
-	s += risks[e.Domain()] * lossPart * float64(q.PromptTokens)
+	s += risks[e.Domain()] * p.exposedPart(q) * float64(q.PromptTokens)
 	if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 		s += farPenaltyTokens
 	}
--- a/internal/savorypinpick/picker_test.go
+++ b/internal/savorypinpick/picker_test.go
@@ -167,6 +167,33 @@
 		Expect(one.picker.HasRead(one.endpoints[1], "prompt")).To(BeTrue())
 	})
 
+	for _, c := range []struct {
+		name   string
+		copied bool
+		want   string
+	}{
+		{"wait where other prompts are read rather than lose theirs with the domain that fails next", false, "b"},
+		{"don't crowd where other prompts are read to avoid that domain, if a copy soon protects them", true, "a"},
+	} {
+		It("in a deployment whose domains fail in turn "+c.name, func() {
+			f := newFleet()
+			for _, domain := range []string{"a", "b", "c", "a", "b", "c"} {
+				f.fail(domain)
+				f.now = f.now.Add(7 * time.Second)
+			}
+			f.now = f.now.Add(-2 * time.Second)
+			for _, e := range f.endpoints {
+				f.picker.Clear(e)
+				if e.Domain() != "a" {
+					f.picker.Begin(e, nil, promptTokens/2)
+				}
+			}
+			q := f.query()
+			q.Copied = c.copied
+			Expect(f.picker.Choose(q).Domain()).To(Equal(c.want))
+		})
+	}
+
 	It("avoid a failed domain until the entries of what was lost have lapsed", func() {
 		f := newFleet()
 		f.fail("a")
--- a/internal/savorypinpick/work.go
+++ b/internal/savorypinpick/work.go
@@ -38,6 +38,14 @@
 
 // Read takes note that the prompt has been read.
 func (w *Work) Read() {
+	if w.tokens > 0 {
+		moveAverage(&w.picker.reading, w.picker.cfg.Now().Sub(w.began))
+	}
+	w.forgetPrompt()
+}
+
+// forgetPrompt takes the prompt off what waits at the endpoint.
+func (w *Work) forgetPrompt() {
 	w.load.waiting.Add(-w.tokens)
 	w.tokens = 0
 }
@@ -47,7 +55,7 @@
 	if w.ended.Swap(true) {
 		return
 	}
-	w.Read()
+	w.forgetPrompt()
 	w.load.running.Add(-1)
 	if w.backup != nil {
 		w.backup.backups.Add(-1)
