Do not give a stream up that an engine's report can't name yet

Cause: when a failure domain is lost, all streams there are checked at once. Change: a report says nothing of a request that is younger than 600 ms.

--- a/internal/savorypingateway/silence_test.go
+++ b/internal/savorypingateway/silence_test.go
@@ -49,3 +49,20 @@
 		})
 	}
 })
+
+var _ = Describe("A stream that is checked since its failure domain was lost", func() {
+	for _, c := range []struct {
+		name     string
+		reported bool
+		sent     time.Duration
+		want     bool
+	}{
+		{"is not given up right after it was sent, as the engine's report is older", false, 20 * time.Millisecond, false},
+		{"is given up if the engine long should know it", false, time.Second, true},
+		{"goes on at an engine that knows it", true, time.Second, false},
+	} {
+		It(c.name, func() {
+			Expect(missing(c.reported, c.sent)).To(Equal(c.want))
+		})
+	}
+})
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -23,6 +23,9 @@
 	reportTimeout = 400 * time.Millisecond
 	// reportBytes bounds the size of that answer.
 	reportBytes = 1 << 20
+	// reportLag is how old a report may be: a request that was sent later may be
+	// missing from it.
+	reportLag = 600 * time.Millisecond
 	// defaultGap stands for the longest pause where the route names none.
 	defaultGap = time.Second
 	// firstPart is how many times the target latency an endpoint without a first
@@ -56,6 +59,8 @@
 	id    string
 	// resting says that the caller takes an event.
 	resting atomic.Bool
+	// sent is when the request was sent.
+	sent time.Time
 	// stuckBefore is the number of earlier attempts that were given up although
 	// their hosts answered.
 	stuckBefore int
@@ -79,7 +84,7 @@
 	if gap == 0 {
 		gap = defaultGap
 	}
-	w := &watch{conn: conn, ctx: ctx, endpoint: e, gap: gap, gateway: g, id: req.call.ID, stuckBefore: stuck}
+	w := &watch{conn: conn, ctx: ctx, endpoint: e, gap: gap, gateway: g, id: req.call.ID, sent: time.Now(), stuckBefore: stuck}
 	w.bounds.Store(&bounds{
 		check: time.Duration(firstCheckPart * float64(target)),
 		limit: time.Duration(firstPart * float64(target)),
@@ -143,7 +148,7 @@
 	conn, err := w.gateway.pool.Open(w.ctx, w.endpoint.Address(), w.gateway.connectTimeout(w.endpoint))
 	known := true
 	if err == nil {
-		known = w.known(conn)
+		known = !missing(w.known(conn), time.Since(w.sent))
 	}
 	if w.last.Load() != began || w.ctx.Err() != nil {
 		return
@@ -162,6 +167,13 @@
 	w.conn.Close()
 }
 
+// missing reports whether an engine does not have a request that was sent some time
+// ago, given whether its report may name it. Reports are late: when a failure domain is
+// lost, all streams there are checked at once, also those that were just sent.
+func missing(reported bool, sent time.Duration) bool {
+	return !reported && sent >= reportLag
+}
+
 // known reports whether the engine may have a request whose first event is
 // awaited, among those that it does not name. It takes over the connection. Between events
 // silence alone decides, since a run may be known whose answer is lost; so it does if the
