--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -15,15 +15,29 @@
 func (c *Config) explainCmd() *cli.Command {
 	return &cli.Command{
 		Action:    c.runExplainCmd,
-		ArgsUsage: "REQUEST-ID [LOG...]",
+		ArgsUsage: "REQUEST-ID [LOG...], or --causes [LOG...]",
 		Description: "Reads the logs of gateways, or the standard input if none is named, and tells what\n" +
-			"happened to a request, over all gateways, and what they believed then.",
+			"happened to a request, over all gateways, and what they believed then. With --causes\n" +
+			"it counts why all requests ended as they did.",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: flagCauses, Usage: "count why requests ended as they did"},
+		},
 		Name:  "explain",
-		Usage: "tell from logs what happened to a request",
+		Usage: "tell from logs what happened to a request, or to all",
 	}
 }
 
+// flagCauses asks for the causes of all requests' ends in place of one request.
+const flagCauses = "causes"
+
 func (c *Config) runExplainCmd(_ context.Context, cmd *cli.Command) error {
+	if cmd.Bool(flagCauses) {
+		lines, err := c.readLogs(cmd.Args().Slice())
+		if err != nil {
+			return err
+		}
+		return savorypinexplain.WriteCauses(c.stdout, savorypinexplain.Causes(lines))
+	}
 	id := cmd.Args().First()
 	if id == "" {
 		return savorypin.Errorf(savorypin.KindInvalid, "REQUEST-ID", "is missing")
--- a/internal/cmd/explaincmd_test.go
+++ b/internal/cmd/explaincmd_test.go
@@ -52,6 +52,13 @@
 		})
 	}
 
+	It("counts why all requests ended as they did", func() {
+		out, err := explain(explainedLog, "--causes")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(ContainSubstring("refused with 502: endpoint failed"))
+		Expect(out).To(ContainSubstring("1.000"))
+	})
+
 	It("refuses a log without lines of gateways", func() {
 		_, err := explain("something else", "r1")
 		Expect(exitCode(err)).To(Equal(exitInvalid))
--- a/internal/savorypinexplain/account_test.go
+++ b/internal/savorypinexplain/account_test.go
@@ -67,3 +67,23 @@
 		Expect(err).To(MatchError(savorypinexplain.ErrNoLines))
 	})
 })
+
+var _ = Describe("The causes of requests' ends", func() {
+	It("are counted, the most frequent first, with those that were lost or left out", func() {
+		more := logs + `
+  27.000 edge-2 time=2026-12-04T05:00:00.100Z level=warn msg="request refused" gateway=edge-2 id=r4 status=502 reason="endpoint failed"
+  28.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="stream completed" gateway=edge-2 id=r5 attempts=2 event=90
+  28.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="endpoint leaves" gateway=edge-2 id=r5 endpoint=i-9
+  29.000 edge-2 time=2026-12-04T05:00:00.100Z level=warn msg="lines left out" gateway=edge-2 of="request answered" count=40
+`
+		lines, err := savorypinexplain.Read(strings.NewReader(more))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(savorypinexplain.Causes(lines)).To(Equal([]savorypinexplain.Cause{
+			{First: 29 * time.Second, Last: 29 * time.Second, Name: "left out of the log: request answered", Requests: 40},
+			{First: 25001 * time.Millisecond, Last: 27 * time.Second, Name: "refused with 502: endpoint failed", Requests: 2},
+			{First: 26 * time.Second, Last: 26 * time.Second, Name: "no end: the gateway was lost, or lines were left out", Requests: 1},
+			{First: 28 * time.Second, Last: 28 * time.Second, Name: "stream completed after more attempts than one", Requests: 1},
+			{First: 24020 * time.Millisecond, Last: 24020 * time.Millisecond, Name: "stream failed: retry budget is spent", Requests: 1},
+		}))
+	})
+})
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -178,12 +178,27 @@
 		g.noteVersion(req, e, !result.succeeded(), time.Since(began))
 		g.judgePlain(e, result)
 	}
+	g.giveBack(conn, keepAlive)
+	return result
+}
+
+// idleTime is how long a connection may stay idle whose answer was read whole; it is
+// negative if the connection can't be used again.
+func idleTime(conn *savorypinpool.Conn, resp *http.Response, reply savorypinfleet.Reply) time.Duration {
+	if resp.Close || conn.Buffered() > 0 {
+		return -1
+	}
+	return reply.KeepAlive
+}
+
+// giveBack keeps a connection for another request for as long as it may stay idle, or
+// closes it if that is negative.
+func (g *Gateway) giveBack(conn *savorypinpool.Conn, keepAlive time.Duration) {
 	if keepAlive < 0 {
 		conn.Close()
-	} else {
-		g.pool.Put(conn, keepAlive)
+		return
 	}
-	return result
+	g.pool.Put(conn, keepAlive)
 }
 
 // patience is how long an endpoint may take for a request that can go on elsewhere,
@@ -241,10 +256,7 @@
 		return unknown(err)
 	}
 	reply := g.cfg.Codec.DecodeReply(resp)
-	keepAlive := reply.KeepAlive
-	if resp.Close || conn.Buffered() > 0 {
-		keepAlive = -1
-	}
+	keepAlive := idleTime(conn, resp, reply)
 	if !related(conn, reply, req.call) {
 		return unknown(savorypinpool.ErrUnrelated)
 	}
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -316,7 +316,11 @@
 	case reply.Encoded, !reply.Signed:
 		return errUnsigned
 	}
-	return s.relay(resp, a, w, read)
+	if err := s.relay(resp, a, w, read); err != nil {
+		return err
+	}
+	s.gateway.giveBack(conn, idleTime(conn, resp, reply))
+	return nil
 }
 
 // failed keeps an endpoint's failure.
--- a/internal/savorypingateway/watch.go
+++ b/internal/savorypingateway/watch.go
@@ -146,20 +146,23 @@
 	}
 	began := w.last.Load()
 	conn, err := w.gateway.pool.Open(w.ctx, w.endpoint.Address(), w.gateway.connectTimeout(w.endpoint))
-	known := true
-	if err == nil {
-		known = !missing(w.known(conn), time.Since(w.sent))
-	}
+	reported := err == nil && w.known(conn)
+	sent := time.Since(w.sent)
+	goesOn := err == nil && !missing(reported, sent)
 	if w.last.Load() != began || w.ctx.Err() != nil {
 		return
 	}
 	silence := time.Since(time.Unix(0, began))
 	b := w.bounds.Load()
-	if err == nil && known && w.resting.Load() {
+	if goesOn && w.resting.Load() {
 		return
 	}
-	if err == nil && known && silence <= b.limit {
-		w.timer.Reset(min(b.check, max(b.limit-silence, time.Millisecond)))
+	if goesOn && silence <= b.limit {
+		again := min(b.check, max(b.limit-silence, time.Millisecond))
+		if !reported {
+			again = reportLag - sent
+		}
+		w.timer.Reset(again)
 		return
 	}
 	w.lost.Store(err != nil)
