--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -116,7 +116,8 @@
 // where they are.
 func (g *Gateway) register(ctx context.Context) error {
 	s := g.settings.Load()
-	registered := g.meetRegistered(ctx)
+	registered := false
+	g.log.Contain("meet gateways", func() { registered = g.meetRegistered(ctx) })
 	close(g.met)
 	era := g.store.client.Era()
 	for {
@@ -124,13 +125,15 @@
 		if now := g.store.client.Era(); now != era {
 			era, registered = now, false
 		}
-		registered = registered || g.writeRegistration(ctx, s)
+		g.log.Contain("register", func() {
+			registered = registered || g.writeRegistration(ctx, s)
+		})
 		if err := wait(ctx, meetInterval); err != nil {
 			return err
 		}
 		// Gateways tell each other of those that they know.
 		if !registered || len(g.peers.Alive()) == 0 {
-			registered = g.meetRegistered(ctx)
+			g.log.Contain("meet gateways", func() { registered = g.meetRegistered(ctx) })
 		}
 	}
 }
--- a/internal/savorypingossip/rumors.go
+++ b/internal/savorypingossip/rumors.go
@@ -13,9 +13,6 @@
 
 // Settings of rumors.
 const (
-	// passRounds is in how many rounds a rumor is passed on. With the receivers of
-	// a round it reaches nearly all; the refresh reaches the rest.
-	passRounds = 1
 	// refreshBeats is after how many heartbeats a part is told again that has not
 	// changed, for gateways that missed it or have just started.
 	refreshBeats = 3
@@ -34,9 +31,10 @@
 // heldRumor is a rumor with when it was heard.
 type heldRumor struct {
 	at time.Time
-	// left is the number of rounds in which it is still passed on.
-	left  int
-	rumor Rumor
+	// passed says that it was passed on in a round. With the receivers of one round it
+	// reaches nearly all; the refresh reaches the rest.
+	passed bool
+	rumor  Rumor
 }
 
 // Pace is how often a part is told.
@@ -108,7 +106,7 @@
 	if told {
 		serial = old.rumor.Serial + 1
 	}
-	r.held[key] = &heldRumor{at: r.cfg.Now(), left: passRounds, rumor: Rumor{
+	r.held[key] = &heldRumor{at: r.cfg.Now(), rumor: Rumor{
 		Body: body, Origin: r.cfg.Origin, Part: part, Serial: serial, Started: r.cfg.Started,
 	}}
 	return nil
@@ -167,9 +165,7 @@
 	if !r.newer(rumor) {
 		return false
 	}
-	r.held[rumorKey{origin: rumor.Origin, part: rumor.Part}] = &heldRumor{
-		at: r.cfg.Now(), left: passRounds, rumor: rumor,
-	}
+	r.held[rumorKey{origin: rumor.Origin, part: rumor.Part}] = &heldRumor{at: r.cfg.Now(), rumor: rumor}
 	return true
 }
 
@@ -177,7 +173,7 @@
 // first, which take no more than a number of bytes. Others wait for the next
 // round.
 func (r *Rumors) Round(most int) []Rumor {
-	return r.take(most, func(h *heldRumor) bool { return h.left > 0 }, func(h *heldRumor) { h.left-- })
+	return r.take(most, func(h *heldRumor) bool { return !h.passed }, func(h *heldRumor) { h.passed = true })
 }
 
 // All returns rumors for a gateway that has just started, whether they are to be
