Contain panics in what entries start for one generation or call

Attempts of a relay, settlements and calls that run once now end alone; a call that ended so is told as unknown, since it may have run.

--- a/internal/savorypinentry/callclaims.go
+++ b/internal/savorypinentry/callclaims.go
@@ -144,7 +144,11 @@
 	e.settling.Add(1)
 	go func() {
 		defer e.settling.Add(-1)
-		e.shards.Settle(e.life, s)
+		// The claim stays unsettled after a panic, which contain has logged.
+		_ = e.contain("settlement", func() error {
+			e.shards.Settle(e.life, s)
+			return nil
+		})
 	}()
 }
 
--- a/internal/savorypinentry/callonce.go
+++ b/internal/savorypinentry/callonce.go
@@ -35,17 +35,14 @@
 	results := make(chan savorypinclaim.Result, 1)
 	go func() {
 		defer end()
-		ctx, cancel := context.WithDeadline(e.life, deadline)
-		defer cancel()
-		o := &onceCall{call: call, ctx: ctx, entry: e, route: route}
-		result := e.runner.Run(ctx, o.request())
-		if result.Outcome == savorypinclaim.OutcomeNotRun && o.refused != nil {
-			result.Err = o.refused
-		}
-		if result.Mismatch {
-			e.countCall("once.mismatch")
-		} else {
-			e.countCall("once." + string(result.Outcome))
+		// Nothing is known of a call that ended by a panic.
+		result := savorypinclaim.Result{Outcome: savorypinclaim.OutcomeUnknown}
+		err := e.contain("call", func() error {
+			result = e.runOnce(call, route, deadline)
+			return nil
+		})
+		if err != nil {
+			result.Err = err
 		}
 		results <- result
 	}()
@@ -57,6 +54,23 @@
 	}
 }
 
+// runOnce runs a call at most once for its key, until the deadline.
+func (e *Entry) runOnce(call Call, route savorypin.RouteSpec, deadline time.Time) savorypinclaim.Result {
+	ctx, cancel := context.WithDeadline(e.life, deadline)
+	defer cancel()
+	o := &onceCall{call: call, ctx: ctx, entry: e, route: route}
+	result := e.runner.Run(ctx, o.request())
+	if result.Outcome == savorypinclaim.OutcomeNotRun && o.refused != nil {
+		result.Err = o.refused
+	}
+	if result.Mismatch {
+		e.countCall("once.mismatch")
+	} else {
+		e.countCall("once." + string(result.Outcome))
+	}
+	return result
+}
+
 // onceCall is a call that runs at most once for its key.
 type onceCall struct {
 	call      Call
--- a/internal/savorypinentry/relayattempt.go
+++ b/internal/savorypinentry/relayattempt.go
@@ -188,7 +188,11 @@
 	r.streams[s.attempt] = s
 	go func() {
 		defer cancel(nil)
-		sent, err := r.run(ctx, s, kind, msg)
+		var sent bool
+		err := r.entry.contain("attempt", func() (err error) {
+			sent, err = r.run(ctx, s, kind, msg)
+			return err
+		})
 		if s.ticket != nil {
 			s.ticket.Leave()
 		}
