Let a transfer between gateways say how fresh it is

Found on reading: a gateway that starts in a large fleet serves by a fetched list only once it is confirmed, and the next message that confirms it may come a second later. A transfer now carries the age of the copy that it is from, counted from when it was asked for, and confirms by itself.

--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -180,7 +180,7 @@
 
 // syncServer serves this gateway's copies to others.
 func (g *Gateway) syncServer() *savorypingossip.SyncServer {
-	return &savorypingossip.SyncServer{Address: g.address(), Log: g.log, Mirrors: g.store.mirrors, Sealer: g.sealer}
+	return &savorypingossip.SyncServer{Address: g.address(), Clock: bootClock, Log: g.log, Mirrors: g.store.mirrors, Sealer: g.sealer}
 }
 
 // address is where this gateway talks to others.
--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -50,22 +50,34 @@
 		return
 	}
 	mirror.Advance(c.At, c.Era)
-	mirror.Confirm(m.Echo.Sent-time.Duration(c.Age), c.Era)
-	// An old copy is better than none only if the store does not answer.
-	if time.Duration(c.Age) < s.limits[c.Kind] || s.gate.Failing() {
-		s.noteListed(c.Kind)
+	s.confirm(c.Kind, m.Echo.Sent, time.Duration(c.Age), c.Era)
+}
+
+// confirm takes note that a copy has what another gateway had of an era, whose copy was
+// confirmed some time before it was asked. An old one is better than none only if the
+// store does not answer.
+func (s *store) confirm(kind savorypin.Kind, asked, age time.Duration, era int64) {
+	s.mirrors[kind].Confirm(asked-age, era)
+	if age < s.limits[kind] || s.gate.Failing() {
+		s.noteListed(kind)
 	}
 }
 
 // fetch gets the changes of a kind from another gateway.
 func (s *store) fetch(address string, kind savorypin.Kind) {
 	mirror := s.mirrors[kind]
-	state := mirror.State()
-	delta, ok := s.transfer(address, kind, state.At, state.Era)
-	if ok && mirror.Merge(delta) {
+	state, asked := mirror.State(), bootClock()
+	t, ok := s.transfer(address, kind, state.At, state.Era)
+	if !ok {
+		return
+	}
+	if mirror.Merge(t.Delta) {
 		s.publish[kind]()
 		s.news()
 	}
+	if t.Age >= 0 {
+		s.confirm(kind, asked, time.Duration(t.Age), t.Delta.Era)
+	}
 }
 
 // laterHeardPart is the part of the configuration delay after which a configuration
@@ -97,9 +109,9 @@
 		return
 	}
 	go s.log.Contain("fetch configuration", func() {
-		delta, ok := s.transfer(address, s.cfg.Objects.Configuration.Kind, 0, noEra)
+		t, ok := s.transfer(address, s.cfg.Objects.Configuration.Kind, 0, noEra)
 		if ok {
-			s.adoptConfiguration(delta.Objects)
+			s.adoptConfiguration(t.Delta.Objects)
 		}
 	})
 }
@@ -109,26 +121,26 @@
 
 // transfer gets the changes of a kind since a version from another gateway, one
 // transfer of a kind at a time.
-func (s *store) transfer(address string, kind savorypin.Kind, since, era int64) (savorypinmirror.Delta, bool) {
+func (s *store) transfer(address string, kind savorypin.Kind, since, era int64) (savorypingossip.Transfer, bool) {
 	s.mu.Lock()
 	busy := s.fetching[kind]
 	s.fetching[kind] = true
 	s.mu.Unlock()
 	if busy {
-		return savorypinmirror.Delta{}, false
+		return savorypingossip.Transfer{}, false
 	}
 	defer func() {
 		s.mu.Lock()
 		s.fetching[kind] = false
 		s.mu.Unlock()
 	}()
-	delta, err := savorypingossip.Fetch(context.Background(), s.sealer, address, kind, since, era)
+	t, err := savorypingossip.Fetch(context.Background(), s.sealer, address, kind, since, era)
 	if err != nil {
 		s.log.Debug("changes not fetched", "kind", kind, "peer", address, "err", err)
-		return savorypinmirror.Delta{}, false
+		return savorypingossip.Transfer{}, false
 	}
-	for i := range delta.Objects {
-		delta.Objects[i].Kind = kind
+	for i := range t.Delta.Objects {
+		t.Delta.Objects[i].Kind = kind
 	}
-	return delta, true
+	return t, true
 }
--- a/internal/savorypingossip/sync.go
+++ b/internal/savorypingossip/sync.go
@@ -55,7 +55,9 @@
 type SyncServer struct {
 	// Address is where it listens.
 	Address string
-	Log     *savorypinevent.Log
+	// Clock is the boot-time clock.
+	Clock func() time.Duration
+	Log   *savorypinevent.Log
 	// Mirrors are the mirrors by kind.
 	Mirrors map[savorypin.Kind]*savorypinmirror.Mirror
 	// Sealer authenticates requests and answers.
@@ -107,7 +109,22 @@
 		return
 	}
 	// The asker sees a broken connection if the answer can't be written.
-	_ = writeFrame(conn, s.Sealer, answerPurpose(req.Nonce), mirror.Since(req.Since, req.Era))
+	_ = writeFrame(conn, s.Sealer, answerPurpose(req.Nonce), s.transfer(mirror.Since(req.Since, req.Era)))
+}
+
+// Transfer is what a gateway has of a kind that another one lacks.
+type Transfer struct {
+	// Age is how long ago the copy was confirmed from which it is; negative for never.
+	Age   Age                   `msgpack:"g"`
+	Delta savorypinmirror.Delta `msgpack:"d"`
+}
+
+func (s *SyncServer) transfer(d savorypinmirror.Delta) Transfer {
+	t := Transfer{Age: Never, Delta: d}
+	if d.Confirmed > 0 {
+		t.Age = Age(s.Clock() - d.Confirmed)
+	}
+	return t
 }
 
 // Fetch returns the changes of a kind at another gateway since a version of an era.
@@ -117,30 +134,30 @@
 	address string,
 	kind savorypin.Kind,
 	since, era int64,
-) (savorypinmirror.Delta, error) {
+) (Transfer, error) {
 	req := request{Era: era, Kind: kind, Nonce: make([]byte, nonceBytes), Since: since}
 	if _, err := rand.Read(req.Nonce); err != nil {
-		return savorypinmirror.Delta{}, fmt.Errorf("draw nonce: %w", err)
+		return Transfer{}, fmt.Errorf("draw nonce: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return savorypinmirror.Delta{}, fmt.Errorf("ask for changes: %w", err)
+		return Transfer{}, fmt.Errorf("ask for changes: %w", err)
 	}
 	defer conn.Close()
 	if err := conn.SetDeadline(time.Now().Add(syncTimeout)); err != nil {
-		return savorypinmirror.Delta{}, fmt.Errorf("ask for changes: %w", err)
+		return Transfer{}, fmt.Errorf("ask for changes: %w", err)
 	}
 	if err := writeFrame(conn, sealer, purposeTransfer, req); err != nil {
-		return savorypinmirror.Delta{}, fmt.Errorf("ask for changes: %w", err)
+		return Transfer{}, fmt.Errorf("ask for changes: %w", err)
 	}
-	var d savorypinmirror.Delta
-	if err := readFrame(conn, sealer, answerPurpose(req.Nonce), &d); err != nil {
-		return savorypinmirror.Delta{}, fmt.Errorf("read changes: %w", err)
+	var t Transfer
+	if err := readFrame(conn, sealer, answerPurpose(req.Nonce), &t); err != nil {
+		return Transfer{}, fmt.Errorf("read changes: %w", err)
 	}
-	return d, nil
+	return t, nil
 }
 
 func writeFrame[T any](w io.Writer, sealer *savorypinseal.Sealer, purpose string, v T) error {
--- a/internal/savorypingossip/table_test.go
+++ b/internal/savorypingossip/table_test.go
@@ -119,15 +119,19 @@
 		m.Apply(savorypin.Object{Key: savorypin.Key{Name: "c"}, Version: 3, Deleted: true})
 		key := savorypinseal.New("a key of the gateways")
 		logs := savorypinevent.New(savorypinevent.Config{Logger: log.New(io.Discard)})
-		server := &savorypingossip.SyncServer{Address: address, Log: logs, Sealer: key, Mirrors: map[savorypin.Kind]*savorypinmirror.Mirror{"k": m}}
+		m.Confirm(time.Second, 0)
+		clock := func() time.Duration { return 3 * time.Second }
+		server := &savorypingossip.SyncServer{Address: address, Clock: clock, Log: logs, Sealer: key, Mirrors: map[savorypin.Kind]*savorypinmirror.Mirror{"k": m}}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- server.Run(ctx) }()
-		var d savorypinmirror.Delta
+		var t savorypingossip.Transfer
 		Eventually(func() (err error) {
-			d, err = savorypingossip.Fetch(ctx, key, address, "k", 1, 0)
+			t, err = savorypingossip.Fetch(ctx, key, address, "k", 1, 0)
 			return err
 		}, "5s").Should(Succeed())
+		Expect(time.Duration(t.Age)).To(Equal(2 * time.Second))
+		d := t.Delta
 		Expect(d.Objects).To(HaveLen(1))
 		Expect(d.Objects[0].Name).To(Equal("b"))
 		Expect(d.Removed).To(Equal([]savorypinmirror.Removal{{Name: "c", Version: 3}}))
--- a/internal/savorypinmirror/mirror.go
+++ b/internal/savorypinmirror/mirror.go
@@ -71,6 +71,9 @@
 type Delta struct {
 	// At is the store's version up to which the changes are complete.
 	At int64 `msgpack:"a"`
+	// Confirmed is when the copy was last confirmed, by the clock of its host; zero for
+	// never. It means nothing elsewhere, so that its age is sent in its place.
+	Confirmed time.Duration `msgpack:"-"`
 	// Era is the era of the store to which the versions belong.
 	Era int64 `msgpack:"e,omitempty"`
 	// Full says that the objects are all there are.
@@ -257,7 +260,7 @@
 func (m *Mirror) Since(version, era int64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{At: m.state.At, Era: m.state.Era}
+	d := Delta{At: m.state.At, Confirmed: m.state.Confirmed, Era: m.state.Era}
 	if era != m.state.Era || version < m.state.Floor {
 		d.Full = true
 		d.Objects = m.sorted(0)
