--- a/internal/savorypinexplain/causes.go
+++ b/internal/savorypinexplain/causes.go
@@ -105,7 +105,7 @@
 
 // WriteCauses writes causes as a table, with times since the first line.
 func WriteCauses(w io.Writer, causes []Cause) error {
-	var start, all = time.Duration(0), int64(0)
+	start, all := time.Duration(0), int64(0)
 	for i, c := range causes {
 		if i == 0 || c.First < start {
 			start = c.First
