Begin no connection while a transport closes

A handshake was begun that nobody waited for. Change: work begins under the lock under which Close sets that it closes; a connection that comes later is closed. Spec: 'closes a connection that is accepted meanwhile', which failed before (the handshake was written). savorypinmember passes under the detector.

--- a/internal/savorypinmember/transport.go
+++ b/internal/savorypinmember/transport.go
@@ -162,8 +162,22 @@
 		if err != nil {
 			return fmt.Errorf("accept member connection: %w", err)
 		}
-		t.wg.Go(func() { t.accept(conn) })
+		if !t.serve(conn) {
+			conn.Close()
+		}
+	}
+}
+
+// serve begins to serve a connection. It returns false if the transport closes, which
+// waits for those that were begun before.
+func (t *Transport) serve(conn net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
 	}
+	t.wg.Go(func() { t.accept(conn) })
+	return true
 }
 
 func (t *Transport) accept(conn net.Conn) {
--- a/internal/savorypinmember/transport_test.go
+++ b/internal/savorypinmember/transport_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -144,3 +145,44 @@
 		Expect(err).To(Or(BeNil(), MatchError(ContainSubstring("reset"))))
 	})
 })
+
+// lateListener gives one more connection when it is closed, as one that was accepted
+// at that moment.
+type lateListener struct {
+	closing chan struct{}
+	conns   chan net.Conn
+	once    sync.Once
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closing
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	default:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *lateListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *lateListener) Close() error {
+	l.once.Do(func() { close(l.closing) })
+	return nil
+}
+
+var _ = Describe("A transport that closes", func() {
+	It("closes a connection that is accepted meanwhile, and does not serve it", func() {
+		near, far := net.Pipe()
+		l := &lateListener{closing: make(chan struct{}), conns: make(chan net.Conn, 1)}
+		l.conns <- near
+		t := savorypinmember.NewTransport(savorypinmember.TransportConfig{HandshakeTimeout: time.Second})
+		served := make(chan error, 1)
+		go func() { served <- t.Serve(l) }()
+		go t.Close()
+		n, err := far.Read(make([]byte, 1))
+		Expect(n).To(BeZero())
+		Expect(err).To(MatchError(io.EOF))
+		Eventually(served, "10s").Should(Receive(BeNil()))
+	})
+})
