Reword comments and names of the roll-out tracker

Oddly read: the false alarm rate of rejectThreshold, which holds for each of several tests; the use of Laplace's rule; "finished order is not carried out again"; a latency average named u and a version named name. The comments now say which mean latency makes an answer slow, which fraction of the exposure limit counts before all traffic moves, and when firstSeen was. The test of a restart says how its 11.8 s relate to the deadline.

Counts: 11 comments, 3 names (u -> average; in the test name -> version, failureLimitAt -> fiftiethFailureAt), 0 messages. No code, check or description changes.

--- a/internal/savorypinrollout/evidence.go
+++ b/internal/savorypinrollout/evidence.go
@@ -12,7 +12,8 @@
 // Settings of the sequential test that compares the two versions.
 const (
 	// rejectThreshold is the log-likelihood ratio at which a version is rejected. A
-	// good version reaches it with a probability of about 0.001.
+	// good version reaches it with a probability of about 0.001 in each test: that of
+	// a route, and that of all routes together.
 	rejectThreshold = 6.9
 	// deadlineRejectThreshold is the lower threshold that applies at the deadline of
 	// the roll-out, when no time is left to collect more evidence.
@@ -24,8 +25,8 @@
 	degradedFailureMargin = 0.12
 	// maxFailureRatio caps the failure ratio that the test assumes for a bad version.
 	maxFailureRatio = 0.95
-	// slowAnswerFactor is the multiple of the route's mean latency above which an
-	// answer counts as failed.
+	// slowAnswerFactor is the multiple of the old version's mean latency on the route
+	// above which an answer counts as failed.
 	slowAnswerFactor = 4
 	// latencySampleWeight is the weight of a new sample in the moving average of the
 	// latency.
@@ -58,8 +59,8 @@
 	if c.New.Total == 0 {
 		return 0
 	}
-	// Laplace's rule of succession: one more failure and one more success account for
-	// a small number of answers from the old version.
+	// Laplace's rule of succession: one failure and one success are added, so that the
+	// ratio is never 0 or 1, however few answers the old version has.
 	baseRatio := (float64(c.Old.Bad) + 1) / (float64(c.Old.Total) + 2)
 	baseRatio = min(baseRatio, maxFailureRatio/degradedFailureFactor)
 	degradedRatio := min(maxFailureRatio, max(degradedFailureFactor*baseRatio, baseRatio+degradedFailureMargin))
--- a/internal/savorypinrollout/tracker.go
+++ b/internal/savorypinrollout/tracker.go
@@ -51,7 +51,7 @@
 
 // Report is the state of a roll-out that a gateway sends to the others.
 type Report struct {
-	// Age is the time since any gateway first saw the order.
+	// Age is the time since the first gateway saw the order.
 	Age time.Duration `msgpack:"a"`
 	// ByRoute holds the gateway's own counts by route.
 	ByRoute map[string]Counts `msgpack:"r"`
@@ -77,10 +77,11 @@
 	// countsByGateway holds the counts by route that other gateways reported.
 	countsByGateway map[string]map[string]Counts
 	// rejected is set once the version was rejected and is never cleared.
-	rejected   bool
-	rollout    savorypinfleet.Rollout
-	sentNew    int64
-	sentOld    int64
+	rejected bool
+	rollout  savorypinfleet.Rollout
+	sentNew  int64
+	sentOld  int64
+	// firstSeen is when the first gateway saw the order, as far as this one knows.
 	firstSeen  time.Time
 	oldLatency map[string]*latencyAverage
 }
@@ -124,8 +125,8 @@
 }
 
 // isNewOrder reports whether a roll-out in the store is a new order rather than an
-// update of the tracked one. A finished order is not carried out again, so an open one
-// for the same version is new, unless the era has changed and the store lost its state.
+// update of the tracked one. An order that has ended never becomes open again, so an open
+// one for the same version is new, unless the era has changed and the store lost its state.
 func (t *Tracker) isNewOrder(tracked *trackedRollout, r savorypinfleet.Rollout) bool {
 	if tracked.rollout.Version != r.Version {
 		return true
@@ -190,6 +191,8 @@
 	return t.cfg.ExposureShare*requests + t.cfg.ExposureSlack/float64(t.cfg.Gateways())
 }
 
+// mayExpose reports whether the new version may get the next request within exposureRatio
+// of the exposure limit.
 func (t *Tracker) mayExpose(tr *trackedRollout) bool {
 	requests := float64(tr.sentNew + tr.sentOld + 1)
 	return float64(tr.sentNew+1) <= exposureRatio*t.exposureLimit(requests)
@@ -202,7 +205,8 @@
 
 // movesAllTraffic reports whether all traffic now goes to the new version. This starts
 // as late as possible, since a fault may show late: once the requests expected until
-// the deadline fit into the exposure limit, or minMoveWindow before the deadline.
+// the deadline fit into moveExposureRatio of the exposure limit, or minMoveWindow before
+// the deadline.
 func (t *Tracker) movesAllTraffic(tr *trackedRollout) bool {
 	timeLeft := t.timeLeft(tr)
 	if timeLeft <= minMoveWindow {
@@ -231,8 +235,8 @@
 	}
 }
 
-// RecordAnswer counts an answer and its latency. It reports whether this answer made the
-// tracker reject the new version.
+// RecordAnswer counts an answer, as failed if it was too slow. It reports whether this
+// answer made the tracker reject the new version.
 func (t *Tracker) RecordAnswer(service, route, version string, failed bool, took time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -240,13 +244,13 @@
 	if tr == nil {
 		return false
 	}
-	u := tr.oldLatency[route]
-	if u == nil {
-		u = &latencyAverage{}
-		tr.oldLatency[route] = u
+	average := tr.oldLatency[route]
+	if average == nil {
+		average = &latencyAverage{}
+		tr.oldLatency[route] = average
 	}
 	c := Count{Total: 1}
-	if failed || u.isSlow(took) {
+	if failed || average.isSlow(took) {
 		c.Bad = 1
 	}
 	counts := tr.byRoute[route]
@@ -254,7 +258,7 @@
 		counts.New.add(c)
 	} else {
 		counts.Old.add(c)
-		u.observe(took)
+		average.observe(took)
 	}
 	tr.byRoute[route] = counts
 	return t.evaluate(tr)
--- a/internal/savorypinrollout/tracker_test.go
+++ b/internal/savorypinrollout/tracker_test.go
@@ -40,8 +40,9 @@
 	// lateNewRequests counts requests to the new version more than 5 s after its 50th
 	// failure.
 	lateNewRequests int
-	newFailures     int
-	failureLimitAt  time.Time
+	// newFailures counts failed and slow answers of the new version.
+	newFailures       int
+	fiftiethFailureAt time.Time
 }
 
 func newFleet(gateways int) *fleet {
@@ -83,28 +84,28 @@
 	t := f.trackers[r.IntN(len(f.trackers))]
 	route := fmt.Sprint("route-", r.IntN(3))
 	side, _ := t.Choose(service)
-	name, answer := "v1", behavior(healthy)
+	version, answer := "v1", behavior(healthy)
 	if side == savorypinrollout.SideNew {
-		name, answer = "v2", behave
+		version, answer = "v2", behave
 	}
-	t.CountSent(service, name)
+	t.CountSent(service, version)
 	failed, took := answer(r, route, after)
-	t.RecordAnswer(service, route, name, failed, took)
+	t.RecordAnswer(service, route, version, failed, took)
 	if after > rolloutDuration {
 		return
 	}
 	f.requests++
-	if name == "v1" {
+	if version == "v1" {
 		return
 	}
 	f.newRequests++
-	if f.newFailures >= 50 && f.now.Sub(f.failureLimitAt) > 5*time.Second {
+	if f.newFailures >= 50 && f.now.Sub(f.fiftiethFailureAt) > 5*time.Second {
 		f.lateNewRequests++
 	}
 	if failed || took > 3*meanLatency {
 		f.newFailures++
 		if f.newFailures == 50 {
-			f.failureLimitAt = f.now
+			f.fiftiethFailureAt = f.now
 		}
 	}
 }
@@ -176,6 +177,7 @@
 
 	It("takes the deadline from other gateways' reports after a restart", func() {
 		f := newFleet(2)
+		// The roll-out is due to be completed 250 ms before its deadline; 200 ms are left.
 		f.now = f.now.Add(11800 * time.Millisecond)
 		f.trackers[1] = savorypinrollout.New(savorypinrollout.Config{
 			Gateways: func() int { return 2 }, Now: func() time.Time { return f.now }, ExposureShare: exposureShare, ExposureSlack: exposureSlack,
