Reword comments and names of the evaluation of moves

Oddly read: weight that is "entered", a debt that is "paid", the move that is "busy", "fresh" attempts, failed1 and failed0. They are addedWeight, charged and offsetCharged, activeMove, enoughNew, failedNew and failedOld now. Comments that did not fit the code: minAttempts counts the attempts since the share or the state last changed; the time to first token is left out with too few reference samples, not only without any; oldSampleWait counts from the end of the first attempt; isEvidence also counts timeouts and what an endpoint refused or did not finish.

Tests: three descriptions named functions and a type that are called otherwise now (TrafficWith, Sharer, hypergeometricLogs); the descriptions of the mean likelihood ratio and of the table, the text of its Skip, the text of a failed check and the simulated error read plainly.

--- a/internal/savorypinmove/block.go
+++ b/internal/savorypinmove/block.go
@@ -34,6 +34,8 @@
 	slowestRatio = 1.0 / 3
 )
 
+// Hypotheses on the odds ratio of the new to the old version: for attempts that fail, and
+// for attempts that are among the slowest.
 var (
 	errorHypotheses   = oddsHypotheses{alternativeRatios: [Alternatives]float64{4, 20, 100}, nullRatio: 1.5}
 	latencyHypotheses = oddsHypotheses{alternativeRatios: [Alternatives]float64{3, 8, 30}, nullRatio: 1}
@@ -51,6 +53,8 @@
 // block holds attempts on one route at the same load level that ran at about the
 // same time and are compared with each other.
 type block struct {
+	// begunAtOpen holds how many first attempts had begun on the route when the block
+	// was opened.
 	begunAtOpen [2]int
 	openedAt    time.Time
 	samples     [2][]sample
@@ -115,8 +119,8 @@
 }
 
 // groups splits the block by the unit of the new version's attempts. Attempts
-// of the old version in the same unit are the best controls; those in other units
-// are assigned to the group that has the fewest controls.
+// of the old version in the same unit are the best controls; each one in another unit
+// is assigned to the group that has the fewest controls so far.
 func (b *block) groups() []group {
 	var groups []group
 	find := func(unit string) int {
@@ -145,8 +149,8 @@
 	return groups
 }
 
-// fewestControls returns the index of the group with the fewest controls for each
-// attempt of the new version.
+// fewestControls returns the index of the group with the fewest controls per attempt of
+// the new version.
 func fewestControls(groups []group) int {
 	best := 0
 	for i, g := range groups {
@@ -174,21 +178,21 @@
 
 // errorLogRatios compares failures. Failed attempts end sooner than successful ones,
 // so a version that has just received its first requests would look worse than it
-// is. It therefore also uses begun, the attempts that began while the block was open:
-// for the new version if they exceed the attempts that ended, and for the old version
-// as an upper bound.
+// is. The comparison therefore also uses begun, the numbers of attempts that began while
+// the block was open: for the new version if it exceeds the number that ended, and for
+// the old version as an upper bound.
 func (g group) errorLogRatios(begun [2]int) (LogRatios, bool) {
-	failed1, failed0 := failures(g.new), failures(g.old)
+	failedNew, failedOld := failures(g.new), failures(g.old)
 	n1 := max(len(g.new), begun[sideNew])
 	n0 := len(g.old)
 	if begun[sideOld] > 0 {
-		n0 = max(failed0, min(n0, begun[sideOld]))
+		n0 = max(failedOld, min(n0, begun[sideOld]))
 	}
-	k := failed1 + failed0
+	k := failedNew + failedOld
 	if k == 0 || n0 == 0 {
 		return LogRatios{}, false
 	}
-	return hypergeometricLogRatios(n1, n0, k, failed1, errorHypotheses), true
+	return hypergeometricLogRatios(n1, n0, k, failedNew, errorHypotheses), true
 }
 
 func failures(samples []sample) int {
@@ -231,13 +235,13 @@
 	slices.Reverse(all)
 	slices.SortStableFunc(all, func(a, b timed) int { return compareDescending(a.d, b.d) })
 	k := max(1, int(math.Round(float64(len(all))*slowestRatio)))
-	slow1 := 0
+	slowNew := 0
 	for _, t := range all[:k] {
 		if t.new {
-			slow1++
+			slowNew++
 		}
 	}
-	return hypergeometricLogRatios(n1, n0, k, slow1, latencyHypotheses), true
+	return hypergeometricLogRatios(n1, n0, k, slowNew, latencyHypotheses), true
 }
 
 func compareDescending(a, b float64) int {
--- a/internal/savorypinmove/cost_test.go
+++ b/internal/savorypinmove/cost_test.go
@@ -18,9 +18,11 @@
 // The target is 3,600 requests per second over 20 entries and 8 services, and 23 kB per
 // second for all control traffic of a daemon, of which evidence may take half.
 const (
-	targetEntries     = 20
+	targetEntries = 20
+	// targetRequestRate is the number of requests per second of one service at one entry.
 	targetRequestRate = 3600 / targetEntries / 8
-	maxEvidenceRate   = 23_000 / 2
+	// maxEvidenceRate is in bytes per second, from all entries.
+	maxEvidenceRate = 23_000 / 2
 )
 
 // observeAttempts adds n attempts, spread over one second, to a recorder.
--- a/internal/savorypinmove/decide.go
+++ b/internal/savorypinmove/decide.go
@@ -19,8 +19,9 @@
 const (
 	// maxProbeShare is the largest share with fewer than minAttempts attempts.
 	maxProbeShare = 0.1
-	// minAttempts is the number of attempts on the new version that a move needs to be
-	// done, even after its deadline.
+	// minAttempts is the number of attempts on the new version since the share or the
+	// state last changed that a move needs to be done, even after its deadline. Only a
+	// minimum share of 1 in the move's spec completes it without them.
 	minAttempts = 20
 	// rampRatio is the fraction of a move's time after which the share may be 1.
 	rampRatio = 0.9
@@ -71,17 +72,17 @@
 	moves := slices.Clone(in.Moves)
 	slices.SortFunc(moves, compareMoves)
 	var changes []Change
-	current, busy := in.Version, ""
+	current, activeMove := in.Version, ""
 	for _, m := range moves {
-		s := in.nextStatus(m, current, busy)
+		s := in.nextStatus(m, current, activeMove)
 		switch s.State {
 		case savorypin.MoveDone:
 			current = m.Spec.To
 			if in.Now.Before(s.At.Add(WatchDuration)) {
-				busy = m.Name
+				activeMove = m.Name
 			}
 		case savorypin.MoveRunning, savorypin.MovePaused:
-			busy = m.Name
+			activeMove = m.Name
 		case savorypin.MovePending, savorypin.MoveTakenBack:
 		}
 		if s != m.Status {
@@ -105,7 +106,9 @@
 	return cmp.Or(a.Spec.Start.Compare(b.Spec.Start), a.Spec.By.Compare(b.Spec.By), strings.Compare(a.Name, b.Name))
 }
 
-func (in Input) nextStatus(m savorypinconfig.Move, current, busy string) savorypin.MoveStatus {
+// nextStatus returns the status that a move should get. current is the version that the
+// service is on, and activeMove is the move that is under way or watched, if any.
+func (in Input) nextStatus(m savorypinconfig.Move, current, activeMove string) savorypin.MoveStatus {
 	if m.Status.State == savorypin.MoveTakenBack {
 		return m.Status
 	}
@@ -119,12 +122,12 @@
 		return in.decideRunning(m)
 	case savorypin.MovePending, savorypin.MoveTakenBack:
 	}
-	return in.tryStart(m, current, busy)
+	return in.tryStart(m, current, activeMove)
 }
 
 // tryStart returns the status of a move that has not started: running if nothing
 // blocks it, else pending with the reason.
-func (in Input) tryStart(m savorypinconfig.Move, current, busy string) savorypin.MoveStatus {
+func (in Input) tryStart(m savorypinconfig.Move, current, activeMove string) savorypin.MoveStatus {
 	s := savorypin.MoveStatus{At: m.Status.At, State: savorypin.MovePending}
 	if s.At.IsZero() {
 		s.At = in.Now
@@ -136,8 +139,8 @@
 		s.Reason = "held by an operator"
 	case in.Now.Before(m.Spec.Start):
 		s.Reason = "begins at " + m.Spec.Start.UTC().Format(time.RFC3339)
-	case busy != "":
-		s.Reason = fmt.Sprintf("waits for move %s, which is under way or watched", busy)
+	case activeMove != "":
+		s.Reason = fmt.Sprintf("waits for move %s, which is under way or watched", activeMove)
 	case m.Spec.From != current:
 		s.Reason = fmt.Sprintf("conflict: the move is from %s, but the service is on %s", m.Spec.From, current)
 	case !in.Serves(m.Spec.To):
@@ -203,16 +206,16 @@
 // raiseShare raises the share as time and evidence allow.
 func (in Input) raiseShare(m savorypinconfig.Move, v Verdict) savorypin.MoveStatus {
 	s := in.withState(m.Status, savorypin.MoveRunning)
-	before := s.Requests
-	if before > v.New {
+	comparedBefore := s.Requests
+	if comparedBefore > v.New {
 		// Another daemon has become the evaluator and counts attempts from 0.
-		before = 0
+		comparedBefore = 0
 	}
-	fresh := v.New-before >= minAttempts
-	scheduled, limit := in.scheduledShare(m), maxShare(s.Share, v.New, fresh)
+	enoughNew := v.New-comparedBefore >= minAttempts
+	scheduled, limit := in.scheduledShare(m), maxShare(s.Share, v.New, enoughNew)
 	late := !in.Now.Before(m.Spec.By)
 	switch {
-	case late && fresh:
+	case late && enoughNew:
 		limit = 1
 	case late && limit < 1:
 		s.Reason = fmt.Sprintf("late: too little traffic for a verdict; %d attempts on the new version are needed", minAttempts)
@@ -245,11 +248,11 @@
 }
 
 // maxShare returns the largest share that the evidence allows after the current one,
-// given the number of attempts on the new version and whether enough of them (fresh)
-// came since the share changed. Above maxProbeShare the share rises one step at a
-// time, and each step needs new attempts before the next.
-func maxShare(share float64, attempts int, fresh bool) float64 {
-	if !fresh {
+// given the number of attempts on the new version. enoughNew is set if at least
+// minAttempts of them came since the share changed. Above maxProbeShare the share rises
+// one step at a time, and each step needs new attempts before the next.
+func maxShare(share float64, attempts int, enoughNew bool) float64 {
+	if !enoughNew {
 		return max(share, maxProbeShare)
 	}
 	next := 1.0
--- a/internal/savorypinmove/decide_test.go
+++ b/internal/savorypinmove/decide_test.go
@@ -50,9 +50,9 @@
 	return store.Snapshot()
 }
 
-var _ = Describe("TrafficWith", func() {
-	back := modified(moveAt("m2", savorypin.MoveDone, 5, 1), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })
-	early := modified(moveAt("m1", savorypin.MoveDone, 3, 1), func(m *savorypinconfig.Move) { m.Spec.By = noon.Add(9 * time.Hour) })
+var _ = Describe("TrafficWithRejections", func() {
+	moveBack := modified(moveAt("m2", savorypin.MoveDone, 5, 1), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })
+	firstMove := modified(moveAt("m1", savorypin.MoveDone, 3, 1), func(m *savorypinconfig.Move) { m.Spec.By = noon.Add(9 * time.Hour) })
 	for _, tc := range []struct {
 		name     string
 		moves    []savorypinconfig.Move
@@ -62,7 +62,7 @@
 	}{
 		{"a done move", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, false, "b", 1},
 		{"a done move that is rejected", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, true, "a", 0},
-		{"a move and a later one back, by epoch rather than deadline", []savorypinconfig.Move{back, early}, false, "a", 1},
+		{"a move and a later one back, by epoch rather than deadline", []savorypinconfig.Move{moveBack, firstMove}, false, "a", 1},
 		{"a move taken back after the service's spec was set to its new version", []savorypinconfig.Move{modified(moveAt("m", savorypin.MoveTakenBack, 3, 0), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })}, false, "b", 0},
 		{"a pending move", []savorypinconfig.Move{moveAt("m", savorypin.MovePending, 0, 0)}, false, "a", 0},
 		{"a running move", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, false, "a", 0.2},
@@ -93,14 +93,14 @@
 	done := moveAt("m", savorypin.MoveDone, 3, 1)
 	pending := moveAt("m", "", 0, 0)
 	for _, tc := range []struct {
-		name    string
-		moves   []savorypinconfig.Move
-		now     time.Duration
-		finding savorypinmove.Finding
-		new     int
-		state   savorypin.MoveState
-		share   float64
-		reason  string
+		name     string
+		moves    []savorypinconfig.Move
+		now      time.Duration
+		finding  savorypinmove.Finding
+		attempts int
+		state    savorypin.MoveState
+		share    float64
+		reason   string
 	}{
 		{"a bad version", []savorypinconfig.Move{running}, time.Minute, savorypinmove.FindingBad, 20, savorypin.MoveTakenBack, 0, "worse"},
 		{"a bad version after done", []savorypinconfig.Move{done}, time.Minute, savorypinmove.FindingBad, 20, savorypin.MoveTakenBack, 0, "after the move was done"},
@@ -129,7 +129,7 @@
 			for _, c := range savorypinmove.Decide(savorypinmove.Input{
 				Rejected: func(savorypinmove.Key) (string, bool) { return "", false },
 				Judge: func(savorypinmove.Key, bool) savorypinmove.Verdict {
-					return savorypinmove.Verdict{Finding: tc.finding, New: tc.new}
+					return savorypinmove.Verdict{Finding: tc.finding, New: tc.attempts}
 				},
 				Moves:   tc.moves,
 				Now:     noon.Add(tc.now),
@@ -170,25 +170,25 @@
 	}
 })
 
-var _ = Describe("Sharer", func() {
+var _ = Describe("RequestSampler", func() {
 	It("deviates from the sum of the shares by at most one request, or two after a charge", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			r := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
 			s := savorypinmove.RequestSampler{Rand: r.Float64}
-			sum, taken, limit := 0.0, 0, 1.0
+			sum, selected, limit := 0.0, 0, 1.0
 			for _, share := range rapid.SliceOfN(rapid.Float64Range(0, 0.5), 1, 300).Draw(t, "shares") {
 				charged := rapid.IntRange(0, 9).Draw(t, "charge") == 0
-				if charged && sum-float64(taken) > 1 {
+				if charged && sum-float64(selected) > 1 {
 					s.Charge(savorypinmove.Key{})
-					taken++
+					selected++
 					limit = 2
 				}
 				sum += share
 				if s.Sample(savorypinmove.Key{}, share) {
-					taken++
+					selected++
 				}
-				if math.Abs(float64(taken)-sum) > limit+1e-6 {
-					t.Fatalf("%d taken of %f", taken, sum)
+				if math.Abs(float64(selected)-sum) > limit+1e-6 {
+					t.Fatalf("%d requests selected, but the shares add up to %f", selected, sum)
 				}
 			}
 		})
@@ -197,11 +197,11 @@
 
 var _ = Describe("RejectionSet", func() {
 	It("keeps the first rejection of a move and ignores repeated ones", func() {
-		b := savorypinmove.NewRejectionSet()
-		bad := savorypinmove.Rejection{Move: savorypinmove.Key{Epoch: 3, Name: "m"}, Reason: "first"}
-		Expect(b.Merge(bad, bad)).To(HaveLen(1))
-		Expect(b.Merge(savorypinmove.Rejection{Move: bad.Move, Reason: "second"})).To(BeEmpty())
-		Expect(b.Rejected(bad.Move)).To(BeTrue())
-		Expect(b.Rejected(savorypinmove.Key{Epoch: 4, Name: "m"})).To(BeFalse())
+		set := savorypinmove.NewRejectionSet()
+		rejection := savorypinmove.Rejection{Move: savorypinmove.Key{Epoch: 3, Name: "m"}, Reason: "first"}
+		Expect(set.Merge(rejection, rejection)).To(HaveLen(1))
+		Expect(set.Merge(savorypinmove.Rejection{Move: rejection.Move, Reason: "second"})).To(BeEmpty())
+		Expect(set.Rejected(rejection.Move)).To(BeTrue())
+		Expect(set.Rejected(savorypinmove.Key{Epoch: 4, Name: "m"})).To(BeFalse())
 	})
 })
--- a/internal/savorypinmove/evaluator.go
+++ b/internal/savorypinmove/evaluator.go
@@ -13,18 +13,19 @@
 	// that is no worse than the old one. It applies once to the time while the move
 	// runs and again to the time while the move is watched after it is done.
 	FalseAlarmRate = 0.003
-	// cautionThreshold is the likelihood ratio from which the share is not raised.
+	// cautionThreshold is the likelihood ratio at and above which the share is not raised.
 	cautionThreshold = 10
 	// maxRouteHypotheses is the number of routes that get a hypothesis of their own.
 	maxRouteHypotheses = 8
-	// maxLog bounds the log-likelihood ratio of one piece of evidence.
-	maxLog = 300
+	// maxLogRatio bounds the log-likelihood ratio of one piece of evidence.
+	maxLogRatio = 300
 	// maxRatio bounds a likelihood ratio so that sums stay finite.
 	maxRatio = 1e200
-	// initialWeight is the weight of a fault that is present from the beginning.
+	// initialWeight is the weight of a fault that is present from the beginning. The rest
+	// of the weight is divided equally between restartCount later times at which a fault
+	// may begin.
 	initialWeight = 0.5
-	// restartCount is the number of later times at which a fault is assumed to begin.
-	restartCount = 64
+	restartCount  = 64
 )
 
 // Weights of the hypotheses on all evidence, on one load level and on one route. They
@@ -118,13 +119,14 @@
 // reduces the power of the test. Part of the weight is added at each of restartCount
 // later times, so that a late fault is not outweighed by the good evidence before it.
 type Evaluator struct {
-	cfg           EvaluatorConfig
-	newAttempts   int
-	oldAttempts   int
-	routes        []string
-	evidence      map[hypothesis]*hypothesisEvidence
-	units         []string
-	enteredWeight float64
+	cfg         EvaluatorConfig
+	newAttempts int
+	oldAttempts int
+	routes      []string
+	evidence    map[hypothesis]*hypothesisEvidence
+	units       []string
+	// addedWeight is the weight that has been added to each hypothesis.
+	addedWeight float64
 }
 
 // NewEvaluator returns an evaluator without evidence.
@@ -136,7 +138,7 @@
 func (e *Evaluator) Add(now time.Time, evidence Evidence) {
 	e.newAttempts += evidence.New
 	e.oldAttempts += evidence.Old
-	e.enterWeight(now)
+	e.addDueWeight(now)
 	sums := map[hypothesis]map[string]LogRatios{}
 	for _, c := range evidence.Cells {
 		e.register(c)
@@ -154,18 +156,18 @@
 	}
 }
 
-// enterWeight adds the weight that is due by now to all hypotheses.
-func (e *Evaluator) enterWeight(now time.Time) {
+// addDueWeight adds the weight that is due by now to all hypotheses.
+func (e *Evaluator) addDueWeight(now time.Time) {
 	elapsed := float64(now.Sub(e.cfg.Begin)) / float64(e.cfg.Horizon)
 	elapsed = math.Floor(max(0, min(elapsed, 1))*restartCount) / restartCount
 	targetWeight := initialWeight + (1-initialWeight)*elapsed
-	if targetWeight <= e.enteredWeight {
+	if targetWeight <= e.addedWeight {
 		return
 	}
 	for _, he := range e.evidence {
-		he.addWeight(targetWeight - e.enteredWeight)
+		he.addWeight(targetWeight - e.addedWeight)
 	}
-	e.enteredWeight = targetWeight
+	e.addedWeight = targetWeight
 }
 
 // register adds the hypotheses, the unit and the route of a cell if they are new. A
@@ -177,7 +179,7 @@
 	for _, h := range e.hypotheses(c) {
 		if e.evidence[h] == nil {
 			he := &hypothesisEvidence{withoutUnit: map[string]likelihoodRatios{}}
-			he.addWeight(e.enteredWeight)
+			he.addWeight(e.addedWeight)
 			e.evidence[h] = he
 		}
 	}
@@ -231,7 +233,7 @@
 
 func (r likelihoodRatios) multiply(logs LogRatios) likelihoodRatios {
 	for i, v := range logs {
-		r[i] = min(r[i]*math.Exp(min(v, maxLog)), maxRatio)
+		r[i] = min(r[i]*math.Exp(min(v, maxLogRatio)), maxRatio)
 	}
 	return r
 }
@@ -259,12 +261,13 @@
 
 // summary is the weighted evidence over all hypotheses.
 type summary struct {
-	// withoutUnit is the evidence without unit, the one that contributes most.
+	// withoutUnit is the evidence without the unit that contributes most.
 	withoutUnit float64
 	// strongest is the hypothesis that contributes most of the evidence.
 	strongest hypothesis
 	total     float64
-	unit      string
+	// unit is the unit that contributes most of the evidence; empty if none does.
+	unit string
 }
 
 func (e *Evaluator) summarize() summary {
--- a/internal/savorypinmove/evidence_internal_test.go
+++ b/internal/savorypinmove/evidence_internal_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = Describe("hypergeometricLogs", func() {
-	It("has a mean likelihood ratio of 1 at the null and at most 1 at smaller odds", func() {
+var _ = Describe("hypergeometricLogRatios", func() {
+	It("returns likelihood ratios with a mean of 1 at the null odds ratio and at most 1 at a smaller one", func() {
 		for _, tc := range []struct{ n1, n0, k int }{{1, 1, 1}, {1, 40, 2}, {16, 16, 8}, {30, 2, 11}} {
 			for _, o := range []oddsHypotheses{errorHypotheses, latencyHypotheses} {
 				for i := range Alternatives {
@@ -29,9 +29,9 @@
 })
 
 var _ = Describe("Evaluator", func() {
-	// naive is a two-proportion z-test. Its error rate holds for a single look at the
+	// zTest is a two-proportion z-test. Its error rate holds for a single look at the
 	// data, but it is evaluated after every block.
-	naive := func(failed, n [2]float64) bool {
+	zTest := func(failed, n [2]float64) bool {
 		pooled := (failed[0] + failed[1]) / (n[0] + n[1])
 		spread := math.Sqrt(pooled * (1 - pooled) * (1/n[0] + 1/n[1]))
 		return spread > 0 && (failed[1]/n[1]-failed[0]/n[0])/spread > 2.75 // A probability of 1 in 335 for a single look.
@@ -39,13 +39,13 @@
 
 	It("keeps FalseAlarmRate when evaluated after every block", func() {
 		const runs, blocks = 300, 150
-		alarms, naiveAlarms := 0, 0
+		alarms, zTestAlarms := 0, 0
 		for run := range runs {
 			r := rand.New(rand.NewPCG(uint64(run), 7))
 			now := time.Unix(0, 0)
 			e := NewEvaluator(EvaluatorConfig{Begin: now, Horizon: blocks * time.Second})
 			var failed, n [2]float64
-			alarm, naiveAlarm := false, false
+			alarm, zTestAlarm := false, false
 			for range blocks {
 				now = now.Add(time.Second)
 				g := group{unit: "u"}
@@ -70,29 +70,29 @@
 				}
 				e.Add(now, evidence)
 				alarm = alarm || e.Judge([]string{"u"}).Finding == FindingBad
-				naiveAlarm = naiveAlarm || naive(failed, n)
+				zTestAlarm = zTestAlarm || zTest(failed, n)
 			}
 			if alarm {
 				alarms++
 			}
-			if naiveAlarm {
-				naiveAlarms++
+			if zTestAlarm {
+				zTestAlarms++
 			}
 		}
 		// At most 0.9 of 300 runs are expected to raise a false alarm; the probability
 		// of 5 or more is 1 in 400.
 		Expect(alarms).To(BeNumerically("<=", 4))
-		Expect(naiveAlarms).To(BeNumerically(">", 4))
+		Expect(zTestAlarms).To(BeNumerically(">", 4))
 	})
 })
 
 var _ = Describe("Judge", func() {
 	strong := LogRatios{40, 40, 40}
 	for _, tc := range []struct {
-		name  string
-		units []string
-		live  []string
-		want  Finding
+		name         string
+		units        []string
+		servingUnits []string
+		want         Finding
 	}{
 		{"evidence from one unit of several", []string{"d1"}, []string{"d1", "d2"}, FindingSuspect},
 		{"evidence from the only unit", []string{"d1"}, []string{"d1"}, FindingBad},
@@ -106,7 +106,7 @@
 				cell := Cell{Load: LoadLow, Logs: strong, Metric: MetricError, Route: "r", Unit: unit}
 				e.Add(time.Unix(1, 0), Evidence{Cells: []Cell{cell}, New: 20, Old: 20})
 			}
-			Expect(e.Judge(tc.live).Finding).To(Equal(tc.want))
+			Expect(e.Judge(tc.servingUnits).Finding).To(Equal(tc.want))
 		})
 	}
 })
--- a/internal/savorypinmove/likelihood.go
+++ b/internal/savorypinmove/likelihood.go
@@ -53,6 +53,8 @@
 	return logs
 }
 
+// logNoncentralProbability returns the logarithm of the probability of k1 under Fisher's
+// noncentral hypergeometric distribution with an odds ratio.
 func logNoncentralProbability(n1, n0, k, k1 int, ratio float64) float64 {
 	low, high := max(0, k-n0), min(k, n1)
 	largest := math.Inf(-1)
@@ -66,6 +68,7 @@
 	return logWeight(n1, n0, k, k1, ratio) - largest - math.Log(sum)
 }
 
+// logWeight returns the logarithm of the unnormalized probability of x.
 func logWeight(n1, n0, k, x int, ratio float64) float64 {
 	return logChoose(n1, x) + logChoose(n0, k-x) + float64(x)*math.Log(ratio)
 }
--- a/internal/savorypinmove/model_run_test.go
+++ b/internal/savorypinmove/model_run_test.go
@@ -30,7 +30,7 @@
 func failAtRate(a *attempt, r *rand.Rand, rate float64) {
 	if r.Float64() < rate {
 		a.affected = true
-		a.observation.Err = errModel
+		a.observation.Err = errSimulated
 	}
 }
 
@@ -144,7 +144,7 @@
 	return values[len(values)/2]
 }
 
-// Flags that control the table in docs/design/moves.md.
+// Flags of the simulations. The table is part of docs/design/moves.md.
 var (
 	moveSeeds = flag.Int("move.seeds", 2, "number of seeds for each scenario")
 	moveTable = flag.Bool("move.table", false, "print the table of all policies")
@@ -157,8 +157,8 @@
 	// move is done, and maxAffectedAfterDone once it has all traffic.
 	maxAffected          = 150
 	maxAffectedAfterDone = 400
-	// maxWrites is the number of writes of a move's status. 850 changes a day include
-	// about 85 moves, and the platform accepts hundreds of writes per second.
+	// maxWrites is the maximum number of writes of a move's status. 850 changes a day
+	// include about 85 moves, and the platform accepts hundreds of writes per second.
 	maxWrites = 100
 )
 
@@ -198,9 +198,9 @@
 		}
 	})
 
-	It("prints the table of the design note", func() {
+	It("prints the table of docs/design/moves.md", func() {
 		if !*moveTable {
-			Skip("asked for by -move.table")
+			Skip("runs only with -move.table")
 		}
 		policies := []struct {
 			name string
--- a/internal/savorypinmove/model_test.go
+++ b/internal/savorypinmove/model_test.go
@@ -22,7 +22,7 @@
 	modelSlots   = 16
 )
 
-var errModel = savorypin.Errorf(savorypin.KindIncomplete, "engine", "%w", errors.New("model fails"))
+var errSimulated = savorypin.Errorf(savorypin.KindIncomplete, "engine", "%w", errors.New("simulated failure"))
 
 // engine is a queueing model of an engine that serves both versions: it has a number of
 // slots and a queue, and decoding slows down with the number of running requests.
@@ -63,7 +63,7 @@
 	until time.Duration
 }
 
-// policy returns the changes of the move's status and is called once a second.
+// policy returns the changes of the move's status. It is called once per simulated second.
 type policy func(m *model) []savorypinmove.Change
 
 // event is a function that runs at a simulated time.
@@ -91,13 +91,16 @@
 	elapsed    time.Duration
 	rejections *savorypinmove.RejectionSet
 	engines    []*engine
+	// evaluators holds the evaluators of the time before (false) and after the move is
+	// done (true).
 	evaluators map[bool]*savorypinmove.Evaluator
 	r          *rand.Rand
 	recorders  []*savorypinmove.Recorder
-	sharers    []*savorypinmove.RequestSampler
+	samplers   []*savorypinmove.RequestSampler
 	store      *savorypinconfig.Store
 	scenario   scenario
-	version    int64
+	// version is the version of the last object that was put into the store.
+	version int64
 
 	// Counters of the run.
 	newRequests int
@@ -122,7 +125,7 @@
 	}
 	for range modelEntries {
 		m.recorders = append(m.recorders, savorypinmove.NewRecorder())
-		m.sharers = append(m.sharers, &savorypinmove.RequestSampler{Rand: m.r.Float64})
+		m.samplers = append(m.samplers, &savorypinmove.RequestSampler{Rand: m.r.Float64})
 	}
 	m.put(savorypin.KindService, "s", savorypin.ServiceSpec{Type: savorypin.ServiceGeneration, Version: "old"}, nil)
 	m.put(savorypin.KindMove, "m", m.spec(), nil)
@@ -199,7 +202,7 @@
 	if m.r.Float64() < 0.14 {
 		a.observation.Tokens = 600
 	}
-	if t.Moving() && m.sharers[a.entry].Sample(t.Move(), t.Share()) {
+	if t.Moving() && m.samplers[a.entry].Sample(t.Move(), t.Share()) {
 		a.observation.Version = t.To()
 	}
 	m.recorders[a.entry].RecordStart(t, a.observation.Route, a.observation.Version)
@@ -229,7 +232,7 @@
 		a.observation.TokenInterval = time.Duration(10 * batch * noise(0.15) * float64(time.Millisecond))
 		a.observation.Domain, a.observation.Endpoint, a.observation.Load = e.domain, e.name, a.load
 		if m.r.Float64() < 0.005 {
-			a.observation.Err = errModel
+			a.observation.Err = errSimulated
 		}
 		m.scenario.fault(a, m.elapsed, m.r)
 		m.schedule(a.duration(wait), func() { m.finish(a) })
--- a/internal/savorypinmove/recorder.go
+++ b/internal/savorypinmove/recorder.go
@@ -17,8 +17,8 @@
 	maxBlockAge = 3 * time.Second
 	// fullBlockSize is the number of attempts at which a block is full and compared.
 	fullBlockSize = 32
-	// oldSampleWait is how long after the new version's first attempt a block of
-	// latencies waits for later attempts of the old version.
+	// oldSampleWait is how long after the end of the new version's first attempt a block
+	// of latencies waits for later attempts of the old version.
 	oldSampleWait = 10 * time.Second
 	// maxSamplesPerVersion bounds the attempts of one version in a block.
 	maxSamplesPerVersion = 512
@@ -90,8 +90,10 @@
 
 // moveRecord is a recorder's state of one move.
 type moveRecord struct {
-	begun      map[string]*[2]int
-	blocks     map[stratum]*block
+	// begun holds the numbers of first attempts that began, by route and version.
+	begun  map[string]*[2]int
+	blocks map[stratum]*block
+	// evidence is the evidence since the last flush.
 	evidence   Evidence
 	references map[stratum]*reference
 }
@@ -212,6 +214,8 @@
 	return [2]int{}
 }
 
+// compareDueBlocks drops expired attempts and compares the blocks that have waited long
+// enough, even if they are not full.
 func (m *moveRecord) compareDueBlocks(now time.Time) {
 	for st, b := range m.blocks {
 		b.trim(now.Add(-sampleExpiry))
@@ -236,12 +240,12 @@
 		if len(g.old) == 0 {
 			continue
 		}
-		scaled := [2]int{
+		begunInGroup := [2]int{
 			scale(begun[sideOld], len(g.old), len(b.samples[sideOld])),
 			scale(begun[sideNew], len(g.new), len(b.samples[sideNew])),
 		}
 		for _, metric := range metricsOf(st) {
-			if logs, ok := g.logRatios(metric, scaled); ok {
+			if logs, ok := g.logRatios(metric, begunInGroup); ok {
 				m.addCell(st, g.unit, metric, logs)
 			}
 		}
@@ -257,7 +261,8 @@
 
 // begunSinceOpen estimates how many attempts of each version began in a block since it
 // was opened. Only the counts of the whole route are known; they are divided in
-// proportion to the attempts in the route's open blocks.
+// proportion to the attempts in the route's open blocks. It returns zeros for later
+// attempts, since only first attempts are counted when they begin.
 func (m *moveRecord) begunSinceOpen(st stratum, b *block) [2]int {
 	if st.later {
 		return [2]int{}
@@ -294,6 +299,8 @@
 	m.evidence.Cells[i].Logs.add(logs)
 }
 
+// sideOf returns the index of a version in arrays of two, and whether the version takes
+// part in the move.
 func sideOf(t Traffic, version string) (int, bool) {
 	switch {
 	case t.to == "" || version == "":
@@ -307,9 +314,10 @@
 	}
 }
 
-// isEvidence reports whether the result of an attempt depends on the version. It does
-// not if the caller cancelled the request, the organisation is over its limit, or the
-// agent was unreachable, which is a fault of its host or link.
+// isEvidence reports whether the result of an attempt depends on the version: the attempt
+// succeeded, timed out, or its endpoint refused or did not finish it. It does not if the
+// caller cancelled the request, the organisation is over its limit, or the agent was
+// unreachable, which is a fault of its host or link.
 func isEvidence(o savorypin.Observation) bool {
 	if o.Err == nil {
 		return true
--- a/internal/savorypinmove/reference.go
+++ b/internal/savorypinmove/reference.go
@@ -8,8 +8,8 @@
 // After a move is done, the old version has no traffic to compare with. The new version
 // is then compared with limits well above the old version's last results.
 const (
-	// referenceSamples is the number of the old version's attempts that are kept for
-	// each route and load level.
+	// referenceSamples is the number of the old version's attempts that are kept in
+	// each stratum.
 	referenceSamples = 64
 	// minReferenceSamples is the number of these attempts that is needed to derive a
 	// limit from them.
@@ -31,6 +31,8 @@
 	unknownLoadFactor = 1.4
 )
 
+// alternativeRates are the rates of failed or slow attempts that are assumed for a bad
+// version.
 var alternativeRates = [Alternatives]float64{0.3, 0.6, 0.95}
 
 // reference holds the old version's last samples in one stratum as a ring buffer.
@@ -85,7 +87,7 @@
 }
 
 // observeDone compares an attempt of the new version with the reference. At a load level
-// without reference samples, the time to first token is not compared.
+// with too few reference samples, the time to first token is not compared.
 func (m *moveRecord) observeDone(side int, st stratum, s sample) {
 	m.evidence.Done = true
 	if side == sideOld {
--- a/internal/savorypinmove/share.go
+++ b/internal/savorypinmove/share.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// RequestSampler selects the requests of one service at one entry that go to the new version of
-// a move. It is safe for concurrent use.
+// RequestSampler selects the requests of one service at one entry that go to the new
+// version of a move. It is safe for concurrent use.
 //
 // The shares of all requests are summed. Each interval of length 1 of the sum has one
 // random point, and the request whose share covers the point goes to the new version.
@@ -18,9 +18,11 @@
 	// Rand returns a uniform number in [0, 1).
 	Rand func() float64
 
-	mu    sync.Mutex
-	debt  float64
-	move  Key
+	mu sync.Mutex
+	// charged is the number of charged requests that no share has offset yet.
+	charged float64
+	move    Key
+	// point is the next random point.
 	point float64
 	sum   float64
 }
@@ -32,14 +34,14 @@
 	defer s.mu.Unlock()
 	if s.move != move {
 		s.move = move
-		s.debt = 0
+		s.charged = 0
 		s.sum = 0
 		s.point = s.Rand()
 	}
 	if share >= 1 {
 		return true
 	}
-	s.sum += s.payDebt(share)
+	s.sum += s.offsetCharged(share)
 	if s.sum <= s.point {
 		return false
 	}
@@ -48,19 +50,19 @@
 }
 
 // Charge counts a request that the new version got without Sample, such as the resume of
-// an answer that it began. The shares of later requests make up for it.
+// an answer that it began. The shares of later requests are reduced to offset it.
 func (s *RequestSampler) Charge(move Key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.move == move {
-		s.debt++
+		s.charged++
 	}
 }
 
-// payDebt subtracts the debt from a share as far as possible and returns the rest of
-// the share. The caller holds s.mu.
-func (s *RequestSampler) payDebt(share float64) float64 {
-	paid := min(s.debt, share)
-	s.debt -= paid
-	return share - paid
+// offsetCharged offsets charged requests with a share as far as possible and returns the
+// rest of the share. The caller holds s.mu.
+func (s *RequestSampler) offsetCharged(share float64) float64 {
+	offset := min(s.charged, share)
+	s.charged -= offset
+	return share - offset
 }
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -37,7 +37,8 @@
 	return t.from
 }
 
-// Move returns the key of the move under way, or of the last one that was done.
+// Move returns the key of the move under way, or of the last one that was done; zero if
+// the service has none.
 func (t Traffic) Move() Key {
 	return t.move
 }
@@ -67,14 +68,14 @@
 	return TrafficWithRejections(snapshot, service, func(Key) bool { return false })
 }
 
-// TrafficWithRejections returns the traffic of a service. Moves apply in the order in which they
-// were started, which later edits do not change: a done move stays done whatever its
-// spec or the service's spec says afterwards. Moves for which rejected returns true
-// count as taken back even before the platform has that state.
+// TrafficWithRejections returns the traffic of a service. Moves apply in the order in
+// which they were started, which later edits do not change: a done move stays done
+// whatever its spec or the service's spec says afterwards. Moves for which rejected
+// returns true count as taken back even before the platform has that state.
 func TrafficWithRejections(snapshot *savorypinconfig.Snapshot, service string, rejected func(Key) bool) Traffic {
 	spec, _ := snapshot.Service(service)
 	t := Traffic{from: spec.Version}
-	var back, done, open *savorypinconfig.Move
+	var takenBack, done, open *savorypinconfig.Move
 	moves := snapshot.Moves(service)
 	for i := range moves {
 		m := &moves[i]
@@ -91,7 +92,7 @@
 		case savorypin.MoveRunning, savorypin.MovePaused:
 			open = laterMove(open, m)
 		case savorypin.MoveTakenBack:
-			back = laterMove(back, m)
+			takenBack = laterMove(takenBack, m)
 		case savorypin.MovePending:
 		}
 	}
@@ -101,9 +102,9 @@
 			share: 1, state: done.Status.State, to: done.Spec.To,
 		}
 	}
-	if back != nil && laterMove(done, back) == back && t.Current() == back.Spec.To {
+	if takenBack != nil && laterMove(done, takenBack) == takenBack && t.Current() == takenBack.Spec.To {
 		// The service's spec was edited to a version that has since been taken back.
-		t = Traffic{from: back.Spec.From}
+		t = Traffic{from: takenBack.Spec.From}
 	}
 	if open != nil && laterMove(done, open) == open {
 		t = Traffic{from: t.Current(), move: KeyOf(*open), share: open.Status.Share, state: open.Status.State, to: open.Spec.To}
