Reword comments and names of the controller of moves and placement

Oddly read: functions that exchange verdicts but send rejections only, now exchangeRejections and exchangeRejectionsWith; the type Judgement, now PhaseVerdict, which only this package uses and whose JSON keys stay. Comments that did not fit the code: a rejection is not in force everywhere before it is written to the platform, as both start in the same tick; an agent whose endpoint checks fencing numbers itself learns a new one from the first order, not from the platform.

Tests: the description Moves.update names updateObject now, and outdated reports are "ignored", as "rejects" means versions elsewhere. The checks are the same.

--- a/internal/savorypincontroller/movelocations.go
+++ b/internal/savorypincontroller/movelocations.go
@@ -19,7 +19,8 @@
 	endpoint string
 }
 
-// newVersionLocations collects the healthy endpoints of all usable members.
+// newVersionLocations returns the locations of the versions on the healthy endpoints of
+// all usable members.
 func newVersionLocations(view *savorypinmembership.View) *versionLocations {
 	l := &versionLocations{byVersion: map[string][]location{}}
 	for _, m := range view.All() {
@@ -50,8 +51,8 @@
 
 func (l *versionLocations) domains(version string) map[string]bool {
 	domains := map[string]bool{}
-	for _, p := range l.byVersion[version] {
-		domains[p.domain] = true
+	for _, loc := range l.byVersion[version] {
+		domains[loc.domain] = true
 	}
 	return domains
 }
@@ -62,8 +63,8 @@
 func (l *versionLocations) units(version string) []string {
 	units := map[string]bool{}
 	spansDomains := l.spansDomains(version)
-	for _, p := range l.byVersion[version] {
-		units[unitOf(spansDomains, p.domain, p.endpoint)] = true
+	for _, loc := range l.byVersion[version] {
+		units[unitOf(spansDomains, loc.domain, loc.endpoint)] = true
 	}
 	return slices.Sorted(maps.Keys(units))
 }
@@ -80,8 +81,8 @@
 	return c.locations.Load().serves(version)
 }
 
-// UnitOf returns the unit of an attempt in a move to the version to: its failure domain
-// if that version runs in several, else its endpoint.
+// UnitOf returns the unit of an attempt in a move whose new version is to: its failure
+// domain if that version runs in several, else its endpoint.
 func (c *Moves) UnitOf(o savorypin.Observation, to string) string {
 	return unitOf(c.locations.Load().spansDomains(to), o.Domain, o.Endpoint)
 }
--- a/internal/savorypincontroller/moves.go
+++ b/internal/savorypincontroller/moves.go
@@ -17,6 +17,7 @@
 
 // Settings of the controller of moves.
 const (
+	// callTimeout is the timeout of a call to another daemon.
 	callTimeout = time.Second
 	// fanOut is the number of members to which a new rejection is sent.
 	fanOut       = 4
@@ -40,9 +41,9 @@
 // the evidence of all entries, and the one that holds the controller lease of the
 // service writes the status of its moves to the platform.
 //
-// A rejection does not wait for the platform: the evaluator that reaches it sends it to
-// other daemons, which forward it, so that it is in force everywhere before it is
-// written to the platform.
+// A rejection does not wait for the platform: the evaluator that decides on it sends it to
+// other daemons, which apply and forward it, whether or not it has been written to the
+// platform.
 type Moves struct {
 	rejections *savorypinmove.RejectionSet
 	cfg        MovesConfig
--- a/internal/savorypincontroller/moves_internal_test.go
+++ b/internal/savorypincontroller/moves_internal_test.go
@@ -16,11 +16,11 @@
 )
 
 var _ = Describe("Moves", func() {
-	It("accepts each report of an entry once and rejects outdated ones", func() {
+	It("accepts each report of an entry once and ignores outdated ones", func() {
 		c := &Moves{lastReports: map[string]reportID{}}
 		for _, tc := range []struct {
 			from string
-			mark reportID
+			id   reportID
 			want bool
 		}{
 			{"entry-1", reportID{incarnation: 1, sequence: 1}, true},
@@ -31,7 +31,7 @@
 			{"entry-1", reportID{incarnation: 2, sequence: 1}, true},
 			{"entry-1", reportID{incarnation: 1, sequence: 9}, false},
 		} {
-			Expect(c.isNewReport(tc.from, tc.mark)).To(Equal(tc.want), "%v", tc)
+			Expect(c.isNewReport(tc.from, tc.id)).To(Equal(tc.want), "%v", tc)
 		}
 	})
 })
@@ -49,7 +49,7 @@
 	})
 })
 
-var _ = Describe("Moves.update", func() {
+var _ = Describe("Moves.updateObject", func() {
 	It("writes nothing after the lease expired during a pause, nor over a newer version", func(ctx SpecContext) {
 		server := httptest.NewServer(savorypinstandin.NewPlatform())
 		DeferCleanup(server.Close)
--- a/internal/savorypincontroller/movestatus.go
+++ b/internal/savorypincontroller/movestatus.go
@@ -24,12 +24,13 @@
 func (c *Moves) tick(ctx context.Context) {
 	c.locations.Store(newVersionLocations(c.daemon.Members()))
 	c.judgeMoves(ctx)
-	c.exchangeVerdicts(ctx)
+	c.exchangeRejections(ctx)
 	c.writeStatuses(ctx)
 	c.dropEnded()
 }
 
-// judgeMoves rejects the watched moves whose evidence suffices.
+// judgeMoves rejects the new versions of watched moves if the evidence against them
+// suffices.
 func (c *Moves) judgeMoves(ctx context.Context) {
 	config := c.daemon.Config()
 	for service := range config.Services() {
@@ -101,8 +102,8 @@
 	})
 }
 
-// writeStatus writes the status of a move. If the platform's answer is lost, nothing
-// needs to be resolved: the next decision starts from the current configuration.
+// writeStatus writes the status of a move. A lost answer of the platform needs no
+// recovery: the next decision starts from the current configuration.
 func (c *Moves) writeStatus(ctx context.Context, lease *savorypinlease.Lease, change savorypinmove.Change) {
 	key := savorypin.Key{Kind: savorypin.KindMove, Name: change.Move.Name}
 	o, ok := c.daemon.Config().Object(key)
--- a/internal/savorypincontroller/moveverdicts.go
+++ b/internal/savorypincontroller/moveverdicts.go
@@ -20,19 +20,19 @@
 		c.daemon.Logger().Warn("Version rejected", "move", rejection.Move.Name, "service", rejection.Service, "reason", rejection.Reason)
 	}
 	for _, m := range c.randomPeers(fanOut) {
-		go c.exchangeVerdictsWith(context.WithoutCancel(ctx), m, added)
+		go c.exchangeRejectionsWith(context.WithoutCancel(ctx), m, added)
 	}
 }
 
-// exchangeVerdicts exchanges rejections with one random member while any move is open. A
-// daemon that has restarted and has no configuration yet gets the rejections this way
-// before it accepts requests.
-func (c *Moves) exchangeVerdicts(ctx context.Context) {
+// exchangeRejections exchanges rejections with one random member while any move is open, or
+// while this daemon has no configuration yet, so that after a restart it learns the
+// rejections before it accepts requests.
+func (c *Moves) exchangeRejections(ctx context.Context) {
 	if len(c.daemon.Config().Objects()) > 0 && !c.hasOpenMoves() {
 		return
 	}
 	for _, m := range c.randomPeers(1) {
-		go c.exchangeVerdictsWith(ctx, m, c.rejections.All())
+		go c.exchangeRejectionsWith(ctx, m, c.rejections.All())
 	}
 }
 
@@ -47,7 +47,7 @@
 	return false
 }
 
-func (c *Moves) exchangeVerdictsWith(ctx context.Context, m savorypin.MemberState, rejected []savorypinmove.Rejection) {
+func (c *Moves) exchangeRejectionsWith(ctx context.Context, m savorypin.MemberState, rejected []savorypinmove.Rejection) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := savorypinmember.Call[savorypinmember.Verdicts, savorypinmember.Verdicts](
@@ -86,18 +86,18 @@
 // MovesState is the section "moves" of the state dump.
 type MovesState struct {
 	Rejected []savorypinmove.Rejection `json:"rejected"`
-	Judged   []Judgement               `json:"judged"`
+	Judged   []PhaseVerdict            `json:"judged"`
 }
 
-// Judgement is the verdict on one phase of a move whose evidence this daemon evaluates.
-type Judgement struct {
+// PhaseVerdict is the verdict on one phase of a move whose evidence this daemon evaluates.
+type PhaseVerdict struct {
 	Done    bool                  `json:"done"`
 	Move    savorypinmove.Key     `json:"move"`
 	Verdict savorypinmove.Verdict `json:"verdict"`
 }
 
 func (c *Moves) state() any {
-	s := MovesState{Rejected: c.rejections.All(), Judged: []Judgement{}}
+	s := MovesState{Rejected: c.rejections.All(), Judged: []PhaseVerdict{}}
 	c.mu.Lock()
 	var phases []phase
 	for p := range c.evaluators {
@@ -106,7 +106,7 @@
 	c.mu.Unlock()
 	for _, p := range phases {
 		if m, ok := c.findWatched(p.key); ok {
-			s.Judged = append(s.Judged, Judgement{Done: p.done, Move: p.key, Verdict: c.judge(m, p.done)})
+			s.Judged = append(s.Judged, PhaseVerdict{Done: p.done, Move: p.key, Verdict: c.judge(m, p.done)})
 		}
 	}
 	return s
--- a/internal/savorypincontroller/placement.go
+++ b/internal/savorypincontroller/placement.go
@@ -29,8 +29,8 @@
 	placementInterval = time.Second
 )
 
-// Placement orders the endpoints of all services that this daemon controls into the
-// state that the configuration asks for.
+// Placement sends orders to the endpoints of all services that this daemon controls, to
+// bring them to the state that the configuration asks for.
 type Placement struct {
 	daemon *savorypindaemon.Daemon
 	slots  *savorypinplacement.LoadSlots
@@ -78,8 +78,7 @@
 	Controls map[string]int64 `json:"controls"`
 	// InFlight holds the endpoints that carry out an order of this daemon, sorted.
 	InFlight []string `json:"inFlight"`
-	// Orders is the number of orders that were named so far; a repeated order keeps its
-	// name.
+	// Orders is the number of orders so far; a repeated order is counted once.
 	Orders int `json:"orders"`
 }
 
@@ -103,7 +102,7 @@
 	savorypinloop.Every(ctx, placementInterval, func() { p.tick(ctx) })
 }
 
-// tick gives the next orders of every generating service that this daemon controls. A
+// tick starts the next orders for every generating service that this daemon controls. A
 // daemon that was paused waits until its view of the members is current again.
 func (p *Placement) tick(ctx context.Context) {
 	if p.daemon.Resyncing() {
@@ -191,7 +190,8 @@
 }
 
 // announceFence sends the fencing number of a new controller to all agents of a service
-// before the first order. An agent that can't be reached reads it from the platform.
+// before the first order. An agent that can't be reached learns it from the platform or,
+// if its endpoint checks fencing numbers itself, from the first order.
 func (p *Placement) announceFence(ctx context.Context, service string, fence int64) {
 	p.daemon.Logger().Info("Became the controller of a service", "service", service, "fence", fence)
 	ctx, cancel := context.WithTimeout(ctx, placementInterval)
