Reword the comment on plan and names in the tests of the placement

Oddly read: "the copies include those that the steps load", though unloaded copies and the copy for which a step makes room are counted too; test endpoints named drained and role, which are to be drained and to change their role. The description Slots names LoadSlots now, and the text of a failed check says what there is no room for. The checks are the same.

--- a/internal/savorypinplacement/placement.go
+++ b/internal/savorypinplacement/placement.go
@@ -77,7 +77,9 @@
 	return fmt.Sprintf("%d-%d-%s-%s-%s%s", fence, n, s.Action, s.Endpoint, s.Version, s.Role)
 }
 
-// plan is the state of one call of Decide. The copies include those that the steps load.
+// plan is the state of one call of Decide. The copies are those after the steps: copies
+// includes the copy for which a step makes room, and copiesByDomain also includes those
+// that the steps unload.
 type plan struct {
 	copies         map[string]int
 	copiesByDomain map[string]map[string]int
--- a/internal/savorypinplacement/placement_test.go
+++ b/internal/savorypinplacement/placement_test.go
@@ -22,10 +22,10 @@
 var _ = Describe("Decide", func() {
 	v1 := savorypinplacement.Version{InUse: true, Name: "v1", Replicas: 2}
 	v2 := savorypinplacement.Version{Name: "v2", Replicas: 1}
-	drained := endpoint("e1", "d1", "v1")
-	drained.WantDrained = true
-	role := endpoint("e1", "d1", "v1")
-	role.WantRole = "prefill"
+	toDrain := endpoint("e1", "d1", "v1")
+	toDrain.WantDrained = true
+	toChangeRole := endpoint("e1", "d1", "v1")
+	toChangeRole.WantRole = "prefill"
 	for _, tc := range []struct {
 		name      string
 		versions  []savorypinplacement.Version
@@ -53,7 +53,7 @@
 		{
 			"drains an endpoint for the operators and replaces its copy",
 			[]savorypinplacement.Version{v1},
-			[]savorypinplacement.Endpoint{drained, endpoint("e2", "d2", "v1"), endpoint("e3", "d3")},
+			[]savorypinplacement.Endpoint{toDrain, endpoint("e2", "d2", "v1"), endpoint("e3", "d3")},
 			[]savorypinplacement.Step{
 				{Action: savorypinplacement.ActionDrain, Endpoint: "e1"},
 				{Action: savorypinplacement.ActionLoad, Endpoint: "e3", Version: "v1"},
@@ -62,7 +62,7 @@
 		{
 			"changes the role of an endpoint",
 			[]savorypinplacement.Version{{Name: "v1"}},
-			[]savorypinplacement.Endpoint{role},
+			[]savorypinplacement.Endpoint{toChangeRole},
 			[]savorypinplacement.Step{{Action: savorypinplacement.ActionRole, Endpoint: "e1", Role: "prefill"}},
 		},
 	} {
@@ -114,7 +114,7 @@
 			loaded = append(loaded, s.Version)
 		}
 		if len(loaded) > endpoints[i].MaxVersions {
-			t.Fatalf("%s has no room", s.Endpoint)
+			t.Fatalf("endpoint %s has no room for the version", s.Endpoint)
 		}
 		endpoints[i].Loaded = loaded
 	}
@@ -130,7 +130,7 @@
 	return n
 }
 
-var _ = Describe("Slots", func() {
+var _ = Describe("LoadSlots", func() {
 	It("limits the concurrent loads and frees slots that were not released in time", func() {
 		ctx := context.Background()
 		now := time.Unix(1000, 0)
