Reword savorypinclaim: comments that did not match the code, and leftover names

Comments that said something else than the code: the attempt of a key is nil if the outcome is done or closed, not for every final outcome; ErrBarred also follows an attempt that ended as not run; VerdictTaken also stands for a key that has an outcome; awaitVerdict returns true for done, unknown and closed only; a shared check is that of the caller who started it; BenchmarkClaims settles keys only with one object per key. "Holds its key as claimed" is now "until the attempt has an outcome or another attempt holds the key".

Names: ticket and t are claimedAttempt and claimed, aloneChecks is otherWriterChecks, maxAttempts is maxUnsentAttempts, gate and pause are waitWhilePaused. Tests say committer, not owner: TestNewOwnerReadsPages is TestNewCommitterReadsPages, and TestKeysExpireAndAPausedOwnerDoesNotReuseTheirSegments is TestKeysExpireAndPausedDaemonDoesNotReuseSegments.

No text outside of tests and no check of a test changes.

--- a/internal/savorypinclaim/answer.go
+++ b/internal/savorypinclaim/answer.go
@@ -5,8 +5,9 @@
 	"fmt"
 )
 
-// storeLargeAnswers writes answers that are too large for a segment to
-// separate objects.
+// storeLargeAnswers writes each answer that is too large for a segment to an
+// object of its own. It returns the settlements with stubs in place of these
+// answers.
 func (s *Shard) storeLargeAnswers(ctx context.Context, settlements []Settlement) ([]Settlement, error) {
 	result := make([]Settlement, len(settlements))
 	for i, settlement := range settlements {
@@ -30,8 +31,8 @@
 		stub.Lost = true
 		return &stub, nil
 	}
-	// The attempt id serves as the order id: all writers of the object write
-	// the same answer.
+	// All writers of the object write the same answer, so the attempt id can
+	// serve as the order id.
 	o, err := newObject(answerKey(settlement.Attempt), settlement.Attempt, s.cfg.Now(), answer)
 	if err != nil {
 		return nil, err
--- a/internal/savorypinclaim/attemptlog.go
+++ b/internal/savorypinclaim/attemptlog.go
@@ -9,12 +9,14 @@
 
 // The errors of AttemptLog.Admit. The attempt must not be forwarded.
 var (
-	// ErrBarred means that the attempt was barred before it arrived, see Bar.
+	// ErrBarred means that the attempt was barred before it arrived, see Bar, or
+	// that it arrived before and ended with outcome not run.
 	ErrBarred = errors.New("attempt was barred before it was passed on")
 	// ErrLogFull means that the log holds MaxRecords attempts that are running.
 	ErrLogFull = errors.New("too many attempts are kept")
 	// ErrBelowFloor means that the claim of the attempt is in a segment at or
-	// below the floor of its shard, so that the log may have dropped its record.
+	// below the floor of its shard, so that the log may have dropped its record
+	// or barred it without one.
 	ErrBelowFloor = errors.New("attempt is too late")
 	// ErrWrongIncarnation means that the attempt was meant for another incarnation
 	// of the agent, usually the one before its restart.
@@ -44,7 +46,8 @@
 	Retention time.Duration
 }
 
-// record is the record of one attempt.
+// record is what the log keeps of one attempt. The channel done is closed when the
+// attempt has ended or is barred.
 type record struct {
 	answer  *Answer
 	endedAt time.Time
@@ -57,14 +60,15 @@
 
 // AttemptLog records the attempts of an agent and their outcomes, so that the
 // agent forwards each attempt at most once. When it drops a record, it raises
-// the floor of the shard to the segment of the attempt's claim, and then refuses
-// all attempts of the shard that were claimed at or below the floor. It is safe
-// for concurrent use.
+// the floor of the shard, which is a segment number, to the segment of the
+// attempt's claim. It refuses all attempts of the shard whose claims are in a
+// segment at or below the floor. It is safe for concurrent use.
 type AttemptLog struct {
 	cfg AttemptLogConfig
 
-	mu      sync.Mutex
-	bytes   int
+	mu    sync.Mutex
+	bytes int
+	// ended holds the records of the attempts that have ended, oldest first.
 	ended   []*record
 	floors  [Shards]uint64
 	records map[string]*record
@@ -77,25 +81,25 @@
 
 // Admit records that an attempt is about to be forwarded. If it returns an error,
 // the attempt must not be forwarded.
-func (l *AttemptLog) Admit(t ClaimedAttempt) error {
+func (l *AttemptLog) Admit(claimed ClaimedAttempt) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t.Attempt.Incarnation != l.cfg.Incarnation {
+	if claimed.Attempt.Incarnation != l.cfg.Incarnation {
 		return ErrWrongIncarnation
 	}
-	if rec, ok := l.records[t.Attempt.ID]; ok {
+	if rec, ok := l.records[claimed.Attempt.ID]; ok {
 		if rec.outcome == OutcomeNotRun {
 			return ErrBarred
 		}
 		return ErrAlreadyForwarded
 	}
-	if t.Segment <= l.floors[t.Key.Shard()] {
+	if claimed.Segment <= l.floors[claimed.Key.Shard()] {
 		return ErrBelowFloor
 	}
 	if !l.evictToFit() {
 		return ErrLogFull
 	}
-	l.add(t, OutcomeClaimed)
+	l.add(claimed, OutcomeClaimed)
 	return nil
 }
 
@@ -117,9 +121,10 @@
 
 // Bar prevents an attempt from being forwarded later and returns its outcome. If
 // the attempt is running, Bar waits for its end; if ctx ends first, the outcome
-// is claimed.
-func (l *AttemptLog) Bar(ctx context.Context, t ClaimedAttempt) (Outcome, *Answer) {
-	rec, outcome := l.bar(t)
+// is claimed. The outcome is unknown if the attempt was meant for another
+// incarnation or if its record may have been dropped.
+func (l *AttemptLog) Bar(ctx context.Context, claimed ClaimedAttempt) (Outcome, *Answer) {
+	rec, outcome := l.bar(claimed)
 	if rec == nil {
 		return outcome, nil
 	}
@@ -133,25 +138,25 @@
 	return rec.outcome, rec.answer
 }
 
-func (l *AttemptLog) bar(t ClaimedAttempt) (*record, Outcome) {
+func (l *AttemptLog) bar(claimed ClaimedAttempt) (*record, Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t.Attempt.Incarnation != l.cfg.Incarnation {
+	if claimed.Attempt.Incarnation != l.cfg.Incarnation {
 		return nil, OutcomeUnknown
 	}
-	if rec, ok := l.records[t.Attempt.ID]; ok {
+	if rec, ok := l.records[claimed.Attempt.ID]; ok {
 		return rec, rec.outcome
 	}
-	shard := t.Key.Shard()
-	if t.Segment <= l.floors[shard] {
+	shard := claimed.Key.Shard()
+	if claimed.Segment <= l.floors[shard] {
 		return nil, OutcomeUnknown
 	}
 	if !l.evictToFit() {
 		// Without space for a record, the floor bars the attempt.
-		l.floors[shard] = t.Segment
+		l.floors[shard] = claimed.Segment
 		return nil, OutcomeNotRun
 	}
-	rec := l.add(t, OutcomeClaimed)
+	rec := l.add(claimed, OutcomeClaimed)
 	l.end(rec, OutcomeNotRun)
 	return rec, OutcomeNotRun
 }
@@ -183,7 +188,7 @@
 	}
 }
 
-// Sweep drops the records that are older than the retention.
+// Sweep drops the records of attempts that ended longer ago than the retention.
 func (l *AttemptLog) Sweep() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -193,13 +198,13 @@
 	}
 }
 
-func (l *AttemptLog) add(t ClaimedAttempt, outcome Outcome) *record {
+func (l *AttemptLog) add(claimed ClaimedAttempt, outcome Outcome) *record {
 	rec := &record{
 		done:    make(chan struct{}),
-		id:      t.Attempt.ID,
+		id:      claimed.Attempt.ID,
 		outcome: outcome,
-		segment: t.Segment,
-		shard:   t.Key.Shard(),
+		segment: claimed.Segment,
+		shard:   claimed.Key.Shard(),
 	}
 	l.records[rec.id] = rec
 	return rec
@@ -212,8 +217,8 @@
 	close(rec.done)
 }
 
-// evictToFit drops the oldest ended records until one more fits. It returns false
-// if it does not fit, as all attempts that are left are running.
+// evictToFit drops the oldest ended records until one more record fits. It returns
+// false if none fits because all remaining attempts are running.
 func (l *AttemptLog) evictToFit() bool {
 	for len(l.ended) > 0 && (len(l.records) >= l.cfg.MaxRecords || l.bytes > l.cfg.MaxBytes) {
 		l.evictOldest()
--- a/internal/savorypinclaim/attemptlog_test.go
+++ b/internal/savorypinclaim/attemptlog_test.go
@@ -12,7 +12,7 @@
 )
 
 var _ = Describe("AttemptLog", func() {
-	ticket := func(n int) savorypinclaim.ClaimedAttempt {
+	claimedAttempt := func(n int) savorypinclaim.ClaimedAttempt {
 		return savorypinclaim.ClaimedAttempt{
 			Attempt: savorypinclaim.Attempt{ID: fmt.Sprint("attempt-", n), Incarnation: 1, Member: "agent"},
 			Segment: uint64(n),
@@ -36,25 +36,25 @@
 			*now = now.Add(time.Hour)
 			log.Sweep()
 		}},
-		{"to stay within its records", func(log *savorypinclaim.AttemptLog, _ *time.Time) {
+		{"to stay within its maximum number of records", func(log *savorypinclaim.AttemptLog, _ *time.Time) {
 			for n := 10; n < 14; n++ {
-				Expect(log.Admit(ticket(n))).To(Or(Succeed(), MatchError(savorypinclaim.ErrLogFull)))
+				Expect(log.Admit(claimedAttempt(n))).To(Or(Succeed(), MatchError(savorypinclaim.ErrLogFull)))
 			}
 		}},
-		{"to stay within its bytes", func(log *savorypinclaim.AttemptLog, _ *time.Time) {
-			Expect(log.Admit(ticket(10))).To(Succeed())
+		{"to stay within its maximum size", func(log *savorypinclaim.AttemptLog, _ *time.Time) {
+			Expect(log.Admit(claimedAttempt(10))).To(Succeed())
 			log.End("attempt-10", savorypinclaim.OutcomeDone, &savorypinclaim.Answer{Body: make([]byte, 200)})
 		}},
 	} {
 		It("refuses an attempt whose record it dropped "+tc.name, func(ctx SpecContext) {
 			now := time.Unix(1000, 0)
 			log := newLog(&now)
-			outcome, _ := log.Bar(ctx, ticket(5))
+			outcome, _ := log.Bar(ctx, claimedAttempt(5))
 			Expect(outcome).To(Equal(savorypinclaim.OutcomeNotRun))
-			Expect(log.Admit(ticket(5))).To(MatchError(savorypinclaim.ErrBarred))
+			Expect(log.Admit(claimedAttempt(5))).To(MatchError(savorypinclaim.ErrBarred))
 			tc.evict(log, &now)
-			Expect(log.Admit(ticket(5))).To(MatchError(savorypinclaim.ErrBelowFloor))
-			outcome, _ = log.Bar(ctx, ticket(4))
+			Expect(log.Admit(claimedAttempt(5))).To(MatchError(savorypinclaim.ErrBelowFloor))
+			outcome, _ = log.Bar(ctx, claimedAttempt(4))
 			Expect(outcome).To(Equal(savorypinclaim.OutcomeUnknown))
 		})
 	}
@@ -62,29 +62,29 @@
 	It("waits for the end of a running attempt that is barred", func() {
 		now := time.Unix(1000, 0)
 		log := newLog(&now)
-		Expect(log.Admit(ticket(1))).To(Succeed())
+		Expect(log.Admit(claimedAttempt(1))).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		outcome, _ := log.Bar(ctx, ticket(1))
+		outcome, _ := log.Bar(ctx, claimedAttempt(1))
 		Expect(outcome).To(Equal(savorypinclaim.OutcomeClaimed))
 		go log.End("attempt-1", savorypinclaim.OutcomeDone, &savorypinclaim.Answer{Status: 201})
-		outcome, answer := log.Bar(context.Background(), ticket(1))
+		outcome, answer := log.Bar(context.Background(), claimedAttempt(1))
 		Expect(outcome).To(Equal(savorypinclaim.OutcomeDone))
 		Expect(answer.Status).To(Equal(201))
-		Expect(log.Admit(ticket(1))).To(MatchError(savorypinclaim.ErrAlreadyForwarded))
+		Expect(log.Admit(claimedAttempt(1))).To(MatchError(savorypinclaim.ErrAlreadyForwarded))
 	})
 
 	It("bars an attempt by the floor when all its records are of running attempts", func(ctx SpecContext) {
 		now := time.Unix(1000, 0)
 		log := newLog(&now)
 		for n := 1; n <= 3; n++ {
-			Expect(log.Admit(ticket(n))).To(Succeed())
+			Expect(log.Admit(claimedAttempt(n))).To(Succeed())
 		}
-		Expect(log.Admit(ticket(4))).To(MatchError(savorypinclaim.ErrLogFull))
-		outcome, _ := log.Bar(ctx, ticket(5))
+		Expect(log.Admit(claimedAttempt(4))).To(MatchError(savorypinclaim.ErrLogFull))
+		outcome, _ := log.Bar(ctx, claimedAttempt(5))
 		Expect(outcome).To(Equal(savorypinclaim.OutcomeNotRun))
 		log.End("attempt-1", savorypinclaim.OutcomeDone, nil)
-		Expect(log.Admit(ticket(5))).To(MatchError(savorypinclaim.ErrBelowFloor))
+		Expect(log.Admit(claimedAttempt(5))).To(MatchError(savorypinclaim.ErrBelowFloor))
 		Expect(log.State().Running).To(Equal(2))
 	})
 })
--- a/internal/savorypinclaim/checkgroup.go
+++ b/internal/savorypinclaim/checkgroup.go
@@ -18,29 +18,30 @@
 }
 
 // wait returns the result of the next check to begin.
-func (r *checkGroup) wait(check func() error) error {
-	r.mu.Lock()
-	if r.next == nil {
-		r.next = &sharedCheck{done: make(chan struct{})}
+func (g *checkGroup) wait(check func() error) error {
+	g.mu.Lock()
+	if g.next == nil {
+		g.next = &sharedCheck{done: make(chan struct{})}
 	}
-	shared := r.next
-	if !r.running {
-		r.running = true
-		go r.run(check)
+	shared := g.next
+	if !g.running {
+		g.running = true
+		go g.run(check)
 	}
-	r.mu.Unlock()
+	g.mu.Unlock()
 	<-shared.done
 	return shared.err
 }
 
-// run repeats the check until no caller waits.
-func (r *checkGroup) run(check func() error) {
+// run repeats the check until no caller waits. Callers that join while it runs
+// share this check; their own is not used.
+func (g *checkGroup) run(check func() error) {
 	for {
-		r.mu.Lock()
-		current := r.next
-		r.next = nil
-		r.running = current != nil
-		r.mu.Unlock()
+		g.mu.Lock()
+		current := g.next
+		g.next = nil
+		g.running = current != nil
+		g.mu.Unlock()
 		if current == nil {
 			return
 		}
--- a/internal/savorypinclaim/claim.go
+++ b/internal/savorypinclaim/claim.go
@@ -1,5 +1,5 @@
-// Package savorypinclaim keeps the durable claims that make a call that is not
-// idempotent run at most once for each key.
+// Package savorypinclaim stores durable claims on idempotency keys, so that a call
+// that is not idempotent runs at most once for each key.
 //
 // Keys are spread over shards. Each shard is an append-only sequence of small
 // segments, which are platform objects that are created only if they don't
@@ -164,7 +164,8 @@
 	VerdictGranted VerdictKind = "granted"
 	// VerdictMismatch means that the key belongs to another request.
 	VerdictMismatch VerdictKind = "mismatch"
-	// VerdictTaken means that another attempt holds the key.
+	// VerdictTaken means that nothing was claimed: another attempt holds the key,
+	// or the key already has an outcome.
 	VerdictTaken VerdictKind = "taken"
 )
 
@@ -172,8 +173,8 @@
 type Verdict struct {
 	// Answer is the answer of the endpoint if the outcome is done.
 	Answer *Answer `msgpack:"ans,omitempty"`
-	// Attempt is the attempt that holds the key. It is not kept once the
-	// outcome is done.
+	// Attempt is the attempt that holds the key. It is zero if the outcome is
+	// done or closed.
 	Attempt Attempt `msgpack:"att"`
 	// Kind says how the claim was decided.
 	Kind VerdictKind `msgpack:"kind"`
--- a/internal/savorypinclaim/claims_bench_test.go
+++ b/internal/savorypinclaim/claims_bench_test.go
@@ -13,7 +13,7 @@
 
 // claimAtRate claims and settles keys through shards at a constant rate for 30 s,
 // on a platform with a latency of 3 ms. It returns the platform's writes and
-// reads for 1,000 keys.
+// reads per 1,000 keys.
 func claimAtRate(t *testing.T, perSecond int) (writes, reads float64) {
 	t.Helper()
 	const seconds = 30
@@ -84,7 +84,8 @@
 // BenchmarkClaims compares claims through shards with one object per key, for many
 // concurrent callers on a platform with a latency of 3 ms and no limits. It
 // reports the mean time of a claim and the platform's calls: grouping trades
-// latency for fewer writes.
+// latency for fewer writes. With one object per key, the time and the calls of a
+// claim include the write of its outcome; claims through shards are not settled.
 func BenchmarkClaims(b *testing.B) {
 	b.Run("grouped", func(b *testing.B) {
 		f := newFakeStore(1)
--- a/internal/savorypinclaim/expiry.go
+++ b/internal/savorypinclaim/expiry.go
@@ -23,7 +23,7 @@
 	page uint64
 }
 
-// closePage queues the page that ends with a segment to be written.
+// closePage builds the page that ends with segment last and queues it for writing.
 func (s *Shard) closePage(last Segment) {
 	s.mu.Lock()
 	page := s.index.ClosePage(last.Number-segmentsPerPage+1, last.Number)
@@ -129,7 +129,7 @@
 }
 
 // deleteNext deletes one expired object. It returns false if none is left or a
-// call of the platform failed.
+// platform call failed.
 func (s *Shard) deleteNext(ctx context.Context) bool {
 	if len(s.sweep.keys) == 0 && !s.startSweep(ctx) {
 		return false
--- a/internal/savorypinclaim/index.go
+++ b/internal/savorypinclaim/index.go
@@ -4,7 +4,7 @@
 type keyState struct {
 	// answer is set only while the settlement of the key is pending.
 	answer *Answer
-	// attempt is nil once the outcome is final.
+	// attempt is nil if the outcome is done or closed.
 	attempt *Attempt
 	outcome Outcome
 	request uint64
@@ -17,7 +17,7 @@
 type Index struct {
 	entries map[KeyID]keyState
 	pending map[KeyID]Settlement
-	// recent holds the keys that were written since the last page.
+	// recent holds the keys that were written since the previous page.
 	recent []KeyID
 }
 
@@ -63,9 +63,9 @@
 
 // decide returns the verdict on a claim, given the state of its key. If the
 // verdict is granted without a segment, the claim has to be committed first.
-func decide(state keyState, ok bool, c Claim) Verdict {
+func decide(state keyState, exists bool, c Claim) Verdict {
 	granted := Verdict{Attempt: c.Attempt, Kind: VerdictGranted, Outcome: outcomeOf(c)}
-	if !ok {
+	if !exists {
 		return granted
 	}
 	verdict := state.verdict()
@@ -112,7 +112,7 @@
 }
 
 // AddPending adds a settlement that is not durable yet. It returns false if the
-// attempt does not hold its key or if the settlement adds nothing new.
+// attempt does not hold its key or if the settlement does not change the outcome.
 func (x *Index) AddPending(s Settlement) bool {
 	state, ok := x.lookup(s.Key)
 	if !ok || !state.accepts(s) {
@@ -196,15 +196,15 @@
 	}
 }
 
-// ApplyPage applies a page.
+// ApplyPage sets the keys of a page to the states in its entries.
 func (x *Index) ApplyPage(p Page) {
 	for _, e := range p.Entries {
 		x.entries[e.Key] = keyState{attempt: e.Attempt, outcome: e.Outcome, request: e.Request, segment: e.Segment}
 	}
 }
 
-// ClosePage returns the page of the segments from first to last, which are those
-// since the last page.
+// ClosePage returns the page that summarizes the segments from first to last,
+// which are all segments since the previous page.
 func (x *Index) ClosePage(first, last uint64) Page {
 	p := Page{}
 	seen := map[KeyID]bool{}
--- a/internal/savorypinclaim/load.go
+++ b/internal/savorypinclaim/load.go
@@ -196,9 +196,9 @@
 }
 
 // checkMark reports whether a segment has not expired; if it has, the shard is
-// loaded again. Without this check, a daemon that was paused while its position
-// expired could create a segment whose number was already deleted, which no
-// other daemon would read.
+// loaded again. Without this check, a daemon that was paused while its next
+// segment expired could create that segment again after its deletion, and no
+// other daemon would read it.
 func (s *Shard) checkMark(ctx context.Context, number uint64) (bool, error) {
 	mark, version, err := s.readMark(ctx)
 	if err != nil {
--- a/internal/savorypinclaim/outage.go
+++ b/internal/savorypinclaim/outage.go
@@ -38,7 +38,7 @@
 	if s.cfg.CheckNoOtherWriter == nil || !errors.Is(d.err, ErrNotClaimed) {
 		return d.err
 	}
-	err := s.aloneChecks.wait(func() error {
+	err := s.otherWriterChecks.wait(func() error {
 		return s.cfg.CheckNoOtherWriter(context.WithoutCancel(ctx), s.cfg.Number, d.nextSegment, s.cfg.Now().Sub(d.caughtUpAt))
 	})
 	if err != nil {
@@ -47,8 +47,8 @@
 	return d.err
 }
 
-// LastTriedSegment returns the number of the last segment that this daemon has tried to
-// write, or zero if there is none.
+// LastTriedSegment returns the number of the last segment that this daemon has
+// tried to write, or zero if there is none.
 func (s *Shard) LastTriedSegment() uint64 {
 	return s.lastTried.Load()
 }
--- a/internal/savorypinclaim/outage_test.go
+++ b/internal/savorypinclaim/outage_test.go
@@ -20,9 +20,9 @@
 	for _, tc := range []struct {
 		name string
 		// other is what the other daemon does before or during the outage.
-		other     func(ctx context.Context, f *fakeStore, other *savorypinclaim.Shard)
-		reachable bool
-		notRun    bool
+		other      func(ctx context.Context, f *fakeStore, other *savorypinclaim.Shard)
+		reachable  bool
+		notClaimed bool
 	}{
 		{"other daemon writes nothing", func(_ context.Context, f *fakeStore, _ *savorypinclaim.Shard) { f.setUnavailable(true) }, true, true},
 		{"other daemon is unreachable", func(_ context.Context, f *fakeStore, _ *savorypinclaim.Shard) { f.setUnavailable(true) }, false, false},
@@ -63,8 +63,8 @@
 				time.Sleep(5 * time.Second)
 				tc.other(ctx, f, other)
 				v, err := committer.Claim(ctx, claimOf(keyOf(1), "repeat"))
-				if errors.Is(err, savorypinclaim.ErrNotClaimed) != tc.notRun {
-					t.Errorf("%+v, %v, want not run: %t", v, err, tc.notRun)
+				if errors.Is(err, savorypinclaim.ErrNotClaimed) != tc.notClaimed {
+					t.Errorf("%+v, %v, want ErrNotClaimed: %t", v, err, tc.notClaimed)
 				}
 				// The committer may have read the other daemon's claim before the outage.
 				taken := v.Kind == savorypinclaim.VerdictTaken && v.Attempt.ID == "other"
@@ -76,8 +76,8 @@
 	}
 }
 
-// TestConcurrentClaimsShareChecks guards against one call of CheckNoOtherWriter for each claim
-// during an outage: concurrent claims share a few checks.
+// TestConcurrentClaimsShareChecks guards against one call of CheckNoOtherWriter for
+// each claim during an outage: concurrent claims share a few checks.
 func TestConcurrentClaimsShareChecks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/savorypinclaim/reference_test.go
+++ b/internal/savorypinclaim/reference_test.go
@@ -13,13 +13,13 @@
 	store savorypinclaim.Store
 }
 
-func (b objectPerKey) claim(ctx context.Context, c savorypinclaim.Claim) (int64, bool) {
-	written, err := b.store.Create(ctx, savorypin.Object{Key: keyObject(c.Key), Order: c.Attempt.ID})
+func (o objectPerKey) claim(ctx context.Context, c savorypinclaim.Claim) (int64, bool) {
+	written, err := o.store.Create(ctx, savorypin.Object{Key: keyObject(c.Key), Order: c.Attempt.ID})
 	return written.Version, err == nil
 }
 
-func (b objectPerKey) settle(ctx context.Context, key savorypinclaim.KeyID, version int64) error {
-	_, err := b.store.Update(ctx, savorypin.Object{Key: keyObject(key), Version: version})
+func (o objectPerKey) settle(ctx context.Context, key savorypinclaim.KeyID, version int64) error {
+	_, err := o.store.Update(ctx, savorypin.Object{Key: keyObject(key), Version: version})
 	return err
 }
 
@@ -38,10 +38,10 @@
 }
 
 // claim decides a claim and records it if it is granted.
-func (w referenceIndex) claim(c savorypinclaim.Claim) savorypinclaim.VerdictKind {
-	state, ok := w[c.Key]
+func (r referenceIndex) claim(c savorypinclaim.Claim) savorypinclaim.VerdictKind {
+	state, ok := r[c.Key]
 	free := !ok || (state.outcome == savorypinclaim.OutcomeNotRun && state.attempt != c.Attempt.ID)
-	proven := ok && c.Supersedes != "" && state.attempt == c.Supersedes && state.outcome != savorypinclaim.OutcomeDone
+	superseded := ok && c.Supersedes != "" && state.attempt == c.Supersedes && state.outcome != savorypinclaim.OutcomeDone
 	switch {
 	case ok && state.outcome == savorypinclaim.OutcomeClosed:
 		return savorypinclaim.VerdictTaken
@@ -49,15 +49,15 @@
 		return savorypinclaim.VerdictMismatch
 	case ok && state.attempt == c.Attempt.ID && state.outcome == savorypinclaim.OutcomeClaimed:
 		return savorypinclaim.VerdictGranted
-	case ok && state.attempt == c.Attempt.ID, !free && !proven:
+	case ok && state.attempt == c.Attempt.ID, !free && !superseded:
 		return savorypinclaim.VerdictTaken
 	}
-	w[c.Key] = &referenceKey{attempt: c.Attempt.ID, outcome: savorypinclaim.OutcomeClaimed, request: c.Request}
+	r[c.Key] = &referenceKey{attempt: c.Attempt.ID, outcome: savorypinclaim.OutcomeClaimed, request: c.Request}
 	return savorypinclaim.VerdictGranted
 }
 
-func (w referenceIndex) settle(s savorypinclaim.Settlement) {
-	state, ok := w[s.Key]
+func (r referenceIndex) settle(s savorypinclaim.Settlement) {
+	state, ok := r[s.Key]
 	final := ok && (state.outcome == savorypinclaim.OutcomeDone || state.outcome == savorypinclaim.OutcomeNotRun)
 	if ok && !final && state.attempt == s.Attempt {
 		state.outcome = s.Outcome
--- a/internal/savorypinclaim/runner.go
+++ b/internal/savorypinclaim/runner.go
@@ -15,25 +15,25 @@
 	ErrSuperseded = errors.New("attempt was superseded")
 )
 
-// maxAttempts is the maximum number of attempts of a request that fail to reach an
-// endpoint.
-const maxAttempts = 3
+// maxUnsentAttempts is the maximum number of attempts of a request that fail to
+// reach an endpoint.
+const maxUnsentAttempts = 3
 
 // RunnerConfig configures a Runner.
 type RunnerConfig struct {
-	// Await waits until the attempt no longer holds the key as claimed, or until
-	// ctx ends.
+	// Await waits until the attempt has an outcome or another attempt holds the
+	// key, or until ctx ends.
 	Await func(ctx context.Context, key KeyID, attempt string) (Verdict, error)
 	// Bar bars an attempt at its agent and returns its outcome, see
 	// AttemptLog.Bar. It returns an error if the agent does not answer.
 	Bar func(context.Context, ClaimedAttempt) (Outcome, *Answer, error)
 	// Claim decides a claim.
 	Claim func(context.Context, Claim) (Verdict, error)
-	// IsAgentLost reports whether the agent of an attempt is not expected to report its
-	// outcome any more, for example because it has restarted.
+	// IsAgentLost reports whether the agent of an attempt is not expected to report
+	// the outcome any more, for example because it has restarted.
 	IsAgentLost func(Attempt) bool
-	// OutcomeTimeout is how long a repeat waits for the outcome of the current attempt
-	// before it calls the agent.
+	// OutcomeTimeout is how long a repeat waits for the outcome of the current
+	// attempt before it calls the agent.
 	OutcomeTimeout time.Duration
 	// Settle records an outcome.
 	Settle func(Settlement)
@@ -151,23 +151,23 @@
 	}
 }
 
-func (x *requestRun) send(ctx context.Context, t ClaimedAttempt) (Result, bool) {
-	answer, err := x.req.Send(ctx, t)
+func (x *requestRun) send(ctx context.Context, claimed ClaimedAttempt) (Result, bool) {
+	answer, err := x.req.Send(ctx, claimed)
 	switch {
 	case err == nil:
-		x.recordOutcome(t.Attempt, OutcomeDone, answer)
+		x.recordOutcome(claimed.Attempt, OutcomeDone, answer)
 		return Result{Answer: answer, Outcome: OutcomeDone}, true
 	case errors.Is(err, ErrSuperseded):
-		x.notRunAttempt = t.Attempt.ID
+		x.notRunAttempt = claimed.Attempt.ID
 		return Result{}, false
 	case errors.Is(err, ErrNotSent):
-		x.notRunAttempt = t.Attempt.ID
-		x.avoid[t.Attempt.Endpoint] = true
+		x.notRunAttempt = claimed.Attempt.ID
+		x.avoid[claimed.Attempt.Endpoint] = true
 		x.unsentAttempts++
-		x.recordOutcome(t.Attempt, OutcomeNotRun, nil)
-		return Result{Err: err, Outcome: OutcomeNotRun}, x.unsentAttempts >= maxAttempts
+		x.recordOutcome(claimed.Attempt, OutcomeNotRun, nil)
+		return Result{Err: err, Outcome: OutcomeNotRun}, x.unsentAttempts >= maxUnsentAttempts
 	default:
-		result, final := x.awaitOutcome(ctx, t)
+		result, final := x.awaitOutcome(ctx, claimed)
 		result.Replayed = false
 		return result, final
 	}
@@ -200,35 +200,36 @@
 // daemon that made the attempt to record the outcome, and then calls the agent,
 // which bars the attempt if it has not arrived. It returns false if another
 // attempt may follow.
-func (x *requestRun) awaitOutcome(ctx context.Context, t ClaimedAttempt) (Result, bool) {
+func (x *requestRun) awaitOutcome(ctx context.Context, claimed ClaimedAttempt) (Result, bool) {
 	for ctx.Err() == nil {
-		if verdict, changed := x.awaitVerdict(ctx, t); changed {
+		if verdict, changed := x.awaitVerdict(ctx, claimed); changed {
 			return x.handleVerdict(ctx, verdict)
 		}
-		outcome, answer, err := x.bar(ctx, t)
+		outcome, answer, err := x.bar(ctx, claimed)
 		switch {
 		case err == nil && outcome == OutcomeDone:
-			x.recordOutcome(t.Attempt, outcome, answer)
+			x.recordOutcome(claimed.Attempt, outcome, answer)
 			return Result{Answer: answer, Outcome: OutcomeDone, Replayed: true}, true
 		case err == nil && outcome == OutcomeNotRun:
-			x.notRunAttempt = t.Attempt.ID
+			x.notRunAttempt = claimed.Attempt.ID
 			return Result{}, false
 		case err == nil && outcome == OutcomeUnknown:
-			x.recordOutcome(t.Attempt, outcome, nil)
+			x.recordOutcome(claimed.Attempt, outcome, nil)
 			return Result{Err: errors.New("agent has lost the outcome"), Outcome: OutcomeUnknown}, true
-		case err != nil && x.cfg.IsAgentLost(t.Attempt):
+		case err != nil && x.cfg.IsAgentLost(claimed.Attempt):
 			return Result{Err: err, Outcome: OutcomeUnknown}, true
 		}
 	}
 	return Result{Err: ctx.Err(), Outcome: OutcomeUnknown}, true
 }
 
-// awaitVerdict waits for the outcome of an attempt, for OutcomeTimeout at most, and
-// reports whether there is one.
-func (x *requestRun) awaitVerdict(ctx context.Context, t ClaimedAttempt) (Verdict, bool) {
+// awaitVerdict waits for the outcome of an attempt, for OutcomeTimeout at most. It
+// returns true if the outcome is done, unknown or closed. In all other cases, the
+// agent has to be called.
+func (x *requestRun) awaitVerdict(ctx context.Context, claimed ClaimedAttempt) (Verdict, bool) {
 	ctx, cancel := context.WithTimeout(ctx, x.cfg.OutcomeTimeout)
 	defer cancel()
-	verdict, err := x.cfg.Await(ctx, t.Key, t.Attempt.ID)
+	verdict, err := x.cfg.Await(ctx, claimed.Key, claimed.Attempt.ID)
 	if err != nil {
 		// The call fails at once if the committer of the shard is unavailable.
 		// Waiting for the rest of the time keeps the loop from flooding the agent.
@@ -241,11 +242,11 @@
 
 // bar bars an attempt at its agent. An attempt without an endpoint was never sent
 // and so needs no call.
-func (x *requestRun) bar(ctx context.Context, t ClaimedAttempt) (Outcome, *Answer, error) {
-	if t.Attempt.Member == "" {
+func (x *requestRun) bar(ctx context.Context, claimed ClaimedAttempt) (Outcome, *Answer, error) {
+	if claimed.Attempt.Member == "" {
 		return OutcomeNotRun, nil, nil
 	}
-	return x.cfg.Bar(ctx, t)
+	return x.cfg.Bar(ctx, claimed)
 }
 
 func (x *requestRun) recordOutcome(a Attempt, outcome Outcome, answer *Answer) {
--- a/internal/savorypinclaim/segment.go
+++ b/internal/savorypinclaim/segment.go
@@ -45,7 +45,8 @@
 	Separate []string `json:"separate,omitempty"`
 }
 
-// PageEntry is the state of one key of a page.
+// PageEntry is the state of one key of a page. Attempt is nil if the outcome is
+// done or closed.
 type PageEntry struct {
 	Attempt *Attempt `json:"attempt,omitempty"`
 	Key     KeyID    `json:"key"`
--- a/internal/savorypinclaim/shard.go
+++ b/internal/savorypinclaim/shard.go
@@ -34,10 +34,11 @@
 
 // ShardConfig configures a Shard.
 type ShardConfig struct {
-	// CheckNoOtherWriter returns an error unless all other daemons report that they have
-	// neither written nor tried to write segment next or a later one, and that
-	// they have been running for at least within. The function may be nil if
-	// there are no other daemons.
+	// CheckNoOtherWriter returns an error unless all other daemons report that they
+	// have neither written nor tried to write segment next or a later one, and that
+	// they have been running for at least the duration within: a daemon does not
+	// know what it wrote before it restarted. The function may be nil if there are
+	// no other daemons.
 	CheckNoOtherWriter func(ctx context.Context, shard int, next uint64, within time.Duration) error
 	// Count adds n to a named counter.
 	Count func(name string, n int64)
@@ -91,7 +92,7 @@
 	keyCount atomic.Int64
 	wake     chan struct{}
 
-	aloneChecks checkGroup
+	otherWriterChecks checkGroup
 	// lastTried is the number of the last segment that this daemon tried to
 	// write; zero if there is none.
 	lastTried atomic.Uint64
@@ -105,10 +106,13 @@
 	separateAttempts []string
 	sweep            sweep
 
-	mu         sync.Mutex
-	changed    chan struct{}
+	mu sync.Mutex
+	// changed is closed and replaced by notifyChanged.
+	changed chan struct{}
+	// committing is the number of claims and settlements of the current commit.
 	committing int
-	failing    bool
+	// failing says that the last commit failed.
+	failing bool
 	// caughtUpAt is when the shard was last read to its end, and nextSegment is
 	// the number of the segment after that. Only Run and Step write them.
 	caughtUpAt  time.Time
@@ -174,8 +178,8 @@
 	s.wakeRun()
 }
 
-// Await waits until an attempt no longer holds its key as claimed, or until ctx
-// ends, and returns the verdict on the key at that time.
+// Await waits until an attempt has an outcome or another attempt holds the key, or
+// until ctx ends, and returns the verdict on the key at that time.
 func (s *Shard) Await(ctx context.Context, key KeyID, attempt string) (Verdict, error) {
 	for {
 		s.mu.Lock()
@@ -359,7 +363,8 @@
 }
 
 // appendSegment writes a segment. If another daemon has already written a
-// segment with the same number, it applies that one and returns false.
+// segment with the same number, it applies that one and returns false. It also
+// returns false if segments of that number have expired.
 func (s *Shard) appendSegment(ctx context.Context, segment Segment) (bool, error) {
 	o, err := newObject(segmentKey(s.cfg.Number, segment.Number), s.cfg.NewOrder(), segment.At, segment)
 	if err != nil {
--- a/internal/savorypinclaim/shard_test.go
+++ b/internal/savorypinclaim/shard_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-func TestNewOwnerReadsPages(t *testing.T) {
+func TestNewCommitterReadsPages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const claims = 200
 		ctx, cancel := context.WithCancel(t.Context())
@@ -139,7 +139,7 @@
 		go second.Run(ctx)
 		v, err := second.Claim(ctx, claimOf(keyOf(7), "late"))
 		if err != nil || v.Outcome != savorypinclaim.OutcomeDone || string(v.Answer.Body) != "answer-7" {
-			t.Fatalf("repeat through the new owner: %+v, %v", v, err)
+			t.Fatalf("repeat through the new committer: %+v, %v", v, err)
 		}
 		// The 200 segments are read as 6 pages and 8 segments; reading ahead adds a
 		// few more.
@@ -150,7 +150,7 @@
 	})
 }
 
-func TestKeysExpireAndAPausedOwnerDoesNotReuseTheirSegments(t *testing.T) {
+func TestKeysExpireAndPausedDaemonDoesNotReuseSegments(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -183,10 +183,10 @@
 			}
 		}
 		if segments > 110 {
-			t.Errorf("%d segments are left of 200 after the retention of 100", segments)
+			t.Errorf("%d of 200 segments are left after the first 100 have expired", segments)
 		}
 		if keys := running.State().Keys; keys > 110 {
-			t.Errorf("%d keys are left of 200 after the retention of 100", keys)
+			t.Errorf("%d of 200 keys are left after the first 100 have expired", keys)
 		}
 		// Without a check of the mark, the paused daemon would create segment 2,
 		// which was deleted.
@@ -208,7 +208,7 @@
 		f.setUnavailable(true)
 		go unread.Run(ctx)
 		if _, err := shard.Claim(ctx, claimOf(keyOf(9), "new")); !errors.Is(err, savorypinclaim.ErrNotClaimed) {
-			t.Errorf("new key at the owner: %v", err)
+			t.Errorf("new key at the committer: %v", err)
 		}
 		if _, err := shard.Claim(ctx, claimOf(keyOf(1), "repeat")); !errors.Is(err, savorypinclaim.ErrUnavailable) {
 			t.Errorf("key that has run: %v", err)
@@ -223,8 +223,9 @@
 	})
 }
 
-// A paused daemon does not refresh its index, so during an outage it must not
-// report a key that another daemon may have claimed as not claimed.
+// TestStaleIndexProvesNothingDuringOutage guards against ErrNotClaimed for a key
+// that another daemon may have claimed: a daemon that was paused has not refreshed
+// its index when the platform fails.
 func TestStaleIndexProvesNothingDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -299,9 +300,9 @@
 			if err != nil || v.Answer.Lost != tc.lost || (!tc.lost && len(v.Answer.Body) != tc.bytes) {
 				t.Errorf("answer of %d bytes: lost %v, %d bytes, %v", tc.bytes, v.Answer.Lost, len(v.Answer.Body), err)
 			}
-			const maxValue = 1 << 20
+			const maxObjectBytes = 1 << 20
 			for key, o := range f.objects {
-				if len(o.Spec) > maxValue {
+				if len(o.Spec) > maxObjectBytes {
 					t.Errorf("%s has %d bytes", key, len(o.Spec))
 				}
 			}
--- a/internal/savorypinclaim/shardset.go
+++ b/internal/savorypinclaim/shardset.go
@@ -20,10 +20,10 @@
 	Await  func(ctx context.Context, address string, key KeyID, attempt string) (Verdict, error)
 	Claim  func(ctx context.Context, address string, c Claim) (Verdict, error)
 	Settle func(ctx context.Context, address string, s Settlement) error
-	// MaxKeys is the maximum number of keys of all shards together.
+	// MaxKeys is the maximum number of keys of all loaded shards together.
 	MaxKeys int
-	// CommitterAddress returns the address of the daemon that commits a shard for the
-	// others; empty if it is this one.
+	// CommitterAddress returns the address of the daemon that commits a shard for
+	// the others; empty if it is this one.
 	CommitterAddress func(shard int) string
 	// Shard configures the shards. NewShardSet sets Number, FreeKeys and
 	// IsCommitter of each.
@@ -51,8 +51,8 @@
 	return set
 }
 
-// Await waits until an attempt no longer holds its key as claimed, or ctx
-// ends.
+// Await waits until an attempt has an outcome or another attempt holds the key, or
+// until ctx ends.
 func (set *ShardSet) Await(ctx context.Context, key KeyID, attempt string) (Verdict, error) {
 	if address := set.cfg.CommitterAddress(key.Shard()); address != "" {
 		return set.cfg.Await(ctx, address, key, attempt)
@@ -98,7 +98,7 @@
 	return true
 }
 
-// Keys returns the number of keys of all shards.
+// Keys returns the number of keys of all loaded shards.
 func (set *ShardSet) Keys() int {
 	n := 0
 	for _, s := range set.shards {
@@ -117,8 +117,8 @@
 	set.shards[shard].Run(ctx)
 }
 
-// LastTriedSegment returns the number of the last segment of a shard that this daemon has
-// tried to write, or zero if there is none.
+// LastTriedSegment returns the number of the last segment of a shard that this
+// daemon has tried to write, or zero if there is none.
 func (set *ShardSet) LastTriedSegment(shard int) uint64 {
 	return set.shards[shard].LastTriedSegment()
 }
--- a/internal/savorypinclaim/simulation_test.go
+++ b/internal/savorypinclaim/simulation_test.go
@@ -67,8 +67,8 @@
 	runner      *savorypinclaim.Runner
 }
 
-// waitWhilePaused blocks while the entry is paused, and until ctx ends once the entry
-// is stopped.
+// waitWhilePaused blocks while the entry is paused or, once the entry is stopped,
+// until ctx ends.
 func (e *fakeEntry) waitWhilePaused(ctx context.Context) {
 	for {
 		e.mu.Lock()
@@ -122,7 +122,7 @@
 func (sim *simulation) restartEntry(i int) {
 	ctx, cancel := context.WithCancel(sim.ctx)
 	e := &fakeEntry{cancel: cancel}
-	gate := func() { e.waitWhilePaused(sim.ctx) }
+	waitWhilePaused := func() { e.waitWhilePaused(sim.ctx) }
 	e.shards = savorypinclaim.NewShardSet(savorypinclaim.ShardSetConfig{
 		Await: func(ctx context.Context, address string, key savorypinclaim.KeyID, attempt string) (savorypinclaim.Verdict, error) {
 			return callEntry(sim, e, func(o *fakeEntry) (savorypinclaim.Verdict, error) {
@@ -146,18 +146,18 @@
 			}, address)
 			return err
 		},
-		Shard: shardConfig(sim.store.store(gate)),
+		Shard: shardConfig(sim.store.store(waitWhilePaused)),
 	})
 	e.runner = savorypinclaim.NewRunner(savorypinclaim.RunnerConfig{
 		Await: e.shards.Await,
-		Bar: func(ctx context.Context, t savorypinclaim.ClaimedAttempt) (savorypinclaim.Outcome, *savorypinclaim.Answer, error) {
-			gate()
+		Bar: func(ctx context.Context, claimed savorypinclaim.ClaimedAttempt) (savorypinclaim.Outcome, *savorypinclaim.Answer, error) {
+			waitWhilePaused()
 			if sim.drawFault(sim.faultRate) {
 				return "", nil, errLost
 			}
-			log, _ := sim.agentOf(t.Attempt).current()
-			outcome, answer := log.Bar(ctx, t)
-			gate()
+			log, _ := sim.agentOf(claimed.Attempt).current()
+			outcome, answer := log.Bar(ctx, claimed)
+			waitWhilePaused()
 			return outcome, answer, nil
 		},
 		Claim: e.shards.Claim,
@@ -203,8 +203,8 @@
 	return sim.agents[int(a.Member[0]-'0')]
 }
 
-// newRequest returns a request through an entry, which appends the ids of its
-// attempts to attempts.
+// newRequest returns a request that is sent through an entry. The request appends
+// the ids of its attempts to attempts.
 func (sim *simulation) newRequest(e *fakeEntry, key savorypinclaim.KeyID, attempts *[]string) savorypinclaim.Request {
 	return savorypinclaim.Request{
 		Key: key,
@@ -221,20 +221,20 @@
 			}
 			return savorypinclaim.Attempt{}, false
 		},
-		Send: func(_ context.Context, t savorypinclaim.ClaimedAttempt) (*savorypinclaim.Answer, error) {
+		Send: func(_ context.Context, claimed savorypinclaim.ClaimedAttempt) (*savorypinclaim.Answer, error) {
 			e.waitWhilePaused(sim.ctx)
 			if sim.drawFault(sim.faultRate / 2) {
 				return nil, savorypinclaim.ErrNotSent
 			}
-			return sim.runAtAgent(t)
+			return sim.runAtAgent(claimed)
 		},
 	}
 }
 
 // runAtAgent runs an attempt in the same way as an agent does.
-func (sim *simulation) runAtAgent(t savorypinclaim.ClaimedAttempt) (*savorypinclaim.Answer, error) {
-	log, _ := sim.agentOf(t.Attempt).current()
-	switch err := log.Admit(t); {
+func (sim *simulation) runAtAgent(claimed savorypinclaim.ClaimedAttempt) (*savorypinclaim.Answer, error) {
+	log, _ := sim.agentOf(claimed.Attempt).current()
+	switch err := log.Admit(claimed); {
 	case errors.Is(err, savorypinclaim.ErrBarred):
 		return nil, savorypinclaim.ErrSuperseded
 	case err != nil:
@@ -242,14 +242,14 @@
 	}
 	time.Sleep(10 * time.Millisecond)
 	sim.mu.Lock()
-	sim.runs[t.Key] = append(sim.runs[t.Key], t.Attempt.ID)
+	sim.runs[claimed.Key] = append(sim.runs[claimed.Key], claimed.Attempt.ID)
 	sim.mu.Unlock()
 	if sim.drawFault(sim.faultRate / 2) {
-		log.End(t.Attempt.ID, savorypinclaim.OutcomeUnknown, nil)
+		log.End(claimed.Attempt.ID, savorypinclaim.OutcomeUnknown, nil)
 		return nil, errLost
 	}
-	answer := &savorypinclaim.Answer{Body: []byte(t.Attempt.ID), Status: 200}
-	log.End(t.Attempt.ID, savorypinclaim.OutcomeDone, answer)
+	answer := &savorypinclaim.Answer{Body: []byte(claimed.Attempt.ID), Status: 200}
+	log.End(claimed.Attempt.ID, savorypinclaim.OutcomeDone, answer)
 	if sim.drawFault(sim.faultRate) {
 		return nil, errLost
 	}
@@ -317,7 +317,7 @@
 		case savorypinclaim.OutcomeNotRun:
 			for _, attempt := range c.attempts {
 				if strings.Contains(ran, attempt) {
-					found = append(found, fmt.Sprintf("%s: outcome is not run, but attempt ran", c.key))
+					found = append(found, fmt.Sprintf("%s: outcome is not run, but one of its attempts ran", c.key))
 				}
 			}
 		}
@@ -376,12 +376,12 @@
 			sim := newSimulation(ctx, seed, 0.1)
 			faultCtx, stopFaults := context.WithCancel(ctx)
 			go sim.injectFaults(faultCtx, seed)
-			all := sim.runCallers(seed)
+			results := sim.runCallers(seed)
 			stopFaults()
-			for _, c := range all {
+			for _, c := range results {
 				outcomes[c.result.Outcome]++
 			}
-			for _, violation := range sim.violations(all) {
+			for _, violation := range sim.violations(results) {
 				t.Errorf("seed %d: %s", seed, violation)
 			}
 		})
@@ -395,13 +395,13 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer endSimulation(cancel)
 			sim := newSimulation(ctx, seed, 0)
-			all := sim.runCallers(seed)
-			for _, c := range all {
+			results := sim.runCallers(seed)
+			for _, c := range results {
 				if c.result.Outcome != savorypinclaim.OutcomeDone && c.result.Outcome != savorypinclaim.OutcomeClosed {
 					t.Errorf("seed %d: %s, %v", seed, c.result.Outcome, c.result.Err)
 				}
 			}
-			for _, violation := range sim.violations(all) {
+			for _, violation := range sim.violations(results) {
 				t.Errorf("seed %d: %s", seed, violation)
 			}
 		})
--- a/internal/savorypinclaim/store_test.go
+++ b/internal/savorypinclaim/store_test.go
@@ -18,11 +18,12 @@
 	errUnavailable = errors.New("unavailable")
 )
 
-// fakeStore is a fake of the platform. After a part of the writes, it returns an
-// error although the write took effect.
+// fakeStore is a fake of the platform.
 type fakeStore struct {
-	mu          sync.Mutex
-	latency     time.Duration
+	mu      sync.Mutex
+	latency time.Duration
+	// lossRate is the fraction of the writes whose result is lost: they return an
+	// error even if they took effect.
 	lossRate    float64
 	objects     map[savorypin.Key]savorypin.Object
 	unavailable bool
@@ -36,13 +37,13 @@
 	return &fakeStore{objects: map[savorypin.Key]savorypin.Object{}, rand: rand.New(rand.NewPCG(seed, 1))}
 }
 
-// store returns the Store of one daemon. Each call runs pause before and after the
-// operation, which blocks while the daemon is paused.
-func (f *fakeStore) store(pause func()) savorypinclaim.Store {
+// store returns the Store of one daemon. Each call runs waitWhilePaused, which blocks
+// while the daemon is paused, before and after the operation.
+func (f *fakeStore) store(waitWhilePaused func()) savorypinclaim.Store {
 	write := func(apply func() (savorypin.Object, error)) (savorypin.Object, error) {
-		pause()
+		waitWhilePaused()
 		o, lost, err := f.write(apply)
-		pause()
+		waitWhilePaused()
 		if lost {
 			return savorypin.Object{}, errUnavailable
 		}
@@ -60,8 +61,8 @@
 			return err
 		},
 		Get: func(_ context.Context, key savorypin.Key) (savorypin.Object, error) {
-			pause()
-			defer pause()
+			waitWhilePaused()
+			defer waitWhilePaused()
 			return f.get(key)
 		},
 		IsNotFound: func(err error) bool { return errors.Is(err, errAbsent) },
@@ -126,6 +127,7 @@
 func shardConfig(store savorypinclaim.Store) savorypinclaim.ShardConfig {
 	var mu sync.Mutex
 	orders := 0
+	// The address makes the order ids of different configurations differ.
 	prefix := fmt.Sprintf("%p", &orders)
 	return savorypinclaim.ShardConfig{
 		Count:    func(string, int64) {},
