Reword savorypinresume: comments that did not match the code, and leftover names

Comments that said less or something else than the code: the causes of failed attempts cover lost connections, missing tokens, short answers and ended generations too; IsSilent is asked for suspected attempts; a failed choice of an endpoint is retried only if no attempt is open; place may return true without Assign; placeWaiting needs q.mu. Counts "from which on" something holds are reworded, and lines that renaming had made too long are wrapped.

Names: a gap is the time between two tokens only, so ErrGap is ErrMissingTokens, MaxGaps is MaxReattaches and gaps is reattaches. A refusal is that of an attempt (CauseRefused) only, so MaxRefusals is MaxPlacementFailures and refusals is placementFailures. skipIfPaused is restartTimeoutsAfterPause. In tests: faultReset, closeConnections, isSilent, tokenInterval, and a for attempts.

No text outside of tests and no check of a test changes.

--- a/internal/savorypinresume/action.go
+++ b/internal/savorypinresume/action.go
@@ -11,9 +11,11 @@
 
 // The causes of failed attempts, in sorted order.
 const (
-	// CauseEngine means that the agent reported a failure of its engine.
+	// CauseEngine means that the agent reported a failure of its engine, that
+	// tokens were missing too often, or that the answer is shorter than the log.
 	CauseEngine Cause = "engine"
-	// CauseHost means that the agent's host can't be reached on a new connection.
+	// CauseHost means that the agent's host can't be reached on a new connection,
+	// or that the connections to it were lost too often.
 	CauseHost Cause = "host"
 	// CauseMissing means that the agent answers but does not have the attempt.
 	CauseMissing Cause = "missing"
@@ -24,8 +26,8 @@
 	// CauseStopping means that the agent is stopping and hands its attempts over
 	// to other agents.
 	CauseStopping Cause = "stopping"
-	// CauseSuperseded means that another attempt extended the log, or that
-	// another entry has taken over the generation.
+	// CauseSuperseded means that another attempt extended the log, that another
+	// entry has taken over the generation, or that the generation has ended.
 	CauseSuperseded Cause = "superseded"
 )
 
@@ -76,27 +78,27 @@
 	// AttachTimeout is how long attaching may take before the host counts as
 	// failed.
 	AttachTimeout time.Duration
-	// MaxFailures is the number of attempts in a row that fail after little
-	// progress at which the generation ends.
+	// MaxFailures is the number of failed attempts with little progress in between
+	// at which the generation ends.
 	MaxFailures int
-	// MaxGaps is the maximum number of times in a row that an attempt is attached
-	// to again because of missing tokens or a lost connection.
-	MaxGaps int
-	// MaxTickDelay is the delay of a tick from which on the daemon counts as
-	// having been paused.
+	// MaxReattaches is the maximum number of times in a row that an attempt is
+	// attached to again because of missing tokens or a lost connection.
+	MaxReattaches int
+	// MaxTickDelay is the delay of a tick at which the daemon counts as having
+	// been paused.
 	MaxTickDelay time.Duration
-	// MaxPlaceRetryDelay is the maximum of the delay that starts at
-	// PlaceRetryDelay and doubles.
+	// MaxPlaceRetryDelay is the maximum delay before a retry of the choice of an
+	// endpoint. The delay starts at PlaceRetryDelay and doubles.
 	MaxPlaceRetryDelay time.Duration
 	// PlaceRetryDelay is the delay before the first retry of the choice of an
 	// endpoint.
 	PlaceRetryDelay time.Duration
-	// MinProgressTokens is the number of tokens from which on the failure of an
-	// attempt restarts the count of failures.
+	// MinProgressTokens is the number of tokens that an attempt must have added to
+	// the log for its failure to restart the count of failures.
 	MinProgressTokens int
-	// MaxRefusals is the number of failed choices of an endpoint at which a
-	// generation that has not run ends.
-	MaxRefusals int
+	// MaxPlacementFailures is the number of failed choices of an endpoint at which
+	// a generation that has not run ends.
+	MaxPlacementFailures int
 }
 
 // DefaultLimits returns the limits that entries use.
@@ -105,11 +107,11 @@
 		AttachSuspectTimeout: 250 * time.Millisecond,
 		AttachTimeout:        600 * time.Millisecond,
 		MaxFailures:          4,
-		MaxGaps:              8,
+		MaxReattaches:        8,
 		MaxTickDelay:         400 * time.Millisecond,
 		MaxPlaceRetryDelay:   time.Second,
 		PlaceRetryDelay:      100 * time.Millisecond,
 		MinProgressTokens:    32,
-		MaxRefusals:          4,
+		MaxPlacementFailures: 4,
 	}
 }
--- a/internal/savorypinresume/attempts.go
+++ b/internal/savorypinresume/attempts.go
@@ -10,10 +10,9 @@
 // maxOpenAttempts is the maximum number of concurrent attempts of a generation.
 const maxOpenAttempts = 2
 
-// The ratio of the time without a first token after which an attempt counts as
-// stalled to the time after which it is suspected. It is smaller for a resume,
-// because a caller that already has tokens waits for the next token and not in a
-// queue.
+// An attempt without a first token counts as stalled after this many times the
+// timeout after which it is suspected. The factor is smaller for a resume, because a
+// caller that already has tokens waits for the next token and not in a queue.
 const (
 	firstTokenStallFactor        = 4
 	resumedFirstTokenStallFactor = 2
@@ -37,7 +36,7 @@
 	if !a.attaching && m.cfg.IsSilent != nil && m.cfg.IsSilent(a.id) {
 		return m.attach(now, a)
 	}
-	if !m.isHedging() {
+	if !m.hedges() {
 		return nil
 	}
 	return m.requestPlacement()
@@ -58,8 +57,8 @@
 	}
 }
 
-// isHedging reports whether a suspected attempt is hedged by a second one.
-func (m *Machine) isHedging() bool {
+// hedges reports whether a suspected attempt is hedged by a second one.
+func (m *Machine) hedges() bool {
 	return m.cfg.Policy == savorypin.ResumeLatency
 }
 
@@ -108,9 +107,9 @@
 // refetchMissing requests tokens that were lost between the agent and the log, or
 // fails the attempt if that has happened too often.
 func (m *Machine) refetchMissing(now time.Time, a *attempt) []Action {
-	a.gaps++
-	if a.gaps > m.cfg.Limits.MaxGaps {
-		return m.Failed(now, a.id, CauseEngine, ErrGap)
+	a.reattaches++
+	if a.reattaches > m.cfg.Limits.MaxReattaches {
+		return m.Failed(now, a.id, CauseEngine, ErrMissingTokens)
 	}
 	return m.attach(now, a)
 }
--- a/internal/savorypinresume/log.go
+++ b/internal/savorypinresume/log.go
@@ -11,9 +11,9 @@
 	"savorypin/internal/savorypin"
 )
 
-// ErrGap means that tokens are missing between the end of the log and the offered
-// tokens. They must be requested again.
-var ErrGap = errors.New("tokens are missing")
+// ErrMissingTokens means that tokens are missing between the end of the log and the
+// offered tokens. They must be requested again.
+var ErrMissingTokens = errors.New("tokens are missing")
 
 // Log is the log of the delivered tokens of one generation, with the attempts that
 // produced them. It is not safe for concurrent use.
@@ -23,8 +23,9 @@
 // began, so that the tokens of concurrent attempts are never mixed.
 type Log struct {
 	lineage savorypin.Lineage
-	open    map[savorypin.AttemptID]int
-	tokens  Tokens
+	// open holds the length of the log at the beginning of each open attempt.
+	open   map[savorypin.AttemptID]int
+	tokens Tokens
 }
 
 // Restore replaces the contents of the log by those of another log.
@@ -91,7 +92,7 @@
 		return 0, nil
 	}
 	if first > l.Len() {
-		return 0, ErrGap
+		return 0, ErrMissingTokens
 	}
 	known := l.Len() - first
 	if known >= len(tokens) {
--- a/internal/savorypinresume/log_test.go
+++ b/internal/savorypinresume/log_test.go
@@ -40,7 +40,7 @@
 				before := log.Len()
 				taken, err := log.Offer(from, first, batch)
 				if err != nil && taken != 0 {
-					t.Fatalf("took %d tokens after a gap", taken)
+					t.Fatalf("took %d tokens although some before them are missing", taken)
 				}
 				if log.Len() != before+taken {
 					t.Fatalf("length is %d after %d tokens and %d new ones", log.Len(), before, taken)
@@ -54,11 +54,11 @@
 		})
 	})
 
-	It("reports a gap", func() {
+	It("reports missing tokens", func() {
 		var log savorypinresume.Log
 		log.Begin(attempt(1))
 		_, err := log.Offer(attempt(1), 1, answer(1))
-		Expect(err).To(MatchError(savorypinresume.ErrGap))
+		Expect(err).To(MatchError(savorypinresume.ErrMissingTokens))
 	})
 
 	It("continues with the first of two attempts that extends it", func() {
--- a/internal/savorypinresume/machine.go
+++ b/internal/savorypinresume/machine.go
@@ -13,7 +13,8 @@
 	Deadline time.Time
 	// Limits are the limits of attempts and of the generation.
 	Limits Limits
-	// Number is the number of the last attempt before this machine.
+	// Number is the number of the last attempt that was made before this machine;
+	// zero if there is none.
 	Number int
 	// Object is the name of the generation in errors.
 	Object string
@@ -21,15 +22,15 @@
 	// work.
 	Policy savorypin.ResumePolicy
 	// IsSilent reports whether nothing at all has arrived recently on the connection
-	// of an attempt. If so, a stalled attempt is first attached to on a new
-	// connection, as the connection may have failed instead of the engine. It may
-	// be nil.
+	// of an attempt. If so, a suspected attempt is first attached to on a new
+	// connection, as the connection may have failed instead of the engine. The
+	// function may be nil.
 	IsSilent func(savorypin.AttemptID) bool
 	// Term is the term of all attempts that the machine makes.
 	Term uint64
 }
 
-// maxDelayDoublings keeps the doubling delays from overflowing.
+// maxDelayDoublings keeps the doubling delay from overflowing.
 const maxDelayDoublings = 16
 
 // attempt is one open attempt.
@@ -37,12 +38,13 @@
 	attaching         bool
 	endpoint          string
 	firstTokenTimeout time.Duration
-	gaps              int
+	reattaches        int
 	id                savorypin.AttemptID
-	produced          int
-	tokenGaps         TokenGaps
-	lastProgress      time.Time
-	suspected         bool
+	// produced is the number of tokens that the attempt has added to the log.
+	produced     int
+	tokenGaps    TokenGaps
+	lastProgress time.Time
+	suspected    bool
 }
 
 // Machine is the state machine of one generation. Its methods take the events of
@@ -57,10 +59,11 @@
 	log          Log
 	lastNumber   int
 	openAttempts []*attempt
-	placing      bool
-	mayHaveRun   bool
-	refusals     int
-	retryAt      time.Time
+	// placing says that the result of the last ActionPlace is pending.
+	placing           bool
+	mayHaveRun        bool
+	placementFailures int
+	retryAt           time.Time
 }
 
 // NewMachine returns a machine without attempts. Begin or Adopt starts it.
@@ -69,7 +72,7 @@
 }
 
 // Avoid returns the endpoints that the next attempt must not use: those of open
-// attempts, and those that have failed since an endpoint last could not be chosen.
+// attempts, and those that have failed since the last failed choice of an endpoint.
 func (m *Machine) Avoid() map[string]bool {
 	avoid := map[string]bool{}
 	for name := range m.avoid {
@@ -135,24 +138,25 @@
 	return id, true
 }
 
-// PlacementFailed reports that no endpoint could be chosen. The choice is tried again after
-// a delay, and then includes the endpoints that have failed.
+// PlacementFailed reports that no endpoint could be chosen. If no attempt is open, the
+// choice is tried again after a delay, and then includes the endpoints that have
+// failed.
 func (m *Machine) PlacementFailed(now time.Time) []Action {
 	m.placing = false
 	m.avoid = map[string]bool{}
 	if m.end != nil || len(m.openAttempts) > 0 {
 		return nil
 	}
-	m.refusals++
-	if !m.mayHaveRun && m.refusals >= m.cfg.Limits.MaxRefusals {
+	m.placementFailures++
+	if !m.mayHaveRun && m.placementFailures >= m.cfg.Limits.MaxPlacementFailures {
 		return m.abort("no endpoint takes the generation")
 	}
-	pause := m.cfg.Limits.PlaceRetryDelay << min(m.refusals-1, maxDelayDoublings)
+	pause := m.cfg.Limits.PlaceRetryDelay << min(m.placementFailures-1, maxDelayDoublings)
 	m.retryAt = now.Add(min(pause, m.cfg.Limits.MaxPlaceRetryDelay))
 	return nil
 }
 
-// Tokens reports tokens of an attempt, the first of which has index first. It returns
+// Tokens reports tokens of an attempt. The first of them has index first. It returns
 // the number of tokens that were new to the log.
 func (m *Machine) Tokens(now time.Time, id savorypin.AttemptID, first int, tokens []savorypin.Token) (int, []Action) {
 	a := m.find(id)
@@ -167,8 +171,8 @@
 	if taken == 0 {
 		return 0, nil
 	}
-	a.gaps = 0
-	m.refusals = 0
+	a.reattaches = 0
+	m.placementFailures = 0
 	if a.produced > 0 {
 		a.tokenGaps.Observe(now.Sub(a.lastProgress))
 	}
@@ -202,16 +206,15 @@
 	return m.finish(End{Reason: reason}, id)
 }
 
-// ConnectionLost reports that the connection of an attempt was lost. The agent may still be
-// running, so the attempt is attached to again at the first token that the log
-// lacks.
+// ConnectionLost reports that the connection of an attempt was lost. The attempt may
+// still be running, so it is attached to again at the first token that the log lacks.
 func (m *Machine) ConnectionLost(now time.Time, id savorypin.AttemptID) []Action {
 	a := m.find(id)
 	if a == nil || m.end != nil {
 		return nil
 	}
-	a.gaps++
-	if a.gaps > m.cfg.Limits.MaxGaps {
+	a.reattaches++
+	if a.reattaches > m.cfg.Limits.MaxReattaches {
 		return m.Failed(now, id, CauseHost, nil)
 	}
 	return m.attach(now, a)
@@ -274,7 +277,7 @@
 	if !now.Before(m.cfg.Deadline) {
 		return m.abort("time is up")
 	}
-	if m.skipIfPaused(now) {
+	if m.restartTimeoutsAfterPause(now) {
 		return nil
 	}
 	var actions []Action
@@ -290,10 +293,10 @@
 	return actions
 }
 
-// skipIfPaused restarts the timeouts of all open attempts if this tick is late by
-// MaxTickDelay, and reports whether it did so. The daemon itself was paused then, so
-// the missing progress says nothing about the attempts.
-func (m *Machine) skipIfPaused(now time.Time) bool {
+// restartTimeoutsAfterPause restarts the timeouts of all open attempts if this tick
+// is late by MaxTickDelay or more, and reports whether it did so. The daemon itself
+// was paused then, so the missing progress says nothing about the attempts.
+func (m *Machine) restartTimeoutsAfterPause(now time.Time) bool {
 	if now.Sub(m.NextTick()) < m.cfg.Limits.MaxTickDelay {
 		return false
 	}
--- a/internal/savorypinresume/machine_test.go
+++ b/internal/savorypinresume/machine_test.go
@@ -25,25 +25,26 @@
 
 // newMachine returns a machine for a simulation.
 func newMachine(policy savorypin.ResumePolicy) *savorypinresume.Machine {
-	return newSilentMachine(policy, nil)
+	return newMachineDetectingSilence(policy, nil)
 }
 
-// newSilentMachine returns a machine that detects silent connections by silent.
-func newSilentMachine(policy savorypin.ResumePolicy, silent func(savorypin.AttemptID) bool) *savorypinresume.Machine {
+// newMachineDetectingSilence returns a machine that detects silent connections by
+// isSilent.
+func newMachineDetectingSilence(policy savorypin.ResumePolicy, isSilent func(savorypin.AttemptID) bool) *savorypinresume.Machine {
 	return savorypinresume.NewMachine(savorypinresume.MachineConfig{
 		Deadline: time.Unix(1_000_000, 0).Add(deadline),
 		Limits:   savorypinresume.DefaultLimits(),
 		Object:   "generation",
 		Policy:   policy,
-		IsSilent: silent,
+		IsSilent: isSilent,
 		Term:     1,
 	})
 }
 
 // newSimulation returns a simulation with four hosts.
-func newSimulation(d controller, faults ...scheduledFault) *simulation {
+func newSimulation(c controller, faults ...scheduledFault) *simulation {
 	slices.SortStableFunc(faults, func(a, b scheduledFault) int { return cmp.Compare(a.at, b.at) })
-	return &simulation{controller: d, faults: faults, gap: 10 * time.Millisecond, hosts: make([]host, 4), length: answerLength}
+	return &simulation{controller: c, faults: faults, tokenInterval: 10 * time.Millisecond, hosts: make([]host, 4), length: answerLength}
 }
 
 // longestGap returns the longest time between two deliveries of new tokens.
@@ -68,7 +69,7 @@
 		f := scheduledFault{
 			at:       time.Duration(rapid.IntRange(0, 6000).Draw(t, fmt.Sprintf("at%d", i))) * time.Millisecond,
 			endpoint: rapid.IntRange(0, 2).Draw(t, fmt.Sprintf("endpoint%d", i)),
-			fault: rapid.SampledFrom([]fault{faultBlackhole, faultCut, faultEngine, faultHost, faultPause, faultStall}).
+			fault: rapid.SampledFrom([]fault{faultBlackhole, faultReset, faultEngine, faultHost, faultPause, faultStall}).
 				Draw(t, fmt.Sprintf("fault%d", i)),
 			duration: time.Duration(rapid.IntRange(100, 5000).Draw(t, fmt.Sprintf("lasts%d", i))) * time.Millisecond,
 		}
@@ -87,9 +88,9 @@
 	if len(tokens) == 0 {
 		return
 	}
-	run := sim.find(m.Log().Tail())
-	if len(run.tokens) < len(tokens) || !slices.Equal(run.tokens[:len(tokens)], tokens) {
-		t.Fatalf("the log differs from the tokens of attempt %s", run.id)
+	last := sim.find(m.Log().Tail())
+	if len(last.tokens) < len(tokens) || !slices.Equal(last.tokens[:len(tokens)], tokens) {
+		t.Fatalf("the log differs from the tokens of attempt %s", last.id)
 	}
 	if len(tokens) < len(*seen) || !slices.Equal(tokens[:len(*seen)], *seen) {
 		t.Fatalf("some of the first %d tokens have changed", len(*seen))
@@ -100,11 +101,11 @@
 // checkAttemptIDs checks that no attempt id is used twice.
 func checkAttemptIDs(t *rapid.T, sim *simulation) {
 	ids := map[savorypin.AttemptID]bool{}
-	for _, r := range sim.attempts {
-		if ids[r.id] {
-			t.Fatalf("attempt %s was made twice", r.id)
+	for _, a := range sim.attempts {
+		if ids[a.id] {
+			t.Fatalf("attempt %s was made twice", a.id)
 		}
-		ids[r.id] = true
+		ids[a.id] = true
 	}
 }
 
@@ -113,7 +114,7 @@
 		It("never mixes, loses or repeats tokens with policy "+string(policy), func() {
 			rapid.Check(GinkgoT(), func(t *rapid.T) {
 				var sim *simulation
-				m := newSilentMachine(policy, func(id savorypin.AttemptID) bool { return sim.silent(id) })
+				m := newMachineDetectingSilence(policy, func(id savorypin.AttemptID) bool { return sim.isSilent(id) })
 				sim = newSimulation(machineController(m), drawFaults(t)...)
 				sim.distinctTokens = true
 				sim.noise = 0.05
@@ -156,11 +157,11 @@
 		fault fault
 		// frugal and latency are the maximum numbers of extra tokens by policy.
 		frugal, latency int
-		lasts           time.Duration
+		duration        time.Duration
 		maxGap          time.Duration
 	}{
 		{faultBlackhole, 0, 0, time.Minute, 2 * time.Second},
-		{faultCut, 0, 0, time.Minute, time.Second},
+		{faultReset, 0, 0, time.Minute, time.Second},
 		{faultEngine, answerLength, answerLength, 0, time.Second},
 		{faultHost, answerLength, answerLength, 0, 2 * time.Second},
 		{faultPause, answerLength, answerLength, time.Minute, 2 * time.Second},
@@ -169,8 +170,8 @@
 		for _, policy := range policies {
 			It(fmt.Sprintf("continues in time after %s with policy %s", tc.fault, policy), func() {
 				var sim *simulation
-				m := newSilentMachine(policy, func(id savorypin.AttemptID) bool { return sim.silent(id) })
-				sim = newSimulation(machineController(m), scheduledFault{at: 2 * time.Second, endpoint: -1, fault: tc.fault, duration: tc.lasts})
+				m := newMachineDetectingSilence(policy, func(id savorypin.AttemptID) bool { return sim.isSilent(id) })
+				sim = newSimulation(machineController(m), scheduledFault{at: 2 * time.Second, endpoint: -1, fault: tc.fault, duration: tc.duration})
 				sim.run(deadline, func() {})
 				Expect(m.End()).NotTo(BeNil())
 				Expect(m.End().Err).NotTo(HaveOccurred())
@@ -194,13 +195,13 @@
 		})
 	}
 
-	It("limits the engines that a request can crash", func() {
+	It("limits the number of engines that a request can crash", func() {
 		m := newMachine(savorypin.ResumeFrugal)
 		sim := newSimulation(machineController(m))
 		sim.hosts = make([]host, 20)
 		sim.run(deadline, func() {
-			for _, r := range sim.attempts {
-				sim.hosts[r.host].engineCrashed = len(r.tokens) > r.base
+			for _, a := range sim.attempts {
+				sim.hosts[a.host].engineCrashed = len(a.tokens) > a.base
 			}
 		})
 		Expect(savorypin.KindOf(m.End().Err)).To(Equal(savorypin.KindIncomplete))
@@ -267,17 +268,17 @@
 })
 
 func BenchmarkResume(b *testing.B) {
-	faults := []fault{faultBlackhole, faultCut, faultEngine, faultHost, faultPause, faultStall}
+	faults := []fault{faultBlackhole, faultReset, faultEngine, faultHost, faultPause, faultStall}
 	for _, f := range faults {
-		at := scheduledFault{at: 2 * time.Second, endpoint: -1, fault: f, duration: time.Minute}
+		scheduled := scheduledFault{at: 2 * time.Second, endpoint: -1, fault: f, duration: time.Minute}
 		b.Run(string(f), func(b *testing.B) {
 			for b.Loop() {
-				baselineSim := newSimulation((&naive{}).controller(), at)
+				baselineSim := newSimulation((&naive{}).controller(), scheduled)
 				baselineSim.run(deadline, func() {})
 				for _, policy := range policies {
 					var sim *simulation
-					m := newSilentMachine(policy, func(id savorypin.AttemptID) bool { return sim.silent(id) })
-					sim = newSimulation(machineController(m), at)
+					m := newMachineDetectingSilence(policy, func(id savorypin.AttemptID) bool { return sim.isSilent(id) })
+					sim = newSimulation(machineController(m), scheduled)
 					sim.run(deadline, func() {})
 					b.ReportMetric(float64(sim.longestGap().Milliseconds()), string(policy)+"-ms")
 					b.ReportMetric(float64(sim.extraTokens()), string(policy)+"-extra-tokens")
--- a/internal/savorypinresume/naive_test.go
+++ b/internal/savorypinresume/naive_test.go
@@ -47,8 +47,8 @@
 		failed: func(_ time.Time, id savorypin.AttemptID, _ savorypinresume.Cause, _ error) []savorypinresume.Action {
 			return fail(id)
 		},
-		lost: func(_ time.Time, id savorypin.AttemptID) []savorypinresume.Action { return fail(id) },
-		notPlaced: func(now time.Time) []savorypinresume.Action {
+		connectionLost: func(_ time.Time, id savorypin.AttemptID) []savorypinresume.Action { return fail(id) },
+		placementFailed: func(now time.Time) []savorypinresume.Action {
 			n.avoided = map[string]bool{}
 			n.retryAt = now.Add(100 * time.Millisecond)
 			return nil
--- a/internal/savorypinresume/places.go
+++ b/internal/savorypinresume/places.go
@@ -7,8 +7,8 @@
 	"savorypin/internal/savorypin"
 )
 
-// Place is the agent that runs the newest attempt of a generation, for a generation
-// that no longer runs on the agent that is part of its id.
+// Place is the agent that runs the newest attempt of a generation. A generation has
+// one only if it no longer runs on the agent that is part of its id.
 type Place struct {
 	// Address is the address at which other daemons reach the agent.
 	Address string `msgpack:"addr"`
--- a/internal/savorypinresume/queue.go
+++ b/internal/savorypinresume/queue.go
@@ -8,15 +8,15 @@
 
 // ResumeQueueConfig configures a ResumeQueue.
 type ResumeQueueConfig struct {
-	// MaxPrefillBacklog is the maximum prefill backlog of an endpoint, as the time that the
-	// endpoint needs for it. Further resumes wait.
+	// MaxPrefillBacklog is the maximum prefill backlog of an endpoint, as the time
+	// that the endpoint needs for it. Further resumes wait.
 	MaxPrefillBacklog time.Duration
 }
 
-// ResumeQueue gives resumes priority over new generations. Each resume waits in the queue
-// of its service until an endpoint has capacity for its prefill. While resumes
-// wait, new generations of the service are to be refused. It is safe for
-// concurrent use.
+// ResumeQueue gives resumes priority over new generations. Each resume waits in the
+// queue of its service until an endpoint has capacity for its prefill. While resumes
+// wait, new generations of the service are to be refused. It is safe for concurrent
+// use.
 type ResumeQueue struct {
 	cfg ResumeQueueConfig
 
@@ -25,12 +25,12 @@
 	queues         map[string][]*QueuedResume
 }
 
-// QueuedResume is one resume that waits in a ResumeQueue or occupies the prefill capacity of an
-// endpoint.
+// QueuedResume is one resume that waits in a ResumeQueue or occupies the prefill
+// capacity of an endpoint.
 type QueuedResume struct {
 	endpoint string
 	queue    *ResumeQueue
-	place    func(t *QueuedResume) bool
+	place    func(r *QueuedResume) bool
 	service  string
 	tokens   int
 }
@@ -43,9 +43,11 @@
 // Enqueue queues a resume that needs the prefill of a number of tokens. Whenever the
 // resume is first in its queue, the ResumeQueue may call place, which chooses an
 // endpoint, calls Assign and returns true, or returns false if no endpoint has
-// capacity. The function place must not call other methods of the ResumeQueue or its
+// capacity. If the resume is no longer needed or can't be placed at all, place
+// returns true without a call of Assign, which only removes the resume from its
+// queue. The function place must not call other methods of the ResumeQueue or its
 // resumes than IsFull and Assign, and must not block.
-func (q *ResumeQueue) Enqueue(service string, tokens int, place func(t *QueuedResume) bool) *QueuedResume {
+func (q *ResumeQueue) Enqueue(service string, tokens int, place func(r *QueuedResume) bool) *QueuedResume {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := &QueuedResume{queue: q, place: place, service: service, tokens: tokens}
@@ -126,7 +128,7 @@
 }
 
 // placeWaiting places the resumes of a queue in order until one can't be placed.
-// The caller holds g.mu.
+// The caller holds q.mu.
 func (q *ResumeQueue) placeWaiting(service string) {
 	queue := q.queues[service]
 	for len(queue) > 0 && queue[0].place(queue[0]) {
--- a/internal/savorypinresume/queue_test.go
+++ b/internal/savorypinresume/queue_test.go
@@ -36,7 +36,7 @@
 }
 
 var _ = Describe("ResumeQueue", func() {
-	It("places resumes in order, within the prefill rate", func() {
+	It("places resumes in order, within the maximum prefill backlog", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			const rate = 1000
 			queue := savorypinresume.NewResumeQueue(savorypinresume.ResumeQueueConfig{MaxPrefillBacklog: time.Second})
@@ -70,7 +70,7 @@
 		})
 	})
 
-	It("spreads the resumes of a failed failure domain over time instead of flooding the endpoints", func() {
+	It("spreads the resumes of a failed failure domain over time instead of overloading the endpoints", func() {
 		const resumes, tokens, rate = 1000, 500, 8000
 		queue := savorypinresume.NewResumeQueue(savorypinresume.ResumeQueueConfig{MaxPrefillBacklog: time.Second})
 		p := &placer{backlog: map[string]int{}, rate: rate}
@@ -108,11 +108,11 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			const limit = 1000
 			memory := savorypinresume.NewMemory(savorypinresume.MemoryConfig{Bytes: limit, Object: "entry"})
-			var held []int
+			var reservations []int
 			for i := range rapid.IntRange(0, 50).Draw(t, "steps") {
-				if len(held) > 0 && rapid.Bool().Draw(t, fmt.Sprintf("release%d", i)) {
-					memory.Release(held[0])
-					held = held[1:]
+				if len(reservations) > 0 && rapid.Bool().Draw(t, fmt.Sprintf("release%d", i)) {
+					memory.Release(reservations[0])
+					reservations = reservations[1:]
 				}
 				n := rapid.IntRange(1, 400).Draw(t, fmt.Sprintf("bytes%d", i))
 				purpose := rapid.SampledFrom([]savorypin.Purpose{savorypin.PurposeFirst, savorypin.PurposeResume}).
@@ -120,7 +120,7 @@
 				before := memory.Used()
 				err := memory.Reserve(purpose, n)
 				if err == nil {
-					held = append(held, n)
+					reservations = append(reservations, n)
 				} else if savorypin.KindOf(err) != savorypin.KindNotRun || before+n <= limit*8/10 {
 					t.Fatalf("refused %d bytes with %d reserved: %v", n, before, err)
 				}
--- a/internal/savorypinresume/simulation_test.go
+++ b/internal/savorypinresume/simulation_test.go
@@ -15,10 +15,10 @@
 	// simConnectionTimeout is how long a connection may be silent until it is lost.
 	simConnectionTimeout = 750 * time.Millisecond
 	simFirstTokenTimeout = 1500 * time.Millisecond
-	// simProbeTimeout is how long a connection may be silent until it is reported as
+	// simSilenceTimeout is how long a connection may be silent until it is reported as
 	// silent.
-	simProbeTimeout = 275 * time.Millisecond
-	simPrefillTime  = 50 * time.Millisecond
+	simSilenceTimeout = 275 * time.Millisecond
+	simPrefillTime    = 50 * time.Millisecond
 )
 
 // fault is a kind of fault of a host or its endpoint.
@@ -26,7 +26,7 @@
 
 const (
 	faultBlackhole fault = "black-holed connection"
-	faultCut       fault = "connection reset"
+	faultReset     fault = "connection reset"
 	faultEngine    fault = "engine crash"
 	faultHost      fault = "host crash"
 	faultPause     fault = "host pause"
@@ -44,32 +44,32 @@
 
 // controller holds the methods of the Machine under test or of the naive baseline.
 type controller struct {
-	begin     func() []savorypinresume.Action
-	done      func(time.Time, savorypin.AttemptID, int, savorypin.FinishReason) []savorypinresume.Action
-	end       func() *savorypinresume.End
-	failed    func(time.Time, savorypin.AttemptID, savorypinresume.Cause, error) []savorypinresume.Action
-	avoid     func() map[string]bool
-	lost      func(time.Time, savorypin.AttemptID) []savorypinresume.Action
-	notPlaced func(time.Time) []savorypinresume.Action
-	placed    func(time.Time, string, time.Duration) (savorypin.AttemptID, bool)
-	tick      func(time.Time) []savorypinresume.Action
-	tokens    func(time.Time, savorypin.AttemptID, int, []savorypin.Token) (int, []savorypinresume.Action)
-	answer    func() []savorypin.Token
+	begin           func() []savorypinresume.Action
+	done            func(time.Time, savorypin.AttemptID, int, savorypin.FinishReason) []savorypinresume.Action
+	end             func() *savorypinresume.End
+	failed          func(time.Time, savorypin.AttemptID, savorypinresume.Cause, error) []savorypinresume.Action
+	avoid           func() map[string]bool
+	connectionLost  func(time.Time, savorypin.AttemptID) []savorypinresume.Action
+	placementFailed func(time.Time) []savorypinresume.Action
+	placed          func(time.Time, string, time.Duration) (savorypin.AttemptID, bool)
+	tick            func(time.Time) []savorypinresume.Action
+	tokens          func(time.Time, savorypin.AttemptID, int, []savorypin.Token) (int, []savorypinresume.Action)
+	answer          func() []savorypin.Token
 }
 
 func machineController(m *savorypinresume.Machine) controller {
 	return controller{
-		answer:    func() []savorypin.Token { return m.Log().Tokens(0) },
-		avoid:     m.Avoid,
-		begin:     m.Begin,
-		done:      m.Done,
-		end:       m.End,
-		failed:    m.Failed,
-		lost:      m.ConnectionLost,
-		notPlaced: m.PlacementFailed,
-		placed:    m.Placed,
-		tick:      m.Tick,
-		tokens:    m.Tokens,
+		answer:          func() []savorypin.Token { return m.Log().Tokens(0) },
+		avoid:           m.Avoid,
+		begin:           m.Begin,
+		done:            m.Done,
+		end:             m.End,
+		failed:          m.Failed,
+		connectionLost:  m.ConnectionLost,
+		placementFailed: m.PlacementFailed,
+		placed:          m.Placed,
+		tick:            m.Tick,
+		tokens:          m.Tokens,
 	}
 }
 
@@ -80,7 +80,8 @@
 	engineCrashed bool
 	paused        bool
 	stalled       bool
-	faultAt       time.Time
+	// faultAt is when a fault of the host last began or ended.
+	faultAt time.Time
 }
 
 // frame is a message that is in transit from an agent to the entry.
@@ -91,41 +92,47 @@
 
 // simAttempt is the state of an attempt at its agent.
 type simAttempt struct {
-	base      int
-	cancelled bool
-	connected bool
-	failed    bool
-	frames    []frame
-	host      int
-	id        savorypin.AttemptID
-	next      time.Time
-	sent      int
-	tokens    []savorypin.Token
+	// base is the number of tokens that the log had when the attempt began.
+	base        int
+	cancelled   bool
+	connected   bool
+	failed      bool
+	frames      []frame
+	host        int
+	id          savorypin.AttemptID
+	nextTokenAt time.Time
+	sent        int
+	tokens      []savorypin.Token
 }
 
 // simulation simulates hosts, connections and one generation in virtual time.
 type simulation struct {
-	controller     controller
+	controller controller
+	// computed is the number of tokens that engines have produced, or have processed
+	// again for a resume.
 	computed       int
 	faults         []scheduledFault
-	gap            time.Duration
+	tokenInterval  time.Duration
 	hosts          []host
 	length         int
 	distinctTokens bool
-	noise          float64
-	now            time.Time
-	rand           *rand.Rand
-	attempts       []*simAttempt
-	started        time.Time
-	activeFaults   []scheduledFault
-	deliveredAt    []time.Time
+	// noise is the probability of each disturbance of the frames in transit.
+	noise    float64
+	now      time.Time
+	rand     *rand.Rand
+	attempts []*simAttempt
+	started  time.Time
+	// activeFaults holds the temporary faults that have begun. Their at is the time
+	// at which they end.
+	activeFaults []scheduledFault
+	deliveredAt  []time.Time
 }
 
 // token returns the token that an attempt produces at an index. With distinctTokens,
 // each attempt produces different tokens, so that mixed answers are detected.
-func (sim *simulation) token(r *simAttempt, index int) savorypin.Token {
+func (sim *simulation) token(a *simAttempt, index int) savorypin.Token {
 	if sim.distinctTokens {
-		return savorypin.Token{ID: int32(r.id.Number*10_000 + index)}
+		return savorypin.Token{ID: int32(a.id.Number*10_000 + index)}
 	}
 	return savorypin.Token{ID: int32(index)}
 }
@@ -139,9 +146,9 @@
 	for sim.now.Sub(sim.started) < limit && sim.controller.end() == nil {
 		sim.now = sim.now.Add(simStep)
 		sim.injectFaults()
-		for _, r := range slices.Clone(sim.attempts) {
-			sim.produce(r)
-			sim.deliverFrames(r)
+		for _, a := range slices.Clone(sim.attempts) {
+			sim.produce(a)
+			sim.deliverFrames(a)
 		}
 		sim.apply(sim.controller.tick(sim.now))
 		check()
@@ -176,8 +183,8 @@
 	switch f.fault {
 	case faultBlackhole:
 		h.blackholed = on
-	case faultCut:
-		sim.cut(f.endpoint)
+	case faultReset:
+		sim.closeConnections(f.endpoint)
 	case faultEngine:
 		h.engineCrashed = on
 	case faultHost:
@@ -189,85 +196,85 @@
 	}
 }
 
-// cut closes all connections of a host and drops their frames.
-func (sim *simulation) cut(index int) {
-	for _, r := range slices.Clone(sim.attempts) {
-		if r.host == index && r.connected {
-			r.connected = false
-			r.frames = nil
-			sim.apply(sim.controller.lost(sim.now, r.id))
+// closeConnections closes all connections of a host and drops their frames.
+func (sim *simulation) closeConnections(index int) {
+	for _, a := range slices.Clone(sim.attempts) {
+		if a.host == index && a.connected {
+			a.connected = false
+			a.frames = nil
+			sim.apply(sim.controller.connectionLost(sim.now, a.id))
 		}
 	}
 }
 
-func (sim *simulation) produce(r *simAttempt) {
-	h := sim.hosts[r.host]
-	if h.crashed || h.paused || r.failed || r.cancelled {
+func (sim *simulation) produce(a *simAttempt) {
+	h := sim.hosts[a.host]
+	if h.crashed || h.paused || a.failed || a.cancelled {
 		return
 	}
 	if h.engineCrashed {
-		r.failed = true
+		a.failed = true
 		return
 	}
-	if h.stalled || sim.now.Before(r.next) {
+	if h.stalled || sim.now.Before(a.nextTokenAt) {
 		return
 	}
-	if len(r.tokens) < sim.length {
-		r.tokens = append(r.tokens, sim.token(r, len(r.tokens)))
-		r.next = sim.now.Add(sim.gap)
+	if len(a.tokens) < sim.length {
+		a.tokens = append(a.tokens, sim.token(a, len(a.tokens)))
+		a.nextTokenAt = sim.now.Add(sim.tokenInterval)
 		sim.computed++
 	}
 }
 
 // deliverFrames sends the new tokens of an attempt and passes the frames that have
 // arrived to the controller.
-func (sim *simulation) deliverFrames(r *simAttempt) {
-	h := sim.hosts[r.host]
-	if !r.connected {
+func (sim *simulation) deliverFrames(a *simAttempt) {
+	h := sim.hosts[a.host]
+	if !a.connected {
 		return
 	}
 	if h.crashed || h.paused || h.blackholed {
 		if sim.now.Sub(h.faultAt) >= simConnectionTimeout {
-			sim.cut(r.host)
+			sim.closeConnections(a.host)
 		}
 		return
 	}
-	if r.sent < len(r.tokens) {
-		r.frames = append(r.frames, frame{first: r.sent, tokens: slices.Clone(r.tokens[r.sent:])})
-		r.sent = len(r.tokens)
+	if a.sent < len(a.tokens) {
+		a.frames = append(a.frames, frame{first: a.sent, tokens: slices.Clone(a.tokens[a.sent:])})
+		a.sent = len(a.tokens)
 	}
-	sim.disturbFrames(r)
-	for len(r.frames) > 0 && r.connected {
-		f := r.frames[0]
-		r.frames = r.frames[1:]
-		taken, actions := sim.controller.tokens(sim.now, r.id, f.first, f.tokens)
+	sim.disturbFrames(a)
+	for len(a.frames) > 0 && a.connected {
+		f := a.frames[0]
+		a.frames = a.frames[1:]
+		taken, actions := sim.controller.tokens(sim.now, a.id, f.first, f.tokens)
 		if taken > 0 {
 			sim.deliveredAt = append(sim.deliveredAt, sim.now)
 		}
 		sim.apply(actions)
 	}
 	switch {
-	case r.failed:
-		r.connected = false
-		sim.apply(sim.controller.failed(sim.now, r.id, savorypinresume.CauseEngine, nil))
-	case r.sent == sim.length:
-		sim.apply(sim.controller.done(sim.now, r.id, sim.length, savorypin.FinishLength))
+	case a.failed:
+		a.connected = false
+		sim.apply(sim.controller.failed(sim.now, a.id, savorypinresume.CauseEngine, nil))
+	case a.sent == sim.length:
+		sim.apply(sim.controller.done(sim.now, a.id, sim.length, savorypin.FinishLength))
 	}
 }
 
 // disturbFrames drops, repeats and reorders frames at random.
-func (sim *simulation) disturbFrames(r *simAttempt) {
-	if sim.rand == nil || len(r.frames) == 0 {
+func (sim *simulation) disturbFrames(a *simAttempt) {
+	if sim.rand == nil || len(a.frames) == 0 {
 		return
 	}
 	if sim.rand.Float64() < sim.noise {
-		r.frames = r.frames[1:]
+		a.frames = a.frames[1:]
 	}
-	if len(r.frames) > 0 && sim.rand.Float64() < sim.noise {
-		r.frames = append(r.frames, r.frames[0])
+	if len(a.frames) > 0 && sim.rand.Float64() < sim.noise {
+		a.frames = append(a.frames, a.frames[0])
 	}
 	if sim.rand.Float64() < sim.noise {
-		sim.rand.Shuffle(len(r.frames), func(i, j int) { r.frames[i], r.frames[j] = r.frames[j], r.frames[i] })
+		sim.rand.Shuffle(len(a.frames), func(i, j int) { a.frames[i], a.frames[j] = a.frames[j], a.frames[i] })
 	}
 }
 
@@ -286,41 +293,41 @@
 }
 
 func (sim *simulation) find(id savorypin.AttemptID) *simAttempt {
-	for _, r := range sim.attempts {
-		if r.id == id {
-			return r
+	for _, a := range sim.attempts {
+		if a.id == id {
+			return a
 		}
 	}
 	return nil
 }
 
-// silent reports whether nothing has arrived from an attempt's host for
+// isSilent reports whether nothing has arrived from an attempt's host for
 // simProbeTimeout.
-func (sim *simulation) silent(id savorypin.AttemptID) bool {
+func (sim *simulation) isSilent(id savorypin.AttemptID) bool {
 	h := sim.hosts[sim.find(id).host]
-	return (h.blackholed || h.crashed || h.paused) && sim.now.Sub(h.faultAt) >= simProbeTimeout
+	return (h.blackholed || h.crashed || h.paused) && sim.now.Sub(h.faultAt) >= simSilenceTimeout
 }
 
 func (sim *simulation) attach(action savorypinresume.Action) {
-	r := sim.find(action.Attempt)
-	h := sim.hosts[r.host]
+	a := sim.find(action.Attempt)
+	h := sim.hosts[a.host]
 	if h.crashed || h.paused {
 		return
 	}
 	// A new connection works even if the old one was black-holed.
-	sim.hosts[r.host].blackholed = false
-	r.connected = true
-	r.frames = nil
-	r.sent = action.From
-	_, actions := sim.controller.tokens(sim.now, r.id, action.From, nil)
+	sim.hosts[a.host].blackholed = false
+	a.connected = true
+	a.frames = nil
+	a.sent = action.From
+	_, actions := sim.controller.tokens(sim.now, a.id, action.From, nil)
 	sim.apply(actions)
 }
 
 func (sim *simulation) cancel(id savorypin.AttemptID) {
-	r := sim.find(id)
-	if h := sim.hosts[r.host]; !h.crashed && !h.paused {
-		r.cancelled = true
-		r.connected = false
+	a := sim.find(id)
+	if h := sim.hosts[a.host]; !h.crashed && !h.paused {
+		a.cancelled = true
+		a.connected = false
 	}
 }
 
@@ -335,19 +342,19 @@
 		if !ok {
 			return
 		}
-		r := &simAttempt{host: i, id: id, next: sim.now.Add(simPrefillTime)}
-		r.tokens = slices.Clone(sim.controller.answer())
-		r.base = len(r.tokens)
-		r.sent = r.base
-		r.connected = true
-		sim.computed += r.base
-		sim.attempts = append(sim.attempts, r)
+		a := &simAttempt{host: i, id: id, nextTokenAt: sim.now.Add(simPrefillTime)}
+		a.tokens = slices.Clone(sim.controller.answer())
+		a.base = len(a.tokens)
+		a.sent = a.base
+		a.connected = true
+		sim.computed += a.base
+		sim.attempts = append(sim.attempts, a)
 		if h := sim.hosts[i]; h.crashed || h.engineCrashed {
-			r.connected = false
-			r.failed = true
+			a.connected = false
+			a.failed = true
 			sim.apply(sim.controller.failed(sim.now, id, savorypinresume.CauseRefused, nil))
 		}
 		return
 	}
-	sim.apply(sim.controller.notPlaced(sim.now))
+	sim.apply(sim.controller.placementFailed(sim.now))
 }
