Use the terms circuit breaker and fencing number consistently

The fence gate kept its orders in running, done and doneOrder, of which the last read like an order that is done; now inProgress, succeeded and succeededNames, with comments. Its comments mixed lower, newer and newest for the same comparison.

--- a/internal/savorypinbreaker/gate_test.go
+++ b/internal/savorypinbreaker/gate_test.go
@@ -18,40 +18,41 @@
 )
 
 // simulateOutage simulates gateways that call a store for several kinds of objects
-// while it is down. It returns the number of calls, and the time from the recovery
-// of the store to the first successful call of a reader.
-func simulateOutage(gateways int, down time.Duration) (calls int, detectionDelay time.Duration) {
-	gates := make([]*savorypinbreaker.Gate, gateways)
-	for i := range gates {
-		gates[i] = savorypinbreaker.New()
+// during an outage. It returns the number of calls, and the time from the recovery of
+// the store to the first successful call of a reader.
+func simulateOutage(gateways int, outage time.Duration) (calls int, detectionDelay time.Duration) {
+	breakers := make([]*savorypinbreaker.Breaker, gateways)
+	for i := range breakers {
+		breakers[i] = savorypinbreaker.New()
 	}
 	for now := step; ; now += step {
-		for i, gate := range gates {
+		for i, breaker := range breakers {
 			for range objectKinds {
-				if !gate.Allow(now, 0, i < readers) {
+				if !breaker.Allow(now, 0, i < readers) {
 					continue
 				}
-				if now > down {
+				if now > outage {
 					if i < readers {
-						return calls, now - down
+						return calls, now - outage
 					}
-					gate.RecordSuccess()
+					breaker.RecordSuccess()
 					continue
 				}
 				calls++
-				gate.RecordFailure(now, gateways)
+				breaker.RecordFailure(now, gateways)
 			}
 		}
 	}
 }
 
-var _ = Describe("Gate", func() {
+var _ = Describe("Breaker", func() {
 	for _, gateways := range []int{4, 22, 320} {
-		It(fmt.Sprintf("allows a few calls a second of %d gateways to a store that is down", gateways), func() {
+		It(fmt.Sprintf("limits %d gateways to a few calls a second while the store is down", gateways), func() {
 			const seconds = 30
 			calls, detectionDelay := simulateOutage(gateways, seconds*time.Second)
-			// Each gateway makes a few attempts before its pauses have grown; the
-			// readers make at most three a second.
+			// This allows 8 calls of each gateway before its pauses have grown, and
+			// then 3 calls a second of each reader and 4 a second of all other
+			// gateways together.
 			initialCalls := gateways * 8
 			Expect(calls).To(BeNumerically("<=", initialCalls+readers*3*seconds+4*seconds))
 			Expect(detectionDelay).To(BeNumerically("<=", time.Second))
@@ -59,33 +60,33 @@
 	}
 
 	It("allows one call at a time after a failure", func() {
-		gate := savorypinbreaker.New()
-		Expect(gate.Allow(0, 0, true)).To(BeTrue())
-		gate.RecordFailure(0, 1)
-		Expect(gate.Failing()).To(BeTrue())
-		Expect(gate.Allow(time.Second, 0, true)).To(BeTrue())
-		Expect(gate.Allow(time.Second, 0, true)).To(BeFalse())
-		gate.RecordSuccess()
-		Expect(gate.Allow(time.Second, 0, true)).To(BeTrue())
-		Expect(gate.Allow(time.Second, 0, true)).To(BeTrue())
+		breaker := savorypinbreaker.New()
+		Expect(breaker.Allow(0, 0, true)).To(BeTrue())
+		breaker.RecordFailure(0, 1)
+		Expect(breaker.Failing()).To(BeTrue())
+		Expect(breaker.Allow(time.Second, 0, true)).To(BeTrue())
+		Expect(breaker.Allow(time.Second, 0, true)).To(BeFalse())
+		breaker.RecordSuccess()
+		Expect(breaker.Allow(time.Second, 0, true)).To(BeTrue())
+		Expect(breaker.Allow(time.Second, 0, true)).To(BeTrue())
 	})
 
 	It("applies the shorter pause to a gateway that becomes a reader", func() {
-		gate := savorypinbreaker.New()
+		breaker := savorypinbreaker.New()
 		now := time.Duration(0)
 		for range 10 {
-			gate.RecordFailure(now, 320)
+			breaker.RecordFailure(now, 320)
 		}
 		now += time.Second
-		Expect(gate.Allow(now, 0, false)).To(BeFalse())
-		Expect(gate.Allow(now, 0, true)).To(BeTrue())
+		Expect(breaker.Allow(now, 0, false)).To(BeFalse())
+		Expect(breaker.Allow(now, 0, true)).To(BeTrue())
 	})
 
-	It("allows calls at once when the store has answered another gateway", func() {
-		gate := savorypinbreaker.New()
-		gate.RecordFailure(time.Second, 100)
-		Expect(gate.Allow(time.Second, 0, false)).To(BeFalse())
-		Expect(gate.Allow(time.Second, 1100*time.Millisecond, false)).To(BeTrue())
-		Expect(gate.Failing()).To(BeFalse())
+	It("allows calls without a pause once the store has answered another gateway", func() {
+		breaker := savorypinbreaker.New()
+		breaker.RecordFailure(time.Second, 100)
+		Expect(breaker.Allow(time.Second, 0, false)).To(BeFalse())
+		Expect(breaker.Allow(time.Second, 1100*time.Millisecond, false)).To(BeTrue())
+		Expect(breaker.Failing()).To(BeFalse())
 	})
 })
--- a/internal/savorypinfence/gate.go
+++ b/internal/savorypinfence/gate.go
@@ -1,6 +1,6 @@
 // Package savorypinfence decides which orders an agent passes on to an endpoint.
 // An order carries the fencing number of the controller that issues it. An agent
-// refuses an order whose number is lower than the newest that it knows, passes on
+// refuses an order whose number is lower than the highest that it knows, passes on
 // one order at a time, and doesn't repeat an order that has succeeded.
 package savorypinfence
 
@@ -10,8 +10,8 @@
 	"sync"
 )
 
-// maxRememberedOrders is the number of successful orders of an endpoint that are
-// kept to detect repetitions.
+// maxRememberedOrders is the number of successful orders of an endpoint whose names
+// are kept to detect repeated orders.
 const maxRememberedOrders = 256
 
 // Errors of Gate.Begin.
@@ -21,11 +21,11 @@
 	// ErrFenceUnknown means that the current fencing number is not known, as after
 	// a restart of the agent.
 	ErrFenceUnknown = errors.New("current fencing number is not known")
-	// ErrOldFence means that the agent knows a newer fencing number.
+	// ErrOldFence means that the agent knows a higher fencing number.
 	ErrOldFence = errors.New("fencing number is old")
 )
 
-// Decision is what an agent does with an order.
+// Decision says what an agent does with an order.
 type Decision string
 
 // The decisions on an order.
@@ -39,29 +39,32 @@
 
 // Gate decides on the orders for one endpoint. It is safe for concurrent use.
 type Gate struct {
-	mu         sync.Mutex
-	running    string
-	done       map[string]bool
+	mu sync.Mutex
+	// inProgress is the name of the order in progress; empty if there is none.
+	inProgress string
+	// succeeded holds the names of the last successful orders.
+	succeeded  map[string]bool
 	fence      int64
 	fenceKnown bool
-	doneOrder  []string
+	// succeededNames holds the names in succeeded, oldest first.
+	succeededNames []string
 }
 
 // NewGate returns a gate that doesn't know the current fencing number and refuses
 // all orders until RaiseFence is called.
 func NewGate() *Gate {
-	return &Gate{done: map[string]bool{}}
+	return &Gate{succeeded: map[string]bool{}}
 }
 
-// Fence returns the newest known fencing number, or 0 if none is known.
+// Fence returns the highest known fencing number, or 0 if none is known.
 func (g *Gate) Fence() int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.fence
 }
 
-// RaiseFence sets the fencing number that the platform or a controller reports, unless
-// a newer one is known.
+// RaiseFence sets the fencing number to one that the platform or a controller reports,
+// unless a higher one is known.
 func (g *Gate) RaiseFence(fence int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -69,8 +72,8 @@
 	g.fenceKnown = true
 }
 
-// Begin decides on an order. After DecisionPass, End must be called when the
-// endpoint has answered. The error is ErrBusy, ErrFenceUnknown or ErrOldFence.
+// Begin decides on an order. After DecisionPass, End must be called with the result of
+// the order. The error wraps ErrBusy, ErrFenceUnknown or ErrOldFence.
 func (g *Gate) Begin(name string, fence int64) (Decision, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -79,13 +82,13 @@
 		return "", fmt.Errorf("order %s: %w", name, ErrFenceUnknown)
 	case fence < g.fence:
 		return "", fmt.Errorf("order %s: %w: %d is older than %d", name, ErrOldFence, fence, g.fence)
-	case g.done[name]:
+	case g.succeeded[name]:
 		return DecisionRepeat, nil
-	case g.running != "":
-		return "", fmt.Errorf("order %s: %w: %s", name, ErrBusy, g.running)
+	case g.inProgress != "":
+		return "", fmt.Errorf("order %s: %w: %s", name, ErrBusy, g.inProgress)
 	}
 	g.fence = fence
-	g.running = name
+	g.inProgress = name
 	return DecisionPass, nil
 }
 
@@ -94,14 +97,14 @@
 func (g *Gate) End(name string, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running = ""
+	g.inProgress = ""
 	if err != nil {
 		return
 	}
-	g.done[name] = true
-	g.doneOrder = append(g.doneOrder, name)
-	if len(g.doneOrder) > maxRememberedOrders {
-		delete(g.done, g.doneOrder[0])
-		g.doneOrder = g.doneOrder[1:]
+	g.succeeded[name] = true
+	g.succeededNames = append(g.succeededNames, name)
+	if len(g.succeededNames) > maxRememberedOrders {
+		delete(g.succeeded, g.succeededNames[0])
+		g.succeededNames = g.succeededNames[1:]
 	}
 }
--- a/internal/savorypinfence/gate_test.go
+++ b/internal/savorypinfence/gate_test.go
@@ -50,8 +50,8 @@
 		Expect(gate.Begin("load", 1)).To(Equal(savorypinfence.DecisionRepeat))
 	})
 
-	// The endpoint doesn't check the fencing number, so that an order of an old
-	// controller that arrives late must be stopped by the agent, also after a restart.
+	// The endpoint doesn't check the fencing number. The agent must therefore refuse a late
+	// order of an old controller, also after a restart of the agent.
 	It("never passes on a lower fencing number after a higher one, also after restarts", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			gate := savorypinfence.NewGate()
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -95,7 +95,7 @@
 	notifyPeers func()
 
 	// gate limits the calls to a failing store.
-	gate *savorypinbreaker.Gate
+	gate *savorypinbreaker.Breaker
 	// maxAges are the ages at which a gateway that is not a reader reads the store itself, by
 	// kind.
 	maxAges map[savorypin.Kind]time.Duration
