--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -17,15 +17,15 @@
 	transientRetryDelay = 150 * time.Millisecond
 	// otherGatewayRetryDelay is for a request that another gateway can serve at once.
 	otherGatewayRetryDelay = 10 * time.Millisecond
-	// storeRetryDelay is for a request that needs a response of the store first.
+	// storeRetryDelay is for a request that can be served only after a response of the store.
 	storeRetryDelay = 700 * time.Millisecond
 )
 
 // defaultTimeout limits a request if neither its route nor its caller does.
 const defaultTimeout = time.Minute
 
-// defaultBodyBytes limits a request body if the configuration does not.
-const defaultBodyBytes = 4 << 20
+// defaultMaxBodyBytes limits a request body if the configuration does not.
+const defaultMaxBodyBytes = 4 << 20
 
 // request is an admitted request.
 type request struct {
@@ -45,8 +45,8 @@
 	return time.Until(r.deadline)
 }
 
-// expired reports whether the deadline has passed. It uses the clock, since the deadline of a
-// read passes before the request's context is done.
+// expired reports whether the deadline has passed. It compares the clock instead of checking the
+// request's context, since a read can reach the deadline before the context is done.
 func (r *request) expired() bool {
 	return r.remaining() <= 0
 }
@@ -111,7 +111,7 @@
 	return d
 }
 
-// authorise returns the caller's organisation, or "" if the route needs no key.
+// authorise returns the caller's organisation, or "" if no API key is required.
 func (g *Gateway) authorise(c *savorypinfleet.Configuration, route *savorypinfleet.Route, call *savorypinfleet.Call) (string, *refusal) {
 	if !c.RequiresKey() || route.Public() {
 		return "", nil
@@ -138,14 +138,14 @@
 	return ok && age < s.RevocationDelay
 }
 
-// readBody reads the whole request body, so that only complete requests are sent on.
+// readBody reads the whole request body, so that only complete requests are forwarded.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, call *savorypinfleet.Call, limits savorypinfleet.Limits) *refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
 	limit := limits.MaxBodyBytes
 	if limit <= 0 {
-		limit = defaultBodyBytes
+		limit = defaultMaxBodyBytes
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
--- a/internal/savorypingateway/bodybudget.go
+++ b/internal/savorypingateway/bodybudget.go
@@ -11,17 +11,18 @@
 
 // Limits of buffered response bodies.
 const (
-	// maxAnswerBytes limits one body.
-	maxAnswerBytes = 4 << 20
-	// bodiesMemoryRatio is the fraction of the memory limit that all bodies together may use.
-	// Without a memory limit they may use defaultBodiesBytes.
-	bodiesMemoryRatio  = 0.25
-	defaultBodiesBytes = 256 << 20
+	// maxResponseBodyBytes limits one body.
+	maxResponseBodyBytes = 4 << 20
+	// bodyBudgetMemoryRatio is the fraction of the memory limit that all bodies together may use.
+	// Without a memory limit they may use defaultBodyBudgetBytes.
+	bodyBudgetMemoryRatio  = 0.25
+	defaultBodyBudgetBytes = 256 << 20
 	// minBodyGrowth is the minimum number of bytes by which a body's buffer grows.
 	minBodyGrowth = 16 << 10
 )
 
-// errBodyTooLong means that a body exceeds a limit, as one without end does.
+// errBodyTooLong means that a body, such as an endless one, exceeds the limit of one body or of
+// all together.
 var errBodyTooLong = errors.New("answer is too long")
 
 // bodyBudget limits the memory of all buffered response bodies. It is safe for concurrent use.
@@ -31,9 +32,9 @@
 
 func newBodyBudget(memory int64) *bodyBudget {
 	b := &bodyBudget{}
-	b.remaining.Store(defaultBodiesBytes)
+	b.remaining.Store(defaultBodyBudgetBytes)
 	if memory > 0 {
-		b.remaining.Store(int64(bodiesMemoryRatio * float64(memory)))
+		b.remaining.Store(int64(bodyBudgetMemoryRatio * float64(memory)))
 	}
 	return b
 }
@@ -53,13 +54,12 @@
 	reserved int64
 }
 
-// read reads a whole body. The error wraps errBodyTooLong if the body exceeds the limit of one
-// body or of all together.
-func (h *bodyReader) read(r io.Reader) ([]byte, error) {
+// read reads a whole body. The error wraps errBodyTooLong if the body exceeds a limit.
+func (b *bodyReader) read(r io.Reader) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown, err := h.grow(body)
+			grown, err := b.grow(body)
 			if err != nil {
 				return nil, err
 			}
@@ -77,22 +77,22 @@
 }
 
 // grow returns a copy of a body with a larger capacity.
-func (h *bodyReader) grow(body []byte) ([]byte, error) {
-	more := max(minBodyGrowth, len(body))
-	if len(body)+more > maxAnswerBytes {
+func (b *bodyReader) grow(body []byte) ([]byte, error) {
+	growth := max(minBodyGrowth, len(body))
+	if len(body)+growth > maxResponseBodyBytes {
 		return nil, fmt.Errorf("%w: over %d bytes", errBodyTooLong, len(body))
 	}
-	if !h.budget.reserve(int64(more)) {
-		return nil, fmt.Errorf("%w: over %d bytes, and others are held", errBodyTooLong, len(body))
+	if !b.budget.reserve(int64(growth)) {
+		return nil, fmt.Errorf("%w: over %d bytes, and the memory budget of all bodies is used up", errBodyTooLong, len(body))
 	}
-	h.reserved += int64(more)
-	grown := make([]byte, len(body), len(body)+more)
+	b.reserved += int64(growth)
+	grown := make([]byte, len(body), len(body)+growth)
 	copy(grown, body)
 	return grown, nil
 }
 
 // release returns the reserved memory to the budget.
-func (h *bodyReader) release() {
-	h.budget.remaining.Add(h.reserved)
-	h.reserved = 0
+func (b *bodyReader) release() {
+	b.budget.remaining.Add(b.reserved)
+	b.reserved = 0
 }
--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// canRestore reports whether an endpoint that holds a copy of a run's memory may still resume
+// canRestore reports whether an endpoint that holds a copy of a run's KV cache may still resume
 // the run.
 func (g *Gateway) canRestore(e *savorypinfleet.Endpoint) bool {
 	return g.view.directory.Load().Has(e) && g.admission.State(e) != savorypinadmission.StateClosed
@@ -77,15 +77,15 @@
 // retryDelay returns the delay after which a caller may retry a request that no endpoint of a
 // service accepted.
 func (g *Gateway) retryDelay(service string) time.Duration {
-	if reopens, ok := g.admission.RetryAfter(g.readyEndpoints(service)); ok {
-		return reopens
+	if delay, ok := g.admission.RetryAfter(g.readyEndpoints(service)); ok {
+		return delay
 	}
 	return transientRetryDelay
 }
 
-// recordAdmission records whether an endpoint accepts further requests, as its response says. The
-// response has to carry the request's ID, so that a late response of another process does not
-// take the endpoint out of service.
+// recordAdmission records that an endpoint announced in a response that it stops, or asked for a
+// pause. The response has to carry the request's ID, so that a late response of another process
+// does not take the endpoint out of service.
 func (g *Gateway) recordAdmission(e *savorypinfleet.Endpoint, call *savorypinfleet.Call, status int, reply savorypinfleet.Reply) {
 	if reply.ID == "" || reply.ID != call.ID || status == http.StatusMisdirectedRequest {
 		return
--- a/internal/savorypingateway/catchup_test.go
+++ b/internal/savorypingateway/catchup_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// newTestStore returns a store whose calls are handled by h.
+// newTestStore returns a store that sends its calls to an HTTP server with the handler h.
 func newTestStore(h http.HandlerFunc) *store {
 	server := httptest.NewServer(h)
 	DeferCleanup(server.Close)
@@ -77,19 +77,19 @@
 var _ = Describe("A gateway whose copy of the endpoints has reached its maximum age", func() {
 	It("finishes all attempts to read the store within the drain delay", func() {
 		const drain = 2500 * time.Millisecond
-		parts := drainMaxAgeRatio * (1 + maxAgeJitterRatio + catchUpFirstRatio + catchUpSecondRatio)
-		Expect(time.Duration(parts*float64(drain)) + ageCheckInterval).To(BeNumerically("<", drain))
+		ratio := drainMaxAgeRatio * (1 + maxAgeJitterRatio + catchUpFirstRatio + catchUpSecondRatio)
+		Expect(time.Duration(ratio*float64(drain)) + ageCheckInterval).To(BeNumerically("<", drain))
 	})
 
 	It("reads changes without waiting, and retries on another connection if the first one stalls", func() {
-		var calls, held atomic.Int64
+		var calls, longPolls atomic.Int64
 		s := newTestStore(func(w http.ResponseWriter, r *http.Request) {
 			if calls.Add(1) == 2 {
 				<-r.Context().Done()
 				return
 			}
 			if r.URL.Query().Has("hold") && r.URL.Query().Get("hold") != "1" {
-				held.Add(1)
+				longPolls.Add(1)
 			}
 			fmt.Fprint(w, calls.Load())
 		})
@@ -98,7 +98,7 @@
 		Expect(s.catchUp(context.Background(), endpointKind, shortDrain)).To(Succeed())
 		after := s.mirrors[endpointKind].State()
 		Expect(calls.Load()).To(Equal(int64(3)))
-		Expect(held.Load()).To(BeZero())
+		Expect(longPolls.Load()).To(BeZero())
 		Expect(after.Version).To(Equal(int64(3)))
 		Expect(after.ConfirmedAt).To(BeNumerically(">", before.ConfirmedAt))
 	})
@@ -124,21 +124,21 @@
 		}
 	}
 	for _, c := range []struct {
-		name   string
-		age    time.Duration
-		failed bool
-		want   bool
+		name         string
+		age          time.Duration
+		storeFailing bool
+		want         bool
 	}{
 		{"serves requests once its copy is confirmed as fresh", shortDrain / 10, false, true},
 		{"serves no requests if the other gateway's copy is too old", shortDrain, false, false},
-		{"serves requests by an old copy if the store is failing", shortDrain, true, true},
+		{"serves requests from an old copy if the store is failing", shortDrain, true, true},
 	} {
 		It(c.name, func() {
 			s := newTestStore(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 			s.publishEndpoints()
 			Expect(s.view.listed.Load()).To(BeFalse())
-			if c.failed {
-				s.gate.RecordFailure(bootClock(), 1)
+			if c.storeFailing {
+				s.breaker.RecordFailure(bootClock(), 1)
 			}
 			s.handleCopies(copyMessage(c.age))
 			Expect(s.view.listed.Load()).To(Equal(c.want))
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -4,22 +4,26 @@
 
 // counters are the gateway's metrics.
 type counters struct {
-	answered  metrics.Counter
+	answered metrics.Counter
+	// brokenOff counts streams that ended incomplete after their response header was sent.
 	brokenOff metrics.Counter
-	// endpointsDistrusted counts endpoints that sent an invalid response, endpointsLeft those
-	// that announced in a response that they stop.
+	// endpointsDistrusted counts invalid responses of endpoints, endpointsLeft the endpoints that
+	// announced in a response that they stop.
 	endpointsDistrusted metrics.Counter
-	failed              metrics.Counter
-	endpointsLeft       metrics.Counter
-	endpointPauses      metrics.Counter
-	refused             metrics.Counter
-	repeated            metrics.Counter
-	requests            metrics.Counter
-	resumed             metrics.Counter
-	resumeGap           metrics.Timer
-	storeCalls          metrics.Counter
-	firstEvent          metrics.Timer
-	plainAnswer         metrics.Timer
+	// failed counts streams whose callers got an endpoint's error response.
+	failed         metrics.Counter
+	endpointsLeft  metrics.Counter
+	endpointPauses metrics.Counter
+	refused        metrics.Counter
+	// repeated counts the second and later attempts of plain requests.
+	repeated metrics.Counter
+	requests metrics.Counter
+	// resumed counts the failed attempts of streams that may be followed by another attempt.
+	resumed     metrics.Counter
+	resumeGap   metrics.Timer
+	storeCalls  metrics.Counter
+	firstEvent  metrics.Timer
+	plainAnswer metrics.Timer
 }
 
 func newCounters(r metrics.Registry) counters {
--- a/internal/savorypingateway/events.go
+++ b/internal/savorypingateway/events.go
@@ -41,8 +41,8 @@
 	return r.br.Buffered() > 0
 }
 
-// advances reports whether the event is after the last one that the caller has. Comments and
-// repeated events are not.
+// advances reports whether the caller does not have the event yet, given the number of the last
+// one that it has. It returns false for comments and repeated events.
 func (e *event) advances(last int64) bool {
 	return e.hasField && (e.id == 0 || e.id > last)
 }
--- a/internal/savorypingateway/firstlist.go
+++ b/internal/savorypingateway/firstlist.go
@@ -9,12 +9,12 @@
 
 // Parameters of the first list of endpoints.
 const (
-	// maxFleetListingAlone is the maximum number of gateways with which each of them lists the
-	// endpoints from the store when it starts.
-	maxFleetListingAlone = 128
-	// gatewaysPerLister is the number of gateways for each one that lists the endpoints in a
-	// larger fleet. The others get the list from it, since the links to the store would be
-	// saturated for seconds if all gateways listed at once.
+	// maxGatewaysListingDirectly is the size of the largest fleet in which every gateway lists the
+	// endpoints from the store at startup.
+	maxGatewaysListingDirectly = 128
+	// gatewaysPerLister is the number of gateways per one that lists the endpoints from the store
+	// in a larger fleet. The others get the list from these gateways: if all of them read it from
+	// the store at once, they would saturate the links to the store for seconds.
 	gatewaysPerLister = 16
 	// peerListTimeout is how long a gateway waits for the list from another one.
 	peerListTimeout = 1500 * time.Millisecond
@@ -24,23 +24,24 @@
 )
 
 // listsFromStore reports whether a starting gateway lists the endpoints from the store at once,
-// given the addresses of all other gateways that it knows. Gateways that know the same addresses
-// agree which of them do.
+// given the addresses of all other gateways that it knows. In a large fleet those with the lowest
+// hashes of their addresses do, so that gateways that know the same addresses choose the same
+// ones.
 func listsFromStore(self string, others []string) bool {
 	fleet := len(others) + 1
-	if fleet <= maxFleetListingAlone {
+	if fleet <= maxGatewaysListingDirectly {
 		return true
 	}
-	own, lower := xxhash.Sum64String(self), 0
+	ownHash, lowerHashes := xxhash.Sum64String(self), 0
 	for _, address := range others {
-		if xxhash.Sum64String(address) < own {
-			lower++
+		if xxhash.Sum64String(address) < ownHash {
+			lowerHashes++
 		}
 	}
-	return lower < fleet/gatewaysPerLister
+	return lowerHashes < fleet/gatewaysPerLister
 }
 
-// awaitFirstList waits until the gateway has the list of endpoints from another one, or has to
+// awaitFirstList waits until the gateway has got the list of endpoints from another one or has to
 // list them from the store itself. It returns an error only if ctx is done.
 func (g *Gateway) awaitFirstList(ctx context.Context) error {
 	select {
--- a/internal/savorypingateway/firstlist_test.go
+++ b/internal/savorypingateway/firstlist_test.go
@@ -20,13 +20,13 @@
 			for i := range tc.fleet {
 				fleet = append(fleet, fmt.Sprintf("10.1.%d.%d:7020", i/250, i%250))
 			}
-			listing := 0
+			listers := 0
 			for i, self := range fleet {
 				if listsFromStore(self, slices.Concat(fleet[:i], fleet[i+1:])) {
-					listing++
+					listers++
 				}
 			}
-			Expect(listing).To(And(BeNumerically(">=", tc.minListers), BeNumerically("<=", tc.maxListers)))
+			Expect(listers).To(And(BeNumerically(">=", tc.minListers), BeNumerically("<=", tc.maxListers)))
 		})
 	}
 })
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -38,8 +38,8 @@
 )
 
 // promptRetentionFactor multiplies Settings.MinPromptRetention, the retention that the engine
-// guarantees, to give the time for which an engine is expected to hold a prompt that it has
-// read: engines evict prompts only when they need the memory.
+// guarantees, to give the time for which an engine is expected to keep a prompt in its cache:
+// engines evict prompts only when they need the memory.
 const promptRetentionFactor = 3
 
 // expiryHeartbeats is the number of missed heartbeats after which an endpoint's entry expires.
@@ -50,7 +50,8 @@
 // kernel buffers and the program itself.
 const memoryLimitRatio = 0.6
 
-// Objects holds the platform's encoding of the operator's and the endpoints' objects.
+// Objects identifies the operator's and the endpoints' objects in the platform's store, and
+// decodes and encodes them.
 type Objects struct {
 	// Configuration is the key of the operator's configuration.
 	Configuration       savorypin.Key
@@ -74,19 +75,19 @@
 	Settings Settings
 }
 
-// Gateway is the daemon. Create it by New.
+// Gateway is the daemon. Use New to create one.
 type Gateway struct {
 	// livePeers are the addresses of the other gateways that were live at the last sweep.
 	livePeers map[string]bool
 	// bodyBudget limits the memory of buffered response bodies.
-	bodyBudget *bodyBudget
-	budgets    *budgets
-	cfg        Config
-	counters   counters
-	forecast   *savorypinforecast.Forecast
-	gossip     *savorypingossip.Gossip
-	admission  *savorypinadmission.Registry
-	log        *savorypinevent.Log
+	bodyBudget   *bodyBudget
+	retryBudgets *retryBudgets
+	cfg          Config
+	counters     counters
+	forecast     *savorypinforecast.Forecast
+	gossip       *savorypingossip.Gossip
+	admission    *savorypinadmission.Registry
+	log          *savorypinevent.Log
 	// discoveryDone is closed after the first attempt to read the list of gateways, whether it
 	// succeeded or not.
 	discoveryDone chan struct{}
@@ -137,7 +138,7 @@
 		EntryTimeout: expiryHeartbeats * cfg.Settings.Heartbeat,
 		Now:          time.Now,
 	})
-	g.budgets = newBudgets(cfg.Settings, g.gatewayCount)
+	g.retryBudgets = newRetryBudgets(cfg.Settings, g.gatewayCount)
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
 	g.gossip = g.newGossip()
 	g.store = newStore(cfg, &g.view, g.counters)
@@ -160,19 +161,19 @@
 	return g
 }
 
-// Run serves until ctx is done, lets the requests in progress finish within the grace period,
-// and returns.
+// Run serves callers until ctx is done. It returns after the requests in progress have finished
+// or the grace period is about to end.
 func (g *Gateway) Run(ctx context.Context) error {
 	s := g.settings.Load()
-	front, err := listen(s.Listen)
+	callerListener, err := listen(s.Listen)
 	if err != nil {
 		return err
 	}
-	readiness, err := listen(s.ReadinessListen)
+	readinessListener, err := listen(s.ReadinessListen)
 	if err != nil {
 		return err
 	}
-	introspection, err := listen(net.JoinHostPort(s.Host, strconv.Itoa(s.MetricsPort)))
+	introspectionListener, err := listen(net.JoinHostPort(s.Host, strconv.Itoa(s.MetricsPort)))
 	if err != nil {
 		return err
 	}
@@ -181,22 +182,23 @@
 		g.log.Emit(savorypinevent.Process{What: "takes messages of any gateway, as it has no peer key"})
 	}
 	defer g.log.Emit(savorypinevent.Process{What: "stopped"})
-	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	// The background tasks run until serveCallers returns, which is some time after ctx is done.
+	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return serve(work, readiness, http.HandlerFunc(g.serveReadiness)) })
-	group.Go(func() error { return serve(work, introspection, g.introspection()) })
-	g.store.follow(work, group)
-	group.Go(func() error { return g.gossip.Run(work) })
-	group.Go(func() error { return g.syncServer().Run(work) })
-	group.Go(func() error { return g.register(work) })
-	group.Go(func() error { return g.writeRollouts(work) })
-	group.Go(func() error { return g.persistPrompts(work) })
-	group.Go(func() error { return g.sweep(work) })
-	group.Go(func() error { return g.log.Run(work) })
+	group, backgroundCtx := errgroup.WithContext(backgroundCtx)
+	group.Go(func() error { return serve(backgroundCtx, readinessListener, http.HandlerFunc(g.serveReadiness)) })
+	group.Go(func() error { return serve(backgroundCtx, introspectionListener, g.introspectionHandler()) })
+	g.store.follow(backgroundCtx, group)
+	group.Go(func() error { return g.gossip.Run(backgroundCtx) })
+	group.Go(func() error { return g.syncServer().Run(backgroundCtx) })
+	group.Go(func() error { return g.register(backgroundCtx) })
+	group.Go(func() error { return g.writeRollouts(backgroundCtx) })
+	group.Go(func() error { return g.persistPrompts(backgroundCtx) })
+	group.Go(func() error { return g.sweep(backgroundCtx) })
+	group.Go(func() error { return g.log.Run(backgroundCtx) })
 	group.Go(func() error {
 		defer cancel()
-		return g.serveCallers(ctx, front)
+		return g.serveCallers(ctx, callerListener)
 	})
 	err = group.Wait()
 	if errors.Is(err, context.Canceled) {
@@ -242,7 +244,7 @@
 // a request header.
 const internalHeaderTimeout = 5 * time.Second
 
-func (g *Gateway) introspection() http.Handler {
+func (g *Gateway) introspectionHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", savorypinmetrics.NewHandler(g.registry))
 	mux.HandleFunc("GET /state", g.serveState)
@@ -252,9 +254,11 @@
 // sweepsPerReload is the number of sweeps between two reloads of the settings.
 const sweepsPerReload = 5
 
-// sweepInterval is the interval at which stale state is dropped.
+// sweepInterval is the time between two sweeps.
 const sweepInterval = 2 * time.Second
 
+// sweep periodically drops stale state, logs lost gateways and changes of the readiness, and
+// reloads the settings.
 func (g *Gateway) sweep(ctx context.Context) error {
 	sweeps := 0
 	savorypinloop.Every(ctx, sweepInterval, func() {
@@ -271,8 +275,9 @@
 	return ctx.Err()
 }
 
-// directoryChanged closes the idle connections to endpoints that are no longer listed, and
-// reports to the picker those that were lost and have restarted.
+// directoryChanged applies a new list of endpoints to the admission registry, closes the idle
+// connections to endpoints that are no longer listed, and reports restarted endpoints to the
+// picker.
 func (g *Gateway) directoryChanged(old, next *savorypinfleet.Directory, era int64) {
 	g.admission.UpdateList(old, next, era)
 	gone := old.Difference(next)
@@ -296,7 +301,7 @@
 func bootClock() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// Linux has had this clock since 2.6.39, so that a failure is a bug.
+		// Linux has had this clock since 2.6.39, so a failure is a bug.
 		panic(fmt.Sprintf("read boot-time clock: %v", err))
 	}
 	return time.Duration(ts.Nano())
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -14,10 +14,11 @@
 	"savorypin/internal/savorypinplatform"
 )
 
-// kindGateway is the kind of the system's own objects by which gateways discover each other.
+// kindGateway is the kind of the objects that gateways write to the store to discover each other.
 const kindGateway savorypin.Kind = "savorypin-gateways"
 
-// discoveryInterval is the interval at which the list of gateways is read, if it has to be.
+// discoveryInterval is the interval at which a gateway checks whether it has to register itself or
+// to read the list of gateways.
 const discoveryInterval = 5 * time.Second
 
 // gatewaySpec is the spec of a gateway's object.
@@ -39,7 +40,7 @@
 		StateOf:           g.composeState,
 		Copies:            func() []savorypingossip.CopyStatus { return g.store.copies() },
 		OnMessage:         g.handleMessage,
-		NeedsConfirmation: func(sooner bool) bool { return g.store.needsConfirmation(sooner) },
+		NeedsConfirmation: func(early bool) bool { return g.store.needsConfirmation(early) },
 		OnUpdate:          g.handleUpdate,
 		History:           g.picker.History,
 		Log:               g.log,
@@ -60,7 +61,7 @@
 			Configuration: g.configurationVersion(), Domain: s.Domain, Leaving: g.stopping.Load(), Name: s.Name,
 		}
 	case savorypingossip.PartBudget:
-		return savorypingossip.GatewayState{Budgets: g.budgets.ownSpending()}
+		return savorypingossip.GatewayState{Budgets: g.retryBudgets.ownCounts()}
 	case savorypingossip.PartFailure:
 		return savorypingossip.GatewayState{Failures: g.picker.Failures(), Suspects: g.picker.Suspects()}
 	case savorypingossip.PartRollout:
@@ -78,35 +79,35 @@
 }
 
 // handleUpdate processes a state update that a gateway reports about itself.
-func (g *Gateway) handleUpdate(f savorypingossip.ReceivedUpdate) {
-	switch f.Part {
+func (g *Gateway) handleUpdate(update savorypingossip.ReceivedUpdate) {
+	switch update.Part {
 	case savorypingossip.PartHeartbeat:
-		g.store.handlePeerVersion(f.Origin, f.State.Configuration)
+		g.store.handlePeerVersion(update.Origin, update.State.Configuration)
 	case savorypingossip.PartBudget:
-		g.budgets.setPeerSpending(f.Origin, f.State.Budgets)
+		g.retryBudgets.setPeerCounts(update.Origin, update.State.Budgets)
 	case savorypingossip.PartFailure:
-		g.handleFailures(f)
+		g.handleFailures(update)
 	case savorypingossip.PartRollout:
-		if g.rollouts.ApplyReports(f.Origin, f.State.Rollouts) {
-			g.announceRejection(f.Origin)
+		if g.rollouts.ApplyReports(update.Origin, update.State.Rollouts) {
+			g.announceRejection(update.Origin)
 		}
 	case savorypingossip.PartLoad:
-		g.picker.SetLoads(f.Origin, f.State.Loads)
+		g.picker.SetLoads(update.Origin, update.State.Loads)
 	}
 }
 
 // handleFailures processes the failures that a gateway has detected.
-func (g *Gateway) handleFailures(f savorypingossip.ReceivedUpdate) {
+func (g *Gateway) handleFailures(update savorypingossip.ReceivedUpdate) {
 	d := g.view.directory.Load()
-	for _, id := range f.State.Suspects {
+	for _, id := range update.State.Suspects {
 		if e := d.Endpoint(id); e != nil {
 			g.picker.RecordRemoteSuspect(e)
 		}
 	}
-	for _, failure := range f.State.Failures {
-		failure.Age += f.Age
+	for _, failure := range update.State.Failures {
+		failure.Age += update.Age
 		if g.picker.RecordRemoteFailure(failure) {
-			g.failDomain(failure.Domain, failure.Service, f.Origin)
+			g.markDomainFailed(failure.Domain, failure.Service, update.Origin)
 		}
 	}
 }
@@ -120,7 +121,7 @@
 	close(g.discoveryDone)
 	era := g.store.client.Era()
 	for {
-		// A store that was restored from a copy may have lost this gateway's object.
+		// A store that was restored from an older copy may have lost this gateway's object.
 		if current := g.store.client.Era(); current != era {
 			era, registered = current, false
 		}
@@ -130,8 +131,8 @@
 		if err := wait(ctx, discoveryInterval); err != nil {
 			return err
 		}
-		// Live gateways tell each other the addresses that they know, so that the list is needed
-		// only by a gateway that knows no live one.
+		// Live gateways tell each other the addresses that they know, so that only a gateway that
+		// is not registered or knows no live one needs the list.
 		if !registered || len(g.peers.Live()) == 0 {
 			g.log.RunRecovered("meet gateways", func() { registered = g.discoverPeers(ctx) })
 		}
@@ -139,7 +140,7 @@
 }
 
 // discoverPeers reads the addresses of the gateways from the store. It reports whether this
-// gateway is among them, registered by an earlier process.
+// gateway is registered there with its current address, for example by an earlier process.
 func (g *Gateway) discoverPeers(ctx context.Context) bool {
 	objects, err := g.store.client.ListStale(ctx, kindGateway)
 	if err != nil {
@@ -168,7 +169,7 @@
 	o := savorypin.Object{Key: savorypin.Key{Kind: kindGateway, Name: s.Name}, Spec: spec}
 	_, err = g.store.client.Create(ctx, o)
 	if savorypinplatform.IsConflict(err) {
-		// The gateway was registered before, with another address of the host.
+		// The gateway was registered before, possibly with another address.
 		_, err = g.store.client.Update(ctx, o)
 	}
 	if err != nil {
@@ -194,8 +195,8 @@
 	return slices.Contains(g.peers.Readers(), g.peerAddress())
 }
 
-// updatePeers drops the load and the spending of gateways that are not live, and logs which
-// gateways were lost or are live again. Only the sweep calls it.
+// updatePeers drops the loads and the request counts of gateways that are not live, and logs
+// which gateways were lost or are live again. Only the sweep calls it.
 func (g *Gateway) updatePeers() {
 	live := map[string]bool{}
 	for _, p := range g.peers.Live() {
@@ -211,7 +212,7 @@
 	}
 	g.livePeers = live
 	g.picker.RetainGateways(live)
-	g.budgets.retainPeers(live)
+	g.retryBudgets.retainPeers(live)
 }
 
 // gatewayCount returns the number of gateways that may share a limit with this one. A gateway
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -94,42 +94,43 @@
 			g.log.Debug("endpoint accepts a new connection after a broken one", "endpoint", e.ID(), "reason", reason)
 			return
 		}
-		g.failEndpoint(e, reason)
+		g.markEndpointFailed(e, reason)
 	})
 }
 
-// distrustEndpoint marks an endpoint suspect that sent an invalid response. This does not count
-// against its failure domain.
-func (g *Gateway) distrustEndpoint(e *savorypinfleet.Endpoint, reason string) {
+// handleProtocolError marks an endpoint suspect that sent an invalid response. This does not count
+// as a failure of its domain.
+func (g *Gateway) handleProtocolError(e *savorypinfleet.Endpoint, reason string) {
 	g.pool.CloseIdle(e.Address())
 	g.counters.endpointsDistrusted.Inc(1)
 	g.picker.RecordProtocolError(e)
 	g.log.Emit(savorypinevent.EndpointSuspect{Domain: e.Domain(), Endpoint: e.ID(), Reason: reason})
 }
 
-// failEndpoint marks an endpoint failed that was unreachable or did not respond. If its whole
-// failure domain is now considered failed, the streams there are checked at once.
-func (g *Gateway) failEndpoint(e *savorypinfleet.Endpoint, reason string) {
+// markEndpointFailed marks an endpoint failed that was unreachable, did not respond or was replaced
+// by another incarnation. If its whole failure domain is now considered failed, the streams there
+// are checked at once.
+func (g *Gateway) markEndpointFailed(e *savorypinfleet.Endpoint, reason string) {
 	g.pool.CloseIdle(e.Address())
 	domainFailed := g.picker.MarkFailed(e)
 	g.log.Emit(savorypinevent.EndpointSuspect{Domain: e.Domain(), DomainFailed: domainFailed, Endpoint: e.ID(), Reason: reason})
 	if domainFailed {
-		g.failDomain(e.Domain(), e.Service(), g.settings.Load().Name)
+		g.markDomainFailed(e.Domain(), e.Service(), g.settings.Load().Name)
 		g.gossip.TriggerRound()
 	}
 }
 
-// failDomain marks the endpoints of a service in a domain suspect and checks the streams there
+// markDomainFailed marks the endpoints of a service in a domain suspect and checks the streams there
 // at once.
-func (g *Gateway) failDomain(domain, service, seenBy string) {
-	var neighbours []*savorypinfleet.Endpoint
+func (g *Gateway) markDomainFailed(domain, service, seenBy string) {
+	var affected []*savorypinfleet.Endpoint
 	for _, e := range g.view.directory.Load().Service(service) {
 		if e.Domain() == domain {
-			neighbours = append(neighbours, e)
+			affected = append(affected, e)
 		}
 	}
-	g.picker.MarkSuspect(neighbours)
-	g.log.Emit(savorypinevent.DomainSuspect{Domain: domain, Endpoints: len(neighbours), SeenBy: seenBy, Service: service})
+	g.picker.MarkSuspect(affected)
+	g.log.Emit(savorypinevent.DomainSuspect{Domain: domain, Endpoints: len(affected), SeenBy: seenBy, Service: service})
 	g.streams.checkDomain(domain, service)
 }
 
@@ -141,7 +142,7 @@
 func (g *Gateway) connect(ctx context.Context, e *savorypinfleet.Endpoint) (*savorypinpool.Conn, error) {
 	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
 	if err != nil && ctx.Err() == nil {
-		g.failEndpoint(e, "connect")
+		g.markEndpointFailed(e, "connect")
 	}
 	return conn, err
 }
@@ -150,13 +151,13 @@
 // connections without waiting for a free slot, so that a few round trips are enough.
 func (g *Gateway) connectTimeout(e *savorypinfleet.Endpoint) time.Duration {
 	if g.settings.Load().Regions[e.Domain()] == g.settings.Load().Region {
-		return nearConnectTimeout
+		return sameRegionConnectTimeout
 	}
-	return farConnectTimeout
+	return crossRegionConnectTimeout
 }
 
 // Timeouts of connection attempts within a region and between regions.
 const (
-	nearConnectTimeout = 80 * time.Millisecond
-	farConnectTimeout  = 150 * time.Millisecond
+	sameRegionConnectTimeout  = 80 * time.Millisecond
+	crossRegionConnectTimeout = 150 * time.Millisecond
 )
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -24,7 +24,7 @@
 // outcomeKind classifies the result of an attempt.
 type outcomeKind string
 
-// The outcomes of attempts, in sorted order.
+// The outcomes of attempts.
 const (
 	// outcomeAnswered means that a complete response was received.
 	outcomeAnswered outcomeKind = "answered"
@@ -93,10 +93,10 @@
 // tryPlain sends a request to endpoints until one succeeds. It returns a refusal if no endpoint
 // sent a response.
 func (g *Gateway) tryPlain(ctx context.Context, req *request) (*outcome, *refusal) {
-	budget := g.budgets.forService(req.service.Name())
+	budget := g.retryBudgets.forService(req.service.Name())
 	budget.RecordFirst()
 	tried := map[string]bool{}
-	last := &outcome{kind: outcomeUnsent}
+	reported := &outcome{kind: outcomeUnsent}
 	sent, unsent := 0, 0
 	for sent < req.route.MaxAttempts() && unsent < maxUnsentAttempts && ctx.Err() == nil {
 		e := g.picker.Choose(g.query(req, tried))
@@ -118,21 +118,21 @@
 			g.counters.repeated.Inc(1)
 		}
 		// A response, even a failure, tells the caller more than a later attempt without one.
-		if last.kind != outcomeAnswered || result.succeeded() {
-			last = result
+		if reported.kind != outcomeAnswered || result.succeeded() {
+			reported = result
 		}
 		if result.succeeded() || !req.route.Retryable() && result.kind != outcomeNotRun {
 			break
 		}
 	}
-	if last.kind == outcomeAnswered {
-		return last, nil
+	if reported.kind == outcomeAnswered {
+		return reported, nil
 	}
-	return nil, plainRefusal(req, last, g.retryDelay(req.service.Name()))
+	return nil, plainRefusal(req, reported, g.retryDelay(req.service.Name()))
 }
 
-// plainRefusal returns the refusal of a request without a response, given the last outcome. A
-// request that has not run may be retried after retryAfter.
+// plainRefusal returns the refusal of a request without a response, given the outcome of the last
+// attempt that was sent. A request that has not run may be retried after retryAfter.
 func plainRefusal(req *request, last *outcome, retryAfter time.Duration) *refusal {
 	switch {
 	case last.kind == outcomeUnsent, last.kind == outcomeNotRun:
@@ -209,8 +209,8 @@
 	return left / 2
 }
 
-// updateSuspicion marks an endpoint suspect that sent an invalid response, and clears one that
-// sent a valid response.
+// updateSuspicion marks an endpoint suspect that sent an invalid response, marks one failed that
+// was replaced by another incarnation, and clears one that sent a valid response.
 func (g *Gateway) updateSuspicion(e *savorypinfleet.Endpoint, o *outcome) {
 	switch o.kind {
 	case outcomeAnswered:
@@ -218,11 +218,11 @@
 	case outcomeNotRun:
 		if o.resp.StatusCode == http.StatusMisdirectedRequest {
 			g.picker.RecordReplacement(e)
-			g.failEndpoint(e, "another incarnation answers")
+			g.markEndpointFailed(e, "another incarnation answers")
 		}
 	case outcomeUnknown:
 		if isProtocolError(o.err) {
-			g.distrustEndpoint(e, o.err.Error())
+			g.handleProtocolError(e, o.err.Error())
 		}
 	case outcomeUnsent:
 	}
@@ -269,8 +269,8 @@
 	return &outcome{body: body, kind: outcomeAnswered, resp: resp}, keepAlive
 }
 
-// matchesCall reports whether a response belongs to a call. A response without an ID may be a
-// late duplicate of an earlier one if the connection has carried another request.
+// matchesCall reports whether a response belongs to a call. If the connection has carried another
+// request, a response without an ID may be a late duplicate of the response to that one.
 func matchesCall(conn *savorypinpool.Conn, reply savorypinfleet.Reply, call *savorypinfleet.Call) bool {
 	if reply.ID == "" {
 		return !conn.Reused()
--- a/internal/savorypingateway/prompts.go
+++ b/internal/savorypingateway/prompts.go
@@ -26,12 +26,12 @@
 	Prompts []savorypinpick.Prompt `json:"prompts"`
 }
 
-// persistPrompts loads the prompts that were running when they were last written, and then
-// writes the current ones periodically while this gateway is the first of the readers.
+// persistPrompts loads the prompts that were last written to the store, and then writes those of
+// the running streams periodically while this gateway is the first of the readers.
 func (g *Gateway) persistPrompts(ctx context.Context) error {
 	g.log.RunRecovered("recall prompts", func() { g.loadPrompts(ctx) })
 	savorypinloop.Every(ctx, promptsWriteInterval, func() {
-		if readers := g.peers.Readers(); readers[0] == g.peerAddress() && !g.store.gate.Failing() {
+		if readers := g.peers.Readers(); readers[0] == g.peerAddress() && !g.store.breaker.Failing() {
 			g.log.RunRecovered("write prompts", func() { g.writePrompts(ctx) })
 		}
 	})
--- a/internal/savorypingateway/publish.go
+++ b/internal/savorypingateway/publish.go
@@ -19,8 +19,8 @@
 	}
 }
 
-// isLaterConfiguration reports whether the configuration a is later than b by the operator's
-// versions. One that can't be decoded counts as earlier.
+// isLaterConfiguration reports whether the configuration a has a later version than b, by the
+// operator's numbering. One that can't be decoded counts as earlier.
 func (s *store) isLaterConfiguration(a, b savorypin.Object) bool {
 	first, err := s.cfg.Objects.DecodeConfiguration(a)
 	if err != nil {
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -9,7 +9,7 @@
 )
 
 // readyMaxAgeRatio is the fraction of the revocation delay for which a gateway without a
-// confirmation stays ready: soon after it, requests with keys are refused.
+// confirmation stays ready. After the whole delay it refuses requests with keys.
 const readyMaxAgeRatio = 0.6
 
 // ready reports whether the gateway is ready for new callers, and the reason if it is not.
--- a/internal/savorypingateway/rollout.go
+++ b/internal/savorypingateway/rollout.go
@@ -14,8 +14,8 @@
 const (
 	// rolloutInterval is the interval at which the states of roll-outs are checked.
 	rolloutInterval = 200 * time.Millisecond
-	// rolloutWriteStagger is the delay by which each further gateway in the order of writeTurn
-	// defers the write of a state.
+	// rolloutWriteStagger is the delay of a write for each gateway that writes before this one,
+	// see writeTurn.
 	rolloutWriteStagger = 400 * time.Millisecond
 )
 
@@ -43,8 +43,8 @@
 }
 
 // writeRollouts writes the states of roll-outs to the store. Every gateway may write them: a
-// write is conditional on the version of the order that it refers to, so that a late or repeated
-// one changes nothing. The order of their addresses decides which gateway tries first.
+// write is conditional on the version of the roll-out's object that it refers to, so that a late
+// or repeated one changes nothing. They try in the order of their addresses until one succeeds.
 func (g *Gateway) writeRollouts(ctx context.Context) error {
 	dueSince := map[savorypinfleet.Rollout]time.Time{}
 	savorypinloop.Every(ctx, rolloutInterval, func() {
@@ -69,8 +69,8 @@
 // writeTurn returns the number of live gateways that write before this one.
 func (g *Gateway) writeTurn() int {
 	turn := 0
-	for _, m := range g.peers.Live() {
-		if !m.Leaving && m.Address < g.peerAddress() {
+	for _, p := range g.peers.Live() {
+		if !p.Leaving && p.Address < g.peerAddress() {
 			turn++
 		}
 	}
@@ -91,7 +91,7 @@
 	})
 	g.log.Emit(rolloutEvent("written", r, err))
 	if err != nil {
-		// After a conflict or a lost response the next read of the order shows its state.
+		// After a conflict or a lost response, the next read of the object shows its state.
 		return
 	}
 	g.store.apply(o)
--- a/internal/savorypingateway/settings.go
+++ b/internal/savorypingateway/settings.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Settings are the parameters that a gateway reads from its host at startup.
+// Settings are the parameters that a gateway reads from its host at startup and on a reload.
 type Settings struct {
 	// ConfigDelay is the maximum time until a new configuration is in force.
 	ConfigDelay time.Duration
--- a/internal/savorypingateway/stalltimeout.go
+++ b/internal/savorypingateway/stalltimeout.go
@@ -25,12 +25,12 @@
 	limit time.Duration
 }
 
-// eventTimeouts returns the timeouts between two events. TargetGap is the route's target gap,
-// stalled the number of attempts that were abandoned although their hosts answered, and
-// longestPause the longest pause of this attempt. Each stalled attempt doubles the limit for the
-// next one, so that one succeeds even if all endpoints are slow.
-func eventTimeouts(targetGap time.Duration, stalled int, longestPause time.Duration) stallTimeouts {
-	limit := time.Duration(gapLimitRatio*float64(targetGap)) << min(stalled, maxDoublings)
+// eventTimeouts returns the timeouts between two events. targetGap is the route's target gap,
+// stalledBefore the number of earlier attempts that were abandoned although their hosts answered,
+// and longestPause the longest pause of this attempt. Each stalled attempt doubles the limit for
+// the next one, so that one succeeds even if all endpoints are slow.
+func eventTimeouts(targetGap time.Duration, stalledBefore int, longestPause time.Duration) stallTimeouts {
+	limit := time.Duration(gapLimitRatio*float64(targetGap)) << min(stalledBefore, maxDoublings)
 	limit = max(limit, longestPauseFactor*longestPause)
 	return stallTimeouts{check: min(limit, max(time.Duration(gapCheckRatio*float64(targetGap)), longestPause)), limit: limit}
 }
--- a/internal/savorypingateway/stalltimeout_test.go
+++ b/internal/savorypingateway/stalltimeout_test.go
@@ -23,10 +23,10 @@
 		{"end an attempt eventually, even if all endpoints are slow", 20, 0, 5 * time.Second, time.Minute},
 	} {
 		It(tc.name, func() {
-			b := eventTimeouts(targetGap, tc.stalled, tc.longest)
-			Expect(b.limit).To(BeNumerically(">", tc.tolerated))
-			Expect(b.limit).To(BeNumerically("<", tc.ended))
-			Expect(b.check).To(BeNumerically("<=", b.limit))
+			timeouts := eventTimeouts(targetGap, tc.stalled, tc.longest)
+			Expect(timeouts.limit).To(BeNumerically(">", tc.tolerated))
+			Expect(timeouts.limit).To(BeNumerically("<", tc.ended))
+			Expect(timeouts.check).To(BeNumerically("<=", timeouts.limit))
 		})
 	}
 })
@@ -52,17 +52,17 @@
 
 var _ = Describe("A stream that is checked because its failure domain failed", func() {
 	for _, c := range []struct {
-		name     string
-		reported bool
-		sent     time.Duration
-		want     bool
+		name      string
+		reported  bool
+		sinceSent time.Duration
+		want      bool
 	}{
 		{"is not abandoned right after it was sent, since the engine's report may be older", false, 20 * time.Millisecond, false},
 		{"is abandoned if the engine's report should include it by now", false, time.Second, true},
 		{"continues if the engine's report includes it", true, time.Second, false},
 	} {
 		It(c.name, func() {
-			Expect(isMissing(c.reported, c.sent)).To(Equal(c.want))
+			Expect(isMissing(c.reported, c.sinceSent)).To(Equal(c.want))
 		})
 	}
 })
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -16,11 +16,11 @@
 	// stopAcceptRatio is the fraction of the grace period in which new requests are still
 	// accepted: the load balancer takes some seconds to send them elsewhere.
 	stopAcceptRatio = 0.5
-	// balancerDelay is how long the load balancer goes on sending new callers: it checks the
+	// loadBalancerDelay is how long the load balancer goes on sending new callers: it checks the
 	// readiness every second and removes a gateway after two failed checks.
-	balancerDelay = 2500 * time.Millisecond
+	loadBalancerDelay = 2500 * time.Millisecond
 	// usualDurationFactor multiplies the usual duration of a stream to give the time that must
-	// be left for a new one after balancerDelay.
+	// be left for a new one after loadBalancerDelay.
 	usualDurationFactor = 2
 	// stopMargin is the time between the exit of the process and the end of the grace period.
 	stopMargin = 600 * time.Millisecond
@@ -36,15 +36,15 @@
 
 // Limits for callers if there is no configuration yet.
 const (
-	defaultIdleTimeout = 60 * time.Second
-	defaultHeaderBytes = 64 << 10
+	defaultIdleTimeout    = 60 * time.Second
+	defaultMaxHeaderBytes = 64 << 10
 )
 
 // acceptsStream reports whether a new stream is accepted at the given time since the shutdown
 // began, given the grace period and the usual duration of streams. A stream that would be cut
 // off is better served by another gateway from the beginning.
-func acceptsStream(since, grace, usual time.Duration) bool {
-	return since < balancerDelay || grace-stopMargin-since > usualDurationFactor*usual
+func acceptsStream(sinceStop, grace, usual time.Duration) bool {
+	return sinceStop < loadBalancerDelay || grace-stopMargin-sinceStop > usualDurationFactor*usual
 }
 
 // stoppingFor returns the time since the shutdown began; zero if it has not.
@@ -62,7 +62,7 @@
 	server := &http.Server{
 		Handler:           g,
 		IdleTimeout:       defaultIdleTimeout,
-		MaxHeaderBytes:    defaultHeaderBytes,
+		MaxHeaderBytes:    defaultMaxHeaderBytes,
 		ReadHeaderTimeout: defaultIdleTimeout,
 	}
 	c := g.view.configuration.Load()
@@ -111,10 +111,10 @@
 	g.stopStart.Store(&start)
 	g.stopping.Store(true)
 	grace := g.settings.Load().StopGracePeriod
-	// Callers go on sending requests on open connections; each response now asks them to
-	// close theirs.
-	accept := time.Duration(stopAcceptRatio * float64(grace))
-	if err := wait(context.WithoutCancel(ctx), accept); err != nil {
+	// Callers go on sending requests on open connections; each response now tells them to
+	// close the connection.
+	acceptPeriod := time.Duration(stopAcceptRatio * float64(grace))
+	if err := wait(context.WithoutCancel(ctx), acceptPeriod); err != nil {
 		return err
 	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace-stopMargin-time.Since(start))
--- a/internal/savorypingateway/stop_test.go
+++ b/internal/savorypingateway/stop_test.go
@@ -10,10 +10,10 @@
 var _ = Describe("A new stream at a gateway that is shutting down", func() {
 	const usual = 6 * time.Second
 	for _, c := range []struct {
-		name     string
-		since    time.Duration
-		grace    time.Duration
-		accepted bool
+		name      string
+		sinceStop time.Duration
+		grace     time.Duration
+		accepted  bool
 	}{
 		{"is accepted while the load balancer still sends new callers", 2 * time.Second, 8 * time.Second, true},
 		{"is refused after that, since it would be cut off", 3600 * time.Millisecond, 8 * time.Second, false},
@@ -21,7 +21,7 @@
 		{"is refused near the end of a long grace period", 50 * time.Second, time.Minute, false},
 	} {
 		It(c.name, func() {
-			Expect(acceptsStream(c.since, c.grace, usual)).To(Equal(c.accepted))
+			Expect(acceptsStream(c.sinceStop, c.grace, usual)).To(Equal(c.accepted))
 		})
 	}
 })
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -22,9 +22,9 @@
 	storeTimeout = 1500 * time.Millisecond
 	// storeConnectTimeout limits a connection attempt: a few round trips between regions.
 	storeConnectTimeout = 500 * time.Millisecond
-	// maxStoreAnswerBytes and maxStoreHeaderBytes limit the body and the header of a response.
-	maxStoreAnswerBytes = 8 << 20
-	maxStoreHeaderBytes = 64 << 10
+	// maxStoreResponseBytes and maxStoreHeaderBytes limit the body and the header of a response.
+	maxStoreResponseBytes = 8 << 20
+	maxStoreHeaderBytes   = 64 << 10
 	// watchHoldRatio is the fraction of a copy's maximum age for which the store may hold a
 	// watch open: a connection that has stalled is detected after it.
 	watchHoldRatio = 0.5
@@ -53,7 +53,8 @@
 	// confirmationsPerDelay is the number of times that a reader confirms the configuration
 	// within the revocation delay, for which a confirmation is valid.
 	confirmationsPerDelay = 5
-	// maxConfirmInterval limits the confirmation interval when keys are not strict.
+	// maxConfirmInterval limits the confirmation interval. A strict revocation delay may require
+	// a shorter one.
 	maxConfirmInterval = 2 * time.Second
 	// revocationMaxAgeRatio and configMaxAgeRatio are the fractions of the revocation and the
 	// configuration delay after which a gateway without a confirmation reads the store itself.
@@ -94,20 +95,22 @@
 	// notifyPeers is called when a copy has changed, to announce it to other gateways.
 	notifyPeers func()
 
-	// gate limits the calls to a failing store.
-	gate *savorypinbreaker.Breaker
+	// breaker limits the calls to a failing store.
+	breaker *savorypinbreaker.Breaker
 	// maxAges are the ages at which a gateway that is not a reader reads the store itself, by
 	// kind.
 	maxAges map[savorypin.Kind]time.Duration
 	// gatewayCount returns the number of gateways.
 	gatewayCount func() int
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// fetching is true for the kinds of which a transfer from another gateway is in progress.
 	fetching map[savorypin.Kind]bool
 	// inForce is the object that holds the configuration in force.
 	inForce      savorypin.Object
 	laterVersion peerVersion
-	unreachable  bool
+	// unreachable is true if the last call to the store failed.
+	unreachable bool
 }
 
 func newStore(cfg Config, v *view, c counters) *store {
@@ -127,12 +130,12 @@
 			EraBegan:   func(era int64) { cfg.Log.Emit(savorypinevent.EraBegan{Era: era}) },
 			HTTPClient: &http.Client{Transport: transport},
 			// Lists are read in pages of one megabyte.
-			MaxResponseBytes: maxStoreAnswerBytes,
+			MaxResponseBytes: maxStoreResponseBytes,
 			Timeout:          storeTimeout,
 			URL:              cfg.Settings.Store,
 		}),
 		fetching: map[savorypin.Kind]bool{},
-		gate:     savorypinbreaker.New(),
+		breaker:  savorypinbreaker.New(),
 		maxAges:  maxAgesByKind(cfg),
 		log:      cfg.Log,
 		mirrors:  map[savorypin.Kind]*savorypinmirror.Mirror{},
@@ -167,8 +170,8 @@
 }
 
 // needsConfirmation reports whether a copy is so old that another gateway has to be asked soon,
-// before this one has to read the store itself. With early set, the threshold is halved; it is
-// for the gateways that others ask.
+// before this one has to read the store itself. If early is set, the threshold is halved, as for
+// the gateways that others ask.
 func (s *store) needsConfirmation(early bool) bool {
 	ratio := askPeerAgeRatio
 	if early {
@@ -205,9 +208,9 @@
 		return
 	}
 	if err == nil {
-		s.gate.RecordSuccess()
+		s.breaker.RecordSuccess()
 	} else {
-		s.gate.RecordFailure(bootClock(), s.gatewayCount())
+		s.breaker.RecordFailure(bootClock(), s.gatewayCount())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -53,12 +53,13 @@
 	s.confirm(c.Kind, m.Echo.Sent, time.Duration(c.Age), c.Era)
 }
 
-// confirm records that a copy has all that another gateway had in an era, whose copy was
-// confirmed age before the request to it was sent. A copy older than its maximum age is used
-// only if the store does not answer.
-func (s *store) confirm(kind savorypin.Kind, asked, age time.Duration, era int64) {
-	s.mirrors[kind].Confirm(asked-age, era)
-	if age < s.maxAges[kind] || s.gate.Failing() {
+// confirm records that this gateway's copy of a kind contains all changes of another gateway's
+// copy in an era. The other gateway reported the age of its copy after requestedAt, when this
+// one sent it a message, so that its copy was confirmed at requestedAt minus that age or later.
+// At startup a copy older than its maximum age is used only if the store does not answer.
+func (s *store) confirm(kind savorypin.Kind, requestedAt, age time.Duration, era int64) {
+	s.mirrors[kind].Confirm(requestedAt-age, era)
+	if age < s.maxAges[kind] || s.breaker.Failing() {
 		s.markListed(kind)
 	}
 }
@@ -66,7 +67,7 @@
 // fetchChanges fetches the changes of a kind from another gateway.
 func (s *store) fetchChanges(address string, kind savorypin.Kind) {
 	mirror := s.mirrors[kind]
-	state, asked := mirror.State(), bootClock()
+	state, requestedAt := mirror.State(), bootClock()
 	t, ok := s.transfer(address, kind, state.Version, state.Era)
 	if !ok {
 		return
@@ -76,7 +77,7 @@
 		s.notifyPeers()
 	}
 	if t.Age >= 0 {
-		s.confirm(kind, asked, time.Duration(t.Age), t.Delta.Era)
+		s.confirm(kind, requestedAt, time.Duration(t.Age), t.Delta.Era)
 	}
 }
 
--- a/internal/savorypingateway/storeread.go
+++ b/internal/savorypingateway/storeread.go
@@ -46,7 +46,7 @@
 	for {
 		if age := s.age(kind); age >= interval {
 			reader := s.isReader()
-			if (reader || age >= maxAge) && s.gate.Allow(bootClock(), s.lastConfirmed(), reader) {
+			if (reader || age >= maxAge) && s.breaker.Allow(bootClock(), s.lastConfirmed(), reader) {
 				return ctx.Err()
 			}
 		}
@@ -97,7 +97,7 @@
 			case s.mirrors[kind].State().Version == 0:
 				// The first list may be long; only the client's timeouts apply.
 				return s.list(ctx, kind)
-			case s.isReader() && !s.gate.Failing():
+			case s.isReader() && !s.breaker.Failing():
 				return s.watchChanges(ctx, kind, maxAge)
 			default:
 				return s.catchUp(ctx, kind, maxAge)
@@ -181,14 +181,15 @@
 // watchOnce waits up to hold for changes after the copy's version.
 func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
 	mirror := s.mirrors[kind]
-	state, sent := mirror.State(), bootClock()
+	state, confirmedAt := mirror.State(), bootClock()
 	changed := false
 	err := s.client.WatchFor(ctx, kind, state.Version, hold, func(o savorypin.Object) error {
 		if o.Era != state.Era {
-			// The store was restored from an older copy, where versions mean something else.
+			// The store was restored from an older copy. Versions of different eras are not
+			// comparable, so the kind has to be listed again.
 			return savorypinplatform.ErrExpired
 		}
-		if o.Name == "" {
+		if o.Name == "" { // a bookmark, which carries only a version
 			mirror.Advance(o.Version, o.Era)
 			return nil
 		}
@@ -201,10 +202,11 @@
 	}
 	if err == nil {
 		if hold > immediateHold {
-			// The store responds when the hold time ends or with the last change.
-			sent = bootClock()
+			// The store ends its response when the hold time ends or with the last change, so
+			// that the copy was complete at that time.
+			confirmedAt = bootClock()
 		}
-		mirror.Confirm(sent, state.Era)
+		mirror.Confirm(confirmedAt, state.Era)
 		s.markListed(kind)
 	}
 	return err
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -38,12 +38,12 @@
 
 // stream is a request whose response is a sequence of events, over all of its attempts.
 type stream struct {
-	// backup is the endpoint that holds a copy of the run's memory, set with the first event
+	// backup is the endpoint that holds a copy of the run's KV cache, set with the first event
 	// of an attempt; nil if there is none.
 	backup *savorypinfleet.Endpoint
 	// headerSent is set once the response header was sent to the caller.
 	headerSent bool
-	// fullPrefill is set if the endpoint of the last attempt had to read the whole prompt.
+	// fullPrefill is set if the endpoint of the last attempt had to prefill the whole prompt.
 	fullPrefill bool
 	// firstEventDelay is the time from the request to the first event.
 	firstEventDelay time.Duration
@@ -126,7 +126,7 @@
 
 // run sends the request to endpoints until the response is complete.
 func (s *stream) run(ctx context.Context) error {
-	s.gateway.budgets.forService(s.req.service.Name()).RecordFirst()
+	s.gateway.retryBudgets.forService(s.req.service.Name()).RecordFirst()
 	lastErr := errNotRun
 	for s.attempts < s.req.route.MaxAttempts() {
 		if s.mayHaveRun && !s.req.route.Retryable() {
@@ -169,15 +169,15 @@
 	if s.attempts != 1 || s.req.call.LastEventID != "" {
 		return
 	}
-	run := savorypinforecast.CompletedStream{Events: s.lastEventID, TimeToFirstEvent: s.firstEventDelay, OutputTokens: s.req.call.OutputTokens, Duration: took}
+	completed := savorypinforecast.CompletedStream{Events: s.lastEventID, TimeToFirstEvent: s.firstEventDelay, OutputTokens: s.req.call.OutputTokens, Duration: took}
 	if s.fullPrefill {
-		run.PromptTokens = s.req.call.PromptTokens
+		completed.PromptTokens = s.req.call.PromptTokens
 	}
-	s.gateway.forecast.Observe(s.req.service.Name(), run)
+	s.gateway.forecast.Observe(s.req.service.Name(), completed)
 }
 
 // nextEndpoint returns the endpoint of the next attempt and whether it holds a copy of the run's
-// memory.
+// KV cache.
 func (s *stream) nextEndpoint(ctx context.Context) (*savorypinfleet.Endpoint, bool, error) {
 	if b := s.backup; b != nil {
 		s.backup = nil
@@ -192,7 +192,7 @@
 		if !s.mayHaveRun || s.gateway.retryDelay(s.req.service.Name()) > s.req.remaining() {
 			return nil, false, errNotRun
 		}
-		// A lost endpoint restarts within seconds; waiting for it saves reading the prompt again.
+		// A lost endpoint restarts within seconds; waiting for it saves prefilling the prompt again.
 		clear(s.tried)
 		if err := wait(ctx, endpointRetryInterval); err != nil {
 			return nil, false, err
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return err
 	}
-	if s.attempts > 0 && !g.budgets.forService(s.req.service.Name()).TryRepeat() {
+	if s.attempts > 0 && !g.retryBudgets.forService(s.req.service.Name()).TryRepeat() {
 		g.pool.Put(conn, 0)
 		return errBudgetSpent
 	}
@@ -65,7 +65,7 @@
 	return s.handleFailure(e, w, err, time.Since(start))
 }
 
-// handleFailure handles a failed attempt by its cause, and returns the error that names it.
+// handleFailure handles a failed attempt by its cause, and returns an error that names the cause.
 func (s *stream) handleFailure(e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
 	g := s.gateway
 	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) {
@@ -74,7 +74,7 @@
 	switch {
 	case w.unreachable.Load():
 		err = errUnreachable
-		g.failEndpoint(e, err.Error())
+		g.markEndpointFailed(e, err.Error())
 	case w.stalled.Load():
 		// The response was lost or the engine hangs. The endpoint is not marked suspect, since
 		// other requests still get their responses from it.
@@ -82,10 +82,10 @@
 		s.stalledAttempts++
 	case errors.Is(err, errReplaced):
 		g.picker.RecordReplacement(e)
-		g.failEndpoint(e, err.Error())
+		g.markEndpointFailed(e, err.Error())
 	case errors.Is(err, errNotRun), errors.Is(err, errCallerWrite), errors.Is(err, errEndpointFailed):
 	case isProtocolError(err):
-		g.distrustEndpoint(e, err.Error())
+		g.handleProtocolError(e, err.Error())
 	default:
 		g.handleBrokenConnection(e, err.Error())
 	}
@@ -161,7 +161,7 @@
 			return err
 		}
 		if !e.advances(s.lastEventID) {
-			// Neither a comment nor an event that the caller has counts as progress.
+			// Neither a comment nor an event that the caller already has counts as progress.
 			continue
 		}
 		if first {
@@ -169,7 +169,7 @@
 			onFirstEvent()
 			s.recordFirstEvent(a)
 			s.gateway.picker.RecordPromptCached(a.Endpoint, s.req.call.PromptID)
-			// Before the first event there is no memory of the run to copy.
+			// Before the first event the run has no KV cache to copy.
 			s.backup = a.Backup
 		}
 		w.recordEvent()
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -16,7 +16,8 @@
 // Time and size limits of the checks of a stream.
 const (
 	// firstCheckRatio is the fraction of the target latency after which an endpoint that has
-	// sent no event is asked for a report of its requests: reading a prompt takes about as long.
+	// sent no event is asked for a report of its requests: the prefill of a prompt takes about as
+	// long.
 	firstCheckRatio = 0.35
 	// reportTimeout limits the time of a report.
 	reportTimeout = 400 * time.Millisecond
@@ -29,7 +30,7 @@
 	defaultTargetGap = time.Second
 	// firstLimitFactor multiplies the target latency to give the time without a first event
 	// after which an attempt is abandoned although the endpoint has the request. It is generous
-	// since another endpoint would have to read the prompt again.
+	// since another endpoint would have to prefill the prompt again.
 	firstLimitFactor = 2
 	// defaultTargetLatency applies if the route has no target latency.
 	defaultTargetLatency = 5 * time.Second
@@ -51,11 +52,11 @@
 	lastEventAt atomic.Int64
 	// longestPause is the longest time between two events so far, in nanoseconds.
 	longestPause atomic.Int64
-	// unreachable is set if the attempt was abandoned since the host did not answer, stalled if
-	// it did answer but the stream made no progress.
+	// unreachable is set if the attempt was abandoned because the host did not answer, stalled
+	// if it did answer but the stream made no progress.
 	unreachable atomic.Bool
 	stalled     atomic.Bool
-	id          string
+	requestID   string
 	// paused is set while an event is being written to the caller.
 	paused atomic.Bool
 	// sentAt is when the request was sent.
@@ -66,14 +67,14 @@
 	timer         *time.Timer
 }
 
-// newWatchdog starts a watchdog for one attempt. Stalled is the number of earlier attempts of the
-// stream that were abandoned although their hosts answered.
+// newWatchdog starts a watchdog for one attempt. stalledBefore is the number of earlier attempts
+// of the stream that were abandoned although their hosts answered.
 func (g *Gateway) newWatchdog(
 	ctx context.Context,
 	req *request,
 	e *savorypinfleet.Endpoint,
 	conn *savorypinpool.Conn,
-	stalled int,
+	stalledBefore int,
 ) *watchdog {
 	target := req.route.TargetLatency()
 	if target == 0 {
@@ -83,7 +84,7 @@
 	if gap == 0 {
 		gap = defaultTargetGap
 	}
-	w := &watchdog{conn: conn, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, id: req.call.ID, sentAt: time.Now(), stalledBefore: stalled}
+	w := &watchdog{conn: conn, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, requestID: req.call.ID, sentAt: time.Now(), stalledBefore: stalledBefore}
 	w.timeouts.Store(&stallTimeouts{
 		check: time.Duration(firstCheckRatio * float64(target)),
 		limit: time.Duration(firstLimitFactor * float64(target)),
@@ -102,9 +103,9 @@
 	if w.firstEventSeen.Swap(true) && pause > w.longestPause.Load() {
 		w.longestPause.Store(pause)
 	}
-	b := eventTimeouts(w.targetGap, w.stalledBefore, time.Duration(w.longestPause.Load()))
-	w.timeouts.Store(&b)
-	w.timer.Reset(b.check)
+	timeouts := eventTimeouts(w.targetGap, w.stalledBefore, time.Duration(w.longestPause.Load()))
+	w.timeouts.Store(&timeouts)
+	w.timer.Reset(timeouts.check)
 }
 
 // pause stops the watchdog while an event is written to the caller: a slow caller says nothing
@@ -146,20 +147,20 @@
 	lastEvent := w.lastEventAt.Load()
 	conn, err := w.gateway.pool.Open(w.ctx, w.endpoint.Address(), w.gateway.connectTimeout(w.endpoint))
 	reported := err == nil && w.mayHaveRequest(conn)
-	sent := time.Since(w.sentAt)
-	healthy := err == nil && !isMissing(reported, sent)
+	sinceSent := time.Since(w.sentAt)
+	healthy := err == nil && !isMissing(reported, sinceSent)
 	if w.lastEventAt.Load() != lastEvent || w.ctx.Err() != nil {
 		return
 	}
 	idle := time.Since(time.Unix(0, lastEvent))
-	b := w.timeouts.Load()
+	timeouts := w.timeouts.Load()
 	if healthy && w.paused.Load() {
 		return
 	}
-	if healthy && idle <= b.limit {
-		delay := min(b.check, max(b.limit-idle, time.Millisecond))
+	if healthy && idle <= timeouts.limit {
+		delay := min(timeouts.check, max(timeouts.limit-idle, time.Millisecond))
 		if !reported {
-			delay = maxReportAge - sent
+			delay = maxReportAge - sinceSent
 		}
 		w.timer.Reset(delay)
 		return
@@ -169,17 +170,17 @@
 	w.conn.Close()
 }
 
-// isMissing reports whether an engine does not have a request that was sent some time ago, given
-// whether the engine's report may include it. Reports lag behind: when a failure domain is lost,
-// all streams there are checked at once, including those that were just sent.
-func isMissing(reported bool, sent time.Duration) bool {
-	return !reported && sent >= maxReportAge
+// isMissing reports whether an engine does not have a request, given whether the engine's report
+// includes or may include it, and the time since it was sent. Reports lag behind: when a failure
+// domain is lost, all streams there are checked at once, including those that were just sent.
+func isMissing(reported bool, sinceSent time.Duration) bool {
+	return !reported && sinceSent >= maxReportAge
 }
 
 // mayHaveRequest reports whether the engine has the request, or may have it among those that its
-// report does not name. It takes ownership of the connection. It returns true without a report
-// after the first event, when only the timeouts decide since an engine may have a run whose
-// response is lost, and while the endpoint has asked for a pause.
+// report counts but does not name. It takes ownership of the connection. After the first event it
+// returns true without a report: the engine may still run a request whose response is lost, so
+// that only the timeouts decide. It does the same during a pause that the endpoint asked for.
 func (w *watchdog) mayHaveRequest(conn *savorypinpool.Conn) bool {
 	if w.firstEventSeen.Load() || w.gateway.admission.Paused(w.endpoint) {
 		w.gateway.pool.Put(conn, 0)
@@ -188,11 +189,11 @@
 	report, keepAlive, err := w.gateway.fetchReport(conn, w.endpoint)
 	if err != nil {
 		conn.Close()
-		w.gateway.log.Debug("requesting the engine's report failed", "id", w.id, "endpoint", w.endpoint.ID(), "err", err)
+		w.gateway.log.Debug("requesting the engine's report failed", "id", w.requestID, "endpoint", w.endpoint.ID(), "err", err)
 		return false
 	}
 	w.gateway.pool.Put(conn, keepAlive)
-	return report.Pending > 0 || slices.Contains(report.Running, w.id)
+	return report.Pending > 0 || slices.Contains(report.Running, w.requestID)
 }
 
 // fetchReport requests an engine's report of its requests and the keep-alive of the connection.
