savorypinpick: name endpoint and domain state plainly

The type load, beside the exported Load, held an endpoint's whole state, and domain was both a record and a name; they are now endpointState and domainRecord, with fields that say what they count or when they end. Prompts were identified by "names"; they have IDs, as in savorypinfleet (the JSON field keeps its name). Some comments did not fit the code: Choose selects by score, localSuspectUntil ended the reports of a suspicion and not a part of it, and minFailedEndpoints also applies to restarts.

--- a/internal/savorypinpick/gossip.go
+++ b/internal/savorypinpick/gossip.go
@@ -20,7 +20,8 @@
 type Load struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
 	Endpoint string   `msgpack:"e"`
-	// Prompts names the last parts of the prompts whose prefill at the endpoint is done.
+	// Prompts are the IDs of the last parts of the prompts that the endpoint has prefilled
+	// for running streams.
 	Prompts []string `msgpack:"p,omitempty"`
 	Running int64    `msgpack:"r"`
 	// Waiting is the number of prompt tokens still to be prefilled.
@@ -44,8 +45,8 @@
 	service string
 }
 
-// recordFailure records a domain failure and reports whether it was unknown. The caller
-// must hold p.mu.
+// recordFailure records a domain failure and reports whether it is new. The caller must
+// hold p.mu.
 func (p *Picker) recordFailure(f failureRecord) bool {
 	kept := p.failures[:0]
 	for _, known := range p.failures {
@@ -97,7 +98,7 @@
 }
 
 // RecordRemoteFailure records a domain failure that another gateway detected. It reports
-// whether the failure was unknown.
+// whether the failure is new.
 func (p *Picker) RecordRemoteFailure(f Failure) bool {
 	if f.Age < 0 || f.Age >= failureTTL {
 		return false
@@ -120,12 +121,12 @@
 func (p *Picker) Loads() []Load {
 	prompts := p.prompts.runningByEndpoint()
 	var loads []Load
-	p.loads.Range(func(id, value any) bool {
-		l := value.(*load)
-		if running := l.running.Load(); running > 0 && !l.plain.Load() {
-			read := prompts[id.(string)]
+	p.states.Range(func(id, value any) bool {
+		state := value.(*endpointState)
+		if running := state.running.Load(); running > 0 && !state.plain.Load() {
+			promptIDs := prompts[id.(string)]
 			loads = append(loads, Load{
-				Endpoint: id.(string), Prompts: read[:min(len(read), maxPromptsPerLoad)], Running: running, Waiting: l.waiting.Load(),
+				Endpoint: id.(string), Prompts: promptIDs[:min(len(promptIDs), maxPromptsPerLoad)], Running: running, Waiting: state.waitingTokens.Load(),
 			})
 		}
 		return true
@@ -154,9 +155,9 @@
 }
 
 func (p *Picker) addRemoteLoad(l Load, sign int64) {
-	target := p.loadByID(l.Endpoint)
-	target.remoteRunning.Add(sign * l.Running)
-	target.remoteWaiting.Add(sign * l.Waiting)
+	state := p.stateByID(l.Endpoint)
+	state.remoteRunning.Add(sign * l.Running)
+	state.remoteWaitingTokens.Add(sign * l.Waiting)
 }
 
 // RetainGateways removes the loads of gateways that are not in live.
@@ -174,13 +175,14 @@
 	}
 }
 
-// Suspects returns the sorted IDs of the endpoints that this gateway itself found to
-// have failed.
+// Suspects returns the sorted IDs of the endpoints of which this gateway itself has
+// observed a failure or a protocol error within sharedSuspicionTTL, and which have not
+// answered since.
 func (p *Picker) Suspects() []string {
 	now := p.cfg.Now().UnixNano()
 	var suspects []string
-	p.loads.Range(func(id, value any) bool {
-		if now < value.(*load).localSuspectUntil.Load() {
+	p.states.Range(func(id, value any) bool {
+		if now < value.(*endpointState).shareSuspicionUntil.Load() {
 			suspects = append(suspects, id.(string))
 		}
 		return true
@@ -189,28 +191,28 @@
 	return suspects
 }
 
-// RecordRemoteSuspect marks an endpoint as suspect because another gateway found it to have
-// failed.
+// RecordRemoteSuspect marks an endpoint as suspect because another gateway reported it
+// as suspect.
 func (p *Picker) RecordRemoteSuspect(e *savorypinfleet.Endpoint) {
-	p.load(e).extendSuspicion(p.cfg.Now().Add(sharedSuspicionTTL).UnixNano())
+	p.state(e).extendSuspicion(p.cfg.Now().Add(sharedSuspicionTTL).UnixNano())
 }
 
 // RecordRestarts records that endpoints were lost and have started again. Restarts of
-// several endpoints of a domain at about the same time count as a failure of the
-// domain, even if no request was there to fail.
+// several endpoints of a domain within restartWindow count as a failure of the domain,
+// even if no request has failed there.
 func (p *Picker) RecordRestarts(endpoints []*savorypinfleet.Endpoint) {
 	now := p.cfg.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range endpoints {
-		d := p.domain(e.Domain(), e.Service())
-		for id, at := range d.restarted {
+		d := p.domainRecord(e.Domain(), e.Service())
+		for id, at := range d.restartedAt {
 			if now.Sub(at) > restartWindow {
-				delete(d.restarted, id)
+				delete(d.restartedAt, id)
 			}
 		}
-		d.restarted[e.ID()] = now
-		if len(d.restarted) >= domainFailures {
+		d.restartedAt[e.ID()] = now
+		if len(d.restartedAt) >= minFailedEndpoints {
 			age := max(0, min(now.Sub(e.Started()), restartWindow))
 			p.cfg.Hazard.Record(e.Domain(), now.Add(-age))
 		}
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -25,8 +25,9 @@
 	// domainWindow is the time within which failures of several endpoints count as a
 	// failure of their domain.
 	domainWindow = 400 * time.Millisecond
-	// domainFailures is the number of endpoints that must fail within the window.
-	domainFailures = 2
+	// minFailedEndpoints is the number of endpoints that must fail within domainWindow, or
+	// restart within restartWindow, to count as a failure of their domain.
+	minFailedEndpoints = 2
 	// expectedFailureRisk is the probability of a domain failure within
 	// expectedFailureWindow, centred on now, above which the failure of a single endpoint
 	// counts as the failure of its domain.
@@ -41,8 +42,8 @@
 	// scoreMarginTokens is the score difference, in tokens, up to which endpoints count
 	// as equal. It equals the score of one running request.
 	scoreMarginTokens = 400
-	// backupRiskWeight is the score of a certain failure in the selection of a backup; a
-	// backup kept there or a running request scores one.
+	// backupRiskWeight is the score of a failure risk of 1 in the selection of an endpoint
+	// for a backup. Each backup that it keeps and each request that it runs score 1.
 	backupRiskWeight = 4
 	// initialStreamDuration is the average stream duration assumed before any stream has
 	// completed, and initialPrefillDuration the average prefill duration.
@@ -51,7 +52,7 @@
 	// durationWeight is the weight of a new sample in the moving averages of durations.
 	durationWeight = 0.05
 	// runningRequestTokens is the score of a running request, in waiting prompt tokens:
-	// it slows each further token down a little.
+	// it slightly slows down the generation of tokens for the other requests.
 	runningRequestTokens = 400
 	// latencyWeight is the weight of a new sample in the moving averages of latency and
 	// failure rate.
@@ -87,34 +88,34 @@
 	SuspectTimeout time.Duration
 }
 
-// load is the known state of one endpoint. Times are in nanoseconds since the epoch,
-// zero for none.
-type load struct {
+// endpointState is the known state of one endpoint. Times are in nanoseconds since the
+// epoch, zero for none.
+type endpointState struct {
 	backups atomic.Int64
-	// failedAt is when the endpoint last failed without having answered since, and
-	// replacedAt when another incarnation answered at its address.
+	// failedAt is when the endpoint or its domain last failed, unless the endpoint has
+	// answered since. replacedAt is when another incarnation answered at its address.
 	failedAt    atomic.Int64
 	replacedAt  atomic.Int64
 	failureRate atomic.Int64 // moving average, in millionths
 	latency     atomic.Int64 // moving average in nanoseconds
 	// remoteRunning and remoteWaiting are the sums reported by other gateways.
-	remoteRunning atomic.Int64
-	remoteWaiting atomic.Int64
-	running       atomic.Int64
-	// localSuspectUntil ends the part of the suspicion that is based on this gateway's
-	// own observations.
-	localSuspectUntil atomic.Int64
+	remoteRunning       atomic.Int64
+	remoteWaitingTokens atomic.Int64
+	running             atomic.Int64
+	// shareSuspicionUntil is until when this gateway reports the endpoint as suspect to
+	// other gateways. Only this gateway's own observations set it.
+	shareSuspicionUntil atomic.Int64
 	// plain is true if the endpoint's responses are not streams.
-	plain        atomic.Bool
-	suspectUntil atomic.Int64
-	waiting      atomic.Int64 // prompt tokens of requests without a first event
+	plain         atomic.Bool
+	suspectUntil  atomic.Int64
+	waitingTokens atomic.Int64 // prompt tokens of requests without a first event
 }
 
-// domain holds the recent failures and restarts of a service in a failure domain, by
-// endpoint ID.
-type domain struct {
-	failed    map[string]time.Time
-	restarted map[string]time.Time
+// domainRecord holds the times of the recent failures and restarts of a service in a
+// failure domain, by endpoint ID.
+type domainRecord struct {
+	failedAt    map[string]time.Time
+	restartedAt map[string]time.Time
 }
 
 // Picker selects endpoints. It is safe for concurrent use.
@@ -124,43 +125,44 @@
 	// time until its prompt is prefilled, both in nanoseconds.
 	streamDuration  atomic.Int64
 	prefillDuration atomic.Int64
-	loads           sync.Map
+	states          sync.Map
 	prompts         *promptIndex
 
-	mu          sync.Mutex
-	domains     map[string]*domain
+	mu sync.Mutex
+	// domains is keyed by failure domain and service, joined by a slash.
+	domains     map[string]*domainRecord
 	failures    []failureRecord
 	remoteLoads map[string][]Load
 }
 
 // New returns a Picker without observations.
 func New(cfg Config) *Picker {
-	p := &Picker{cfg: cfg, domains: map[string]*domain{}, remoteLoads: map[string][]Load{}}
+	p := &Picker{cfg: cfg, domains: map[string]*domainRecord{}, remoteLoads: map[string][]Load{}}
 	p.streamDuration.Store(int64(initialStreamDuration))
 	p.prefillDuration.Store(int64(initialPrefillDuration))
 	p.prompts = newPromptIndex(cfg.PromptRetention, cfg.Now)
 	return p
 }
 
-func (p *Picker) load(e *savorypinfleet.Endpoint) *load {
-	return p.loadByID(e.ID())
+func (p *Picker) state(e *savorypinfleet.Endpoint) *endpointState {
+	return p.stateByID(e.ID())
 }
 
-func (p *Picker) loadByID(id string) *load {
-	if l, ok := p.loads.Load(id); ok {
-		return l.(*load)
+func (p *Picker) stateByID(id string) *endpointState {
+	if state, ok := p.states.Load(id); ok {
+		return state.(*endpointState)
 	}
-	l, _ := p.loads.LoadOrStore(id, &load{})
-	return l.(*load)
+	state, _ := p.states.LoadOrStore(id, &endpointState{})
+	return state.(*endpointState)
 }
 
-// domain returns the record of a service in a failure domain, and creates it if needed.
-// The caller must hold p.mu.
-func (p *Picker) domain(name, service string) *domain {
+// domainRecord returns the record of a service in a failure domain, and creates it if
+// needed. The caller must hold p.mu.
+func (p *Picker) domainRecord(name, service string) *domainRecord {
 	key := name + "/" + service
 	d := p.domains[key]
 	if d == nil {
-		d = &domain{failed: map[string]time.Time{}, restarted: map[string]time.Time{}}
+		d = &domainRecord{failedAt: map[string]time.Time{}, restartedAt: map[string]time.Time{}}
 		p.domains[key] = d
 	}
 	return d
@@ -176,14 +178,14 @@
 	Excluded map[string]bool
 	// Plain is true if the response is not a stream.
 	Plain bool
-	// Prompt is the name of the last part of the prompt; empty if unknown.
+	// Prompt is the ID of the last part of the prompt; empty if unknown.
 	Prompt string
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
 }
 
-// Choose returns the endpoint that is expected to answer first, or nil if there is
-// none.
+// Choose returns the endpoint with the best score, or nil if there is none. It returns a
+// suspect endpoint only if all are suspect.
 func (p *Picker) Choose(q Query) *savorypinfleet.Endpoint {
 	if q.Plain {
 		return p.choosePlain(q)
@@ -199,10 +201,10 @@
 	}))
 }
 
-// chooseStream scores a sample of the endpoints that is determined by the prompt. Load
-// reports of other gateways arrive late, so if every gateway scored all endpoints, all
-// would select the same one. A repeated prompt gets the same sample at every gateway
-// and so can reach the engine that has it cached.
+// chooseStream scores the endpoint that has the prompt cached and a sample of the others
+// that is determined by the prompt. Load reports of other gateways arrive late, so if
+// every gateway scored all endpoints, all would select the same one. A repeated prompt
+// gets the same sample at every gateway and so can reach the engine that has it cached.
 func (p *Picker) chooseStream(q Query) *savorypinfleet.Endpoint {
 	now := p.cfg.Now()
 	risks := p.risks(now)
@@ -232,8 +234,8 @@
 
 // cachedEndpoint returns the endpoint that has a prompt cached, or nil if it is unknown
 // or not among endpoints.
-func (p *Picker) cachedEndpoint(endpoints []*savorypinfleet.Endpoint, prompt string) *savorypinfleet.Endpoint {
-	id := p.prompts.endpointFor(prompt)
+func (p *Picker) cachedEndpoint(endpoints []*savorypinfleet.Endpoint, promptID string) *savorypinfleet.Endpoint {
+	id := p.prompts.endpointFor(promptID)
 	if id == "" {
 		return nil
 	}
@@ -270,9 +272,10 @@
 	average.Store(old + int64(durationWeight*float64(int64(d)-old)))
 }
 
-// ChooseBackup returns the endpoint that keeps a backup of the KV cache of a run on
-// primary: one in another failure domain with few backups and requests. It returns nil
-// if no endpoint in another domain is free of suspicion.
+// ChooseBackup returns the endpoint that keeps a backup of the KV cache of a request on
+// primary: one with few backups and requests in another failure domain with a low
+// failure risk. Endpoints that may be lost are used only if there are no others. It
+// returns nil if all endpoints in other domains are suspect.
 func (p *Picker) ChooseBackup(primary *savorypinfleet.Endpoint, q Query) *savorypinfleet.Endpoint {
 	now := p.cfg.Now()
 	risks := p.risks(now)
@@ -290,8 +293,8 @@
 		eligible = possiblyLost
 	}
 	return randomEndpoint(lowestScored(eligible, 0, func(e *savorypinfleet.Endpoint) float64 {
-		l := p.load(e)
-		s := float64(l.backups.Load()) + p.runningRequests(l) + backupRiskWeight*risks[e.Domain()]
+		state := p.state(e)
+		s := float64(state.backups.Load()) + p.runningRequests(state) + backupRiskWeight*risks[e.Domain()]
 		if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 			s++
 		}
@@ -299,28 +302,28 @@
 	}))
 }
 
-// WaitingTokens returns the number of prompt tokens known to wait at an endpoint, over all
-// gateways.
+// WaitingTokens returns the number of prompt tokens known to wait at an endpoint, over
+// all gateways.
 func (p *Picker) WaitingTokens(e *savorypinfleet.Endpoint) int {
-	l := p.load(e)
-	return int(l.waiting.Load() + l.remoteWaiting.Load())
+	state := p.state(e)
+	return int(state.waitingTokens.Load() + state.remoteWaitingTokens.Load())
 }
 
-// RemoveUnlisted removes the state of endpoints that are not in the directory and have no work.
-// The counters must stay until all work has ended: an entry that lapsed may come back,
-// and the end of its work is then subtracted from the same counters.
+// RemoveUnlisted removes the state of endpoints that are not in the directory and have
+// no work. The counters must stay until all work has ended: an entry that lapsed may come
+// back, and the end of its work is then subtracted from the same counters.
 func (p *Picker) RemoveUnlisted(d *savorypinfleet.Directory) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads.Range(func(id, value any) bool {
-		if d.Endpoint(id.(string)) == nil && value.(*load).idle() {
-			p.loads.Delete(id)
+	p.states.Range(func(id, value any) bool {
+		if d.Endpoint(id.(string)) == nil && value.(*endpointState).idle() {
+			p.states.Delete(id)
 		}
 		return true
 	})
 }
 
 // idle reports whether no gateway has work at the endpoint.
-func (l *load) idle() bool {
-	return l.backups.Load() == 0 && l.running.Load() == 0 && l.remoteRunning.Load() == 0
+func (s *endpointState) idle() bool {
+	return s.backups.Load() == 0 && s.running.Load() == 0 && s.remoteRunning.Load() == 0
 }
--- a/internal/savorypinpick/picker_test.go
+++ b/internal/savorypinpick/picker_test.go
@@ -18,18 +18,18 @@
 // the Picker's region.
 type fleet struct {
 	endpoints []*savorypinfleet.Endpoint
-	// listed is when the endpoint list was last confirmed; it applies during a store
-	// outage only.
-	listed time.Time
-	now    time.Time
-	outage bool
-	picker *savorypinpick.Picker
+	// listConfirmedAt is when the endpoint list was last confirmed, during a store outage;
+	// otherwise the list is always up to date.
+	listConfirmedAt time.Time
+	now             time.Time
+	storeOutage     bool
+	picker          *savorypinpick.Picker
 }
 
-// startStoreOutage makes the store unavailable from now on.
+// startStoreOutage makes the store unavailable until storeOutage is reset.
 func (f *fleet) startStoreOutage() {
-	f.listed = f.now
-	f.outage = true
+	f.listConfirmedAt = f.now
+	f.storeOutage = true
 }
 
 func newFleet() *fleet {
@@ -38,8 +38,8 @@
 	f.picker = savorypinpick.New(savorypinpick.Config{
 		Gateways: func() int { return 1 },
 		ListConfirmedAt: func() time.Time {
-			if f.outage {
-				return f.listed
+			if f.storeOutage {
+				return f.listConfirmedAt
 			}
 			return f.now
 		},
@@ -169,9 +169,9 @@
 	})
 
 	for _, c := range []struct {
-		name   string
-		copied bool
-		want   string
+		name     string
+		backedUp bool
+		want     string
 	}{
 		{"accept a longer queue to avoid the domain that fails next", false, "b"},
 		{"don't accept a longer queue to avoid that domain if their KV cache is backed up", true, "a"},
@@ -190,7 +190,7 @@
 				}
 			}
 			q := f.query()
-			q.BackedUp = c.copied
+			q.BackedUp = c.backedUp
 			Expect(f.picker.Choose(q).Domain()).To(Equal(c.want))
 		})
 	}
@@ -214,7 +214,7 @@
 			f.picker.Begin(e, nil, 3*promptTokens)
 		}
 		Expect(f.picker.Choose(f.query())).NotTo(Equal(f.endpoints[0]))
-		f.outage = false
+		f.storeOutage = false
 		Expect(f.picker.Choose(f.query())).To(Equal(f.endpoints[0]))
 	})
 
@@ -271,7 +271,7 @@
 	})
 })
 
-var _ = Describe("Backups of a run's KV cache", func() {
+var _ = Describe("Backups of a request's KV cache", func() {
 	It("are kept in another domain that is not suspect and has few of them", func() {
 		f := newFleet()
 		f.failDomain("b")
@@ -296,7 +296,7 @@
 			Expect(backup.Domain()).To(Equal("c"))
 			f.picker.Begin(f.endpoints[0], backup, promptTokens)
 		}
-		f.outage = false
+		f.storeOutage = false
 		Expect(f.picker.ChooseBackup(f.endpoints[0], f.query()).Domain()).To(Equal("b"))
 	})
 
--- a/internal/savorypinpick/prompts.go
+++ b/internal/savorypinpick/prompts.go
@@ -8,20 +8,22 @@
 	"savorypin/internal/savorypinfleet"
 )
 
-// maxPrompts is the number of prompts at which expired locations are pruned.
-const maxPrompts = 8192
+// pruneThreshold is the number of locations from which on adding a prompt first removes
+// the expired ones.
+const pruneThreshold = 8192
 
 // Prompt is the location of a cached prompt, as gateways keep it in the store.
 type Prompt struct {
 	Endpoint string `json:"endpoint"`
-	// Name is the name of the last part of the prompt.
-	Name string `json:"name"`
+	// ID is the ID of the last part of the prompt.
+	ID string `json:"name"`
 }
 
-// promptLocation is the engine that last prefilled a prompt.
+// promptLocation is the engine that last prefilled a prompt, and the time of the last
+// report of it.
 type promptLocation struct {
-	at       time.Time
-	endpoint string
+	recordedAt time.Time
+	endpoint   string
 }
 
 // promptIndex records which engine has cached which prompt. If a gateway is lost, its
@@ -43,21 +45,22 @@
 
 // record sets the location of a prompt. The caller must hold p.mu.
 func (p *promptIndex) record(prompt Prompt) {
-	if prompt.Name == "" {
+	if prompt.ID == "" {
 		return
 	}
-	if len(p.locations) >= maxPrompts {
+	if len(p.locations) >= pruneThreshold {
 		p.prune()
 	}
-	p.locations[prompt.Name] = promptLocation{at: p.now(), endpoint: prompt.Endpoint}
+	p.locations[prompt.ID] = promptLocation{recordedAt: p.now(), endpoint: prompt.Endpoint}
 }
 
-// recordRemote records prompts that run at an endpoint through another gateway.
-func (p *promptIndex) recordRemote(endpoint string, names []string) {
+// recordRemote records the prompts of streams that run at an endpoint through another
+// gateway.
+func (p *promptIndex) recordRemote(endpoint string, promptIDs []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, name := range names {
-		p.record(Prompt{Endpoint: endpoint, Name: name})
+	for _, id := range promptIDs {
+		p.record(Prompt{Endpoint: endpoint, ID: id})
 	}
 }
 
@@ -66,16 +69,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.record(prompt)
-	p.running[prompt.Name] = prompt.Endpoint
+	p.running[prompt.ID] = prompt.Endpoint
 }
 
 // streamEnded records that the stream of this gateway with a prompt has ended.
-func (p *promptIndex) streamEnded(name string) {
+func (p *promptIndex) streamEnded(promptID string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if endpoint, ok := p.running[name]; ok {
-		p.record(Prompt{Endpoint: endpoint, Name: name})
-		delete(p.running, name)
+	if endpoint, ok := p.running[promptID]; ok {
+		p.record(Prompt{Endpoint: endpoint, ID: promptID})
+		delete(p.running, promptID)
 	}
 }
 
@@ -83,34 +86,34 @@
 // caller must hold p.mu.
 func (p *promptIndex) prune() {
 	now := p.now()
-	for name, place := range p.locations {
-		if now.Sub(place.at) > p.retention {
-			delete(p.locations, name)
+	for promptID, location := range p.locations {
+		if now.Sub(location.recordedAt) > p.retention {
+			delete(p.locations, promptID)
 		}
 	}
 }
 
 // endpointFor returns the ID of the engine that has a prompt cached; empty if unknown.
-func (p *promptIndex) endpointFor(name string) string {
+func (p *promptIndex) endpointFor(promptID string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	place, ok := p.locations[name]
-	if !ok || p.now().Sub(place.at) > p.retention {
+	location, ok := p.locations[promptID]
+	if !ok || p.now().Sub(location.recordedAt) > p.retention {
 		return ""
 	}
-	return place.endpoint
+	return location.endpoint
 }
 
 // RecordPromptCached records that an engine has prefilled the prompt of a stream.
-func (p *Picker) RecordPromptCached(e *savorypinfleet.Endpoint, name string) {
-	if name != "" {
-		p.prompts.streamStarted(Prompt{Endpoint: e.ID(), Name: name})
+func (p *Picker) RecordPromptCached(e *savorypinfleet.Endpoint, promptID string) {
+	if promptID != "" {
+		p.prompts.streamStarted(Prompt{Endpoint: e.ID(), ID: promptID})
 	}
 }
 
 // RecordStreamEnd records that the stream with a prompt has ended.
-func (p *Picker) RecordStreamEnd(name string) {
-	p.prompts.streamEnded(name)
+func (p *Picker) RecordStreamEnd(promptID string) {
+	p.prompts.streamEnded(promptID)
 }
 
 // runningByEndpoint returns the prompts of this gateway's running streams by engine.
@@ -118,32 +121,32 @@
 func (p *promptIndex) runningByEndpoint() map[string][]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	names := map[string][]string{}
-	for name, endpoint := range p.running {
-		names[endpoint] = append(names[endpoint], name)
+	promptIDs := map[string][]string{}
+	for id, endpoint := range p.running {
+		promptIDs[endpoint] = append(promptIDs[endpoint], id)
 	}
-	for _, list := range names {
-		slices.Sort(list)
+	for _, ids := range promptIDs {
+		slices.Sort(ids)
 	}
-	return names
+	return promptIDs
 }
 
-// RecentPrompts returns the prompts of all gateways that are running here or were
-// recorded within the given time.
+// RecentPrompts returns the prompts, whichever gateway reported them, that belong to
+// running streams of this gateway or were recorded within the given time.
 func (p *Picker) RecentPrompts(within time.Duration) []Prompt {
 	p.prompts.mu.Lock()
 	defer p.prompts.mu.Unlock()
 	now := p.cfg.Now()
-	var known []Prompt
-	for name, place := range p.prompts.locations {
-		if _, running := p.prompts.running[name]; running || now.Sub(place.at) < within {
-			known = append(known, Prompt{Endpoint: place.endpoint, Name: name})
+	var recent []Prompt
+	for id, location := range p.prompts.locations {
+		if _, running := p.prompts.running[id]; running || now.Sub(location.recordedAt) < within {
+			recent = append(recent, Prompt{Endpoint: location.endpoint, ID: id})
 		}
 	}
-	return known
+	return recent
 }
 
-// AddPrompts records prompts that ran through other gateways.
+// AddPrompts records prompts that were read from the store.
 func (p *Picker) AddPrompts(prompts []Prompt) {
 	p.prompts.mu.Lock()
 	defer p.prompts.mu.Unlock()
@@ -153,11 +156,11 @@
 }
 
 // PromptCached reports whether any engine probably has a prompt cached.
-func (p *Picker) PromptCached(name string) bool {
-	return name != "" && p.prompts.endpointFor(name) != ""
+func (p *Picker) PromptCached(promptID string) bool {
+	return promptID != "" && p.prompts.endpointFor(promptID) != ""
 }
 
 // PromptCachedAt reports whether the given engine probably has a prompt cached.
-func (p *Picker) PromptCachedAt(e *savorypinfleet.Endpoint, name string) bool {
-	return name != "" && p.prompts.endpointFor(name) == e.ID()
+func (p *Picker) PromptCachedAt(e *savorypinfleet.Endpoint, promptID string) bool {
+	return promptID != "" && p.prompts.endpointFor(promptID) == e.ID()
 }
--- a/internal/savorypinpick/score.go
+++ b/internal/savorypinpick/score.go
@@ -81,8 +81,8 @@
 // streamScore returns the score of an endpoint for a stream, in tokens; lower is
 // better.
 func (p *Picker) streamScore(e *savorypinfleet.Endpoint, q Query, risks map[string]float64) float64 {
-	l := p.load(e)
-	s := float64(l.waiting.Load()+l.remoteWaiting.Load()) + p.runningRequests(l)*runningRequestTokens
+	state := p.state(e)
+	s := float64(state.waitingTokens.Load()+state.remoteWaitingTokens.Load()) + p.runningRequests(state)*runningRequestTokens
 	s += risks[e.Domain()] * p.exposedFraction(q) * float64(q.PromptTokens)
 	if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 		s += crossRegionPenaltyTokens
@@ -97,20 +97,20 @@
 
 // runningRequests returns the number of requests known to run at an endpoint, over all
 // gateways.
-func (p *Picker) runningRequests(l *load) float64 {
-	return float64(l.running.Load() + l.remoteRunning.Load())
+func (p *Picker) runningRequests(state *endpointState) float64 {
+	return float64(state.running.Load() + state.remoteRunning.Load())
 }
 
 // plainScore returns the score of an endpoint for a plain request, in nanoseconds;
 // lower is better.
 func (p *Picker) plainScore(e *savorypinfleet.Endpoint) float64 {
-	l := p.load(e)
-	latency := float64(l.latency.Load())
+	state := p.state(e)
+	latency := float64(state.latency.Load())
 	if latency == 0 {
 		latency = float64(initialLatency)
 	}
-	s := latency + latency*p.runningRequests(l)/float64(e.Slots())
-	s += float64(failurePenalty) * float64(l.failureRate.Load()) / 1e6
+	s := latency + latency*p.runningRequests(state)/float64(e.Slots())
+	s += float64(failurePenalty) * float64(state.failureRate.Load()) / 1e6
 	if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 		s += float64(crossRegionLatencyPenalty)
 	}
--- a/internal/savorypinpick/work.go
+++ b/internal/savorypinpick/work.go
@@ -9,28 +9,28 @@
 
 // Work is one request at one endpoint, from sending it to its end.
 type Work struct {
-	backup        *load
+	backup        *endpointState
 	startedAt     time.Time
 	ended         atomic.Bool
-	load          *load
+	endpoint      *endpointState
 	picker        *Picker
 	waitingTokens int64
 }
 
 // BeginPlain records that a request without a streamed response is sent to e.
 func (p *Picker) BeginPlain(e *savorypinfleet.Endpoint) *Work {
-	p.load(e).plain.Store(true)
+	p.state(e).plain.Store(true)
 	return p.Begin(e, nil, 0)
 }
 
 // Begin records that a request is sent to e whose prompt has the given number of tokens
 // to prefill, and that backup keeps a copy of its KV cache; backup may be nil.
 func (p *Picker) Begin(e, backup *savorypinfleet.Endpoint, tokens int) *Work {
-	w := &Work{startedAt: p.cfg.Now(), load: p.load(e), picker: p, waitingTokens: int64(tokens)}
-	w.load.running.Add(1)
-	w.load.waiting.Add(w.waitingTokens)
+	w := &Work{startedAt: p.cfg.Now(), endpoint: p.state(e), picker: p, waitingTokens: int64(tokens)}
+	w.endpoint.running.Add(1)
+	w.endpoint.waitingTokens.Add(w.waitingTokens)
 	if backup != nil {
-		w.backup = p.load(backup)
+		w.backup = p.state(backup)
 		w.backup.backups.Add(1)
 	}
 	return w
@@ -46,7 +46,7 @@
 
 // clearWaiting subtracts the prompt from the tokens waiting at the endpoint.
 func (w *Work) clearWaiting() {
-	w.load.waiting.Add(-w.waitingTokens)
+	w.endpoint.waitingTokens.Add(-w.waitingTokens)
 	w.waitingTokens = 0
 }
 
@@ -56,7 +56,7 @@
 		return
 	}
 	w.clearWaiting()
-	w.load.running.Add(-1)
+	w.endpoint.running.Add(-1)
 	if w.backup != nil {
 		w.backup.backups.Add(-1)
 	}
@@ -65,20 +65,20 @@
 // RecordAnswer records the latency of a plain request and whether it failed.
 func (w *Work) RecordAnswer(failed bool) {
 	latency := int64(w.picker.cfg.Now().Sub(w.startedAt))
-	updateAverage(&w.load.latency, latency, latency)
+	updateAverage(&w.endpoint.latency, latency, latency)
 	failure := int64(0)
 	if failed {
 		failure = 1e6
 	}
-	updateAverage(&w.load.failureRate, failure, 0)
+	updateAverage(&w.endpoint.failureRate, failure, 0)
 }
 
-// updateAverage adds a value to an exponential moving average; first replaces an
+// updateAverage adds a value to an exponential moving average; initial replaces an
 // average of zero. A concurrent update may be lost, which changes the average little.
-func updateAverage(a *atomic.Int64, value, first int64) {
-	old := a.Load()
+func updateAverage(average *atomic.Int64, value, initial int64) {
+	old := average.Load()
 	if old == 0 {
-		old = first
+		old = initial
 	}
-	a.Store(old + int64(latencyWeight*float64(value-old)))
+	average.Store(old + int64(latencyWeight*float64(value-old)))
 }
