savorypinadmission: say when an endpoint is closed and for how long

The package comment read as if stopping endpoints accepted requests, UpdateList compressed three cases into one sentence, DrainDelay was said to be the time after which requests stop (the Registry stops them after lastResortRatio of it), and updatedAt was said to follow every change (listing an endpoint again does not set it).

--- a/internal/savorypinadmission/admission.go
+++ b/internal/savorypinadmission/admission.go
@@ -1,8 +1,8 @@
-// Package savorypinadmission tracks which endpoints accept new requests, beyond what the
-// platform's endpoint list says: those that announced in a response that they are
-// stopping, those that asked for a pause, and those that had left before the platform's
-// store was restored from an older copy. It does no network I/O and takes the time from
-// its configuration.
+// Package savorypinadmission tracks the endpoints that should not get new requests
+// although the platform's endpoint list contains them as ready: those that announced in
+// a response that they are stopping, those that asked for a pause, and those that had
+// left before the platform's store was restored from an older copy. It does no network
+// I/O and takes the time from its configuration.
 package savorypinadmission
 
 import (
@@ -22,10 +22,10 @@
 	// maxRamp limits the time after a pause in which an endpoint gets a growing share of
 	// the requests. The ramp is at most as long as the pause.
 	maxRamp = 2 * time.Second
-	// minReopenSpread is the minimum time over which retries of refused callers are
+	// minRetrySpread is the minimum time over which retries of refused callers are
 	// spread; after longer pauses it is reopenSpreadRatio of the pause.
-	minReopenSpread   = 200 * time.Millisecond
-	reopenSpreadRatio = 0.25
+	minRetrySpread   = 200 * time.Millisecond
+	retrySpreadRatio = 0.25
 	// recordRetention is how long the record of an incarnation that is no longer listed
 	// is kept.
 	recordRetention = 10 * time.Minute
@@ -36,7 +36,7 @@
 // State is whether an endpoint accepts new requests.
 type State string
 
-// The states, in sorted order.
+// The states of an endpoint.
 const (
 	// StateClosed means that the endpoint gets no new requests.
 	StateClosed State = "closed"
@@ -51,10 +51,11 @@
 type Config struct {
 	// Random returns a random number in [0, 1); nil means math/rand.
 	Random func() float64
-	// DrainDelay is the time after which a stopping endpoint gets no new requests.
+	// DrainDelay is the time after which a stopping endpoint must get no more requests.
+	// The Registry closes the endpoint after lastResortRatio of it.
 	DrainDelay time.Duration
-	// EntryTimeout is the time after which the entry of a lost endpoint is removed from the
-	// list.
+	// EntryTimeout is the time after which the entry of a lost endpoint is removed from
+	// the list.
 	EntryTimeout time.Duration
 	// Now returns the current time.
 	Now func() time.Time
@@ -78,7 +79,8 @@
 	// relistedAt is when the endpoint was listed again in a later store era than the one
 	// in which it was removed.
 	relistedAt time.Time
-	// updatedAt is when the record was last changed.
+	// updatedAt is when the record last changed, other than by the endpoint being listed
+	// again.
 	updatedAt time.Time
 }
 
@@ -136,7 +138,7 @@
 }
 
 // MarkStopping records that an endpoint announced in a response that it is stopping. It
-// reports whether this was unknown.
+// reports whether this is new.
 func (r *Registry) MarkStopping(e *savorypinfleet.Endpoint) bool {
 	if rec := r.recordOf(e); !rec.stoppingAt.IsZero() {
 		return false
@@ -149,23 +151,24 @@
 // whether the endpoint was not paused before.
 func (r *Registry) Pause(e *savorypinfleet.Endpoint, d time.Duration) bool {
 	now := r.cfg.Now()
-	paused := now.Before(r.recordOf(e).pausedUntil)
+	alreadyPaused := now.Before(r.recordOf(e).pausedUntil)
 	r.updateRecord(e, func(rec *record) {
-		if !paused {
+		if !alreadyPaused {
 			rec.pausedAt = now
 		}
 		if until := now.Add(d); until.After(rec.pausedUntil) {
 			rec.pausedUntil = until
 		}
 	})
-	return !paused
+	return !alreadyPaused
 }
 
-// UpdateList records a new endpoint list that the store returned in the given era. Within
-// an era, an endpoint may lapse and be listed again. The list of a later era may come
-// from an old copy of the store: an endpoint that had left by the earlier list stays
-// closed, for good if it was draining, otherwise until the entry of a lost endpoint
-// would have lapsed again.
+// UpdateList records a new endpoint list that the store returned in the given era. An
+// endpoint that is listed again within an era had only lapsed and is treated as before.
+// The list of a later era may come from an old copy of the store and contain endpoints
+// that have left since. An endpoint that had been removed in an earlier era is therefore
+// closed for EntryTimeout, after which its entry lapses again if the endpoint is lost,
+// and one that was draining is never open again.
 func (r *Registry) UpdateList(old, next *savorypinfleet.Directory, era int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -251,19 +254,19 @@
 // is still growing after a pause.
 func (r *Registry) skippedByRamp(rec record, now time.Time) bool {
 	ramp := min(maxRamp, rec.pausedUntil.Sub(rec.pausedAt))
-	since := now.Sub(rec.pausedUntil)
-	return ramp > 0 && since < ramp && r.cfg.Random() >= float64(since)/float64(ramp)
+	elapsed := now.Sub(rec.pausedUntil)
+	return ramp > 0 && elapsed < ramp && r.cfg.Random() >= float64(elapsed)/float64(ramp)
 }
 
 // CountNotOpen returns the number of endpoints in a directory that are not open.
 func (r *Registry) CountNotOpen(d *savorypinfleet.Directory) int {
-	held := 0
+	count := 0
 	for _, e := range d.All() {
 		if r.State(e) != StateOpen {
-			held++
+			count++
 		}
 	}
-	return held
+	return count
 }
 
 // Paused reports whether an endpoint is in a pause that it asked for.
@@ -271,9 +274,10 @@
 	return r.cfg.Now().Before(r.recordOf(e).pausedUntil)
 }
 
-// RetryAfter returns after what time a caller may retry if all given endpoints are paused:
-// the end of the first pause plus a random delay, so that callers do not return all at
-// once. It returns false if endpoints is empty or any of them is not paused.
+// RetryAfter returns the time after which a caller may retry if all given endpoints are
+// paused: the time to the end of the first pause plus a random delay, so that callers do
+// not return all at once. It returns false if endpoints is empty or any of them is not
+// paused.
 func (r *Registry) RetryAfter(endpoints []*savorypinfleet.Endpoint) (time.Duration, bool) {
 	now := r.cfg.Now()
 	var shortest time.Duration
@@ -289,6 +293,6 @@
 	if shortest == 0 {
 		return 0, false
 	}
-	spread := max(minReopenSpread, time.Duration(reopenSpreadRatio*float64(shortest)))
+	spread := max(minRetrySpread, time.Duration(retrySpreadRatio*float64(shortest)))
 	return shortest + time.Duration(r.cfg.Random()*float64(spread)), true
 }
--- a/internal/savorypinadmission/suite_test.go
+++ b/internal/savorypinadmission/suite_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestIntake(t *testing.T) {
+func TestAdmission(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "Intake")
+	RunSpecs(t, "Admission")
 }
