savorypinpool, savorypinretry: correct comments that did not fit the code

ErrConnect is also returned for an unreadable request body or a bad scheme; Backoff gets the number of tries so far and not the number of the retry; Do returns the error of the context only if a try is in flight. The observation made when a hedge starts had no reason. stopWatch sounded like a clock, and a spec named Pool.CloseIdle by its old name, Drop.

--- a/internal/savorypinpool/pool.go
+++ b/internal/savorypinpool/pool.go
@@ -19,7 +19,8 @@
 	// longer used: a request that crosses the endpoint's close may have been executed.
 	idleMargin = 500 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout for endpoints that do not announce theirs.
-	// Announced timeouts are in whole seconds.
+	// Announced timeouts are in whole seconds, so this is the shortest announced timeout
+	// less idleMargin.
 	defaultIdleTimeout = 500 * time.Millisecond
 	// maxIdle is the maximum number of idle connections per endpoint.
 	maxIdle = 32
@@ -34,7 +35,8 @@
 )
 
 var (
-	// ErrConnect means that no connection could be made, so that nothing was sent.
+	// ErrConnect means that nothing was sent, in most cases because no connection could
+	// be made.
 	ErrConnect = errors.New("endpoint cannot be reached")
 	// ErrMalformed means that the response violates the protocol.
 	ErrMalformed = errors.New("answer is malformed")
@@ -46,8 +48,8 @@
 type Config struct {
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// IdleTimeout is the idle timeout of connections to endpoints that do not announce theirs;
-	// zero means defaultIdleTimeout.
+	// IdleTimeout is the idle timeout of connections to endpoints that do not announce
+	// theirs; zero means defaultIdleTimeout.
 	IdleTimeout time.Duration
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
--- a/internal/savorypinpool/pool_test.go
+++ b/internal/savorypinpool/pool_test.go
@@ -97,7 +97,7 @@
 		})
 	}
 
-	It("is closed by Drop and, after the idle timeout, by Sweep", func() {
+	It("is closed by CloseIdle and, after the idle timeout, by Sweep", func() {
 		pool.Put(get(), 10*time.Second)
 		pool.CloseIdle(p.address)
 		Expect(get().Reused()).To(BeFalse())
--- a/internal/savorypinpool/transport.go
+++ b/internal/savorypinpool/transport.go
@@ -21,12 +21,12 @@
 
 // TransportConfig configures a Transport.
 type TransportConfig struct {
-	// DisableReuse opens a new connection for each request. Where responses don't identify their
-	// requests, a late second copy of a response can't be told from the response to the
-	// next request on the same connection.
+	// DisableReuse opens a new connection for each request. Where responses don't identify
+	// their requests, a late second copy of a response can't be told from the response to
+	// the next request on the same connection.
 	DisableReuse bool
-	// IdleTimeout is the idle timeout of connections to endpoints that do not announce theirs;
-	// zero means half a second.
+	// IdleTimeout is the idle timeout of connections to endpoints that do not announce
+	// theirs; zero means half a second.
 	IdleTimeout time.Duration
 }
 
@@ -43,11 +43,11 @@
 	dialer := newDialer()
 	return &Transport{disableReuse: cfg.DisableReuse, pool: New(Config{
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			host, ok := strings.CutPrefix(address, tlsPrefix)
+			hostPort, ok := strings.CutPrefix(address, tlsPrefix)
 			if !ok {
 				return dialer.DialContext(ctx, "tcp", address)
 			}
-			return (&tls.Dialer{NetDialer: dialer}).DialContext(ctx, "tcp", host)
+			return (&tls.Dialer{NetDialer: dialer}).DialContext(ctx, "tcp", hostPort)
 		},
 		IdleTimeout: cfg.IdleTimeout,
 	})}
@@ -69,10 +69,10 @@
 	if err != nil {
 		return nil, err
 	}
-	stopWatch := context.AfterFunc(ctx, conn.Close)
+	stopContextWatch := context.AfterFunc(ctx, conn.Close)
 	resp, err := exchange(conn, req, body)
 	if err != nil {
-		stopWatch()
+		stopContextWatch()
 		conn.Close()
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	resp.Request = req
-	resp.Body = &responseBody{conn: conn, reusable: !resp.Close && !t.disableReuse, pool: t.pool, body: resp.Body, stopWatch: stopWatch}
+	resp.Body = &responseBody{conn: conn, reusable: !resp.Close && !t.disableReuse, pool: t.pool, body: resp.Body, stopContextWatch: stopContextWatch}
 	return resp, nil
 }
 
@@ -90,7 +90,8 @@
 	if host == "" {
 		host = req.URL.Host
 	}
-	// Without a deadline, the request ends with the caller's context.
+	// If the context has no deadline, the write has none either; the end of the context
+	// still closes the connection.
 	deadline, _ := req.Context().Deadline()
 	request := Request{Body: body, Header: req.Header, Host: host, Method: req.Method, URI: req.URL.RequestURI()}
 	if err := conn.Send(request, deadline); err != nil {
@@ -129,17 +130,17 @@
 	return address, nil
 }
 
-// responseBody returns its connection to the pool once it has been read to the end, and
-// closes the connection if it is closed before.
+// responseBody returns its connection to the pool once the body has been read to the
+// end, and closes the connection if the body is closed before.
 type responseBody struct {
 	conn     *Conn
 	released bool
 	reusable bool
 	pool     *Pool
 	body     io.ReadCloser
-	// stopWatch cancels the closing of the connection at the end of the request's
-	// context. It reports false if that has begun.
-	stopWatch func() bool
+	// stopContextWatch stops the end of the request's context from closing the connection.
+	// It returns false if the closing has already begun.
+	stopContextWatch func() bool
 }
 
 // Read reads from the response body.
@@ -164,7 +165,7 @@
 		return
 	}
 	b.released = true
-	if b.stopWatch() && reusable {
+	if b.stopContextWatch() && reusable {
 		b.pool.Put(b.conn, 0)
 		return
 	}
--- a/internal/savorypinretry/hedger.go
+++ b/internal/savorypinretry/hedger.go
@@ -1,5 +1,6 @@
 // Package savorypinretry retries and hedges idempotent calls. The caller's Attempt
-// decides whether a further try may be made; there a budget can limit the extra load.
+// decides whether a further try may be made, and so can limit the extra load by a
+// budget.
 package savorypinretry
 
 import (
@@ -8,13 +9,14 @@
 	"time"
 )
 
-// ErrNoEndpoint is returned if no endpoint was available for the first try.
+// ErrNoEndpoint is returned if no first try could be made.
 var ErrNoEndpoint = errors.New("no endpoint is live")
 
 // Config configures the retries and hedges of Do.
 type Config struct {
-	// Backoff returns the delay before the given retry, counted from 1.
-	Backoff func(retry int) time.Duration
+	// Backoff returns the delay before a retry, given the number of tries made so far,
+	// including hedges.
+	Backoff func(tries int) time.Duration
 	// Delay estimates the duration after which a call counts as slow and is hedged.
 	Delay *Quantile
 	// MaxTries is the maximum number of tries per call, including the first.
@@ -60,8 +62,8 @@
 
 // Do makes tries until one succeeds, no further one is possible, or ctx ends. It
 // returns the value of the first success or the error of the last failure, and cancels
-// the remaining tries. It returns the error of ctx if that ends first, and
-// ErrNoEndpoint if no try could be made.
+// the remaining tries. It returns the error of ctx if ctx ends while a try is in flight,
+// and ErrNoEndpoint if no try could be made.
 func Do[T any](ctx context.Context, cfg Config, attempt Attempt[T]) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -83,6 +85,8 @@
 			}
 		case <-hedgeTimer:
 			hedgeTimer = nil
+			// The try is slower than the estimate. This is observed now, because the try is
+			// cancelled if the hedge succeeds first, and its duration then never observed.
 			cfg.Delay.Observe(cfg.Delay.Estimate() + 1)
 			h.startTry(ReasonHedge)
 		case <-ctx.Done():
--- a/internal/savorypinretry/retry_test.go
+++ b/internal/savorypinretry/retry_test.go
@@ -29,48 +29,49 @@
 
 // plannedTry is a try in a test case: its duration and whether it fails.
 type plannedTry struct {
-	after time.Duration
-	fails bool
+	duration time.Duration
+	fails    bool
 }
 
 func TestDo(t *testing.T) {
 	for _, tc := range []struct {
-		name    string
-		allowed int
+		name string
+		// budget is the number of retries and hedges that are allowed.
+		budget  int
 		tries   []plannedTry
 		want    int
 		wantErr error
 		reasons []savorypinretry.Reason
 	}{
 		{
-			name: "first try succeeds", allowed: 10, tries: []plannedTry{{after: time.Millisecond}},
+			name: "first try succeeds", budget: 10, tries: []plannedTry{{duration: time.Millisecond}},
 			want: 1, reasons: []savorypinretry.Reason{"first"},
 		},
 		{
-			name: "first try fails", allowed: 10, tries: []plannedTry{{fails: true}, {}},
+			name: "first try fails", budget: 10, tries: []plannedTry{{fails: true}, {}},
 			want: 2, reasons: []savorypinretry.Reason{"first", "retry"},
 		},
 		{
-			name: "first try is slow", allowed: 10, tries: []plannedTry{{after: time.Minute}, {after: time.Millisecond}},
+			name: "first try is slow", budget: 10, tries: []plannedTry{{duration: time.Minute}, {duration: time.Millisecond}},
 			want: 2, reasons: []savorypinretry.Reason{"first", "hedge"},
 		},
 		{
-			name: "hedge fails", allowed: 10, tries: []plannedTry{{after: time.Second}, {fails: true}},
+			name: "hedge fails", budget: 10, tries: []plannedTry{{duration: time.Second}, {fails: true}},
 			want: 1, reasons: []savorypinretry.Reason{"first", "hedge"},
 		},
 		{
-			name: "budget is empty", allowed: 0, tries: []plannedTry{{after: time.Second, fails: true}, {}},
+			name: "budget is empty", budget: 0, tries: []plannedTry{{duration: time.Second, fails: true}, {}},
 			wantErr: errTry, reasons: []savorypinretry.Reason{"first"},
 		},
 		{
-			name: "all tries fail", allowed: 10, tries: []plannedTry{{fails: true}, {fails: true}, {fails: true}, {}},
+			name: "all tries fail", budget: 10, tries: []plannedTry{{fails: true}, {fails: true}, {fails: true}, {}},
 			wantErr: errTry, reasons: []savorypinretry.Reason{"first", "retry", "retry"},
 		},
 		{
-			name: "deadline passes", allowed: 10, tries: []plannedTry{{after: time.Hour}, {after: time.Hour}},
+			name: "deadline passes", budget: 10, tries: []plannedTry{{duration: time.Hour}, {duration: time.Hour}},
 			wantErr: context.DeadlineExceeded, reasons: []savorypinretry.Reason{"first", "hedge"},
 		},
-		{name: "no endpoint", allowed: 10, wantErr: savorypinretry.ErrNoEndpoint},
+		{name: "no endpoint", budget: 10, wantErr: savorypinretry.ErrNoEndpoint},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -79,7 +80,7 @@
 				var reasons []savorypinretry.Reason
 				attempt := func(ctx context.Context, reason savorypinretry.Reason) (func() (int, error), bool) {
 					n := len(reasons)
-					if n == len(tc.tries) || n > tc.allowed {
+					if n == len(tc.tries) || n > tc.budget {
 						return nil, false
 					}
 					reasons = append(reasons, reason)
@@ -102,13 +103,13 @@
 	}
 }
 
-func (y plannedTry) run(ctx context.Context) error {
+func (p plannedTry) run(ctx context.Context) error {
 	select {
-	case <-time.After(y.after):
+	case <-time.After(p.duration):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	if y.fails {
+	if p.fails {
 		return errTry
 	}
 	return nil
