--- a/internal/savorypinforecast/forecast.go
+++ b/internal/savorypinforecast/forecast.go
@@ -1,6 +1,7 @@
 // Package savorypinforecast estimates from completed streams the minimum time that a
-// stream of a service takes. A stream that can't complete before its deadline need not
-// be started, where it would only take capacity from others. The package uses no clock.
+// stream of a service takes. A stream that can't complete before its deadline should not
+// be started, because it would only take capacity from others. The package uses no
+// clock.
 package savorypinforecast
 
 import (
@@ -76,31 +77,31 @@
 
 // Observe adds a completed stream of a service. Streams without a measurable rate of
 // events are ignored.
-func (f *Forecast) Observe(name string, r CompletedStream) {
-	if r.Events < 2 || r.OutputTokens <= 0 || r.Duration <= r.TimeToFirstEvent {
+func (f *Forecast) Observe(service string, stream CompletedStream) {
+	if stream.Events < 2 || stream.OutputTokens <= 0 || stream.Duration <= stream.TimeToFirstEvent {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.services[name]
+	s := f.services[service]
 	if s == nil {
 		s = &serviceStats{}
-		f.services[name] = s
+		f.services[service] = s
 	}
-	s.minEvents.observe(float64(r.Events))
-	s.secondsPerEvent.observe((r.Duration - r.TimeToFirstEvent).Seconds() / float64(r.Events-1))
-	s.eventsPerOutputToken.observe(float64(r.Events) / float64(r.OutputTokens))
-	if r.PromptTokens > 0 {
-		s.secondsPerPromptToken.observe(r.TimeToFirstEvent.Seconds() / float64(r.PromptTokens))
+	s.minEvents.observe(float64(stream.Events))
+	s.secondsPerEvent.observe((stream.Duration - stream.TimeToFirstEvent).Seconds() / float64(stream.Events-1))
+	s.eventsPerOutputToken.observe(float64(stream.Events) / float64(stream.OutputTokens))
+	if stream.PromptTokens > 0 {
+		s.secondsPerPromptToken.observe(stream.TimeToFirstEvent.Seconds() / float64(stream.PromptTokens))
 	}
 }
 
-// MinDuration returns the estimated minimum time for the rest of a stream of a service; zero
-// if the service has no observations.
-func (f *Forecast) MinDuration(name string, r Remaining) time.Duration {
+// MinDuration returns the estimated minimum time for the rest of a stream of a service;
+// zero if the service has no observations.
+func (f *Forecast) MinDuration(service string, r Remaining) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.services[name]
+	s := f.services[service]
 	if s == nil {
 		return 0
 	}
--- a/internal/savorypinforecast/forecast_test.go
+++ b/internal/savorypinforecast/forecast_test.go
@@ -9,9 +9,9 @@
 	"savorypin/internal/savorypinforecast"
 )
 
-// completedRun returns a stream of 100 events at an engine that is slower than the
+// completedStream returns a stream of 100 events at an engine that is slower than the
 // fastest one by the given factor.
-func completedRun(slowdown float64) savorypinforecast.CompletedStream {
+func completedStream(slowdown float64) savorypinforecast.CompletedStream {
 	scale := func(d time.Duration) time.Duration { return time.Duration(slowdown * float64(d)) }
 	return savorypinforecast.CompletedStream{
 		Events: 100, TimeToFirstEvent: scale(time.Second), Duration: scale(time.Second + 99*40*time.Millisecond), OutputTokens: 600, PromptTokens: 8000,
@@ -25,15 +25,15 @@
 	var f *savorypinforecast.Forecast
 	BeforeEach(func() {
 		f = savorypinforecast.New()
-		for _, slower := range []float64{2, 1.3, 1, 1.7, 3} {
-			f.Observe("assistant", completedRun(slower))
+		for _, slowdown := range []float64{2, 1.3, 1, 1.7, 3} {
+			f.Observe("assistant", completedStream(slowdown))
 		}
 	})
 
 	for _, tc := range []struct {
-		name string
-		rest savorypinforecast.Remaining
-		want time.Duration
+		name      string
+		remaining savorypinforecast.Remaining
+		want      time.Duration
 	}{
 		{"without events includes the prefill and all events", savorypinforecast.Remaining{OutputTokens: 600, PromptTokens: 8000}, 5 * time.Second},
 		{"with a cached prompt includes the events only", savorypinforecast.Remaining{OutputTokens: 600}, 4 * time.Second},
@@ -49,8 +49,8 @@
 		It(tc.name, func() {
 			// The slower streams observed after the fastest one raise the estimate only a
 			// little.
-			Expect(f.MinDuration("assistant", tc.rest)).To(BeNumerically("~", tc.want, tc.want/20+time.Millisecond))
-			Expect(f.MinDuration("assistant", tc.rest)).To(BeNumerically(">=", tc.want-time.Millisecond))
+			Expect(f.MinDuration("assistant", tc.remaining)).To(BeNumerically("~", tc.want, tc.want/20+time.Millisecond))
+			Expect(f.MinDuration("assistant", tc.remaining)).To(BeNumerically(">=", tc.want-time.Millisecond))
 		})
 	}
 
@@ -60,10 +60,10 @@
 
 	It("follows engines that have become slower for good", func() {
 		for range 500 {
-			f.Observe("assistant", completedRun(2))
+			f.Observe("assistant", completedStream(2))
 		}
-		rest := savorypinforecast.Remaining{OutputTokens: 600, PromptTokens: 8000}
-		Expect(f.MinDuration("assistant", rest)).To(BeNumerically("~", 10*time.Second, 300*time.Millisecond))
+		remaining := savorypinforecast.Remaining{OutputTokens: 600, PromptTokens: 8000}
+		Expect(f.MinDuration("assistant", remaining)).To(BeNumerically("~", 10*time.Second, 300*time.Millisecond))
 	})
 
 	It("ignores streams without a measurable rate of events", func() {
--- a/internal/savorypinhazard/hazard_test.go
+++ b/internal/savorypinhazard/hazard_test.go
@@ -71,7 +71,7 @@
 		}
 	})
 
-	It("predicts the domain that has never failed if there is no other order", func() {
+	It("predicts the domain that has never failed if the others failed in no regular order", func() {
 		e := savorypinhazard.New([]string{"a", "b", "c", "d", "e", "f"})
 		for i, domain := range []string{"c", "f", "a", "e", "b"} {
 			e.Record(domain, at(5+6*float64(i)))
--- a/internal/savorypinhazard/recency.go
+++ b/internal/savorypinhazard/recency.go
@@ -16,7 +16,7 @@
 	// next.
 	neverFailed []string
 	// rankCounts counts the failures by the rank that the domain had before the failure:
-	// rank 0 failed longest ago. Domains that have never failed share rank 0.
+	// rank 0 failed longest ago. The first failure of a domain counts for rank 0.
 	rankCounts []float64
 }
 
--- a/internal/savorypinrank/rank.go
+++ b/internal/savorypinrank/rank.go
@@ -12,15 +12,15 @@
 	"savorypin/internal/savorypin"
 )
 
-// Names returns names sorted by their rendezvous weight for a key.
+// Names returns names sorted by descending rendezvous weight for a key.
 func Names(key string, names []string) []string {
 	ranked := slices.Clone(names)
 	slices.SortFunc(ranked, func(a, b string) int { return compareWeights(key, a, b) })
 	return ranked
 }
 
-// Spread returns the first n members in the order for a key, at most one per failure
-// domain as long as there are members in other domains.
+// Spread returns the first n members in the order for a key. A second member of a
+// failure domain follows only after the first member of each domain.
 func Spread(key string, members []savorypin.MemberState, n int) []savorypin.MemberState {
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b savorypin.MemberState) int { return compareWeights(key, a.Name, b.Name) })
--- a/internal/savorypinrank/rank_test.go
+++ b/internal/savorypinrank/rank_test.go
@@ -19,9 +19,9 @@
 }
 
 func ExampleNames() {
-	before := savorypinrank.Names("shard-3", []string{"entry-1", "entry-2", "entry-3"})
-	after := savorypinrank.Names("shard-3", []string{"entry-3", "entry-2", "entry-1"})
-	fmt.Println(slices.Equal(before, after))
+	fromAscending := savorypinrank.Names("shard-3", []string{"entry-1", "entry-2", "entry-3"})
+	fromDescending := savorypinrank.Names("shard-3", []string{"entry-3", "entry-2", "entry-1"})
+	fmt.Println(slices.Equal(fromAscending, fromDescending))
 	// Output: true
 }
 
@@ -50,11 +50,11 @@
 
 	It("spreads keys evenly", func() {
 		const keys, names = 6000, 6
-		first := map[string]int{}
+		firstCounts := map[string]int{}
 		for i := range keys {
-			first[savorypinrank.Names(fmt.Sprint(i), []string{"a", "b", "c", "d", "e", "f"})[0]]++
+			firstCounts[savorypinrank.Names(fmt.Sprint(i), []string{"a", "b", "c", "d", "e", "f"})[0]]++
 		}
-		for _, n := range first {
+		for _, n := range firstCounts {
 			Expect(n).To(BeNumerically("~", keys/names, keys/names/5))
 		}
 	})
@@ -67,7 +67,7 @@
 		{2, 5, 2},
 		{0, 3, 0},
 	} {
-		It(fmt.Sprintf("takes %d of %d members from different failure domains", tc.n, tc.members), func() {
+		It(fmt.Sprintf("returns up to %d of %d members from different failure domains", tc.n, tc.members), func() {
 			chosen := savorypinrank.Spread("key", members(tc.members), tc.n)
 			Expect(chosen).To(HaveLen(min(tc.n, tc.members)))
 			domains := map[string]bool{}
