Plain wording in savorypinlimit

Comments spoke of amounts "held", limits that "hold", numbers of "others" and "holders", and rates "a second"; names such as amountOf, averageSeconds, fairCapacity, cutOffShare and countKnown needed their code to be understood. They now use the usual terms: limitsOf, averageRequestSeconds, overloadCapacity, partitionedShare, peers, per second. Three doc comments that stood twice stand once.

Comments that did not fit the code are corrected: a grant of zero also leaves an entry with the fallback share; the demand for concurrency does not include refused requests; the field is Answer.Contended; a bucket is full after a change of its rate from or to zero; the retry budget also earns one retry per second; the large organisation of the simulated overload does not have most of the demand at each load.

85 hunks of comments, 27 names (of exported ones Usage.Held, now Usage.Grant, which is encoded as an array) and 8 texts of tests changed. No code changes but names.

--- a/internal/savorypinlimit/bench_test.go
+++ b/internal/savorypinlimit/bench_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// BenchmarkAdmit compares Limiter.Admit with a limiter that has one lock, both
+// BenchmarkAdmit compares Limiter.Admit with a limiter that has a single lock, both
 // with 670 organisations.
 func BenchmarkAdmit(b *testing.B) {
 	specs := map[string]savorypin.OrganisationSpec{}
@@ -46,15 +46,15 @@
 	}
 	limiter := savorypinlimit.NewLimiter(savorypinlimit.Config{Count: func(string, int64) {}, Now: time.Now})
 	limiter.Configure(specs)
-	naive := newLockedLimiter(specs)
+	locked := newLockedLimiter(specs)
 	var next atomic.Int64
 	for _, bc := range []struct {
 		name string
 		run  func(organisation string)
 	}{
 		{"naive", func(o string) {
-			if naive.admit(o, 100) {
-				naive.release(o, 100, 50)
+			if locked.admit(o, 100) {
+				locked.release(o, 100, 50)
 			}
 		}},
 		{"limiter", func(o string) {
--- a/internal/savorypinlimit/bucket.go
+++ b/internal/savorypinlimit/bucket.go
@@ -18,8 +18,8 @@
 	rate    atomic.Uint64
 }
 
-// setRate changes the rate, in units a second. The level, also a negative one,
-// stays the same in units.
+// setRate changes the rate, in units per second. It keeps the level in units, even
+// if negative, unless the old or the new rate is zero: then it fills the bucket.
 func (b *bucket) setRate(rate float64, now time.Time) {
 	old := math.Float64frombits(b.rate.Swap(math.Float64bits(rate)))
 	if old == rate {
@@ -39,7 +39,7 @@
 }
 
 // take takes n units if the level is positive. Otherwise it returns the time
-// until it is.
+// until the level is positive.
 func (b *bucket) take(n float64, now time.Time) (wait time.Duration, ok bool) {
 	cost := b.duration(n)
 	full := now.Add(-bucketBurst).UnixNano()
@@ -59,8 +59,6 @@
 	b.emptyAt.Add(b.duration(n))
 }
 
-// duration returns the time in which n units accumulate, in nanoseconds, or 0
-// without a rate.
 // duration returns the time in which n units accumulate, in nanoseconds, or 0
 // without a rate.
 func (b *bucket) duration(n float64) int64 {
--- a/internal/savorypinlimit/fair_test.go
+++ b/internal/savorypinlimit/fair_test.go
@@ -13,27 +13,30 @@
 	"savorypin/internal/savorypinlimit"
 )
 
-// Sizes of the simulated overload, in tokens a second and tokens a request. One
-// large organisation has most of the demand; nine small ones demand less than
-// their fair share, and the last of them has twice the weight.
+// Parameters of the simulated overload: the capacity in tokens per second, the
+// length of a request in tokens, and the maximum wait in the queue. Nine small
+// organisations each demand less than their fair share, and the last of them has
+// twice the weight. One large organisation demands the rest of the load.
 const (
-	fairCapacity      = 10_000.0
-	fairRequestTokens = 100
-	fairMaxWait       = 1700 * time.Millisecond
+	overloadCapacity      = 10_000.0
+	overloadRequestTokens = 100
+	overloadMaxWait       = 1700 * time.Millisecond
 )
 
 // simulateOverload sends load times the capacity to one queue for a minute and
 // returns, for each organisation, the ratio of what it received to its fair share.
-func simulateOverload(load float64, fair bool) []float64 {
+// The maximum wait comes from Limiter.Wait, or is the same for all organisations
+// if useWait is false.
+func simulateOverload(load float64, useWait bool) []float64 {
 	random := rand.New(rand.NewPCG(11, 11))
 	now := time.Unix(1000, 0)
 	limiter := savorypinlimit.NewLimiter(savorypinlimit.Config{Count: func(string, int64) {}, Now: func() time.Time { return now }})
 	var parties []savorypinlimit.Party
 	specs := map[string]savorypin.OrganisationSpec{}
 	for i := range 10 {
-		p := savorypinlimit.Party{Demand: 0.08 * fairCapacity, Weight: 1}
+		p := savorypinlimit.Party{Demand: 0.08 * overloadCapacity, Weight: 1}
 		if i == 0 {
-			p.Demand = (load - 9*0.08) * fairCapacity
+			p.Demand = (load - 9*0.08) * overloadCapacity
 		}
 		if i == 9 {
 			p.Weight = 2
@@ -43,41 +46,41 @@
 	}
 	limiter.Configure(specs)
 	received := make([]float64, len(parties))
-	queue := 0.0
+	queuedTokens := 0.0
 	const step = time.Millisecond
 	for t := time.Duration(0); t < time.Minute; t += step {
 		now = now.Add(step)
-		queue = max(0, queue-fairCapacity*step.Seconds())
+		queuedTokens = max(0, queuedTokens-overloadCapacity*step.Seconds())
 		if t%savorypinlimit.ExchangeInterval == 0 {
 			limiter.Tick(1, func(string) string { return "" })
 		}
 		for i, p := range parties {
-			if random.Float64() >= p.Demand/fairRequestTokens*step.Seconds() {
+			if random.Float64() >= p.Demand/overloadRequestTokens*step.Seconds() {
 				continue
 			}
-			a, _ := limiter.Admit(fmt.Sprint(i), 2*fairRequestTokens)
-			maxWait := fairMaxWait
-			if fair {
-				maxWait = limiter.Wait(fmt.Sprint(i), fairMaxWait)
+			a, _ := limiter.Admit(fmt.Sprint(i), 2*overloadRequestTokens)
+			maxWait := overloadMaxWait
+			if useWait {
+				maxWait = limiter.Wait(fmt.Sprint(i), overloadMaxWait)
 			}
-			if queue/fairCapacity > maxWait.Seconds() {
+			if queuedTokens/overloadCapacity > maxWait.Seconds() {
 				a.Cancel()
 				continue
 			}
-			a.Release(fairRequestTokens)
-			queue += fairRequestTokens
-			received[i] += fairRequestTokens / time.Minute.Seconds()
+			a.Release(overloadRequestTokens)
+			queuedTokens += overloadRequestTokens
+			received[i] += overloadRequestTokens / time.Minute.Seconds()
 		}
 	}
-	shares, _ := savorypinlimit.MaxMin(fairCapacity, parties)
+	shares, _ := savorypinlimit.MaxMin(overloadCapacity, parties)
 	for i := range received {
 		received[i] /= shares[i]
 	}
 	return received
 }
 
-// jain returns Jain's index of fairness: 1 if all values are equal, 1/n if one
-// has all (Jain, Chiu and Hawe, 1984).
+// jain returns Jain's fairness index: 1 if all n values are equal, 1/n if all but
+// one are zero (Jain, Chiu and Hawe, 1984).
 func jain(values []float64) float64 {
 	total, squares := 0.0, 0.0
 	for _, v := range values {
@@ -99,8 +102,9 @@
 	}
 })
 
-// BenchmarkFairness reports Jain's index and the smallest ratio to a fair share,
-// with Limiter.Wait and with one queue for all.
+// BenchmarkFairness reports Jain's index and the ratios to the fair share of the
+// worst served and of the large organisation, with Limiter.Wait and with the same
+// maximum wait for all.
 func BenchmarkFairness(b *testing.B) {
 	for _, load := range []float64{0.9, 1.2, 2, 5} {
 		for _, fair := range []bool{false, true} {
--- a/internal/savorypinlimit/fleet_test.go
+++ b/internal/savorypinlimit/fleet_test.go
@@ -13,14 +13,14 @@
 // fleet simulates entries that exchange reports and answers without sockets.
 type fleet struct {
 	entries []*entry
-	// answerLossRatio is the ratio of answers that are lost.
+	// answerLossRatio is the fraction of answers that are lost.
 	answerLossRatio float64
 	now             time.Time
 	rand            *rand.Rand
 	// reportedUsages counts the usages in all reports.
 	reportedUsages int
 	specs          map[string]savorypin.OrganisationSpec
-	// static turns the exchange off; the limits are split evenly.
+	// static disables the exchange and splits the limits evenly.
 	static bool
 }
 
@@ -28,7 +28,7 @@
 	stopped   bool
 	limiter   *savorypinlimit.Limiter
 	name      string
-	names     []string
+	liveNames []string
 	owner     *savorypinlimit.Owner
 	owners    savorypinlimit.Owners
 	reach     *savorypinlimit.Reachability
@@ -46,14 +46,14 @@
 	return f
 }
 
-// splitStatically turns the exchange off, as the baseline of comparisons: each
-// entry always has an equal share of the limits. A limiter without a grant uses
-// a quarter of its share, so that the limits are multiplied by four.
+// splitStatically disables the exchange, as a baseline for comparisons: each entry
+// always has an equal share of the limits. A limiter without a grant uses a quarter
+// of its share, so the limits are multiplied by four.
 func (f *fleet) splitStatically() {
-	const fallback = 4
+	const fallbackDivisor = 4
 	f.static = true
 	for name, spec := range f.specs {
-		spec.TokensPerSecond *= fallback / float64(len(f.entries))
+		spec.TokensPerSecond *= fallbackDivisor / float64(len(f.entries))
 		f.specs[name] = spec
 	}
 	for _, e := range f.entries {
@@ -61,7 +61,7 @@
 	}
 }
 
-// restart resets the state of an entry.
+// restart gives an entry new, empty state.
 func (f *fleet) restart(e *entry) {
 	e.limiter = savorypinlimit.NewLimiter(savorypinlimit.Config{
 		Count: func(string, int64) {}, Now: func() time.Time { return f.now },
@@ -69,11 +69,12 @@
 	e.limiter.Configure(f.specs)
 	e.owner = savorypinlimit.NewOwner(f.now)
 	e.reach = savorypinlimit.NewReachability()
-	e.names = nil
+	e.liveNames = nil
 	e.owners = savorypinlimit.Owners{}
 }
 
-// live returns the running entries in the same partition as e.
+// live returns the names of the running entries in the partition of e, and their
+// number by region.
 func (f *fleet) live(e *entry) (names []string, regions map[string]int) {
 	regions = map[string]int{}
 	for _, other := range f.entries {
@@ -98,7 +99,7 @@
 		}
 		known, share := e.reach.Update(regions, f.now)
 		if before, changed := e.owners.SetEntries(names); changed {
-			e.names = names
+			e.liveNames = names
 			e.owner.EntriesChanged(func(o string) bool {
 				return len(before) > 0 && savorypinrank.Names(o, before)[0] == e.name
 			}, f.now)
@@ -120,8 +121,8 @@
 	}
 }
 
-// run sends requests of 100 tokens for a time and returns the tokens admitted in
-// each second. The demand of entry i is in requests a second.
+// run sends requests of 100 tokens for a duration and returns the tokens admitted
+// in each second. The function demand returns the requests per second at entry i.
 func (f *fleet) run(d time.Duration, organisation string, demand func(i int) float64) []float64 {
 	const step = 10 * time.Millisecond
 	var admitted []float64
--- a/internal/savorypinlimit/limit.go
+++ b/internal/savorypinlimit/limit.go
@@ -1,22 +1,24 @@
-// Package savorypinlimit decides whether an organisation may begin a request.
+// Package savorypinlimit enforces the rate and concurrency limits of
+// organisations.
 //
-// The limits of an organisation hold over all entries together without a call
-// to the store. For each organisation one of the live entries, the first by
-// rendezvous hashing, is the owner of its limits. The others report their demand
-// to it and get grants: parts of the limit that expire after GrantTerm unless
+// A limit applies to the total over all entries, but no request needs a call to
+// the store. For each organisation, rendezvous hashing selects one of the live
+// entries as the owner of its limits. The entries report their demand to the
+// owner and get grants: parts of the limit that expire after GrantTerm unless
 // renewed. An entry renews all grants of one owner together, by a checksum that
 // both sides compute; it reports the usage of an organisation only when the
-// demand exceeds the grant or the owner requests it. The owner never grants more
-// than the limit in total. An entry without a valid grant uses a small fallback
-// share, so that no request waits for the exchange.
+// demand exceeds the grant, the owner requests it, or the total demand exceeds
+// the limit. The owner never grants more than the limit in total. An entry whose
+// grant is missing, expired or zero uses a small fallback share, so that no
+// request waits for the exchange.
 //
-// With N known entries of which m have no valid grant, the rate that all
+// With N known entries of which m use the fallback share, the rate that all
 // entries admit together is at most
 //
 //	L · (1 + m / (4·N))
 //
-// where L is the limit. Beyond the rate, each entry may admit a burst of one
-// second and the one request that makes the level of its bucket negative.
+// where L is the limit. In addition, each entry may admit a burst of one second
+// and the one request that makes the level of its bucket negative.
 // While entries disagree on the owner, each owner grants up to L; a new owner
 // only renews existing grants until RenewOnlyDuration has passed.
 package savorypinlimit
@@ -45,10 +47,10 @@
 // of an entry without a valid grant.
 const fallbackDivisor = 4
 
-// Limit names a limit of an organisation.
+// Limit is the name of a limit of an organisation.
 type Limit string
 
-// The limits of an organisation, in sorted order.
+// The limits of an organisation.
 const (
 	LimitConcurrency Limit = "concurrency"
 	LimitRequests    Limit = "requests"
@@ -68,16 +70,16 @@
 	return fmt.Sprintf("limit of %s is reached, room in %s", e.Limit, e.RetryAfter.Round(time.Millisecond))
 }
 
-// Amount is a part of an organisation's limits, or a demand for one. Its fields
-// are exported for the codecs.
+// Amount is an amount of what the limits of an organisation bound: the limits
+// themselves, a grant, or a demand. Its fields are exported for the codecs.
 type Amount struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
 
-	// Tokens is in tokens a second.
+	// Tokens is in tokens per second.
 	Tokens float32
-	// Requests is in requests a second.
+	// Requests is in requests per second.
 	Requests float32
-	// Concurrency is a number of requests.
+	// Concurrency is a number of concurrent requests.
 	Concurrency int
 }
 
@@ -87,26 +89,27 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
 
 	Organisation string
-	// Demand is what the organisation requests at the entry, including requests
-	// that are refused.
+	// Demand is the rate of tokens and requests that the organisation asks for at
+	// the entry, refused requests included, and the number of its running requests
+	// plus one.
 	Demand Amount
 	// Running is the number of running requests of the organisation.
 	Running int
-	// Held is the valid grant of the entry, if any. The owner may not know it
+	// Grant is the valid grant of the entry, if any. The owner may not know it
 	// after a restart or a change of owners.
-	Held *Amount
+	Grant *Amount
 }
 
-// held returns the valid grant of the entry, or zero.
-func (u Usage) held() Amount {
-	if u.Held == nil {
+// validGrant returns the valid grant of the entry, or zero.
+func (u Usage) validGrant() Amount {
+	if u.Grant == nil {
 		return Amount{}
 	}
-	return *u.Held
+	return *u.Grant
 }
 
-// amountOf returns the limits of an organisation.
-func amountOf(spec savorypin.OrganisationSpec) Amount {
+// limitsOf returns the limits of an organisation.
+func limitsOf(spec savorypin.OrganisationSpec) Amount {
 	return Amount{
 		Tokens:      float32(spec.TokensPerSecond),
 		Requests:    float32(spec.RequestsPerSecond),
@@ -119,8 +122,9 @@
 	return a.Tokens > 0 || a.Requests > 0 || a.Concurrency > 0
 }
 
-// staleTolerance is the ratio of a grant to what would be granted now beyond
-// which the grant is replaced. Up to it the others still get their demand.
+// staleTolerance is the ratio of a grant to what would be granted now above which
+// the grant is replaced. Up to this ratio, the other entries still get their
+// demand.
 const staleTolerance = 1.25
 
 // wellBelow reports whether a is below a grant by more than staleTolerance.
@@ -130,8 +134,8 @@
 		staleTolerance*float64(a.Concurrency) < float64(grant.Concurrency)
 }
 
-// canRaise reports whether a exceeds a grant in a part of which the demand
-// exceeds the grant too.
+// canRaise reports whether, for any of the limits, both a and the demand exceed
+// the grant, so that a larger grant is available and would be used.
 func (a Amount) canRaise(demand, grant Amount) bool {
 	return a.Tokens > grant.Tokens && demand.Tokens > grant.Tokens ||
 		a.Requests > grant.Requests && demand.Requests > grant.Requests ||
--- a/internal/savorypinlimit/limit_test.go
+++ b/internal/savorypinlimit/limit_test.go
@@ -23,8 +23,8 @@
 	return map[string]savorypin.OrganisationSpec{"shops": {TokensPerSecond: limit}}
 }
 
-// skewedDemand is a demand of 1.6 times the limit in total, nearly all of it at
-// four entries.
+// skewedDemand returns the requests per second at entry i. With 100 tokens per
+// request, the total demand is 1.6 times the limit, nearly all of it at four entries.
 func skewedDemand(i int) float64 {
 	if i < 4 {
 		return 76
@@ -37,12 +37,12 @@
 // failures are the failures that are injected into a fleet of entryCount entries.
 var failures = []struct {
 	name string
-	// cutOffShare is the share of the limit that entries in a partition of their
-	// own use in addition.
-	cutOffShare float64
-	// withoutGrant is the largest number of entries without a valid grant at a time.
-	withoutGrant int
-	inject       func(f *fleet)
+	// partitionedShare is the fraction of the limit that entries in a separate
+	// partition may admit in addition to the limit.
+	partitionedShare float64
+	// maxWithoutGrant is the maximum number of entries without a valid grant at a time.
+	maxWithoutGrant int
+	inject          func(f *fleet)
 }{
 	{"nothing fails", 0, 0, func(*fleet) {}},
 	{"the busiest entry stops", 0, 0, func(f *fleet) { f.entries[0].stopped = true }},
@@ -73,12 +73,12 @@
 			tc.inject(f)
 			const seconds = 30
 			admitted := f.run(seconds*time.Second, "shops", skewedDemand)
-			rate := limit * (1 + tc.cutOffShare + float64(tc.withoutGrant)/(4*entryCount))
+			rate := limit * (1 + tc.partitionedShare + float64(tc.maxWithoutGrant)/(4*entryCount))
 			Expect(sum(admitted)).To(BeNumerically("<=", rate*seconds+rate+entryCount*100))
 		})
 	}
 
-	It("admits more of a skewed demand than a static split", func() {
+	It("admits more than twice as much of a skewed demand as a static split", func() {
 		f := newFleet(entryCount, oneOrganisation())
 		f.run(20*time.Second, "shops", skewedDemand)
 		got := sum(f.run(20*time.Second, "shops", skewedDemand)) / 20
@@ -87,12 +87,12 @@
 		Expect(got).To(BeNumerically(">", 2*sum(static.run(20*time.Second, "shops", skewedDemand))/20))
 	})
 
-	It("grants without a hold what the entry owned before another entry stopped", func() {
+	It("grants at once the limits that the entry owned before another entry stopped", func() {
 		f := newFleet(3, oneOrganisation())
 		f.run(20*time.Second, "quiet", skewedDemand)
 		owner := savorypinrank.Names("shops", []string{"entry-0", "entry-1", "entry-2"})[0]
-		leaving := slices.IndexFunc(f.entries, func(e *entry) bool { return e.name != owner })
-		f.entries[leaving].stopped = true
+		stopped := slices.IndexFunc(f.entries, func(e *entry) bool { return e.name != owner })
+		f.entries[stopped].stopped = true
 		f.run(time.Second, "quiet", skewedDemand)
 		report := savorypinlimit.Report{
 			Usages: []savorypinlimit.Usage{{Organisation: "shops", Demand: savorypinlimit.Amount{Tokens: 100}}},
@@ -144,7 +144,7 @@
 		f := newFleet(entryCount, oneOrganisation())
 		even := func(int) float64 { return 8 }
 		before := sum(f.run(20*time.Second, "shops", even)[10:]) / 10
-		owner := savorypinrank.Names("shops", f.entries[0].names)[0]
+		owner := savorypinrank.Names("shops", f.entries[0].liveNames)[0]
 		f.restart(f.entries[slices.IndexFunc(f.entries, func(e *entry) bool { return e.name == owner })])
 		after := sum(f.run(savorypinlimit.RenewOnlyDuration, "shops", even)) / savorypinlimit.RenewOnlyDuration.Seconds()
 		// The owner itself has only the fallback share until RenewOnlyDuration has passed.
@@ -200,9 +200,9 @@
 	})
 
 	It("sends less than the budget of control traffic with 670 organisations", func() {
-		// The budget is 23 KB a second for all control traffic of a daemon, half of it
-		// for limits. An entry reports all 670 organisations once every 3 s and, as an
-		// owner, answers as many reports.
+		// The budget is 23 KB per second for all control traffic of a daemon, half of it
+		// for limits. The test assumes that an entry reports all 670 organisations once
+		// every 3 s and, as an owner, answers as many reports.
 		var usages []savorypinlimit.Usage
 		var grants []savorypinlimit.Amount
 		for i := range 670 {
@@ -221,7 +221,7 @@
 		Expect(sent).To(BeNumerically("<", 23_000/2))
 	})
 
-	It("allocates only the admission", func() {
+	It("allocates at most twice per request", func() {
 		f := newFleet(1, oneOrganisation())
 		Expect(testing.AllocsPerRun(100, func() {
 			if a, err := f.entries[0].limiter.Admit("shops", 1); err == nil {
@@ -265,7 +265,7 @@
 })
 
 var _ = Describe("RetryBudget", func() {
-	It("bounds retries to a tenth of the first attempts", func() {
+	It("bounds retries to a tenth of the first attempts plus the burst", func() {
 		var b savorypinlimit.RetryBudget
 		retries := 0
 		for range 1000 {
--- a/internal/savorypinlimit/limiter.go
+++ b/internal/savorypinlimit/limiter.go
@@ -11,7 +11,7 @@
 	"savorypin/internal/savorypin"
 )
 
-// Counters that a Limiter increments by Config.Count.
+// Names of the counters that a Limiter increments through Config.Count.
 const (
 	// CountLimited is a prefix; the name of the limit follows.
 	CountLimited  = "limit.refusals."
@@ -20,7 +20,7 @@
 
 // Config configures a Limiter.
 type Config struct {
-	// Count adds n to the counter of a name.
+	// Count adds n to the named counter.
 	Count func(name string, n int64)
 	// Now is the clock.
 	Now func() time.Time
@@ -34,9 +34,10 @@
 
 	mu      sync.Mutex
 	entries int
-	// released holds the organisations whose grants this entry gives up, by owner.
+	// released holds, by owner, the organisations whose grants this entry has given
+	// up, until the owner answers the renewal that names them.
 	released map[string][]string
-	// renewedAt is the time of the last renewal, by owner.
+	// renewedAt holds, by owner, the time of the last renewal.
 	renewedAt map[string]time.Time
 	specs     map[string]savorypin.OrganisationSpec
 }
@@ -95,7 +96,7 @@
 	return nil
 }
 
-// organisation returns the organisation of a name and adds it if it is new.
+// organisation returns the named organisation, and adds it if it is new.
 func (l *Limiter) organisation(name string) *organisation {
 	if o, ok := (*l.organisations.Load())[name]; ok {
 		return o
@@ -114,8 +115,8 @@
 	return o
 }
 
-// Configure sets the limits of the configuration in force. Organisations that
-// it no longer has become unlimited; they are removed if they are idle.
+// Configure sets the limits of all organisations. An organisation that is not in
+// specs becomes unlimited, or is removed if it is idle.
 func (l *Limiter) Configure(specs map[string]savorypin.OrganisationSpec) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -185,7 +186,7 @@
 }
 
 // addRenewals adds the due renewals to the reports and removes the state of
-// owners of whom this entry has no grant.
+// owners from which this entry has no grant.
 func (l *Limiter) addRenewals(reports map[string]Report, renewals map[string]*Renewal) {
 	for owner, r := range renewals {
 		if r == nil {
@@ -205,8 +206,8 @@
 	}
 }
 
-// ApplyAnswer applies the answer of an owner to a report that was sent at the given
-// time.
+// ApplyAnswer applies the answer of an owner to a report that was sent at the
+// given time.
 func (l *Limiter) ApplyAnswer(owner string, report Report, answer Answer, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -264,7 +265,7 @@
 	}
 }
 
-// releaseGrant gives up the grant of an organisation that is not used.
+// releaseGrant gives up the grant of an organisation that no longer needs it.
 func (l *Limiter) releaseGrant(owner string, o *organisation) {
 	o.contended = false
 	o.grantUntil = time.Time{}
@@ -272,8 +273,8 @@
 }
 
 // updateFairness marks the organisations that demand more than their weighted
-// max-min share of the admitted tokens and get more than fairShareThreshold of
-// it.
+// max-min share of the admitted tokens and receive more than fairShareThreshold
+// of that share.
 func (l *Limiter) updateFairness() {
 	var parties []Party
 	var organisations []*organisation
@@ -292,23 +293,24 @@
 
 // Settings of the fairness between organisations under overload.
 const (
-	// fairShareThreshold is the ratio of its fair share beyond which an
-	// organisation counts as over it.
+	// fairShareThreshold is the fraction of its fair share above which an
+	// organisation that demands more than the share counts as over it.
 	fairShareThreshold = 0.9
-	// overFairDivisor divides the longest wait for a first token of an
+	// overFairDivisor divides the maximum wait for the first token of an
 	// organisation that is over its fair share, so that the rest of the queue is
 	// left to the others.
 	overFairDivisor = 2
 )
 
-// Wait returns the longest wait for a first token of an organisation, given that
-// of the others. Under overload an organisation that is over its fair share is
-// refused earlier, so that the queue has room for the others.
-func (l *Limiter) Wait(name string, wait time.Duration) time.Duration {
+// Wait returns the maximum wait for the first token of an organisation; maxWait
+// is that of an organisation within its fair share. Under overload an
+// organisation that is over its fair share is refused earlier, so that the queue
+// has room for the others.
+func (l *Limiter) Wait(name string, maxWait time.Duration) time.Duration {
 	if o, ok := (*l.organisations.Load())[name]; ok && o.overFair.Load() {
-		return wait / overFairDivisor
+		return maxWait / overFairDivisor
 	}
-	return wait
+	return maxWait
 }
 
 // OrganisationState describes an organisation in the state dump.
@@ -316,7 +318,8 @@
 	AdmittedPerSecond float64 `json:"admittedTokensPerSecond"`
 	Concurrency       int64   `json:"concurrency"`
 	DemandPerSecond   float64 `json:"demandTokensPerSecond"`
-	// Granted reports whether Share comes from a grant and not from the fallback.
+	// Granted reports whether the entry has a valid grant. The parts of Share that
+	// are not granted come from the fallback share.
 	Granted  bool   `json:"granted"`
 	Name     string `json:"name"`
 	OverFair bool   `json:"overFairShare"`
@@ -333,7 +336,7 @@
 	states := []OrganisationState{}
 	for _, o := range *l.organisations.Load() {
 		granted := now.Before(o.grantUntil)
-		share := amountOf(*o.spec.Load()).fallback(l.entries)
+		share := limitsOf(*o.spec.Load()).fallback(l.entries)
 		if granted {
 			share = withDefaults(o.grant, share)
 		}
--- a/internal/savorypinlimit/organisation.go
+++ b/internal/savorypinlimit/organisation.go
@@ -10,8 +10,8 @@
 
 // Settings of the averages and estimates of an organisation.
 const (
-	// fallbackWait is the longest time after which a request that was refused
-	// under the fallback share may be retried.
+	// fallbackWait is the maximum LimitedError.RetryAfter of a request that was
+	// refused under the fallback share.
 	fallbackWait = time.Second
 	// initialTokenRatio is the expected ratio of generated tokens to the maximum
 	// that a request asks for, before any request has ended.
@@ -22,7 +22,7 @@
 	intervalWeight = 0.2
 )
 
-// meter measures a rate, in units a second.
+// meter measures a rate, in units per second.
 type meter struct {
 	pending atomic.Int64
 	rate    atomic.Uint64
@@ -45,19 +45,19 @@
 // organisation is the state of an organisation at this entry. Requests use only
 // its atomic fields; Limiter.mu guards the others.
 type organisation struct {
-	admitted       meter
-	concurrency    atomic.Int64
-	demand         meter
-	granted        atomic.Bool
-	averageSeconds atomic.Uint64
-	name           string
-	overFair       atomic.Bool
-	tokenRatio     atomic.Uint64
-	requestDemand  meter
-	requests       bucket
-	running        atomic.Int64
-	spec           atomic.Pointer[savorypin.OrganisationSpec]
-	tokens         bucket
+	admitted              meter
+	concurrency           atomic.Int64
+	demand                meter
+	granted               atomic.Bool
+	averageRequestSeconds atomic.Uint64
+	name                  string
+	overFair              atomic.Bool
+	tokenRatio            atomic.Uint64
+	requestDemand         meter
+	requests              bucket
+	running               atomic.Int64
+	spec                  atomic.Pointer[savorypin.OrganisationSpec]
+	tokens                bucket
 
 	// reportRequested reports whether the owner has requested the usage.
 	reportRequested bool
@@ -86,14 +86,12 @@
 
 // recordCompletion updates the averages with a request that has ended.
 func (o *organisation) recordCompletion(tokens, maxTokens int, took time.Duration) {
-	updateAverage(&o.averageSeconds, took.Seconds())
+	updateAverage(&o.averageRequestSeconds, took.Seconds())
 	if maxTokens > 0 {
 		updateAverage(&o.tokenRatio, min(1, float64(tokens)/float64(maxTokens)))
 	}
 }
 
-// updateAverage adds a sample to a moving average. It drops the sample if
-// another one is added at the same time.
 // updateAverage adds a sample to a moving average. It drops the sample if
 // another one is added at the same time.
 func updateAverage(average *atomic.Uint64, sample float64) {
@@ -102,16 +100,17 @@
 	average.CompareAndSwap(old, math.Float64bits(next))
 }
 
-// slotWait returns the expected time until a running request ends.
+// slotWait returns the RetryAfter of a request over the concurrency limit: the
+// expected time until a running request ends, at least ExchangeInterval.
 func (o *organisation) slotWait() time.Duration {
-	hold := math.Float64frombits(o.averageSeconds.Load())
-	wait := time.Duration(hold / float64(max(1, o.running.Load())) * float64(time.Second))
+	seconds := math.Float64frombits(o.averageRequestSeconds.Load())
+	wait := time.Duration(seconds / float64(max(1, o.running.Load())) * float64(time.Second))
 	return o.retryAfter(max(ExchangeInterval, wait))
 }
 
 // retryAfter returns the time after which a refused request can begin, given
 // the wait under the current share. The wait under a fallback share is bounded,
-// as a grant replaces it at the next exchange.
+// because a grant replaces that share at the next exchange.
 func (o *organisation) retryAfter(wait time.Duration) time.Duration {
 	if o.granted.Load() {
 		return wait
@@ -140,13 +139,13 @@
 	}
 	if now.Before(o.grantUntil) {
 		// The owner may have changed or restarted and not know the grant.
-		held := o.grant
-		u.Held = &held
+		grant := o.grant
+		u.Grant = &grant
 	}
 	return u
 }
 
-// idle reports whether no request runs and hardly any arrives.
+// idle reports whether no request is running and almost none arrive.
 func (o *organisation) idle() bool {
 	const maxIdleRate = 0.01
 	return o.running.Load() == 0 && o.requestDemand.value() < maxIdleRate
@@ -154,7 +153,7 @@
 
 // needsGrant reports whether the organisation is limited and in use.
 func (o *organisation) needsGrant() bool {
-	return !o.idle() && amountOf(*o.spec.Load()).limited()
+	return !o.idle() && limitsOf(*o.spec.Load()).limited()
 }
 
 // holdsGrantOf reports whether the organisation has a valid grant of an owner.
@@ -163,8 +162,9 @@
 }
 
 // reportDue reports whether the usage must be reported to the owner now. Demand
-// that has grown but is within the grant is reported when the owner requests it;
-// the grants of an owner are renewed together.
+// that has grown but does not exceed the grant is only reported when the owner
+// requests it. No report is needed to renew the grant, as all grants of an owner
+// are renewed together.
 func (o *organisation) reportDue(owner string, u Usage, now time.Time) bool {
 	if o.reportRequested || !now.Before(o.grantUntil) {
 		return true
@@ -179,7 +179,7 @@
 
 // setRates applies the grant, or the fallback share if none is valid.
 func (o *organisation) setRates(entries int, now time.Time) {
-	limits := amountOf(*o.spec.Load())
+	limits := limitsOf(*o.spec.Load())
 	a := limits.fallback(entries)
 	o.granted.Store(now.Before(o.grantUntil))
 	if o.granted.Load() {
--- a/internal/savorypinlimit/owner.go
+++ b/internal/savorypinlimit/owner.go
@@ -10,12 +10,12 @@
 	"savorypin/internal/savorypin"
 )
 
-// demandHeadroom is the ratio of a grant to the demand if the limit allows it, so
+// demandHeadroom is the ratio of a grant to the demand, if the limit allows it, so
 // that the demand can grow between two reports.
 const demandHeadroom = 1.25
 
-// leftoverDivisor divides the part of a limit that exceeds the demand to get what
-// is granted in advance. The rest stays free for entries that have not reported
+// leftoverDivisor divides the part of a limit that exceeds the total demand to get
+// what is granted in advance. The rest stays free for entries that have not reported
 // yet.
 const leftoverDivisor = 2
 
@@ -44,14 +44,14 @@
 // holder is the grant of an entry and the usage that it last reported.
 type holder struct {
 	granted Amount
-	// contended is the last value of Answer.Tight that the entry was sent.
+	// contended is the last value of Answer.Contended that was sent to the entry.
 	contended bool
 	expires   time.Time
 	usage     Usage
 }
 
-// NewOwner returns an owner without grants. It only renews until
-// RenewOnlyDuration has passed, as grants of a previous owner may be valid.
+// NewOwner returns an owner without grants. Until RenewOnlyDuration has passed, it
+// only renews grants, as those of a previous owner may still be valid.
 func NewOwner(now time.Time) *Owner {
 	o := &Owner{organisations: map[string]*ownedOrganisation{}}
 	o.EntriesChanged(func(string) bool { return false }, now)
@@ -59,17 +59,17 @@
 }
 
 // EntriesChanged records a change of the live entries, by which this entry may
-// have become the owner of organisations. The function owned reports whether it
-// owned an organisation before the change.
-func (o *Owner) EntriesChanged(owned func(organisation string) bool, now time.Time) {
+// have become the owner of organisations. The function ownedBefore reports whether
+// it owned an organisation before the change.
+func (o *Owner) EntriesChanged(ownedBefore func(organisation string) bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.changes = slices.DeleteFunc(o.changes, func(c entriesChange) bool { return now.Sub(c.at) > RenewOnlyDuration })
-	o.changes = append(o.changes, entriesChange{at: now, ownedBefore: owned})
+	o.changes = append(o.changes, entriesChange{at: now, ownedBefore: ownedBefore})
 }
 
-// renewOnlyUntil returns the time until which grants of an organisation by
-// another owner may be valid.
+// renewOnlyUntil returns the time until which grants of an organisation's limits
+// by another owner may be valid.
 func (o *Owner) renewOnlyUntil(organisation string) time.Time {
 	var until time.Time
 	for _, c := range o.changes {
@@ -166,15 +166,13 @@
 	return exceeds(demand.Tokens, limit.Tokens) || exceeds(demand.Requests, limit.Requests) || exceeds(demand.Concurrency, limit.Concurrency)
 }
 
-// exceeds reports whether a demand exceeds a limit; a limit of zero is none.
+// exceeds reports whether a demand exceeds a limit. A limit of zero means unlimited.
 func exceeds[T float32 | int](demand, limit T) bool {
 	return limit > 0 && demand > limit
 }
 
 // grant stores the usage of an entry and returns its new grant. Until the grants
-// of a previous owner have expired, it grants no more than the entry holds.
-// grant stores the usage of an entry and returns its new grant. Until the grants
-// of a previous owner have expired, it grants no more than the entry holds.
+// of a previous owner have expired, it is no larger than the one the entry holds.
 func (o *Owner) grant(entry string, usage Usage, limit Amount, now time.Time) Amount {
 	org := o.organisations[usage.Organisation]
 	if org == nil {
@@ -190,7 +188,7 @@
 	h.usage = usage
 	h.granted = org.share(h, limit)
 	if now.Before(org.renewOnlyUntil) {
-		h.granted = minAmount(h.granted, usage.held())
+		h.granted = minAmount(h.granted, usage.validGrant())
 	}
 	h.expires = now.Add(GrantTerm)
 	return h.granted
@@ -247,7 +245,7 @@
 }
 
 // demandShare returns the share of a limit that self gets by max-min fairness,
-// plus an equal part of what the demand leaves.
+// plus its equal part of what is granted in advance.
 func demandShare(limit float64, self *holder, others []*holder, demand func(Usage) float64) float64 {
 	parties := []Party{{Demand: demand(self.usage) * demandHeadroom, Weight: 1}}
 	for _, other := range others {
@@ -272,7 +270,7 @@
 // ShareOfLimits returns the given share of the limits of an organisation: what its
 // owner may grant to the entries that it can reach.
 func ShareOfLimits(spec savorypin.OrganisationSpec, share float64) Amount {
-	a := amountOf(spec)
+	a := limitsOf(spec)
 	a.Tokens *= float32(share)
 	a.Requests *= float32(share)
 	a.Concurrency = int(math.Floor(float64(a.Concurrency) * share))
--- a/internal/savorypinlimit/owners.go
+++ b/internal/savorypinlimit/owners.go
@@ -6,9 +6,9 @@
 	"savorypin/internal/savorypinrank"
 )
 
-// Owners finds the owner of each organisation's limits: the first of the live
-// entries by rendezvous hashing. It caches the owners until the entries change.
-// It is not safe for concurrent use.
+// Owners finds the owner of each organisation's limits: the live entry that ranks
+// first by rendezvous hashing. It caches the owners until the entries change. It
+// is not safe for concurrent use.
 type Owners struct {
 	entries []string
 	cached  map[string]string
--- a/internal/savorypinlimit/reach.go
+++ b/internal/savorypinlimit/reach.go
@@ -17,7 +17,7 @@
 	regions map[string]regionEntries
 }
 
-// regionEntries is the largest number of live entries that a region had lately.
+// regionEntries is the largest recent number of live entries of a region.
 type regionEntries struct {
 	entries int
 	seenAt  time.Time
@@ -32,7 +32,7 @@
 // entries that may admit requests, and the share of the limits that the live ones
 // may use.
 func (r *Reachability) Update(live map[string]int, now time.Time) (entries int, share float64) {
-	total, unreachable := r.countKnown(live, now)
+	total, unreachable := r.updateRegions(live, now)
 	reachable := 0
 	for _, n := range live {
 		reachable += n
@@ -44,9 +44,9 @@
 	return total, float64(reachable) / float64(total)
 }
 
-// countKnown updates the known regions. It returns the number of known entries,
+// updateRegions updates the known regions. It returns the number of known entries,
 // and the number of those in regions without a live entry.
-func (r *Reachability) countKnown(live map[string]int, now time.Time) (total, unreachable int) {
+func (r *Reachability) updateRegions(live map[string]int, now time.Time) (total, unreachable int) {
 	for region, n := range live {
 		known, ok := r.regions[region]
 		if !ok || n >= known.entries || now.Sub(known.seenAt) > reachRetention {
--- a/internal/savorypinlimit/report.go
+++ b/internal/savorypinlimit/report.go
@@ -16,16 +16,16 @@
 }
 
 // Renewal asks an owner to renew all its grants to an entry. It doesn't list
-// them: both sides know them, so that their number and a checksum suffice. Its
-// fields are exported for the codecs.
+// them: both sides know them, so their number and a checksum suffice. Its fields
+// are exported for the codecs.
 type Renewal struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
 
 	// Grants is the number of grants that the entry holds.
 	Grants int
-	// Sum is the sum of the grants, by grantSum.
+	// Sum is the sum of the hashes of the grants.
 	Sum uint64
-	// Released are the organisations whose grants the entry gives up.
+	// Released are the organisations whose grants the entry has given up.
 	Released []string
 }
 
@@ -39,19 +39,20 @@
 	// Stale are the organisations whose usage the entry has to report again.
 	Stale []string
 	// Contended reports, in the order of the usages, whether the total demand of the
-	// organisation exceeds its limits, so that the entry has to report it often.
+	// organisation exceeds its limits, so that the entry has to report its usage
+	// often.
 	Contended []bool
 }
 
 // add adds a grant to the number and the sum of a renewal.
 func (r *Renewal) add(organisation string, a Amount) {
 	r.Grants++
-	// The sum does not depend on the order.
-	r.Sum += grantSum(organisation, a)
+	// The sum does not depend on the order, which differs between the two sides.
+	r.Sum += grantHash(organisation, a)
 }
 
-// grantSum returns a hash of a grant.
-func grantSum(organisation string, a Amount) uint64 {
+// grantHash returns a hash of a grant.
+func grantHash(organisation string, a Amount) uint64 {
 	var amounts [16]byte
 	binary.LittleEndian.PutUint32(amounts[0:], math.Float32bits(a.Tokens))
 	binary.LittleEndian.PutUint32(amounts[4:], math.Float32bits(a.Requests))
--- a/internal/savorypinlimit/retry.go
+++ b/internal/savorypinlimit/retry.go
@@ -5,17 +5,18 @@
 // Costs and credits of the retry budget, in thousandths of a retry.
 const (
 	retryCost = 1000
-	// firstAttemptCredit is the credit of a first attempt: one retry for ten.
+	// firstAttemptCredit is the credit of a first attempt: one retry for ten of them.
 	firstAttemptCredit = 100
-	// idleCredit is the credit of an exchange interval: one retry a second.
+	// idleCredit is the credit of an exchange interval: one retry per second.
 	idleCredit = 250
 	// maxRetryCredit is the largest credit that the budget accumulates.
 	maxRetryCredit = 20 * retryCost
 )
 
-// RetryBudget bounds retries to a tenth of the first attempts, so that retries
-// cannot multiply the work of a system that is overloaded or broken. Resumes
-// are not charged. It is safe for concurrent use.
+// RetryBudget bounds retries to a tenth of the first attempts plus one per second,
+// with a burst of twenty, so that retries cannot multiply the load of a system
+// that is overloaded or broken. Resumes are not charged. Its zero value is a full
+// budget. It is safe for concurrent use.
 type RetryBudget struct {
 	spent atomic.Int64
 }
--- a/internal/savorypinlimit/share.go
+++ b/internal/savorypinlimit/share.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Party is a party to the division of a capacity by MaxMin.
+// Party is one of those among which MaxMin divides a capacity.
 type Party struct {
 	// Demand is the part of the capacity that the party asks for.
 	Demand float64
@@ -14,10 +14,10 @@
 }
 
 // MaxMin divides a capacity by weighted max-min fairness: no share exceeds its
-// demand, and a share can only grow if another one shrinks that is no larger for
-// its weight. The algorithm is progressive filling (Bertsekas and Gallager, Data
-// Networks, 6.5.2). It also returns the level: the share for each unit of weight
-// of the parties whose demand is not met.
+// demand, and a share can only grow at the cost of another one that is no larger
+// per unit of weight. The algorithm is progressive filling (Bertsekas and
+// Gallager, Data Networks, 6.5.2). It also returns the level: the share per unit
+// of weight of the parties whose demand is not met.
 func MaxMin(capacity float64, parties []Party) (shares []float64, level float64) {
 	shares = make([]float64, len(parties))
 	order := make([]int, len(parties))
--- a/internal/savorypinlimit/window.go
+++ b/internal/savorypinlimit/window.go
@@ -22,18 +22,19 @@
 }
 
 // WindowBudget bounds the number of repeated sends in a sliding window by the
-// number of first sends, over all holders of the budget, which exchange their
-// numbers. It is safe for concurrent use.
+// number of first sends. The bound applies to the total of this process and its
+// peers, which share the budget and exchange their counts. It is safe for
+// concurrent use.
 type WindowBudget struct {
 	cfg WindowConfig
 
 	mu          sync.Mutex
 	first       [windowSlots]float64
-	others      map[string]SendCounts
+	peers       map[string]SendCounts
 	currentSlot int64
 	repeats     [windowSlots]float64
-	// slackRatio is the ratio of the slack that this holder and those in others
-	// may use together.
+	// slackRatio is the fraction of the slack that this process and the peers may
+	// use together.
 	slackRatio float64
 }
 
@@ -45,7 +46,7 @@
 
 // NewWindowBudget returns a budget with empty counts.
 func NewWindowBudget(cfg WindowConfig) *WindowBudget {
-	return &WindowBudget{cfg: cfg, others: map[string]SendCounts{}, slackRatio: 1}
+	return &WindowBudget{cfg: cfg, peers: map[string]SendCounts{}, slackRatio: 1}
 }
 
 // RecordFirst counts a first send.
@@ -60,38 +61,38 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.advance()
-	spent := b.spent()
-	for _, o := range b.others {
-		spent.First += o.First
-		spent.Repeats += o.Repeats
+	total := b.windowCounts()
+	for _, o := range b.peers {
+		total.First += o.First
+		total.Repeats += o.Repeats
 	}
-	if spent.Repeats+1 > b.cfg.Ratio*spent.First+b.cfg.Slack*b.slackRatio {
+	if total.Repeats+1 > b.cfg.Ratio*total.First+b.cfg.Slack*b.slackRatio {
 		return false
 	}
 	b.repeats[i]++
 	return true
 }
 
-// Counts returns what this holder has sent within the window, without the others.
+// Counts returns what this process has sent within the window, without its peers.
 func (b *WindowBudget) Counts() SendCounts {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	return b.spent()
+	return b.windowCounts()
 }
 
-// SetPeers sets what the other holders of the budget have sent, by holder. The
-// slackRatio is the ratio of the slack that these and this one may use together;
-// it is less than one if some holders can't be reached.
-func (b *WindowBudget) SetPeers(others map[string]SendCounts, slackRatio float64) {
+// SetPeers sets what the peers have sent, by peer. The slackRatio is the fraction
+// of the slack that they and this process may use together; it is less than one
+// if some peers can't be reached.
+func (b *WindowBudget) SetPeers(peers map[string]SendCounts, slackRatio float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others = others
+	b.peers = peers
 	b.slackRatio = slackRatio
 }
 
-// spent returns the sums over the window. The caller holds b.mu.
-func (b *WindowBudget) spent() SendCounts {
+// windowCounts returns the sums over the window. The caller holds b.mu.
+func (b *WindowBudget) windowCounts() SendCounts {
 	var s SendCounts
 	for j := range windowSlots {
 		s.First += b.first[j]
--- a/internal/savorypinlimit/window_test.go
+++ b/internal/savorypinlimit/window_test.go
@@ -11,7 +11,7 @@
 )
 
 var _ = Describe("WindowBudget", func() {
-	It("allows the slack and a ratio of the first sends", func() {
+	It("allows the slack plus a fraction of the first sends", func() {
 		now := time.Unix(1000, 0)
 		b := savorypinlimit.NewWindowBudget(savorypinlimit.WindowConfig{
 			Now: func() time.Time { return now }, Ratio: 0.5, Slack: 3, Window: 10 * time.Second,
@@ -19,16 +19,16 @@
 		for range 4 {
 			b.RecordFirst()
 		}
-		spent := 0
+		repeats := 0
 		for b.TryRepeat() {
-			spent++
+			repeats++
 		}
-		Expect(spent).To(Equal(5))
+		Expect(repeats).To(Equal(5))
 		now = now.Add(20 * time.Second)
 		Expect(b.TryRepeat()).To(BeTrue())
 	})
 
-	It("counts the sends of the other holders", func() {
+	It("counts the sends of the peers", func() {
 		now := time.Unix(1000, 0)
 		b := savorypinlimit.NewWindowBudget(savorypinlimit.WindowConfig{
 			Now: func() time.Time { return now }, Ratio: 0.5, Slack: 3, Window: 10 * time.Second,
@@ -43,7 +43,7 @@
 		Expect(b.TryRepeat()).To(BeFalse())
 	})
 
-	It("bounds the repeats in every window that is shorter by one slot", func() {
+	It("bounds the repeats in every interval that is one slot shorter than the window", func() {
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
 			const ratio, slack = 0.8, 10
 			window := 10 * time.Second
@@ -65,14 +65,14 @@
 				begin := end.Add(-window * 9 / 10)
 				allowed := ratio*float64(count(first, end.Add(-window), end)) + slack
 				if got := float64(count(repeats, begin, end)); got > allowed {
-					t.Fatalf("%g repeats in a window, want at most %g", got, allowed)
+					t.Fatalf("%g repeats in an interval, want at most %g", got, allowed)
 				}
 			}
 		})
 	})
 })
 
-// count returns how many times lie after begin and no later than end.
+// count returns how many of the times are after begin and not after end.
 func count(times []time.Time, begin, end time.Time) int {
 	n := 0
 	for _, at := range times {
