--- a/internal/savorypinroute/average.go
+++ b/internal/savorypinroute/average.go
@@ -12,8 +12,8 @@
 	bits atomic.Uint64
 }
 
-// add adds a sample, which must be positive, with a weight. The first sample
-// becomes the average.
+// add adds a sample with a weight. The sample must be positive, as zero marks an
+// average without samples. The first sample becomes the average.
 func (a *average) add(sample, weight float64) {
 	for {
 		old := a.bits.Load()
@@ -32,7 +32,7 @@
 }
 
 // decayingAverage is a moving average that decays to zero with decayHalfLife, so
-// that old samples of an endpoint lose their weight while it gets no work.
+// that old samples of an endpoint lose their weight while it gets no requests.
 type decayingAverage struct {
 	sample atomic.Pointer[decayingSample]
 }
--- a/internal/savorypinroute/bench_test.go
+++ b/internal/savorypinroute/bench_test.go
@@ -10,7 +10,7 @@
 	"savorypin/internal/savorypinroute"
 )
 
-// BenchmarkPolicies reports the results of the policies on one seeded workload.
+// BenchmarkPolicies reports the results of the policies on the same seeded workload.
 func BenchmarkPolicies(b *testing.B) {
 	for _, load := range []float64{0.5, 0.9, 1.2, 2} {
 		for _, p := range policies {
@@ -22,43 +22,43 @@
 				seconds := (simDuration - simWarmUp).Seconds()
 				b.ReportMetric(float64(o.mean().Milliseconds()), "mean-ms")
 				b.ReportMetric(float64(o.p95().Milliseconds()), "p95-ms")
-				b.ReportMetric(float64(o.good)/seconds, "good/s")
+				b.ReportMetric(float64(o.inTime)/seconds, "good/s")
 				b.ReportMetric(float64(o.offered)/seconds, "asked/s")
 				b.ReportMetric(float64(o.prefilled)/float64(max(1, len(o.firstTokenTimes))), "prefill/req")
 				b.ReportMetric(float64(o.wastedPrefill)/seconds, "wasted/s")
-				b.ReportMetric(float64(o.crossBytes)/seconds, "cross-B/s")
+				b.ReportMetric(float64(o.linkBytes)/seconds, "cross-B/s")
 			})
 		}
 	}
 }
 
 // BenchmarkChoose compares one selection among 600 endpoints with the scan by
-// Candidates and LeastLoaded.
+// Candidates and LeastLoaded, and also measures a refusal and Router.Refresh.
 func BenchmarkChoose(b *testing.B) {
 	f := newFixture(members(600, 4)...)
-	n := need()
-	n.Prefixes = savorypinroute.Prefixes(string(make([]byte, 4096)))
-	n.PromptBytes = 4096
+	req := newRequest()
+	req.Prefixes = savorypinroute.Prefixes(string(make([]byte, 4096)))
+	req.PromptBytes = 4096
 	router := benchRouter(f)
 	choose := func() {
-		c, _ := router.Choose(n)
+		c, _ := router.Choose(req)
 		c.Begin()
 		c.Delivered(1)
 		c.Done(nil)
 	}
-	full := benchRouter(newFixture(members(600, 80)...))
-	late := n
+	fullRouter := benchRouter(newFixture(members(600, 80)...))
+	late := req
 	late.MaxFirstToken = time.Second
 	refuse := func() {
-		_, _ = full.Choose(late)
+		_, _ = fullRouter.Choose(late)
 	}
-	naive := func() {
-		savorypinroute.LeastLoaded(savorypinroute.Candidates(f.table.View(), n), n)
+	scan := func() {
+		savorypinroute.LeastLoaded(savorypinroute.Candidates(f.table.View(), req), req)
 	}
 	for _, bc := range []struct {
 		name string
 		run  func()
-	}{{"naive", naive}, {"router", choose}, {"refusal", refuse}} {
+	}{{"naive", scan}, {"router", choose}, {"refusal", refuse}} {
 		b.Run(bc.name, func(b *testing.B) {
 			b.ReportAllocs()
 			for range b.N {
@@ -83,8 +83,8 @@
 	})
 }
 
-// benchRouter returns a router whose clock and random numbers are safe for
-// concurrent use.
+// benchRouter returns a router whose clock and source of random numbers are safe
+// for concurrent use.
 func benchRouter(f *fixture) *savorypinroute.Router {
 	r := savorypinroute.NewRouter(savorypinroute.Config{
 		OnBegin: func(savorypin.Purpose) {},
--- a/internal/savorypinroute/breaker.go
+++ b/internal/savorypinroute/breaker.go
@@ -12,15 +12,15 @@
 	// initialEjection is the duration of the first ejection; it doubles with each
 	// further one.
 	initialEjection = time.Second
-	// breakerMaxDoublings bounds the number of doublings.
+	// breakerMaxDoublings is the maximum number of doublings.
 	breakerMaxDoublings = 5
-	// ejectedShareInverse is the inverse of the largest share of a group's
-	// endpoints that may be ejected at a time.
-	ejectedShareInverse = 2
+	// maxEjectedDivisor divides the number of a group's endpoints to get how many
+	// of them may be ejected at a time.
+	maxEjectedDivisor = 2
 )
 
 // breaker is a circuit breaker that ejects an endpoint that fails. After the
-// ejection one piece of work at a time probes the endpoint.
+// ejection one request at a time probes the endpoint.
 type breaker struct {
 	ejections    atomic.Int64
 	failures     atomic.Int64
@@ -33,8 +33,8 @@
 	return now.UnixNano() < b.ejectedUntil.Load() || (b.ejections.Load() > 0 && b.probing.Load())
 }
 
-// begin records that work is sent to the endpoint. After an ejection the work is
-// a probe.
+// begin records that a request is sent to the endpoint. After an ejection the
+// request is a probe.
 func (b *breaker) begin() {
 	if b.ejections.Load() > 0 {
 		b.probing.Store(true)
--- a/internal/savorypinroute/endpoint.go
+++ b/internal/savorypinroute/endpoint.go
@@ -10,21 +10,21 @@
 
 // Settings of the estimated time to the first token.
 const (
-	// defaultSlotTimePerToken is the expected time for which work occupies a slot,
-	// for each token that it may generate, before any work has ended.
+	// defaultSlotTimePerToken is the expected time for which a request occupies a
+	// slot, per token of its MaxTokens, before any request has ended.
 	defaultSlotTimePerToken = 20 * time.Millisecond
-	// defaultTokens is the maximum length of the assumed work that gives the initial
-	// averages, with defaultSlotTimePerToken.
+	// defaultTokens is the MaxTokens of the assumed request that, together with
+	// defaultSlotTimePerToken, gives the initial averages.
 	defaultTokens = 200
 	// decayHalfLife is the half-life of a decayingAverage.
 	decayHalfLife = 10 * time.Second
-	// failureCost is added to the cost of an endpoint where all work fails, and in
-	// proportion where some does.
+	// failureCost is added to the cost of an endpoint at which all requests fail,
+	// and in proportion if some do.
 	failureCost = 5 * time.Second
 	// slotTimeWeight is the weight of a new sample in the averages of a service.
 	slotTimeWeight = 0.02
-	// historySamples is the number of samples of this daemon's work in flight that
-	// are kept for each endpoint.
+	// historySamples is the number of samples of this daemon's requests in flight
+	// that are kept for each endpoint.
 	historySamples = 32
 	// sampleWeight is the weight of a new sample in the averages of a target.
 	sampleWeight = 0.2
@@ -35,14 +35,14 @@
 	reportLag = 500 * time.Millisecond
 )
 
-// serviceStats holds averages over the work of a service.
+// serviceStats holds averages over the requests of a service.
 type serviceStats struct {
-	// begunTokens is the mean maximum length of work that has begun.
-	begunTokens average
-	// endedSlotTime is the mean time for which work that has ended occupied a slot,
-	// in seconds, and endedTokens the mean of its maximum lengths.
-	endedSlotTime average
-	endedTokens   average
+	// startedMaxTokens is the mean MaxTokens of requests that have begun.
+	startedMaxTokens average
+	// endedSlotTime is the mean time for which requests that ended without an error
+	// occupied a slot, in seconds, and endedMaxTokens is their mean MaxTokens.
+	endedSlotTime  average
+	endedMaxTokens average
 }
 
 func newServiceStats() *serviceStats {
@@ -51,32 +51,32 @@
 	return s
 }
 
-// meanSlotTime returns the expected time for which work occupies a slot. It
-// scales the slot time of work that has ended to the length of work that began
-// lately, or to maxTokens if none has, so that the estimate follows a change of
-// the workload before any of the new work has ended.
+// meanSlotTime returns the expected time for which a request occupies a slot. It
+// scales the slot time of requests that have ended to the MaxTokens of requests
+// that began recently, or to maxTokens if none has, so that the estimate follows a
+// change of the workload before any of the new requests has ended.
 func (s *serviceStats) meanSlotTime(maxTokens int) time.Duration {
-	tokens := s.begunTokens.value()
+	tokens := s.startedMaxTokens.value()
 	if tokens == 0 {
 		tokens = float64(max(1, maxTokens))
 	}
-	return time.Duration(s.endedSlotTime.value() / s.endedTokens.value() * tokens * float64(time.Second))
+	return time.Duration(s.endedSlotTime.value() / s.endedMaxTokens.value() * tokens * float64(time.Second))
 }
 
-// recordStart adds work that has begun to the averages.
+// recordStart adds a request that has begun to the averages.
 func (s *serviceStats) recordStart(maxTokens int) {
-	s.begunTokens.add(float64(max(1, maxTokens)), slotTimeWeight)
+	s.startedMaxTokens.add(float64(max(1, maxTokens)), slotTimeWeight)
 }
 
-// recordEnd adds work that has ended, and the time for which it occupied a slot,
-// to the averages.
+// recordEnd adds a request that has ended, and the time for which it occupied a
+// slot, to the averages.
 func (s *serviceStats) recordEnd(maxTokens int, slotTime time.Duration) {
 	s.endedSlotTime.add(slotTime.Seconds(), slotTimeWeight)
-	s.endedTokens.add(float64(max(1, maxTokens)), slotTimeWeight)
+	s.endedMaxTokens.add(float64(max(1, maxTokens)), slotTimeWeight)
 }
 
 // endpoint is the state of one endpoint at this daemon. It is kept while a member
-// reports the endpoint or this daemon has work in flight there.
+// reports the endpoint or this daemon has requests in flight there.
 type endpoint struct {
 	inFlight       atomic.Int64
 	sentPrefixes   prefixSet
@@ -124,20 +124,21 @@
 
 // report is the newest reported state of an endpoint.
 type report struct {
-	// baseline is this daemon's work in flight that the reported load includes.
+	// baseline is the number of this daemon's requests in flight that the reported
+	// load includes.
 	baseline int64
 	member   *savorypin.MemberState
 	state    *savorypin.EndpointState
 }
 
-// recordInFlight stores a sample of this daemon's work in flight.
+// recordInFlight stores a sample of the number of this daemon's requests in flight.
 func (e *endpoint) recordInFlight(now time.Time) {
 	e.samples[e.nextSample] = inFlightSample{at: now, inFlight: e.inFlight.Load()}
 	e.nextSample = (e.nextSample + 1) % historySamples
 }
 
-// inFlightAt returns this daemon's work in flight at a time in the past, by the
-// latest sample before it.
+// inFlightAt returns the number of this daemon's requests in flight at a time in
+// the past: the latest sample that is not after it, or 0 if there is none.
 func (e *endpoint) inFlightAt(at time.Time) int64 {
 	var best inFlightSample
 	for _, s := range e.samples {
@@ -148,8 +149,8 @@
 	return best.inFlight
 }
 
-// load returns the reported load, corrected by the work of this daemon that has
-// begun or ended since.
+// load returns the reported load, corrected by the requests of this daemon that
+// have begun or ended since.
 func (e *endpoint) load(r *report) int64 {
 	reported := int64(r.state.Running + r.state.Waiting)
 	return max(0, reported+e.inFlight.Load()-r.baseline)
@@ -157,20 +158,20 @@
 
 // estimate returns the expected time to the first token at the endpoint, without
 // the delay of a link between regions.
-func (e *endpoint) estimate(r *report, need *Request) time.Duration {
+func (e *endpoint) estimate(r *report, req *Request) time.Duration {
 	slots := int64(max(1, r.state.Slots))
 	load := e.load(r)
 	cost := loadCost * time.Duration(min(load, slots)) / time.Duration(slots)
 	if excess := load - slots + 1; excess > 0 {
-		cost += e.service.meanSlotTime(need.MaxTokens) * time.Duration(excess) / time.Duration(slots)
+		cost += e.service.meanSlotTime(req.MaxTokens) * time.Duration(excess) / time.Duration(slots)
 	}
-	tokens := need.promptTokens()
-	tokens -= min(tokens, e.cachedTokens(need.Prefixes, r.state.CachedPrefixes))
+	tokens := req.promptTokens()
+	tokens -= min(tokens, e.cachedTokens(req.Prefixes, r.state.CachedPrefixes))
 	return cost + e.prefillTime(float64(e.pendingPrefill.Load())+float64(tokens))
 }
 
-// prefillTime returns the time of the endpoint's prefill of a number of tokens,
-// or 0 if its rate is unknown.
+// prefillTime returns the time that the endpoint takes to prefill a number of
+// tokens, or 0 if its rate is unknown.
 func (e *endpoint) prefillTime(tokens float64) time.Duration {
 	rate := e.report.Load().state.PrefillPerSecond
 	if rate <= 0 {
@@ -182,30 +183,30 @@
 // target is an endpoint with one of its versions, or without a version for plain
 // services.
 type target struct {
-	bias     decayingAverage
-	breaker  breaker
-	endpoint *endpoint
-	failures decayingAverage
-	key      groupKey
+	bias         decayingAverage
+	breaker      breaker
+	endpoint     *endpoint
+	failureRatio decayingAverage
+	key          groupKey
 }
 
 // cost returns the estimate corrected by the history of the target: the mean
-// delay of its first tokens beyond their estimates, and its failures.
-func (t *target) cost(need *Request, now time.Time) time.Duration {
-	cost := t.endpoint.estimate(t.endpoint.report.Load(), need)
+// delay of its first tokens beyond their estimates, and the penalty for failures.
+func (t *target) cost(req *Request, now time.Time) time.Duration {
+	cost := t.endpoint.estimate(t.endpoint.report.Load(), req)
 	if bias := t.bias.value(now); bias > 0 {
 		cost += time.Duration(bias * float64(time.Second))
 	}
 	return cost + t.penalty(now)
 }
 
-// penalty returns what the failures of the target add to its cost. It serves to
-// rank targets and is not part of the expected time to the first token.
+// penalty returns what the failures of the target add to its cost. It only ranks
+// targets and is not part of the expected time to the first token.
 func (t *target) penalty(now time.Time) time.Duration {
-	return time.Duration(t.failures.value(now) * float64(failureCost))
+	return time.Duration(t.failureRatio.value(now) * float64(failureCost))
 }
 
-// usable reports whether the work may be sent to the target.
-func (t *target) usable(need *Request, now time.Time) bool {
-	return !need.Avoid[t.endpoint.name] && !t.breaker.open(now)
+// usable reports whether the request may be sent to the target.
+func (t *target) usable(req *Request, now time.Time) bool {
+	return !req.Avoid[t.endpoint.name] && !t.breaker.open(now)
 }
--- a/internal/savorypinroute/index.go
+++ b/internal/savorypinroute/index.go
@@ -4,7 +4,7 @@
 	"savorypin/internal/savorypinmembership"
 )
 
-// groupKey identifies the endpoints that can run the same work.
+// groupKey identifies a group of endpoints that can serve the same requests.
 type groupKey struct {
 	service string
 	version string
@@ -22,7 +22,7 @@
 	// entries holds the number of live entries by region.
 	entries map[string]int
 	groups  map[groupKey]*group
-	// prefill holds the total prefill rate by service, in tokens a second.
+	// prefill holds the total prefill rate by service, in tokens per second.
 	prefill map[string]float64
 	view    *savorypinmembership.View
 }
--- a/internal/savorypinroute/link.go
+++ b/internal/savorypinroute/link.go
@@ -8,17 +8,18 @@
 // LinkPurpose is the purpose of bytes on a link between regions.
 type LinkPurpose string
 
-// The purposes of bytes on a link, by falling priority.
+// The purposes of bytes on a link, by descending priority.
 const (
 	// LinkControl is for heartbeats, configuration and limits.
 	LinkControl LinkPurpose = "control"
-	// LinkResume is for work that continues after delivered tokens.
+	// LinkResume is for requests that continue after delivered tokens.
 	LinkResume LinkPurpose = "resume"
-	// LinkSpill is for new work that is sent to another region.
+	// LinkSpill is for new requests that are sent to another region.
 	LinkSpill LinkPurpose = "spill"
 )
 
-// Ratios of a full link budget that are reserved for purposes of higher priority.
+// Fractions of a full link budget that are reserved for purposes of higher
+// priority.
 const (
 	// controlReserve is reserved for control and not available to resumes.
 	controlReserve = 0.2
@@ -33,18 +34,18 @@
 // token bucket with a reserve for each purpose: as the level falls, it first
 // refuses spill, then resumes, and never control.
 type Link struct {
-	mu    sync.Mutex
-	at    time.Time
-	level float64
-	rate  float64
+	mu         sync.Mutex
+	refilledAt time.Time
+	level      float64
+	rate       float64
 }
 
-// NewLink returns a full budget with a rate in bytes a second.
+// NewLink returns a full budget with a rate in bytes per second.
 func NewLink(rate float64, now time.Time) *Link {
-	return &Link{at: now, level: rate * linkBurst.Seconds(), rate: rate}
+	return &Link{refilledAt: now, level: rate * linkBurst.Seconds(), rate: rate}
 }
 
-// SetRate changes the rate, in bytes a second.
+// SetRate changes the rate, in bytes per second.
 func (l *Link) SetRate(rate float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,13 +82,13 @@
 }
 
 func (l *Link) refill(now time.Time) {
-	if now.After(l.at) {
-		l.level = min(l.level+l.rate*now.Sub(l.at).Seconds(), l.rate*linkBurst.Seconds())
-		l.at = now
+	if now.After(l.refilledAt) {
+		l.level = min(l.level+l.rate*now.Sub(l.refilledAt).Seconds(), l.rate*linkBurst.Seconds())
+		l.refilledAt = now
 	}
 }
 
-// reserve returns the ratio of a full budget that a purpose must leave.
+// reserve returns the fraction of a full budget that a purpose must leave unused.
 func reserve(purpose LinkPurpose) float64 {
 	if purpose == LinkResume {
 		return controlReserve
--- a/internal/savorypinroute/prefixcounter.go
+++ b/internal/savorypinroute/prefixcounter.go
@@ -8,7 +8,7 @@
 
 // Sizes of PrefixCounter.
 const (
-	// maxCountedPrefixes is the number of prefixes beyond which all counts are
+	// maxCountedPrefixes is the number of prefixes above which all counts are
 	// halved and prefixes counted once are dropped.
 	maxCountedPrefixes = 512
 	// minUses is the least count of a prefix that Top returns.
@@ -23,7 +23,8 @@
 	prefixes map[uint64]countedPrefix
 }
 
-// countedPrefix is a prefix of a number of blocks that extends its parent.
+// countedPrefix is a prefix with its length in blocks of prefixBytes. Its parent
+// is the hash of the prefix that is one block shorter, or 0.
 type countedPrefix struct {
 	blocks int
 	hash   uint64
@@ -62,7 +63,7 @@
 	}
 }
 
-// Top returns up to n prefixes, none of which extends another, in falling order
+// Top returns up to n prefixes, none of which extends another, in descending order
 // of their length in blocks times their count.
 func (c *PrefixCounter) Top(n int) []uint64 {
 	c.mu.Lock()
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -46,8 +46,8 @@
 	return f
 }
 
-// members returns agents with one engine each, the last third in another
-// region.
+// members returns n agents with one engine each, the last third of them in region
+// r1.
 func members(n, running int) []savorypin.MemberState {
 	var states []savorypin.MemberState
 	for i := range n {
@@ -62,52 +62,52 @@
 	return states
 }
 
-func need() savorypinroute.Request {
+func newRequest() savorypinroute.Request {
 	return savorypinroute.Request{
 		MaxTokens: 100, PromptBytes: 400, Purpose: savorypin.PurposeFirst, Region: "r0", Service: "s", Version: "v",
 	}
 }
 
-var _ = Describe("Policies on one workload", func() {
-	// 95 in 100 requests must get their first token within 1.7 s.
+var _ = Describe("Router on a simulated workload", func() {
+	// At least 95 in 100 requests must get their first token within 1.7 s.
 	const minInTimeRatio = 0.95
 	roundRobin, leastReported, router := policies[0], policies[1], policies[2]
 	for _, load := range []float64{0.5, 0.9} {
-		It(fmt.Sprintf("deliver the first token in time at a load of %v", load), func() {
+		It(fmt.Sprintf("delivers the first token in time, no less often than a choice by reported load, at a load of %v", load), func() {
 			o := simulate(router, load, 7)
-			Expect(float64(o.good)).To(BeNumerically(">=", minInTimeRatio*float64(o.offered)))
-			Expect(o.good).To(BeNumerically(">=", simulate(leastReported, load, 7).good))
+			Expect(float64(o.inTime)).To(BeNumerically(">=", minInTimeRatio*float64(o.offered)))
+			Expect(o.inTime).To(BeNumerically(">=", simulate(leastReported, load, 7).inTime))
 		})
 	}
 	for _, load := range []float64{1.2, 2} {
-		It(fmt.Sprintf("keep the goodput and waste less prefill than round robin at a load of %v", load), func() {
-			full, o, naive := simulate(router, 0.9, 7), simulate(router, load, 7), simulate(roundRobin, load, 7)
-			Expect(o.good).To(BeNumerically(">=", full.good))
-			Expect(o.wastedPrefill).To(BeNumerically("<", naive.wastedPrefill))
+		It(fmt.Sprintf("keeps the goodput of a load of 0.9 and wastes less prefill than round robin at a load of %v", load), func() {
+			belowCapacity, o, baseline := simulate(router, 0.9, 7), simulate(router, load, 7), simulate(roundRobin, load, 7)
+			Expect(o.inTime).To(BeNumerically(">=", belowCapacity.inTime))
+			Expect(o.wastedPrefill).To(BeNumerically("<", baseline.wastedPrefill))
 			link := 30e6 / 8 * (simDuration - simWarmUp).Seconds()
-			Expect(float64(o.crossBytes)).To(BeNumerically("<", link/2))
+			Expect(float64(o.linkBytes)).To(BeNumerically("<", link/2))
 		})
 	}
-	It("avoid an engine that is slower than its reported rates", func() {
+	It("avoids an engine that is slower than its reported rates", func() {
 		slow := func(s *simulation) { s.engines[3].slowdown = 10 }
-		o, naive := simulate(router, 0.5, 7, slow), simulate(roundRobin, 0.5, 7, slow)
-		Expect(float64(o.good)).To(BeNumerically(">=", minInTimeRatio*float64(o.offered)))
-		Expect(o.wastedPrefill).To(BeNumerically("<=", naive.wastedPrefill))
+		o, baseline := simulate(router, 0.5, 7, slow), simulate(roundRobin, 0.5, 7, slow)
+		Expect(float64(o.inTime)).To(BeNumerically(">=", minInTimeRatio*float64(o.offered)))
+		Expect(o.wastedPrefill).To(BeNumerically("<=", baseline.wastedPrefill))
 	})
-	It("avoid an engine that fails", func() {
+	It("avoids an engine that fails", func() {
 		o := simulate(router, 0.5, 7, func(s *simulation) { s.engines[3].fails = true })
-		// Three failures eject the engine. Then each entry of its region probes it
-		// after 1, 2, 4, 8 … seconds.
+		// An entry ejects the engine after three failures, and then probes it after
+		// 1, 2, 4, 8 … seconds.
 		Expect(o.failed).To(BeNumerically("<=", simEntries*(3+6)))
 	})
 })
 
 var _ = Describe("Router", func() {
-	It("spreads the work between two load reports over the endpoints", func() {
+	It("spreads the requests between two load reports over the endpoints", func() {
 		f := newFixture(members(30, 0)...)
 		chosen := map[string]int{}
 		for range 160 {
-			c, err := f.router.Choose(need())
+			c, err := f.router.Choose(newRequest())
 			Expect(err).NotTo(HaveOccurred())
 			c.Begin()
 			chosen[c.Endpoint().Name]++
@@ -123,19 +123,19 @@
 		change  func(*savorypinroute.Request)
 		late    bool
 	}{
-		{"accepts work that can begin in time", 0, func(n *savorypinroute.Request) { n.MaxFirstToken = time.Second }, false},
-		{"refuses work that cannot begin in time", 80, func(n *savorypinroute.Request) { n.MaxFirstToken = time.Second }, true},
-		{"accepts work without a time limit on a full endpoint", 80, func(*savorypinroute.Request) {}, false},
-		{"never refuses a resume", 80, func(n *savorypinroute.Request) {
+		{"accepts a request that can begin in time", 0, func(n *savorypinroute.Request) { n.MaxFirstToken = time.Second }, false},
+		{"refuses a request that cannot begin in time", 80, func(n *savorypinroute.Request) { n.MaxFirstToken = time.Second }, true},
+		{"accepts a request without a time limit when the endpoints are full", 80, func(*savorypinroute.Request) {}, false},
+		{"accepts a resume that cannot begin in time", 80, func(n *savorypinroute.Request) {
 			n.Purpose = savorypin.PurposeResume
 			n.MaxFirstToken = time.Second
 		}, false},
 	} {
 		It(tc.name, func() {
 			f := newFixture(members(30, tc.running)...)
-			n := need()
-			tc.change(&n)
-			_, err := f.router.Choose(n)
+			req := newRequest()
+			tc.change(&req)
+			_, err := f.router.Choose(req)
 			var late *savorypinroute.TooLateError
 			Expect(errors.As(err, &late)).To(Equal(tc.late), "%v", err)
 			if tc.late {
@@ -156,7 +156,7 @@
 			f := newFixture(members(3, 0)[:2]...)
 			chosen := 0
 			for range 20 {
-				c, err := f.router.Choose(need())
+				c, err := f.router.Choose(newRequest())
 				Expect(err).NotTo(HaveOccurred())
 				c.Begin()
 				if c.Endpoint().Name == "engine-0" {
@@ -173,7 +173,7 @@
 	It("never ejects more than half of the endpoints", func() {
 		f := newFixture(members(9, 0)...)
 		for range 200 {
-			c, err := f.router.Choose(need())
+			c, err := f.router.Choose(newRequest())
 			Expect(err).NotTo(HaveOccurred())
 			c.Begin()
 			c.Done(errBroken)
@@ -189,19 +189,19 @@
 
 	It("selects the endpoint to which the same prefix was sent before", func() {
 		f := newFixture(members(30, 0)...)
-		n := need()
-		n.Prefixes = savorypinroute.Prefixes(string(make([]byte, 4096)))
-		n.PromptBytes = 4096
-		first, err := f.router.Choose(n)
+		req := newRequest()
+		req.Prefixes = savorypinroute.Prefixes(string(make([]byte, 4096)))
+		req.PromptBytes = 4096
+		first, err := f.router.Choose(req)
 		Expect(err).NotTo(HaveOccurred())
 		first.Begin()
 		first.Done(nil)
-		again, err := f.router.Choose(n)
+		again, err := f.router.Choose(req)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again.Endpoint().Name).To(Equal(first.Endpoint().Name))
 	})
 
-	It("selects an endpoint of Candidates if there is any, and no other", func() {
+	It("selects one of the endpoints that Candidates returns, and fails only if there is none", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			states := members(9, rapid.IntRange(0, 20).Draw(t, "running"))
 			avoid := map[string]bool{}
@@ -214,10 +214,10 @@
 				}
 			}
 			f := newFixture(states...)
-			n := need()
-			n.Avoid = avoid
+			req := newRequest()
+			req.Avoid = avoid
 			names := map[string]bool{}
-			for _, c := range savorypinroute.Candidates(f.table.View(), n) {
+			for _, c := range savorypinroute.Candidates(f.table.View(), req) {
 				names[c.Endpoint().Name] = true
 			}
 			rate := 0.0
@@ -227,18 +227,18 @@
 			if rate != f.router.PrefillRate("s") {
 				t.Fatalf("prefill rate is %v, want %v", f.router.PrefillRate("s"), rate)
 			}
-			c, err := f.router.Choose(n)
+			c, err := f.router.Choose(req)
 			if (err == nil) != (len(names) > 0) || (err == nil && !names[c.Endpoint().Name]) {
 				t.Fatalf("selected %q (error %v), want one of %v", c.Endpoint().Name, err, names)
 			}
 		})
 	})
 
-	It("allocates only the record of the work", func() {
+	It("allocates at most four times per request", func() {
 		f := newFixture(members(600, 0)...)
-		n := need()
+		req := newRequest()
 		Expect(testing.AllocsPerRun(100, func() {
-			c, _ := f.router.Choose(n)
+			c, _ := f.router.Choose(req)
 			c.Begin()
 			c.Done(nil)
 		})).To(BeNumerically("<=", 4))
@@ -301,13 +301,13 @@
 	})
 })
 
-var _ = Describe("The only endpoint", func() {
-	It("is not refused as too late because of its failures", func() {
+var _ = Describe("A request to the only endpoint", func() {
+	It("is not refused as too late because of failures of the endpoint", func() {
 		f := newFixture(members(1, 0)...)
-		n := need()
-		n.MaxFirstToken = 2 * time.Second
+		req := newRequest()
+		req.MaxFirstToken = 2 * time.Second
 		for range 20 {
-			candidate, err := f.router.Choose(n)
+			candidate, err := f.router.Choose(req)
 			Expect(err).NotTo(HaveOccurred())
 			candidate.Begin()
 			candidate.Done(errors.New("no answer"))
--- a/internal/savorypinroute/router.go
+++ b/internal/savorypinroute/router.go
@@ -12,18 +12,18 @@
 
 // Settings of the selection.
 const (
-	// sampleSize is the number of random endpoints that are compared, besides the
-	// one to which the same prefix was last sent.
+	// sampleSize is the number of random endpoints that are compared, in addition
+	// to the one to which the same prefix was last sent.
 	sampleSize = 3
-	// minSpillGain is the least gain in time to the first token for which work is
-	// sent to another region.
+	// minSpillGain is the least gain in time to the first token for which a request
+	// is sent to another region.
 	minSpillGain = 300 * time.Millisecond
 	// tokenWireBytes is the mean number of bytes that a token takes between daemons,
 	// with its share of frames and acknowledgements.
 	tokenWireBytes = 24
 )
 
-// Counters that a Router increments by Config.Count.
+// Names of the counters that a Router increments through Config.Count.
 const (
 	CountChoiceForced = "route.choices.forced"
 	CountChoicePrefix = "route.choices.prefix"
@@ -40,12 +40,12 @@
 
 // Config configures a Router.
 type Config struct {
-	// OnBegin is called for each piece of work that is sent to an endpoint.
+	// OnBegin is called for each request that is sent to an endpoint.
 	OnBegin func(purpose savorypin.Purpose)
-	// Count adds n to the counter of a name.
+	// Count adds n to the named counter.
 	Count func(name string, n int64)
 	// LinkBytesPerSecond is the bandwidth of the link between regions for all
-	// entries of this region together, in bytes a second.
+	// entries of this region together, in bytes per second.
 	LinkBytesPerSecond float64
 	// LinkDelay returns the delay that the link between two regions adds to a
 	// request and its first token together.
@@ -83,9 +83,9 @@
 	return r
 }
 
-// Refresh applies a view of the members. It must be called several times a
-// second, as each call also samples this daemon's work in flight, which is needed
-// at the time of each load report.
+// Refresh applies a view of the members. It must be called several times a second,
+// as each call also samples this daemon's requests in flight, whose number at the
+// time of each load report is needed.
 func (r *Router) Refresh(view *savorypinmembership.View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -114,8 +114,8 @@
 	r.link.SetRate(r.cfg.LinkBytesPerSecond/float64(max(1, next.entries[r.cfg.Region])), now)
 }
 
-// addEndpoint adds an endpoint of a member, whose state arrived at receivedAt, to
-// the index that is being built.
+// addEndpoint adds the endpoint i of a member, whose state arrived at receivedAt,
+// to the index that is being built.
 func (r *Router) addEndpoint(next *index, member savorypin.MemberState, i int, receivedAt time.Time) {
 	state := &member.Endpoints[i]
 	e := r.endpoints[state.Name]
@@ -153,7 +153,7 @@
 }
 
 // removeUnreported removes the endpoints that no member reports any more and that
-// have no work of this daemon in flight.
+// have no requests of this daemon in flight.
 func (r *Router) removeUnreported(next *index) {
 	for name, e := range r.endpoints {
 		if e.index != next && e.inFlight.Load() == 0 {
@@ -162,12 +162,12 @@
 	}
 }
 
-// choice is a target with its cost. The reason is the counter of the way in which
-// it was found.
+// choice is a target with its cost and the name of the counter for how the target
+// was found.
 type choice struct {
-	cost   time.Duration
-	reason string
-	target *target
+	cost    time.Duration
+	counter string
+	target  *target
 }
 
 // better reports whether c has a target and costs less than the other choice.
@@ -175,67 +175,67 @@
 	return c.target != nil && (other.target == nil || c.cost < other.cost)
 }
 
-// Choose selects the endpoint for a piece of work. It returns ErrNoEndpoint,
-// ErrLinkBudget or a *TooLateError if the work must not begin.
-func (r *Router) Choose(need Request) (Candidate, error) {
+// Choose selects the endpoint for a request. It returns ErrNoEndpoint,
+// ErrLinkBudget or a *TooLateError if the request must not be sent.
+func (r *Router) Choose(req Request) (Candidate, error) {
 	now := r.cfg.Now()
-	g := r.index.Load().groups[groupKey{service: need.Service, version: need.Version}]
+	g := r.index.Load().groups[groupKey{service: req.Service, version: req.Version}]
 	if g == nil {
 		r.cfg.Count(CountRefusedNone, 1)
 		return Candidate{}, ErrNoEndpoint
 	}
-	best := r.local(g, &need, now)
-	best, crossesLink, err := r.spill(g, &need, best, now)
+	best := r.bestLocal(g, &req, now)
+	best, crossesLink, err := r.spill(g, &req, best, now)
 	if err != nil {
 		return Candidate{}, err
 	}
-	// The penalty for failures serves to rank endpoints. If all are as bad, it is no
-	// reason to refuse the work.
+	// The penalty for failures only ranks endpoints. If all of them fail, it is no
+	// reason to refuse the request.
 	expected := best.cost - best.target.penalty(now)
-	if late := need.MaxFirstToken > 0 && expected > need.MaxFirstToken; late && need.Purpose != savorypin.PurposeResume {
+	if late := req.MaxFirstToken > 0 && expected > req.MaxFirstToken; late && req.Purpose != savorypin.PurposeResume {
 		r.cfg.Count(CountRefusedLate, 1)
-		return Candidate{}, &TooLateError{Estimate: expected, Within: need.MaxFirstToken}
+		return Candidate{}, &TooLateError{Estimate: expected, MaxFirstToken: req.MaxFirstToken}
 	}
-	return r.newCandidate(best, need, crossesLink), nil
+	return r.newCandidate(best, req, crossesLink), nil
 }
 
-// local returns the best choice in the region of this daemon.
-func (r *Router) local(g *group, need *Request, now time.Time) choice {
+// bestLocal returns the best choice in the region of this daemon.
+func (r *Router) bestLocal(g *group, req *Request, now time.Time) choice {
 	targets := g.regions[r.cfg.Region]
-	best := r.sampleTargets(targets, need, now)
-	if t := r.affinity.find(need.Prefixes, groupKey{service: need.Service, version: need.Version}); t != nil {
-		best = r.orAffinityTarget(best, t, targets, need, now)
+	best := r.sampleTargets(targets, req, now)
+	if t := r.affinity.find(req.Prefixes, groupKey{service: req.Service, version: req.Version}); t != nil {
+		best = r.considerAffinityTarget(best, t, targets, req, now)
 	}
 	if best.target != nil && best.cost < minSpillGain {
 		return best
 	}
-	return scan(best, targets, need, now)
+	return scan(best, targets, req, now)
 }
 
-// orAffinityTarget returns the better of a choice and the target t, to which the
-// same prefix was last sent.
-func (r *Router) orAffinityTarget(best choice, t *target, targets []*target, need *Request, now time.Time) choice {
-	if t.endpoint.report.Load().member.Region != r.cfg.Region || !t.usable(need, now) || !slices.Contains(targets, t) {
+// considerAffinityTarget returns the better of a choice and the target t, to which
+// the same prefix was last sent.
+func (r *Router) considerAffinityTarget(best choice, t *target, targets []*target, req *Request, now time.Time) choice {
+	if t.endpoint.report.Load().member.Region != r.cfg.Region || !t.usable(req, now) || !slices.Contains(targets, t) {
 		return best
 	}
-	if c := (choice{cost: t.cost(need, now), reason: CountChoicePrefix, target: t}); c.better(best) {
+	if c := (choice{cost: t.cost(req, now), counter: CountChoicePrefix, target: t}); c.better(best) {
 		return c
 	}
 	return best
 }
 
 // sampleTargets returns the best of a few random targets.
-func (r *Router) sampleTargets(targets []*target, need *Request, now time.Time) choice {
+func (r *Router) sampleTargets(targets []*target, req *Request, now time.Time) choice {
 	var best choice
 	if len(targets) <= sampleSize {
-		return scan(best, targets, need, now)
+		return scan(best, targets, req, now)
 	}
 	for range sampleSize {
 		t := targets[int(r.cfg.Rand()*float64(len(targets)))]
-		if !t.usable(need, now) {
+		if !t.usable(req, now) {
 			continue
 		}
-		if c := (choice{cost: t.cost(need, now), reason: CountChoiceSample, target: t}); c.better(best) {
+		if c := (choice{cost: t.cost(req, now), counter: CountChoiceSample, target: t}); c.better(best) {
 			best = c
 		}
 	}
@@ -243,12 +243,12 @@
 }
 
 // scan returns the best of a choice and all targets.
-func scan(best choice, targets []*target, need *Request, now time.Time) choice {
+func scan(best choice, targets []*target, req *Request, now time.Time) choice {
 	for _, t := range targets {
-		if !t.usable(need, now) {
+		if !t.usable(req, now) {
 			continue
 		}
-		if c := (choice{cost: t.cost(need, now), reason: CountChoiceScan, target: t}); c.better(best) {
+		if c := (choice{cost: t.cost(req, now), counter: CountChoiceScan, target: t}); c.better(best) {
 			best = c
 		}
 	}
@@ -257,13 +257,13 @@
 
 // spill considers other regions unless the local choice is good enough. It
 // reports whether the returned choice crosses the link.
-func (r *Router) spill(g *group, need *Request, local choice, now time.Time) (choice, bool, error) {
+func (r *Router) spill(g *group, req *Request, local choice, now time.Time) (choice, bool, error) {
 	if local.target != nil && local.cost < minSpillGain {
 		return local, false, nil
 	}
-	remote := r.remote(g, need, now)
+	remote := r.bestRemote(g, req, now)
 	worthwhile := remote.target != nil && (local.target == nil || remote.cost+minSpillGain <= local.cost)
-	if worthwhile && r.link.Allows(purposeOf(need), need.linkBytes(), now) {
+	if worthwhile && r.link.Allows(linkPurpose(req), req.linkBytes(), now) {
 		return remote, true, nil
 	}
 	switch {
@@ -273,24 +273,24 @@
 		r.cfg.Count(CountRefusedLink, 1)
 		return choice{}, false, ErrLinkBudget
 	}
-	if forced := bestIgnoringBreaker(g.regions[r.cfg.Region], need, now); forced.target != nil {
+	if forced := bestIgnoringBreaker(g.regions[r.cfg.Region], req, now); forced.target != nil {
 		return forced, false, nil
 	}
 	r.cfg.Count(CountRefusedNone, 1)
 	return choice{}, false, ErrNoEndpoint
 }
 
-// remote returns the best choice in other regions. Its cost includes the delay
+// bestRemote returns the best choice in other regions. Its cost includes the delay
 // of the link.
-func (r *Router) remote(g *group, need *Request, now time.Time) choice {
+func (r *Router) bestRemote(g *group, req *Request, now time.Time) choice {
 	var best choice
 	for region, targets := range g.regions {
 		if region == r.cfg.Region {
 			continue
 		}
-		c := r.sampleTargets(targets, need, now)
+		c := r.sampleTargets(targets, req, now)
 		if c.target == nil {
-			c = scan(c, targets, need, now)
+			c = scan(c, targets, req, now)
 		}
 		c.cost += r.cfg.LinkDelay(r.cfg.Region, region)
 		if c.better(best) {
@@ -301,22 +301,22 @@
 }
 
 // bestIgnoringBreaker returns the best target, including ejected ones.
-func bestIgnoringBreaker(targets []*target, need *Request, now time.Time) choice {
+func bestIgnoringBreaker(targets []*target, req *Request, now time.Time) choice {
 	var best choice
 	for _, t := range targets {
-		if need.Avoid[t.endpoint.name] {
+		if req.Avoid[t.endpoint.name] {
 			continue
 		}
-		if c := (choice{cost: t.cost(need, now), reason: CountChoiceForced, target: t}); c.better(best) {
+		if c := (choice{cost: t.cost(req, now), counter: CountChoiceForced, target: t}); c.better(best) {
 			best = c
 		}
 	}
 	return best
 }
 
-// purposeOf returns the purpose of the bytes that a need sends over a link.
-func purposeOf(need *Request) LinkPurpose {
-	if need.Purpose == savorypin.PurposeResume {
+// linkPurpose returns the purpose of the bytes that a request sends over a link.
+func linkPurpose(req *Request) LinkPurpose {
+	if req.Purpose == savorypin.PurposeResume {
 		return LinkResume
 	}
 	return LinkSpill
@@ -337,7 +337,7 @@
 }
 
 // PrefillRate returns the total prefill rate of the usable endpoints of a
-// service, in tokens a second.
+// service, in tokens per second.
 func (r *Router) PrefillRate(service string) float64 {
 	return r.index.Load().prefill[service]
 }
@@ -354,5 +354,5 @@
 			ejected++
 		}
 	}
-	return ejected*ejectedShareInverse <= len(g.all)
+	return ejected*maxEjectedDivisor <= len(g.all)
 }
--- a/internal/savorypinroute/simulation_test.go
+++ b/internal/savorypinroute/simulation_test.go
@@ -13,8 +13,9 @@
 	"savorypin/internal/savorypinroute"
 )
 
-// Settings of the simulated system: thirty replicas, two thirds of them in the
-// first region, while the callers are spread evenly. Rates are in tokens a second.
+// Settings of the simulated system: thirty engines, two thirds of them in the
+// first region, and callers that are spread evenly over the two regions. Rates are
+// in tokens per second.
 const (
 	simEngines        = 30
 	simEntries        = 4
@@ -30,9 +31,9 @@
 	simCachedPrefixes = 600
 )
 
-// chooser selects an endpoint by the policy of one entry. It reports false if it
-// refuses the request.
-type chooser func(need savorypinroute.Request) (savorypinroute.Candidate, bool)
+// chooser selects an endpoint for a request that reaches one entry. It reports
+// false if it refuses the request.
+type chooser func(req savorypinroute.Request) (savorypinroute.Candidate, bool)
 
 type policy struct {
 	name       string
@@ -42,21 +43,21 @@
 var policies = []policy{
 	{"round robin", func(s *simulation, region string) chooser {
 		next := 0
-		return func(need savorypinroute.Request) (savorypinroute.Candidate, bool) {
-			own := s.inRegion(region, need)
+		return func(req savorypinroute.Request) (savorypinroute.Candidate, bool) {
+			local := s.inRegion(region, req)
 			next++
-			return own[next%len(own)], true
+			return local[next%len(local)], true
 		}
 	}},
 	{"least reported", func(s *simulation, _ string) chooser {
-		return func(need savorypinroute.Request) (savorypinroute.Candidate, bool) {
-			return savorypinroute.LeastLoaded(savorypinroute.Candidates(s.table.View(), need), need)
+		return func(req savorypinroute.Request) (savorypinroute.Candidate, bool) {
+			return savorypinroute.LeastLoaded(savorypinroute.Candidates(s.table.View(), req), req)
 		}
 	}},
 	{"router", func(s *simulation, region string) chooser {
 		r := s.router(region)
-		return func(need savorypinroute.Request) (savorypinroute.Candidate, bool) {
-			c, err := r.Choose(need)
+		return func(req savorypinroute.Request) (savorypinroute.Candidate, bool) {
+			c, err := r.Choose(req)
 			return c, err == nil
 		}
 	}},
@@ -72,13 +73,13 @@
 type job struct {
 	candidate   savorypinroute.Candidate
 	crossesLink bool
-	need        savorypinroute.Request
-	started     time.Time
+	req         savorypinroute.Request
+	arrivedAt   time.Time
 	tokens      int
 }
 
-// engine is a queue model of an engine: slots, a rate of prefill less the
-// cached prefixes, and a rate of decoding.
+// engine models an engine as a queue with a number of slots, a prefill rate for
+// tokens that are not cached, and a decoding rate.
 type engine struct {
 	cached  []uint64
 	fails   bool
@@ -90,14 +91,14 @@
 	slowdown float64
 }
 
-// outcome holds the counts of a simulation after its warm-up; refusals and failures
-// are counted from the start.
+// outcome holds the counts of a simulation after its warm-up; only refusals and
+// failures are counted from the start.
 type outcome struct {
 	offered         int
-	crossBytes      int
+	linkBytes       int
 	failed          int
 	firstTokenTimes []time.Duration
-	good            int
+	inTime          int
 	prefilled       int
 	refused         int
 	wastedPrefill   int
@@ -129,7 +130,7 @@
 	table    *savorypinmembership.NaiveTable
 }
 
-// simulate runs a policy at a load, the ratio of the offered work to the capacity
+// simulate runs a policy at a load, the ratio of the offered load to the capacity
 // of all slots. The functions in prepare change the engines before the start.
 func simulate(p policy, load float64, seed uint64, prepare ...func(*simulation)) outcome {
 	s := &simulation{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1))}
@@ -146,6 +147,8 @@
 		s.choosers = append(s.choosers, p.newChooser(s, region(i%2)))
 	}
 	s.report(1)
+	// The mean time for which a request occupies a slot: its decoding, and 0.2 s for
+	// the prefill.
 	slotSeconds := simMeanTokens/simDecodeRate + 0.2
 	s.scheduleArrivals(load * simEngines * simSlots / slotSeconds)
 	for end := s.now.Add(simDuration); s.now.Before(end); {
@@ -162,7 +165,7 @@
 func (s *simulation) schedule(d time.Duration, run func()) {
 	at := s.now.Add(d)
 	i, _ := slices.BinarySearchFunc(s.events, at, func(e event, at time.Time) int {
-		return cmp.Or(e.at.Compare(at), -1) // Insert after events of the same time.
+		return cmp.Or(e.at.Compare(at), -1) // Insert after events at the same time.
 	})
 	s.events = slices.Insert(s.events, i, event{at: at, run: run})
 }
@@ -186,8 +189,8 @@
 	return r
 }
 
-func (s *simulation) inRegion(region string, need savorypinroute.Request) []savorypinroute.Candidate {
-	all := savorypinroute.Candidates(s.table.View(), need)
+func (s *simulation) inRegion(region string, req savorypinroute.Request) []savorypinroute.Candidate {
+	all := savorypinroute.Candidates(s.table.View(), req)
 	return slices.DeleteFunc(all, func(c savorypinroute.Candidate) bool { return c.Member().Region != region })
 }
 
@@ -212,22 +215,23 @@
 	s.schedule(simReportInterval, func() { s.report(sequence + 1) })
 }
 
-// scheduleArrivals schedules the next request, and by it those after, with
-// exponentially distributed gaps for a mean rate in requests a second. Each
-// request is of one of forty organisations, whose prompts have a common prefix.
+// scheduleArrivals schedules the next request, whose arrival schedules the one
+// after it. The gaps are exponentially distributed; the mean rate is in requests
+// per second. Each request belongs to one of forty organisations; the prompts of
+// an organisation have a common prefix.
 func (s *simulation) scheduleArrivals(rate float64) {
 	s.schedule(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), func() {
 		organisation := s.rand.IntN(40)
 		prompt := strings.Repeat(fmt.Sprintf("%08d", organisation), 128+organisation*16)
-		tail := fmt.Sprintf("%08d", s.rand.IntN(1e8))
+		suffix := fmt.Sprintf("%08d", s.rand.IntN(1e8))
 		j := &job{
-			need: savorypinroute.Request{
-				MaxTokens: 2 * simMeanTokens, Prefixes: savorypinroute.Prefixes(prompt + strings.Repeat(tail, 32)),
+			req: savorypinroute.Request{
+				MaxTokens: 2 * simMeanTokens, Prefixes: savorypinroute.Prefixes(prompt + strings.Repeat(suffix, 32)),
 				PromptBytes: len(prompt) + 256, Purpose: savorypin.PurposeFirst, Service: "s", Version: "v",
 				MaxFirstToken: simMaxFirstToken,
 			},
-			started: s.now,
-			tokens:  1 + int(s.rand.ExpFloat64()*simMeanTokens),
+			arrivedAt: s.now,
+			tokens:    1 + int(s.rand.ExpFloat64()*simMeanTokens),
 		}
 		s.dispatch(j)
 		s.scheduleArrivals(rate)
@@ -238,8 +242,8 @@
 
 func (s *simulation) dispatch(j *job) {
 	i := s.rand.IntN(simEntries)
-	j.need.Region = region(i % 2)
-	c, ok := s.choosers[i](j.need)
+	j.req.Region = region(i % 2)
+	c, ok := s.choosers[i](j.req)
 	if s.pastWarmUp() {
 		s.out.offered++
 	}
@@ -249,7 +253,7 @@
 	}
 	j.candidate = c
 	c.Begin()
-	j.crossesLink = c.Member().Region != j.need.Region
+	j.crossesLink = c.Member().Region != j.req.Region
 	k := slices.IndexFunc(s.engines, func(e *engine) bool { return e.name == c.Endpoint().Name })
 	e := s.engines[k]
 	if e.fails {
@@ -261,55 +265,55 @@
 	s.startNext(e)
 }
 
-// startNext starts queued jobs while a slot is free. Jobs whose callers have left
-// are dropped.
+// startNext starts queued jobs while a slot is free. It drops jobs that have waited
+// longer than simMaxFirstToken, as their callers have left.
 func (s *simulation) startNext(e *engine) {
 	for e.running < simSlots && len(e.queue) > 0 {
 		j := e.queue[0]
 		e.queue = e.queue[1:]
-		if s.now.Sub(j.started) > simMaxFirstToken {
+		if s.now.Sub(j.arrivedAt) > simMaxFirstToken {
 			j.candidate.Done(nil)
 			continue
 		}
 		e.running++
-		missing := e.prefill(j.need)
-		s.schedule(time.Duration(missing/simPrefillRate*e.slowdown*float64(time.Second)), func() { s.finishPrefill(e, j, int(missing)) })
+		uncached := e.prefill(j.req)
+		s.schedule(time.Duration(uncached/simPrefillRate*e.slowdown*float64(time.Second)), func() { s.finishPrefill(e, j, int(uncached)) })
 	}
 }
 
-// prefill returns the number of prompt tokens that are not cached, and caches the
-// prefixes of the prompt.
-func (e *engine) prefill(need savorypinroute.Request) float64 {
-	missing := need.PromptBytes / 4
-	for _, hash := range need.Prefixes {
+// prefill caches the prefixes of a prompt and returns the number of its tokens that
+// were not cached.
+func (e *engine) prefill(req savorypinroute.Request) float64 {
+	uncached := req.PromptBytes / 4
+	for _, hash := range req.Prefixes {
 		if i := slices.Index(e.cached, hash); i >= 0 {
-			missing -= 64
+			uncached -= 64
 			e.cached = slices.Delete(e.cached, i, i+1)
 		}
 		e.cached = append(e.cached, hash)
 	}
 	e.cached = e.cached[max(0, len(e.cached)-simCachedPrefixes):]
-	return float64(max(0, missing))
+	return float64(max(0, uncached))
 }
 
 func (s *simulation) finishPrefill(e *engine, j *job, prefilled int) {
 	j.candidate.Delivered(1)
-	took := s.now.Sub(j.started)
-	good := took <= simMaxFirstToken
+	took := s.now.Sub(j.arrivedAt)
+	inTime := took <= simMaxFirstToken
 	if s.pastWarmUp() {
 		s.out.firstTokenTimes = append(s.out.firstTokenTimes, took)
 		s.out.prefilled += prefilled
 		if j.crossesLink {
-			s.out.crossBytes += j.need.PromptBytes + 24*j.tokens
+			s.out.linkBytes += j.req.PromptBytes + 24*j.tokens
 		}
-		if good {
-			s.out.good++
+		if inTime {
+			s.out.inTime++
 		} else {
 			s.out.wastedPrefill += prefilled
 		}
 	}
 	decode := time.Duration(float64(j.tokens) / simDecodeRate * e.slowdown * float64(time.Second))
-	if !good {
+	if !inTime {
 		decode = 0 // The caller has left.
 	}
 	s.schedule(decode, func() {
--- a/internal/savorypinroute/state.go
+++ b/internal/savorypinroute/state.go
@@ -11,18 +11,20 @@
 	// BiasMS is the mean delay of first tokens beyond their estimates, in
 	// milliseconds.
 	BiasMS int64 `json:"biasMs"`
-	// Ejected reports whether no new work is sent to the endpoint.
+	// Ejected reports whether the endpoint is ejected or being probed, so that it
+	// is only selected if there is no other.
 	Ejected bool `json:"ejected"`
 	// Endpoint is the name of the endpoint.
 	Endpoint string `json:"endpoint"`
-	// EstimateMS is the estimated time to the first token of a short prompt,
-	// in milliseconds.
+	// EstimateMS is the cost of an empty prompt, in milliseconds: the estimated time
+	// to the first token plus the bias, if positive, and the penalty for failures.
 	EstimateMS int64 `json:"estimateMs"`
-	// FailureRatio is the ratio of recent work that failed.
+	// FailureRatio is the fraction of recent requests that failed.
 	FailureRatio float64 `json:"failureRatio"`
-	// InFlight is the number of this daemon's pieces of work in flight.
+	// InFlight is the number of this daemon's requests in flight.
 	InFlight int64 `json:"inFlight"`
-	// Load is the reported load, corrected by this daemon's work since the report.
+	// Load is the reported load, corrected by this daemon's requests since the
+	// report.
 	Load    int64  `json:"load"`
 	Region  string `json:"region"`
 	Service string `json:"service"`
@@ -58,7 +60,7 @@
 		Ejected:      t.breaker.open(now),
 		Endpoint:     t.endpoint.name,
 		EstimateMS:   t.cost(&Request{}, now).Milliseconds(),
-		FailureRatio: t.failures.value(now),
+		FailureRatio: t.failureRatio.value(now),
 		InFlight:     t.endpoint.inFlight.Load(),
 		Load:         t.endpoint.load(rep),
 		Region:       rep.member.Region,
--- a/internal/savorypinroute/work.go
+++ b/internal/savorypinroute/work.go
@@ -9,142 +9,144 @@
 	"savorypin/internal/savorypin"
 )
 
-// work is a piece of work for which an endpoint was selected.
-type work struct {
+// attempt is an attempt to serve a request at the endpoint that was selected for
+// it.
+type attempt struct {
 	begun       atomic.Bool
 	crossesLink bool
 	ended       atomic.Bool
 	estimate    time.Duration
-	// firstTokenAt is the time of the first tokens, in Unix nanoseconds; zero before.
-	firstTokenAt atomic.Int64
-	need         Request
-	prefill      int64
-	reason       string
-	router       *Router
-	started      time.Time
-	target       *target
-	tokens       atomic.Int64
+	// firstTokenAt is the arrival time of the first tokens, in Unix nanoseconds, or
+	// zero before that.
+	firstTokenAt   atomic.Int64
+	req            Request
+	prefillTokens  int64
+	counter        string
+	router         *Router
+	startedAt      time.Time
+	target         *target
+	producedTokens atomic.Int64
 }
 
 // newCandidate returns a candidate for a choice.
-func (r *Router) newCandidate(c choice, need Request, crossesLink bool) Candidate {
+func (r *Router) newCandidate(c choice, req Request, crossesLink bool) Candidate {
 	rep := c.target.endpoint.report.Load()
-	w := &work{crossesLink: crossesLink, need: need, reason: c.reason, router: r, target: c.target}
-	return Candidate{endpoint: *rep.state, member: *rep.member, work: w}
+	a := &attempt{crossesLink: crossesLink, req: req, counter: c.counter, router: r, target: c.target}
+	return Candidate{endpoint: *rep.state, member: *rep.member, attempt: a}
 }
 
-// begin adds the work to the work in flight of its endpoint. Only the first call
+// begin adds the request to those in flight at its endpoint. Only the first call
 // has an effect.
-func (w *work) begin() {
-	if w.begun.Swap(true) {
+func (a *attempt) begin() {
+	if a.begun.Swap(true) {
 		return
 	}
-	r, e := w.router, w.target.endpoint
+	r, e := a.router, a.target.endpoint
 	rep := e.report.Load()
-	tokens := w.need.promptTokens()
-	tokens -= min(tokens, e.cachedTokens(w.need.Prefixes, rep.state.CachedPrefixes))
-	w.estimate = e.estimate(rep, &w.need)
-	w.prefill = int64(tokens)
-	w.started = r.cfg.Now()
-	e.service.recordStart(w.need.MaxTokens)
+	tokens := a.req.promptTokens()
+	tokens -= min(tokens, e.cachedTokens(a.req.Prefixes, rep.state.CachedPrefixes))
+	a.estimate = e.estimate(rep, &a.req)
+	a.prefillTokens = int64(tokens)
+	a.startedAt = r.cfg.Now()
+	e.service.recordStart(a.req.MaxTokens)
 	e.inFlight.Add(1)
-	e.pendingPrefill.Add(w.prefill)
-	e.sentPrefixes.add(w.need.Prefixes)
-	r.affinity.add(w.need.Prefixes, w.target)
-	w.target.breaker.begin()
-	r.cfg.OnBegin(w.need.Purpose)
-	r.cfg.Count(w.reason, 1)
-	if w.crossesLink {
-		r.link.Charge(w.need.linkBytes(), w.started)
+	e.pendingPrefill.Add(a.prefillTokens)
+	e.sentPrefixes.add(a.req.Prefixes)
+	r.affinity.add(a.req.Prefixes, a.target)
+	a.target.breaker.begin()
+	r.cfg.OnBegin(a.req.Purpose)
+	r.cfg.Count(a.counter, 1)
+	if a.crossesLink {
+		r.link.Charge(a.req.linkBytes(), a.startedAt)
 		r.cfg.Count(CountSpills, 1)
 	}
 }
 
-// delivered counts n more tokens. The first ones end the prefill and show the
+// delivered counts n more tokens. The first ones end the prefill and reveal the
 // error of the estimate.
-func (w *work) delivered(n int) {
-	w.tokens.Add(int64(n))
-	if !w.begun.Load() {
+func (a *attempt) delivered(n int) {
+	a.producedTokens.Add(int64(n))
+	if !a.begun.Load() {
 		return
 	}
-	if !w.firstTokenAt.CompareAndSwap(0, w.router.cfg.Now().UnixNano()) || w.ended.Load() {
+	if !a.firstTokenAt.CompareAndSwap(0, a.router.cfg.Now().UnixNano()) || a.ended.Load() {
 		return
 	}
-	w.target.endpoint.pendingPrefill.Add(-w.prefill)
-	w.updateBias()
+	a.target.endpoint.pendingPrefill.Add(-a.prefillTokens)
+	a.updateBias()
 }
 
 // updateBias adds the error of the estimated time to the first token to the bias
 // of the target.
-func (w *work) updateBias() {
-	now := w.router.cfg.Now()
-	delay := now.Sub(w.started) - w.estimate
-	if w.crossesLink {
-		delay -= w.router.cfg.LinkDelay(w.need.Region, w.target.endpoint.report.Load().member.Region)
+func (a *attempt) updateBias() {
+	now := a.router.cfg.Now()
+	delay := now.Sub(a.startedAt) - a.estimate
+	if a.crossesLink {
+		delay -= a.router.cfg.LinkDelay(a.req.Region, a.target.endpoint.report.Load().member.Region)
 	}
-	w.target.bias.add(now, delay.Seconds(), sampleWeight)
+	a.target.bias.add(now, delay.Seconds(), sampleWeight)
 }
 
-// end removes the work from the work in flight of its endpoint. It reports false
-// if the work never began or has ended before.
-func (w *work) end() bool {
-	if !w.begun.Load() || w.ended.Swap(true) {
+// end removes the request from those in flight at its endpoint. It reports false
+// if the attempt never began or has ended before.
+func (a *attempt) end() bool {
+	if !a.begun.Load() || a.ended.Swap(true) {
 		return false
 	}
-	w.target.endpoint.inFlight.Add(-1)
-	if w.firstTokenAt.Load() == 0 {
-		w.target.endpoint.pendingPrefill.Add(-w.prefill)
+	a.target.endpoint.inFlight.Add(-1)
+	if a.firstTokenAt.Load() == 0 {
+		a.target.endpoint.pendingPrefill.Add(-a.prefillTokens)
 	}
 	return true
 }
 
-func (w *work) done(err error) {
-	if !w.end() {
+func (a *attempt) done(err error) {
+	if !a.end() {
 		return
 	}
-	w.correctLinkCharge()
-	now := w.router.cfg.Now()
+	a.correctLinkCharge()
+	now := a.router.cfg.Now()
 	switch {
 	case err == nil:
-		if w.firstTokenAt.Load() == 0 {
-			w.updateBias()
+		if a.firstTokenAt.Load() == 0 {
+			a.updateBias()
 		}
-		w.target.endpoint.service.recordEnd(w.need.MaxTokens, w.slotTime(now))
-		w.target.failures.add(now, 0, sampleWeight)
-		w.target.breaker.success()
+		a.target.endpoint.service.recordEnd(a.req.MaxTokens, a.slotTime(now))
+		a.target.failureRatio.add(now, 0, sampleWeight)
+		a.target.breaker.success()
 	case unrelatedToEndpoint(err):
-		w.target.breaker.probing.Store(false)
+		a.target.breaker.probing.Store(false)
 	default:
-		w.fail(now)
+		a.fail(now)
 	}
 }
 
-// slotTime returns the time for which the work occupied a slot, without the wait
-// for the slot.
-func (w *work) slotTime(now time.Time) time.Duration {
-	first := w.firstTokenAt.Load()
+// slotTime returns the time for which the request occupied a slot. It excludes the
+// wait for the slot, unless there was no first token from which to derive it.
+func (a *attempt) slotTime(now time.Time) time.Duration {
+	first := a.firstTokenAt.Load()
 	if first == 0 {
-		return now.Sub(w.started)
+		return now.Sub(a.startedAt)
 	}
-	return now.Sub(time.Unix(0, first)) + w.target.endpoint.prefillTime(float64(w.prefill))
+	return now.Sub(time.Unix(0, first)) + a.target.endpoint.prefillTime(float64(a.prefillTokens))
 }
 
-func (w *work) fail(now time.Time) {
-	w.target.failures.add(now, 1, sampleWeight)
-	if w.target.breaker.failure(now, func() bool { return w.router.mayEject(w.target, now) }) {
-		w.router.cfg.Count(CountEjections, 1)
+func (a *attempt) fail(now time.Time) {
+	a.target.failureRatio.add(now, 1, sampleWeight)
+	if a.target.breaker.failure(now, func() bool { return a.router.mayEject(a.target, now) }) {
+		a.router.cfg.Count(CountEjections, 1)
 	}
 }
 
-// correctLinkCharge corrects the charge of the expected bytes to those of the
-// produced tokens.
-func (w *work) correctLinkCharge() {
-	if !w.crossesLink {
+// correctLinkCharge replaces the charge for the expected bytes by that for the
+// tokens that were produced.
+func (a *attempt) correctLinkCharge() {
+	if !a.crossesLink {
 		return
 	}
-	sent := w.need.PromptBytes + (w.need.Delivered+int(w.tokens.Load()))*tokenWireBytes
-	w.router.link.Refund(w.need.linkBytes() - sent)
-	w.router.cfg.Count(CountLinkBytes+string(purposeOf(&w.need)), int64(sent))
+	sent := a.req.PromptBytes + (a.req.Delivered+int(a.producedTokens.Load()))*tokenWireBytes
+	a.router.link.Refund(a.req.linkBytes() - sent)
+	a.router.cfg.Count(CountLinkBytes+string(linkPurpose(&a.req)), int64(sent))
 }
 
 // unrelatedToEndpoint reports whether an error is no failure of the endpoint: the
