Say what spill and the fallback share do

The comment on spill spoke of a local choice that is good enough; it now names the gain, the budget of the link and the ejected endpoints that it falls back to. The fallback share says that it allows one concurrent request, and Amount what it holds.

4 comments and 3 names of parameters in tests changed.

--- a/internal/savorypinlimit/limit.go
+++ b/internal/savorypinlimit/limit.go
@@ -32,7 +32,7 @@
 
 // Intervals of the exchange between entries and owners.
 const (
-	// ExchangeInterval is the interval at which entries report to owners.
+	// ExchangeInterval is the interval at which entries send due reports to owners.
 	ExchangeInterval = 250 * time.Millisecond
 	// GrantTerm is how long a grant is valid.
 	GrantTerm = 8 * time.Second
@@ -70,8 +70,8 @@
 	return fmt.Sprintf("limit of %s is reached, room in %s", e.Limit, e.RetryAfter.Round(time.Millisecond))
 }
 
-// Amount is an amount of what the limits of an organisation bound: the limits
-// themselves, a grant, or a demand. Its fields are exported for the codecs.
+// Amount holds a quantity for each limit of an organisation: the limits themselves,
+// a grant, or a demand. Its fields are exported for the codecs.
 type Amount struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
 
@@ -142,7 +142,8 @@
 		a.Concurrency > grant.Concurrency && demand.Concurrency > grant.Concurrency
 }
 
-// fallback returns the share of an entry without a valid grant.
+// fallback returns the share of an entry without a valid grant. It allows at least
+// one concurrent request.
 func (a Amount) fallback(entries int) Amount {
 	divisor := fallbackDivisor * max(1, entries)
 	return Amount{
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -123,12 +123,12 @@
 		change  func(*savorypinroute.Request)
 		late    bool
 	}{
-		{"accepts a request that can begin in time", 0, func(n *savorypinroute.Request) { n.MaxFirstToken = time.Second }, false},
-		{"refuses a request that cannot begin in time", 80, func(n *savorypinroute.Request) { n.MaxFirstToken = time.Second }, true},
+		{"accepts a request that can begin in time", 0, func(req *savorypinroute.Request) { req.MaxFirstToken = time.Second }, false},
+		{"refuses a request that cannot begin in time", 80, func(req *savorypinroute.Request) { req.MaxFirstToken = time.Second }, true},
 		{"accepts a request without a time limit when the endpoints are full", 80, func(*savorypinroute.Request) {}, false},
-		{"accepts a resume that cannot begin in time", 80, func(n *savorypinroute.Request) {
-			n.Purpose = savorypin.PurposeResume
-			n.MaxFirstToken = time.Second
+		{"accepts a resume that cannot begin in time", 80, func(req *savorypinroute.Request) {
+			req.Purpose = savorypin.PurposeResume
+			req.MaxFirstToken = time.Second
 		}, false},
 	} {
 		It(tc.name, func() {
--- a/internal/savorypinroute/router.go
+++ b/internal/savorypinroute/router.go
@@ -255,8 +255,10 @@
 	return best
 }
 
-// spill considers other regions unless the local choice is good enough. It
-// reports whether the returned choice crosses the link.
+// spill returns the local choice, or one in another region if there is no local one
+// or the gain is at least minSpillGain, and the budget of the link allows it. If no
+// region has a usable target, it returns the best ejected local one. It reports
+// whether the choice crosses the link.
 func (r *Router) spill(g *group, req *Request, local choice, now time.Time) (choice, bool, error) {
 	if local.target != nil && local.cost < minSpillGain {
 		return local, false, nil
