Name the fleet's indexes by their keys and reword the mirror's and lease's comments

What read oddly: "the own lease" and "the own record" in the lease, a comment on TryAcquireOrRenew that left out the creation of a missing record, contenders beside candidates in its test; unexported fields keyed and hosts and locals called holders and replaced in the fleet; specs of the mirror that did not read as sentences after their container ("A mirror and a new era of the store of a later era is ahead ..."), and mirrors called olderEra, newerEra and now. The comment on maxRemovals and its spec spoke of the oldest remembered deletion, which the code does not compare with.

Now: requiresKey, byHost, byAddress, restarted, olderMirror, newerMirror, candidates; the comments say what each field counts from; specs read as sentences. The test object named "victim" is "old". Checks are unchanged.

--- a/internal/savorypinfleet/configuration.go
+++ b/internal/savorypinfleet/configuration.go
@@ -1,6 +1,7 @@
 // Package savorypinfleet holds a gateway's view of the system: the operator's
 // configuration, the endpoints and the roll-outs. Configurations and directories are
-// immutable once built, so that requests can read them without locks.
+// immutable once built, so that requests can read them without locks. The package also
+// defines the calls, attempts and replies that a platform's codec encodes and decodes.
 package savorypinfleet
 
 import (
@@ -154,23 +155,23 @@
 
 // Configuration is one version of the operator's configuration, indexed for lookups.
 type Configuration struct {
-	byKey    map[string]*Organisation
-	hosts    map[string][]*Route
-	keyed    bool
-	limits   Limits
-	services map[string]*Service
-	version  int64
+	byKey       map[string]*Organisation
+	byHost      map[string][]*Route
+	requiresKey bool
+	limits      Limits
+	services    map[string]*Service
+	version     int64
 }
 
 // NewConfiguration returns a Configuration that is indexed for lookups by requests.
 func NewConfiguration(cfg ConfigurationSpec) *Configuration {
 	c := &Configuration{
-		byKey:    map[string]*Organisation{},
-		hosts:    map[string][]*Route{},
-		keyed:    len(cfg.Organisations) > 0,
-		limits:   cfg.Limits,
-		services: map[string]*Service{},
-		version:  cfg.Version,
+		byKey:       map[string]*Organisation{},
+		byHost:      map[string][]*Route{},
+		requiresKey: len(cfg.Organisations) > 0,
+		limits:      cfg.Limits,
+		services:    map[string]*Service{},
+		version:     cfg.Version,
 	}
 	for _, o := range cfg.Organisations {
 		for _, key := range o.Keys {
@@ -178,9 +179,9 @@
 		}
 	}
 	for _, r := range cfg.Routes {
-		c.hosts[r.Host()] = append(c.hosts[r.Host()], r)
+		c.byHost[r.Host()] = append(c.byHost[r.Host()], r)
 	}
-	for _, routes := range c.hosts {
+	for _, routes := range c.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int {
 			return cmp.Compare(len(b.cfg.Prefix), len(a.cfg.Prefix))
 		})
@@ -191,8 +192,9 @@
 	return c
 }
 
-// RequiresKey reports whether callers need an API key, which is the case if there are organisations.
-func (c *Configuration) RequiresKey() bool { return c.keyed }
+// RequiresKey reports whether callers need an API key, except on public routes. They need one if
+// there are organisations.
+func (c *Configuration) RequiresKey() bool { return c.requiresKey }
 
 // Limits returns the limits on callers' requests.
 func (c *Configuration) Limits() Limits { return c.limits }
@@ -202,7 +204,7 @@
 
 // Route returns the route of the host with the longest matching path prefix, or nil.
 func (c *Configuration) Route(host, path string) *Route {
-	for _, r := range c.hosts[host] {
+	for _, r := range c.byHost[host] {
 		if strings.HasPrefix(path, r.cfg.Prefix) {
 			return r
 		}
--- a/internal/savorypinfleet/endpoint.go
+++ b/internal/savorypinfleet/endpoint.go
@@ -100,15 +100,15 @@
 // NewDirectory returns a directory of endpoints. Of endpoints with the same address, it
 // contains only the one that started last.
 func NewDirectory(endpoints []*Endpoint) *Directory {
-	holders := map[string]*Endpoint{}
+	byAddress := map[string]*Endpoint{}
 	for _, e := range endpoints {
-		known, ok := holders[e.Address()]
+		known, ok := byAddress[e.Address()]
 		if !ok || e.Started().After(known.Started()) {
-			holders[e.Address()] = e
+			byAddress[e.Address()] = e
 		}
 	}
 	d := &Directory{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}}
-	for _, e := range holders {
+	for _, e := range byAddress {
 		d.byID[e.ID()] = e
 		d.byService[e.Service()] = append(d.byService[e.Service()], e)
 	}
@@ -175,8 +175,8 @@
 	return missing
 }
 
-// NewlyDraining returns the endpoints of d that are draining and were not yet in old, be it that they
-// were ready there, were missing or were another incarnation.
+// NewlyDraining returns the endpoints of d that are draining and were not draining in old: there
+// they were ready, missing or another incarnation.
 func (d *Directory) NewlyDraining(old *Directory) []*Endpoint {
 	var draining []*Endpoint
 	for _, e := range d.byID {
@@ -189,19 +189,19 @@
 	return draining
 }
 
-// Restarted returns the endpoints of d whose address belonged to another incarnation of the same
-// service in old. These are endpoints that have restarted.
+// Restarted returns the endpoints of d that have restarted: in old, their address belonged to
+// another incarnation of the same service.
 func (d *Directory) Restarted(old *Directory) []*Endpoint {
-	holders := map[string]*Endpoint{}
+	byAddress := map[string]*Endpoint{}
 	for _, e := range old.byID {
-		holders[e.Address()] = e
+		byAddress[e.Address()] = e
 	}
-	var replaced []*Endpoint
+	var restarted []*Endpoint
 	for _, e := range d.byID {
-		before := holders[e.Address()]
+		before := byAddress[e.Address()]
 		if before != nil && before.Incarnation() != e.Incarnation() && before.Service() == e.Service() {
-			replaced = append(replaced, e)
+			restarted = append(restarted, e)
 		}
 	}
-	return replaced
+	return restarted
 }
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -47,7 +47,8 @@
 	// Priority is the priority among waiting requests, from 0 (highest) to 9 (lowest). If it is
 	// negative, no priority is sent.
 	Priority int
-	// RestoreFromBackup says that the endpoint holds a copy of the KV cache of the generation.
+	// RestoreFromBackup says that the endpoint holds a copy of the KV cache of the generation,
+	// from which it is to resume.
 	RestoreFromBackup bool
 }
 
@@ -70,7 +71,7 @@
 	ContentEncoded bool
 }
 
-// Report is an engine's report on its requests. It is some hundred milliseconds old.
+// Report is an engine's report on its requests. It is a few hundred milliseconds old.
 type Report struct {
 	// Pending is the number of requests that wait or whose prompt is being processed.
 	Pending int
--- a/internal/savorypinlease/lease.go
+++ b/internal/savorypinlease/lease.go
@@ -60,14 +60,16 @@
 	cfg Config
 
 	mu sync.Mutex
-	// fence is the fencing number of the own lease; 0 if it was not acquired or was released.
+	// fence is the fencing number with which this daemon last acquired the lease; 0 if it never
+	// did or has released it.
 	fence int64
 	// observedVersion is the version of another holder's record, first seen at observedAt.
 	observedVersion int64
 	observedAt      time.Time
-	// expiresAt is when the own lease expires.
+	// expiresAt is when the lease expires for this daemon.
 	expiresAt time.Time
-	// version is the version of the own record.
+	// version is the version of the record that this daemon last wrote when it acquired or
+	// renewed the lease.
 	version int64
 }
 
@@ -87,9 +89,9 @@
 	return l.fence, true
 }
 
-// TryAcquireOrRenew reads the lease. It renews the lease if this daemon holds it, and takes it over if it was
-// released or has expired. Call it about three times per duration. It returns an error if the
-// record can't be read, decoded or written.
+// TryAcquireOrRenew reads the lease. It creates the lease if it does not exist, renews it if this
+// daemon holds it, and takes it over if it was released or has expired. Call it about three times
+// per duration. It returns an error if the record can't be read, decoded or written.
 func (l *Lease) TryAcquireOrRenew(ctx context.Context) error {
 	started := l.cfg.Now()
 	key := savorypin.Key{Kind: savorypin.KindLease, Name: l.cfg.Name}
@@ -156,6 +158,8 @@
 	return l.cfg.Now().Sub(l.observedAt) > time.Duration(spec.DurationMS)*time.Millisecond
 }
 
+// write writes the record with this daemon as the holder. The lease lasts for its duration from
+// started, which is before the record was read.
 func (l *Lease) write(
 	ctx context.Context,
 	started time.Time,
--- a/internal/savorypinlease/lease_test.go
+++ b/internal/savorypinlease/lease_test.go
@@ -22,7 +22,7 @@
 	now          *time.Time
 	object       savorypin.Object
 	unavailable  bool
-	// readDelay is the duration of the next read.
+	// readDelay is the simulated time that the next read takes.
 	readDelay time.Duration
 	version   int64
 }
@@ -85,28 +85,28 @@
 			ctx := context.Background()
 			now := time.Unix(1000, 0)
 			s := &fakeStore{now: &now}
-			var contenders []*candidate
+			var candidates []*candidate
 			for i := range 3 {
 				offset := time.Duration(rapid.IntRange(-3600, 3600).Draw(t, "offset")) * time.Second
-				contenders = append(contenders, newCandidate(s, &now, fmt.Sprint(i), offset))
+				candidates = append(candidates, newCandidate(s, &now, fmt.Sprint(i), offset))
 			}
 			var highest int64
 			for range rapid.IntRange(1, 120).Draw(t, "steps") {
 				now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "pause")) * time.Millisecond)
-				c := rapid.SampledFrom(contenders).Draw(t, "contender")
+				c := rapid.SampledFrom(candidates).Draw(t, "candidate")
 				switch rapid.IntRange(0, 9).Draw(t, "event") {
 				case 0:
 					s.unavailable = !s.unavailable
 				case 1:
 					s.loseResponse = true
 				case 2:
-					s.readDelay = time.Duration(rapid.IntRange(0, 20_000).Draw(t, "slow")) * time.Millisecond
+					s.readDelay = time.Duration(rapid.IntRange(0, 20_000).Draw(t, "read delay")) * time.Millisecond
 				case 3:
 					_ = c.lease.Release(ctx)
 				default:
 					_ = c.lease.TryAcquireOrRenew(ctx)
 				}
-				highest = checkHolders(t, contenders, highest)
+				highest = checkHolders(t, candidates, highest)
 			}
 		})
 	})
@@ -133,7 +133,7 @@
 		Expect(held).To(BeFalse())
 	})
 
-	It("is held by its holder again after the response to a write was lost", func() {
+	It("is held after a retry if the response to the write that acquired it was lost", func() {
 		ctx := context.Background()
 		now := time.Unix(1000, 0)
 		s := &fakeStore{loseResponse: true, now: &now}
@@ -149,10 +149,10 @@
 })
 
 // checkHolders checks that at most one candidate holds the lease and that the fencing number
-// never decreases. It returns the highest number so far.
-func checkHolders(t *rapid.T, contenders []*candidate, highest int64) int64 {
+// never decreases. It returns the highest fencing number so far.
+func checkHolders(t *rapid.T, candidates []*candidate, highest int64) int64 {
 	holders := 0
-	for _, c := range contenders {
+	for _, c := range candidates {
 		fence, held := c.lease.Held()
 		if !held {
 			continue
--- a/internal/savorypinmirror/mirror.go
+++ b/internal/savorypinmirror/mirror.go
@@ -18,7 +18,7 @@
 )
 
 // maxRemovals bounds the number of remembered deletions. A mirror that requests changes since a
-// version before the oldest remembered deletion gets all objects instead.
+// version gets all objects instead if later deletions may have been dropped.
 const maxRemovals = 512
 
 // State describes how current a mirror is.
@@ -32,8 +32,8 @@
 	ConfirmedAt time.Duration
 	// Era is the era of the store to which the versions belong.
 	Era int64
-	// CompactedVersion is the version after which all deletions are known. A copy made from a list at a
-	// version lacks the deletions before that version.
+	// CompactedVersion is the version after which all deletions are known. A copy made from a
+	// list at a version lacks the deletions before that version.
 	CompactedVersion int64
 }
 
@@ -102,8 +102,8 @@
 	return &Mirror{objects: map[string]savorypin.Object{}, removed: map[string]int64{}}
 }
 
-// Apply applies one change. It ignores a change of another era or one that isn't newer than the
-// copy, and reports whether the objects have changed.
+// Apply applies one change. It ignores a change of another era or one that isn't newer than what
+// the copy holds of the object, and reports whether the objects have changed.
 func (m *Mirror) Apply(o savorypin.Object) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -187,8 +187,8 @@
 	return changed
 }
 
-// resetToEra replaces the whole content by a list of a later era. ConfirmedAt is kept, as the
-// earlier content was still known to be current at that time.
+// resetToEra replaces the whole content with a list of a later era. ConfirmedAt is kept, as the
+// copy was known to be complete at that time, although in the earlier era.
 func (m *Mirror) resetToEra(objects []savorypin.Object, at, era int64) {
 	m.objects, m.removed = map[string]savorypin.Object{}, map[string]int64{}
 	m.state = State{Version: at, ConfirmedAt: m.state.ConfirmedAt, Era: era, CompactedVersion: at}
@@ -198,10 +198,10 @@
 	}
 }
 
-// ReplaceIfLater replaces the content of the object with the name of o by that of o if later(o, held)
-// reports that o is later, and keeps the version and era of the held object. It is used for
-// objects that their writers number: a store restored from an older copy may lack the latest
-// content.
+// ReplaceIfLater replaces the content of the held object of the same name with that of o if
+// later(o, held) returns true. The version and era of the held object are kept. It is used for
+// objects whose content has a version number from its writer: a store restored from an older copy
+// may lack the latest content.
 func (m *Mirror) ReplaceIfLater(o savorypin.Object, later func(a, b savorypin.Object) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -258,8 +258,8 @@
 	return objects
 }
 
-// ChangesSince returns the changes after a version of an era, up to which the requesting mirror is
-// complete. If the era differs or some deletions since then are not known, it returns all
+// ChangesSince returns the changes after a version of an era, up to which the requesting mirror
+// is complete. If the era differs or some deletions since then are not known, it returns all
 // objects.
 func (m *Mirror) ChangesSince(version, era int64) Delta {
 	m.mu.Lock()
--- a/internal/savorypinmirror/mirror_test.go
+++ b/internal/savorypinmirror/mirror_test.go
@@ -53,9 +53,9 @@
 		Expect(m.Objects()).To(Equal([]savorypin.Object{object("listed", 4), object("new", 9)}))
 	})
 
-	It("sends all objects to a mirror that requests changes since before the oldest remembered deletion", func() {
+	It("sends all objects to a mirror that requests changes since a version if later deletions are no longer remembered", func() {
 		m, other := savorypinmirror.New(), savorypinmirror.New()
-		other.Apply(object("victim", 1))
+		other.Apply(object("old", 1))
 		m.Merge(other.ChangesSince(0, 0))
 		version := int64(1)
 		for i := range 2000 {
@@ -63,7 +63,7 @@
 			m.Apply(object(fmt.Sprint("x", i), version))
 			m.Apply(deleted(fmt.Sprint("x", i), version+1))
 		}
-		m.Apply(deleted("victim", version+5))
+		m.Apply(deleted("old", version+5))
 		m.Advance(version+5, 0)
 		d := m.ChangesSince(1, 0)
 		Expect(d.Full).To(BeTrue())
@@ -99,19 +99,20 @@
 	})
 })
 
-var _ = Describe("A mirror and a new era of the store", func() {
+var _ = Describe("A mirror in a new era of the store", func() {
 	inEra := func(era int64, o savorypin.Object) savorypin.Object {
 		o.Era = era
 		return o
 	}
-	// olderEra returns a mirror that was listed at version 9 of era 1 and confirmed.
-	olderEra := func() *savorypinmirror.Mirror {
+	// olderMirror returns a confirmed mirror made from a list at version 9 of era 1.
+	olderMirror := func() *savorypinmirror.Mirror {
 		m := savorypinmirror.New()
 		m.Replace([]savorypin.Object{object("a", 4), object("b", 9)}, 9, 1)
 		m.Confirm(time.Second, 1)
 		return m
 	}
-	newerEra := func() *savorypinmirror.Mirror {
+	// newerMirror returns a mirror made from a list at version 6 of era 2.
+	newerMirror := func() *savorypinmirror.Mirror {
 		m := savorypinmirror.New()
 		m.Replace([]savorypin.Object{object("a", 3)}, 6, 2)
 		return m
@@ -122,13 +123,13 @@
 		want []savorypin.Object
 	}{
 		{
-			"replaces its content by a list of a later era with lower versions",
+			"replaces its content with a list of a later era with lower versions",
 			func(m *savorypinmirror.Mirror) { m.Replace([]savorypin.Object{object("a", 3)}, 6, 2) },
 			[]savorypin.Object{inEra(2, object("a", 3))},
 		},
 		{
-			"replaces its content by that of a mirror of a later era",
-			func(m *savorypinmirror.Mirror) { m.Merge(newerEra().ChangesSince(m.State().Version, m.State().Era)) },
+			"replaces its content with that of a mirror of a later era",
+			func(m *savorypinmirror.Mirror) { m.Merge(newerMirror().ChangesSince(m.State().Version, m.State().Era)) },
 			[]savorypin.Object{inEra(2, object("a", 3))},
 		},
 		{
@@ -141,31 +142,31 @@
 			func(m *savorypinmirror.Mirror) {
 				m.Replace([]savorypin.Object{object("a", 3)}, 6, 2)
 				m.Replace([]savorypin.Object{object("b", 20)}, 20, 1)
-				m.Merge(olderEra().ChangesSince(0, 0))
+				m.Merge(olderMirror().ChangesSince(0, 0))
 				m.Apply(inEra(1, object("b", 30)))
 			},
 			[]savorypin.Object{inEra(2, object("a", 3))},
 		},
 	} {
 		It(c.name, func() {
-			m := olderEra()
+			m := olderMirror()
 			c.do(m)
 			Expect(m.Objects()).To(Equal(c.want))
 		})
 	}
 
-	It("of a later era is ahead of one of an earlier era, and is not confirmed by it", func() {
-		old, now := olderEra(), newerEra()
-		Expect(old.State().Relate(now.State())).To(Equal(savorypinmirror.RelationAhead))
-		Expect(now.State().Relate(old.State())).To(Equal(savorypinmirror.RelationUnknown))
-		now.Confirm(time.Hour, 1)
-		now.Advance(100, 1)
-		Expect(now.State().ConfirmedAt).To(BeZero())
-		Expect(now.State().Version).To(Equal(int64(6)))
+	It("is ahead of a mirror of an earlier era, and ignores confirmations of that era", func() {
+		older, newer := olderMirror(), newerMirror()
+		Expect(older.State().Relate(newer.State())).To(Equal(savorypinmirror.RelationAhead))
+		Expect(newer.State().Relate(older.State())).To(Equal(savorypinmirror.RelationUnknown))
+		newer.Confirm(time.Hour, 1)
+		newer.Advance(100, 1)
+		Expect(newer.State().ConfirmedAt).To(BeZero())
+		Expect(newer.State().Version).To(Equal(int64(6)))
 	})
 
 	It("keeps content that its writer numbered higher than the content of the restored store", func() {
-		m := olderEra()
+		m := olderMirror()
 		written := object("a", 4)
 		written.Spec = []byte("2")
 		m.Replace([]savorypin.Object{object("a", 3)}, 6, 2)
@@ -213,7 +214,7 @@
 			t.Fatalf("era of mirror decreased from %d to %d", era, now)
 		}
 	}()
-	switch rapid.IntRange(0, 7).Draw(t, "what") {
+	switch rapid.IntRange(0, 7).Draw(t, "operation") {
 	case 6:
 		s.snapshots = append(s.snapshots, storeSnapshot{events: s.events, objects: s.store.Objects(), version: s.version})
 	case 7:
@@ -236,7 +237,7 @@
 	if len(s.snapshots) == 0 {
 		return
 	}
-	from := rapid.SampledFrom(s.snapshots).Draw(t, "copy")
+	from := rapid.SampledFrom(s.snapshots).Draw(t, "snapshot")
 	s.snapshots = nil
 	s.era++
 	s.events, s.version = from.events, from.version
@@ -253,7 +254,8 @@
 	s.store.Apply(o)
 }
 
-// watch applies the events that a mirror lacks, or a list if the era of the store is another.
+// watch applies the events that a mirror lacks. If the store is in another era, it replaces the
+// mirror's content with a list instead.
 func (s *simulation) watch(m *savorypinmirror.Mirror) {
 	at := m.State().Version
 	if m.State().Era != s.era {
@@ -268,7 +270,7 @@
 	m.Advance(s.version, s.era)
 }
 
-// syncFrom updates a mirror as its relation to the state of another one requires.
+// syncFrom updates m from other as the relation of their states requires.
 func syncFrom(m, other *savorypinmirror.Mirror) {
 	switch m.State().Relate(other.State()) {
 	case savorypinmirror.RelationAhead:
