Correct comments on shared types and name design variables

CheckObject claimed to name every invalid field, which a spec that doesn't decode prevents; MoveStatus.Epoch is set when a move starts, not when it is first handled; MinShare didn't say when it has no effect; Object.Era didn't say what 0 means. The comment on Error had the packages below translate their own errors, but the daemons do it. In the design, "token" was an event and "promptAttributes" were those of a whole request; the generated code doesn't contain these names.

Comments reworded: 8, added: 2. Names: 4 (tokenEvent, requestAttributes, and two locals). Test strings: six case names and the label of one draw.

--- a/internal/savorypin/attempt_test.go
+++ b/internal/savorypin/attempt_test.go
@@ -62,19 +62,20 @@
 	It("resumes an answer only after exactly the tokens that the caller has", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			branches := drawBranches(t)
-			caller := rapid.SampledFrom(branches).Draw(t, "caller's")
-			next := rapid.IntRange(0, len(caller.tokens)).Draw(t, "next")
-			position := savorypin.NewEventID("g", next, caller.lineage.At(next-1))
+			// received is the branch whose tokens the caller has up to the position.
+			received := rapid.SampledFrom(branches).Draw(t, "received")
+			next := rapid.IntRange(0, len(received.tokens)).Draw(t, "next")
+			position := savorypin.NewEventID("g", next, received.lineage.At(next-1))
 			for _, other := range branches {
 				if next > len(other.tokens) || !other.lineage.Continues(position) {
 					continue
 				}
-				if !slices.Equal(other.tokens[:next], caller.tokens[:next]) {
-					t.Fatalf("attempt %s would resume after tokens %v, which it does not share", other.id, caller.tokens[:next])
+				if !slices.Equal(other.tokens[:next], received.tokens[:next]) {
+					t.Fatalf("attempt %s would resume after tokens %v, which it does not share", other.id, received.tokens[:next])
 				}
 			}
-			if !caller.lineage.Continues(position) {
-				t.Fatalf("attempt %s does not resume after its own tokens", caller.id)
+			if !received.lineage.Continues(position) {
+				t.Fatalf("attempt %s does not resume after its own tokens", received.id)
 			}
 		})
 	})
--- a/internal/savorypin/check.go
+++ b/internal/savorypin/check.go
@@ -19,7 +19,9 @@
 	return v, err
 }
 
-// CheckObject returns an error of KindInvalid that names every invalid field of o.
+// CheckObject returns an error of KindInvalid that names every invalid field of o. If
+// the spec cannot be decoded, the error has the first decoding error instead of the
+// fields of the spec.
 func CheckObject(o Object) error {
 	var errs []error
 	if err := CheckName(o.Name); err != nil {
--- a/internal/savorypin/check_test.go
+++ b/internal/savorypin/check_test.go
@@ -16,12 +16,12 @@
 		spec string
 		want string
 	}{
-		{"a good move", savorypin.KindMove, `{"service":"s","from":"a","to":"b","by":"2026-12-04T00:00:00Z"}`, ""},
-		{"a good organisation", savorypin.KindOrganisation, `{"tokensPerSecond":10}`, ""},
-		{"a good route", savorypin.KindRoute, `{"service":"s","route":"sale","path":"/sale"}`, ""},
-		{"a good service", savorypin.KindService, `{"type":"plain"}`, ""},
-		{"a good version", savorypin.KindVersion, `{"service":"s","model":"m"}`, ""},
-		{"a bad path", savorypin.KindRoute, `{"service":"s","route":"sale","path":"sale"}`, "spec.path"},
+		{"a valid move", savorypin.KindMove, `{"service":"s","from":"a","to":"b","by":"2026-12-04T00:00:00Z"}`, ""},
+		{"a valid organisation", savorypin.KindOrganisation, `{"tokensPerSecond":10}`, ""},
+		{"a valid route", savorypin.KindRoute, `{"service":"s","route":"sale","path":"/sale"}`, ""},
+		{"a valid service", savorypin.KindService, `{"type":"plain"}`, ""},
+		{"a valid version", savorypin.KindVersion, `{"service":"s","model":"m"}`, ""},
+		{"a path without a leading slash", savorypin.KindRoute, `{"service":"s","route":"sale","path":"sale"}`, "spec.path"},
 		{"a claim", savorypin.KindClaim, `{}`, "operators do not write"},
 		{"a missing model", savorypin.KindVersion, `{"service":"s"}`, "spec.model: is missing"},
 		{"a move to the same version", savorypin.KindMove, `{"service":"s","from":"a","to":"a","by":"2026-12-04T00:00:00Z"}`, "spec.to"},
--- a/internal/savorypin/error.go
+++ b/internal/savorypin/error.go
@@ -32,7 +32,8 @@
 )
 
 // Error is the error type that daemons return to callers and operators. Packages
-// that talk to a peer have errors of their own and translate them to this type.
+// that talk to a peer define their own errors, which the daemons translate to this
+// type.
 type Error struct {
 	// Kind says what the receiver may do next.
 	Kind ErrorKind
@@ -79,7 +80,7 @@
 	return &c
 }
 
-// KindOf returns the kind of err, or KindUnknown if err is not an Error.
+// KindOf returns the kind of err, or KindUnknown if err does not wrap an Error.
 func KindOf(err error) ErrorKind {
 	var e *Error
 	if errors.As(err, &e) {
--- a/internal/savorypin/object.go
+++ b/internal/savorypin/object.go
@@ -51,7 +51,8 @@
 	// response was lost finds its order here if a later write has replaced it.
 	Earlier []string `json:"earlier,omitempty" msgpack:"ear,omitempty"`
 	// Era counts how often the platform's store was restored from an older copy of
-	// itself. A version of a later era is newer, whatever its number.
+	// itself; 0 if the platform does not report eras. A version of a later era is newer,
+	// whatever its number.
 	Era int64 `json:"era,omitempty" msgpack:"era,omitempty"`
 	// Order is the id of the write. A client whose response was lost compares it to
 	// find out whether its write was applied.
--- a/internal/savorypin/spec.go
+++ b/internal/savorypin/spec.go
@@ -82,7 +82,7 @@
 
 // EndpointSpec configures one endpoint.
 type EndpointSpec struct {
-	// Drain keeps new work away from the endpoint.
+	// Drain reports whether the endpoint is to get no new work.
 	Drain bool `json:"drain,omitempty"`
 	// Role is the role that the endpoint should have; empty for any.
 	Role string `json:"role,omitempty"`
@@ -127,7 +127,9 @@
 	// From is the old version.
 	From string `json:"from"`
 	// MinShare is the minimum share of the new version, 0 to 1. The move grants it at
-	// once, even if few requests have been compared, which speeds the move up.
+	// once, even if few requests have been compared, which speeds the move up. It does
+	// not raise the share while the move is held, while no endpoint serves the new version
+	// or while the comparison is unfavourable, and does not prevent a cut of the share.
 	MinShare float64 `json:"minShare,omitempty"`
 	// Service is the service whose traffic moves.
 	Service string `json:"service"`
@@ -143,9 +145,9 @@
 	At time.Time `json:"at,omitzero"`
 	// Begun is when the new version got its first share.
 	Begun time.Time `json:"begun,omitzero"`
-	// Epoch is the version of the object when the controller first handled the move. It
-	// distinguishes a move from a later one of the same name, and orders the moves of a
-	// service.
+	// Epoch is the version of the object when the controller started the move; 0 if the
+	// move has not started. It distinguishes a move from a later one of the same name, and
+	// orders the moves of a service.
 	Epoch int64 `json:"epoch,omitempty"`
 	// Evidence is the text of the comparison that led to the state.
 	Evidence string `json:"evidence,omitempty"`
--- a/internal/savorypinapi/value.go
+++ b/internal/savorypinapi/value.go
@@ -1,12 +1,12 @@
-// Package savorypinapi helps the services of the generated APIs below it.
+// Package savorypinapi has helpers for the services that are generated under gen.
 package savorypinapi
 
 // ValueOf returns what an optional attribute points to, or the zero value if
 // it is absent.
 func ValueOf[T any](v *T) T {
 	if v == nil {
-		var none T
-		return none
+		var zero T
+		return zero
 	}
 	return *v
 }
--- a/internal/savorypindesign/design.go
+++ b/internal/savorypindesign/design.go
@@ -24,8 +24,8 @@
 	Required("kind", "message")
 })
 
-// token is one event of a streamed answer.
-var token = Type("TokenEvent", func() {
+// tokenEvent is one event of a streamed answer.
+var tokenEvent = Type("TokenEvent", func() {
 	Description("One event of a generation: a token, or the end of the answer.")
 	Attribute("id", String, "Generation id and the index after this event, for Last-Event-ID.")
 	Attribute("event", String, "Type of the event.", func() {
@@ -46,7 +46,8 @@
 	Required("id", "version", "attempts", "finish_reason", "text", "tokens")
 })
 
-var promptAttributes = func() {
+// requestAttributes declares the attributes of a request for a generation.
+var requestAttributes = func() {
 	Attribute("service", String, "Service that generates the answer.", func() { MaxLength(63) })
 	Attribute("route", String, "Route of the service.", func() { MaxLength(63) })
 	Attribute("prompt", String, "Prompt.", func() { MaxLength(1 << 20) })
@@ -86,7 +87,7 @@
 
 	Method("generate", func() {
 		Description("Generates an answer and returns it when it is complete.")
-		Payload(promptAttributes)
+		Payload(requestAttributes)
 		Result(generation)
 		HTTP(func() {
 			POST("/v1/generations")
@@ -96,8 +97,8 @@
 
 	Method("stream", func() {
 		Description("Generates an answer and streams it as server-sent events.")
-		Payload(promptAttributes)
-		StreamingResult(token)
+		Payload(requestAttributes)
+		StreamingResult(tokenEvent)
 		HTTP(func() {
 			POST("/v1/generations/stream")
 			Header("authorization:Authorization")
@@ -112,7 +113,7 @@
 	Method("resume", func() {
 		Description("Continues an answer after the tokens that the caller already has, when no agent has its generation any more.")
 		Payload(func() {
-			promptAttributes()
+			requestAttributes()
 			Attribute("version", String, "Version that produced the tokens.", func() { MaxLength(63) })
 			Attribute("delivered", ArrayOf(Int32), "Ids of the tokens that the caller already has.", func() {
 				MinLength(1)
@@ -120,7 +121,7 @@
 			})
 			Required("version", "delivered")
 		})
-		StreamingResult(token)
+		StreamingResult(tokenEvent)
 		HTTP(func() {
 			POST("/v1/generations/resume")
 			Header("authorization:Authorization")
@@ -140,7 +141,7 @@
 			Attribute("authorization", String, "Bearer token of the organisation.")
 			Required("id")
 		})
-		StreamingResult(token)
+		StreamingResult(tokenEvent)
 		HTTP(func() {
 			GET("/v1/generations/{id}/stream")
 			Header("authorization:Authorization")
