Document the limits of configuration messages

Envelope referred to a method that doesn't exist; ReadinessConfig.Domains excludes the daemon, not its failure domain; the limits of a message, and the number of buckets among them, had no comments; announce also calls OnChange. The reply to a message was called answer, the word for a service's answer, and a stored object was e.

Comments reworded: 9, added: 5. Names: 1 function (truncateObjects) and 12 locals. Test strings: the subjects Relist and Reads are now ApplyList and IsReader, and the Readiness cases read as sentences.

--- a/internal/savorypinconfig/exchange.go
+++ b/internal/savorypinconfig/exchange.go
@@ -26,11 +26,19 @@
 	requestTimeout = 2 * time.Second
 )
 
-// Limits of one message.
+// Limits of one message, and the number of buckets.
 const (
-	bucketCount      = 128
-	maxObjectBytes   = 64 << 10
-	maxOffers        = 512
+	// bucketCount is the number of buckets into which objects are divided by the hashes of
+	// their keys. It must be the same in all daemons: bucket hashes of a different number
+	// are ignored.
+	bucketCount = 128
+	// maxObjectBytes is the maximum total size of the names, specs and statuses of the
+	// objects in a message. A larger object is sent alone.
+	maxObjectBytes = 64 << 10
+	// maxOffers is the maximum number of offers in a message. A bucket with more offers is
+	// sent without offers of other buckets.
+	maxOffers = 512
+	// maxRequestedKeys is the maximum number of objects that a message requests.
 	maxRequestedKeys = 256
 )
 
@@ -38,14 +46,15 @@
 // the same form: a daemon handles a reply that is not empty like a request. Its fields
 // are exported for the codecs.
 type Exchange struct {
-	// Buckets are the buckets whose objects are all listed in Offers.
+	// Buckets are the buckets whose objects are all listed in Offers. The receiver replies
+	// with its objects in them that the sender lacks or has at an older version.
 	Buckets []int `msgpack:"bkt,omitempty"`
 	// Objects are objects that the receiver lacks or has at an older version.
 	Objects []savorypin.Object `msgpack:"obj,omitempty"`
 	// Offers are objects with the versions that the sender has.
 	Offers []Offer `msgpack:"off,omitempty"`
-	// BucketHashes are the hashes of the sender's buckets. They request an offer of the
-	// buckets that differ.
+	// BucketHashes are the hashes of the sender's buckets. The receiver replies with offers
+	// of its objects in the buckets whose hashes differ.
 	BucketHashes []uint32 `msgpack:"sum,omitempty"`
 	// Wanted are the keys of objects that the sender requests.
 	Wanted []savorypin.Key `msgpack:"want,omitempty"`
@@ -66,7 +75,7 @@
 }
 
 // Envelope is an outgoing exchange with its receiver. The reply to it must be passed
-// to Distributor.Reply.
+// to Distributor.HandleReply.
 type Envelope struct {
 	// Address is the address of the receiver.
 	Address  string
@@ -79,7 +88,7 @@
 	OnChange func(objects []savorypin.Object)
 	// Now is the clock.
 	Now func() time.Time
-	// Peers returns the addresses of the members to which changes are offered at once.
+	// Peers returns the addresses of the members to which changes are offered immediately.
 	Peers func() []string
 	// Store holds the configuration.
 	Store *Store
@@ -138,28 +147,28 @@
 func (d *Distributor) HandleRequest(m Exchange) (Exchange, []Envelope) {
 	changed := d.cfg.Store.Apply(m.Objects...)
 	snapshot := d.cfg.Store.Snapshot()
-	var answer Exchange
+	var reply Exchange
 	if m.BucketHashes != nil {
-		answer.Buckets, answer.Offers = snapshot.differingBuckets(m.BucketHashes)
+		reply.Buckets, reply.Offers = snapshot.differingBuckets(m.BucketHashes)
 	}
 	if len(m.Buckets) > 0 {
-		answer.Objects = snapshot.objectsNewerThan(m.Buckets, m.Offers)
+		reply.Objects = snapshot.objectsNewerThan(m.Buckets, m.Offers)
 	}
 	for _, key := range m.Wanted {
 		if o, ok := snapshot.Object(key); ok {
-			answer.Objects = append(answer.Objects, o)
+			reply.Objects = append(reply.Objects, o)
 		}
 	}
-	answer.Objects = truncateToMessage(answer.Objects)
-	answer.Wanted = d.keysToRequest(snapshot, m.Offers)
-	return answer, d.announce(changed)
+	reply.Objects = truncateObjects(reply.Objects)
+	reply.Wanted = d.keysToRequest(snapshot, m.Offers)
+	return reply, d.announce(changed)
 }
 
 // HandleReply handles the reply to an envelope and returns the messages to send.
 func (d *Distributor) HandleReply(address string, m Exchange) []Envelope {
-	answer, out := d.HandleRequest(m)
-	if !answer.Empty() {
-		out = append(out, Envelope{Address: address, Exchange: answer})
+	reply, out := d.HandleRequest(m)
+	if !reply.Empty() {
+		out = append(out, Envelope{Address: address, Exchange: reply})
 	}
 	return out
 }
@@ -204,8 +213,9 @@
 	return keys
 }
 
-// announce returns the messages that offer objects to peers after they came
-// into force here.
+// announce records that objects have come into force, calls OnChange and returns the
+// messages that offer the objects to peers. Objects beyond maxOffers are not offered;
+// peers find them when they compare digests.
 func (d *Distributor) announce(objects []savorypin.Object) []Envelope {
 	if len(objects) == 0 {
 		return nil
@@ -232,8 +242,8 @@
 // objects.
 func (s *Snapshot) bucketHashes() []uint32 {
 	hashes := make([]uint32, bucketCount)
-	for _, e := range s.objects {
-		hashes[e.bucket] += uint32(e.hash)
+	for _, stored := range s.objects {
+		hashes[stored.bucket] += uint32(stored.hash)
 	}
 	return hashes
 }
@@ -247,9 +257,9 @@
 	hashes := s.bucketHashes()
 	offersByBucket := make([][]Offer, bucketCount)
 	for _, key := range slices.SortedFunc(maps.Keys(s.objects), compareKeys) {
-		e := s.objects[key]
-		if hashes[e.bucket] != peerHashes[e.bucket] {
-			offersByBucket[e.bucket] = append(offersByBucket[e.bucket], Offer{Kind: key.Kind, Name: key.Name, Version: e.object.Version})
+		stored := s.objects[key]
+		if hashes[stored.bucket] != peerHashes[stored.bucket] {
+			offersByBucket[stored.bucket] = append(offersByBucket[stored.bucket], Offer{Kind: key.Kind, Name: key.Name, Version: stored.object.Version})
 		}
 	}
 	var buckets []int
@@ -273,9 +283,9 @@
 	}
 	var objects []savorypin.Object
 	for _, key := range slices.SortedFunc(maps.Keys(s.objects), compareKeys) {
-		e := s.objects[key]
-		if slices.Contains(buckets, e.bucket) && e.object.Version > versions[key] {
-			objects = append(objects, e.object)
+		stored := s.objects[key]
+		if slices.Contains(buckets, stored.bucket) && stored.object.Version > versions[key] {
+			objects = append(objects, stored.object)
 		}
 	}
 	return objects
@@ -285,9 +295,9 @@
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 }
 
-// truncateToMessage returns the first objects that fit into maxObjectBytes, at least
+// truncateObjects returns the first objects that fit into maxObjectBytes, at least
 // one.
-func truncateToMessage(objects []savorypin.Object) []savorypin.Object {
+func truncateObjects(objects []savorypin.Object) []savorypin.Object {
 	size := 0
 	for i, o := range objects {
 		size += len(o.Spec) + len(o.Status) + len(o.Name)
--- a/internal/savorypinconfig/exchange_test.go
+++ b/internal/savorypinconfig/exchange_test.go
@@ -50,9 +50,9 @@
 			var deliver func(out []savorypinconfig.Envelope)
 			deliver = func(out []savorypinconfig.Envelope) {
 				for _, e := range out {
-					answer, _ := db.HandleRequest(e.Exchange)
-					sent += len(e.Exchange.Objects) + len(answer.Objects)
-					deliver(da.HandleReply(e.Address, answer))
+					reply, _ := db.HandleRequest(e.Exchange)
+					sent += len(e.Exchange.Objects) + len(reply.Objects)
+					deliver(da.HandleReply(e.Address, reply))
 				}
 			}
 			deliver(da.HandleDigest("b", b.Snapshot().Digest()))
@@ -75,7 +75,7 @@
 	})
 })
 
-var _ = Describe("Relist", func() {
+var _ = Describe("ApplyList", func() {
 	for _, tc := range []struct {
 		name    string
 		stored  savorypin.Object
@@ -119,7 +119,7 @@
 		{"the only domain, after the discovery period", 1, time.Minute, map[string]savorypin.Digest{"d1": own}, true},
 		{"domains with a different digest", 2, time.Minute, map[string]savorypin.Digest{"d1": other, "d2": other}, false},
 	} {
-		It("is decided for "+tc.name, func() {
+		It("reports whether the configuration is complete given "+tc.name, func() {
 			now := time.Unix(0, 0)
 			r := savorypinconfig.NewReadiness(savorypinconfig.ReadinessConfig{
 				Domains: func() int { return tc.domains },
@@ -143,7 +143,7 @@
 	})
 })
 
-var _ = Describe("Reads", func() {
+var _ = Describe("IsReader", func() {
 	It("selects two readers in each failure domain", func() {
 		var members []savorypin.MemberState
 		for i := range 40 {
--- a/internal/savorypinconfig/readiness.go
+++ b/internal/savorypinconfig/readiness.go
@@ -8,7 +8,7 @@
 )
 
 // requiredDomains is the number of failure domains whose members must have the same
-// digest as a daemon before it takes its configuration as complete.
+// digest as a daemon before it considers its configuration complete.
 const requiredDomains = 2
 
 // discoveryPeriod is how long a daemon searches for members before it accepts fewer
@@ -17,8 +17,8 @@
 
 // ReadinessConfig configures a Readiness.
 type ReadinessConfig struct {
-	// Domains returns the number of failure domains with live members, not counting
-	// this daemon's.
+	// Domains returns the number of failure domains that have live members other than
+	// this daemon.
 	Domains func() int
 	// Now is the clock.
 	Now func() time.Time
--- a/internal/savorypinconfig/snapshot.go
+++ b/internal/savorypinconfig/snapshot.go
@@ -28,7 +28,7 @@
 	Service string
 }
 
-// Move is a move with its name and version.
+// Move is a move of traffic, with the name and version of its object.
 type Move struct {
 	Name    string
 	Spec    savorypin.MoveSpec
@@ -64,10 +64,10 @@
 		organisationByToken: map[string]string{},
 		versions:            map[string]savorypin.VersionSpec{},
 	}
-	for _, e := range objects {
-		s.digest.Hash += e.hash
-		s.digest.Version = max(s.digest.Version, e.object.Version)
-		s.addToIndex(e)
+	for _, stored := range objects {
+		s.digest.Hash += stored.hash
+		s.digest.Version = max(s.digest.Version, stored.object.Version)
+		s.addToIndex(stored)
 	}
 	return s
 }
@@ -116,23 +116,23 @@
 }
 
 // addToIndex adds an object to the map of its kind.
-func (s *Snapshot) addToIndex(e storedObject) {
-	switch spec := e.spec.(type) {
+func (s *Snapshot) addToIndex(stored storedObject) {
+	switch spec := stored.spec.(type) {
 	case savorypin.EndpointSpec:
-		s.endpoints[e.object.Name] = spec
+		s.endpoints[stored.object.Name] = spec
 	case Move:
 		s.moves[spec.Spec.Service] = append(s.moves[spec.Spec.Service], spec)
 	case savorypin.OrganisationSpec:
-		s.organisations[e.object.Name] = spec
+		s.organisations[stored.object.Name] = spec
 		for _, sum := range spec.TokenSHA256 {
-			s.organisationByToken[sum] = e.object.Name
+			s.organisationByToken[sum] = stored.object.Name
 		}
 	case savorypin.RouteSpec:
 		s.routes[RouteKey{Route: spec.Route, Service: spec.Service}] = spec
 	case savorypin.ServiceSpec:
-		s.services[e.object.Name] = spec
+		s.services[stored.object.Name] = spec
 	case savorypin.VersionSpec:
-		s.versions[e.object.Name] = spec
+		s.versions[stored.object.Name] = spec
 	}
 }
 
@@ -163,21 +163,21 @@
 
 // Holds reports whether an object is in force at the given version or a newer one.
 func (s *Snapshot) Holds(key savorypin.Key, version int64) bool {
-	e, ok := s.objects[key]
-	return ok && e.object.Version >= version
+	stored, ok := s.objects[key]
+	return ok && stored.object.Version >= version
 }
 
 // Object returns an object, which may be a deletion.
 func (s *Snapshot) Object(key savorypin.Key) (savorypin.Object, bool) {
-	e, ok := s.objects[key]
-	return e.object, ok
+	stored, ok := s.objects[key]
+	return stored.object, ok
 }
 
 // Objects returns all objects, deletions included.
 func (s *Snapshot) Objects() map[savorypin.Key]savorypin.Object {
 	objects := make(map[savorypin.Key]savorypin.Object, len(s.objects))
-	for key, e := range s.objects {
-		objects[key] = e.object
+	for key, stored := range s.objects {
+		objects[key] = stored.object
 	}
 	return objects
 }
--- a/internal/savorypinconfig/store.go
+++ b/internal/savorypinconfig/store.go
@@ -34,6 +34,8 @@
 	return s.apply(objects)
 }
 
+// apply does the work of Apply; s.mu must be held. It copies the map of objects only if
+// an object has changed.
 func (s *Store) apply(objects []savorypin.Object) []savorypin.Object {
 	old := s.snapshot.Load()
 	var changed []savorypin.Object
@@ -86,8 +88,8 @@
 // Versions returns the version of each stored object, deletions included.
 func (s *Store) Versions() map[savorypin.Key]int64 {
 	versions := map[savorypin.Key]int64{}
-	for key, e := range s.Snapshot().objects {
-		versions[key] = e.object.Version
+	for key, stored := range s.Snapshot().objects {
+		versions[key] = stored.object.Version
 	}
 	return versions
 }
