Correct comments on log events and the platform client

The lists of possible values of Process.What and Rollout.What were out of date; a refused request may have been sent to endpoints; EndpointsChanged is not logged for additions, and its counts had no comments or inexact ones; HistoryLost also follows a restore of the store. A stalled watch is noticed up to watchGrace later than the comment said. boundedWriter sets deadlines and is now deadlineWriter.

Comments reworded: 25, added: 18. Names: 1 type, 1 parameter, 2 locals. Test strings: the subject Bound is now Limit.

--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -1,7 +1,8 @@
 // Package savorypinevent logs the decisions of a gateway and its view of endpoints,
 // store and peers as structured events. Each event has a type that defines its fields,
-// so that all lines of a kind have the same form. The rate is limited for each kind,
-// and no request ever waits for a line to be written.
+// so that all lines of a kind have the same form. The rate is limited for each kind.
+// With a Writer as the output of the logger, requests never wait for a line to be
+// written.
 package savorypinevent
 
 import (
--- a/internal/savorypinevent/log.go
+++ b/internal/savorypinevent/log.go
@@ -13,13 +13,14 @@
 	"savorypin/internal/savorypinpanic"
 )
 
-// Rate limits for each kind of event, in lines per second, and their bursts.
+// Rate limits for each kind of event, in lines per second, their bursts, and the
+// interval of reports.
 const (
-	// successRate and successBurst limit the lines of requests that succeeded.
+	// successRate and successBurst limit the lines of each kind in successKinds.
 	successRate  = 10
 	successBurst = 40
 	// defaultRate and defaultBurst limit the lines of all other kinds. They are higher,
-	// so that failures take precedence over successes.
+	// so that fewer lines about failures than about successes are left out.
 	defaultRate  = 40
 	defaultBurst = 200
 	// leftOutReportInterval is the interval at which the numbers of left-out lines are
@@ -27,7 +28,7 @@
 	leftOutReportInterval = 5 * time.Second
 )
 
-// successKinds are the kinds of events of requests that succeed.
+// successKinds are the kinds of the events that a successful request emits.
 var successKinds = map[Kind]bool{KindRequestAnswered: true, KindStreamCompleted: true, KindStreamSent: true}
 
 // Config configures a Log.
--- a/internal/savorypinevent/requestevents.go
+++ b/internal/savorypinevent/requestevents.go
@@ -8,6 +8,7 @@
 
 // AttemptEnded reports the outcome of one attempt of a plain request at an endpoint.
 type AttemptEnded struct {
+	// Age is the time since the request arrived.
 	Age time.Duration
 	// Earlier is the number of earlier attempts of the request.
 	Earlier  int
@@ -34,6 +35,7 @@
 
 // RequestEnded reports the end of a request. Its kind is the outcome.
 type RequestEnded struct {
+	// Age is the time since the request arrived.
 	Age time.Duration
 	// Attempts is the number of attempts that were made.
 	Attempts int
@@ -50,7 +52,7 @@
 	LongestPause time.Duration
 	Route        string
 	Status       int
-	// EventKind is the kind of the event.
+	// EventKind is the kind of the event, which says how the request ended.
 	EventKind Kind
 }
 
@@ -80,16 +82,18 @@
 	return appendErr(fields, e.Err)
 }
 
-// RequestRefused reports that the gateway refused a request without sending it to an
-// endpoint, and the state on which it based the decision.
+// RequestRefused reports that the gateway sent the caller an error of its own, because it
+// rejected the request or got no complete response from an endpoint. It includes the
+// state of the gateway.
 type RequestRefused struct {
 	// Configuration is the version of the configuration that was in force.
 	Configuration int64
 	// ConfirmationAge is the time since the configuration was last confirmed.
 	ConfirmationAge time.Duration
 	// Endpoints is the number of endpoints of the service that accepted requests.
-	Endpoints  int
-	ID         string
+	Endpoints int
+	ID        string
+	// Path is the URI of the request.
 	Path       string
 	Reason     string
 	RetryAfter time.Duration
@@ -115,6 +119,7 @@
 // StreamSent reports the endpoint that a stream is sent to, and the state on which the
 // choice was based.
 type StreamSent struct {
+	// Age is the time since the request arrived.
 	Age     time.Duration
 	Attempt int
 	// Backup is the endpoint that keeps a copy of the stream's KV cache.
@@ -124,8 +129,9 @@
 	Domain       string
 	Endpoint     string
 	// Event is the number of the last event that was delivered.
-	Event    int64
-	ID       string
+	Event int64
+	ID    string
+	// Restored reports whether the endpoint is to continue from the copy of the KV cache.
 	Restored bool
 	// Waiting is the number of prompt tokens that are queued at the endpoint.
 	Waiting int
@@ -147,11 +153,13 @@
 
 // StreamBroken reports that a stream broke off at an endpoint, and why.
 type StreamBroken struct {
+	// Age is the time since the request arrived.
 	Age      time.Duration
 	Endpoint string
 	Err      error
-	Event    int64
-	ID       string
+	// Event is the number of the last event that was delivered.
+	Event int64
+	ID    string
 }
 
 // Kind returns the kind of the event.
@@ -167,12 +175,15 @@
 
 // StreamResumed reports that a stream continues after it broke off.
 type StreamResumed struct {
+	// Age is the time since the request arrived.
 	Age      time.Duration
 	Endpoint string
-	Event    int64
-	ID       string
+	// Event is the number of the last event that was delivered.
+	Event int64
+	ID    string
 	// Pause is the time in which the caller received no event.
-	Pause    time.Duration
+	Pause time.Duration
+	// Restored reports whether the endpoint continues from the copy of the KV cache.
 	Restored bool
 }
 
--- a/internal/savorypinevent/stateevents.go
+++ b/internal/savorypinevent/stateevents.go
@@ -9,7 +9,7 @@
 // Ignored reports input that is ignored because it is invalid.
 type Ignored struct {
 	Err error
-	// What describes the input, with its name.
+	// What describes the input, with its name if it has one.
 	What string
 }
 
@@ -25,11 +25,13 @@
 }
 
 // HistoryLost reports that a kind has to be listed again, since the store no longer has
-// the changes that are needed to continue its watch.
+// the changes that are needed to continue its watch, or was restored from an older copy
+// of itself.
 type HistoryLost struct {
-	// ObjectKind is the kind.
+	// ObjectKind is the kind of the objects.
 	ObjectKind string
-	Version    int64
+	// Version is the version from which the watch was to continue.
+	Version int64
 }
 
 // Kind returns the kind of the event.
@@ -98,11 +100,11 @@
 	return []any{"era", e.Era}
 }
 
-// EndpointSuspect reports that an endpoint is under suspicion, and therefore gets no new
-// work for some time.
+// EndpointSuspect reports that an endpoint is suspected of having failed, and therefore
+// gets no new work for some time.
 type EndpointSuspect struct {
 	Domain string
-	// DomainFailed reports whether its whole failure domain is taken as failed.
+	// DomainFailed reports whether its whole failure domain is considered failed.
 	DomainFailed bool
 	Endpoint     string
 	Reason       string
@@ -119,12 +121,14 @@
 	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "reason", e.Reason, "domainFailed", e.DomainFailed}
 }
 
-// DomainSuspect reports that a whole failure domain is taken as failed.
+// DomainSuspect reports that a whole failure domain is considered failed.
 type DomainSuspect struct {
-	Domain    string
+	Domain string
+	// Endpoints is the number of endpoints of the service in the domain.
 	Endpoints int
-	SeenBy    string
-	Service   string
+	// SeenBy is the gateway that detected the failure.
+	SeenBy  string
+	Service string
 }
 
 // Kind returns the kind of the event.
@@ -138,17 +142,25 @@
 	return []any{"domain", e.Domain, "service", e.Service, "endpoints", e.Endpoints, "seenBy", e.SeenBy}
 }
 
-// EndpointsChanged reports that the list of endpoints has changed.
+// EndpointsChanged reports that endpoints were removed from the list of endpoints, have
+// restarted or have begun to drain.
 type EndpointsChanged struct {
 	// Age is the time since the list was last confirmed.
 	Age time.Duration
-	// Draining is the number of endpoints that no longer accept new requests.
-	Draining  int
-	Era       int64
-	Gone      int
-	Now       int
+	// Draining is the number of endpoints that accept no new requests and were not
+	// already draining in the previous list.
+	Draining int
+	// Era is the era of the store.
+	Era int64
+	// Gone is the number of endpoints that are no longer listed. It includes those that
+	// are listed with another incarnation.
+	Gone int
+	// Now is the number of endpoints in the list.
+	Now int
+	// Restarted is the number of endpoints that have restarted since the previous list.
 	Restarted int
-	Revision  int64
+	// Revision is the version of the last change of the list in the store.
+	Revision int64
 }
 
 // Kind returns the kind of the event.
@@ -187,7 +199,7 @@
 type Dependency struct {
 	Err  error
 	Lost bool
-	// Name is "store", or names a gateway and its address.
+	// Name is "store", or names a gateway by its address.
 	Name string
 }
 
@@ -211,10 +223,11 @@
 	return appendErr([]any{"name", e.Name, "state", state}, e.Err)
 }
 
-// Process reports a start, stop or reload of the process.
+// Process reports a start, stop or reload of the process, a warning about its settings,
+// or a failure of its background work.
 type Process struct {
 	Err error
-	// What is one of started, stop begun, stopped, reloaded and not reloaded.
+	// What says what happened, for example "started", "stop begun" or "not reloaded".
 	What string
 }
 
@@ -251,14 +264,15 @@
 	return []any{"ready", e.Ready, "reason", e.Reason}
 }
 
-// Rollout reports a step of a roll-out.
+// Rollout reports a step of a rollout.
 type Rollout struct {
 	Err      error
 	Revision int64
 	Service  string
 	State    string
 	Version  string
-	// What is one of seen, written and rejected.
+	// What is "seen", "written", "not written", or "rejected by" followed by the name of a
+	// gateway.
 	What string
 }
 
--- a/internal/savorypinevent/writer.go
+++ b/internal/savorypinevent/writer.go
@@ -108,8 +108,8 @@
 	w.writeOutput(batch)
 }
 
-// writeOutput writes to the output. A failure cannot be reported anywhere, so that it
-// is counted as a lost line.
+// writeOutput writes to the output. A failure cannot be reported anywhere, so it is
+// counted as a lost line.
 func (w *Writer) writeOutput(batch []byte) {
 	if _, err := w.out.Write(batch); err != nil {
 		w.lost.Add(1)
--- a/internal/savorypinplatform/client.go
+++ b/internal/savorypinplatform/client.go
@@ -43,8 +43,8 @@
 const defaultMaxResponseBytes = 64 << 20
 
 // DefaultWatchTimeout is how long the platform keeps a watch open by default. A watch
-// that has stopped delivering events is noticed at the latest after this time, and each
-// new watch costs a call.
+// that has stopped delivering events is noticed at the latest watchGrace after this
+// time, and each new watch costs a call.
 const DefaultWatchTimeout = 10 * time.Second
 
 // watchGrace is how long the client waits past the timeout of a watch for the platform
@@ -121,14 +121,15 @@
 // Config configures a Client.
 type Config struct {
 	// OnCall is called before each call with its HTTP method, or "watch" for a watch.
-	OnCall func(purpose string)
+	OnCall func(method string)
 	// EraBegan is called at the first response of each era except the first era that the
 	// client sees.
 	EraBegan func(era int64)
 	// HTTPClient makes the calls; nil means a client with default settings.
 	HTTPClient *http.Client
 	// MaxResponseBytes is the maximum size of the body of a response; zero means 64 MiB.
-	// The rest of a longer body is not read.
+	// The rest of a longer body is not read. The limit also applies to all events of a
+	// watch together.
 	MaxResponseBytes int64
 	// Timeout is the timeout of each call except a watch; zero means none.
 	Timeout time.Duration
--- a/internal/savorypinplatform/dialect.go
+++ b/internal/savorypinplatform/dialect.go
@@ -34,8 +34,8 @@
 	DecodeList func(savorypin.Kind, []byte) (Page, error)
 	// Encode returns the body of a write.
 	Encode func(savorypin.Object) ([]byte, error)
-	// ListPath returns the path of the page of a kind that follows after. With an empty
-	// after it is that of the first page, and of creations.
+	// ListPath returns the path of the page of a kind that follows after. If after is
+	// empty, it returns the path of the first page, at which objects are also created.
 	ListPath func(kind savorypin.Kind, after string) string
 	// ObjectPath returns the path of an object.
 	ObjectPath func(savorypin.Key) string
--- a/internal/savorypinplatform/era.go
+++ b/internal/savorypinplatform/era.go
@@ -34,8 +34,8 @@
 func (c *Client) Era() int64 { return c.era.newest() }
 
 // responseEra returns the era of a response. A response that names none belongs to the
-// newest era. A response of an earlier era was delayed, or comes from a copy that no
-// longer is the store, and must not be used: the error then wraps ErrStaleEra and
+// newest era. A response of an earlier era was delayed, or comes from a copy that is no
+// longer the store, and must not be used: the error then wraps ErrStaleEra and
 // ErrUnavailable.
 func (c *Client) responseEra(header http.Header) (int64, error) {
 	if c.cfg.Dialect.DecodeEra == nil {
--- a/internal/savorypinplatform/era_test.go
+++ b/internal/savorypinplatform/era_test.go
@@ -56,12 +56,12 @@
 func newClient(began *[]int64, responses ...response) (*savorypinplatform.Client, *int) {
 	calls := 0
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		a := responses[min(calls, len(responses)-1)]
+		resp := responses[min(calls, len(responses)-1)]
 		calls++
-		if a.era != "" {
-			w.Header().Set(eraHeader, a.era)
+		if resp.era != "" {
+			w.Header().Set(eraHeader, resp.era)
 		}
-		_, err := w.Write([]byte(a.body))
+		_, err := w.Write([]byte(resp.body))
 		Expect(err).NotTo(HaveOccurred())
 	}))
 	DeferCleanup(server.Close)
@@ -71,7 +71,7 @@
 }
 
 var _ = Describe("A response of another era of the store", func() {
-	for _, c := range []struct {
+	for _, tc := range []struct {
 		name      string
 		responses []response
 		// eras are those of the returned objects; -1 stands for an error.
@@ -84,10 +84,10 @@
 		{"belongs to the newest era if it names none", []response{{"4", "5"}, {"", "6"}}, []int64{4, 4}, nil},
 		{"belongs to era 0 if no response names an era", []response{{"", "5"}}, []int64{0}, nil},
 	} {
-		It(c.name, func() {
+		It(tc.name, func() {
 			var began, eras []int64
-			client, _ := newClient(&began, c.responses...)
-			for range c.responses {
+			client, _ := newClient(&began, tc.responses...)
+			for range tc.responses {
 				o, err := client.Get(context.Background(), savorypin.Key{Kind: testKind, Name: "x"})
 				if err != nil {
 					Expect(err).To(MatchError(savorypinplatform.ErrUnavailable))
@@ -95,8 +95,8 @@
 				}
 				eras = append(eras, o.Era)
 			}
-			Expect(eras).To(Equal(c.eras))
-			Expect(began).To(Equal(c.began))
+			Expect(eras).To(Equal(tc.eras))
+			Expect(began).To(Equal(tc.began))
 		})
 	}
 
--- a/internal/savorypinweb/bounds.go
+++ b/internal/savorypinweb/bounds.go
@@ -33,7 +33,7 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
-		next.ServeHTTP(&boundedWriter{ResponseWriter: w, controller: controller}, r)
+		next.ServeHTTP(&deadlineWriter{ResponseWriter: w, controller: controller}, r)
 	})
 }
 
@@ -56,20 +56,20 @@
 	_, _ = io.WriteString(w, `{"kind":"invalid","message":"body can't be read: `+http.StatusText(status)+`"}`+"\n")
 }
 
-// boundedWriter is a response writer that sets a deadline before each write.
-type boundedWriter struct {
+// deadlineWriter is a response writer that sets a deadline before each write.
+type deadlineWriter struct {
 	http.ResponseWriter
 
 	controller *http.ResponseController
 }
 
 // Unwrap returns the wrapped writer, whose methods http.ResponseController uses.
-func (w *boundedWriter) Unwrap() http.ResponseWriter {
+func (w *deadlineWriter) Unwrap() http.ResponseWriter {
 	return w.ResponseWriter
 }
 
 // Write writes a part of the response. It fails after writeTimeout.
-func (w *boundedWriter) Write(data []byte) (int, error) {
+func (w *deadlineWriter) Write(data []byte) (int, error) {
 	// Errors are ignored, since the response writers of some tests have no deadlines.
 	_ = w.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return w.ResponseWriter.Write(data)
--- a/internal/savorypinweb/bounds_test.go
+++ b/internal/savorypinweb/bounds_test.go
@@ -18,7 +18,7 @@
 	savorypintest.RunSuite(t, "savorypinweb")
 }
 
-var _ = Describe("Bound", func() {
+var _ = Describe("Limit", func() {
 	echo := savorypinweb.Limit(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(w, r.Body)
 	}))
