Reword the command line's code in plain terms

Config.by and Config.entry did not say that they are the operator's name and the base URL of the called daemon; the help texts said "engines that fail", "the cause of their end" and "takes a share at once". Comments on the wait statement, the refusals and the defaults of flags did not fit the code: a wait for a stop also ends for an unknown member, refusals are counted per kind and object with the last reason, and the constants are defaults rather than the values in use.

Names: by -> operatorName, entry -> baseURL (field and parameter), lines -> logWriter, explainedLog -> gatewayLog in a test. Comments changed: 11, added: 1. Names changed: 5. Help texts changed: 5. Test descriptions changed: 4, with the same checks.

--- a/internal/cmd/applycmd.go
+++ b/internal/cmd/applycmd.go
@@ -19,7 +19,7 @@
 )
 
 // Timeout of apply --wait, and the interval at which it and the wait statement
-// ask the entry again.
+// poll the entry.
 const (
 	applyWaitTimeout = 30 * time.Second
 	pollInterval     = 500 * time.Millisecond
@@ -64,7 +64,7 @@
 }
 
 func (c *Config) applyObject(ctx context.Context, o apiObject) error {
-	o.By = c.by
+	o.By = c.operatorName
 	o.Order = uuid.NewString()
 	var written apiObject
 	path := "/operator/v1/objects"
@@ -121,8 +121,8 @@
 	}
 }
 
-// readObjects reads and checks the objects of a file. Its error names the file,
-// the number of the object and the bad field.
+// readObjects reads and checks the objects of a file. Its error names the file, the
+// number of the YAML document in it and the bad field, for each bad object.
 func readObjects(file string) ([]apiObject, error) {
 	data, err := readFile(file)
 	if err != nil {
--- a/internal/cmd/applycmd_test.go
+++ b/internal/cmd/applycmd_test.go
@@ -27,9 +27,9 @@
 var _ = Describe("readObject", func() {
 	for _, tc := range []struct{ name, text, want string }{
 		{"a field given twice", "kind: services\nname: a\nname: b\nspec: {type: plain}\n", "name"},
-		{"no YAML", "kind: [", "yaml"},
+		{"invalid YAML", "kind: [", "yaml"},
 		{"an unknown field", "kind: services\nname: a\nsize: 3\nspec: {type: plain}\n", "size"},
-		{"no name", "kind: services\nspec: {type: plain}\n", "name"},
+		{"a missing name", "kind: services\nspec: {type: plain}\n", "name"},
 	} {
 		It("refuses "+tc.name, func() {
 			_, err := readObject([]byte(tc.text))
--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -36,11 +36,11 @@
 // Config holds the settings of all commands. Commands are its methods.
 type Config struct {
 	anonymousOrganisation string
-	by                    string
+	operatorName          string
 	claimRetention        time.Duration
 	daemon                savorypindaemon.Settings
 	dryRun                bool
-	entry                 string
+	baseURL               string
 	files                 []string
 	firstTokenLimit       time.Duration
 	linkBytesPerSecond    float64
@@ -115,15 +115,16 @@
 			c.stateCmd(),
 			c.stopCmd(),
 		},
-		Description:           "Savorypin relays generations and plain calls between callers and endpoints that fail.",
+		Description:           "Savorypin relays generations and plain calls from callers to endpoints and recovers from endpoint failures.",
 		EnableShellCompletion: true,
 		ErrWriter:             c.stderr,
-		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		Flags:                 c.logFlags(),
-		Name:                  "savorypin",
-		Suggest:               true,
-		Usage:                 "serve long generations on engines that fail",
-		Writer:                c.stdout,
+		// Main prints the error and returns the exit code.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Flags:          c.logFlags(),
+		Name:           "savorypin",
+		Suggest:        true,
+		Usage:          "serve long generations despite engine failures",
+		Writer:         c.stdout,
 	}
 }
 
--- a/internal/cmd/daemonflags.go
+++ b/internal/cmd/daemonflags.go
@@ -13,16 +13,17 @@
 	"savorypin/internal/savorypindaemon"
 )
 
-// defaultLeaseDuration is how long a control lease is valid after a renewal.
+// defaultLeaseDuration is the default time that a control lease is valid after a renewal.
 const defaultLeaseDuration = 15 * time.Second
 
 // minLeaseDuration limits the rate of the platform calls that renew leases.
 const minLeaseDuration = time.Second
 
-// defaultStopGrace is how long running work may take to finish at a planned stop.
+// defaultStopGrace is the default time that running work may take to finish at a
+// planned stop.
 const defaultStopGrace = time.Minute
 
-// defaultWeightLoads is how many concurrent loads the weight store can serve.
+// defaultWeightLoads is the default limit of concurrent loads from the weight store.
 const defaultWeightLoads = 4
 
 // minKeyBytes is the minimum length of a key that daemons share.
--- a/internal/cmd/doexplain.go
+++ b/internal/cmd/doexplain.go
@@ -56,7 +56,7 @@
 }
 
 // explainShare prints the share of new work of each version of a service, and the
-// moves that set the shares.
+// service's moves, which set the shares.
 func (c *Config) explainShare(ctx context.Context, service string) error {
 	report, err := c.queryEntry(ctx)
 	if err != nil {
@@ -90,7 +90,9 @@
 	} `json:"refusals"`
 }
 
-// explainRefusals prints why each entry refused requests of an organisation.
+// explainRefusals prints how many requests of an organisation each entry refused, by kind
+// and object of the error, with the reason of the last refusal. It skips entries whose
+// dump has no readable refusals section.
 func (c *Config) explainRefusals(ctx context.Context, organisation string) error {
 	report, err := c.queryAllEntries(ctx)
 	if err != nil {
--- a/internal/cmd/doorder.go
+++ b/internal/cmd/doorder.go
@@ -23,7 +23,7 @@
 		return savorypin.Errorf(savorypin.KindInvalid, key.String(), "%w", err)
 	}
 	o := apiObject{
-		By:      c.by,
+		By:      c.operatorName,
 		Kind:    string(key.Kind),
 		Name:    key.Name,
 		Order:   uuid.NewString(),
--- a/internal/cmd/doquery.go
+++ b/internal/cmd/doquery.go
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	client := *c
-	client.entry = "http://" + address
+	client.baseURL = "http://" + address
 	var dump stateDump
 	err := client.operatorCall(ctx, http.MethodGet, "/state", nil, &dump)
 	return dump, err
--- a/internal/cmd/dowait.go
+++ b/internal/cmd/dowait.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// checkStopped reports whether a member is not live any more, and prints it.
+// checkStopped reports whether the entry does not list a member as live, and prints a
+// line if so. It also returns true for a member that the entry does not know.
 func (c *Config) checkStopped(report *stateReport, member string) bool {
 	for _, m := range report.source.Members {
 		if m.State.Name == member && m.Health == "live" {
--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -18,17 +18,17 @@
 		ArgsUsage: "REQUEST-ID [LOG...], or --causes [LOG...]",
 		Description: "Reads gateway logs, or standard input if no log is given, and reports what happened to a\n" +
 			"request at all gateways, with the state changes that these gateways logged around it.\n" +
-			"With --causes it counts all requests by the cause of their end.",
+			"With --causes it counts all requests by how and why they ended.",
 		Flags: []cli.Flag{
-			&cli.BoolFlag{Name: flagCauses, Usage: "count all requests by the cause of their end"},
+			&cli.BoolFlag{Name: flagCauses, Usage: "count all requests by how and why they ended"},
 		},
 		Name:  "explain",
 		Usage: "report from gateway logs what happened to a request, or to all requests",
 	}
 }
 
-// flagCauses is the flag that counts all requests by the cause of their end, in place
-// of the report on one request.
+// flagCauses is the flag that counts all requests by how and why they ended, instead of
+// reporting on one request.
 const flagCauses = "causes"
 
 func (c *Config) runExplainCmd(_ context.Context, cmd *cli.Command) error {
--- a/internal/cmd/explaincmd_test.go
+++ b/internal/cmd/explaincmd_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 )
 
-const explainedLog = `time=2026-12-04T05:00:00.100Z level=info msg="attempt ended" gateway=edge-1 id=r1 endpoint=i-1 outcome=unknown age=90 err="connection reset"
+const gatewayLog = `time=2026-12-04T05:00:00.100Z level=info msg="attempt ended" gateway=edge-1 id=r1 endpoint=i-1 outcome=unknown age=90 err="connection reset"
 time=2026-12-04T05:00:00.101Z level=warn msg="request refused" gateway=edge-1 id=r1 status=502 reason="endpoint failed" configuration=4 confirmationAge=10 endpoints=3 suspects=0
 `
 
@@ -24,11 +24,11 @@
 
 	It("reads the given log files or standard input", func() {
 		file := filepath.Join(GinkgoT().TempDir(), "gateway.log")
-		Expect(os.WriteFile(file, []byte(explainedLog), 0o600)).To(Succeed())
+		Expect(os.WriteFile(file, []byte(gatewayLog), 0o600)).To(Succeed())
 		for _, run := range []struct {
 			stdin string
 			args  []string
-		}{{explainedLog, []string{"r1"}}, {"", []string{"r1", file}}} {
+		}{{gatewayLog, []string{"r1"}}, {"", []string{"r1", file}}} {
 			out, err := explain(run.stdin, run.args...)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(out).To(HavePrefix("request r1: the gateway refused the request with status 502: endpoint failed"))
@@ -41,19 +41,19 @@
 		code int
 		want string
 	}{
-		{"no request", nil, exitInvalid, "REQUEST-ID: is missing"},
+		{"a missing request ID", nil, exitInvalid, "REQUEST-ID: is missing"},
 		{"a missing log file", []string{"r1", "/nowhere/gateway.log"}, exitNotFound, "/nowhere/gateway.log"},
 		{"a request that is not in the logs", []string{"r2"}, exitNotFound, "no log line has the ID of the request"},
 	} {
 		It("refuses "+tc.name, func() {
-			_, err := explain(explainedLog, tc.args...)
+			_, err := explain(gatewayLog, tc.args...)
 			Expect(err).To(MatchError(ContainSubstring(tc.want)))
 			Expect(exitCode(err)).To(Equal(tc.code))
 		})
 	}
 
-	It("counts all requests by the cause of their end", func() {
-		out, err := explain(explainedLog, "--causes")
+	It("counts all requests by how and why they ended", func() {
+		out, err := explain(gatewayLog, "--causes")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(out).To(ContainSubstring("refused with 502: endpoint failed"))
 		Expect(out).To(ContainSubstring("1.000"))
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -43,9 +43,9 @@
 	if err != nil {
 		return err
 	}
-	lines := savorypinevent.NewWriter(c.stdout)
-	defer lines.Close()
-	logger, err := c.loggerTo(lines)
+	logWriter := savorypinevent.NewWriter(c.stdout)
+	defer logWriter.Close()
+	logger, err := c.loggerTo(logWriter)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/movecmd.go
+++ b/internal/cmd/movecmd.go
@@ -58,8 +58,9 @@
 	return &cli.Command{
 		Action:    c.runMoveSpeedUpCmd,
 		ArgsUsage: "MOVE",
-		Description: "--in sets an earlier deadline, but the move still advances only as far as the evidence allows. --share takes\n" +
-			"a share at once, even if there is little evidence. A bad version is taken back in either case.",
+		Description: "--in sets an earlier deadline, but the move still advances only as far as the evidence allows. --share gives\n" +
+			"the new version at least this share at once, even if there is little evidence. In either case the traffic\n" +
+			"returns to the old version if the new one is worse.",
 		Flags: append(
 			c.clientFlags(),
 			&cli.DurationFlag{Name: "in", Usage: "time from now to the new deadline"},
--- a/internal/cmd/operatorclient.go
+++ b/internal/cmd/operatorclient.go
@@ -33,11 +33,11 @@
 func (c *Config) clientFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{
-			Destination: &c.by, Name: "by", Sources: env("OPERATOR"), Value: "operator",
+			Destination: &c.operatorName, Name: "by", Sources: env("OPERATOR"), Value: "operator",
 			Usage: "name of the operator who gives the order",
 		},
 		&cli.StringFlag{
-			Destination: &c.entry, Name: "entry", Sources: env("ENTRY"), Value: "http://127.0.0.1:8080",
+			Destination: &c.baseURL, Name: "entry", Sources: env("ENTRY"), Value: "http://127.0.0.1:8080",
 			Usage: "base `URL` of an entry",
 		},
 		&cli.StringFlag{
@@ -51,7 +51,7 @@
 	}
 }
 
-// operatorCall calls the operators' API of the daemon at c.entry and decodes the
+// operatorCall calls the operators' API of the daemon at c.baseURL and decodes the
 // response into out unless out is nil.
 func (c *Config) operatorCall(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
@@ -64,7 +64,7 @@
 		}
 		body = bytes.NewReader(data)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, c.entry+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, body)
 	if err != nil {
 		return savorypin.Errorf(savorypin.KindInvalid, "--entry", "%w", err)
 	}
@@ -72,34 +72,34 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return savorypin.Errorf(savorypin.KindUnreachable, c.entry, "%w", err)
+		return savorypin.Errorf(savorypin.KindUnreachable, c.baseURL, "%w", err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return savorypin.Errorf(savorypin.KindUnreachable, c.entry, "%w", err)
+		return savorypin.Errorf(savorypin.KindUnreachable, c.baseURL, "%w", err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return apiError(c.entry, resp.StatusCode, data)
+		return apiError(c.baseURL, resp.StatusCode, data)
 	}
 	if out == nil {
 		return nil
 	}
 	if err := json.Unmarshal(data, out); err != nil {
-		return savorypin.Errorf(savorypin.KindUnreachable, c.entry, "decode response: %w", err)
+		return savorypin.Errorf(savorypin.KindUnreachable, c.baseURL, "decode response: %w", err)
 	}
 	return nil
 }
 
 // apiError returns the typed error in the body of an error response, or an error of
 // KindUnreachable if the body holds none.
-func apiError(entry string, status int, data []byte) error {
+func apiError(baseURL string, status int, data []byte) error {
 	var body struct {
 		Kind    savorypin.ErrorKind `json:"kind"`
 		Message string              `json:"message"`
 	}
 	if json.Unmarshal(data, &body) != nil || body.Kind == "" {
-		return savorypin.Errorf(savorypin.KindUnreachable, entry, "status %d: %s", status, bytes.TrimSpace(data))
+		return savorypin.Errorf(savorypin.KindUnreachable, baseURL, "status %d: %s", status, bytes.TrimSpace(data))
 	}
 	return &savorypin.Error{Kind: body.Kind, Err: fmt.Errorf("%s", body.Message)}
 }
--- a/internal/cmd/statecmd.go
+++ b/internal/cmd/statecmd.go
@@ -24,7 +24,7 @@
 	if err := checkAddress("ADDRESS", address); err != nil {
 		return savorypin.Errorf(savorypin.KindInvalid, "state", "%w", err)
 	}
-	c.entry = "http://" + address
+	c.baseURL = "http://" + address
 	var dump any
 	if err := c.operatorCall(ctx, http.MethodGet, "/state", nil, &dump); err != nil {
 		return err
--- a/internal/cmd/stopcmd.go
+++ b/internal/cmd/stopcmd.go
@@ -35,7 +35,7 @@
 		fmt.Fprintf(c.stdout, "would stop %s\n", member)
 		return nil
 	}
-	path := "/operator/v1/stop/" + url.PathEscape(member) + "?by=" + url.QueryEscape(c.by)
+	path := "/operator/v1/stop/" + url.PathEscape(member) + "?by=" + url.QueryEscape(c.operatorName)
 	if err := c.operatorCall(ctx, http.MethodPost, path, nil, nil); err != nil {
 		return err
 	}
--- a/main.go
+++ b/main.go
@@ -1,4 +1,4 @@
-// Savorypin serves long generations on engines that fail.
+// Savorypin serves long generations despite engine failures.
 package main
 
 import (
