Reword the explain, query and operator packages

The log line of the operators' API said that a request failed, but it is only written if a response can't be encoded or written. The comments on causes did not say that left-out lines are counted as lines and may count a request twice. Other comments read tautologically or named only a part of the result.

Names: placeTotals -> memberTotals, local p -> sums (3 times), force -> status; in the tests of explain lines -> readLines, cause -> summary, c -> tc. Comments changed: 10, added: 1. Names changed: 8. Log lines changed: 1. Test descriptions changed: 4, with the same checks.

--- a/internal/savorypinexplain/causes.go
+++ b/internal/savorypinexplain/causes.go
@@ -15,20 +15,23 @@
 	"savorypin/internal/savorypinevent"
 )
 
-// Cause is a cause for which requests ended.
+// Cause is one way in which requests ended, with the number of these requests.
 type Cause struct {
-	// First and Last are when the first and the last of these requests ended.
+	// First and Last are when the first and the last of these requests ended, on the clock
+	// of Line.At.
 	First, Last time.Duration
 	// Name says how and why the requests ended.
 	Name string
-	// Requests is the number of requests that ended for this cause.
+	// Requests is the number of requests that ended in this way. For lines that were left
+	// out of a log it is the number of lines.
 	Requests int64
 }
 
-// CountCauses counts requests by the cause of their end, the most frequent cause first.
-// A request without a final line was lost with its gateway or its line was left out of
-// the log. Lines that a gateway left out are counted by kind; they include routine ends
-// of requests.
+// CountCauses counts requests by how and why they ended, the most frequent cause first.
+// A request without a final line was lost with its gateway, or its final line was left
+// out of the log. Lines that a gateway's rate limit left out are counted by kind. They
+// include lines of requests that ended normally, and a request whose final line was left
+// out may count twice.
 func CountCauses(lines []Line) []Cause {
 	byName := map[string]*Cause{}
 	add := func(name string, at time.Duration, n int64) {
@@ -58,7 +61,7 @@
 }
 
 // historiesByID returns the lines of each request by its ID, in the order of their
-// times, without events that change the state of the gateway.
+// times, without the events of isGatewayEvent.
 func historiesByID(lines []Line) map[string][]Line {
 	sorted := slices.Clone(lines)
 	slices.SortStableFunc(sorted, func(a, b Line) int { return cmp.Compare(a.At, b.At) })
--- a/internal/savorypinexplain/report.go
+++ b/internal/savorypinexplain/report.go
@@ -18,8 +18,8 @@
 // ErrUnknownRequest means that no log line has the ID of the request.
 var ErrUnknownRequest = errors.New("no log line has the ID of the request")
 
-// isGatewayEvent holds the kinds of events that change the state of a gateway, rather
-// than that of a request.
+// isGatewayEvent holds the kinds of events that concern the state of a gateway rather
+// than one request.
 var isGatewayEvent = map[savorypinevent.Kind]bool{
 	savorypinevent.KindConfigurationInForce: true,
 	savorypinevent.KindDependency:           true,
@@ -101,8 +101,8 @@
 	}
 }
 
-// summarizeRefusal says why the gateway refused the request, with the last attempt at
-// an endpoint if there was one.
+// summarizeRefusal says why the gateway refused the request, and how its stream failed and
+// its last attempt at an endpoint ended, if there were any.
 func summarizeRefusal(history []Line, last Line) string {
 	text := fmt.Sprintf("the gateway refused the request with status %s: %s; configuration %s, confirmed %s ms before, %s endpoints, %s of them suspect",
 		last.Value("status"), last.Value("reason"), last.Value("configuration"), last.Value("confirmationAge"),
--- a/internal/savorypinexplain/report_test.go
+++ b/internal/savorypinexplain/report_test.go
@@ -24,27 +24,27 @@
 `
 
 var _ = Describe("Explain", func() {
-	lines := func(text string) []savorypinexplain.Line {
+	readLines := func(text string) []savorypinexplain.Line {
 		lines, err := savorypinexplain.Read(strings.NewReader(text))
 		Expect(err).NotTo(HaveOccurred())
 		return lines
 	}
 
-	for _, c := range []struct{ id, cause string }{
+	for _, tc := range []struct{ id, summary string }{
 		{"r1", "the stream failed after event 7 and 1 attempts: retry budget is spent"},
 		{"r2", "the gateway refused the request with status 502: endpoint failed; configuration 4, confirmed 300 ms before, 3 endpoints, 1 of them suspect; " +
 			"the last attempt, at i-9, ended after 80 ms: unknown connection reset"},
 		{"r3", `the log ends with "stream sent": the gateway edge-2 may have been killed, or lines were left out`},
 	} {
-		It("summarizes how "+c.id+" ended and why", func() {
-			report, err := savorypinexplain.Explain(c.id, lines(logs))
+		It("summarizes how "+tc.id+" ended and why", func() {
+			report, err := savorypinexplain.Explain(tc.id, readLines(logs))
 			Expect(err).NotTo(HaveOccurred())
-			Expect(report.Summary).To(Equal(c.cause))
+			Expect(report.Summary).To(Equal(tc.summary))
 		})
 	}
 
-	It("lists the events of the request's own gateways shortly before it, in order", func() {
-		report, err := savorypinexplain.Explain("r1", lines(logs))
+	It("lists the request's lines, and the state changes of only its own gateways shortly before it", func() {
+		report, err := savorypinexplain.Explain("r1", readLines(logs))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(report.History).To(HaveLen(3))
 		Expect(report.GatewayEvents).To(HaveLen(1))
@@ -55,13 +55,13 @@
 		Expect(text.String()).To(ContainSubstring("+1.217 s  edge-1               stream broken          endpoint=i-1"))
 	})
 
-	It("uses the gateway's time if the line has no time in front", func() {
+	It("uses the gateway's time if the log collector put no time in front of the line", func() {
 		line := `time=2026-12-04T05:00:00.250Z level=info msg="stream sent" gateway=edge-1 id=r1`
-		Expect(lines(line)[0].At).To(Equal(time.Duration(time.Date(2026, 12, 4, 5, 0, 0, 250e6, time.UTC).UnixNano())))
+		Expect(readLines(line)[0].At).To(Equal(time.Duration(time.Date(2026, 12, 4, 5, 0, 0, 250e6, time.UTC).UnixNano())))
 	})
 
 	It("fails if no line has the request's ID or the log has no gateway lines", func() {
-		_, err := savorypinexplain.Explain("r9", lines(logs))
+		_, err := savorypinexplain.Explain("r9", readLines(logs))
 		Expect(err).To(MatchError(savorypinexplain.ErrUnknownRequest))
 		_, err = savorypinexplain.Read(strings.NewReader("nothing"))
 		Expect(err).To(MatchError(savorypinexplain.ErrNoLines))
@@ -69,7 +69,7 @@
 })
 
 var _ = Describe("CountCauses", func() {
-	It("counts the most frequent cause first, and includes lost requests and lines left out", func() {
+	It("sorts causes by frequency and includes requests without a final line and left-out lines", func() {
 		more := logs + `
   27.000 edge-2 time=2026-12-04T05:00:00.100Z level=warn msg="request refused" gateway=edge-2 id=r4 status=502 reason="endpoint failed"
   28.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="stream completed" gateway=edge-2 id=r5 attempts=2 event=90
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -52,8 +52,10 @@
 	mux.Handle(http.MethodGet, "/metrics", savorypinmetrics.NewHandler(cfg.Daemon.Metrics()).ServeHTTP)
 }
 
+// logError logs an error of encoding or writing a response. Errors of requests are in the
+// responses.
 func (s *service) logError(_ context.Context, _ http.ResponseWriter, err error) {
-	s.daemon.Logger().Warn("Operator API request failed", "err", err)
+	s.daemon.Logger().Warn("Failed to write a response of the operators' API", "err", err)
 }
 
 // Apply creates or replaces an object, or only checks it in a dry run.
@@ -110,18 +112,19 @@
 	return objects, nil
 }
 
-// Force reports which members have a version of an object in force.
+// Force reports how many members have a version of an object in force, and which ones lag
+// or can't be reached.
 func (s *service) Force(ctx context.Context, p *operator.ForcePayload) (*operator.ForceResult, error) {
 	if err := s.authorize(p.Authorization); err != nil {
 		return nil, err
 	}
 	key := savorypin.Key{Kind: savorypin.Kind(p.Kind), Name: p.Name}
-	force := s.daemon.InForce(ctx, key, p.Version)
+	status := s.daemon.InForce(ctx, key, p.Version)
 	return &operator.ForceResult{
-		InForce:     force.InForce,
-		Lagging:     append([]string{}, force.Lagging...),
-		Members:     force.Members,
-		Unreachable: append([]string{}, force.Unreachable...),
+		InForce:     status.InForce,
+		Lagging:     append([]string{}, status.Lagging...),
+		Members:     status.Members,
+		Unreachable: append([]string{}, status.Unreachable...),
 	}, nil
 }
 
@@ -187,7 +190,8 @@
 	return nil
 }
 
-// matchesFilter reports whether a value equals a filter that is set.
+// matchesFilter reports whether a value passes a filter. A nil or empty filter passes
+// every value.
 func matchesFilter(filter *string, value string) bool {
 	return filter == nil || *filter == "" || *filter == value
 }
--- a/internal/savorypinoperator/write_test.go
+++ b/internal/savorypinoperator/write_test.go
@@ -39,7 +39,7 @@
 		}
 	})
 
-	It("recognizes its lost write after another operator has written before the read", func(ctx SpecContext) {
+	It("recognizes its write by the order id if the answer was lost and another operator wrote before the read-back", func(ctx SpecContext) {
 		_, err := w.write(ctx, order("first", "a", 0))
 		Expect(err).NotTo(HaveOccurred())
 		other := w
--- a/internal/savorypinquery/source.go
+++ b/internal/savorypinquery/source.go
@@ -43,8 +43,7 @@
 	Objects []savorypin.Object
 }
 
-// subject is a kind of rows that queries can ask for, with the function that builds its
-// table.
+// subject is a table that queries can name, with the function that builds it.
 type subject struct {
 	build func(*Source) *Table
 	name  string
@@ -136,29 +135,29 @@
 	return t
 }
 
-// placeTotals holds the totals of the members of a failure domain or region.
-type placeTotals struct {
+// memberTotals holds the totals of the members of a failure domain or region.
+type memberTotals struct {
 	endpoints, live, members, running, waiting int
 	region                                     string
 }
 
 // totalsBy returns the totals of the members for each value of key.
-func (s *Source) totalsBy(key func(savorypin.MemberState) string) map[string]*placeTotals {
-	totals := map[string]*placeTotals{}
+func (s *Source) totalsBy(key func(savorypin.MemberState) string) map[string]*memberTotals {
+	totals := map[string]*memberTotals{}
 	for _, m := range s.Members {
-		p := totals[key(m.State)]
-		if p == nil {
-			p = &placeTotals{region: m.State.Region}
-			totals[key(m.State)] = p
+		sums := totals[key(m.State)]
+		if sums == nil {
+			sums = &memberTotals{region: m.State.Region}
+			totals[key(m.State)] = sums
 		}
-		p.members++
+		sums.members++
 		if m.Health == "live" {
-			p.live++
+			sums.live++
 		}
 		for _, e := range m.State.Endpoints {
-			p.endpoints++
-			p.running += e.Running
-			p.waiting += e.Waiting
+			sums.endpoints++
+			sums.running += e.Running
+			sums.waiting += e.Waiting
 		}
 	}
 	return totals
@@ -168,9 +167,9 @@
 	t := NewTable("name", "region", "members", "live", "endpoints", "running", "waiting")
 	totals := s.totalsBy(func(m savorypin.MemberState) string { return m.Domain })
 	for _, name := range slices.Sorted(maps.Keys(totals)) {
-		p := totals[name]
-		t.Add(Text(name), Text(p.region), Number(float64(p.members)), Number(float64(p.live)),
-			Number(float64(p.endpoints)), Number(float64(p.running)), Number(float64(p.waiting)))
+		sums := totals[name]
+		t.Add(Text(name), Text(sums.region), Number(float64(sums.members)), Number(float64(sums.live)),
+			Number(float64(sums.endpoints)), Number(float64(sums.running)), Number(float64(sums.waiting)))
 	}
 	return t
 }
@@ -179,9 +178,9 @@
 	t := NewTable("name", "members", "live", "endpoints", "running", "waiting")
 	totals := s.totalsBy(func(m savorypin.MemberState) string { return m.Region })
 	for _, name := range slices.Sorted(maps.Keys(totals)) {
-		p := totals[name]
-		t.Add(Text(name), Number(float64(p.members)), Number(float64(p.live)),
-			Number(float64(p.endpoints)), Number(float64(p.running)), Number(float64(p.waiting)))
+		sums := totals[name]
+		t.Add(Text(name), Number(float64(sums.members)), Number(float64(sums.live)),
+			Number(float64(sums.endpoints)), Number(float64(sums.running)), Number(float64(sums.waiting)))
 	}
 	return t
 }
