Reword the stream code of the Go client

The comments on event ids, on retries after a lost generation and on Result.Attaches described only a part of what the code does.

--- a/pkg/savorypinclient/client.go
+++ b/pkg/savorypinclient/client.go
@@ -54,7 +54,8 @@
 	return e.retryAfter
 }
 
-// errTransport marks a failure of a connection, after which Stream tries again.
+// errTransport marks a failed connection or a malformed response, after which Stream
+// tries again.
 var errTransport = errors.New("connection failed")
 
 // Config configures a Client.
@@ -117,7 +118,7 @@
 
 // Result describes a completed answer.
 type Result struct {
-	// Attaches is how many times the client attached to the stream again.
+	// Attaches is how many times the client tried to attach to the stream again.
 	Attaches int `json:"-"`
 	// Attempts is the number of attempts that savorypin made.
 	Attempts     int    `json:"attempts"`
@@ -225,7 +226,8 @@
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody the transport of net/http can't retry a request, which may have run.
+	// Without GetBody, net/http does not send the request again on another connection. The
+	// service may already have run it.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	if key != "" {
--- a/pkg/savorypinclient/stream_test.go
+++ b/pkg/savorypinclient/stream_test.go
@@ -43,20 +43,20 @@
 	fmt.Fprint(w, next.body)
 }
 
-func accepted(id, version string, next int) string {
-	return fmt.Sprintf("id: %s/%d\nevent: accepted\ndata: {\"id\":%q,\"version\":%q}\n\n", id, next, id, version)
+func accepted(id, version string, index int) string {
+	return fmt.Sprintf("id: %s/%d\nevent: accepted\ndata: {\"id\":%q,\"version\":%q}\n\n", id, index, id, version)
 }
 
-func token(id string, next int) string {
-	return fmt.Sprintf("id: %s/%d/1-5\nevent: token\ndata: {\"id\":%d}\n\n", id, next, next)
+func token(id string, index int) string {
+	return fmt.Sprintf("id: %s/%d/1-5\nevent: token\ndata: {\"id\":%d}\n\n", id, index, index)
 }
 
-func done(id string, next int) string {
-	return fmt.Sprintf("id: %s/%d\nevent: done\ndata: {\"tokens\":%d}\n\n", id, next, next)
+func done(id string, index int) string {
+	return fmt.Sprintf("id: %s/%d\nevent: done\ndata: {\"tokens\":%d}\n\n", id, index, index)
 }
 
 var _ = Describe("Stream", func() {
-	const lost = `{"kind":"not_found","message":"no such generation"}`
+	const notFound = `{"kind":"not_found","message":"no such generation"}`
 	for _, tc := range []struct {
 		name      string
 		responses []response
@@ -68,7 +68,7 @@
 			name: "requests a generation anew when it is lost before its first token",
 			responses: []response{
 				{200, accepted("g", "v1", 0)},
-				{404, lost},
+				{404, notFound},
 				{200, accepted("h", "v2", 0) + token("h", 1) + done("h", 1)},
 			},
 			tokens: []int32{1},
@@ -82,7 +82,7 @@
 			name: "resumes after the received tokens when the generation is lost",
 			responses: []response{
 				{200, accepted("g", "v1", 0) + token("g", 1) + token("g", 2)},
-				{404, lost},
+				{404, notFound},
 				{503, `{"kind":"not_run","message":"no endpoint"}`},
 				{200, accepted("h", "v1", 2) + token("h", 3) + done("h", 3)},
 			},
