Name the test server of savorypinendpoint and correct its comments

The receiver b of droppingServer and its method read said little; they are s and readRequest, and the specs call the server server. The comment on GetBody claimed that no redirect can repeat a call. That holds for 307 and 308 redirects of a call with a body only, and the comment now says so. "In sorted order" on the order actions is dropped.

--- a/internal/savorypinendpoint/engine.go
+++ b/internal/savorypinendpoint/engine.go
@@ -298,7 +298,7 @@
 // OrderAction is the action of an order.
 type OrderAction string
 
-// The actions of orders, in sorted order.
+// The actions of orders.
 const (
 	OrderDrain  OrderAction = "drain"
 	OrderLoad   OrderAction = "load"
--- a/internal/savorypinendpoint/plain.go
+++ b/internal/savorypinendpoint/plain.go
@@ -78,7 +78,8 @@
 	if err != nil {
 		return Answer{}, false, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
-	// Without GetBody, a redirect can't repeat the call.
+	// Without GetBody, the client does not follow a 307 or 308 redirect of a call with a
+	// body, which would send the call again.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", call.ContentType)
 	if call.Key != "" {
--- a/internal/savorypinendpoint/plain_test.go
+++ b/internal/savorypinendpoint/plain_test.go
@@ -15,8 +15,8 @@
 	"savorypin/internal/savorypinpool"
 )
 
-// droppingServer answers the first requests on each connection. It reads the next one
-// and closes the connection without an answer.
+// droppingServer answers a given number of requests on each connection. It reads the
+// next one and closes the connection without an answer.
 type droppingServer struct {
 	answers  int
 	ln       net.Listener
@@ -26,35 +26,35 @@
 func newDroppingServer(answers int) *droppingServer {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	b := &droppingServer{answers: answers, ln: ln}
-	go b.serve()
+	s := &droppingServer{answers: answers, ln: ln}
+	go s.serve()
 	DeferCleanup(func() { ln.Close() })
-	return b
+	return s
 }
 
-func (b *droppingServer) serve() {
+func (s *droppingServer) serve() {
 	for {
-		conn, err := b.ln.Accept()
+		conn, err := s.ln.Accept()
 		if err != nil {
 			return
 		}
-		go b.answer(conn)
+		go s.answer(conn)
 	}
 }
 
-func (b *droppingServer) answer(conn net.Conn) {
+func (s *droppingServer) answer(conn net.Conn) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
-	for range b.answers {
-		if !b.read(r) {
+	for range s.answers {
+		if !s.readRequest(r) {
 			return
 		}
 		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 	}
-	b.read(r)
+	s.readRequest(r)
 }
 
-func (b *droppingServer) read(r *bufio.Reader) bool {
+func (s *droppingServer) readRequest(r *bufio.Reader) bool {
 	req, err := http.ReadRequest(r)
 	if err != nil {
 		return false
@@ -63,12 +63,13 @@
 	for err == nil {
 		_, err = req.Body.Read(buf)
 	}
-	b.requests.Add(1)
+	s.requests.Add(1)
 	return true
 }
 
-// sendDuplicateAnswers answers each request with the number of requests so far, and
-// sends the same answer again when the next request on the connection arrives.
+// sendDuplicateAnswers answers each request with the number of requests so far. When
+// the next request on the connection arrives, it sends the same answer again before
+// that to the new request.
 func sendDuplicateAnswers(conn net.Conn, calls *atomic.Int64) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
@@ -102,10 +103,10 @@
 		{"a reused connection is closed without an answer and the body is empty", 1, ""},
 	} {
 		It("does not repeat a call with a key if "+tc.name, func(ctx SpecContext) {
-			b := newDroppingServer(tc.answers)
+			server := newDroppingServer(tc.answers)
 			// Reuses connections, unlike the default client.
 			client := &http.Client{Transport: savorypinpool.NewTransport(savorypinpool.TransportConfig{})}
-			plain := savorypinendpoint.NewPlain(savorypinendpoint.PlainConfig{HTTPClient: client, URL: "http://" + b.ln.Addr().String()})
+			plain := savorypinendpoint.NewPlain(savorypinendpoint.PlainConfig{HTTPClient: client, URL: "http://" + server.ln.Addr().String()})
 			call := savorypinendpoint.Call{Body: []byte(tc.body), Key: "sale-1", Path: "/sale"}
 			for range tc.answers {
 				_, _, err := plain.Do(ctx, call)
@@ -114,7 +115,7 @@
 			_, sent, err := plain.Do(ctx, call)
 			Expect(err).To(MatchError(savorypinendpoint.ErrUnreachable))
 			Expect(sent).To(BeTrue())
-			Expect(b.requests.Load()).To(BeEquivalentTo(tc.answers + 1))
+			Expect(server.requests.Load()).To(BeEquivalentTo(tc.answers + 1))
 		})
 	}
 
@@ -141,9 +142,9 @@
 	})
 
 	It("reports that nothing was sent if it cannot connect", func(ctx SpecContext) {
-		b := newDroppingServer(0)
-		b.ln.Close()
-		plain := savorypinendpoint.NewPlain(savorypinendpoint.PlainConfig{URL: "http://" + b.ln.Addr().String()})
+		server := newDroppingServer(0)
+		server.ln.Close()
+		plain := savorypinendpoint.NewPlain(savorypinendpoint.PlainConfig{URL: "http://" + server.ln.Addr().String()})
 		_, sent, err := plain.Do(ctx, savorypinendpoint.Call{Key: "sale-1", Path: "/sale"})
 		Expect(err).To(MatchError(savorypinendpoint.ErrUnreachable))
 		Expect(sent).To(BeFalse())
