Reword comments and names of savorypindaemon

stepLease and leaseStepsPerDuration did not say what a step is; they are updateLease and leaseUpdatesPerDuration. The status of an object in force was held in a variable named force, contexts in one named call, envelopes in one named out. The comments on InForce and queryDelay left out that digests are only compared for live members and if this daemon has the object in force itself.

--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -174,7 +174,7 @@
 		IdleProbeAfter:   idleProbeAfter,
 		Key:              []byte(cfg.Settings.Key),
 		Panicked: func(kind savorypinmember.FrameKind, err *savorypinpanic.PanicError) {
-			d.logger.Error("handler panicked", "frame", kind, "err", err, "stack", string(err.Stack))
+			d.logger.Error("Handler panicked", "frame", kind, "err", err, "stack", string(err.Stack))
 		},
 		ProbeAfter: probeAfter,
 		Self: savorypinmember.Hello{
@@ -294,7 +294,7 @@
 	})
 }
 
-// Work is how a role finishes its work on a planned stop.
+// Work contains the functions by which a role finishes its work on a planned stop.
 type Work struct {
 	// HandOver hands over the work that other daemons can continue. It is called
 	// repeatedly after the grace period, since some work can be handed over only
@@ -343,8 +343,8 @@
 	return nil
 }
 
-// finishResponses waits for the responses whose work has ended. Without it, the exit
-// of the process would cut off the last of them.
+// finishResponses waits until the responses whose work has ended are complete. Without
+// it, the exit of the process would truncate the last of them.
 func (d *Daemon) finishResponses(ctx context.Context, server *http.Server) {
 	ctx, cancel := context.WithTimeout(ctx, responseGrace)
 	defer cancel()
--- a/internal/savorypindaemon/exchange.go
+++ b/internal/savorypindaemon/exchange.go
@@ -14,17 +14,17 @@
 	}
 }
 
-func (d *Daemon) sendExchanges(ctx context.Context, out []savorypinconfig.Envelope) {
-	for _, e := range out {
+func (d *Daemon) sendExchanges(ctx context.Context, envelopes []savorypinconfig.Envelope) {
+	for _, e := range envelopes {
 		d.tasks.start(func() { d.sendExchange(ctx, e) })
 	}
 }
 
 func (d *Daemon) sendExchange(ctx context.Context, e savorypinconfig.Envelope) {
-	call, cancel := context.WithTimeout(ctx, messageTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
 	answer, err := savorypinmember.Call[savorypinconfig.Exchange, savorypinconfig.Exchange](
-		call, d.transport, e.Address, savorypinmember.FrameConfig, e.Exchange)
+		callCtx, d.transport, e.Address, savorypinmember.FrameConfig, e.Exchange)
 	if err != nil {
 		d.logger.Debug("Failed to exchange configuration with a peer", "address", e.Address, "err", err)
 		return
@@ -37,8 +37,8 @@
 	_ savorypinmember.Hello,
 	req savorypinconfig.Exchange,
 ) (savorypinconfig.Exchange, error) {
-	answer, out := d.distributor.HandleRequest(req)
-	d.sendExchanges(context.WithoutCancel(ctx), out)
+	answer, envelopes := d.distributor.HandleRequest(req)
+	d.sendExchanges(context.WithoutCancel(ctx), envelopes)
 	return answer, nil
 }
 
--- a/internal/savorypindaemon/force.go
+++ b/internal/savorypindaemon/force.go
@@ -15,8 +15,9 @@
 
 // Limits on queries of members for the version that they have in force.
 const (
-	// queryDelay is how long after a change the digests alone are compared. Only then
-	// are members queried.
+	// queryDelay is how long after a change live members are only compared by their
+	// digests, provided this daemon has the object in force. After that, members whose
+	// digest differs are queried.
 	queryDelay = 5 * time.Second
 	// queryConcurrency is the maximum number of concurrent queries.
 	queryConcurrency = 16
@@ -34,18 +35,19 @@
 	Lagging []string
 	// Members is the number of members that have not left.
 	Members int
-	// Unreachable are the members that do not answer.
+	// Unreachable are the members that are dead or do not answer.
 	Unreachable []string
 }
 
-// InForce returns which members have an object in force at a version or a newer one. A
-// member with the same digest as this daemon has the same objects. Any other member is
-// queried for the object itself, since its newest version says nothing about the other
-// objects. Until queryDelay after a change, members whose digest differs count as
-// lagging without a query.
+// InForce returns which members have an object in force at a version or a newer one. If
+// this daemon has it in force, so does a live member with the same digest. Any other
+// member that is not dead is queried for the object itself, since its newest version
+// says nothing about the other objects. Until queryDelay after a change, if this daemon
+// has the object in force, live members whose digest differs count as lagging without a
+// query.
 func (d *Daemon) InForce(ctx context.Context, key savorypin.Key, version int64) InForceStatus {
 	var mu sync.Mutex
-	var force InForceStatus
+	var status InForceStatus
 	var group errgroup.Group
 	group.SetLimit(queryConcurrency)
 	queries := 0
@@ -57,11 +59,11 @@
 		defer mu.Unlock()
 		switch {
 		case inForce:
-			force.InForce++
+			status.InForce++
 		case reached:
-			force.Lagging = append(force.Lagging, name)
+			status.Lagging = append(status.Lagging, name)
 		default:
-			force.Unreachable = append(force.Unreachable, name)
+			status.Unreachable = append(status.Unreachable, name)
 		}
 	}
 	for _, m := range d.Members().All() {
@@ -69,7 +71,7 @@
 		if m.Left() {
 			continue
 		}
-		force.Members++
+		status.Members++
 		live := m.Health() == savorypinmembership.HealthLive
 		switch {
 		case state.Name == d.cfg.Settings.Name:
@@ -90,9 +92,9 @@
 		}
 	}
 	_ = group.Wait()
-	slices.Sort(force.Lagging)
-	slices.Sort(force.Unreachable)
-	return force
+	slices.Sort(status.Lagging)
+	slices.Sort(status.Unreachable)
+	return status
 }
 
 func (d *Daemon) queryVersion(ctx context.Context, address string, key savorypin.Key, version int64) (inForce, reached bool) {
--- a/internal/savorypindaemon/heartbeat.go
+++ b/internal/savorypindaemon/heartbeat.go
@@ -130,10 +130,10 @@
 }
 
 func (d *Daemon) sendHeartbeat(ctx context.Context, e savorypinmembership.Envelope) {
-	call, cancel := context.WithTimeout(ctx, messageTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
 	answer, err := savorypinmember.Call[savorypinmembership.Message, savorypinmembership.Message](
-		call, d.transport, e.Address, savorypinmember.FrameHeartbeat, e.Message)
+		callCtx, d.transport, e.Address, savorypinmember.FrameHeartbeat, e.Message)
 	if err != nil {
 		d.logger.Debug("Heartbeat failed", "address", e.Address, "err", err)
 		return
@@ -164,8 +164,8 @@
 		return savorypinmembership.Message{}, savorypin.Errorf(
 			savorypin.KindInvalid, req.From, "%s sent a heartbeat under this name", peer.Name)
 	}
-	answer, out := d.members.HandleRequest(req)
-	d.sendHeartbeats(context.WithoutCancel(ctx), out)
+	answer, envelopes := d.members.HandleRequest(req)
+	d.sendHeartbeats(context.WithoutCancel(ctx), envelopes)
 	return answer, nil
 }
 
--- a/internal/savorypindaemon/lease.go
+++ b/internal/savorypindaemon/lease.go
@@ -9,9 +9,9 @@
 	"savorypin/internal/savorypinrank"
 )
 
-// leaseStepsPerDuration is how many times within its duration a lease is renewed or
-// tried to be acquired.
-const leaseStepsPerDuration = 3
+// leaseUpdatesPerDuration is how many times within the duration of a lease the daemon
+// tries to acquire, renew or release it.
+const leaseUpdatesPerDuration = 3
 
 // IsLeaseCandidate reports whether this daemon is one of the first n live members in the
 // ranking for a lease. It limits the number of daemons that poll the lease.
@@ -26,8 +26,9 @@
 	return slices.Contains(ranked[:min(n, len(ranked))], d.cfg.Settings.Name)
 }
 
-// HoldLease starts to hold a lease whenever wanted returns true, until ctx ends, and
-// to release it otherwise. It returns immediately.
+// HoldLease tries to acquire and renew a lease in the background while wanted returns
+// true, and releases it while wanted returns false and when ctx ends. It returns
+// immediately.
 func (d *Daemon) HoldLease(ctx context.Context, name string, wanted func() bool) *savorypinlease.Lease {
 	lease := savorypinlease.New(savorypinlease.Config{
 		Create:      d.platform.Create,
@@ -44,22 +45,23 @@
 }
 
 func (d *Daemon) leaseLoop(ctx context.Context, lease *savorypinlease.Lease, wanted func() bool) {
-	ticker := time.NewTicker(d.cfg.Settings.LeaseDuration / leaseStepsPerDuration)
+	ticker := time.NewTicker(d.cfg.Settings.LeaseDuration / leaseUpdatesPerDuration)
 	defer ticker.Stop()
 	for {
-		if err := d.stepLease(ctx, lease, wanted()); err != nil {
-			d.logger.Debug("Failed to renew or release a lease", "err", err)
+		if err := d.updateLease(ctx, lease, wanted()); err != nil {
+			d.logger.Debug("Failed to acquire, renew or release a lease", "err", err)
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			_ = d.stepLease(context.WithoutCancel(ctx), lease, false)
+			_ = d.updateLease(context.WithoutCancel(ctx), lease, false)
 			return
 		}
 	}
 }
 
-func (d *Daemon) stepLease(ctx context.Context, lease *savorypinlease.Lease, wanted bool) error {
+// updateLease acquires or renews a lease if it is wanted, and releases it otherwise.
+func (d *Daemon) updateLease(ctx context.Context, lease *savorypinlease.Lease, wanted bool) error {
 	if wanted {
 		return lease.TryAcquireOrRenew(ctx)
 	}
--- a/internal/savorypindaemon/watch.go
+++ b/internal/savorypindaemon/watch.go
@@ -20,7 +20,8 @@
 	// unsyncedWarningInterval is how often a daemon without the whole configuration
 	// logs a warning.
 	unsyncedWarningInterval = 10 * time.Second
-	// maxWatchRetryDelay is the maximum delay between two attempts to watch.
+	// maxWatchRetryDelay is the maximum delay between two attempts to watch, before
+	// jitter.
 	maxWatchRetryDelay = 5 * time.Second
 )
 
--- a/internal/savorypindaemon/watchhosts.go
+++ b/internal/savorypindaemon/watchhosts.go
@@ -28,9 +28,9 @@
 	}
 }
 
-// readHosts adds the addresses in the list to the seeds and stops the members on hosts
-// that are leaving. The list is outdated at times, so it never decides which members
-// are live.
+// readHosts uses the addresses in the list as further seeds and stops the members on
+// hosts that are leaving. The list is outdated at times, so it never decides which
+// members are live.
 func (d *Daemon) readHosts(ctx context.Context) {
 	hosts, err := d.platform.Hosts(ctx)
 	if err != nil {
@@ -48,7 +48,7 @@
 }
 
 // stopMembers orders the planned stop of the members on a leaving host. They then
-// announce it themselves.
+// announce to other members that they accept no new work.
 func (d *Daemon) stopMembers(ctx context.Context, host savorypinplatform.Host) {
 	for _, m := range d.Members().All() {
 		if m.State().Draining || !slices.Contains(host.Addresses, m.State().Address) {
