Reword comments and names of savorypinagent

Attempts at a generation were named r throughout; the receiver is g and variables are named attempt. readerState with variables named state, beside a method state that returns an AttemptState, is attemptReader with variables named reader. dropAttempts removes attempts, which handleDrop does not, and is named removeAttempts. Corrected comments: the agent keeps what endpoints produce for some time after its end and not until it is acknowledged; endSent is set when the end is passed to a stream, before it is sent; raiseTerm is also called for a start; callOnce refuses attempts for more reasons than a bar.

--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -1,6 +1,6 @@
 // Package savorypinagent implements the agent daemon, which runs next to endpoints and
 // is the only daemon that connects to them. It runs generations and calls, keeps what
-// they produce until it is acknowledged, and reports the load of the endpoints.
+// they produce for some time after their end, and reports the load of the endpoints.
 package savorypinagent
 
 import (
@@ -101,8 +101,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now, grace := time.Now(), a.daemon.Settings().Grace()
-	for _, r := range a.generationAttempts {
-		if !r.allowsExit(now, grace) {
+	for _, attempt := range a.generationAttempts {
+		if !attempt.allowsExit(now, grace) {
 			return false
 		}
 	}
@@ -137,12 +137,14 @@
 		Endpoints:   a.endpointStates(),
 		Places:      a.places.Len(),
 	}
-	for _, r := range a.generationAttempts {
-		s.Attempts = append(s.Attempts, r.state())
+	for _, attempt := range a.generationAttempts {
+		s.Attempts = append(s.Attempts, attempt.state())
 	}
 	return s
 }
 
+// endpointStates returns the states of the endpoints. It first marks endpoints that
+// operators no longer drain as not drained.
 func (a *Agent) endpointStates() []savorypin.EndpointState {
 	var states []savorypin.EndpointState
 	for _, e := range a.cfg.Endpoints {
--- a/internal/savorypinagent/attempt.go
+++ b/internal/savorypinagent/attempt.go
@@ -18,6 +18,7 @@
 // generationAttempt is one attempt at a generation and the tokens that it has
 // produced.
 type generationAttempt struct {
+	// firstIndex is the index of the first token that the attempt itself produces.
 	firstIndex int
 	cancel     context.CancelFunc
 	deadline   time.Time
@@ -34,9 +35,10 @@
 	// handedOver reports that another endpoint is to continue the generation.
 	handedOver   bool
 	lastUsed     time.Time
-	readers      map[*readerState]bool
+	readers      map[*attemptReader]bool
 	finishReason savorypin.FinishReason
-	// endSent reports that a reader has received all tokens and how the attempt ended.
+	// endSent reports that all tokens and the end of the attempt were passed to a
+	// stream. The stream may have failed to send the end.
 	endSent bool
 	tokens  savorypinresume.Tokens
 }
@@ -48,9 +50,9 @@
 	window int
 }
 
-// readerState is a stream that reads an attempt. Its fields are guarded by the
+// attemptReader is a stream that reads an attempt. Its fields are guarded by the
 // attempt's mutex.
-type readerState struct {
+type attemptReader struct {
 	acked      int
 	changed    chan struct{}
 	superseded bool
@@ -59,40 +61,40 @@
 }
 
 func newGenerationAttempt(start savorypinmember.Start, size int) *generationAttempt {
-	r := &generationAttempt{
+	g := &generationAttempt{
 		firstIndex:    len(start.Delivered),
 		deadline:      time.Now().Add(start.RemainingWait),
 		lastUsed:      time.Now(),
-		readers:       map[*readerState]bool{},
+		readers:       map[*attemptReader]bool{},
 		reservedBytes: size,
 		start:         start,
 	}
-	r.tokens.Append(start.Delivered)
-	r.start.Delivered = nil
-	return r
+	g.tokens.Append(start.Delivered)
+	g.start.Delivered = nil
+	return g
 }
 
-func (r *generationAttempt) generate(ctx context.Context, engine *savorypinendpoint.Engine) {
-	defer r.cancel()
+func (g *generationAttempt) generate(ctx context.Context, engine *savorypinendpoint.Engine) {
+	defer g.cancel()
 	reason, err := engine.Generate(ctx, savorypinendpoint.Request{
-		Delivered:   r.tokens.Slice(0, r.firstIndex),
-		MaxTokens:   r.start.Generation.MaxTokens,
-		Model:       r.start.Model,
-		Priority:    r.start.Generation.Priority,
-		Prompt:      r.start.Generation.Prompt,
-		Seed:        r.start.Generation.Seed,
-		Temperature: r.start.Generation.Temperature,
-	}, r.appendTokens)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.done = true
-	r.err = engineError(r.start.Endpoint, err)
-	if r.handedOver && err != nil {
-		r.err = savorypin.Errorf(savorypin.KindUnreachable, r.start.Endpoint, "agent is stopping")
+		Delivered:   g.tokens.Slice(0, g.firstIndex),
+		MaxTokens:   g.start.Generation.MaxTokens,
+		Model:       g.start.Model,
+		Priority:    g.start.Generation.Priority,
+		Prompt:      g.start.Generation.Prompt,
+		Seed:        g.start.Generation.Seed,
+		Temperature: g.start.Generation.Temperature,
+	}, g.appendTokens)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.done = true
+	g.err = engineError(g.start.Endpoint, err)
+	if g.handedOver && err != nil {
+		g.err = savorypin.Errorf(savorypin.KindUnreachable, g.start.Endpoint, "agent is stopping")
 	}
-	r.lastUsed = time.Now()
-	r.finishReason = reason
-	r.notifyReaders()
+	g.lastUsed = time.Now()
+	g.finishReason = reason
+	g.notifyReaders()
 }
 
 // engineError converts an error of an engine to a savorypin.Error.
@@ -107,26 +109,26 @@
 	}
 }
 
-func (r *generationAttempt) appendTokens(tokens []savorypin.Token) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tokens.Append(tokens)
-	r.notifyReaders()
+func (g *generationAttempt) appendTokens(tokens []savorypin.Token) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tokens.Append(tokens)
+	g.notifyReaders()
 	return nil
 }
 
 // usedBytes returns the memory that the attempt uses, in bytes.
-func (r *generationAttempt) usedBytes() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tokens.Bytes() + len(r.start.Generation.Prompt)
+func (g *generationAttempt) usedBytes() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tokens.Bytes() + len(g.start.Generation.Prompt)
 }
 
-// notifyReaders wakes up all waiting readers. The caller holds r.mu.
-func (r *generationAttempt) notifyReaders() {
-	for state := range r.readers {
+// notifyReaders wakes up all waiting readers. The caller holds g.mu.
+func (g *generationAttempt) notifyReaders() {
+	for reader := range g.readers {
 		select {
-		case state.changed <- struct{}{}:
+		case reader.changed <- struct{}{}:
 		default:
 		}
 	}
@@ -134,17 +136,17 @@
 
 // serve sends the tokens from an index on, and then the end of the attempt, until the
 // reader closes the stream.
-func (r *generationAttempt) serve(ctx context.Context, s *savorypinmember.Stream, req readRequest) error {
-	state := r.addReader(req)
-	defer r.removeReader(state)
+func (g *generationAttempt) serve(ctx context.Context, s *savorypinmember.Stream, req readRequest) error {
+	reader := g.addReader(req)
+	defer g.removeReader(reader)
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		r.readAcks(ctx, s, state)
+		g.readAcks(ctx, s, reader)
 	}()
 	next := req.next
 	for {
-		batch, end, err := r.nextBatch(next, state)
+		batch, end, err := g.nextBatch(next, reader)
 		if err != nil {
 			return err
 		}
@@ -156,7 +158,7 @@
 			return nil
 		}
 		if len(batch) > 0 {
-			msg := savorypinmember.Tokens{Attempt: r.start.Attempt.ID, First: next, Tokens: batch}
+			msg := savorypinmember.Tokens{Attempt: g.start.Attempt.ID, First: next, Tokens: batch}
 			if err := s.Send(ctx, savorypinmember.FrameTokens, &msg); err != nil {
 				return nil // The reader has disconnected and may attach again.
 			}
@@ -164,7 +166,7 @@
 			continue
 		}
 		select {
-		case <-state.changed:
+		case <-reader.changed:
 		case <-closed:
 			return nil
 		}
@@ -173,33 +175,33 @@
 
 // nextBatch returns the next tokens for a reader, or the end of the attempt, or
 // neither if the reader has to wait.
-func (r *generationAttempt) nextBatch(next int, state *readerState) ([]savorypin.Token, *savorypinmember.Done, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	id := string(r.start.Attempt.Generation)
-	if state.superseded {
+func (g *generationAttempt) nextBatch(next int, reader *attemptReader) ([]savorypin.Token, *savorypinmember.Done, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	id := string(g.start.Attempt.Generation)
+	if reader.superseded {
 		return nil, nil, savorypin.Errorf(savorypin.KindConflict, id, "another entry has taken over")
 	}
-	if next > r.tokens.Len() {
-		return nil, nil, savorypin.Errorf(savorypin.KindInvalid, id, "index %d is beyond %d", next, r.tokens.Len())
+	if next > g.tokens.Len() {
+		return nil, nil, savorypin.Errorf(savorypin.KindInvalid, id, "index %d is beyond %d", next, g.tokens.Len())
 	}
-	last := min(r.tokens.Len(), state.acked+state.window, next+maxBatchTokens)
+	last := min(g.tokens.Len(), reader.acked+reader.window, next+maxBatchTokens)
 	if last > next {
-		return r.tokens.Slice(next, last), nil, nil
+		return g.tokens.Slice(next, last), nil, nil
 	}
-	if r.done && next == r.tokens.Len() {
-		r.endSent = true
-		if r.err != nil {
-			return nil, nil, r.err
+	if g.done && next == g.tokens.Len() {
+		g.endSent = true
+		if g.err != nil {
+			return nil, nil, g.err
 		}
-		return nil, &savorypinmember.Done{Attempt: r.start.Attempt.ID, Length: next, Reason: r.finishReason}, nil
+		return nil, &savorypinmember.Done{Attempt: g.start.Attempt.ID, Length: next, Reason: g.finishReason}, nil
 	}
 	return nil, nil, nil
 }
 
 // readAcks handles acknowledgements and cancellation by the entry until the stream
 // ends.
-func (r *generationAttempt) readAcks(ctx context.Context, s *savorypinmember.Stream, state *readerState) {
+func (g *generationAttempt) readAcks(ctx context.Context, s *savorypinmember.Stream, reader *attemptReader) {
 	for {
 		f, err := s.Receive(ctx)
 		if err != nil {
@@ -211,125 +213,125 @@
 			if err != nil {
 				return
 			}
-			r.acknowledge(state, ack.Next)
+			g.acknowledge(reader, ack.Next)
 		case savorypinmember.FrameCancel:
-			r.cancel()
+			g.cancel()
 			return
 		}
 	}
 }
 
-func (r *generationAttempt) acknowledge(state *readerState, next int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	state.acked = max(state.acked, next)
-	r.notifyReaders()
+func (g *generationAttempt) acknowledge(reader *attemptReader, next int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reader.acked = max(reader.acked, next)
+	g.notifyReaders()
 }
 
-func (r *generationAttempt) addReader(req readRequest) *readerState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	state := &readerState{acked: req.next, changed: make(chan struct{}, 1), term: req.term, window: req.window}
-	r.readers[state] = true
-	return state
+func (g *generationAttempt) addReader(req readRequest) *attemptReader {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reader := &attemptReader{acked: req.next, changed: make(chan struct{}, 1), term: req.term, window: req.window}
+	g.readers[reader] = true
+	return reader
 }
 
-func (r *generationAttempt) removeReader(state *readerState) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.readers, state)
-	r.lastUsed = time.Now()
+func (g *generationAttempt) removeReader(reader *attemptReader) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.readers, reader)
+	g.lastUsed = time.Now()
 }
 
 // supersede ends the streams of entries with a lower term.
-func (r *generationAttempt) supersede(term uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for state := range r.readers {
-		if state.term < term {
-			state.superseded = true
+func (g *generationAttempt) supersede(term uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for reader := range g.readers {
+		if reader.term < term {
+			reader.superseded = true
 		}
 	}
-	r.notifyReaders()
+	g.notifyReaders()
 }
 
 // handOver ends the attempt so that its entry continues the generation at another
 // endpoint.
-func (r *generationAttempt) handOver() {
-	r.mu.Lock()
-	r.handedOver = true
-	r.mu.Unlock()
-	r.cancel()
+func (g *generationAttempt) handOver() {
+	g.mu.Lock()
+	g.handedOver = true
+	g.mu.Unlock()
+	g.cancel()
 }
 
 // drop ends the attempt because no entry needs it any more.
-func (r *generationAttempt) drop() {
-	r.mu.Lock()
-	r.dropped = true
-	r.mu.Unlock()
-	r.cancel()
+func (g *generationAttempt) drop() {
+	g.mu.Lock()
+	g.dropped = true
+	g.mu.Unlock()
+	g.cancel()
 }
 
 // expired reports whether nobody has read the attempt for longer than the grace
 // period, or for longer than attemptRetention if it has ended.
-func (r *generationAttempt) expired(now time.Time, grace time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.done {
+func (g *generationAttempt) expired(now time.Time, grace time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.done {
 		grace = attemptRetention
 	}
-	return len(r.readers) == 0 && now.Sub(r.lastUsed) > grace
+	return len(g.readers) == 0 && now.Sub(g.lastUsed) > grace
 }
 
-// allowsExit reports whether the agent may exit without losing the attempt: an entry
-// has received its successful end, or has dropped it because the generation continues
-// elsewhere, or nobody has read it for longer than the grace period. Sending a failure
-// to an entry is not enough, since the entry may stop before it has started another
-// attempt.
-func (r *generationAttempt) allowsExit(now time.Time, grace time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.done || len(r.readers) > 0 {
+// allowsExit reports whether the agent may exit without losing the attempt: its
+// successful end was passed to the stream of an entry, or an entry has dropped it
+// because the generation continues elsewhere, or nobody has read it for longer than
+// the grace period. Sending a failure to an entry is not enough, since the entry may
+// stop before it has started another attempt.
+func (g *generationAttempt) allowsExit(now time.Time, grace time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.done || len(g.readers) > 0 {
 		return false
 	}
-	return (r.endSent && r.err == nil) || r.dropped || now.Sub(r.lastUsed) > grace
+	return (g.endSent && g.err == nil) || g.dropped || now.Sub(g.lastUsed) > grace
 }
 
-func (r *generationAttempt) evictable() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.done && len(r.readers) == 0
+func (g *generationAttempt) evictable() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.done && len(g.readers) == 0
 }
 
-func (r *generationAttempt) heldMessage() savorypinmember.HeldAttempt {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	lineage := append(savorypin.Lineage{}, r.start.Lineage...)
-	if r.tokens.Len() > r.firstIndex {
-		lineage = append(lineage, savorypin.Segment{Attempt: r.start.Attempt.ID, First: r.firstIndex})
+func (g *generationAttempt) heldMessage() savorypinmember.HeldAttempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lineage := append(savorypin.Lineage{}, g.start.Lineage...)
+	if g.tokens.Len() > g.firstIndex {
+		lineage = append(lineage, savorypin.Segment{Attempt: g.start.Attempt.ID, First: g.firstIndex})
 	}
 	return savorypinmember.HeldAttempt{
-		Attempt:       r.start.Attempt.ID,
-		Endpoint:      r.start.Endpoint,
-		Generation:    r.start.Generation,
+		Attempt:       g.start.Attempt.ID,
+		Endpoint:      g.start.Endpoint,
+		Generation:    g.start.Generation,
 		Lineage:       lineage,
-		Model:         r.start.Model,
-		Tokens:        r.tokens.Slice(0, r.tokens.Len()),
-		Version:       r.start.Version,
-		RemainingWait: time.Until(r.deadline),
+		Model:         g.start.Model,
+		Tokens:        g.tokens.Slice(0, g.tokens.Len()),
+		Version:       g.start.Version,
+		RemainingWait: time.Until(g.deadline),
 	}
 }
 
-func (r *generationAttempt) state() AttemptState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (g *generationAttempt) state() AttemptState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return AttemptState{
-		Attempt:    r.start.Attempt.ID.String(),
-		Endpoint:   r.start.Endpoint,
-		Finished:   r.done,
-		Generation: r.start.Attempt.Generation,
-		Produced:   r.tokens.Len() - r.firstIndex,
-		Readers:    len(r.readers),
-		Version:    r.start.Version,
+		Attempt:    g.start.Attempt.ID.String(),
+		Endpoint:   g.start.Endpoint,
+		Finished:   g.done,
+		Generation: g.start.Attempt.Generation,
+		Produced:   g.tokens.Len() - g.firstIndex,
+		Readers:    len(g.readers),
+		Version:    g.start.Version,
 	}
 }
--- a/internal/savorypinagent/call.go
+++ b/internal/savorypinagent/call.go
@@ -79,8 +79,8 @@
 	return savorypinmember.PlainAnswer{Body: answer.Body, ContentType: answer.ContentType, Status: answer.Status}, nil
 }
 
-// callOnce sends an attempt to the endpoint unless it is barred. Once sent, it runs to
-// its end even if the entry no longer waits.
+// callOnce sends an attempt to the endpoint unless the attempt log refuses it. Once
+// sent, it runs to its end even if the entry no longer waits.
 func (a *Agent) callOnce(
 	ctx context.Context,
 	e *endpoint,
--- a/internal/savorypinagent/find.go
+++ b/internal/savorypinagent/find.go
@@ -33,11 +33,11 @@
 
 // newestAttempt returns the newest attempt at a generation on this agent, or nil. The
 // caller holds a.mu.
-func (a *Agent) newestAttempt(id savorypin.GenerationID) *generationAttempt {
+func (a *Agent) newestAttempt(generation savorypin.GenerationID) *generationAttempt {
 	var newest *generationAttempt
-	for attempt, r := range a.generationAttempts {
-		if attempt.Generation == id && (newest == nil || attempt.ID.Compare(newest.start.Attempt.ID) > 0) {
-			newest = r
+	for id, attempt := range a.generationAttempts {
+		if id.Generation == generation && (newest == nil || id.ID.Compare(newest.start.Attempt.ID) > 0) {
+			newest = attempt
 		}
 	}
 	return newest
@@ -61,10 +61,10 @@
 	req savorypinmember.Drop,
 ) (savorypinmember.Empty, error) {
 	a.mu.Lock()
-	r, ok := a.generationAttempts[req.Attempt]
+	attempt, ok := a.generationAttempts[req.Attempt]
 	a.mu.Unlock()
 	if ok {
-		r.drop()
+		attempt.drop()
 	}
 	return savorypinmember.Empty{}, nil
 }
--- a/internal/savorypinagent/generation.go
+++ b/internal/savorypinagent/generation.go
@@ -28,7 +28,8 @@
 	memory             *savorypinresume.Memory
 	places             *savorypinresume.Places
 	generationAttempts map[savorypinmember.Attempt]*generationAttempt
-	terms              map[savorypin.GenerationID]uint64
+	// terms are the highest terms of entries that have started or attached to attempts.
+	terms map[savorypin.GenerationID]uint64
 }
 
 // registerGenerations sets up the state, handlers and metrics of generations.
@@ -59,11 +60,11 @@
 	if err != nil {
 		return savorypin.Errorf(savorypin.KindInvalid, "start", "%w", err)
 	}
-	r, err := a.startAttempt(start)
+	attempt, err := a.startAttempt(start)
 	if err != nil {
 		return err
 	}
-	return r.serve(ctx, s, readRequest{next: len(start.Delivered), term: start.Attempt.ID.Term, window: start.Window})
+	return attempt.serve(ctx, s, readRequest{next: len(start.Delivered), term: start.Attempt.ID.Term, window: start.Window})
 }
 
 func (a *Agent) handleAttach(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
@@ -72,7 +73,7 @@
 		return savorypin.Errorf(savorypin.KindInvalid, "attach", "%w", err)
 	}
 	a.mu.Lock()
-	r, ok := a.generationAttempts[attach.Attempt]
+	attempt, ok := a.generationAttempts[attach.Attempt]
 	err = a.raiseTerm(attach.Attempt.Generation, attach.Term)
 	a.mu.Unlock()
 	switch {
@@ -81,17 +82,18 @@
 	case err != nil:
 		return err
 	}
-	r.supersede(attach.Term)
+	attempt.supersede(attach.Term)
 	// The empty batch confirms to the entry that the attempt exists.
 	confirmation := savorypinmember.Tokens{Attempt: attach.Attempt.ID, First: attach.From}
 	if err := s.Send(ctx, savorypinmember.FrameTokens, &confirmation); err != nil {
 		return nil //nolint:nilerr // The reader has disconnected and may attach again.
 	}
-	return r.serve(ctx, s, readRequest{next: attach.From, term: attach.Term, window: attach.Window})
+	return attempt.serve(ctx, s, readRequest{next: attach.From, term: attach.Term, window: attach.Window})
 }
 
-// raiseTerm records the term of an entry that attaches. It returns an error if an
-// entry with a higher term has taken over the generation. The caller holds a.mu.
+// raiseTerm records the term of an entry that starts or attaches to an attempt. It
+// returns an error if an entry with a higher term has taken over the generation. The
+// caller holds a.mu.
 func (a *Agent) raiseTerm(id savorypin.GenerationID, term uint64) error {
 	if term < a.terms[id] {
 		return savorypin.Errorf(savorypin.KindConflict, string(id), "another entry has taken over")
@@ -125,50 +127,50 @@
 		a.memory.Release(size)
 		return existing, err
 	}
-	r := newGenerationAttempt(start, size)
-	a.generationAttempts[start.Attempt] = r
-	ctx, cancel := context.WithDeadline(a.attemptCtx, r.deadline)
-	r.cancel = cancel
+	attempt := newGenerationAttempt(start, size)
+	a.generationAttempts[start.Attempt] = attempt
+	ctx, cancel := context.WithDeadline(a.attemptCtx, attempt.deadline)
+	attempt.cancel = cancel
 	go func() {
-		r.generate(ctx, e.engine)
-		a.releaseUnused(r)
+		attempt.generate(ctx, e.engine)
+		a.releaseUnused(attempt)
 	}()
-	return r, nil
+	return attempt, nil
 }
 
 // releaseUnused releases the memory that an attempt has reserved and not used.
-func (a *Agent) releaseUnused(r *generationAttempt) {
+func (a *Agent) releaseUnused(attempt *generationAttempt) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if unused := r.reservedBytes - r.usedBytes(); unused > 0 {
+	if unused := attempt.reservedBytes - attempt.usedBytes(); unused > 0 {
 		a.memory.Release(unused)
-		r.reservedBytes -= unused
+		attempt.reservedBytes -= unused
 	}
 }
 
-// sweepGenerations drops places and attempts whose retention has expired.
+// sweepGenerations removes places and attempts whose retention has expired.
 func (a *Agent) sweepGenerations(now time.Time) {
 	a.places.Sweep(now)
 	grace := a.daemon.Settings().Grace()
-	a.dropAttempts(func(r *generationAttempt) bool { return r.expired(now, grace) })
+	a.removeAttempts(func(attempt *generationAttempt) bool { return attempt.expired(now, grace) })
 }
 
-// evict drops ended attempts without readers, to make room for new ones.
+// evict removes ended attempts without readers, to make room for new ones.
 func (a *Agent) evict() {
-	a.dropAttempts((*generationAttempt).evictable)
+	a.removeAttempts((*generationAttempt).evictable)
 }
 
-// dropAttempts cancels and forgets the attempts for which drop returns true, and the
-// terms of generations without attempts.
-func (a *Agent) dropAttempts(drop func(*generationAttempt) bool) {
+// removeAttempts cancels and removes the attempts for which shouldRemove returns true.
+// It also removes the terms of generations without attempts.
+func (a *Agent) removeAttempts(shouldRemove func(*generationAttempt) bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	terms := map[savorypin.GenerationID]uint64{}
-	for id, r := range a.generationAttempts {
-		if drop(r) {
-			r.cancel()
-			a.memory.Release(r.reservedBytes)
-			r.reservedBytes = 0
+	for id, attempt := range a.generationAttempts {
+		if shouldRemove(attempt) {
+			attempt.cancel()
+			a.memory.Release(attempt.reservedBytes)
+			attempt.reservedBytes = 0
 			delete(a.generationAttempts, id)
 			continue
 		}
@@ -182,7 +184,7 @@
 func (a *Agent) handOver() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, r := range a.generationAttempts {
-		r.handOver()
+	for _, attempt := range a.generationAttempts {
+		attempt.handOver()
 	}
 }
