Reword comments and names of savorypinentry

Names that were private to the project or left over from earlier types are replaced: sharer (a RequestSampler), gateInterval and resumeHorizon (of the resume queue), hedgePolicies and hedgerConfig (delays and retry settings), headTimeout and handleHead (of LastSegmentQuery), shardOwner (the address of a committer), holder (an attempt that was located), ticket (a ClaimedAttempt) and need (a request to the router).

Corrected comments: errReplaced also ends the streams of an ended generation, callIdempotent hedges and does not only try one endpoint after the other, a retry may use an endpoint again whenever no other can take the call, Find returns any local relay of the generation, checkSoleWriter also requires an uptime, countBytes also counts hedges, and HoldStop counts as a running call.

Tests: the failure messages of TestCallsAndGenerationsShareRetryBudget and of the test cluster say what was expected, and the errors of the simulated engine say what happened. The checks are unchanged.

--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -114,13 +114,14 @@
 	return savorypin.Errorf(savorypin.KindNotRun, object, "%w", err).WithRetryAfter(time.Second)
 }
 
-// sendCall sends a call to the agent of an endpoint.
+// sendCall sends a call to the agent of an endpoint. The claimed attempt is nil if the
+// call may be repeated.
 func (e *Entry) sendCall(
 	ctx context.Context,
 	candidate savorypinroute.Candidate,
 	call Call,
 	route savorypin.RouteSpec,
-	ticket *savorypinclaim.ClaimedAttempt,
+	claimed *savorypinclaim.ClaimedAttempt,
 ) (savorypinmember.PlainAnswer, error) {
 	deadline, _ := ctx.Deadline()
 	message := savorypinmember.PlainCall{
@@ -129,9 +130,9 @@
 		Deadline:    deadline,
 		Endpoint:    candidate.Endpoint().Name,
 		Path:        route.Path,
-		Ticket:      ticket,
+		Ticket:      claimed,
 	}
-	if ticket != nil {
+	if claimed != nil {
 		message.Key = call.Key
 	}
 	candidate.Begin()
--- a/internal/savorypinentry/callclaims.go
+++ b/internal/savorypinentry/callclaims.go
@@ -21,8 +21,8 @@
 	// claimInterval is the minimum interval between two segments of a shard. It bounds
 	// the writes per second to the number of shards divided by the interval.
 	claimInterval = 80 * time.Millisecond
-	// claimRetention is how long a key is kept by default.
-	claimRetention = 24 * time.Hour
+	// defaultClaimRetention is how long a key is kept by default.
+	defaultClaimRetention = 24 * time.Hour
 	// claimSettleDelay is how long outcomes may wait to be written in the same segment
 	// as new claims.
 	claimSettleDelay = time.Second
@@ -39,7 +39,7 @@
 		Await:            e.remoteAwait,
 		Claim:            e.remoteClaim,
 		MaxKeys:          maxClaimKeys,
-		CommitterAddress: e.shardOwner,
+		CommitterAddress: e.committerAddress,
 		Settle:           e.remoteSettle,
 		Shard: savorypinclaim.ShardConfig{
 			CheckNoOtherWriter: e.checkSoleWriter,
@@ -69,7 +69,7 @@
 	})
 	e.daemon.Handle(savorypinmember.FrameAwait, savorypinmember.HandleCall(e.handleAwait))
 	e.daemon.Handle(savorypinmember.FrameClaim, savorypinmember.HandleCall(e.handleClaim))
-	e.daemon.Handle(savorypinmember.FrameLastSegment, savorypinmember.HandleCall(e.handleHead))
+	e.daemon.Handle(savorypinmember.FrameLastSegment, savorypinmember.HandleCall(e.handleLastSegment))
 	e.daemon.Handle(savorypinmember.FrameOutcome, savorypinmember.HandleCall(e.handleSettle))
 	var cancel context.CancelFunc
 	e.runCtx, cancel = context.WithCancel(context.Background())
@@ -106,7 +106,7 @@
 	if e.cfg.ClaimRetention > 0 {
 		return e.cfg.ClaimRetention
 	}
-	return claimRetention
+	return defaultClaimRetention
 }
 
 // countClaims adds n to a claims counter. For claims themselves, it also records the
@@ -120,9 +120,9 @@
 	metrics.GetOrRegisterCounter("claims."+name, e.daemon.Metrics()).Inc(n)
 }
 
-// shardOwner returns the address of the entry that commits a shard on behalf of the
-// others, or an empty string if it is this one.
-func (e *Entry) shardOwner(shard int) string {
+// committerAddress returns the address of the entry that commits a shard on behalf of
+// the others, or an empty string if it is this one.
+func (e *Entry) committerAddress(shard int) string {
 	addresses := map[string]string{}
 	var names []string
 	if !e.daemon.Draining() {
--- a/internal/savorypinentry/callidempotent.go
+++ b/internal/savorypinentry/callidempotent.go
@@ -16,19 +16,19 @@
 
 // Retry and hedging policy of idempotent calls.
 const (
-	hedgeQuantile   = 0.95
-	hedgeInitial    = 500 * time.Millisecond
-	hedgeMax        = 5 * time.Second
-	hedgeMin        = 10 * time.Millisecond
-	maxCallAttempts = 3
-	retryBackoff    = 25 * time.Millisecond
+	hedgeQuantile     = 0.95
+	initialHedgeDelay = 500 * time.Millisecond
+	maxHedgeDelay     = 5 * time.Second
+	minHedgeDelay     = 10 * time.Millisecond
+	maxCallAttempts   = 3
+	initialRetryDelay = 25 * time.Millisecond
 )
 
 // errEndpointStatus means that an endpoint answered with a server error status.
 var errEndpointStatus = errors.New("endpoint failed")
 
-// hedgePolicies holds the observed hedge delay of each route.
-type hedgePolicies struct {
+// hedgeDelays estimates, for each route, the delay after which a call is hedged.
+type hedgeDelays struct {
 	mu     sync.Mutex
 	delays map[routeKey]*savorypinretry.Quantile
 }
@@ -38,28 +38,28 @@
 	service string
 }
 
-func newHedgePolicies() *hedgePolicies {
-	return &hedgePolicies{delays: map[routeKey]*savorypinretry.Quantile{}}
+func newHedgeDelays() *hedgeDelays {
+	return &hedgeDelays{delays: map[routeKey]*savorypinretry.Quantile{}}
 }
 
-// hedgerConfig returns the retry and hedging policy of a call's route. Only configured
+// retryConfig returns the retry and hedging policy of a call's route. Only configured
 // routes get here, so the map stays small.
-func (p *hedgePolicies) hedgerConfig(call Call) savorypinretry.Config {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (h *hedgeDelays) retryConfig(call Call) savorypinretry.Config {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	key := routeKey{route: call.Route, service: call.Service}
-	delay, ok := p.delays[key]
+	delay, ok := h.delays[key]
 	if !ok {
 		delay = savorypinretry.NewQuantile(savorypinretry.QuantileConfig{
 			Fraction: hedgeQuantile,
-			Initial:  hedgeInitial,
-			Max:      hedgeMax,
-			Min:      hedgeMin,
+			Initial:  initialHedgeDelay,
+			Max:      maxHedgeDelay,
+			Min:      minHedgeDelay,
 		})
-		p.delays[key] = delay
+		h.delays[key] = delay
 	}
 	return savorypinretry.Config{
-		Backoff:  func(retry int) time.Duration { return retryBackoff << (retry - 1) },
+		Backoff:  func(retry int) time.Duration { return initialRetryDelay << (retry - 1) },
 		Delay:    delay,
 		MaxTries: maxCallAttempts,
 		Now:      time.Now,
@@ -75,8 +75,8 @@
 	savorypinretry.ReasonRetry: savorypin.PurposeRetry,
 }
 
-// callIdempotent sends a call to one endpoint after the other until one answers,
-// within the retry budget of the entry.
+// callIdempotent sends a call to an endpoint, and retries and hedges it on others
+// within the retry budget of the entry, until one answers.
 func (e *Entry) callIdempotent(ctx context.Context, call Call, route savorypin.RouteSpec) (CallAnswer, error) {
 	avoid := map[string]bool{}
 	var placementErr error
@@ -92,7 +92,7 @@
 			return e.sendIdempotent(ctx, candidate, call, route, purposeByReason[reason])
 		}, true
 	}
-	answer, err := savorypinretry.Do(ctx, e.hedgePolicies.hedgerConfig(call), attempt)
+	answer, err := savorypinretry.Do(ctx, e.hedgeDelays.retryConfig(call), attempt)
 	switch {
 	case err == nil, errors.Is(err, errEndpointStatus):
 		return CallAnswer{Answer: answer}, nil
@@ -105,8 +105,8 @@
 	}
 }
 
-// placeAttempt chooses an endpoint that has not been tried yet. If all have been
-// tried, a retry may use one of them again; a hedge may not.
+// placeAttempt chooses an endpoint that has not been tried yet. If none can take the
+// call, a retry may use one that has been tried; a hedge may not.
 func (e *Entry) placeAttempt(
 	ctx context.Context,
 	call Call,
@@ -114,9 +114,9 @@
 	avoid map[string]bool,
 ) (savorypinroute.Candidate, error) {
 	wait := e.callWait(ctx, call.Organisation)
-	candidate, err := e.place(e.callNeed(call.Service, purposeByReason[reason], avoid), wait)
+	candidate, err := e.place(e.callRouteRequest(call.Service, purposeByReason[reason], avoid), wait)
 	if err != nil && reason == savorypinretry.ReasonRetry && !errors.Is(err, errRetryBudget) {
-		return e.place(e.callNeed(call.Service, purposeByReason[reason], nil), wait)
+		return e.place(e.callRouteRequest(call.Service, purposeByReason[reason], nil), wait)
 	}
 	return candidate, err
 }
--- a/internal/savorypinentry/callonce.go
+++ b/internal/savorypinentry/callonce.go
@@ -25,7 +25,7 @@
 )
 
 // callOnce runs a call at most once for its key. Once the key is claimed, the call
-// continues even if its caller disconnects, so that its outcome gets known.
+// continues even if its caller disconnects, so that its outcome becomes known.
 func (e *Entry) callOnce(
 	ctx context.Context,
 	call Call,
@@ -99,7 +99,7 @@
 		purpose = savorypin.PurposeRetry
 	}
 	wait := o.entry.callWait(o.ctx, o.call.Organisation)
-	candidate, err := o.entry.place(o.entry.callNeed(o.call.Service, purpose, avoid), wait)
+	candidate, err := o.entry.place(o.entry.callRouteRequest(o.call.Service, purpose, avoid), wait)
 	if err != nil {
 		o.placementErr = err
 		return savorypinclaim.Attempt{}, false
@@ -111,9 +111,9 @@
 
 // send sends an attempt. It returns ErrNotSent or ErrSuperseded if the attempt did not
 // run; after any other error, it may have run.
-func (o *onceCall) send(ctx context.Context, t savorypinclaim.ClaimedAttempt) (*savorypinclaim.Answer, error) {
+func (o *onceCall) send(ctx context.Context, claimed savorypinclaim.ClaimedAttempt) (*savorypinclaim.Answer, error) {
 	started := time.Now()
-	answer, err := o.entry.sendCall(ctx, o.candidate, o.call, o.route, &t)
+	answer, err := o.entry.sendCall(ctx, o.candidate, o.call, o.route, &claimed)
 	o.entry.observeCall(o.candidate, o.call, savorypin.PurposeFirst, started, err)
 	switch {
 	case savorypin.KindOf(err) == savorypin.KindNotRun && err != nil:
@@ -187,18 +187,18 @@
 
 // bar asks the agent of an attempt never to begin it, and returns its outcome. A running
 // attempt is given barWait to end.
-func (e *Entry) bar(ctx context.Context, t savorypinclaim.ClaimedAttempt) (savorypinclaim.Outcome, *savorypinclaim.Answer, error) {
+func (e *Entry) bar(ctx context.Context, claimed savorypinclaim.ClaimedAttempt) (savorypinclaim.Outcome, *savorypinclaim.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, barWait+time.Second)
 	defer cancel()
-	m, ok := e.daemon.Members().Get(t.Attempt.Member)
+	m, ok := e.daemon.Members().Get(claimed.Attempt.Member)
 	if !ok {
-		return "", nil, savorypin.Errorf(savorypin.KindUnreachable, t.Attempt.Member, "member is not known")
+		return "", nil, savorypin.Errorf(savorypin.KindUnreachable, claimed.Attempt.Member, "member is not known")
 	}
 	barred, err := savorypinmember.Call[savorypinmember.BarAttempt, savorypinmember.BarAnswer](
 		ctx, e.daemon.Transport(), m.State().Address, savorypinmember.FrameBar,
-		savorypinmember.BarAttempt{Ticket: t, Wait: barWait})
+		savorypinmember.BarAttempt{Ticket: claimed, Wait: barWait})
 	if err != nil {
-		return "", nil, savorypin.Errorf(savorypin.KindUnreachable, t.Attempt.Member, "%w", err)
+		return "", nil, savorypin.Errorf(savorypin.KindUnreachable, claimed.Attempt.Member, "%w", err)
 	}
 	return barred.Outcome, barred.Answer, nil
 }
--- a/internal/savorypinentry/callsolewriter.go
+++ b/internal/savorypinentry/callsolewriter.go
@@ -13,19 +13,22 @@
 	"savorypin/internal/savorypinmember"
 )
 
-// headTimeout bounds the query of another entry for the head of a shard. The entry
-// answers from memory, so this covers a few round trips between regions.
-const headTimeout = time.Second
+// lastSegmentTimeout bounds the query of another entry for the last segment of a shard
+// that it has tried to write. The entry answers from memory, so this covers a few round
+// trips between regions.
+const lastSegmentTimeout = time.Second
 
-// errOtherWriter means that another entry may have claimed keys of the shard on its
-// own.
+// errOtherWriter means that another entry may have written segments of the shard, and
+// with them claims of its keys.
 var errOtherWriter = errors.New("another entry may have written the shard")
 
-// checkSoleWriter returns an error unless all other entries confirm that, within the
-// given time, they have not tried to write the shard from segment next on. An entry
-// that does not answer may have tried.
+// checkSoleWriter returns an error unless all other entries confirm that they have not
+// tried to write segment next of the shard or a later one, and that they have been
+// running for at least within: an entry does not know what it tried before it was
+// restarted. An entry that does not answer may have tried. Entries that left longer
+// ago than within are not asked.
 func (e *Entry) checkSoleWriter(ctx context.Context, shard int, next uint64, within time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, headTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lastSegmentTimeout)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	for _, m := range e.daemon.Members().All() {
@@ -35,12 +38,12 @@
 			continue
 		}
 		group.Go(func() error {
-			head, err := savorypinmember.Call[savorypinmember.LastSegmentQuery, savorypinmember.LastSegmentAnswer](
+			answer, err := savorypinmember.Call[savorypinmember.LastSegmentQuery, savorypinmember.LastSegmentAnswer](
 				ctx, e.daemon.Transport(), state.Address, savorypinmember.FrameLastSegment, savorypinmember.LastSegmentQuery{Shard: shard})
 			if err != nil {
 				return fmt.Errorf("%w: %s: %w", errOtherWriter, state.Name, err)
 			}
-			if head.LastTried >= next || head.Uptime < within {
+			if answer.LastTried >= next || answer.Uptime < within {
 				return fmt.Errorf("%w: %s", errOtherWriter, state.Name)
 			}
 			return nil
@@ -49,7 +52,7 @@
 	return group.Wait()
 }
 
-func (e *Entry) handleHead(
+func (e *Entry) handleLastSegment(
 	_ context.Context,
 	_ savorypinmember.Hello,
 	req savorypinmember.LastSegmentQuery,
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -18,14 +18,14 @@
 	return e.moves.chooseVersion(gen, purpose)
 }
 
-// generationNeed returns the requirements of a generation on its endpoint.
-func (e *Entry) generationNeed(
+// generationRouteRequest returns the request to the router for a generation.
+func (e *Entry) generationRouteRequest(
 	gen savorypin.Generation,
 	version string,
 	purpose savorypin.Purpose,
 	avoid map[string]bool,
 ) savorypinroute.Request {
-	need := savorypinroute.Request{
+	req := savorypinroute.Request{
 		Avoid:       avoid,
 		MaxTokens:   gen.MaxTokens,
 		Prefixes:    savorypinroute.Prefixes(gen.Prompt),
@@ -36,13 +36,13 @@
 		Version:     version,
 	}
 	if purpose == savorypin.PurposeFirst {
-		need.MaxFirstToken = e.limits.limiter.Wait(gen.Organisation, e.cfg.FirstTokenLimit)
+		req.MaxFirstToken = e.limits.limiter.Wait(gen.Organisation, e.cfg.FirstTokenLimit)
 	}
-	return need
+	return req
 }
 
-// callNeed returns the requirements of a call on its endpoint.
-func (e *Entry) callNeed(service string, purpose savorypin.Purpose, avoid map[string]bool) savorypinroute.Request {
+// callRouteRequest returns the request to the router for a call.
+func (e *Entry) callRouteRequest(service string, purpose savorypin.Purpose, avoid map[string]bool) savorypinroute.Request {
 	return savorypinroute.Request{
 		Avoid:   avoid,
 		Purpose: purpose,
@@ -61,7 +61,7 @@
 
 // pick chooses an endpoint. The work counts as in flight there between the candidate's
 // Begin and Done.
-func (e *Entry) pick(need savorypinroute.Request) (savorypinroute.Candidate, bool) {
-	candidate, err := e.choose(need)
+func (e *Entry) pick(req savorypinroute.Request) (savorypinroute.Candidate, bool) {
+	candidate, err := e.choose(req)
 	return candidate, err == nil
 }
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -64,7 +64,7 @@
 	memory             *savorypinresume.Memory
 	moves              *moves
 	refusals           savorypinrefusal.Log
-	hedgePolicies      *hedgePolicies
+	hedgeDelays        *hedgeDelays
 	runner             *savorypinclaim.Runner
 	pendingSettlements atomic.Int64
 	started            time.Time
@@ -96,12 +96,12 @@
 		return nil, err
 	}
 	e := &Entry{
-		cfg:           cfg,
-		daemon:        daemon,
-		moves:         newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
-		relays:        map[savorypin.GenerationID]*Relay{},
-		hedgePolicies: newHedgePolicies(),
-		started:       time.Now(),
+		cfg:         cfg,
+		daemon:      daemon,
+		moves:       newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
+		relays:      map[savorypin.GenerationID]*Relay{},
+		hedgeDelays: newHedgeDelays(),
+		started:     time.Now(),
 	}
 	e.registerGenerations()
 	e.routing = newRouting(e)
--- a/internal/savorypinentry/gate_test.go
+++ b/internal/savorypinentry/gate_test.go
@@ -11,8 +11,9 @@
 	"savorypin/internal/savorypinmember"
 )
 
-// failFirstAttempt answers requests for one token. It fails the first attempt at any
-// other generation after one token and never sends a token to later attempts.
+// failFirstAttempt completes generations of one token, which newTestCluster needs. For
+// any other generation, it fails the first attempt after one token, and keeps later
+// attempts open without sending a token.
 func failFirstAttempt(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
 	start, err := savorypinmember.Decode[savorypinmember.Start](first)
 	if err != nil {
@@ -29,7 +30,7 @@
 	if err := s.Send(ctx, savorypinmember.FrameTokens, &msg); err != nil {
 		return err
 	}
-	return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine broke off")
+	return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine closed the stream early")
 }
 
 var _ = Describe("Entry", func() {
@@ -37,6 +38,8 @@
 		slow := fastEngine("engine-1")
 		slow.PrefillPerSecond = 1
 		slow.Running = 1
+		// Both generations start on engine-0, which is faster, and fail there. The resume
+		// of one uses up the prefill capacity of engine-1, so that the other waits.
 		c := newTestCluster(GinkgoTB(), failFirstAttempt, fastEngine("engine-0"), slow)
 		for range 2 {
 			_, err := c.entry.Start(request(100))
--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -22,28 +22,31 @@
 
 // limits enforces the limits of organisations jointly with the other entries.
 type limits struct {
-	config         atomic.Pointer[savorypinconfig.Snapshot]
-	counters       *counters
-	entry          *Entry
-	limiter        *savorypinlimit.Limiter
-	owner          *savorypinlimit.Owner
-	retries        savorypinlimit.RetryBudget
-	mu             sync.Mutex
+	config   atomic.Pointer[savorypinconfig.Snapshot]
+	counters *counters
+	entry    *Entry
+	limiter  *savorypinlimit.Limiter
+	// owner grants shares of the limits of the organisations that this entry owns.
+	owner   *savorypinlimit.Owner
+	retries savorypinlimit.RetryBudget
+	mu      sync.Mutex
+	// reachableShare is the share of the limits that the live entries may use.
 	reachableShare atomic.Pointer[float64]
 
 	// The fields below are used by the exchange loop only.
-	owners savorypinlimit.Owners
-	reach  *savorypinlimit.Reachability
-	wg     sync.WaitGroup
+	// owners finds the entry that owns the limits of an organisation.
+	owners       savorypinlimit.Owners
+	reachability *savorypinlimit.Reachability
+	wg           sync.WaitGroup
 }
 
 func newLimits(e *Entry, c *counters) *limits {
 	l := &limits{
-		counters: c,
-		entry:    e,
-		limiter:  savorypinlimit.NewLimiter(savorypinlimit.Config{Count: c.count, Now: time.Now}),
-		owner:    savorypinlimit.NewOwner(time.Now()),
-		reach:    savorypinlimit.NewReachability(),
+		counters:     c,
+		entry:        e,
+		limiter:      savorypinlimit.NewLimiter(savorypinlimit.Config{Count: c.count, Now: time.Now}),
+		owner:        savorypinlimit.NewOwner(time.Now()),
+		reachability: savorypinlimit.NewReachability(),
 	}
 	full := 1.0
 	l.reachableShare.Store(&full)
@@ -81,7 +84,8 @@
 	savorypinloop.Every(ctx, savorypinlimit.ExchangeInterval, func() { l.exchange(ctx) })
 }
 
-// exchange sends the usage reports that are due to the owners of the organisations.
+// exchange sends the usage reports that are due, each to the owner of its
+// organisations.
 func (l *limits) exchange(ctx context.Context) {
 	l.configure()
 	addresses, entryCount := l.findEntries()
@@ -107,7 +111,7 @@
 			regions[state.Region]++
 		}
 	}
-	entryCount, share := l.reach.Update(regions, time.Now())
+	entryCount, share := l.reachability.Update(regions, time.Now())
 	l.reachableShare.Store(&share)
 	if previous, changed := l.owners.SetEntries(slices.Sorted(maps.Keys(addresses))); changed {
 		l.owner.EntriesChanged(func(organisation string) bool {
--- a/internal/savorypinentry/limit_test.go
+++ b/internal/savorypinentry/limit_test.go
@@ -22,28 +22,28 @@
 	for i := range burst {
 		purpose := retries[i%len(retries)]
 		if err := l.checkRetryBudget(purpose); err != nil {
-			t.Fatalf("try %d, %s: %v", i, purpose, err)
+			t.Fatalf("attempt %d (%s) was refused: %v", i, purpose, err)
 		}
 		l.chargeAttempt(purpose)
 		l.chargeAttempt(savorypin.PurposeResume)
 	}
 	for _, purpose := range retries {
 		if err := l.checkRetryBudget(purpose); !errors.Is(err, errRetryBudget) {
-			t.Errorf("%s is not refused: %v", purpose, err)
+			t.Errorf("%s was not refused when the budget was spent: got error %v", purpose, err)
 		}
 	}
 	for _, purpose := range []savorypin.Purpose{savorypin.PurposeFirst, savorypin.PurposeResume} {
 		if err := l.checkRetryBudget(purpose); err != nil {
-			t.Errorf("%s: %v", purpose, err)
+			t.Errorf("%s was refused: %v", purpose, err)
 		}
 	}
 	if got := l.retries.Remaining(); got != 0 {
-		t.Errorf("%d retries are left", got)
+		t.Errorf("got %d remaining retries, want 0", got)
 	}
 	for range 10 {
 		l.chargeAttempt(purposeByReason[savorypinretry.ReasonFirst])
 	}
 	if got := l.retries.Remaining(); got != 1 {
-		t.Errorf("%d retries are left after ten first attempts", got)
+		t.Errorf("got %d remaining retries after ten first attempts, want 1", got)
 	}
 }
--- a/internal/savorypinentry/move.go
+++ b/internal/savorypinentry/move.go
@@ -21,8 +21,8 @@
 	rand       func() float64
 	recorder   *savorypinmove.Recorder
 
-	mu      sync.Mutex
-	sharers map[string]*savorypinmove.RequestSampler
+	mu       sync.Mutex
+	samplers map[string]*savorypinmove.RequestSampler
 }
 
 func newMoves(daemon *savorypindaemon.Daemon, placement *savorypincontroller.Placement, random func() float64) *moves {
@@ -34,7 +34,7 @@
 		}),
 		rand:     random,
 		recorder: savorypinmove.NewRecorder(),
-		sharers:  map[string]*savorypinmove.RequestSampler{},
+		samplers: map[string]*savorypinmove.RequestSampler{},
 	}
 	daemon.Background(m.reportLoop)
 	return m
@@ -53,11 +53,12 @@
 	return version
 }
 
-// useNewVersion reports whether a piece of work goes to the new version and counts
-// towards its share. Work that has already failed once goes to the old version if that
-// is served, since it says little about the new one. If the old version is not served,
-// only the share goes to the new one and the rest is refused: a version under
-// evaluation must not get all traffic just because it is available.
+// useNewVersion reports whether a piece of work goes to the new version, and if so
+// counts it towards the share of that version. Work that has already failed once goes
+// to the old version if that is served, since its result says little about the new
+// one. If the old version is not served, only the share goes to the new one and the
+// rest is refused: a version under evaluation must not get all traffic just because it
+// is available.
 func (m *moves) useNewVersion(t savorypinmove.Traffic, service string, purpose savorypin.Purpose) bool {
 	if !m.controller.Serves(t.To()) {
 		return false
@@ -65,7 +66,7 @@
 	if purpose != savorypin.PurposeFirst && m.controller.Serves(t.From()) {
 		return false
 	}
-	return m.sharer(service).Sample(t.Move(), t.Share())
+	return m.sampler(service).Sample(t.Move(), t.Share())
 }
 
 // observe records the result of an attempt as evidence for the move. An answer that
@@ -77,18 +78,18 @@
 		return
 	}
 	if t.Moving() && o.Purpose == savorypin.PurposeResume && o.Version == t.To() {
-		m.sharer(o.Service).Charge(t.Move())
+		m.sampler(o.Service).Charge(t.Move())
 	}
 	m.recorder.Observe(time.Now(), t, o, m.controller.UnitOf(o, t.To()))
 }
 
-func (m *moves) sharer(service string) *savorypinmove.RequestSampler {
+func (m *moves) sampler(service string) *savorypinmove.RequestSampler {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s, ok := m.sharers[service]
+	s, ok := m.samplers[service]
 	if !ok {
 		s = &savorypinmove.RequestSampler{Rand: m.rand}
-		m.sharers[service] = s
+		m.samplers[service] = s
 	}
 	return s
 }
--- a/internal/savorypinentry/observation.go
+++ b/internal/savorypinentry/observation.go
@@ -17,6 +17,8 @@
 	tokens       int
 }
 
+// newAttemptStats marks an attempt as in flight on its endpoint and returns empty stats
+// for it.
 func newAttemptStats(candidate savorypinroute.Candidate, purpose savorypin.Purpose, now time.Time) *attemptStats {
 	candidate.Begin()
 	return &attemptStats{candidate: candidate, purpose: purpose, started: now}
--- a/internal/savorypinentry/recover.go
+++ b/internal/savorypinentry/recover.go
@@ -12,7 +12,7 @@
 	err := savorypinpanic.Recover(f)
 	var panicked *savorypinpanic.PanicError
 	if errors.As(err, &panicked) {
-		e.daemon.Logger().Error("work panicked", "what", task, "err", panicked, "stack", string(panicked.Stack))
+		e.daemon.Logger().Error("Task panicked", "what", task, "err", panicked, "stack", string(panicked.Stack))
 	}
 	return err
 }
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -53,7 +53,7 @@
 	mu       sync.Mutex
 	lastUsed time.Time
 	// stopping are failed attempts whose agents are stopping and wait until the
-	// attempts continue elsewhere.
+	// generation continues elsewhere.
 	stopping []*stream
 	machine  *savorypinresume.Machine
 	// model is the version's model name on the engines.
@@ -157,10 +157,12 @@
 	admission *savorypinlimit.Admission
 	deadline  time.Time
 	gen       savorypin.Generation
-	number    int
-	policy    savorypin.ResumePolicy
-	term      uint64
-	version   string
+	// lastAttempt is the number of the last attempt before this relay; zero if there
+	// is none.
+	lastAttempt int
+	policy      savorypin.ResumePolicy
+	term        uint64
+	version     string
 }
 
 // newRelay registers and returns a relay that has not started an attempt.
@@ -179,7 +181,7 @@
 	r.machine = savorypinresume.NewMachine(savorypinresume.MachineConfig{
 		Deadline: cfg.deadline,
 		Limits:   savorypinresume.DefaultLimits(),
-		Number:   cfg.number,
+		Number:   cfg.lastAttempt,
 		Object:   string(cfg.gen.ID),
 		Policy:   cfg.policy,
 		IsSilent: r.connUnresponsive,
--- a/internal/savorypinentry/relay_bench_test.go
+++ b/internal/savorypinentry/relay_bench_test.go
@@ -28,7 +28,7 @@
 						b.Error(err)
 						return
 					}
-					if n := drain(b, r); n != tokensPerStream {
+					if n := readAnswer(b, r); n != tokensPerStream {
 						b.Errorf("got %d tokens of %d", n, tokensPerStream)
 					}
 				})
@@ -86,7 +86,7 @@
 				b.Error(err)
 				return
 			}
-			drain(b, r)
+			readAnswer(b, r)
 		}
 	})
 }
--- a/internal/savorypinentry/relayattempt.go
+++ b/internal/savorypinentry/relayattempt.go
@@ -33,7 +33,7 @@
 )
 
 // errReplaced is the cancellation cause of a stream whose attempt is served by a newer
-// stream.
+// stream, or whose generation has ended in this entry.
 var errReplaced = errors.New("a newer stream serves the attempt")
 
 // stream is a transport stream from the agent that runs an attempt.
@@ -135,7 +135,7 @@
 	})
 }
 
-// drop ends an attempt that is no longer needed. The caller holds r.mu.
+// drop ends an attempt that the state machine has cancelled. The caller holds r.mu.
 func (r *Relay) drop(action savorypinresume.Action) {
 	s, ok := r.streams[action.Attempt]
 	if !ok {
@@ -161,8 +161,8 @@
 }
 
 // dropAttempt asks an agent to end an attempt. If the agent does not answer, the
-// request is repeated with growing delays, so that a paused host does not continue the
-// attempt for nothing when it resumes. After the grace period the agent ends the
+// request is repeated with growing delays, so that a paused host does not continue an
+// attempt that nobody needs when it resumes. After the grace period the agent ends the
 // attempt by itself.
 func (e *Entry) dropAttempt(address string, attempt savorypinmember.Attempt) {
 	for pause := dropRetryDelay; ; pause *= 2 {
@@ -292,8 +292,9 @@
 	return next
 }
 
-// firstTokenReceived releases the prefill capacity of the attempt, drops failed attempts
-// on stopping agents, and publishes where a resumed generation is running now.
+// firstTokenReceived releases the prefill capacity of the attempt and drops failed
+// attempts on stopping agents. If the attempt is not the first one, it also stores on
+// a few agents where the generation is running now.
 func (r *Relay) firstTokenReceived(s *stream) {
 	if s.queuedResume != nil {
 		s.queuedResume.Release()
--- a/internal/savorypinentry/relayfind.go
+++ b/internal/savorypinentry/relayfind.go
@@ -26,8 +26,9 @@
 	placeCopies = 3
 )
 
-// Find returns the relay of a generation that can continue after a position. If this
-// entry has none, it searches for the generation on the agents and takes it over.
+// Find returns the relay of the generation of a position. If this entry has none, it
+// searches the agents for an attempt that can continue after the position, and takes
+// the generation over.
 func (e *Entry) Find(ctx context.Context, position savorypin.EventID) (*Relay, error) {
 	id := position.Generation()
 	if r, ok := e.relay(id); ok {
@@ -64,8 +65,8 @@
 	return end != nil && end.Err != nil && savorypin.KindOf(end.Err) == savorypin.KindConflict
 }
 
-// holder is an attempt as described by the agent that holds it.
-type holder struct {
+// locatedAttempt is an attempt as described by the agent that holds it.
+type locatedAttempt struct {
 	held   savorypinmember.HeldAttempt
 	member savorypin.MemberState
 }
@@ -74,54 +75,54 @@
 	if r, ok := e.relay(position.Generation()); ok {
 		return r, nil
 	}
-	h, ok := e.locate(ctx, position)
+	located, ok := e.locate(ctx, position)
 	if !ok {
 		return nil, savorypin.Errorf(savorypin.KindNotFound, string(position.Generation()), "no such generation")
 	}
-	gen := h.held.Generation
+	gen := located.held.Generation
 	size := savorypinresume.Size(gen)
 	if err := e.memory.Reserve(savorypin.PurposeResume, size); err != nil {
 		return nil, err
 	}
 	spec, _ := e.daemon.Config().Service(gen.Service)
 	r := e.newRelay(relayConfig{
-		deadline: time.Now().Add(h.held.RemainingWait),
-		gen:      gen,
-		number:   h.held.Attempt.Number,
-		policy:   spec.Resume,
-		term:     savorypin.NextTerm(max(h.held.Term, h.held.Attempt.Term)),
-		version:  h.held.Version,
+		deadline:    time.Now().Add(located.held.RemainingWait),
+		gen:         gen,
+		lastAttempt: located.held.Attempt.Number,
+		policy:      spec.Resume,
+		term:        savorypin.NextTerm(max(located.held.Term, located.held.Attempt.Term)),
+		version:     located.held.Version,
 	})
-	r.adopt(h)
+	r.adopt(located)
 	e.count("resume.adopted", 1)
 	return r, nil
 }
 
 // adopt continues an attempt that another entry started.
-func (r *Relay) adopt(h holder) {
-	candidate := r.entry.candidateOf(h)
+func (r *Relay) adopt(located locatedAttempt) {
+	candidate := r.entry.candidateOf(located)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.model = h.held.Model
-	r.machine.Log().Restore(h.held.Lineage, h.held.Tokens)
-	r.streams[h.held.Attempt] = &stream{
-		address:   h.member.Address,
-		attempt:   h.held.Attempt,
+	r.model = located.held.Model
+	r.machine.Log().Restore(located.held.Lineage, located.held.Tokens)
+	r.streams[located.held.Attempt] = &stream{
+		address:   located.member.Address,
+		attempt:   located.held.Attempt,
 		cancel:    func(error) {},
 		candidate: candidate,
 		stats:     newAttemptStats(candidate, savorypin.PurposeResume, now),
 		purpose:   savorypin.PurposeResume,
 	}
-	r.apply(r.machine.Adopt(now, h.held.Attempt, h.held.Endpoint, r.firstTokenTimeout(candidate, len(h.held.Tokens))))
+	r.apply(r.machine.Adopt(now, located.held.Attempt, located.held.Endpoint, r.firstTokenTimeout(candidate, len(located.held.Tokens))))
 }
 
 // candidateOf returns the endpoint of an adopted attempt. It returns the zero
 // candidate if the endpoint is no longer healthy.
-func (e *Entry) candidateOf(h holder) savorypinroute.Candidate {
-	need := savorypinroute.Request{Service: h.held.Generation.Service, Version: h.held.Version}
-	for _, c := range savorypinroute.Candidates(e.daemon.Members(), need) {
-		if c.Endpoint().Name == h.held.Endpoint {
+func (e *Entry) candidateOf(located locatedAttempt) savorypinroute.Candidate {
+	req := savorypinroute.Request{Service: located.held.Generation.Service, Version: located.held.Version}
+	for _, c := range savorypinroute.Candidates(e.daemon.Members(), req) {
+		if c.Endpoint().Name == located.held.Endpoint {
 			return c
 		}
 	}
@@ -135,14 +136,14 @@
 	position savorypin.EventID
 
 	mu    sync.Mutex
-	best  *holder
+	best  *locatedAttempt
 	place *savorypinresume.Place
 }
 
 // locate searches for the newest attempt that can continue after a position. It
 // queries the agent that is named in the id and those that store places, then the
 // agent at the newest place, and all agents if that finds none.
-func (e *Entry) locate(ctx context.Context, position savorypin.EventID) (holder, bool) {
+func (e *Entry) locate(ctx context.Context, position savorypin.EventID) (locatedAttempt, bool) {
 	s := &search{queried: map[string]bool{}, entry: e, position: position}
 	agents := e.agents()
 	id := position.Generation()
@@ -158,7 +159,7 @@
 		s.queryAll(ctx, agents)
 	}
 	if s.best == nil {
-		return holder{}, false
+		return locatedAttempt{}, false
 	}
 	return *s.best, true
 }
@@ -220,7 +221,7 @@
 		return false
 	}
 	if s.best == nil || found.Held.Attempt.Compare(s.best.held.Attempt) > 0 {
-		s.best = &holder{held: *found.Held, member: m}
+		s.best = &locatedAttempt{held: *found.Held, member: m}
 	}
 	attempt := s.position.Attempt()
 	return !attempt.IsZero() && found.Held.Attempt == attempt
--- a/internal/savorypinentry/relayplace.go
+++ b/internal/savorypinentry/relayplace.go
@@ -17,14 +17,14 @@
 	// and queueing.
 	firstTokenBase = 1500 * time.Millisecond
 	// firstTokenPrefillFactor is how many times its estimated prefill time an attempt
-	// may take.
+	// may take to its first token.
 	firstTokenPrefillFactor = 4
 	// firstTokenPerWaiting is the additional time allowed for the first token for each
 	// request that waits in the engine for a slot.
 	firstTokenPerWaiting = time.Second
-	// resumeHorizon is the maximum prefill time of the resumes that are queued on an
-	// endpoint.
-	resumeHorizon = time.Second
+	// maxPrefillBacklog is the maximum prefill time of the resumes that have been placed
+	// on an endpoint and wait for their first token.
+	maxPrefillBacklog = time.Second
 	// suspectDuration is how long an endpoint is avoided after its host did not
 	// answer. After that, membership has detected the failure.
 	suspectDuration = 3 * time.Second
@@ -70,23 +70,23 @@
 ) (savorypinroute.Candidate, bool) {
 	avoidAll := e.suspects.active(time.Now())
 	maps.Copy(avoidAll, avoid)
-	if c, ok := e.pick(e.generationNeed(gen, version, purpose, avoidAll)); ok {
+	if c, ok := e.pick(e.generationRouteRequest(gen, version, purpose, avoidAll)); ok {
 		return c, true
 	}
-	return e.pick(e.generationNeed(gen, version, purpose, avoid))
+	return e.pick(e.generationRouteRequest(gen, version, purpose, avoid))
 }
 
 // placeFirst chooses the endpoint for the first attempt of a request whose caller
 // waits for the given time. It chooses a suspected one only if there is no other.
 func (e *Entry) placeFirst(req Request, version string, wait time.Duration) (savorypinroute.Candidate, error) {
-	suspects := e.suspects.active(time.Now())
-	if len(suspects) > 0 {
-		need := e.generationNeed(req.Generation, version, req.purpose(), suspects)
-		if c, err := e.place(need, wait); err == nil {
+	suspected := e.suspects.active(time.Now())
+	if len(suspected) > 0 {
+		routeReq := e.generationRouteRequest(req.Generation, version, req.purpose(), suspected)
+		if c, err := e.place(routeReq, wait); err == nil {
 			return c, nil
 		}
 	}
-	return e.place(e.generationNeed(req.Generation, version, req.purpose(), nil), wait)
+	return e.place(e.generationRouteRequest(req.Generation, version, req.purpose(), nil), wait)
 }
 
 // checkWaitingResumes returns an error for new work of a service while resumes of the
@@ -166,10 +166,10 @@
 // firstTokenTimeout returns how long an attempt may take to its first token before it
 // is suspected to have failed.
 func (r *Relay) firstTokenTimeout(c savorypinroute.Candidate, index int) time.Duration {
-	within := firstTokenBase + time.Duration(c.Endpoint().Waiting)*firstTokenPerWaiting
+	timeout := firstTokenBase + time.Duration(c.Endpoint().Waiting)*firstTokenPerWaiting
 	if rate := c.Endpoint().PrefillPerSecond; rate > 0 {
 		prefill := float64(r.prefillTokens(index)) / rate * float64(time.Second)
-		within += firstTokenPrefillFactor * time.Duration(prefill)
+		timeout += firstTokenPrefillFactor * time.Duration(prefill)
 	}
-	return within
+	return timeout
 }
--- a/internal/savorypinentry/relaysweep.go
+++ b/internal/savorypinentry/relaysweep.go
@@ -16,8 +16,8 @@
 const (
 	// evictInterval is the minimum interval between two evictions of ended answers.
 	evictInterval = 100 * time.Millisecond
-	// gateInterval is how often the placement of waiting resumes is retried.
-	gateInterval = 50 * time.Millisecond
+	// placementRetryInterval is how often the placement of waiting resumes is retried.
+	placementRetryInterval = 50 * time.Millisecond
 	// sweepInterval is how often relays without readers are swept.
 	sweepInterval = time.Second
 )
@@ -26,7 +26,7 @@
 // and background loops.
 func (e *Entry) registerGenerations() {
 	e.fullSearchSlots = make(chan struct{}, maxFullSearches)
-	e.resumeQueue = savorypinresume.NewResumeQueue(savorypinresume.ResumeQueueConfig{MaxPrefillBacklog: resumeHorizon})
+	e.resumeQueue = savorypinresume.NewResumeQueue(savorypinresume.ResumeQueueConfig{MaxPrefillBacklog: maxPrefillBacklog})
 	e.memory = savorypinresume.NewMemory(savorypinresume.MemoryConfig{
 		Bytes:  e.cfg.Settings.AnswerMemory(),
 		Evict:  e.evict,
@@ -40,7 +40,7 @@
 		savorypinloop.Every(ctx, sweepInterval, func() { e.sweep(time.Now()) })
 	})
 	e.daemon.Background(func(ctx context.Context) {
-		savorypinloop.Every(ctx, gateInterval, e.resumeQueue.Tick)
+		savorypinloop.Every(ctx, placementRetryInterval, e.resumeQueue.Tick)
 	})
 }
 
@@ -78,7 +78,8 @@
 	}
 }
 
-// HoldStop prevents a planned stop from completing until release is called.
+// HoldStop prevents a planned stop from completing until release is called. It counts
+// as a running call until then.
 func (e *Entry) HoldStop() (release func()) {
 	hold := func(n int) {
 		e.mu.Lock()
@@ -137,7 +138,8 @@
 	e.countBytes(s, len(gen.Prompt)+log.Bytes())
 }
 
-// countBytes counts the bytes of retries and resumes that cross regions.
+// countBytes counts the bytes that any attempt other than the first transfers between
+// regions.
 func (e *Entry) countBytes(s *stream, n int) {
 	if s.purpose == savorypin.PurposeFirst || s.candidate.Member().Region == e.cfg.Settings.Region {
 		return
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -92,32 +92,32 @@
 
 // place chooses the endpoint for new work whose caller waits for the given time. It
 // refuses work that can't begin in time; the error contains when to retry.
-func (e *Entry) place(need savorypinroute.Request, wait time.Duration) (savorypinroute.Candidate, error) {
-	if need.MaxFirstToken == 0 {
-		need.MaxFirstToken = e.cfg.FirstTokenLimit
+func (e *Entry) place(req savorypinroute.Request, wait time.Duration) (savorypinroute.Candidate, error) {
+	if req.MaxFirstToken == 0 {
+		req.MaxFirstToken = e.cfg.FirstTokenLimit
 	}
-	need.MaxFirstToken = max(time.Millisecond, min(need.MaxFirstToken, wait))
-	candidate, err := e.choose(need)
+	req.MaxFirstToken = max(time.Millisecond, min(req.MaxFirstToken, wait))
+	candidate, err := e.choose(req)
 	if err != nil {
-		return candidate, refusalError(need, err)
+		return candidate, refusalError(req, err)
 	}
 	return candidate, nil
 }
 
 // choose chooses the endpoint for a piece of work within the retry budget.
-func (e *Entry) choose(need savorypinroute.Request) (savorypinroute.Candidate, error) {
-	if err := e.limits.checkRetryBudget(need.Purpose); err != nil {
+func (e *Entry) choose(req savorypinroute.Request) (savorypinroute.Candidate, error) {
+	if err := e.limits.checkRetryBudget(req.Purpose); err != nil {
 		return savorypinroute.Candidate{}, err
 	}
-	return e.router.Choose(need)
+	return e.router.Choose(req)
 }
 
 // refusalError converts an error of the router to a savorypin.Error that contains when
 // to retry.
-func refusalError(need savorypinroute.Request, err error) error {
-	object := need.Service
-	if need.Version != "" {
-		object += "/" + need.Version
+func refusalError(req savorypinroute.Request, err error) error {
+	object := req.Service
+	if req.Version != "" {
+		object += "/" + req.Version
 	}
 	refused := savorypin.Errorf(savorypin.KindNotRun, object, "%w", err).WithRetryAfter(minRetryAfter)
 	var tooLate *savorypinroute.TooLateError
@@ -137,8 +137,8 @@
 	return e.limits.limiter.Wait(organisation, wait)
 }
 
-// endpointFault returns the error that the result of a call shows of its endpoint. A
-// server error status is a fault of the endpoint.
+// endpointFault returns the error that the result of a call is recorded with for its
+// endpoint. A server error status is a fault of the endpoint.
 func endpointFault(answer savorypinmember.PlainAnswer, err error) error {
 	if err == nil && answer.Status >= http.StatusInternalServerError {
 		return fmt.Errorf("endpoint answered with status %d", answer.Status)
--- a/internal/savorypinentry/testcluster_test.go
+++ b/internal/savorypinentry/testcluster_test.go
@@ -77,8 +77,10 @@
 	return c
 }
 
+// configure configures the service and its version, and waits until the entry serves
+// generations.
 func (c *testCluster) configure(tb testing.TB) {
-	for name, spec := range map[savorypin.Key]any{
+	for key, spec := range map[savorypin.Key]any{
 		{Kind: savorypin.KindService, Name: testService}: savorypin.ServiceSpec{Type: savorypin.ServiceGeneration, Version: testVersion},
 		{Kind: savorypin.KindVersion, Name: testVersion}: savorypin.VersionSpec{Model: "assistant-1", Service: testService},
 	} {
@@ -86,19 +88,19 @@
 		if err != nil {
 			tb.Fatal(err)
 		}
-		o := savorypin.Object{At: time.Now(), By: "bench", Key: name, Order: name.Name, Spec: data}
+		o := savorypin.Object{At: time.Now(), By: "bench", Key: key, Order: key.Name, Spec: data}
 		if _, err := c.entry.Daemon().Platform().Create(context.Background(), o); err != nil {
 			tb.Fatal(err)
 		}
 	}
 	for range 500 {
 		if r, err := c.entry.Start(request(1)); err == nil {
-			drain(tb, r)
+			readAnswer(tb, r)
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	tb.Fatal("the entry does not serve")
+	tb.Fatal("entry did not serve a generation after 500 tries")
 }
 
 func request(tokens int) savorypinentry.Request {
@@ -141,15 +143,15 @@
 	return err
 }
 
-// drain reads an answer to its end and returns the number of tokens.
-func drain(tb testing.TB, r *savorypinentry.Relay) int {
+// readAnswer reads an answer to its end and returns the number of tokens.
+func readAnswer(tb testing.TB, r *savorypinentry.Relay) int {
 	reader := r.Open(savorypin.NewEventID(r.Generation().ID, 0, savorypin.AttemptID{}))
 	defer reader.Close()
 	n := 0
 	for {
 		tokens, end, err := reader.Next(context.Background())
 		if err != nil || (end != nil && end.Err != nil) {
-			tb.Errorf("answer broke off after %d tokens: %v %v", n, err, end)
+			tb.Errorf("answer failed after %d tokens: error %v, end %v", n, err, end)
 			return n
 		}
 		if end != nil {
--- a/internal/savorypinentry/version_test.go
+++ b/internal/savorypinentry/version_test.go
@@ -42,6 +42,8 @@
 			changed := make(chan struct{})
 			started := make(chan struct{})
 			versions := make(chan string, 8)
+			// The first attempt fails after the version of the service has changed. Later
+			// attempts report the version that they are started with.
 			handler := func(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
 				start, err := savorypinmember.Decode[savorypinmember.Start](first)
 				if err != nil {
@@ -52,7 +54,7 @@
 				}
 				if start.Attempt.ID.Number > 1 {
 					versions <- start.Version
-					return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine broke off")
+					return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine closed the stream early")
 				}
 				if tc.delivered > 0 {
 					msg := savorypinmember.Tokens{Attempt: start.Attempt.ID, Tokens: []savorypin.Token{{ID: 1}}}
@@ -62,7 +64,7 @@
 				}
 				close(started)
 				<-changed
-				return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine broke off")
+				return savorypin.Errorf(savorypin.KindIncomplete, start.Endpoint, "engine closed the stream early")
 			}
 			engines := []savorypin.EndpointState{fastEngine("engine-0"), fastEngine("engine-1")}
 			for i := range engines {
