Reword comments and spec names of savorypinseal and savorypinmsgpack

Comments such as "a tag of a known key", "a length of so many bytes" and "zero for zero bytes" now say which key and which length is meant. The specs of Sealer name the key of the tag instead of a message "of" a key. The suite of savorypinmsgpack was still called Pack, a former name.

No check changed.

--- a/internal/savorypinmsgpack/msgpack.go
+++ b/internal/savorypinmsgpack/msgpack.go
@@ -47,9 +47,11 @@
 	return v.skipValue(0)
 }
 
-// validator reads a message from its start to its end.
+// validator checks a message from its start to its end.
 type validator struct {
-	data  []byte
+	// data is the unread rest of the message.
+	data []byte
+	// count is the number of values read so far.
 	count int
 }
 
@@ -97,8 +99,8 @@
 	valuesPerEntry uint64
 }
 
-// layouts are those of the type codes with a length or a fixed size, as listed in the msgpack
-// specification.
+// layouts maps the type codes with a length field or a fixed size to their layouts, as listed
+// in the msgpack specification.
 var layouts = map[byte]layout{
 	0xc4: {lengthBytes: 1}, 0xc5: {lengthBytes: 2}, 0xc6: {lengthBytes: 4}, // bin
 	0xc7: {fixedBytes: 1, lengthBytes: 1}, 0xc8: {fixedBytes: 1, lengthBytes: 2}, 0xc9: {fixedBytes: 1, lengthBytes: 4}, // ext
@@ -111,7 +113,7 @@
 	0xde: {lengthBytes: 2, valuesPerEntry: 2}, 0xdf: {lengthBytes: 4, valuesPerEntry: 2}, // map
 }
 
-// readLength reads a length of so many bytes. It returns zero for zero bytes.
+// readLength reads a length that is encoded in n bytes. It returns 0 if n is 0.
 func (v *validator) readLength(n int) (uint64, error) {
 	if len(v.data) < n {
 		return 0, ErrTruncated
@@ -122,7 +124,7 @@
 	return binary.BigEndian.Uint64(padded[:]), nil
 }
 
-// skipBytes skips n bytes. It returns ErrTruncated if there are fewer.
+// skipBytes skips n bytes. It returns ErrTruncated if fewer are left.
 func (v *validator) skipBytes(n uint64) error {
 	if n > uint64(len(v.data)) {
 		return ErrTruncated
@@ -131,7 +133,8 @@
 	return nil
 }
 
-// skipValues skips n values. Each takes at least one byte.
+// skipValues validates and skips n values. It returns ErrTruncated if fewer bytes are left,
+// because each value takes at least one.
 func (v *validator) skipValues(n uint64, depth int) error {
 	if n > uint64(len(v.data)) {
 		return ErrTruncated
--- a/internal/savorypinmsgpack/suite_test.go
+++ b/internal/savorypinmsgpack/suite_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestPack(t *testing.T) {
+func TestMsgpack(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "Pack")
+	RunSpecs(t, "Msgpack")
 }
--- a/internal/savorypinseal/seal.go
+++ b/internal/savorypinseal/seal.go
@@ -8,11 +8,11 @@
 	"errors"
 )
 
-// tagBytes is the length of a tag. HMAC may be truncated to half of its hash (RFC 2104,
-// section 5).
+// tagBytes is the length of a tag. HMAC may be truncated to half the length of its hash (RFC
+// 2104, section 5).
 const tagBytes = sha256.Size / 2
 
-// ErrNotAuthentic means that a message has no tag of a known key.
+// ErrNotAuthentic means that a message has no tag that was made with a known key.
 var ErrNotAuthentic = errors.New("message is not authentic")
 
 // Sealer authenticates messages with the first of its keys and accepts those of any of its
@@ -33,7 +33,7 @@
 	return s
 }
 
-// Authenticates reports whether messages are authenticated.
+// Authenticates reports whether messages are authenticated, that is, whether there is a key.
 func (s *Sealer) Authenticates() bool { return len(s.keys) > 0 }
 
 // Seal returns the message with its tag in front. The purpose is not sent, but the receiver
@@ -49,7 +49,7 @@
 }
 
 // Open verifies a sealed message and returns it without its tag. The error is ErrNotAuthentic
-// if the tag is of no known key.
+// if the tag was made with none of the keys.
 func (s *Sealer) Open(purpose string, sealed []byte) ([]byte, error) {
 	if !s.Authenticates() {
 		return sealed, nil
@@ -68,7 +68,7 @@
 
 func tag(key []byte, purpose string, message []byte) []byte {
 	mac := hmac.New(sha256.New, key)
-	// A hash never returns an error. The zero byte ends the purpose.
+	// The Write method of a hash never returns an error. The zero byte ends the purpose.
 	_, _ = mac.Write([]byte(purpose))
 	_, _ = mac.Write([]byte{0})
 	_, _ = mac.Write(message)
--- a/internal/savorypinseal/seal_test.go
+++ b/internal/savorypinseal/seal_test.go
@@ -12,7 +12,7 @@
 	newKey = "the new key"
 )
 
-var _ = Describe("A sealed message", func() {
+var _ = Describe("A message", func() {
 	for _, tc := range []struct {
 		name     string
 		from, to *savorypinseal.Sealer
@@ -21,11 +21,11 @@
 		want     error
 	}{
 		{name: "is opened with the same key", from: savorypinseal.New(oldKey), to: savorypinseal.New(oldKey)},
-		{name: "of the old key is opened by a receiver with both keys", from: savorypinseal.New(oldKey), to: savorypinseal.New(newKey, oldKey)},
-		{name: "of the new key is opened by a receiver that still seals with the old one", from: savorypinseal.New(newKey, oldKey), to: savorypinseal.New(oldKey, newKey)},
+		{name: "with a tag of the old key is opened by a receiver with both keys", from: savorypinseal.New(oldKey), to: savorypinseal.New(newKey, oldKey)},
+		{name: "with a tag of the new key is opened by a receiver that still seals with the old one", from: savorypinseal.New(newKey, oldKey), to: savorypinseal.New(oldKey, newKey)},
 		{name: "without a tag is accepted by a receiver without keys", from: savorypinseal.New(), to: savorypinseal.New("")},
 		{
-			name: "of another key is refused", from: savorypinseal.New(oldKey), to: savorypinseal.New(newKey),
+			name: "with a tag of another key is refused", from: savorypinseal.New(oldKey), to: savorypinseal.New(newKey),
 			want: savorypinseal.ErrNotAuthentic,
 		},
 		{name: "without a tag is refused by a receiver with a key", from: savorypinseal.New(), to: savorypinseal.New(newKey), want: savorypinseal.ErrNotAuthentic},
