Reword comments and rename internals of savorypingossip

Comments that did not match the code are corrected: the heartbeat interval is the longer of a minimum and a time per gateway, not their sum; an echo is cleared for any other incarnation; an age out of range is clamped to Never or to just over maxAge; the target of a query is a reader in a full mesh too; the traffic test measures heartbeats and loads, but not the budgets, which are refreshed after three heartbeat intervals. Comments such as "so that a paused gateway does no harm" and "the number of gateways for which there is one more relay" now say what is meant. "Time of day" is called wall-clock time everywhere.

Names that were left from earlier terms or said little are replaced: isCarrier -> isForwarder, type peer -> peerState, collect(room) -> collect(remainingBytes), and in tests recorder.facts -> updates, recorder.direct -> messages, member.compose -> stateOf, flood -> origins.

No check, log line or error text changed.

--- a/internal/savorypingossip/age.go
+++ b/internal/savorypingossip/age.go
@@ -27,7 +27,8 @@
 	return enc.EncodeInt(ms)
 }
 
-// DecodeMsgpack decodes the age. A value out of range is clamped to one that no bound accepts.
+// DecodeMsgpack decodes the age. A negative value becomes Never, and one above maxAge is clamped
+// to 1 ms more than maxAge, which is over all limits on ages.
 func (a *Age) DecodeMsgpack(dec *msgpack.Decoder) error {
 	ms, err := dec.DecodeInt64()
 	if err != nil {
--- a/internal/savorypingossip/check.go
+++ b/internal/savorypingossip/check.go
@@ -11,9 +11,9 @@
 
 // Bounds on the values in a message, which limit what a corrupt or forged message can do.
 const (
-	// maxClockSkew is how far the clock of another host may be ahead.
+	// maxClockSkew is how far the wall clock of another host may be ahead of this one's.
 	maxClockSkew = time.Hour
-	// maxAge bounds ages.
+	// maxAge bounds the ages of copies, roll-outs and failures.
 	maxAge = 24 * time.Hour
 	// maxListLength bounds the number of entries in a list.
 	maxListLength = 1024
@@ -48,25 +48,25 @@
 			checkBound("version", c.At >= 0 && c.Changed >= 0 && c.Floor >= 0),
 			checkBound("era", c.Era >= 0 && c.Era <= maxEra))
 	}
-	for _, r := range m.Updates {
-		err = errors.Join(err, checkBound("start of origin", r.Started <= now.Add(maxClockSkew).UnixNano()))
+	for _, u := range m.Updates {
+		err = errors.Join(err, checkBound("start of origin", u.Started <= now.Add(maxClockSkew).UnixNano()))
 	}
 	return err
 }
 
 // validate returns an error if a value in the state is out of bounds.
-func (n *GatewayState) validate() error {
+func (s *GatewayState) validate() error {
 	err := errors.Join(
-		checkBound("number of entries", max(len(n.Budgets), len(n.Loads), len(n.Rollouts), len(n.Suspects)) <= maxListLength),
-		validateFailures(n.Failures),
+		checkBound("number of entries", max(len(s.Budgets), len(s.Loads), len(s.Rollouts), len(s.Suspects)) <= maxListLength),
+		validateFailures(s.Failures),
 	)
-	for _, b := range n.Budgets {
+	for _, b := range s.Budgets {
 		err = errors.Join(err, checkBound("budget", validCount(b.First) && validCount(b.Repeats)))
 	}
-	for _, l := range n.Loads {
+	for _, l := range s.Loads {
 		err = errors.Join(err, checkBound("load", l.Running >= 0 && l.Running <= maxRequests && l.Waiting >= 0 && l.Waiting <= maxTokens))
 	}
-	for _, r := range n.Rollouts {
+	for _, r := range s.Rollouts {
 		err = errors.Join(err, checkBound("age of rollout", r.Age >= 0 && r.Age <= maxAge))
 	}
 	return err
--- a/internal/savorypingossip/check_internal_test.go
+++ b/internal/savorypingossip/check_internal_test.go
@@ -19,35 +19,36 @@
 	"savorypin/internal/savorypinseal"
 )
 
-// recorder is a Gossip without a network that records what it passes on.
+// recorder holds a Gossip without a network and records what it passes to its callbacks.
 type recorder struct {
-	direct int
-	facts  []ReceivedUpdate
-	gossip *Gossip
-	// panics makes the handler of messages panic.
+	// messages counts the calls of OnMessage.
+	messages int
+	updates  []ReceivedUpdate
+	gossip   *Gossip
+	// panics makes OnMessage panic.
 	panics bool
 }
 
 func newRecorder() *recorder {
-	h := &recorder{}
-	h.gossip = New(Config{
+	r := &recorder{}
+	r.gossip = New(Config{
 		Address: "10.1.0.1:7020",
 		Clock:   func() time.Duration { return time.Hour },
 		Copies:  func() []CopyStatus { return nil },
 		OnMessage: func(Message) {
-			if h.panics {
+			if r.panics {
 				panic("handler failed")
 			}
-			h.direct++
+			r.messages++
 		},
-		OnUpdate: func(f ReceivedUpdate) { h.facts = append(h.facts, f) },
+		OnUpdate: func(u ReceivedUpdate) { r.updates = append(r.updates, u) },
 		History:  func() []savorypinpick.Failure { return nil },
 		Log:      savorypinevent.New(savorypinevent.Config{Logger: log.New(io.Discard)}),
 		Now:      time.Now, Sealer: savorypinseal.New(), Started: 1,
 		Table: NewTable(Peer{Address: "10.1.0.1:7020"}, time.Now),
 	})
-	h.gossip.send = func(string, *Message) error { return nil }
-	return h
+	r.gossip.send = func(string, *Message) error { return nil }
+	return r
 }
 
 func mustEncode(v any) []byte {
@@ -58,7 +59,7 @@
 	return data
 }
 
-// messageWith returns an encoded message with an update of another gateway.
+// messageWith returns an encoded message that forwards an update of a third gateway.
 func messageWith(part Part, state GatewayState) []byte {
 	return mustEncode(Message{
 		Address: "10.1.0.2:7020", Sent: 1, Started: 1,
@@ -76,14 +77,14 @@
 		{"an origin's incarnation far in the future", mustEncode(Message{Address: "a", Sent: 1, Updates: []Update{{Started: far}}})},
 		{"negative versions", mustEncode(Message{Address: "a", Sent: 1, Copies: []CopyStatus{{At: -1}}})},
 		{"failures in the future", mustEncode(Message{Address: "a", Sent: 1, History: []savorypinpick.Failure{{Age: -time.Hour}}})},
-		{"bytes that are no msgpack", []byte{0xc1}},
+		{"data that is not msgpack", []byte{0xc1}},
 		{"a truncated message", messageWith(PartLoad, GatewayState{})[:20]},
 	} {
 		It("rejects "+tc.name, func() {
-			h := newRecorder()
-			h.gossip.handleDatagram(tc.data)
-			Expect(h.direct).To(BeZero())
-			Expect(h.facts).To(BeEmpty())
+			r := newRecorder()
+			r.gossip.handleDatagram(tc.data)
+			Expect(r.messages).To(BeZero())
+			Expect(r.updates).To(BeEmpty())
 		})
 	}
 
@@ -101,43 +102,43 @@
 		{"an unknown part", "other", GatewayState{Name: "x"}},
 	} {
 		It("rejects "+tc.name+" and doesn't forward the update", func() {
-			h := newRecorder()
-			h.gossip.handleDatagram(messageWith(tc.part, tc.state))
-			Expect(h.facts).To(BeEmpty())
-			Expect(h.gossip.updates.TakeRound(maxRoundBytes)).To(BeEmpty())
+			r := newRecorder()
+			r.gossip.handleDatagram(messageWith(tc.part, tc.state))
+			Expect(r.updates).To(BeEmpty())
+			Expect(r.gossip.updates.TakeRound(maxRoundBytes)).To(BeEmpty())
 		})
 	}
 
-	It("rejects a message sealed with another key and a replayed message", func() {
-		h := newRecorder()
-		h.gossip.cfg.Sealer = savorypinseal.New("a key of the gateways")
+	It("rejects a message without a tag, one with a tag of another key and a replayed one", func() {
+		r := newRecorder()
+		r.gossip.cfg.Sealer = savorypinseal.New("a key of the gateways")
 		message := messageWith(PartHeartbeat, GatewayState{Name: "a"})
-		h.gossip.handleDatagram(message)
-		h.gossip.handleDatagram(savorypinseal.New("some other key").Seal(purposeGossip, message))
-		Expect(h.direct).To(BeZero())
-		h.gossip.handleDatagram(h.gossip.cfg.Sealer.Seal(purposeGossip, message))
-		Expect(h.direct).To(Equal(1))
-		// The same message again is a replay.
-		h.gossip.handleDatagram(h.gossip.cfg.Sealer.Seal(purposeGossip, message))
-		Expect(h.direct).To(Equal(1))
+		r.gossip.handleDatagram(message)
+		r.gossip.handleDatagram(savorypinseal.New("some other key").Seal(purposeGossip, message))
+		Expect(r.messages).To(BeZero())
+		r.gossip.handleDatagram(r.gossip.cfg.Sealer.Seal(purposeGossip, message))
+		Expect(r.messages).To(Equal(1))
+		// A replay of the same message.
+		r.gossip.handleDatagram(r.gossip.cfg.Sealer.Seal(purposeGossip, message))
+		Expect(r.messages).To(Equal(1))
 	})
 
 	It("accepts a valid update", func() {
-		h := newRecorder()
-		h.gossip.handleDatagram(messageWith(PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", Running: 2, Waiting: 8000}}}))
-		Expect(h.direct).To(Equal(1))
-		Expect(h.facts).To(HaveLen(1))
+		r := newRecorder()
+		r.gossip.handleDatagram(messageWith(PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", Running: 2, Waiting: 8000}}}))
+		Expect(r.messages).To(Equal(1))
+		Expect(r.updates).To(HaveLen(1))
 	})
 })
 
 var _ = Describe("A panic while handling a message", func() {
 	It("doesn't prevent the next message from being handled", func() {
-		h := newRecorder()
-		h.panics = true
-		h.gossip.cfg.Log.RunRecovered("hear gossip", func() { h.gossip.handleDatagram(messageWith(PartLoad, GatewayState{})) })
-		h.panics = false
-		h.gossip.handleDatagram(mustEncode(Message{Address: "10.1.0.2:7020", Sent: 2, Started: 1}))
-		Expect(h.direct).To(Equal(1))
+		r := newRecorder()
+		r.panics = true
+		r.gossip.cfg.Log.RunRecovered("hear gossip", func() { r.gossip.handleDatagram(messageWith(PartLoad, GatewayState{})) })
+		r.panics = false
+		r.gossip.handleDatagram(mustEncode(Message{Address: "10.1.0.2:7020", Sent: 2, Started: 1}))
+		Expect(r.messages).To(Equal(1))
 	})
 })
 
@@ -146,14 +147,15 @@
 	f.Add(messageWith(PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", Prompts: []string{"p"}, Running: 1}}}))
 	f.Add(messageWith(PartFailure, GatewayState{Suspects: []string{"e"}, Failures: []savorypinpick.Failure{{Domain: "d1"}}}))
 	f.Add(mustEncode(Message{Address: "a", WantReply: true, Copies: []CopyStatus{{Kind: "config", At: 3}}, Sent: 4}))
-	// Lists of four billion entries, as the whole message and as its updates.
+	// Arrays that declare four billion entries, as the whole message and as its updates, with
+	// the message as an array and as a map.
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0x99, 0xa1, 'a', 0xc2, 0xc0, 0xa0, 0xc0, 0xc0, 0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0x81, 0xa1, 'r', 0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		h := newRecorder()
-		h.gossip.handleDatagram(data)
-		for _, received := range h.facts {
+		r := newRecorder()
+		r.gossip.handleDatagram(data)
+		for _, received := range r.updates {
 			if err := received.State.validate(); err != nil {
 				t.Fatalf("accepted an update that is out of bounds: %v", err)
 			}
--- a/internal/savorypingossip/compress.go
+++ b/internal/savorypingossip/compress.go
@@ -7,8 +7,8 @@
 	"io"
 )
 
-// compress compresses a message. Objects of one kind are similar to each other, and each
-// gateway that starts receives the list of all endpoints.
+// compress compresses a message. A transfer compresses well because objects of one kind are
+// similar, and it can be large: each gateway that starts receives the list of all endpoints.
 func compress(message []byte) ([]byte, error) {
 	var buf bytes.Buffer
 	w, err := flate.NewWriter(&buf, flate.BestSpeed)
--- a/internal/savorypingossip/echo_internal_test.go
+++ b/internal/savorypingossip/echo_internal_test.go
@@ -21,9 +21,9 @@
 		want time.Duration
 	}{
 		{"is used if it is for this incarnation", Echo{Sent: 2 * time.Second, Started: started}, 2 * time.Second},
-		{"is cleared if it is for the incarnation before the host's restart", Echo{Sent: time.Hour, Started: started - 1}, 0},
-		{"is cleared if it is for an incarnation from before the time of day was set back", Echo{Sent: time.Second, Started: started + 1}, 0},
-		{"is cleared if it lies in the future", Echo{Sent: now + 1, Started: started}, 0},
+		{"is cleared if it is for an incarnation from before the host's restart", Echo{Sent: time.Hour, Started: started - 1}, 0},
+		{"is cleared if it is for an incarnation from before the wall clock was set back", Echo{Sent: time.Second, Started: started + 1}, 0},
+		{"is cleared if it was sent in the future", Echo{Sent: now + 1, Started: started}, 0},
 		{"stays empty if there is none", Echo{}, 0},
 	} {
 		It(tc.name, func() {
--- a/internal/savorypingossip/fleet_internal_test.go
+++ b/internal/savorypingossip/fleet_internal_test.go
@@ -14,25 +14,26 @@
 
 const (
 	fleetDomains = 6
-	// fleetStep is the time from a message to its arrival, and the interval at which the
-	// members' rounds are scheduled.
+	// fleetStep is the step of the simulated clock. A message arrives in the step after the one
+	// in which it is sent.
 	fleetStep = 25 * time.Millisecond
 	// messageLossRatio is the fraction of messages that are lost.
 	messageLossRatio = 0.02
-	// maxPropagationTime is the time within which nearly all gateways have to know of a new
-	// stream. The shortest streams last twice as long.
+	// maxPropagationTime is the time within which nearly all gateways have to receive a change
+	// of load. The shortest streams last twice as long.
 	maxPropagationTime = 3 * time.Second
 )
 
-// member is a gateway of a fleet that exchanges messages without a network.
+// member is a gateway of a simulated fleet, which exchanges messages without a network.
 type member struct {
 	domain string
 	gossip *Gossip
 	// loads are the PartLoad updates that were received, by origin.
 	loads         map[string]GatewayState
 	bytesReceived int
-	streams       int
-	up            bool
+	// streams is the number of streams that the gateway has placed.
+	streams int
+	up      bool
 }
 
 // fleet runs the rounds of many gateways on one simulated clock.
@@ -42,7 +43,7 @@
 	interRegionBytes int
 	members          []*member
 	now              time.Duration
-	// pending are the messages that arrive in the next step.
+	// pending holds a function for each message that arrives in the next step.
 	pending []func()
 	rng     *rand.Rand
 }
@@ -69,13 +70,14 @@
 
 func (f *fleet) wallClock() time.Time { return time.Unix(1e6, 0).Add(f.now) }
 
-// add starts a gateway with three streams.
+// add starts the gateway with index i, which has three streams. It replaces the gateway that had
+// this index.
 func (f *fleet) add(i int, started int64) *member {
 	m := &member{domain: fmt.Sprint("d", i%fleetDomains), loads: map[string]GatewayState{}, streams: 3, up: true}
 	address := f.address(i)
 	m.gossip = New(Config{
 		Address: address, Clock: func() time.Duration { return f.now },
-		StateOf:           func(part Part) GatewayState { return m.compose(address, part) },
+		StateOf:           func(part Part) GatewayState { return m.stateOf(address, part) },
 		Copies:            func() []CopyStatus { return []CopyStatus{{Kind: "config"}, {Kind: "servers"}, {Kind: "rollouts"}} },
 		OnMessage:         func(Message) {},
 		NeedsConfirmation: func(bool) bool { return false },
@@ -98,7 +100,7 @@
 	return m
 }
 
-func (m *member) compose(address string, part Part) GatewayState {
+func (m *member) stateOf(address string, part Part) GatewayState {
 	switch part {
 	case PartHeartbeat:
 		return GatewayState{Domain: m.domain, Name: address}
@@ -138,7 +140,8 @@
 	return nil
 }
 
-// advance advances the clock by d. The rounds of the gateways are spread over the interval.
+// advance advances the clock by d. The rounds of the gateways are distributed over the steps of
+// a round interval.
 func (f *fleet) advance(d time.Duration) {
 	for end := f.now + d; f.now < end; f.now += fleetStep {
 		arrived := f.pending
@@ -155,7 +158,8 @@
 	}
 }
 
-// countKnowing returns the number of gateways that know of so many streams at the origin.
+// countKnowing returns the number of other gateways whose last update of origin's load has the
+// given number of streams.
 func (f *fleet) countKnowing(origin *member, streams int) int {
 	n := 0
 	for _, m := range f.members {
@@ -169,8 +173,8 @@
 // introduceAll adds each gateway to the tables of all others.
 func (f *fleet) introduceAll() {
 	for _, m := range f.members {
-		for _, o := range f.members {
-			m.gossip.cfg.Table.ObserveHeartbeat(Peer{Address: o.gossip.cfg.Address, Domain: o.domain}, 1, 0)
+		for _, other := range f.members {
+			m.gossip.cfg.Table.ObserveHeartbeat(Peer{Address: other.gossip.cfg.Address, Domain: other.domain}, 1, 0)
 		}
 	}
 }
@@ -193,17 +197,17 @@
 var _ = Describe("A fleet of gateways", func() {
 	for _, tc := range []struct {
 		n int
-		// label marks specs that take minutes under the race detector, which has nothing to
-		// find in a single goroutine. CI runs those without it.
+		// label is "large" for specs that take minutes under the race detector, which has
+		// nothing to find in a single goroutine. CI runs those without it.
 		label string
-		// bytes is the maximum that a gateway may receive per second.
+		// bytes is the maximum number of bytes that a gateway may receive per second.
 		bytes int
 	}{
 		{5, "small", 23_000},
 		{68, "small", 150_000},
 		{320, "large", 150_000},
 	} {
-		It(fmt.Sprintf("of %d converges and spreads a change of load quickly, within its limit of traffic", tc.n), Label(tc.label), func() {
+		It(fmt.Sprintf("of %d converges and propagates a change of load quickly, within its traffic limit", tc.n), Label(tc.label), func() {
 			f := newFleet(tc.n)
 			f.introduceAll()
 			f.advance(time.Second)
@@ -212,9 +216,10 @@
 				m.bytesReceived = 0
 			}
 			f.interRegionBytes = 0
-			// All parts are published within two heartbeats.
+			// Heartbeats and loads are published within two heartbeat intervals. The budgets are
+			// not, as they don't change and are refreshed after three.
 			span := 2 * f.members[0].gossip.cfg.Table.HeartbeatInterval()
-			// Each gateway begins or ends a stream each second.
+			// The load of each gateway alternates between three and four streams each second.
 			for end := f.now + span; f.now < end; f.advance(time.Second) {
 				for _, m := range f.members {
 					m.streams = 7 - m.streams
@@ -237,13 +242,13 @@
 		})
 	}
 
-	It("converges soon after all have started with three seed addresses", func() {
+	It("converges within two seconds of a start of all gateways with three seed addresses", func() {
 		f := newFleet(68)
 		f.advance(2 * time.Second)
 		f.expectConverged()
 	})
 
-	It("sends its current state at once to a gateway that restarts", func() {
+	It("sends the current state at once to a gateway that restarts", func() {
 		f := newFleet(68)
 		f.advance(5 * time.Second)
 		f.members[40].up = false
@@ -283,23 +288,23 @@
 		Expect(f.countKnowing(north, 9)).To(BeNumerically(">=", (up-1)*95/100))
 	})
 
-	It("sends the updates of highest priority first when there are too many, and the others later", func() {
+	It("sends the updates of higher priority first if a message can't hold all, and the others in later rounds", func() {
 		f := newFleet(2)
 		f.advance(time.Second)
-		r := f.members[0].gossip.updates
-		const flood = 400
+		updates := f.members[0].gossip.updates
+		const origins = 400
 		body, err := msgpack.Marshal(GatewayState{Suspects: []string{fmt.Sprintf("%0200d", 0)}})
 		Expect(err).NotTo(HaveOccurred())
-		r.TakeRound(1 << 30)
-		for i := range flood {
+		updates.TakeRound(1 << 30)
+		for i := range origins {
 			for _, part := range []Part{PartBudget, PartFailure} {
-				Expect(r.Apply(Update{Body: body, Origin: fmt.Sprint("gateway-", i), Part: part, Serial: 1, Started: 1})).To(BeTrue())
+				Expect(updates.Apply(Update{Body: body, Origin: fmt.Sprint("gateway-", i), Part: part, Serial: 1, Started: 1})).To(BeTrue())
 			}
 		}
 		sent := map[Part]int{}
-		for rounds := 0; sent[PartBudget] < flood; rounds++ {
+		for rounds := 0; sent[PartBudget] < origins; rounds++ {
 			Expect(rounds).To(BeNumerically("<", 40))
-			round := r.TakeRound(maxRoundBytes)
+			round := updates.TakeRound(maxRoundBytes)
 			m := Message{Address: f.address(0), Updates: round}
 			data, err := msgpack.Marshal(m)
 			Expect(err).NotTo(HaveOccurred())
@@ -307,7 +312,7 @@
 			for _, update := range round {
 				sent[update.Part]++
 				if update.Part == PartBudget {
-					Expect(sent[PartFailure]).To(Equal(flood))
+					Expect(sent[PartFailure]).To(Equal(origins))
 				}
 			}
 		}
--- a/internal/savorypingossip/gossip.go
+++ b/internal/savorypingossip/gossip.go
@@ -27,8 +27,8 @@
 	// minRoundInterval is the minimum time between two rounds that are triggered early, so
 	// that a burst of updates doesn't flood the network.
 	minRoundInterval = 50 * time.Millisecond
-	// minQueryInterval is the minimum time between two queries for the freshness of copies,
-	// for the case that no gateway has a fresher one.
+	// minQueryInterval is the minimum time between two queries for the freshness of copies. It
+	// limits the queries while no gateway has a fresher copy.
 	minQueryInterval = 500 * time.Millisecond
 	// roundsPerHistory is the mean number of rounds between two messages with the failure
 	// history. The history seldom changes, and only gateways that have just started need it.
@@ -54,11 +54,11 @@
 	StateOf func(Part) GatewayState
 	// Copies returns the versions and ages of this gateway's copies of the store's objects.
 	Copies func() []CopyStatus
-	// OnMessage is called with each new message, for the contents that are not forwarded: copies,
-	// echo and history.
+	// OnMessage is called with each new message. It processes the contents that aren't
+	// forwarded: copies, echo and history.
 	OnMessage func(Message)
-	// NeedsConfirmation reports whether the copies have to be confirmed by other gateways. If sooner is
-	// set, it uses the shorter limit of the gateways that others query.
+	// NeedsConfirmation reports whether a copy is so old that another gateway has to confirm
+	// it. If sooner is set, it uses the lower age limit of the gateways that others query.
 	NeedsConfirmation func(sooner bool) bool
 	// OnUpdate is called with each update that was not received before.
 	OnUpdate func(ReceivedUpdate)
@@ -149,7 +149,7 @@
 	}
 }
 
-// handleDatagram processes a received datagram. It logs and drops one that is invalid.
+// handleDatagram processes a received datagram. An invalid one is logged and dropped.
 func (g *Gossip) handleDatagram(data []byte) {
 	m, err := g.openDatagram(data)
 	if err != nil {
@@ -184,8 +184,8 @@
 	return m, m.validate(g.cfg.Now())
 }
 
-// handleMessage processes a message. It clears an echo that is for an earlier incarnation of
-// this gateway, as that must not confirm the copies of this one.
+// handleMessage processes a message. It clears an echo that is for another incarnation of this
+// gateway or from the future, as such an echo must not confirm the copies of this one.
 func (g *Gossip) handleMessage(m Message) {
 	if m.Echo.Started != g.cfg.Started || m.Echo.Sent > g.cfg.Clock() {
 		m.Echo = Echo{}
@@ -229,11 +229,11 @@
 	}
 }
 
-// applyHeartbeat records the gateway of a heartbeat in the table.
-func (g *Gossip) applyHeartbeat(f ReceivedUpdate, started int64) {
+// applyHeartbeat records the gateway that sent a heartbeat in the table.
+func (g *Gossip) applyHeartbeat(update ReceivedUpdate, started int64) {
 	g.cfg.Table.ObserveHeartbeat(Peer{
-		Address: f.Origin, Domain: f.State.Domain, Leaving: f.State.Leaving, Name: f.State.Name,
-	}, started, f.Age)
+		Address: update.Origin, Domain: update.State.Domain, Leaving: update.State.Leaving, Name: update.State.Name,
+	}, started, update.Age)
 }
 
 // runRounds runs rounds until ctx ends.
@@ -306,12 +306,12 @@
 	return o.queryTarget()
 }
 
-// publish publishes the parts of this gateway's state that have changed or are due for a
-// refresh.
+// publish adds the parts of this gateway's state that have changed or are due for a refresh to
+// the update set.
 func (g *Gossip) publish() {
-	beat := g.cfg.Table.HeartbeatInterval()
+	interval := g.cfg.Table.HeartbeatInterval()
 	for _, part := range parts {
-		if err := g.updates.Publish(part, g.cfg.StateOf(part), publishIntervalsOf(part, beat)); err != nil {
+		if err := g.updates.Publish(part, g.cfg.StateOf(part), publishIntervalsOf(part, interval)); err != nil {
 			g.cfg.Log.Debug("failed to publish own state", "err", err)
 		}
 	}
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -36,7 +36,7 @@
 	Echo Echo `msgpack:"e"`
 	// History contains the older failures that the sender has stored.
 	History []savorypinpick.Failure `msgpack:"h,omitempty"`
-	// Updates are updates of any origin.
+	// Updates were published by the sender or by other gateways.
 	Updates []Update `msgpack:"r,omitempty"`
 	// Sent is when the message was sent, by the sender's boot-time clock.
 	Sent time.Duration `msgpack:"s"`
@@ -47,17 +47,18 @@
 // Part is a part of a gateway's state that is published on its own.
 type Part string
 
-// The parts, in sorted order.
+// The parts, sorted by value.
 const (
 	// PartHeartbeat is the heartbeat with the gateway's name and failure domain.
 	PartHeartbeat Part = "alive"
 	// PartBudget is the gateway's use of the shared retry budgets.
 	PartBudget Part = "budget"
-	// PartFailure is the failures that the gateway has found lately.
+	// PartFailure is the recent failures that the gateway itself has detected, and its
+	// suspects.
 	PartFailure Part = "failure"
-	// PartRollout is the gateway's observations of versions in a roll-out.
+	// PartRollout is the gateway's observations of the versions in roll-outs.
 	PartRollout Part = "rollout"
-	// PartLoad is the gateway's streams at all endpoints.
+	// PartLoad is the load that the gateway has placed on all endpoints.
 	PartLoad Part = "work"
 )
 
@@ -89,7 +90,7 @@
 	Configuration int64 `msgpack:"c,omitempty"`
 	// Domain is the gateway's failure domain.
 	Domain string `msgpack:"d,omitempty"`
-	// Failures are the domain failures that the gateway itself has found lately.
+	// Failures are the domain failures that the gateway itself has detected recently.
 	Failures []savorypinpick.Failure `msgpack:"f,omitempty"`
 	// Leaving says that the gateway accepts no new callers.
 	Leaving  bool                      `msgpack:"l,omitempty"`
@@ -124,7 +125,7 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to leave the names out
 	// Age is the time since the copy was confirmed; negative for never.
 	Age Age `msgpack:"g"`
-	// At is the store's version up to which changes were read.
+	// At is the version of the store up to which changes were read.
 	At int64 `msgpack:"a"`
 	// Changed is the version of the newest change.
 	Changed int64 `msgpack:"c"`
--- a/internal/savorypingossip/overlay.go
+++ b/internal/savorypingossip/overlay.go
@@ -13,12 +13,12 @@
 	// maxFullMeshPeers is the number of other live gateways up to which each message goes to
 	// all of them, so that updates need no second hop.
 	maxFullMeshPeers = 8
-	// roundsPerDirectCrossDomain is the mean number of rounds between two messages from a
-	// gateway that is no relay to another failure domain. They keep updates flowing if the relays
-	// are lost.
+	// roundsPerDirectCrossDomain is the mean number of rounds between two messages that a
+	// gateway sends to another failure domain although it isn't a relay. They keep updates
+	// flowing if the relays are lost.
 	roundsPerDirectCrossDomain = 8
 	// roundsPerUnresponsive is the mean number of rounds between two messages to an
-	// unresponsive gateway, which may have been cut off.
+	// unresponsive gateway, which may be reachable again after a network partition.
 	roundsPerUnresponsive = 4
 	// maxSeedMessages bounds the messages to unresponsive gateways in a round if no gateway is
 	// live.
@@ -31,9 +31,9 @@
 	live []Peer
 	// byAddress holds the live gateways and this one.
 	byAddress map[string]Peer
-	// byRegion holds the gateways that aren't leaving, this one included.
+	// byRegion holds the live gateways that aren't leaving, and this one, by region.
 	byRegion map[string][]Peer
-	// domains holds the gateways of this region that aren't leaving, by failure domain.
+	// domains holds the gateways of byRegion in this region, by failure domain.
 	domains map[string][]Peer
 	// domainRelays and regionRelays forward the updates of this gateway's failure domain and
 	// region.
@@ -63,12 +63,12 @@
 	return o
 }
 
-// fullMesh reports whether each message goes to all gateways.
+// fullMesh reports whether each message goes to all live gateways.
 func (o *overlay) fullMesh() bool { return len(o.live) <= maxFullMeshPeers }
 
-// nearTargets returns the receivers in this gateway's failure domain: the next one in the ring
-// of addresses, so that an update reaches all of them, and a random one, so that it does so
-// quickly. In a full mesh it returns all gateways.
+// nearTargets returns the receivers in this gateway's failure domain: its successor in the ring
+// of addresses, so that each update reaches all of the domain, and a random other one, so that
+// it spreads quickly. In a full mesh it returns all live gateways.
 func (o *overlay) nearTargets() []string {
 	if o.fullMesh() {
 		return addressesOf(o.live)
@@ -98,8 +98,8 @@
 }
 
 // otherDomainTargets returns the receivers in other failure domains of this region: a relay of
-// each domain if this gateway is a relay of its own one, otherwise a single relay, and only in
-// some rounds.
+// each domain if this gateway is a relay of its own domain, otherwise a single relay, and only
+// in some rounds. It is empty in a full mesh.
 func (o *overlay) otherDomainTargets() []string {
 	if o.fullMesh() {
 		return nil
@@ -134,9 +134,10 @@
 	return targets
 }
 
-// isCarrier reports whether this gateway, as one of several relays, forwards the updates of an
-// origin. However many relays there are, only a few forward each update.
-func (o *overlay) isCarrier(relays []Peer, origin string) bool {
+// isForwarder reports whether this gateway, as one of several relays, forwards the updates of an
+// origin. It ranks the relays for each origin, as in rendezvous hashing, so that only minRelays
+// of them forward an update, however many relays there are.
+func (o *overlay) isForwarder(relays []Peer, origin string) bool {
 	weight := xxhash.Sum64String(origin)
 	own, higher := weight^o.self.rank, 0
 	for _, p := range relays {
@@ -147,7 +148,7 @@
 	return higher < minRelays
 }
 
-// isIn reports whether this gateway is one of the given ones.
+// isIn reports whether this gateway is among the given ones.
 func (o *overlay) isIn(gateways []Peer) bool {
 	return slices.Contains(addressesOf(gateways), o.self.Address)
 }
@@ -173,18 +174,17 @@
 }
 
 // forwardsToDomains reports whether this gateway, as a relay of its failure domain, forwards
-// the updates of an origin to other domains of the region. Updates that come from those
-// domains are not sent back.
+// the updates of an origin to other domains of the region. Updates from those domains are not
+// sent back.
 func (o *overlay) forwardsToDomains(origin string) bool {
 	otherDomain := o.inOwnRegion(origin) && !o.inOwnDomain(origin)
-	return !otherDomain && o.isCarrier(o.domainRelays, origin)
+	return !otherDomain && o.isForwarder(o.domainRelays, origin)
 }
 
 // forwardsToRegions reports whether this gateway, as a relay of its region, forwards the
-// updates of an origin to other regions. Updates that come from other regions are not sent
-// back.
+// updates of an origin to other regions. Updates from other regions are not sent back.
 func (o *overlay) forwardsToRegions(origin string) bool {
-	return o.inOwnRegion(origin) && o.isCarrier(o.regionRelays, origin)
+	return o.inOwnRegion(origin) && o.isForwarder(o.regionRelays, origin)
 }
 
 // unresponsiveTargets returns the unresponsive gateways that get a message: one in some
@@ -202,8 +202,8 @@
 }
 
 // queryTarget returns the gateway that is queried for the freshness of its copies of the
-// store: a relay of this region or, if this gateway is such a relay, one that reads the store.
-// It is empty if there is none.
+// store. It is one that reads the store in a full mesh and if this gateway is a relay of its
+// region, otherwise a relay of the region. It is empty if there is none.
 func (o *overlay) queryTarget() string {
 	if !o.queriesReaders() {
 		return o.pickOne(addressesOf(o.regionRelays))
@@ -216,7 +216,7 @@
 }
 
 // queriesReaders reports whether this gateway queries those that read the store. Only a few
-// do, however many gateways there are.
+// gateways do, however many there are.
 func (o *overlay) queriesReaders() bool {
 	return o.fullMesh() || o.isIn(o.regionRelays)
 }
@@ -226,7 +226,7 @@
 	return slices.DeleteFunc(addressesOf(gateways), func(a string) bool { return a == o.self.Address })
 }
 
-// pickOne returns a random one of the addresses; empty for none.
+// pickOne returns a random address; empty if there are none.
 func (o *overlay) pickOne(addresses []string) string {
 	if len(addresses) == 0 {
 		return ""
--- a/internal/savorypingossip/sync.go
+++ b/internal/savorypingossip/sync.go
@@ -21,12 +21,12 @@
 
 // Settings of the transfer of changes.
 const (
-	// maxFrameBytes bounds a frame. The largest value of the platform's store for each of some
-	// hundred objects would be more than a gateway can hold.
+	// maxFrameBytes bounds a frame. Some hundred objects of the largest size that the
+	// platform's store accepts would need more memory than a gateway has.
 	maxFrameBytes = 16 << 20
 	// syncTimeout bounds a transfer.
 	syncTimeout = time.Second
-	// headerBytes is the size of the length before a frame.
+	// headerBytes is the size of the length prefix of a frame.
 	headerBytes = 4
 )
 
@@ -45,7 +45,8 @@
 // nonceBytes is the length of a nonce.
 const nonceBytes = 16
 
-// answerPurpose returns the purpose with which the answer to a request is sealed.
+// answerPurpose returns the purpose with which the answer to a request is sealed. It contains
+// the nonce of the request, which binds the answer to it.
 func answerPurpose(nonce []byte) string {
 	return purposeTransfer + " answer " + string(nonce)
 }
@@ -92,8 +93,8 @@
 // acceptRetryDelay is the delay after a failed accept.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// serve answers one request. A peer that doesn't complete it in time is disconnected and
-// retries.
+// serve answers one request. A peer whose request or answer takes longer than syncTimeout is
+// disconnected and has to retry.
 func (s *SyncServer) serve(conn net.Conn) {
 	defer conn.Close()
 	if err := conn.SetDeadline(time.Now().Add(syncTimeout)); err != nil {
--- a/internal/savorypingossip/table.go
+++ b/internal/savorypingossip/table.go
@@ -14,11 +14,12 @@
 const (
 	// minHeartbeatInterval is the minimum time between two heartbeats of a gateway.
 	minHeartbeatInterval = time.Second
-	// heartbeatIntervalPerPeer is added to that time for each gateway, so that the number of
-	// heartbeats per second of all gateways together is bounded.
+	// heartbeatIntervalPerPeer times the number of other gateways is the heartbeat interval if
+	// it is longer than the minimum, so that the number of heartbeats per second of all gateways
+	// together is bounded.
 	heartbeatIntervalPerPeer = 10 * time.Millisecond
 	// livenessHeartbeats is the number of heartbeat intervals after which a gateway without a
-	// heartbeat is no longer live. A single heartbeat misses one gateway in twenty.
+	// heartbeat is no longer live. A single heartbeat fails to reach one gateway in twenty.
 	livenessHeartbeats = 4
 	// forgetAfter is how long a gateway that sends nothing is kept.
 	forgetAfter = 60 * time.Second
@@ -29,7 +30,7 @@
 // Peer is another gateway.
 type Peer struct {
 	Address string
-	// Domain is its failure domain; empty if no message of it was received.
+	// Domain is its failure domain; empty until a message or heartbeat of it is received.
 	Domain string
 	// Leaving says that it accepts no new callers.
 	Leaving bool
@@ -44,8 +45,8 @@
 	return p
 }
 
-// peer is the state of another gateway in the table.
-type peer struct {
+// peerState is the state of another gateway in the table.
+type peerState struct {
 	echo     Echo
 	lastSeen time.Time
 	addedAt  time.Time
@@ -58,13 +59,13 @@
 type Table struct {
 	mu    sync.Mutex
 	now   func() time.Time
-	peers map[string]*peer
+	peers map[string]*peerState
 	self  Peer
 }
 
 // NewTable returns a table without gateways. Self is this gateway.
 func NewTable(self Peer, now func() time.Time) *Table {
-	return &Table{now: now, peers: map[string]*peer{}, self: withRank(self)}
+	return &Table{now: now, peers: map[string]*peerState{}, self: withRank(self)}
 }
 
 // AddAddresses adds addresses at which there may be gateways.
@@ -78,7 +79,7 @@
 
 // ensurePeer returns the gateway at an address, adding it if needed. It returns nil for this
 // gateway and if the table is full. The caller holds t.mu.
-func (t *Table) ensurePeer(address string) *peer {
+func (t *Table) ensurePeer(address string) *peerState {
 	if address == t.self.Address || address == "" {
 		return nil
 	}
@@ -87,7 +88,7 @@
 		if len(t.peers) >= maxPeers {
 			return nil
 		}
-		p = &peer{addedAt: t.now(), peer: withRank(Peer{Address: address})}
+		p = &peerState{addedAt: t.now(), peer: withRank(Peer{Address: address})}
 		t.peers[address] = p
 	}
 	return p
@@ -96,12 +97,12 @@
 // Observation classifies a message or heartbeat by what the table already holds.
 type Observation string
 
-// The observations, in sorted order.
+// The observations.
 const (
 	// ObservationKnown is a message of the current incarnation.
 	ObservationKnown Observation = "known"
 	// ObservationStale is a message of an earlier incarnation, or one that arrived out of
-	// order.
+	// order. It is also returned if the sender is this gateway or the table is full.
 	ObservationStale Observation = "old"
 	// ObservationStarted is the first message of an incarnation.
 	ObservationStarted Observation = "started"
@@ -143,10 +144,11 @@
 }
 
 // observe records that an incarnation was running some time ago. The caller holds t.mu.
-func (t *Table) observe(p *peer, started int64, age time.Duration) Observation {
+func (t *Table) observe(p *peerState, started int64, age time.Duration) Observation {
 	now := t.now()
-	// Incarnations are ordered by the time of day, which may have been set back. After this
-	// timeout no message of an earlier incarnation arrives any more.
+	// Incarnations are ordered by wall-clock time, and the clock may have been set back. Once
+	// nothing was received for the liveness timeout, no message of the previous incarnation
+	// arrives any more, so an earlier start is that of a new incarnation.
 	if started < p.started && now.Sub(p.lastSeen) < t.livenessTimeout() {
 		return ObservationStale
 	}
@@ -184,7 +186,7 @@
 	return livenessHeartbeats * t.heartbeatInterval()
 }
 
-// Echo identifies the last message from an address; it is zero for none.
+// Echo identifies the last message from an address; it is the zero Echo if there is none.
 func (t *Table) Echo(address string) Echo {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -208,12 +210,12 @@
 	return live
 }
 
-func (t *Table) isLive(p *peer) bool {
+func (t *Table) isLive(p *peerState) bool {
 	return !p.lastSeen.IsZero() && t.now().Sub(p.lastSeen) < t.livenessTimeout()
 }
 
 // Unresponsive returns the known gateways that aren't live, sorted by address. It removes
-// those from which nothing has come for too long.
+// those from which nothing was received for longer than forgetAfter.
 func (t *Table) Unresponsive() []Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -236,7 +238,7 @@
 	return unresponsive
 }
 
-// Known returns the addresses of all gateways in the table, live or unresponsive.
+// Known returns the addresses of all gateways in the table, live or unresponsive, unsorted.
 func (t *Table) Known() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -255,11 +257,11 @@
 // Numbers of gateways that do work for others.
 const (
 	// readerCount is the number of gateways that read the store for all, and minRelays the
-	// minimum number of relays that forward the updates of a failure domain or region. There
-	// is more than one, so that a paused gateway does no harm.
+	// minimum number of relays that forward the updates of a failure domain or region. Both are
+	// more than one, so that a paused gateway doesn't stop either.
 	readerCount = 2
 	minRelays   = 2
-	// peersPerRelay is the number of gateways for which there is one more relay.
+	// peersPerRelay is the number of gateways per additional relay.
 	peersPerRelay = 16
 )
 
@@ -279,7 +281,7 @@
 	return staying
 }
 
-// chooseRelays returns those of the gateways that forward updates for all of them.
+// chooseRelays returns the relays of a group of gateways.
 func chooseRelays(gateways []Peer) []Peer {
 	return firstByRank(gateways, minRelays+len(gateways)/peersPerRelay)
 }
--- a/internal/savorypingossip/table_test.go
+++ b/internal/savorypingossip/table_test.go
@@ -26,7 +26,7 @@
 	return result
 }
 
-// clock is a clock that tests set.
+// clock is a manually set clock.
 type clock struct{ now time.Time }
 
 func (c *clock) read() time.Time { return c.now }
@@ -48,7 +48,7 @@
 		{"ignores a message that arrived out of order", savorypingossip.Message{Address: "a", Started: 5, Sent: 5}, savorypingossip.ObservationStale},
 		{"ignores a duplicate", savorypingossip.Message{Address: "a", Started: 5, Sent: 10}, savorypingossip.ObservationStale},
 		{"accepts a new incarnation, whose clock has restarted", savorypingossip.Message{Address: "a", Started: 6, Sent: 1}, savorypingossip.ObservationStarted},
-		{"ignores an old incarnation", savorypingossip.Message{Address: "a", Started: 4, Sent: 30}, savorypingossip.ObservationStale},
+		{"ignores an earlier incarnation", savorypingossip.Message{Address: "a", Started: 4, Sent: 30}, savorypingossip.ObservationStale},
 		{"ignores this gateway's own message", savorypingossip.Message{Address: "self", Started: 9, Sent: 9}, savorypingossip.ObservationStale},
 	} {
 		It(tc.name, func() {
@@ -64,7 +64,7 @@
 		Expect(t.Echo("a")).To(Equal(savorypingossip.Echo{Sent: 1, Started: 4}))
 	})
 
-	It("counts gateways that send nothing as unresponsive and forgets them later", func() {
+	It("counts gateways that send nothing as unresponsive and removes them after a timeout", func() {
 		t.AddAddresses([]string{"b", "self"})
 		t.ObserveMessage(savorypingossip.Message{Address: "a", Sent: 1})
 		Expect(addresses(t.Live())).To(Equal([]string{"a"}))
@@ -77,14 +77,14 @@
 		Expect(t.Len()).To(BeZero())
 	})
 
-	It("subtracts the age of a forwarded heartbeat", func() {
+	It("counts the liveness timeout from when a forwarded heartbeat was sent", func() {
 		Expect(t.ObserveHeartbeat(savorypingossip.Peer{Address: "a"}, 5, 2*time.Second)).To(Equal(savorypingossip.ObservationStarted))
 		Expect(t.Live()).To(HaveLen(1))
 		c.now = c.now.Add(t.LivenessTimeout() - 2*time.Second)
 		Expect(t.Live()).To(BeEmpty())
 	})
 
-	It("selects the same readers on all gateways, without those that leave", func() {
+	It("selects the same readers on all gateways, none of which is leaving", func() {
 		const n = 9
 		tables := map[string]*savorypingossip.Table{}
 		for i := range n {
@@ -108,7 +108,7 @@
 })
 
 var _ = Describe("Fetching changes from another gateway", func() {
-	It("returns the changes since a version and refuses unknown kinds and keys", func() {
+	It("returns the changes since a version and fails for an unknown kind or another key", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		address := l.Addr().String()
--- a/internal/savorypingossip/updates.go
+++ b/internal/savorypingossip/updates.go
@@ -22,7 +22,7 @@
 	maxUpdateHeaderBytes = 96
 )
 
-// updateKey identifies the updates that replace each other.
+// updateKey identifies an origin and part. A newer update of the same key replaces an older one.
 type updateKey struct {
 	origin string
 	part   Part
@@ -31,8 +31,8 @@
 // storedUpdate is an update with the time at which it was published or received.
 type storedUpdate struct {
 	storedAt time.Time
-	// forwarded says that it was sent in a round. The receivers of one round spread it to
-	// nearly all gateways; the refresh reaches the rest.
+	// forwarded says that it was sent in a round. One round is enough, as the receivers forward
+	// the update to nearly all gateways and the refresh reaches the others.
 	forwarded bool
 	update    Update
 }
@@ -65,7 +65,7 @@
 type UpdateSetConfig struct {
 	// Now returns the wall-clock time.
 	Now func() time.Time
-	// Origin and Started identify this gateway and its incarnation.
+	// Origin is the address of this gateway, and Started identifies its incarnation.
 	Origin  string
 	Started int64
 	// StaleAfter returns the age from which an update is ignored.
@@ -152,14 +152,15 @@
 	case update.Started == old.update.Started:
 		return update.Serial > old.update.Serial
 	default:
-		// Incarnations are ordered by the time of day, which may have been set back. By this
-		// age no update of the earlier incarnation is forwarded any more.
+		// Incarnations are ordered by wall-clock time, and the clock may have been set back.
+		// Once the stored update is this old, no update of its incarnation is forwarded any
+		// more, so an earlier start is that of a new incarnation.
 		return update.Started > old.update.Started || s.cfg.Now().Sub(old.storedAt) >= s.cfg.StaleAfter()
 	}
 }
 
-// Apply stores an update that is newer than the stored one. It reports whether it did, so that
-// the caller has to process it.
+// Apply stores an update if it is newer than the stored one. It reports whether it was stored;
+// the caller then has to process it.
 func (s *UpdateSet) Apply(update Update) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,28 +172,30 @@
 }
 
 // TakeRound returns the updates to be sent in a round, by priority, up to a total size in
-// bytes, and marks them as forwarded. The others stay for the next round.
+// bytes, and marks them as forwarded. Those that don't fit are left for the next round.
 func (s *UpdateSet) TakeRound(maxBytes int) []Update {
 	return s.collect(maxBytes, func(u *storedUpdate) bool { return !u.forwarded }, func(u *storedUpdate) { u.forwarded = true })
 }
 
-// Snapshot returns updates for a gateway that has just started, up to a total size in bytes,
-// whether they were forwarded or not.
+// Snapshot returns the updates that aren't stale, for a gateway that has just started, up to a
+// total size in bytes. It includes those that were forwarded already.
 func (s *UpdateSet) Snapshot(maxBytes int) []Update {
 	now, staleAfter := s.cfg.Now(), s.cfg.StaleAfter()
 	fresh := func(u *storedUpdate) bool { return time.Duration(u.update.Age)+now.Sub(u.storedAt) < staleAfter }
 	return s.collect(maxBytes, fresh, func(*storedUpdate) {})
 }
 
-func (s *UpdateSet) collect(room int, include func(*storedUpdate) bool, onTake func(*storedUpdate)) []Update {
+// collect returns the updates that include selects, by priority, up to a total size of
+// remainingBytes. It calls onTake for each.
+func (s *UpdateSet) collect(remainingBytes int, include func(*storedUpdate) bool, onTake func(*storedUpdate)) []Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	s.expire(now)
 	var updates []Update
 	for _, u := range s.byPriority(include) {
-		room -= len(u.update.Body) + maxUpdateHeaderBytes
-		if room < 0 {
+		remainingBytes -= len(u.update.Body) + maxUpdateHeaderBytes
+		if remainingBytes < 0 {
 			break
 		}
 		onTake(u)
@@ -203,8 +206,8 @@
 	return updates
 }
 
-// expire removes the updates of gateways from which nothing has come for too long. The caller
-// holds s.mu.
+// expire removes the updates of other gateways that were received longer than forgetAfter ago.
+// The caller holds s.mu.
 func (s *UpdateSet) expire(now time.Time) {
 	for key, u := range s.updates {
 		if key.origin != s.cfg.Origin && now.Sub(u.storedAt) > forgetAfter {
