Reword comments and rename locals of savorypinmember

Comments that did not match the code are corrected: the kinds of control messages are not sorted, Receive also returns ErrOverrun, and an error that could not be sent does not mean that the stream has ended for the peer. "The error is an ErrFrame", "leave in one system call", "need no memory of their own" and "receives after a duration" now use the usual terms. Grants.Tight carries Answer.Contended of savorypinlimit and now has the same name; its tag stays.

Counts: 60 comment blocks, 5 names (Grants.Tight -> Contended, and locals), 4 test strings: three spec descriptions and the text of an error that only a test handler returns. No check, tag, log line or other error text changed.

--- a/internal/savorypinmember/backpressure_test.go
+++ b/internal/savorypinmember/backpressure_test.go
@@ -49,7 +49,7 @@
 		}
 	}
 
-	It("that is not read neither blocks other streams nor buffers without bound", func(ctx SpecContext) {
+	It("that is not read neither blocks other streams nor buffers an unlimited number of frames", func(ctx SpecContext) {
 		handlers := map[savorypinmember.FrameKind]savorypinmember.Handler{
 			savorypinmember.FrameStart: flood,
 			savorypinmember.FrameStop: savorypinmember.HandleCall(
@@ -101,20 +101,20 @@
 		s, err := conn.Open()
 		Expect(err).NotTo(HaveOccurred())
 		stuck.Store(true)
-		limited, cancel := context.WithCancel(ctx)
-		full := make(chan error)
+		sendCtx, cancel := context.WithCancel(ctx)
+		sendErr := make(chan error)
 		go func() {
 			by := strings.Repeat("x", 64<<10)
 			for {
-				if err := s.Send(limited, savorypinmember.FrameStop, savorypinmember.Stop{By: by}); err != nil {
-					full <- err
+				if err := s.Send(sendCtx, savorypinmember.FrameStop, savorypinmember.Stop{By: by}); err != nil {
+					sendErr <- err
 					return
 				}
 			}
 		}()
 		Expect(s.SendNow(savorypinmember.FrameAck, savorypinmember.Ack{Next: 1})).To(Succeed())
 		cancel()
-		Expect(<-full).To(MatchError(context.Canceled))
+		Expect(<-sendErr).To(MatchError(context.Canceled))
 		s.Close()
 		Expect(conn.Streams()).To(BeZero())
 	})
--- a/internal/savorypinmember/callmessages.go
+++ b/internal/savorypinmember/callmessages.go
@@ -6,14 +6,13 @@
 	"savorypin/internal/savorypinclaim"
 )
 
-// Kinds of messages about calls of plain services and about claims, in sorted
-// order.
+// Kinds of messages about calls of plain services and about claims, in sorted order.
 const (
 	// FrameAwait requests the outcome of an attempt once it is known.
 	FrameAwait FrameKind = "await"
 	// FrameBar asks an agent never to pass an attempt on to its endpoint.
 	FrameBar FrameKind = "bar"
-	// FrameCall asks an agent to run a plain call.
+	// FrameCall asks an agent to pass a call on to an endpoint.
 	FrameCall FrameKind = "call"
 	// FrameClaim claims a key.
 	FrameClaim FrameKind = "claim"
@@ -33,11 +32,11 @@
 	// LastTried is the number of the last segment that the entry has tried to write;
 	// zero if it has tried none.
 	LastTried uint64 `msgpack:"tri"`
-	// Uptime is how long the entry has been running. It has no information from before.
+	// Uptime is how long the entry has been running. It knows of no segments from before.
 	Uptime time.Duration `msgpack:"up"`
 }
 
-// PlainCall asks an agent to run a call at an endpoint.
+// PlainCall asks an agent to pass a call on to an endpoint.
 type PlainCall struct {
 	Body        []byte    `msgpack:"body"`
 	ContentType string    `msgpack:"ct"`
@@ -73,14 +72,14 @@
 // BarAttempt asks an agent never to pass an attempt on to its endpoint.
 type BarAttempt struct {
 	Ticket savorypinclaim.ClaimedAttempt `msgpack:"tick"`
-	// Wait is how long to wait for the end of an attempt that is in progress.
+	// Wait is how long the agent waits for the end of an attempt that is in progress.
 	Wait time.Duration `msgpack:"wait"`
 }
 
 // BarAnswer is the answer to BarAttempt: the state of the attempt at its agent.
 type BarAnswer struct {
 	Answer *savorypinclaim.Answer `msgpack:"ans"`
-	// Outcome is the outcome of the attempt; claimed if it is still in progress.
+	// Outcome is the outcome of the attempt; OutcomeClaimed if it is still in progress.
 	Outcome savorypinclaim.Outcome `msgpack:"out"`
 }
 
@@ -88,6 +87,6 @@
 type Await struct {
 	Attempt string               `msgpack:"att"`
 	Key     savorypinclaim.KeyID `msgpack:"key"`
-	// Wait is how long to wait for it.
+	// Wait is how long to wait for the outcome.
 	Wait time.Duration `msgpack:"wait"`
 }
--- a/internal/savorypinmember/conn.go
+++ b/internal/savorypinmember/conn.go
@@ -24,15 +24,16 @@
 	// ProbeAfter is how long a connection with open streams may receive nothing before it is
 	// probed.
 	ProbeAfter time.Duration
-	// IdleProbeAfter is the same for a connection without open streams.
+	// IdleProbeAfter is the same as ProbeAfter for a connection without open streams.
 	IdleProbeAfter time.Duration
-	// ProbeTimeout is how long after a probe a connection that has received nothing is closed.
+	// ProbeTimeout is how long a connection may receive nothing after a probe before it is
+	// closed.
 	ProbeTimeout time.Duration
-	// Wait returns a channel that receives after a duration.
+	// Wait returns a channel that receives a value after a duration, like time.After.
 	Wait func(time.Duration) <-chan time.Time
 }
 
-// maxStreamFrames bounds the frames that a stream buffers at its receiver.
+// maxStreamFrames bounds the unread frames that a stream buffers.
 const maxStreamFrames = 1024
 
 // readBufferBytes is the size of the read buffer of a connection.
@@ -112,8 +113,8 @@
 	return s, nil
 }
 
-// IdleTime returns the time since a frame was last received. A connection with open streams is
-// probed, so that a working one never stays quiet for long.
+// IdleTime returns the time since a frame was last received. It stays short on a working
+// connection with open streams, as that is probed.
 func (c *Conn) IdleTime() time.Duration {
 	return c.cfg.Now().Sub(time.Unix(0, c.lastReceived.Load()))
 }
@@ -253,9 +254,9 @@
 		if c.Streams() > 0 {
 			limit = c.cfg.ProbeAfter
 		}
-		quiet := c.cfg.Now().Sub(time.Unix(0, c.lastReceived.Load()))
-		if quiet < limit {
-			if !c.sleep(min(limit-quiet, c.cfg.ProbeAfter)) {
+		idle := c.cfg.Now().Sub(time.Unix(0, c.lastReceived.Load()))
+		if idle < limit {
+			if !c.sleep(min(limit-idle, c.cfg.ProbeAfter)) {
 				return
 			}
 			continue
--- a/internal/savorypinmember/controlmessages.go
+++ b/internal/savorypinmember/controlmessages.go
@@ -2,21 +2,21 @@
 
 import "savorypin/internal/savorypin"
 
-// Kinds of messages about members and configuration, in sorted order.
+// Kinds of messages about members and configuration.
 const (
 	// FrameHeartbeat is a heartbeat.
 	FrameHeartbeat FrameKind = "beat"
 	// FrameConfig exchanges configuration.
 	FrameConfig FrameKind = "config"
-	// FrameVersion asks for the version at which an object is in force.
+	// FrameVersion asks for the version of an object that is in force.
 	FrameVersion FrameKind = "version"
-	// FrameReport reports a load. It has no answer.
+	// FrameReport reports the load of a member. It has no answer.
 	FrameReport FrameKind = "report"
-	// FrameStop orders a planned stop.
+	// FrameStop orders a planned stop of the receiver.
 	FrameStop FrameKind = "stop"
 )
 
-// VersionQuery asks for the version at which an object is in force.
+// VersionQuery asks for the version of an object that is in force.
 type VersionQuery struct {
 	Key savorypin.Key `msgpack:"key"`
 }
@@ -26,8 +26,9 @@
 	Version int64 `msgpack:"v"`
 }
 
-// Stop orders a planned stop.
+// Stop orders a planned stop of the receiver.
 type Stop struct {
+	// By names who orders it: an operator, or the platform.
 	By string `msgpack:"by"`
 }
 
--- a/internal/savorypinmember/frame.go
+++ b/internal/savorypinmember/frame.go
@@ -2,8 +2,8 @@
 // length-prefixed msgpack frames, with many streams multiplexed on each connection.
 //
 // A stream takes one map entry at each end. The frames of all streams of a connection share
-// one bounded queue and are written together, so that the tokens of many streams leave in one
-// system call. A connection that receives nothing while streams are open is probed, and closed
+// one bounded queue and are written together, so that the tokens of many streams are sent in
+// one system call. A connection that receives nothing while streams are open is probed, and closed
 // if the probe isn't answered.
 package savorypinmember
 
@@ -21,7 +21,8 @@
 	"savorypin/internal/savorypinmsgpack"
 )
 
-// FrameKind is the type of a frame. Kinds are short names of one word.
+// FrameKind is the type of a frame. Kinds are short names of one word, as each frame
+// contains its kind.
 type FrameKind string
 
 // Kinds that the transport itself uses. The kinds of messages are declared next to the
@@ -51,8 +52,8 @@
 	ErrClosed = errors.New("member connection is closed")
 	// ErrFrame means that a frame is malformed or too long.
 	ErrFrame = errors.New("member frame is malformed")
-	// ErrHandshake means that the handshake failed, such as for a peer that doesn't know the
-	// shared key.
+	// ErrHandshake means that the handshake failed, for example because the peer doesn't know
+	// the shared key.
 	ErrHandshake = errors.New("member handshake failed")
 	// ErrOverrun means that the peer sent more frames than the receiver of a stream buffers.
 	ErrOverrun = errors.New("member stream has too many unread frames")
@@ -68,7 +69,7 @@
 	Body   msgpack.RawMessage
 }
 
-// Decode decodes the body of a frame into a T. The error is an ErrFrame.
+// Decode decodes the body of a frame into a T. The error wraps ErrFrame.
 func Decode[T any](f Frame) (T, error) {
 	var v T
 	if err := savorypinmsgpack.Unmarshal(f.Body, &v); err != nil {
@@ -99,8 +100,8 @@
 	}
 }
 
-// encode replaces the content of the buffer by an encoded frame. The body is encoded in place
-// and not copied.
+// encode replaces the content of the buffer by an encoded frame. It encodes the body directly
+// into the buffer, without a copy.
 func (e *frameEncoder) encode(kind FrameKind, stream uint64, v any) error {
 	e.buf.Reset()
 	e.enc.Reset(&e.buf)
@@ -130,7 +131,7 @@
 	return e.enc.Encode(v)
 }
 
-// EncodeFrame returns the encoding of a frame whose body is v. The error is an ErrFrame.
+// EncodeFrame returns the encoding of a frame whose body is v. The error wraps ErrFrame.
 func EncodeFrame(kind FrameKind, stream uint64, v any) ([]byte, error) {
 	e := frameEncoders.Get().(*frameEncoder)
 	defer e.release()
@@ -140,8 +141,8 @@
 	return bytes.Clone(e.buf.Bytes()), nil
 }
 
-// ReadFrame reads one frame. It returns io.EOF at the end of the input, and ErrFrame if the
-// frame is malformed.
+// ReadFrame reads one frame. It returns io.EOF at the end of the input. The error wraps ErrFrame
+// if the frame is malformed or too long.
 func ReadFrame(r *bufio.Reader) (Frame, error) {
 	header, err := r.Peek(frameLengthBytes)
 	if err != nil {
--- a/internal/savorypinmember/generationmessages.go
+++ b/internal/savorypinmember/generationmessages.go
@@ -52,8 +52,8 @@
 	Version string `msgpack:"ver"`
 	// Window is how many tokens may be unacknowledged.
 	Window int `msgpack:"win"`
-	// RemainingWait is how much longer the caller waits. It is a duration because the clocks of hosts
-	// may differ.
+	// RemainingWait is how much longer the caller waits. It is a duration because the clocks of
+	// hosts may differ.
 	RemainingWait time.Duration `msgpack:"in"`
 }
 
@@ -94,8 +94,8 @@
 	Generation savorypin.GenerationID `msgpack:"g"`
 }
 
-// FindAnswer is the answer to Find: where the generation has moved to, the attempt that the agent
-// holds, or both.
+// FindAnswer is the answer to Find: the attempt that the agent holds, where the generation has
+// moved to, or both.
 type FindAnswer struct {
 	Held  *HeldAttempt           `msgpack:"held"`
 	Place *savorypinresume.Place `msgpack:"place"`
--- a/internal/savorypinmember/handshake.go
+++ b/internal/savorypinmember/handshake.go
@@ -18,7 +18,7 @@
 	Domain string `msgpack:"dom"`
 	// Name is the name of the member.
 	Name string `msgpack:"n"`
-	// Nonce is a random value that the peer has to sign.
+	// Nonce is a random value for which the peer has to prove that it knows the shared key.
 	Nonce []byte `msgpack:"nonce"`
 	// Region is the region of the daemon.
 	Region string `msgpack:"reg"`
@@ -34,7 +34,7 @@
 const nonceBytes = 16
 
 // handshake exchanges hellos and proofs. Both ends send before they read, so that it takes
-// only two one-way delays.
+// only two one-way delays, the time of one round trip.
 func handshake(conn net.Conn, r *bufio.Reader, self Hello, key []byte, timeout time.Duration) (Hello, error) {
 	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return Hello{}, fmt.Errorf("%w: %w", ErrHandshake, err)
--- a/internal/savorypinmember/limitmessages.go
+++ b/internal/savorypinmember/limitmessages.go
@@ -13,29 +13,29 @@
 	Renewal       *savorypinlimit.Renewal `msgpack:"ren,omitempty"`
 }
 
-// Report returns the content of the message.
+// Report returns the report that the message contains.
 func (u Usage) Report() savorypinlimit.Report {
 	return savorypinlimit.Report{Renewal: u.Renewal, Usages: u.Organisations}
 }
 
-// Grants is the owner's answer to Usage. Its amounts are in the order of the organisations
-// there.
+// Grants is the owner's answer to Usage. Its amounts are in the order of Usage.Organisations.
 type Grants struct {
 	Amounts []savorypinlimit.Amount `msgpack:"amt"`
 	// Renewed says that all other grants of the entry stay valid.
 	Renewed bool `msgpack:"ren,omitempty"`
-	// Stale are the organisations whose usage the owner needs again.
+	// Stale are the organisations whose usage has to be reported again.
 	Stale []string `msgpack:"stl,omitempty"`
-	// Tight marks the organisations whose usage has to be reported often.
-	Tight []bool `msgpack:"tgt,omitempty"`
+	// Contended reports, in the same order, whether the total demand of the organisation
+	// exceeds its limits, so that its usage has to be reported often.
+	Contended []bool `msgpack:"tgt,omitempty"`
 }
 
-// NewGrants returns the message for an answer.
+// NewGrants returns the message that contains an answer.
 func NewGrants(a savorypinlimit.Answer) Grants {
-	return Grants{Amounts: a.Amounts, Renewed: a.Renewed, Stale: a.Stale, Tight: a.Contended}
+	return Grants{Amounts: a.Amounts, Renewed: a.Renewed, Stale: a.Stale, Contended: a.Contended}
 }
 
-// Answer returns the content of the message.
+// Answer returns the answer that the message contains.
 func (g Grants) Answer() savorypinlimit.Answer {
-	return savorypinlimit.Answer{Amounts: g.Amounts, Renewed: g.Renewed, Stale: g.Stale, Contended: g.Tight}
+	return savorypinlimit.Answer{Amounts: g.Amounts, Renewed: g.Renewed, Stale: g.Stale, Contended: g.Contended}
 }
--- a/internal/savorypinmember/movemessages.go
+++ b/internal/savorypinmember/movemessages.go
@@ -10,15 +10,15 @@
 	FrameVerdicts FrameKind = "verdicts"
 )
 
-// Evidence is the evidence that one entry has gathered since its previous report. If a report
-// is lost, so is its evidence. A duplicate is recognised by its sequence.
+// Evidence is the evidence that one entry has gathered since its previous report. The evidence
+// in a lost report isn't sent again. A duplicate is recognised by its sequence.
 type Evidence struct {
 	Incarnation int64                    `msgpack:"inc"`
 	Moves       []savorypinmove.Evidence `msgpack:"mov"`
 	Sequence    uint64                   `msgpack:"seq"`
 }
 
-// Verdicts are the bad verdicts that the sender knows. The answer contains those that the
+// Verdicts contains the bad verdicts that the sender knows. The answer contains those that the
 // receiver knows.
 type Verdicts struct {
 	Rejected []savorypinmove.Rejection `msgpack:"bad"`
--- a/internal/savorypinmember/ordermessages.go
+++ b/internal/savorypinmember/ordermessages.go
@@ -8,7 +8,7 @@
 	FrameOrder FrameKind = "order"
 )
 
-// Fence is the fencing number of the controller of a service.
+// Fence contains the fencing number of the controller of a service.
 type Fence struct {
 	Number  int64  `msgpack:"f"`
 	Service string `msgpack:"svc"`
@@ -21,7 +21,7 @@
 	Endpoint string `msgpack:"ep"`
 	Fence    int64  `msgpack:"f"`
 	Model    string `msgpack:"model"`
-	// Name makes the order idempotent.
+	// Name identifies the order, so that it is idempotent.
 	Name    string `msgpack:"n"`
 	Role    string `msgpack:"role"`
 	Service string `msgpack:"svc"`
--- a/internal/savorypinmember/outbox.go
+++ b/internal/savorypinmember/outbox.go
@@ -6,12 +6,13 @@
 const maxOutboxBytes = 1 << 20
 
 // outbox collects frames for the next write of a connection. It alternates between two
-// buffers: one is filled while the other is written, so that the frames of many streams leave
-// in one system call and need no memory of their own.
+// buffers: one is filled while the other is written. The frames of many streams are thus sent
+// in one system call, without an allocation for each.
 type outbox struct {
 	hasData chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// drained is closed by the next take; nil if no sender waits for it.
 	drained chan struct{}
 	filling []byte
 	writing []byte
@@ -40,12 +41,12 @@
 	return nil
 }
 
-// ready returns a channel that receives when there is data to write.
+// ready returns a channel that receives a value when there is data to write.
 func (o *outbox) ready() <-chan struct{} {
 	return o.hasData
 }
 
-// take removes and returns all data. The result is valid until the next call.
+// take removes and returns all data. The result is valid until the next call of take.
 func (o *outbox) take() []byte {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/savorypinmember/stream.go
+++ b/internal/savorypinmember/stream.go
@@ -43,8 +43,8 @@
 	s.unregister()
 }
 
-// endUnannounced ends the stream without notifying the peer, which ends it too because the
-// answer has been sent.
+// endUnannounced ends the stream without notifying the peer, which ends it on its own because
+// the answer is the last frame.
 func (s *Stream) endUnannounced() {
 	s.fail(ErrClosed)
 	s.unregister()
@@ -56,7 +56,7 @@
 }
 
 // Receive returns the next frame. It returns a *savorypin.Error if the peer sent one, and
-// ErrClosed or ErrUnresponsive if the stream has ended.
+// ErrClosed, ErrOverrun or ErrUnresponsive if the stream has ended.
 func (s *Stream) Receive(ctx context.Context) (Frame, error) {
 	for {
 		if f, ok := s.pop(); ok {
@@ -65,7 +65,7 @@
 		select {
 		case <-s.arrived:
 		case <-s.ctx.Done():
-			// Frames that arrived before the end can still be received.
+			// Frames that arrived before the stream ended can still be received.
 			if f, ok := s.pop(); ok {
 				return s.interpret(f)
 			}
@@ -102,7 +102,8 @@
 	return s.Send(ctx, frameError, newRemoteError(err))
 }
 
-// interpret returns the frame, or the error that it carries for the stream.
+// interpret returns the frame. It returns an error if the frame ends the stream or carries an
+// error of the peer.
 func (s *Stream) interpret(f Frame) (Frame, error) {
 	switch f.Kind {
 	case frameEnd:
@@ -147,8 +148,8 @@
 	return f, true
 }
 
-// push adds a frame to the inbox. It never blocks, so that a slow reader of one stream can't
-// block the others; a full inbox ends the stream.
+// push adds a frame to the inbox. It never blocks, so that a slow reader of one stream doesn't
+// delay the others. If the inbox is full, it ends the stream with ErrOverrun.
 func (s *Stream) push(f Frame) {
 	s.mu.Lock()
 	full := len(s.inbox) >= maxStreamFrames
--- a/internal/savorypinmember/tokens.go
+++ b/internal/savorypinmember/tokens.go
@@ -12,8 +12,8 @@
 // tokensFieldCount is the number of encoded fields of Tokens.
 const tokensFieldCount = 6
 
-// Tokens carries consecutive tokens of an attempt. The generation is that of the stream. It is
-// encoded as an array of the attempt's number and term, the index of the first token, the
+// Tokens carries consecutive tokens of an attempt. The stream determines the generation. The
+// encoding is an array of the attempt's number and term, the index of the first token, the
 // token ids, the lengths of their texts, and the concatenated text.
 type Tokens struct {
 	Attempt savorypin.AttemptID
@@ -117,8 +117,8 @@
 	if n != len(t.Tokens) {
 		return fmt.Errorf("%w: %d texts for %d tokens", ErrFrame, n, len(t.Tokens))
 	}
-	var buffer [maxTokensPreallocated]int
-	lengths := buffer[:0]
+	var preallocated [maxTokensPreallocated]int
+	lengths := preallocated[:0]
 	for range n {
 		length, err := dec.DecodeInt()
 		if err != nil {
@@ -139,6 +139,6 @@
 	return nil
 }
 
-// maxTokensPreallocated bounds the memory that is allocated for tokens before they are
-// decoded.
+// maxTokensPreallocated bounds the number of tokens for which memory is allocated before they
+// are decoded.
 const maxTokensPreallocated = 256
--- a/internal/savorypinmember/tokens_test.go
+++ b/internal/savorypinmember/tokens_test.go
@@ -59,7 +59,7 @@
 }
 
 var _ = Describe("Tokens", func() {
-	It("are the same after encoding and decoding", func() {
+	It("are unchanged after encoding and decoding", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			msg := tokensOf(rapid.SliceOfN(rapid.String(), 0, 300).Draw(t, "texts")...)
 			got, _, err := roundTrip(&msg)
@@ -87,8 +87,8 @@
 	})
 })
 
-// naiveTokens is the straightforward encoding of Tokens that benchmarks compare with: maps
-// with names, one for each token.
+// naiveTokens is the baseline of the benchmark: the default encoding of Tokens, in which the
+// message and each token are maps with field names.
 type naiveTokens struct {
 	Attempt savorypinmember.Attempt `msgpack:"at"`
 	First   int                     `msgpack:"i"`
--- a/internal/savorypinmember/transport.go
+++ b/internal/savorypinmember/transport.go
@@ -26,8 +26,7 @@
 	CountIn, CountOut func(peer Hello, bytes int)
 	// Dial opens a connection to an address; nil means net.DialTimeout over TCP.
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
-	// Handlers serve the streams that peers open, by the kind of the first
-	// frame.
+	// Handlers serve the streams that peers open, by the kind of the first frame.
 	Handlers map[FrameKind]Handler
 	// HandshakeTimeout bounds both the dial and the handshake of a connection.
 	HandshakeTimeout time.Duration
@@ -56,7 +55,7 @@
 	mu     sync.Mutex
 	closed bool
 	conns  map[string]*Conn
-	// retired are replaced connections, which get no new streams.
+	// retired are the replaced connections, on which no new streams are opened.
 	retired map[*Conn]bool
 	// accepted are the connections that peers opened.
 	accepted map[*Conn]bool
@@ -129,8 +128,8 @@
 	}
 }
 
-// ReplaceIfIdle makes the next Get open a new connection to address if the present one has received
-// nothing for longer than limit. Streams on the present one continue.
+// ReplaceIfIdle makes the next Get open a new connection to address if the current one has
+// received nothing for longer than limit. Streams on the current one continue.
 func (t *Transport) ReplaceIfIdle(address string, limit time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -173,8 +172,8 @@
 	}
 }
 
-// startServing starts to serve a connection. It returns false if the transport is closed;
-// Close waits for all connections that were started before.
+// startServing starts to serve a connection. It returns false if the transport is closed. Close
+// waits for all connections for which it returned true.
 func (t *Transport) startServing(conn net.Conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -185,7 +184,7 @@
 	return true
 }
 
-// serveConn performs the handshake of an accepted connection and keeps it until it ends.
+// serveConn performs the handshake of an accepted connection and serves it until it ends.
 func (t *Transport) serveConn(conn net.Conn) {
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	peer, err := handshake(conn, r, t.cfg.Self, t.cfg.Key, t.cfg.HandshakeTimeout)
@@ -273,7 +272,7 @@
 		t.reportPanic(first.Kind, err)
 	}
 	if err != nil {
-		// If the error can't be sent, the stream has ended for the peer too.
+		// If the error can't be sent, the stream or its connection has ended.
 		_ = s.SendError(ctx, err)
 	}
 }
--- a/internal/savorypinmember/transport_test.go
+++ b/internal/savorypinmember/transport_test.go
@@ -35,7 +35,7 @@
 	})
 }
 
-// listen returns a transport that serves handlers, and its address.
+// listen returns a transport that serves the handlers on a local port, and its address.
 func listen(name, key string, handlers map[savorypinmember.FrameKind]savorypinmember.Handler) (*savorypinmember.Transport, string) {
 	t := savorypinmember.NewTransport(savorypinmember.TransportConfig{
 		Handlers:         handlers,
@@ -80,7 +80,7 @@
 		savorypinmember.FrameStop: savorypinmember.HandleCall(
 			func(_ context.Context, _ savorypinmember.Hello, req savorypinmember.Stop) (savorypinmember.Stop, error) {
 				if req.By == "" {
-					return req, savorypin.Errorf(savorypin.KindInvalid, "stop", "nobody ordered it").WithRetryAfter(time.Second)
+					return req, savorypin.Errorf(savorypin.KindInvalid, "stop", "by is missing").WithRetryAfter(time.Second)
 				}
 				return req, nil
 			}),
@@ -146,8 +146,8 @@
 	})
 })
 
-// lateListener returns one more connection after it was closed, like a connection that is
-// accepted at that moment.
+// lateListener returns one more connection after it was closed, like a listener that accepts a
+// connection at the moment of the close.
 type lateListener struct {
 	closing chan struct{}
 	conns   chan net.Conn
@@ -172,7 +172,7 @@
 }
 
 var _ = Describe("A transport that is being closed", func() {
-	It("closes a connection that is accepted meanwhile without serving it", func() {
+	It("closes a connection that is accepted during the close, without serving it", func() {
 		server, client := net.Pipe()
 		l := &lateListener{closing: make(chan struct{}), conns: make(chan net.Conn, 1)}
 		l.conns <- server
