Reword comments and rename internals of savorypinmembership

Comments that did not match the code are corrected: Envelope named a method Reply that does not exist; CachedPrefixes is nil when a report leaves the prefixes out, not when they have not changed; functions that return messages were said to send them; the publish interval is a minimum time between views; seeds are not tried while a live member has their address; retries of a region go to any of its members. Words such as "the latest sign of a region", "its own fault" and "what a message shows of its sender" are replaced by plain ones. resyncing, whose condition needs thought, has a comment.

Names that said little are replaced: urgent -> publishUrgent, spread -> forward, held -> stored, step -> threshold, prefixes -> withPrefixes, complete -> listsAll.

One table of specs was called "refutes", although its last case expects that the update is ignored; it is now "handles", and each case says how. No check, log line or error text changed.

--- a/internal/savorypinmembership/compare.go
+++ b/internal/savorypinmembership/compare.go
@@ -35,8 +35,8 @@
 	return updates
 }
 
-// answerSummaries answers a peer's summaries of the buckets that differ: it requests the
-// states that are newer at the peer and sends those that are newer here.
+// answerSummaries returns the answer to a peer's summaries of the buckets that differ: it
+// requests the states that are newer at the peer and contains those that are newer here.
 func (g *Gossip) answerSummaries(address string, m Message, now time.Time) []Envelope {
 	want := g.newerAtPeer(m.Updates)
 	updates := g.newerLocally(m)
@@ -49,7 +49,8 @@
 	return []Envelope{e}
 }
 
-// newerAtPeer returns the names of the members for which the peer's summaries are newer.
+// newerAtPeer returns the names of the members that this daemon lacks or has in an older version
+// than the peer.
 func (g *Gossip) newerAtPeer(summaries []Update) []string {
 	var names []string
 	for _, u := range summaries {
@@ -61,14 +62,15 @@
 	return names
 }
 
-// newerLocally returns the records that the peer lacks or of which it has an older version, by
-// its summaries.
+// newerLocally returns updates with states for the records that, according to the peer's
+// summaries, the peer lacks or has in an older version.
 func (g *Gossip) newerLocally(m Message) []Update {
 	peerUpdates := map[string]Update{}
 	for _, u := range m.Updates {
 		peerUpdates[u.Name] = u
 	}
-	complete := len(m.Updates) < maxSummariesPerSync
+	// A list of the maximum length may leave out records.
+	listsAll := len(m.Updates) < maxSummariesPerSync
 	var updates []Update
 	for _, r := range g.sortedRecords() {
 		b := bucketOf(r.name)
@@ -77,7 +79,7 @@
 		}
 		u, ok := peerUpdates[r.name]
 		newer := ok && g.newUpdate(r, false).newerThan(u)
-		lacking := !ok && complete && r.health != HealthDead
+		lacking := !ok && listsAll && r.health != HealthDead
 		if newer || lacking {
 			updates = append(updates, g.newUpdate(r, true))
 		}
@@ -85,7 +87,8 @@
 	return updates
 }
 
-// newerThan reports whether u is newer, or of the same sequence and of worse health.
+// newerThan reports whether u is of a later incarnation or sequence, or of the same ones and of
+// worse health.
 func (u Update) newerThan(o Update) bool {
 	return cmp.Or(
 		cmp.Compare(u.Incarnation, o.Incarnation),
--- a/internal/savorypinmembership/gossip.go
+++ b/internal/savorypinmembership/gossip.go
@@ -17,41 +17,42 @@
 
 // Timing of the gossip.
 const (
-	// indirectProbeAfter is the time without an answer after which other members are asked to
-	// probe.
+	// indirectProbeAfter is the time without an answer from a member after which other members
+	// are asked to probe it.
 	indirectProbeAfter = 750 * time.Millisecond
 	// forgetAfter is how long a dead member is kept, so that a network partition of an hour
 	// loses no member.
 	forgetAfter = 2 * time.Hour
-	// forgetLeftAfter is the same for a member that announced its stop.
+	// forgetLeftAfter is the same for a member that announced that it leaves.
 	forgetLeftAfter = 5 * time.Minute
-	// isolatedAfter is how long a daemon that receives nothing still trusts its own view.
+	// isolatedAfter is the time without any message after which a daemon considers itself
+	// isolated and no longer takes missing answers for failures of other members.
 	isolatedAfter = time.Second
 	// monitorInterval is the interval of heartbeats from each monitor to a member.
 	monitorInterval = 500 * time.Millisecond
 	// partnerInterval is the interval of heartbeats to each partner.
 	partnerInterval = time.Second
-	// partnerRotationInterval is how often one partner is replaced.
+	// partnerRotationInterval is the interval at which one partner is replaced.
 	partnerRotationInterval = time.Minute
 	// pauseLimit is the time between two ticks from which a daemon considers itself to have
 	// been paused.
 	pauseLimit = 2 * time.Second
-	// publishInterval bounds the delay of changes in the view that routing doesn't depend on.
+	// publishInterval is the minimum time between two views if no change is urgent.
 	publishInterval = 50 * time.Millisecond
 	// regionUnreachableAfter is the time without a message after which a region counts as
 	// unreachable.
 	regionUnreachableAfter = 10 * time.Second
 	// relayInterval is the interval of heartbeats between relays of different regions.
 	relayInterval = time.Second
-	// selfPublishInterval is how often a daemon's own load is updated in its view.
+	// selfPublishInterval is the interval at which a daemon's own load is updated in its view.
 	selfPublishInterval = time.Second
 	// resyncDuration is how long after a pause a daemon suspects no other member.
 	resyncDuration = 2 * time.Second
-	// retryInterval is how often a member that is not live and a seed are tried.
+	// retryInterval is the interval of messages to members that are not live and to seeds.
 	retryInterval = 2 * time.Second
 	// suspectAfter is the time without an answer after which a member is suspected.
 	suspectAfter = 1250 * time.Millisecond
-	// suspectTimeout is how long a member is suspected before it is dead.
+	// suspectTimeout is how long a member is suspected before it is considered dead.
 	suspectTimeout = 4 * time.Second
 	// syncInterval is the minimum time between two comparisons of records.
 	syncInterval = time.Second
@@ -59,7 +60,8 @@
 
 // Numbers and sizes of the gossip.
 const (
-	// bucketCount is the number of hashes in a comparison of records.
+	// bucketCount is the number of buckets into which records are divided for a comparison,
+	// each with one hash.
 	bucketCount = 64
 	// helperCount is how many other members are asked to probe a member that does not answer.
 	helperCount = 3
@@ -76,7 +78,7 @@
 	maxSummariesPerSync = 256
 	// maxStatesPerSync bounds the records that one comparison requests or sends.
 	maxStatesPerSync = 48
-	// transmitCount is how often a daemon transmits an update.
+	// transmitCount is how many times a daemon transmits an update.
 	transmitCount = 4
 	// maxUpdatesPerMessage bounds the updates in a heartbeat.
 	maxUpdatesPerMessage = 8
@@ -92,9 +94,9 @@
 	Name string
 	// Now returns the current time.
 	Now func() time.Time
-	// Rand returns a uniformly distributed number in [0, n).
+	// Rand returns a uniformly distributed random number in [0, n).
 	Rand func(n int) int
-	// Seeds are addresses that are always tried.
+	// Seeds are addresses to which messages are sent while no live member has them.
 	Seeds []string
 	// Self returns the state of the daemon; Gossip adds incarnation and sequence.
 	Self func() savorypin.MemberState
@@ -149,7 +151,7 @@
 	self            savorypin.MemberState
 	selfPublishedAt time.Time
 	sequence        uint64
-	urgent          bool
+	publishUrgent   bool
 }
 
 // NewGossip returns a Gossip without members. Tick has to be called before any message is
@@ -192,8 +194,8 @@
 	return g.view.Load()
 }
 
-// UrgentPeers returns the addresses of random members that should be notified of a configuration
-// change at once, including relays of other regions if this daemon is a relay.
+// UrgentPeers returns the addresses of the members that should be notified of a configuration
+// change at once: random ones and, if this daemon is a relay, the relays of other regions.
 func (g *Gossip) UrgentPeers() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -204,8 +206,8 @@
 	return addresses
 }
 
-// Resyncing reports whether the daemon was paused and has not caught up yet. Until then it
-// must make no decision that depends on the state of other members.
+// Resyncing reports whether the daemon was paused and its view may still be outdated. Until it is
+// up to date the daemon must make no decision that depends on the state of other members.
 func (g *Gossip) Resyncing() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -240,7 +242,7 @@
 	return out, reports
 }
 
-// Leave returns the messages that announce this daemon's leave. The state returned by
+// Leave returns the messages that announce that this daemon leaves. The state returned by
 // GossipConfig.Self must already say that it drains.
 func (g *Gossip) Leave() []Envelope {
 	g.mu.Lock()
@@ -250,8 +252,8 @@
 	return g.broadcast(now)
 }
 
-// HandleRequest processes a request and returns its answer and messages to send to other members at
-// once.
+// HandleRequest processes a request. It returns the answer, and messages to send to other
+// members at once.
 func (g *Gossip) HandleRequest(m Message) (Message, []Envelope) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -293,16 +295,16 @@
 		out = append(out, g.answerSummaries(e.Address, m, now)...)
 	} else if g.syncDue(m, now) {
 		g.lastSync = now
-		compare := g.newEnvelope(e.Address, m.From, nil, now)
-		compare.Message.Buckets = slices.Clone(g.buckets[:])
-		out = append(out, compare)
+		request := g.newEnvelope(e.Address, m.From, nil, now)
+		request.Message.Buckets = slices.Clone(g.buckets[:])
+		out = append(out, request)
 	}
 	g.publish(now)
 	return out
 }
 
-// recordMessage updates what a message shows of its sender, of a probed member and of regions,
-// apart from the updates in it.
+// recordMessage records what a message says about its sender, a probed member and the regions.
+// It doesn't apply the updates in the message.
 func (g *Gossip) recordMessage(m Message, now time.Time) {
 	g.lastReceived = now
 	g.markResponsive(m.From)
@@ -321,7 +323,7 @@
 	}
 }
 
-// markRegionSeen records the time of the latest sign of a region.
+// markRegionSeen records when this daemon or another one received a message from a region.
 func (g *Gossip) markRegionSeen(region string, at time.Time) {
 	if g.regionsSeen[region].Before(at) {
 		g.regionsSeen[region] = at
@@ -362,12 +364,14 @@
 	return time.Duration(g.cfg.Rand(int(d)))
 }
 
+// resyncing reports whether a pause ended less than resyncDuration ago or no message was
+// received since its end.
 func (g *Gossip) resyncing(now time.Time) bool {
 	return now.Before(g.resyncUntil) || g.lastReceived.Before(g.resyncUntil.Add(-resyncDuration))
 }
 
-// recoverFromPause handles a pause of this daemon. As the missing messages of others are its
-// own fault, it moves their times forward by the gap.
+// recoverFromPause handles a pause of this daemon. Messages that it could not receive during the
+// pause must not count as missing, so it moves the times of other members forward by the gap.
 func (g *Gossip) recoverFromPause(now time.Time, gap time.Duration) {
 	g.resyncUntil = now.Add(resyncDuration)
 	clear(g.monitored)
@@ -387,13 +391,13 @@
 }
 
 // publish stores a new view if a member has changed. Changes that aren't urgent, such as
-// loads, are frequent and are combined.
+// loads, are frequent; those within publishInterval are combined into one view.
 func (g *Gossip) publish(now time.Time) {
-	if len(g.dirty) == 0 || !g.urgent && now.Sub(g.publishedAt) < publishInterval {
+	if len(g.dirty) == 0 || !g.publishUrgent && now.Sub(g.publishedAt) < publishInterval {
 		return
 	}
 	g.publishedAt = now
-	g.urgent = false
+	g.publishUrgent = false
 	for name := range g.dirty {
 		r, ok := g.records[name]
 		if !ok {
@@ -403,6 +407,7 @@
 		g.members[name] = r.member(g.routingHealth(r, now))
 	}
 	clear(g.dirty)
+	// Updates g.names.
 	g.sortedRecords()
 	g.view.Store(newSortedView(maps.Clone(g.members), g.names))
 }
@@ -417,8 +422,8 @@
 	return Member{health: health, receivedAt: r.receivedAt, state: state}
 }
 
-// hash returns what the record adds to the hash of its bucket. Like an unknown member, a dead
-// one adds nothing.
+// hash returns what the record adds to the hash of its bucket. A dead member adds nothing,
+// as if it were unknown.
 func (r *record) hash() uint32 {
 	if r.health == HealthDead {
 		return 0
--- a/internal/savorypinmembership/gossip_test.go
+++ b/internal/savorypinmembership/gossip_test.go
@@ -12,7 +12,7 @@
 	"savorypin/internal/savorypinmembership"
 )
 
-// newGossip returns the Gossip of an entry and its clock.
+// newGossip returns the Gossip of an entry and the time that its clock returns.
 func newGossip() (*savorypinmembership.Gossip, *time.Time) {
 	now := time.Unix(1_800_000_000, 0)
 	g := savorypinmembership.NewGossip(savorypinmembership.GossipConfig{
@@ -52,13 +52,13 @@
 }
 
 var _ = Describe("Gossip", func() {
-	It("converges to the newest record in any order of arrival, like a naive implementation", func() {
+	It("converges to the newest record in any order of arrival", func() {
 		healths := []savorypinmembership.Health{
 			savorypinmembership.HealthLive, savorypinmembership.HealthSuspect,
 		}
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			var updates []savorypinmembership.Update
-			naive := map[string]savorypinmembership.Update{}
+			newestByName := map[string]savorypinmembership.Update{}
 			for range rapid.IntRange(1, 30).Draw(t, "updates") {
 				u := update(
 					rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"),
@@ -66,9 +66,9 @@
 					rapid.Uint64Range(1, 4).Draw(t, "sequence"),
 					rapid.SampledFrom(healths).Draw(t, "health"))
 				updates = append(updates, u)
-				newest, ok := naive[u.Name]
+				newest, ok := newestByName[u.Name]
 				if !ok || fmt.Sprint(u.Incarnation, u.Sequence, u.Health) > fmt.Sprint(newest.Incarnation, newest.Sequence, newest.Health) {
-					naive[u.Name] = u
+					newestByName[u.Name] = u
 				}
 			}
 			g, now := newGossip()
@@ -77,7 +77,7 @@
 			}
 			*now = now.Add(savorypinmembership.TickInterval)
 			g.Tick()
-			for name, want := range naive {
+			for name, want := range newestByName {
 				m, _ := g.View().Get(name)
 				if m.State().Incarnation != want.Incarnation || m.State().Sequence != want.Sequence || m.Health() != want.Health {
 					t.Fatalf("%s is %s at %d/%d, want %s at %d/%d", name, m.Health(), m.State().Incarnation,
@@ -93,12 +93,12 @@
 		wantIncarnation int64
 		wantSequence    uint64
 	}{
-		{"a suspicion", update("self", 5, 1, savorypinmembership.HealthSuspect), 5, 2},
-		{"a suspicion of a later sequence", update("self", 5, 9, savorypinmembership.HealthDead), 5, 10},
-		{"a record of a later incarnation", update("self", 8, 3, savorypinmembership.HealthLive), 9, 1},
-		{"a suspicion of an earlier incarnation", update("self", 4, 9, savorypinmembership.HealthDead), 5, 1},
+		{"a suspicion by increasing its sequence", update("self", 5, 1, savorypinmembership.HealthSuspect), 5, 2},
+		{"a suspicion of a later sequence by exceeding it", update("self", 5, 9, savorypinmembership.HealthDead), 5, 10},
+		{"a record of a later incarnation by exceeding it", update("self", 8, 3, savorypinmembership.HealthLive), 9, 1},
+		{"a suspicion of an earlier incarnation by ignoring it", update("self", 4, 9, savorypinmembership.HealthDead), 5, 1},
 	} {
-		It("refutes "+tc.name, func() {
+		It("handles "+tc.name, func() {
 			g, _ := newGossip()
 			deliver(g, tc.update)
 			Expect(g.Self().Incarnation).To(Equal(tc.wantIncarnation))
@@ -114,7 +114,7 @@
 			HaveField("Name", "a"), HaveField("Health", savorypinmembership.HealthSuspect))))
 	})
 
-	It("keeps a dead member for more than an hour and one that has left for minutes", func() {
+	It("keeps a dead member for more than an hour, and one that has left for a few minutes", func() {
 		g, now := newGossip()
 		left := update("b", 1, 1, savorypinmembership.HealthLive)
 		left.State.Draining = true
@@ -137,7 +137,7 @@
 		Expect(membersAfter(time.Hour)).To(Equal([]string{"self"}))
 	})
 
-	It("shows a reported load until a newer one or a restart", func() {
+	It("shows a reported load until a newer report or a restart of the member", func() {
 		g, now := newGossip()
 		u := update("a", 1, 1, savorypinmembership.HealthLive)
 		u.State.Endpoints = []savorypin.EndpointState{{Name: "e", Slots: 8}}
@@ -159,9 +159,9 @@
 		report(1, 2, 5)
 		Expect(running()).To(Equal(5))
 		report(1, 1, 3)
-		Expect(running()).To(Equal(5), "an older report arrived late")
+		Expect(running()).To(Equal(5), "a report that arrives out of order is ignored")
 		report(2, 9, 7)
-		Expect(running()).To(Equal(5), "the report is of another incarnation")
+		Expect(running()).To(Equal(5), "a report of another incarnation is ignored")
 		u.Incarnation = 2
 		u.State.Incarnation = 2
 		deliver(g, u)
--- a/internal/savorypinmembership/message.go
+++ b/internal/savorypinmembership/message.go
@@ -5,27 +5,28 @@
 // Message is a heartbeat or its answer. All fields but From are optional. They are exported
 // for the codecs.
 type Message struct {
-	// Responsive names a member that has answered the sender, who probed it for the receiver.
+	// Responsive names a member that has answered the sender's probe. The receiver had asked for
+	// the probe.
 	Responsive string `msgpack:"al,omitempty"`
 	// Applied is the digest of the configuration in force at the sender.
 	Applied savorypin.Digest `msgpack:"app"`
-	// Buckets are hashes of the sender's records. They request summaries of the records that
-	// differ.
+	// Buckets are hashes of the sender's records, one of each bucket. They request summaries of
+	// the records in the buckets that differ.
 	Buckets []uint32 `msgpack:"bkt,omitempty"`
 	// Bulk says that the updates come from a comparison. The receiver applies them but does
 	// not forward them.
 	Bulk bool `msgpack:"blk,omitempty"`
 	// From is the name of the sender.
 	From string `msgpack:"f"`
-	// Probe names a member that the receiver should probe for the sender.
+	// Probe names a member that the sender asks the receiver to probe.
 	Probe string `msgpack:"pr,omitempty"`
-	// Regions is the time since other regions were last seen, in milliseconds.
+	// Regions is the time since each other region was last seen, in milliseconds.
 	Regions map[string]int64 `msgpack:"reg,omitempty"`
 	// Synced says that the sender has the complete configuration.
 	Synced bool `msgpack:"syn,omitempty"`
 	// Table is a hash of all the sender's records.
 	Table uint32 `msgpack:"tab"`
-	// Updates are records that the receiver may not have.
+	// Updates are records or summaries that the receiver may not have.
 	Updates []Update `msgpack:"up,omitempty"`
 	// Want names the members whose states the sender requests.
 	Want []string `msgpack:"want,omitempty"`
@@ -41,11 +42,11 @@
 	Name string `msgpack:"n"`
 	// Sequence is the sequence of the member.
 	Sequence uint64 `msgpack:"seq"`
-	// State is the state of the member; nil if only its health has changed.
+	// State is the state of the member; nil in summaries and if only the health has changed.
 	State *savorypin.MemberState `msgpack:"st,omitempty"`
 }
 
-// Envelope is a message with its receiver. The answer has to be passed to Gossip.Reply.
+// Envelope is a message with its receiver. The answer has to be passed to Gossip.HandleAnswer.
 type Envelope struct {
 	// Address is the address of the receiver.
 	Address string
@@ -80,12 +81,12 @@
 	Name string
 	// Healthy says that the endpoint answers.
 	Healthy bool
-	// Running is the number of requests that run.
+	// Running is the number of requests that the endpoint is running.
 	Running int
-	// Waiting is the number of requests that wait.
+	// Waiting is the number of requests that are queued at the endpoint.
 	Waiting int
-	// CachedPrefixes are hashes of prompt prefixes, the most useful first; nil
-	// if they have not changed.
+	// CachedPrefixes are hashes of prompt prefixes, the most useful first; nil if the report
+	// leaves them out and the last reported ones stay valid.
 	CachedPrefixes []uint64
 }
 
@@ -97,7 +98,8 @@
 	Report Report
 }
 
-// severity orders healths: of the same incarnation and sequence, the worse one wins.
+// severity orders healths, the worst last. Of two updates of the same incarnation and sequence,
+// the one of worse health is newer.
 func (h Health) severity() int {
 	switch h {
 	case HealthDead:
--- a/internal/savorypinmembership/probe.go
+++ b/internal/savorypinmembership/probe.go
@@ -18,8 +18,8 @@
 	unansweredSince time.Time
 }
 
-// reachesDirectly reports whether this daemon sends gossip directly to a member: to live ones
-// of its region, or to all live ones in a small system.
+// reachesDirectly reports whether this daemon sends gossip directly to a member. It does so to
+// the live members of its region, and in a small system to all live members.
 func (g *Gossip) reachesDirectly(r *record) bool {
 	if r.name == g.name || r.health != HealthLive {
 		return false
@@ -27,8 +27,9 @@
 	return r.state.Region == g.self.Region || len(g.records) <= maxFlatMembers
 }
 
-// monitorSuccessors sends heartbeats to the members that follow this daemon on the ring. If
-// one doesn't answer, it asks other members to probe it, and suspects it if they fail too.
+// monitorSuccessors returns the heartbeats to the members that follow this daemon on the ring.
+// If one doesn't answer, it asks other members to probe it, and suspects it if they get no answer
+// either.
 func (g *Gossip) monitorSuccessors(now time.Time) []Envelope {
 	var out []Envelope
 	targets := g.successors()
@@ -56,10 +57,10 @@
 		case unanswered >= suspectAfter && r.health == HealthLive && g.trustsTimeouts(now):
 			g.setHealth(r, HealthSuspect, now)
 			g.enqueue(r.name)
-			g.urgent = true
+			g.publishUrgent = true
 			delete(g.monitored, r.name)
 			suspicion := []Update{g.newUpdate(g.records[r.name], false)}
-			// The suspect is informed too, so that it can refute at once.
+			// The suspect is informed too, so that it can refute the suspicion at once.
 			out = append(g.forwardUrgent(suspicion, r.name, now), g.newEnvelope(r.state.Address, r.name, suspicion, now))
 			return out
 		case unanswered >= indirectProbeAfter && !p.helpersAsked:
@@ -83,7 +84,7 @@
 	return !g.resyncing(now) && now.Sub(g.lastReceived) < isolatedAfter
 }
 
-// askHelpers asks other members to probe the target.
+// askHelpers returns messages that ask other members to probe the target.
 func (g *Gossip) askHelpers(target *record, now time.Time) []Envelope {
 	var out []Envelope
 	helpers := g.chooseRandom(helperCount, func(r *record) bool { return r.name != target.name && g.reachesDirectly(r) })
@@ -95,7 +96,7 @@
 	return out
 }
 
-// probeOnBehalf sends a heartbeat to a member for another one.
+// probeOnBehalf returns a heartbeat to a member that another one asked this daemon to probe.
 func (g *Gossip) probeOnBehalf(requester, name string) []Envelope {
 	r, ok := g.records[name]
 	if !ok {
@@ -107,7 +108,8 @@
 	return []Envelope{g.heartbeat(r, g.cfg.Now())}
 }
 
-// confirmResponsive informs the requesters of a probe that the member has answered.
+// confirmResponsive returns messages that inform the requesters of a probe that the member has
+// answered.
 func (g *Gossip) confirmResponsive(requesters []string, name string, now time.Time) []Envelope {
 	var out []Envelope
 	for _, requester := range requesters {
@@ -128,9 +130,9 @@
 	}
 }
 
-// successors returns the live members that follow this daemon on the ring of its region. Each
-// member has the same number of monitors. A suspected member is skipped, so that the loss of a
-// failure domain leaves no member without monitors.
+// successors returns the live members that follow this daemon on the hash ring of its region, so
+// that each member has the same number of monitors. Members that aren't live are not on the
+// ring, so that the loss of a failure domain leaves no member without monitors.
 func (g *Gossip) successors() []string {
 	if g.ringStale {
 		g.ring = g.ring[:0]
@@ -144,10 +146,10 @@
 		})
 		g.ringStale = false
 	}
-	at := slices.Index(g.ring, g.name)
+	self := slices.Index(g.ring, g.name)
 	var names []string
 	for i := 1; i <= min(monitorCount, len(g.ring)-1); i++ {
-		names = append(names, g.ring[(at+i)%len(g.ring)])
+		names = append(names, g.ring[(self+i)%len(g.ring)])
 	}
 	return names
 }
@@ -167,7 +169,7 @@
 	return records[:min(n, len(records))]
 }
 
-// heartbeatPartners sends heartbeats to random members, the partners, which are replaced one
+// heartbeatPartners returns the heartbeats to the partners, random members that are replaced one
 // at a time.
 func (g *Gossip) heartbeatPartners(now time.Time) []Envelope {
 	if now.Before(g.nextPartner) {
@@ -236,8 +238,8 @@
 	return regions
 }
 
-// heartbeatRelays sends heartbeats to the relays of other regions. If the relays of a region
-// don't answer, another of its members is tried.
+// heartbeatRelays returns the heartbeats to the relays of other regions. If a region hasn't been
+// seen for three intervals, random members of it get heartbeats too.
 func (g *Gossip) heartbeatRelays(now time.Time) []Envelope {
 	if now.Before(g.nextRelay) {
 		return nil
@@ -256,8 +258,9 @@
 	return out
 }
 
-// retryUnreachable sends a message to a member that is not live and to a seed. Seeds are tried
-// without end, so that parts of a system that were separated find each other again.
+// retryUnreachable returns messages to a random member that is not live and to a random seed of
+// each list, unless a live member has the seed's address. Seeds are retried without limit, so
+// that the sides of a network partition find each other again.
 func (g *Gossip) retryUnreachable(now time.Time) []Envelope {
 	if now.Before(g.nextRetry) {
 		return nil
@@ -304,8 +307,8 @@
 	}
 }
 
-// routingHealth returns the health that routing uses. A live member counts as suspect while
-// its region is unreachable or its own reports are missing, because nobody can use it then.
+// routingHealth returns the health that routing uses. A live member counts as suspect while its
+// region is unreachable or its own reports are missing, because this daemon can't use it then.
 func (g *Gossip) routingHealth(r *record, now time.Time) Health {
 	if r.health != HealthLive || r.name == g.name {
 		return r.health
--- a/internal/savorypinmembership/record.go
+++ b/internal/savorypinmembership/record.go
@@ -11,11 +11,11 @@
 	"savorypin/internal/savorypin"
 )
 
-// rateTolerance is the relative change from which a measured rate is published.
+// rateTolerance is the relative change above which a new value of a measured rate is published.
 const rateTolerance = 0.2
 
-// refreshSelf reads the state of the daemon. If the daemon or one of its endpoints begins to
-// leave, it returns the messages that announce it at once.
+// refreshSelf reads the state of the daemon. If the daemon or one of its endpoints stops
+// accepting new work, it returns the messages that announce this at once.
 func (g *Gossip) refreshSelf(now time.Time) []Envelope {
 	s := g.cfg.Self()
 	g.reporter.current = s
@@ -48,7 +48,7 @@
 	return g.broadcast(now)
 }
 
-// countDraining counts the member itself and its endpoints that accept no new work.
+// countDraining returns how many of a member and its endpoints accept no new work.
 func countDraining(s savorypin.MemberState) int {
 	n := 0
 	if s.Draining {
@@ -77,7 +77,7 @@
 	g.enqueue(g.name)
 }
 
-// broadcast returns messages with this daemon's state for every entry and some random members.
+// broadcast returns messages with this daemon's state to every entry and some random members.
 func (g *Gossip) broadcast(now time.Time) []Envelope {
 	updates := []Update{g.newUpdate(g.records[g.name], true)}
 	var out []Envelope
@@ -143,52 +143,52 @@
 	if len(urgent) == 0 {
 		return nil
 	}
-	g.urgent = true
+	g.publishUrgent = true
 	return g.forwardUrgent(urgent[:min(len(urgent), maxStatesPerSync)], m.From, now)
 }
 
-// applyUpdate applies one update, queues it for transmission if spread is set, and reports
+// applyUpdate applies one update, queues it for transmission if forward is set, and reports
 // whether it is urgent.
-func (g *Gossip) applyUpdate(u Update, spread bool, now time.Time) bool {
-	held, ok := g.records[u.Name]
+func (g *Gossip) applyUpdate(u Update, forward bool, now time.Time) bool {
+	stored, ok := g.records[u.Name]
 	if !ok {
 		if u.State == nil || u.Health == HealthDead {
 			return false
 		}
 		g.putRecord(&record{health: u.Health, receivedAt: now, name: u.Name, healthSince: now, state: *u.State})
-		if spread {
+		if forward {
 			g.enqueue(u.Name)
 		}
-		return spread && u.State.Draining
+		return forward && u.State.Draining
 	}
-	if !u.supersedes(held) {
+	if !u.supersedes(stored) {
 		return false
 	}
-	next := *held
+	next := *stored
 	if u.State != nil {
 		next.state = *u.State
-	} else if u.Incarnation != held.state.Incarnation || u.Sequence != held.state.Sequence {
+	} else if u.Incarnation != stored.state.Incarnation || u.Sequence != stored.state.Sequence {
 		return false
 	}
-	if u.Incarnation != held.state.Incarnation {
+	if u.Incarnation != stored.state.Incarnation {
 		next.load = Report{}
 		next.reportNumber = 0
 		next.reportedAt = time.Time{}
 	}
-	if u.Health != held.health {
+	if u.Health != stored.health {
 		next.healthSince = now
 	}
 	next.health = u.Health
 	next.receivedAt = now
 	g.putRecord(&next)
-	if spread && u.Health != HealthDead {
+	if forward && u.Health != HealthDead {
 		g.enqueue(u.Name)
 	}
-	return u.Health == HealthSuspect || held.health != next.health || countDraining(next.state) != countDraining(held.state)
+	return u.Health == HealthSuspect || stored.health != next.health || countDraining(next.state) != countDraining(stored.state)
 }
 
-// supersedes reports whether u is newer than a record. The member's own state wins by
-// sequence; of the same sequence, the worse health wins.
+// supersedes reports whether u is newer than a record. The incarnation and the sequence,
+// which only the member itself increases, come first; of the same ones, the worse health wins.
 func (u Update) supersedes(r *record) bool {
 	return cmp.Or(
 		cmp.Compare(u.Incarnation, r.state.Incarnation),
@@ -198,12 +198,12 @@
 }
 
 // refute publishes a newer state of this daemon if an update about it is wrong. It reports
-// whether it was.
+// whether it did.
 func (g *Gossip) refute(u Update, now time.Time) bool {
 	switch {
 	case u.Incarnation > g.incarnation:
-		// The clock of the host was set back. Without this, the daemon would be taken for its
-		// earlier run.
+		// The clock of the host was set back. Without a later incarnation, the state of the
+		// earlier run would replace that of this one.
 		g.incarnation = u.Incarnation + 1
 		g.sequence = 1
 	case u.Incarnation < g.incarnation || u.Sequence < g.sequence:
@@ -219,8 +219,8 @@
 	return true
 }
 
-// notLiveUpdate returns an update with the health of a member that is not live here, for the
-// member itself, so that it can refute. It is empty for a live one.
+// notLiveUpdate returns an update that informs a member that is not live here of its health, so
+// that it can refute it. It is empty for a live or unknown member.
 func (g *Gossip) notLiveUpdate(name string) []Update {
 	r, ok := g.records[name]
 	if !ok || r.health == HealthLive {
@@ -246,7 +246,8 @@
 	g.transmitsLeft[name] = transmitCount
 }
 
-// piggyback returns the queued updates that were transmitted least often.
+// piggyback returns the queued updates that were transmitted least often, and counts the
+// transmission.
 func (g *Gossip) piggyback() []Update {
 	if len(g.transmitsLeft) == 0 {
 		return nil
@@ -294,10 +295,10 @@
 }
 
 // withoutLoad returns a state without the values that reports carry. Measured rates keep their
-// old values until they have changed by more than rateTolerance.
-func withoutLoad(s, old savorypin.MemberState) savorypin.MemberState {
+// published values until they have changed by more than rateTolerance.
+func withoutLoad(s, published savorypin.MemberState) savorypin.MemberState {
 	previous := map[string]savorypin.EndpointState{}
-	for _, e := range old.Endpoints {
+	for _, e := range published.Endpoints {
 		previous[e.Name] = e
 	}
 	s.Endpoints = slices.Clone(s.Endpoints)
--- a/internal/savorypinmembership/report.go
+++ b/internal/savorypinmembership/report.go
@@ -14,7 +14,8 @@
 	// minReportInterval is the interval of reports to an entry of the same region while the
 	// load changes significantly.
 	minReportInterval = 500 * time.Millisecond
-	// prefixInterval is how often cached prefixes are reported.
+	// prefixInterval is the minimum time between two reports with cached prefixes to an entry
+	// of the same region. Other regions receive none.
 	prefixInterval = 8 * time.Second
 	// reportInterval is the interval of reports to an entry of the same region.
 	reportInterval = 2 * time.Second
@@ -24,14 +25,14 @@
 
 // Limits of reports.
 const (
-	// largeChangeDivisor divides an endpoint's slots; a larger change than the result is
-	// significant.
+	// largeChangeDivisor determines which change of an endpoint's running or waiting requests is
+	// significant: one of more than the endpoint's slots divided by it.
 	largeChangeDivisor = 4
 	// maxPrefixes bounds the reported prefixes of an endpoint.
 	maxPrefixes = 16
 )
 
-// reporter tracks which load was reported to which entry.
+// reporter tracks the loads that were reported to each entry.
 type reporter struct {
 	current savorypin.MemberState
 	number  uint64
@@ -46,8 +47,8 @@
 	prefixesSentAt time.Time
 }
 
-// ReceiveReport processes a report. It ignores those of unknown members or other incarnations
-// and those that arrive out of order.
+// ReceiveReport processes a report. It ignores reports of unknown members and of other
+// incarnations, and reports that arrive out of order.
 func (g *Gossip) ReceiveReport(report Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -71,7 +72,8 @@
 	g.publish(now)
 }
 
-// dueReports returns the reports that are due.
+// dueReports returns the reports that are due. The first report to an entry has a random delay,
+// so that not all members report at the same time.
 func (g *Gossip) dueReports(now time.Time) []ReportEnvelope {
 	var out []ReportEnvelope
 	for _, r := range g.sortedRecords() {
@@ -92,8 +94,8 @@
 	return out
 }
 
-// reportIntervalOf returns the interval of reports from this daemon to an entry, or from a
-// member to this entry.
+// reportIntervalOf returns the interval of the reports that this daemon sends to an entry, or
+// receives from a member if it is an entry itself.
 func (g *Gossip) reportIntervalOf(r *record) time.Duration {
 	if r.state.Region == g.self.Region {
 		return reportInterval
@@ -118,11 +120,11 @@
 }
 
 func (g *Gossip) newReport(r *record, sent *sentReport, now time.Time) Report {
-	prefixes := r.state.Region == g.self.Region && now.Sub(sent.prefixesSentAt) >= prefixInterval
+	withPrefixes := r.state.Region == g.self.Region && now.Sub(sent.prefixesSentAt) >= prefixInterval
 	g.reporter.number++
 	report := Report{
 		Applied:     g.self.Applied,
-		Endpoints:   endpointLoads(g.reporter.current.Endpoints, prefixes),
+		Endpoints:   endpointLoads(g.reporter.current.Endpoints, withPrefixes),
 		From:        g.name,
 		Incarnation: g.incarnation,
 		Number:      g.reporter.number,
@@ -130,25 +132,25 @@
 	sent.applied = g.self.Applied
 	sent.sentAt = now
 	sent.endpoints = report.Endpoints
-	if prefixes {
+	if withPrefixes {
 		sent.prefixesSentAt = now
 	}
 	return report
 }
 
-// changedSignificantly reports whether a load differs so much from the last report that it
-// should be reported early.
+// changedSignificantly reports whether a load differs enough from the last report to be reported
+// early.
 func changedSignificantly(sent []EndpointLoad, endpoints []savorypin.EndpointState) bool {
 	if len(sent) != len(endpoints) {
 		return true
 	}
 	for i, e := range endpoints {
 		last := sent[i]
-		step := max(1, e.Slots/largeChangeDivisor)
+		threshold := max(1, e.Slots/largeChangeDivisor)
 		if last.Name != e.Name || last.Healthy != e.Healthy || (last.Waiting > 0) != (e.Waiting > 0) {
 			return true
 		}
-		if absDiff(last.Running, e.Running) > step || absDiff(last.Waiting, e.Waiting) > step {
+		if absDiff(last.Running, e.Running) > threshold || absDiff(last.Waiting, e.Waiting) > threshold {
 			return true
 		}
 	}
@@ -160,11 +162,11 @@
 }
 
 // endpointLoads returns the loads of endpoints for a report.
-func endpointLoads(endpoints []savorypin.EndpointState, prefixes bool) []EndpointLoad {
+func endpointLoads(endpoints []savorypin.EndpointState, withPrefixes bool) []EndpointLoad {
 	var out []EndpointLoad
 	for _, e := range endpoints {
 		load := EndpointLoad{Name: e.Name, Healthy: e.Healthy, Running: e.Running, Waiting: e.Waiting}
-		if prefixes {
+		if withPrefixes {
 			load.CachedPrefixes = e.CachedPrefixes[:min(len(e.CachedPrefixes), maxPrefixes)]
 		}
 		out = append(out, load)
@@ -172,7 +174,7 @@
 	return out
 }
 
-// withLoad returns the endpoints with their reported loads.
+// withLoad returns a copy of the endpoints with their reported loads.
 func withLoad(endpoints []savorypin.EndpointState, reported []EndpointLoad) []savorypin.EndpointState {
 	out := slices.Clone(endpoints)
 	for i := range out {
--- a/internal/savorypinmembership/table.go
+++ b/internal/savorypinmembership/table.go
@@ -22,8 +22,8 @@
 }
 
 // NaiveTable is a naive implementation of membership: every daemon sends all its states to every
-// other one, and each applies timeouts to all. Gossip has replaced it; it stays as the
-// baseline for measurements.
+// other one, and each applies timeouts to all. Daemons use Gossip; NaiveTable is the baseline for
+// measurements.
 type NaiveTable struct {
 	cfg  NaiveTableConfig
 	mu   sync.Mutex
@@ -37,15 +37,15 @@
 	return t
 }
 
-// Merge stores the states that are newer than the present ones and returns them.
+// Merge stores the states that are newer than the stored ones and returns them.
 func (t *NaiveTable) Merge(states ...savorypin.MemberState) []savorypin.MemberState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	members := maps.Clone(t.view.Load().members)
 	var changed []savorypin.MemberState
 	for _, s := range states {
-		held, ok := members[s.Name]
-		if ok && !s.Newer(held.state) {
+		stored, ok := members[s.Name]
+		if ok && !s.Newer(stored.state) {
 			continue
 		}
 		members[s.Name] = Member{health: HealthLive, receivedAt: t.cfg.Now(), state: s}
@@ -57,8 +57,8 @@
 	return changed
 }
 
-// Tick updates the health of all members but self and removes those of which nothing has come
-// for ForgetAfter.
+// Tick updates the health of all members but self and removes those without a new state for
+// longer than ForgetAfter.
 func (t *NaiveTable) Tick(self string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/savorypinmembership/table_test.go
+++ b/internal/savorypinmembership/table_test.go
@@ -10,7 +10,7 @@
 	"savorypin/internal/savorypinmembership"
 )
 
-var _ = Describe("Table", func() {
+var _ = Describe("NaiveTable", func() {
 	for _, tc := range []struct {
 		name string
 		age  time.Duration
--- a/internal/savorypinmembership/view.go
+++ b/internal/savorypinmembership/view.go
@@ -18,13 +18,14 @@
 // Health is the health of a member as known to this daemon.
 type Health string
 
-// The healths of members.
+// Values of Health.
 const (
 	// HealthDead means that the member was suspected for too long.
 	HealthDead Health = "dead"
 	// HealthLive means that the member is not suspected.
 	HealthLive Health = "live"
-	// HealthSuspect means that the member does not answer.
+	// HealthSuspect means that the member does not answer, its reports are missing or its region
+	// is unreachable.
 	HealthSuspect Health = "suspect"
 )
 
@@ -45,7 +46,7 @@
 	return m.receivedAt
 }
 
-// Left reports whether the member has ended after it announced its leave.
+// Left reports whether the member has ended after it announced that it leaves.
 func (m Member) Left() bool {
 	return m.health == HealthDead && m.state.Draining
 }
@@ -70,7 +71,7 @@
 	return newSortedView(members, slices.Sorted(maps.Keys(members)))
 }
 
-// newSortedView returns a view of members whose sorted names are given.
+// newSortedView returns a view of members, given their sorted names.
 func newSortedView(members map[string]Member, names []string) *View {
 	v := &View{members: members, sorted: make([]Member, 0, len(members))}
 	for _, name := range names {
