Reword the stand-ins and the cluster of the failure tests

Engine.Stall(false) and Platform.Expire() did not say what they set or discard, and the ledger's run number was called entry, which is also a role of a daemon. They are SetStalled, ExpireEvents and number now. In the tests, try, second, pause and streamTimeout are startAtAllEntries, statuses, pollInterval and streamTimeoutMS.

Comments that did not fit the code: RestartEntry does not keep the seeds, streamPrompt named a function stream that no longer exists, loadOrders returns accepted orders, also before they have been executed, and the comment of setResume belonged to applyResume.

--- a/internal/savorypincluster/call_test.go
+++ b/internal/savorypincluster/call_test.go
@@ -48,8 +48,8 @@
 	return c.Ledger().Runs()[savorypincluster.Organisation+"/"+key]
 }
 
-// startSale starts a sale that takes a second and returns when an agent runs it.
-// The returned channel receives its outcome.
+// startSale starts a sale that takes a second and returns when the first agent runs
+// it. The returned channel receives its outcome.
 func startSale(ctx context.Context, c *savorypincluster.Cluster, entry int, key string) <-chan string {
 	c.Ledger().SetDelay(time.Second)
 	result := make(chan string, 1)
--- a/internal/savorypincluster/cluster.go
+++ b/internal/savorypincluster/cluster.go
@@ -57,7 +57,7 @@
 	StopGrace time.Duration
 }
 
-// Cluster is a running system.
+// Cluster is a running system of entries, agents and stand-ins.
 type Cluster struct {
 	agents      []*Agent
 	cancel      context.CancelFunc
--- a/internal/savorypincluster/cluster_test.go
+++ b/internal/savorypincluster/cluster_test.go
@@ -42,7 +42,8 @@
 	return c
 }
 
-// streamPrompt is the prompt of stream, which no other load in the specs uses.
+// streamPrompt is the prompt of streamTokens. It differs from the prompts of
+// startLoad, so that countStreams can distinguish their requests.
 const streamPrompt = "a prompt"
 
 // streamTokens runs one generation of n tokens and returns the ids of the tokens
@@ -90,7 +91,7 @@
 	}{
 		{"an agent is killed", func(c *savorypincluster.Cluster) { busiestAgent(c).Kill() }},
 		{"an engine is killed", func(c *savorypincluster.Cluster) { busiestAgent(c).Engine.Kill() }},
-		{"an engine stalls", func(c *savorypincluster.Cluster) { busiestAgent(c).Engine.Stall(true) }},
+		{"an engine stalls", func(c *savorypincluster.Cluster) { busiestAgent(c).Engine.SetStalled(true) }},
 		{"the entry is killed", func(c *savorypincluster.Cluster) { c.Entries()[0].Kill() }},
 		{"the platform has an outage", func(c *savorypincluster.Cluster) { c.Platform().SetOutage(true) }},
 	} {
--- a/internal/savorypincluster/config_test.go
+++ b/internal/savorypincluster/config_test.go
@@ -77,7 +77,7 @@
 			Kind:     string(o.Kind),
 			Metadata: savorypinplatform.Metadata{Name: o.Name},
 		})
-		platform.Expire()
+		platform.ExpireEvents()
 		platform.SetOutage(false)
 		for _, d := range allDaemons(c) {
 			Eventually(ctx, func() bool {
--- a/internal/savorypincluster/daemons.go
+++ b/internal/savorypincluster/daemons.go
@@ -198,8 +198,9 @@
 	return nil
 }
 
-// RestartEntry kills an entry and starts a new one with the same settings, the
-// same address for other daemons and no state.
+// RestartEntry kills an entry and starts a new one with the same address for other
+// daemons and no state. Its settings are the same, except that the seeds are all
+// entries and not only those that were added before it.
 func (c *Cluster) RestartEntry(i int) error {
 	old := c.entries[i]
 	old.Kill()
--- a/internal/savorypincluster/move_test.go
+++ b/internal/savorypincluster/move_test.go
@@ -23,12 +23,12 @@
 )
 
 const (
-	moveName      = "night"
-	moveTimeout   = "60s"
-	newModel      = "assistant-new"
-	newVersion    = "assistant-new-v1"
-	planPrompt    = "plan"
-	streamTimeout = 3000
+	moveName        = "night"
+	moveTimeout     = "60s"
+	newModel        = "assistant-new"
+	newVersion      = "assistant-new-v1"
+	planPrompt      = "plan"
+	streamTimeoutMS = 3000
 	// decodeRate is the number of tokens per second that an engine generates for
 	// each request.
 	decodeRate = 200
@@ -47,8 +47,8 @@
 	return startMoveAtRate(ctx, share, decodeRate, models)
 }
 
-// startMoveAtRate is startMove with engines that generate the given number of
-// tokens per second.
+// startMoveAtRate is like startMove, but its engines generate the given number of
+// tokens per second for each request.
 func startMoveAtRate(ctx context.Context, share, rate float64, models func(int) []string) *savorypincluster.Cluster {
 	c, err := savorypincluster.Start(context.WithoutCancel(ctx), savorypincluster.Config{
 		Agents:  4,
@@ -119,7 +119,7 @@
 	for i := range workers {
 		client := c.Client(i % len(c.Entries()))
 		req := savorypinclient.Request{
-			MaxTokens: 4, Prompt: "chat", Route: "chat", Service: savorypincluster.Service, TimeoutMS: streamTimeout,
+			MaxTokens: 4, Prompt: "chat", Route: "chat", Service: savorypincluster.Service, TimeoutMS: streamTimeoutMS,
 		}
 		if i%4 == 0 {
 			req.Prompt, req.Route = planPrompt, planPrompt
@@ -194,8 +194,8 @@
 	Expect(requests.Load()).To(BeZero())
 }
 
-// countStreams returns f and counts in n the requests of streamTokens for the
-// new model.
+// countStreams wraps f in a function that counts in n the requests of streamTokens
+// to the new model.
 func countStreams(n *atomic.Int64, f faultFunc) faultFunc {
 	want := savorypinstandin.Tokenize(streamPrompt)
 	return func(model string, prompt []int32, running int) savorypinstandin.Fault {
--- a/internal/savorypincluster/network_test.go
+++ b/internal/savorypincluster/network_test.go
@@ -20,7 +20,7 @@
 	wg         sync.WaitGroup
 }
 
-// gate forwards the data of one connection only while it is open.
+// gate blocks the data of one connection while it is closed.
 type gate struct {
 	mu   sync.Mutex
 	open chan struct{}
--- a/internal/savorypincluster/objects.go
+++ b/internal/savorypincluster/objects.go
@@ -85,14 +85,14 @@
 // WaitServing waits until an entry serves Service and Ledger and can use the
 // engines of all agents. It returns an error if the cluster is closed first.
 func (c *Cluster) WaitServing(i int) error {
-	const pause = 20 * time.Millisecond
+	const pollInterval = 20 * time.Millisecond
 	for {
 		err := c.checkServing(i)
 		if err == nil {
 			return nil
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(pollInterval):
 		case <-c.ctx.Done():
 			return fmt.Errorf("entry %d does not serve: %w", i, err)
 		}
--- a/internal/savorypincluster/order_test.go
+++ b/internal/savorypincluster/order_test.go
@@ -20,8 +20,8 @@
 	secondVersion = "assistant-v2"
 )
 
-// loadOrders returns the orders to load the second model that engines have
-// executed.
+// loadOrders returns the orders to load the second model that the engines have
+// accepted.
 func loadOrders(c *savorypincluster.Cluster) []string {
 	var all []string
 	for _, a := range c.Agents() {
@@ -74,7 +74,7 @@
 		Eventually(func() int { return len(loadOrders(c)) }, orderTimeout).Should(BeNumerically(">=", 2))
 	})
 
-	It("with an old fencing number never reach an endpoint that doesn't check fences, even after its agent restarted", func(ctx SpecContext) {
+	It("with an old fencing number never reach an endpoint that doesn't check fencing numbers, even after its agent restarted", func(ctx SpecContext) {
 		c := startCluster(ctx, 1, 2)
 		Eventually(func() int64 {
 			fence, _ := currentController(c)
@@ -90,8 +90,8 @@
 				})
 			return err
 		}
-		// While the entry hasn't noticed that its connection to the old agent is
-		// closed, the outcome of an order is unknown to it. No order may ever run.
+		// Until the entry notices that its connection to the old agent is closed,
+		// it can't know the outcome of an order. No order may ever run.
 		Eventually(func() savorypin.ErrorKind {
 			kind := savorypin.KindOf(sendOrder(0))
 			Expect(kind).To(BeElementOf(savorypin.KindNotRun, savorypin.KindUnknown, savorypin.KindUnreachable))
--- a/internal/savorypincluster/resume_bench_test.go
+++ b/internal/savorypincluster/resume_bench_test.go
@@ -28,7 +28,7 @@
 			n.Blackhole(busiestAgent(c).Daemon().Self().Address, false)
 		}},
 		{"engine-killed", func(c *savorypincluster.Cluster, _ *network) { busiestAgent(c).Engine.Kill() }},
-		{"engine-stalled", func(c *savorypincluster.Cluster, _ *network) { busiestAgent(c).Engine.Stall(true) }},
+		{"engine-stalled", func(c *savorypincluster.Cluster, _ *network) { busiestAgent(c).Engine.SetStalled(true) }},
 		{"entry-and-agent-killed", func(c *savorypincluster.Cluster, _ *network) {
 			a := busiestAgent(c)
 			go a.Kill()
--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -56,12 +56,12 @@
 	return func(cfg *savorypincluster.Config) { cfg.Dial = n.Dial }
 }
 
-// setResume sets the resume policy of the service and waits until it is in force
-// at the entries.
 func setResume(c *savorypincluster.Cluster, policy savorypin.ResumePolicy) {
 	Expect(applyResume(c, policy)).To(Succeed())
 }
 
+// applyResume sets the resume policy of the service and waits until it is in force
+// at the entries.
 func applyResume(c *savorypincluster.Cluster, policy savorypin.ResumePolicy) error {
 	_, err := c.Apply(savorypin.KindService, savorypincluster.Service, savorypin.ServiceSpec{
 		Resume:  policy,
@@ -186,7 +186,7 @@
 			cfg.Places = []savorypincluster.Place{{Domain: "d1", Region: "r1"}, {Domain: "d2", Region: "r2"}}
 		})
 		// The router learns of new members slightly later than the membership does.
-		// Until then it knows only the endpoint in the other region.
+		// Until then it may know only the endpoint in the other region.
 		Eventually(func() int {
 			_, _, err := streamTokens(ctx, c.Client(), 1, func(int) {})
 			Expect(err).NotTo(HaveOccurred())
@@ -243,7 +243,7 @@
 	It("lets a caller continue when another entry takes over its generation", func(ctx SpecContext) {
 		c := startCluster(ctx, 2, 2)
 		before := decodedTokens(c)
-		var second []int32
+		var statuses []int32
 		got, result, err := streamTokens(ctx, c.Client(), tokens, func(i int) {
 			if i != tokens/3 {
 				return
@@ -252,16 +252,16 @@
 			resp, err := http.Get(c.URLs()[1] + "/v1/generations/" + id + "/stream")
 			Expect(err).NotTo(HaveOccurred())
 			defer resp.Body.Close()
-			second = append(second, int32(resp.StatusCode))
+			statuses = append(statuses, int32(resp.StatusCode))
 		})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(second).To(Equal([]int32{http.StatusOK}))
+		Expect(statuses).To(Equal([]int32{http.StatusOK}))
 		Expect(got).To(Equal(want))
 		Expect(result.Attaches).To(BeNumerically(">=", 1))
 		Expect(decodedTokens(c) - before).To(Equal(tokens))
 	})
 
-	It("completes an answer for a caller that can't attach again, when its entry stops or loses the generation", func(ctx SpecContext) {
+	It("completes an answer for a caller that can't attach again, when another entry takes over the generation and the caller's entry stops", func(ctx SpecContext) {
 		c := startCluster(ctx, 2, 2, func(cfg *savorypincluster.Config) { cfg.StopGrace = 10 * time.Millisecond })
 		type answer struct {
 			Tokens []int32 `json:"tokens"`
--- a/internal/savorypincluster/route_test.go
+++ b/internal/savorypincluster/route_test.go
@@ -65,10 +65,10 @@
 			}).WithTimeout(30 * time.Second).Should(Equal(limit))
 		}
 		for _, a := range c.Agents() {
-			a.Engine.Stall(true)
+			a.Engine.SetStalled(true)
 		}
 		begun, limited := 0, 0
-		try := func() int {
+		startAtAllEntries := func() int {
 			for _, e := range c.Entries() {
 				_, err := e.Start(savorypinentry.Request{
 					Generation: savorypin.Generation{
@@ -85,9 +85,9 @@
 			}
 			return begun
 		}
-		Eventually(try).WithTimeout(30 * time.Second).Should(BeNumerically(">=", limit))
+		Eventually(startAtAllEntries).WithTimeout(30 * time.Second).Should(BeNumerically(">=", limit))
 		for range 100 {
-			try()
+			startAtAllEntries()
 		}
 		// Each entry may have begun one more request from its fallback share.
 		Expect(begun).To(BeNumerically("<=", limit+len(c.Entries())))
--- a/internal/savorypincluster/stop_test.go
+++ b/internal/savorypincluster/stop_test.go
@@ -22,8 +22,8 @@
 	return func(cfg *savorypincluster.Config) { cfg.StopGrace = d }
 }
 
-// generateWhole requests an answer that is not streamed from an entry and returns
-// the HTTP status and the tokens.
+// generateWhole requests an answer from an entry without streaming and returns the
+// HTTP status and the tokens.
 func generateWhole(ctx context.Context, url string, n int) (int, []int32, error) {
 	body, err := json.Marshal(savorypinclient.Request{
 		MaxTokens: n, Prompt: "a prompt", Seed: 7, Service: savorypincluster.Service,
@@ -69,7 +69,7 @@
 			}, 1,
 		},
 		{
-			"of an agent lets another agent continue a long answer after the last token", time.Millisecond, false,
+			"of an agent lets another agent continue a long answer after the last token sent", time.Millisecond, false,
 			func(c *savorypincluster.Cluster) <-chan struct{} {
 				a := busiestAgent(c)
 				a.Daemon().Stop()
@@ -141,7 +141,7 @@
 		Eventually(c.Entries()[0].Done(), orderTimeout).Should(BeClosed())
 	})
 
-	It("of an agent sends it no new work from then on", func(ctx SpecContext) {
+	It("of an agent keeps new work away from the agent", func(ctx SpecContext) {
 		c := startCluster(ctx, 1, 2, withStopGrace(time.Minute))
 		leaving := c.Agents()[0]
 		_, _, err := streamTokens(ctx, c.Client(), 2, func(int) {})
--- a/internal/savorypinstandin/engine.go
+++ b/internal/savorypinstandin/engine.go
@@ -37,37 +37,37 @@
 type Engine struct {
 	cfg EngineConfig
 
-	mu          sync.Mutex
-	cached      map[uint64]bool
-	decoded     int
-	isKilled    bool
-	killed      chan struct{}
-	failRatio   float64
-	faults      func(model string, prompt []int32, running int) Fault
-	fence       int64
-	models      []string
-	orders      []string
-	prefilled   int
-	requests    int
-	requestsFor map[string]int
-	running     int
-	slots       chan struct{}
-	slowdowns   map[string]float64
-	stalled     bool
-	waiting     int
+	mu           sync.Mutex
+	cachedBlocks map[uint64]bool
+	decoded      int
+	isKilled     bool
+	killed       chan struct{}
+	failRatio    float64
+	faults       func(model string, prompt []int32, running int) Fault
+	fence        int64
+	models       []string
+	orders       []string
+	prefilled    int
+	requests     int
+	requestsFor  map[string]int
+	running      int
+	slots        chan struct{}
+	slowdowns    map[string]float64
+	stalled      bool
+	waiting      int
 }
 
-// NewEngine returns an engine that serves requests at once.
+// NewEngine returns an engine that has cfg.Models loaded and accepts requests.
 func NewEngine(cfg EngineConfig) *Engine {
 	return &Engine{
-		cfg:         cfg,
-		cached:      map[uint64]bool{},
-		killed:      make(chan struct{}),
-		faults:      func(string, []int32, int) Fault { return Fault{} },
-		models:      slices.Clone(cfg.Models),
-		slots:       make(chan struct{}, cfg.Slots),
-		requestsFor: map[string]int{},
-		slowdowns:   map[string]float64{},
+		cfg:          cfg,
+		cachedBlocks: map[uint64]bool{},
+		killed:       make(chan struct{}),
+		faults:       func(string, []int32, int) Fault { return Fault{} },
+		models:       slices.Clone(cfg.Models),
+		slots:        make(chan struct{}, cfg.Slots),
+		requestsFor:  map[string]int{},
+		slowdowns:    map[string]float64{},
 	}
 }
 
@@ -88,7 +88,8 @@
 	}
 }
 
-// Orders returns the orders executed, each as action, model and fencing number.
+// Orders returns the orders accepted so far, each as action, model and fencing
+// number.
 func (e *Engine) Orders() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -103,15 +104,15 @@
 	return e.requests, e.running
 }
 
-// Stall stops or continues all output without closing connections.
-func (e *Engine) Stall(stalled bool) {
+// SetStalled stops or resumes the output of tokens without closing connections.
+func (e *Engine) SetStalled(stalled bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stalled = stalled
 }
 
-// completion holds the fields of an OpenAI-compatible completion request that the
-// stand-in supports.
+// completion is an OpenAI-compatible completion request. Its priority and its
+// temperature have no effect on the answer.
 type completion struct {
 	MaxTokens   int             `json:"max_tokens"`
 	Model       string          `json:"model"`
@@ -164,7 +165,7 @@
 	case "slow":
 		e.SetSlowdown(query.Get("model"), value)
 	case "stall":
-		e.Stall(query.Get("on") == "true")
+		e.SetStalled(query.Get("on") == "true")
 	default:
 		http.NotFound(w, r)
 	}
@@ -266,7 +267,7 @@
 	e.decode(w, r, req, prompt)
 }
 
-// admit counts a request and returns its HTTP status.
+// admit counts a request and returns the HTTP status to respond with.
 func (e *Engine) admit(model string, fault Fault) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -278,7 +279,7 @@
 	if !slices.Contains(e.models, model) {
 		return http.StatusNotFound
 	}
-	// Failures are spread evenly over the requests, so that tests are repeatable.
+	// Spreads the failures evenly over the requests, so that tests are repeatable.
 	n := float64(e.requests)
 	if int(n*e.failRatio) != int((n-1)*e.failRatio) {
 		return http.StatusInternalServerError
@@ -324,8 +325,8 @@
 		if (i+1)%blockTokens != 0 {
 			continue
 		}
-		if sum := digest.Sum64(); !e.cached[sum] {
-			e.cached[sum] = true
+		if sum := digest.Sum64(); !e.cachedBlocks[sum] {
+			e.cachedBlocks[sum] = true
 			missing += blockTokens
 		}
 	}
--- a/internal/savorypinstandin/ledger.go
+++ b/internal/savorypinstandin/ledger.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// Ledger is a stand-in for a plain service. It counts its runs by idempotency key.
+// Ledger is a stand-in for a plain service. It counts the calls that it has run by
+// idempotency key.
 type Ledger struct {
 	mu            sync.Mutex
 	delay         time.Duration
@@ -33,7 +34,7 @@
 	l.answersToLose = n
 }
 
-// Runs returns the number of runs by idempotency key.
+// Runs returns the number of runs by idempotency key. It omits calls without a key.
 func (l *Ledger) Runs() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,17 +73,18 @@
 	if delay > 0 {
 		time.Sleep(delay)
 	}
-	entry, lose := l.run(r.Header.Get("Idempotency-Key"))
+	number, lose := l.run(r.Header.Get("Idempotency-Key"))
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	fmt.Fprintf(w, `{"entry":%d,"path":%q,"bytes":%d}`, entry, r.URL.Path, len(body))
+	fmt.Fprintf(w, `{"entry":%d,"path":%q,"bytes":%d}`, number, r.URL.Path, len(body))
 }
 
-// run counts a run and returns its number, and whether its answer is to be lost.
-func (l *Ledger) run(key string) (entry int, lose bool) {
+// run counts a run and returns its number, starting from 1, and whether to close
+// the connection instead of answering.
+func (l *Ledger) run(key string) (number int, lose bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.total++
--- a/internal/savorypinstandin/platform.go
+++ b/internal/savorypinstandin/platform.go
@@ -76,10 +76,10 @@
 
 // SetOutage starts or ends an outage, during which calls fail with status 503.
 // Open watches end when it starts.
-func (p *Platform) SetOutage(out bool) {
+func (p *Platform) SetOutage(outage bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.outage = out
+	p.outage = outage
 	p.notifyWatches()
 }
 
@@ -93,9 +93,9 @@
 	p.recordEvent(savorypinplatform.Event{Object: doc, Type: savorypinplatform.EventDeleted})
 }
 
-// Expire discards all past events, so that watches from an earlier version get an
-// error event and their clients have to list the objects again.
-func (p *Platform) Expire() {
+// ExpireEvents discards all past events, so that watches from an earlier version
+// get an error event and their clients have to list the objects again.
+func (p *Platform) ExpireEvents() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.events = nil
