Reword the measurements of scaling

domainDelay and regionDelay were the delays within a region and between regions; they are intraRegionDelay and interRegionDelay now. Heartbeats were called beats in some places. The comments of transmit, count, admitRequests and runUnpaused took two readings. The bound of 60 bytes per token now says how many tokens the bandwidth between regions carries.

The names of three specs say more exactly what they check, and a random draw is labelled duplicates instead of twice; the checks are the same. 11 comments, 14 names and 4 spec names and labels changed.

--- a/internal/savorypinscaling/fakeplatform.go
+++ b/internal/savorypinscaling/fakeplatform.go
@@ -29,8 +29,8 @@
 }
 
 // SetOutage starts or ends an outage of the platform.
-func (f *Fleet) SetOutage(out bool) {
-	f.platform.outage = out
+func (f *Fleet) SetOutage(outage bool) {
+	f.platform.outage = outage
 }
 
 // Write writes a new version of an object to the platform, as an operator would,
--- a/internal/savorypinscaling/fleet.go
+++ b/internal/savorypinscaling/fleet.go
@@ -17,13 +17,13 @@
 	"savorypin/internal/savorypinmember"
 )
 
-// One-way delays of the network.
+// One-way delays of the network, within a region and between regions.
 const (
-	domainDelay = 500 * time.Microsecond
-	regionDelay = 12 * time.Millisecond
+	intraRegionDelay = 500 * time.Microsecond
+	interRegionDelay = 12 * time.Millisecond
 )
 
-// answerTimeout is the time after which an answer is ignored.
+// answerTimeout is the time after a request at which its answer is ignored.
 const answerTimeout = time.Second
 
 // Place is a failure domain in a region.
@@ -190,13 +190,13 @@
 // delay returns the one-way delay between two daemons.
 func (f *Fleet) delay(from, to *Node) time.Duration {
 	if from.place().Region != to.place().Region {
-		return regionDelay
+		return interRegionDelay
 	}
-	return domainDelay
+	return intraRegionDelay
 }
 
-// transmit sends one frame. It arrives after the delay of the link, and is lost or
-// duplicated as the faults of the fleet say.
+// transmit sends one frame. Unless the link is cut, the frame arrives after the
+// delay of the link, and is lost or duplicated at the ratios set by SetFaults.
 func transmit[T any](f *Fleet, from, to *Node, kind savorypinmember.FrameKind, v T, receive func(T)) {
 	data, err := savorypinmember.EncodeFrame(kind, f.eventSeq, v)
 	if err != nil {
@@ -228,7 +228,8 @@
 	}
 }
 
-// count adds a frame to the counts of the fleet and of both its ends.
+// count adds a frame to the counts of the fleet, and its bytes with headers to the
+// counts of the sender and the receiver.
 func (f *Fleet) count(from, to *Node, kind savorypinmember.FrameKind, bytes int) {
 	from.bytes += bytes + segmentBytes
 	to.bytes += bytes + segmentBytes
--- a/internal/savorypinscaling/fleet_test.go
+++ b/internal/savorypinscaling/fleet_test.go
@@ -41,8 +41,8 @@
 func inForce(f *savorypinscaling.Fleet, o savorypin.Object, except ...*savorypinscaling.Node) bool {
 	for _, n := range f.Nodes() {
 		skip := false
-		for _, b := range except {
-			skip = skip || b == n
+		for _, excluded := range except {
+			skip = skip || excluded == n
 		}
 		if !skip && !n.Config().Holds(o.Key, o.Version) {
 			return false
@@ -66,7 +66,7 @@
 	It("never goes back to an older version, and converges, under losses, duplicates, pauses and restarts", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			f, _ := newFleet(rapid.IntRange(3, 12).Draw(t, "members"), rapid.Uint64().Draw(t, "seed"))
-			f.SetFaults(rapid.Float64Range(0, 0.3).Draw(t, "loss"), rapid.Float64Range(0, 0.3).Draw(t, "twice"))
+			f.SetFaults(rapid.Float64Range(0, 0.3).Draw(t, "loss"), rapid.Float64Range(0, 0.3).Draw(t, "duplicates"))
 			seen := map[string]int64{}
 			var last savorypin.Object
 			for i := range rapid.IntRange(1, 8).Draw(t, "changes") {
@@ -111,8 +111,8 @@
 			f.RunUntil(8*time.Second, func() bool {
 				for _, n := range f.Nodes() {
 					for _, m := range n.Members().All() {
-						// An agent whose reports don't reach an entry may only be
-						// unusable there.
+						// An entry that an agent's reports don't reach may consider
+						// the agent unusable, but not dead.
 						if m.Health() == savorypinmembership.HealthDead {
 							Fail(fmt.Sprintf("%s has declared %s dead", n.Name(), m.State().Name))
 						}
@@ -163,7 +163,7 @@
 		Expect(inForce(f, o)).To(BeTrue())
 	})
 
-	It("keeps all members during a long partition between regions, and catches up within the bounds on bytes", func() {
+	It("keeps all members during a long partition between regions, and catches up within the limit on bytes", func() {
 		f, _ := newFleet(28, 9)
 		f.SetCut(func(from, to *savorypinscaling.Node) bool { return (from.Region() == "b") != (to.Region() == "b") })
 		f.Run(4 * time.Minute)
@@ -200,7 +200,7 @@
 		}
 	})
 
-	It("does not become ready with neither the platform nor peers", func() {
+	It("does not become ready while it reaches neither the platform nor peers", func() {
 		f, _ := newFleet(5, 13)
 		f.SetOutage(true)
 		f.SetCut(func(from, to *savorypinscaling.Node) bool {
@@ -221,7 +221,7 @@
 		Expect(f.RunUntil(time.Minute, func() bool { return inForce(f, o) })).To(BeNumerically("<=", inForceLimit))
 	})
 
-	It("spreads a change in time when a reader in each failure domain is paused", func() {
+	It("spreads a change within 8 ticks when one reader in each failure domain is paused", func() {
 		f, _ := newFleet(40, 17)
 		var paused []*savorypinscaling.Node
 		domains := map[string]bool{}
--- a/internal/savorypinscaling/limit.go
+++ b/internal/savorypinscaling/limit.go
@@ -26,7 +26,7 @@
 )
 
 // ampleLimits are far above the usage of an organisation at all entries.
-// tightLimits are so low that each entry reports the demand again and again.
+// tightLimits are so low that each entry keeps reporting its demand.
 var (
 	ampleLimits = savorypin.OrganisationSpec{RequestsPerSecond: 100, TokensPerSecond: 10_000}
 	tightLimits = savorypin.OrganisationSpec{RequestsPerSecond: 0.1, TokensPerSecond: 10}
@@ -87,22 +87,23 @@
 
 // limitMeter counts the bytes that one entry exchanges with the owners of limits.
 type limitMeter struct {
-	bytes           int
-	pendingRequests float64
-	limiter         *savorypinlimit.Limiter
-	next            int
-	owners          map[string]*savorypinlimit.Owner
-	ranking         savorypinlimit.Owners
-	specs           map[string]savorypin.OrganisationSpec
+	bytes            int
+	pendingRequests  float64
+	limiter          *savorypinlimit.Limiter
+	nextOrganisation int
+	owners           map[string]*savorypinlimit.Owner
+	ranking          savorypinlimit.Owners
+	specs            map[string]savorypin.OrganisationSpec
 }
 
-// admitRequests makes the entry's requests of one exchange interval, of the
-// organisations in turn. The size is relative to that of limitMembers members.
-func (m *limitMeter) admitRequests(size float64) {
-	m.pendingRequests += size * limitRequests / limitEntries * savorypinlimit.ExchangeInterval.Seconds()
+// admitRequests passes the requests that the entry receives in one exchange
+// interval, from the organisations in turn, to the limiter. The scale is the number
+// of members relative to limitMembers.
+func (m *limitMeter) admitRequests(scale float64) {
+	m.pendingRequests += scale * limitRequests / limitEntries * savorypinlimit.ExchangeInterval.Seconds()
 	for ; m.pendingRequests >= 1; m.pendingRequests-- {
-		name := fmt.Sprintf("organisation-%04d", m.next%len(m.specs))
-		m.next++
+		name := fmt.Sprintf("organisation-%04d", m.nextOrganisation%len(m.specs))
+		m.nextOrganisation++
 		if admission, err := m.limiter.Admit(name, 512); err == nil {
 			admission.Release(256)
 		}
--- a/internal/savorypinscaling/measure_test.go
+++ b/internal/savorypinscaling/measure_test.go
@@ -74,7 +74,8 @@
 
 var _ = Describe("Relay", func() {
 	It("sends a token in at most 60 bytes", func() {
-		// The bandwidth between regions is 30 Mbit/s.
+		// The bandwidth between regions is 30 Mbit/s, which is 62,500 tokens of 60
+		// bytes per second.
 		const maxBytes = 60
 		bytes := valueOf(savorypinscaling.Relay(1), "payload")
 		Expect(bytes).To(And(BeNumerically(">", 0), BeNumerically("<=", maxBytes)))
--- a/internal/savorypinscaling/naive.go
+++ b/internal/savorypinscaling/naive.go
@@ -22,21 +22,21 @@
 func Naive(members int) []Row {
 	f := NewFleet(FleetConfig{Endpoints: endpointsPerAgent, EntryEvery: entryEvery, Members: members, Seed: 1})
 	f.Run(time.Second)
-	var beat naiveHeartbeat
+	var heartbeat naiveHeartbeat
 	for _, n := range f.nodes {
 		n.loads = make([]int, endpointsPerAgent)
-		beat.Members = append(beat.Members, n.describe())
+		heartbeat.Members = append(heartbeat.Members, n.describe())
 	}
-	request := frameBytes(beat)
-	answer := frameBytes(naiveHeartbeat{Members: beat.Members[:1]})
-	// Each daemon sends a request to every other one and answers theirs, and
-	// receives as much.
+	request := frameBytes(heartbeat)
+	answer := frameBytes(naiveHeartbeat{Members: heartbeat.Members[:1]})
+	// Each daemon sends a request to every other one and answers theirs, so it
+	// receives as many bytes as it sends.
 	const ends = 2
-	beats := float64(members-1) / naiveInterval.Seconds()
+	heartbeatRate := float64(members-1) / naiveInterval.Seconds()
 	rows := []Row{
-		{Name: "payload sent and received", Unit: "B/s", Value: ends * beats * float64(request+answer)},
-		{Name: "the same with TCP headers", Unit: "B/s", Value: ends * beats * float64(request+answer+2*segmentBytes)},
-		{Name: "frames sent and received", Unit: "/s", Value: ends * beats * 2},
+		{Name: "payload sent and received", Unit: "B/s", Value: ends * heartbeatRate * float64(request+answer)},
+		{Name: "the same with TCP headers", Unit: "B/s", Value: ends * heartbeatRate * float64(request+answer+2*segmentBytes)},
+		{Name: "frames sent and received", Unit: "/s", Value: ends * heartbeatRate * 2},
 		{Name: "platform: open watches", Unit: "calls", Value: float64(members * len(savorypin.ConfigKinds))},
 	}
 	for i := range rows {
--- a/internal/savorypinscaling/node.go
+++ b/internal/savorypinscaling/node.go
@@ -127,8 +127,8 @@
 	n.tick(n.epoch)
 }
 
-// runUnpaused runs f, after the daemon's pause if it is paused. It drops f if the
-// daemon has ended or restarted since the given epoch.
+// runUnpaused runs f, at the end of the pause if the daemon is paused. It drops f
+// if the daemon has ended or restarted since the given epoch.
 func (n *Node) runUnpaused(epoch int, f func()) {
 	if n.epoch != epoch || !n.running {
 		return
@@ -146,8 +146,8 @@
 		n.runUnpaused(epoch, func() { n.tick(epoch) })
 	})
 	n.changeLoads()
-	beats, reports := n.gossip.Tick()
-	n.sendBeats(beats)
+	heartbeats, reports := n.gossip.Tick()
+	n.sendHeartbeats(heartbeats)
 	for _, r := range reports {
 		n.sendReport(r)
 	}
@@ -206,20 +206,20 @@
 	return len(domains)
 }
 
-func (n *Node) sendBeats(beats []savorypinmembership.Envelope) {
-	for _, e := range beats {
+func (n *Node) sendHeartbeats(heartbeats []savorypinmembership.Envelope) {
+	for _, e := range heartbeats {
 		call(n, e.Address, savorypinmember.FrameHeartbeat, e.Message,
 			func(to *Node, m savorypinmembership.Message) savorypinmembership.Message {
 				answer, out := to.gossip.HandleRequest(m)
-				to.sendBeats(out)
+				to.sendHeartbeats(out)
 				return answer
 			},
-			func(answer savorypinmembership.Message) { n.handleBeatAnswer(e, answer) })
+			func(answer savorypinmembership.Message) { n.handleHeartbeatAnswer(e, answer) })
 	}
 }
 
-func (n *Node) handleBeatAnswer(e savorypinmembership.Envelope, answer savorypinmembership.Message) {
-	n.sendBeats(n.gossip.HandleAnswer(e, answer))
+func (n *Node) handleHeartbeatAnswer(e savorypinmembership.Envelope, answer savorypinmembership.Message) {
+	n.sendHeartbeats(n.gossip.HandleAnswer(e, answer))
 	if m, ok := n.gossip.View().Get(answer.From); ok && answer.Synced {
 		n.readiness.CompareDigest(m.State().Domain, n.store.Snapshot().Digest(), answer.Applied)
 	}
--- a/internal/savorypinscaling/relay.go
+++ b/internal/savorypinscaling/relay.go
@@ -61,9 +61,9 @@
 	return rows
 }
 
-// relayConfig returns the configuration of one of the transports. If in is set, it
-// is called with the number of bytes received.
-func relayConfig(name string, in func(int), handlers map[savorypinmember.FrameKind]savorypinmember.Handler) savorypinmember.TransportConfig {
+// relayConfig returns the configuration of one of the transports. If countReceived
+// is set, it is called with the number of bytes received.
+func relayConfig(name string, countReceived func(int), handlers map[savorypinmember.FrameKind]savorypinmember.Handler) savorypinmember.TransportConfig {
 	cfg := savorypinmember.TransportConfig{
 		Handlers:         handlers,
 		HandshakeTimeout: relayTimeout,
@@ -73,8 +73,8 @@
 		Self:             savorypinmember.Hello{Name: name},
 		ProbeTimeout:     relayTimeout,
 	}
-	if in != nil {
-		cfg.CountIn = func(_ savorypinmember.Hello, n int) { in(n) }
+	if countReceived != nil {
+		cfg.CountIn = func(_ savorypinmember.Hello, n int) { countReceived(n) }
 	}
 	return cfg
 }
--- a/internal/savorypinscaling/route.go
+++ b/internal/savorypinscaling/route.go
@@ -30,17 +30,17 @@
 		OnBegin:            func(savorypin.Purpose) {},
 		Count:              func(string, int64) {},
 		LinkBytesPerSecond: 30e6 / 8,
-		LinkDelay:          func(_, _ string) time.Duration { return regionDelay },
+		LinkDelay:          func(_, _ string) time.Duration { return interRegionDelay },
 		Now:                time.Now,
 		Rand:               rand.New(rand.NewPCG(1, 1)).Float64,
 		Region:             Places[0].Region,
 	})
 	router.Refresh(table.View())
 	memory := heapBytes() - before
-	need := savorypinroute.Request{MaxTokens: 512, PromptBytes: 4096, Purpose: savorypin.PurposeFirst, Region: Places[0].Region, Service: "assistant", Version: "assistant-v1"}
+	request := savorypinroute.Request{MaxTokens: 512, PromptBytes: 4096, Purpose: savorypin.PurposeFirst, Region: Places[0].Region, Service: "assistant", Version: "assistant-v1"}
 	cpu := processorTime()
 	for range routeChoices {
-		if c, err := router.Choose(need); err == nil {
+		if c, err := router.Choose(request); err == nil {
 			c.Begin()
 			c.Done(nil)
 		}
