Reword comments of the callers' API and the test setup

The comment of a generation whose entry lost it did not say that the entry may take it over again. keepAliveInterval read as a duration without tokens, it is the interval of the accepted event. Random tests are property-based tests. 6 comments changed.

--- a/internal/savorypincaller/handler.go
+++ b/internal/savorypincaller/handler.go
@@ -67,8 +67,9 @@
 		var end savorypinentry.End
 		position, end, err = collectTokens(ctx, relay, position, answer, &text)
 		if errors.Is(err, savorypinentry.ErrTakenOver) {
-			// This caller can't attach to the generation again, so the entry finds
-			// its new relay.
+			// This caller can't attach to the generation again, so the entry looks
+			// for a relay that can continue after the last token, or takes the
+			// generation over.
 			relay, err = s.entry.Find(ctx, position)
 			if err == nil {
 				continue
--- a/internal/savorypincaller/status.go
+++ b/internal/savorypincaller/status.go
@@ -29,7 +29,8 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// withStatus lets the methods that next calls set the status of the response.
+// withStatus returns middleware that lets the methods of the API set the status of
+// the response by setStatus.
 func withStatus(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writer := &statusWriter{ResponseWriter: w}
@@ -37,7 +38,7 @@
 	})
 }
 
-// setStatus sets the status of the response to the request of ctx.
+// setStatus sets the status of a successful response to the request of ctx.
 func setStatus(ctx context.Context, status int) {
 	if w, ok := ctx.Value(statusWriterKey{}).(*statusWriter); ok {
 		w.status = status
--- a/internal/savorypincaller/stream.go
+++ b/internal/savorypincaller/stream.go
@@ -12,8 +12,8 @@
 	"savorypin/internal/savorypinentry"
 )
 
-// keepAliveInterval is how long a stream sends no token before it repeats the
-// accepted event.
+// keepAliveInterval is the interval at which a stream repeats the accepted event
+// while it has no token to send.
 const keepAliveInterval = 500 * time.Millisecond
 
 // sendFunc sends an event. It is the method SendWithContext of goa's streams.
--- a/internal/savorypintest/suite.go
+++ b/internal/savorypintest/suite.go
@@ -9,11 +9,11 @@
 	"github.com/onsi/gomega"
 )
 
-// rapidSeed is the fixed seed of random tests, which makes them repeatable.
+// rapidSeed is the fixed seed of property-based tests, which makes them repeatable.
 const rapidSeed = "20261204"
 
-// RunSuite runs the specs of a package. Random tests use a fixed seed unless the
-// flag -rapid.seed sets another one.
+// RunSuite runs the specs of a package. Property-based tests use a fixed seed
+// unless the flag -rapid.seed sets another one.
 func RunSuite(t *testing.T, name string) {
 	t.Helper()
 	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
