Say in explain's summary that the gateway answered with an error

"the gateway refused the request with status 502" was wrong after an attempt that failed: elsewhere, refused means that the request has not run. The summary says now that the gateway answered with an error of its own, with its status and reason, and the comment says in which cases. The specs in savorypinexplain and internal/cmd match the new text as exactly as the old one. Event kinds and causes are unchanged.

--- a/internal/cmd/explaincmd_test.go
+++ b/internal/cmd/explaincmd_test.go
@@ -31,7 +31,7 @@
 		}{{gatewayLog, []string{"r1"}}, {"", []string{"r1", file}}} {
 			out, err := explain(run.stdin, run.args...)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(out).To(HavePrefix("request r1: the gateway refused the request with status 502: endpoint failed"))
+			Expect(out).To(HavePrefix("request r1: the gateway answered with an error of its own, status 502: endpoint failed"))
 		}
 	})
 
--- a/internal/savorypinexplain/report.go
+++ b/internal/savorypinexplain/report.go
@@ -101,10 +101,12 @@
 	}
 }
 
-// summarizeRefusal says why the gateway refused the request, and how its stream failed and
-// its last attempt at an endpoint ended, if there were any.
+// summarizeRefusal says with which error of its own the gateway answered, either without
+// having run the request or after it got no complete response from an endpoint. It also
+// says how the stream failed and how the last attempt at an endpoint ended, if there were
+// any.
 func summarizeRefusal(history []Line, last Line) string {
-	text := fmt.Sprintf("the gateway refused the request with status %s: %s; configuration %s, confirmed %s ms before, %s endpoints, %s of them suspect",
+	text := fmt.Sprintf("the gateway answered with an error of its own, status %s: %s; configuration %s, confirmed %s ms before, %s endpoints, %s of them suspect",
 		last.Value("status"), last.Value("reason"), last.Value("configuration"), last.Value("confirmationAge"),
 		last.Value("endpoints"), last.Value("suspects"))
 	for _, line := range slices.Backward(history) {
--- a/internal/savorypinexplain/report_test.go
+++ b/internal/savorypinexplain/report_test.go
@@ -32,7 +32,7 @@
 
 	for _, tc := range []struct{ id, summary string }{
 		{"r1", "the stream failed after event 7 and 1 attempts: retry budget is spent"},
-		{"r2", "the gateway refused the request with status 502: endpoint failed; configuration 4, confirmed 300 ms before, 3 endpoints, 1 of them suspect; " +
+		{"r2", "the gateway answered with an error of its own, status 502: endpoint failed; configuration 4, confirmed 300 ms before, 3 endpoints, 1 of them suspect; " +
 			"the last attempt, at i-9, ended after 80 ms: unknown connection reset"},
 		{"r3", `the log ends with "stream sent": the gateway edge-2 may have been killed, or lines were left out`},
 	} {
