Restore reasons in comments and correct names that don't exist

Comments named reopenSpreadRatio, remoteWaiting, ErrGap and simProbeTimeout; they name retrySpreadRatio, remoteWaitingTokens, ErrMissingTokens and simSilenceTimeout now.

Reasons that a rewording lost are back: what the score of Choose estimates, what the specs on irregular failures and on late orders guard against, why preallocation is bounded, on whose behalf a daemon reads the list of hosts, where 670 organisations and 95 in 100 requests come from, what the limit of concurrent loads stands for, which daemons serve the operators' API, that placement also decides on the order of the steps, and what Debug is for.

The spec "of an agent keeps new work away from the agent" has "at once" in its name, as it counts from directly after the stop; its checks are unchanged.

--- a/internal/cmd/daemonflags.go
+++ b/internal/cmd/daemonflags.go
@@ -23,7 +23,8 @@
 // planned stop.
 const defaultStopGrace = time.Minute
 
-// defaultWeightLoads is the default limit of concurrent loads from the weight store.
+// defaultWeightLoads is the default limit of concurrent loads from the weight store: the
+// number that the store can serve at the same time.
 const defaultWeightLoads = 4
 
 // minKeyBytes is the minimum length of a key that daemons share.
@@ -93,7 +94,7 @@
 		},
 		&cli.IntFlag{
 			Destination: &s.WeightLoads, Name: "weight-loads", Sources: env("WEIGHT_LOADS"), Value: defaultWeightLoads,
-			Usage: "maximum number of concurrent loads from the weight store; must be the same for all daemons",
+			Usage: "maximum number of concurrent loads that the weight store can serve; must be the same for all daemons",
 		},
 	}
 }
--- a/internal/savorypinadmission/admission.go
+++ b/internal/savorypinadmission/admission.go
@@ -23,7 +23,7 @@
 	// the requests. The ramp is at most as long as the pause.
 	maxRamp = 2 * time.Second
 	// minRetrySpread is the minimum time over which retries of refused callers are
-	// spread; after longer pauses it is reopenSpreadRatio of the pause.
+	// spread; after longer pauses it is retrySpreadRatio of the pause.
 	minRetrySpread   = 200 * time.Millisecond
 	retrySpreadRatio = 0.25
 	// recordRetention is how long the record of an incarnation that is no longer listed
--- a/internal/savorypincluster/stop_test.go
+++ b/internal/savorypincluster/stop_test.go
@@ -141,7 +141,7 @@
 		Eventually(c.Entries()[0].Done(), orderTimeout).Should(BeClosed())
 	})
 
-	It("of an agent keeps new work away from the agent", func(ctx SpecContext) {
+	It("of an agent keeps new work away from the agent at once", func(ctx SpecContext) {
 		c := startCluster(ctx, 1, 2, withStopGrace(time.Minute))
 		leaving := c.Agents()[0]
 		_, _, err := streamTokens(ctx, c.Client(), 2, func(int) {})
--- a/internal/savorypindaemon/watchhosts.go
+++ b/internal/savorypindaemon/watchhosts.go
@@ -14,7 +14,8 @@
 const hostInterval = 15 * time.Second
 
 // hostLoop periodically reads the platform's list of hosts, if this daemon is a reader
-// or knows no other member.
+// or knows no other member. Readers read it on behalf of all daemons; an isolated daemon
+// reads it for itself.
 func (d *Daemon) hostLoop(ctx context.Context) {
 	for {
 		if d.isReader() || len(d.Members().All()) <= 1 {
--- a/internal/savorypinevent/log.go
+++ b/internal/savorypinevent/log.go
@@ -67,7 +67,8 @@
 	l.write(e)
 }
 
-// Debug writes a line at debug level, without a rate limit.
+// Debug writes a line at debug level, without a rate limit. It is for lines that matter
+// only while a fault is being looked for.
 func (l *Log) Debug(message string, fields ...any) {
 	l.cfg.Logger.Debug(message, fields...)
 }
--- a/internal/savorypinfence/gate_test.go
+++ b/internal/savorypinfence/gate_test.go
@@ -50,8 +50,9 @@
 		Expect(gate.Begin("load", 1)).To(Equal(savorypinfence.DecisionRepeat))
 	})
 
-	// The endpoint doesn't check the fencing number. The agent must therefore refuse a late
-	// order of an old controller, also after a restart of the agent.
+	// The endpoint doesn't check the fencing number. The agent must therefore refuse an order
+	// of an old controller that arrives late because the controller or the agent was paused,
+	// also after a restart of the agent.
 	It("never passes on a lower fencing number after a higher one, also after restarts", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			gate := savorypinfence.NewGate()
--- a/internal/savorypinhazard/hazard_test.go
+++ b/internal/savorypinhazard/hazard_test.go
@@ -73,6 +73,9 @@
 
 	It("predicts the domain that has never failed if the others failed in no regular order", func() {
 		e := savorypinhazard.New([]string{"a", "b", "c", "d", "e", "f"})
+		// The step predictor must not take failures without a regular order for a regular
+		// one: on its own, it would expect e. That d is the only domain that was never hit
+		// is enough to expect it next.
 		for i, domain := range []string{"c", "f", "a", "e", "b"} {
 			e.Record(domain, at(5+6*float64(i)))
 		}
--- a/internal/savorypinlimit/limit_test.go
+++ b/internal/savorypinlimit/limit_test.go
@@ -201,8 +201,9 @@
 
 	It("sends less than the budget of control traffic with 670 organisations", func() {
 		// The budget is 23 KB per second for all control traffic of a daemon, half of it
-		// for limits. The test assumes that an entry reports all 670 organisations once
-		// every 3 s and, as an owner, answers as many reports.
+		// for limits. 670 is the number of organisations at the target size. The test assumes
+		// that an entry reports all of them once every 3 s and, as an owner, answers as many
+		// reports.
 		var usages []savorypinlimit.Usage
 		var grants []savorypinlimit.Amount
 		for i := range 670 {
--- a/internal/savorypinmember/tokens.go
+++ b/internal/savorypinmember/tokens.go
@@ -140,5 +140,6 @@
 }
 
 // maxTokensPreallocated bounds the number of tokens for which memory is allocated before they
-// are decoded.
+// are decoded. Without it, a peer could make this end allocate memory just by declaring a
+// length.
 const maxTokensPreallocated = 256
--- a/internal/savorypinoperator/handler.go
+++ b/internal/savorypinoperator/handler.go
@@ -1,4 +1,5 @@
-// Package savorypinoperator serves the operators' API of a daemon.
+// Package savorypinoperator serves the operators' API of a daemon. Every daemon serves it,
+// agents as well as entries.
 package savorypinoperator
 
 import (
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -98,7 +98,8 @@
 	replacedAt  atomic.Int64
 	failureRate atomic.Int64 // moving average, in millionths
 	latency     atomic.Int64 // moving average in nanoseconds
-	// remoteRunning and remoteWaiting are the sums reported by other gateways.
+	// remoteRunning and remoteWaitingTokens are the sums of the running requests and of the
+	// waiting prompt tokens that other gateways reported.
 	remoteRunning       atomic.Int64
 	remoteWaitingTokens atomic.Int64
 	running             atomic.Int64
@@ -184,8 +185,10 @@
 	PromptTokens int
 }
 
-// Choose returns the endpoint with the best score, or nil if there is none. It returns a
-// suspect endpoint only if all are suspect.
+// Choose returns the endpoint with the best score, or nil if there is none. The score
+// estimates how soon an endpoint answers: the best one is expected to answer first. For
+// streams, a cached prompt counts for more than the prefill that it saves. Choose returns
+// a suspect endpoint only if all are suspect.
 func (p *Picker) Choose(q Query) *savorypinfleet.Endpoint {
 	if q.Plain {
 		return p.choosePlain(q)
--- a/internal/savorypinplacement/placement.go
+++ b/internal/savorypinplacement/placement.go
@@ -1,5 +1,6 @@
 // Package savorypinplacement decides which versions to load on which endpoints of a
-// service, and limits the concurrent loads from the weight store.
+// service and in which order to take the steps, and limits the concurrent loads from the
+// weight store.
 package savorypinplacement
 
 import (
--- a/internal/savorypinresume/log.go
+++ b/internal/savorypinresume/log.go
@@ -86,7 +86,7 @@
 // Offer appends the tokens that the log lacks and returns their number. The index of
 // the first offered token is first. It ignores tokens that the log has, and those of
 // attempts that may not extend it. If first is beyond the end of the log, it returns
-// ErrGap and appends nothing.
+// ErrMissingTokens and appends nothing.
 func (l *Log) Offer(attempt savorypin.AttemptID, first int, tokens []savorypin.Token) (int, error) {
 	if !l.Extends(attempt) {
 		return 0, nil
--- a/internal/savorypinresume/simulation_test.go
+++ b/internal/savorypinresume/simulation_test.go
@@ -302,7 +302,7 @@
 }
 
 // isSilent reports whether nothing has arrived from an attempt's host for
-// simProbeTimeout.
+// simSilenceTimeout.
 func (sim *simulation) isSilent(id savorypin.AttemptID) bool {
 	h := sim.hosts[sim.find(id).host]
 	return (h.blackholed || h.crashed || h.paused) && sim.now.Sub(h.faultAt) >= simSilenceTimeout
--- a/internal/savorypinroute/route_test.go
+++ b/internal/savorypinroute/route_test.go
@@ -69,7 +69,7 @@
 }
 
 var _ = Describe("Router on a simulated workload", func() {
-	// At least 95 in 100 requests must get their first token within 1.7 s.
+	// The users require that at least 95 in 100 requests get their first token within 1.7 s.
 	const minInTimeRatio = 0.95
 	roundRobin, leastReported, router := policies[0], policies[1], policies[2]
 	for _, load := range []float64{0.5, 0.9} {
