Rename messages between daemons after what they carry

A Place read like the choice of an endpoint, which is called placing; it is the location of a generation. Verdicts carried only rejections, and Ticket was a field of type ClaimedAttempt. StartMoves and StartPlacement start nothing; they register with a daemon. The comment on FrameCancel said that entries send it; they send FrameDrop. Tags, frame kinds, metric names and log lines stay.

Place -> Location, Places -> LocationTable, Verdicts -> Rejections, Ticket -> Claimed, StartMoves -> RegisterMoves, StartPlacement -> RegisterPlacement, and the names and comments that follow: 19 files. Three texts of specs follow in queue_test.go and move_test.go.

--- a/internal/savorypinagent/agent.go
+++ b/internal/savorypinagent/agent.go
@@ -73,9 +73,9 @@
 	a.registerCalls()
 	daemon.RegisterState("agent", a.state)
 	daemon.Background(a.sweepLoop)
-	savorypincontroller.StartMoves(savorypincontroller.MovesConfig{
+	savorypincontroller.RegisterMoves(savorypincontroller.MovesConfig{
 		Daemon:    daemon,
-		Placement: savorypincontroller.StartPlacement(daemon),
+		Placement: savorypincontroller.RegisterPlacement(daemon),
 		Rand:      rand.Float64,
 	})
 	for _, e := range a.endpoints {
@@ -114,7 +114,7 @@
 	AnswerBytes int                       `json:"answerBytes"`
 	Attempts    []AttemptState            `json:"attempts"`
 	Endpoints   []savorypin.EndpointState `json:"endpoints"`
-	Places      int                       `json:"places"`
+	Locations   int                       `json:"places"`
 }
 
 // AttemptState is one attempt in the state dump.
@@ -135,7 +135,7 @@
 		AnswerBytes: a.memory.Used(),
 		Attempts:    []AttemptState{},
 		Endpoints:   a.endpointStates(),
-		Places:      a.places.Len(),
+		Locations:   a.locations.Len(),
 	}
 	for _, attempt := range a.generationAttempts {
 		s.Attempts = append(s.Attempts, attempt.state())
--- a/internal/savorypinagent/call.go
+++ b/internal/savorypinagent/call.go
@@ -67,7 +67,7 @@
 	if a.daemon.Draining() {
 		return none, savorypin.Errorf(savorypin.KindNotRun, a.daemon.Settings().Name, "agent is stopping")
 	}
-	if req.Ticket != nil {
+	if req.Claimed != nil {
 		return a.callOnce(ctx, e, req)
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
@@ -90,7 +90,7 @@
 	if !time.Now().Before(req.Deadline) {
 		return none, savorypin.Errorf(savorypin.KindNotRun, req.Endpoint, "call is past its deadline")
 	}
-	if err := a.callAttempts.Admit(*req.Ticket); err != nil {
+	if err := a.callAttempts.Admit(*req.Claimed); err != nil {
 		a.countCall("refused")
 		return refusalAnswer(req.Endpoint, err)
 	}
@@ -99,11 +99,11 @@
 	answer, sent, err := e.plain.Do(ctx, plainCall(req))
 	switch {
 	case err != nil && sent:
-		a.callAttempts.End(req.Ticket.Attempt.ID, savorypinclaim.OutcomeUnknown, nil)
+		a.callAttempts.End(req.Claimed.Attempt.ID, savorypinclaim.OutcomeUnknown, nil)
 	case err != nil:
-		a.callAttempts.End(req.Ticket.Attempt.ID, savorypinclaim.OutcomeNotRun, nil)
+		a.callAttempts.End(req.Claimed.Attempt.ID, savorypinclaim.OutcomeNotRun, nil)
 	default:
-		a.callAttempts.End(req.Ticket.Attempt.ID, savorypinclaim.OutcomeDone, &savorypinclaim.Answer{
+		a.callAttempts.End(req.Claimed.Attempt.ID, savorypinclaim.OutcomeDone, &savorypinclaim.Answer{
 			Body:        answer.Body,
 			ContentType: answer.ContentType,
 			Status:      answer.Status,
@@ -137,7 +137,7 @@
 ) (savorypinmember.BarAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Wait)
 	defer cancel()
-	outcome, answer := a.callAttempts.Bar(ctx, req.Ticket)
+	outcome, answer := a.callAttempts.Bar(ctx, req.Claimed)
 	a.countCall("bar." + string(outcome))
 	return savorypinmember.BarAnswer{Answer: answer, Outcome: outcome}, nil
 }
--- a/internal/savorypinagent/find.go
+++ b/internal/savorypinagent/find.go
@@ -8,16 +8,16 @@
 	"savorypin/internal/savorypinmember"
 )
 
-// handleFind returns the newest attempt at a generation on this agent, and the place
-// that the generation has moved to if it is stored here.
+// handleFind returns the newest attempt at a generation on this agent, and the
+// location that the generation has moved to if it is stored here.
 func (a *Agent) handleFind(
 	_ context.Context,
 	_ savorypinmember.Hello,
 	req savorypinmember.Find,
 ) (savorypinmember.FindAnswer, error) {
 	var found savorypinmember.FindAnswer
-	if place, ok := a.places.Get(req.Generation); ok {
-		found.Place = &place
+	if location, ok := a.locations.Get(req.Generation); ok {
+		found.Location = &location
 	}
 	a.mu.Lock()
 	newest := a.newestAttempt(req.Generation)
@@ -43,14 +43,14 @@
 	return newest
 }
 
-// handlePlace stores where a generation has moved to.
-func (a *Agent) handlePlace(
+// handleLocation stores where a generation has moved to.
+func (a *Agent) handleLocation(
 	_ context.Context,
 	_ savorypinmember.Hello,
-	req savorypinmember.Place,
+	req savorypinmember.Location,
 ) (savorypinmember.Empty, error) {
-	req.Place.Expires = time.Now().Add(req.Keep)
-	a.places.Put(req.Place)
+	req.Location.Expires = time.Now().Add(req.Keep)
+	a.locations.Put(req.Location)
 	return savorypinmember.Empty{}, nil
 }
 
--- a/internal/savorypinagent/generation.go
+++ b/internal/savorypinagent/generation.go
@@ -16,8 +16,8 @@
 	// attemptRetention is how long an attempt is kept after it has ended and its last
 	// reader has left.
 	attemptRetention = 30 * time.Second
-	// maxPlaces is the maximum number of stored places of generations that have moved.
-	maxPlaces = 1 << 16
+	// maxLocations is the maximum number of stored locations of generations that have moved.
+	maxLocations = 1 << 16
 )
 
 // generations is the state of the generations on an agent.
@@ -26,7 +26,7 @@
 	cancelAttempts     context.CancelFunc
 	attemptCtx         context.Context //nolint:containedctx // Ends when the agent stops.
 	memory             *savorypinresume.Memory
-	places             *savorypinresume.Places
+	locations          *savorypinresume.LocationTable
 	generationAttempts map[savorypinmember.Attempt]*generationAttempt
 	// terms are the highest terms of entries that have started or attached to attempts.
 	terms map[savorypin.GenerationID]uint64
@@ -41,18 +41,18 @@
 		Object: settings.Name,
 	})
 	a.attemptCtx, a.cancelAttempts = context.WithCancel(context.Background())
-	a.places = savorypinresume.NewPlaces(maxPlaces)
+	a.locations = savorypinresume.NewLocationTable(maxLocations)
 	a.generationAttempts = map[savorypinmember.Attempt]*generationAttempt{}
 	a.terms = map[savorypin.GenerationID]uint64{}
 	a.daemon.Handle(savorypinmember.FrameAttach, a.handleAttach)
 	a.daemon.Handle(savorypinmember.FrameDrop, savorypinmember.HandleCall(a.handleDrop))
 	a.daemon.Handle(savorypinmember.FrameFind, savorypinmember.HandleCall(a.handleFind))
-	a.daemon.Handle(savorypinmember.FramePlace, savorypinmember.HandleCall(a.handlePlace))
+	a.daemon.Handle(savorypinmember.FrameLocation, savorypinmember.HandleCall(a.handleLocation))
 	a.daemon.Handle(savorypinmember.FrameStart, a.handleStart)
 	registry := a.daemon.Metrics()
 	metrics.NewRegisteredFunctionalGauge("answers.bytes", registry, func() int64 { return int64(a.memory.Used()) })
 	metrics.NewRegisteredFunctionalGauge("answers.limit", registry, func() int64 { return int64(a.memory.Limit()) })
-	metrics.NewRegisteredFunctionalGauge("places", registry, func() int64 { return int64(a.places.Len()) })
+	metrics.NewRegisteredFunctionalGauge("places", registry, func() int64 { return int64(a.locations.Len()) })
 }
 
 func (a *Agent) handleStart(ctx context.Context, s *savorypinmember.Stream, first savorypinmember.Frame) error {
@@ -148,9 +148,9 @@
 	}
 }
 
-// sweepGenerations removes places and attempts whose retention has expired.
+// sweepGenerations removes locations and attempts whose retention has expired.
 func (a *Agent) sweepGenerations(now time.Time) {
-	a.places.Sweep(now)
+	a.locations.Sweep(now)
 	grace := a.daemon.Settings().Grace()
 	a.removeAttempts(func(attempt *generationAttempt) bool { return attempt.expired(now, grace) })
 }
--- a/internal/savorypincluster/move_test.go
+++ b/internal/savorypincluster/move_test.go
@@ -161,7 +161,7 @@
 	return n
 }
 
-// rejectingDaemons returns how many daemons have a verdict that rejects the move.
+// rejectingDaemons returns how many daemons have a rejection of the move.
 func rejectingDaemons(c *savorypincluster.Cluster) int {
 	var daemons []*savorypindaemon.Daemon
 	for _, e := range c.Entries() {
@@ -320,7 +320,7 @@
 		expectNewVersionUnused(ctx, c)
 		Expect(moveStatus(c).State).To(Equal(savorypin.MoveRunning))
 
-		By("restarting a daemon that has the verdict")
+		By("restarting a daemon that has the rejection")
 		Expect(c.RestartAgent(1)).To(Succeed())
 		Eventually(func() int { return rejectingDaemons(c) }, moveTimeout).Should(Equal(total))
 
--- a/internal/savorypincontroller/moves.go
+++ b/internal/savorypincontroller/moves.go
@@ -77,9 +77,9 @@
 	version int64
 }
 
-// StartMoves registers a controller of moves with a daemon. It must be called before
+// RegisterMoves registers a controller of moves with a daemon. It must be called before
 // the daemon runs.
-func StartMoves(cfg MovesConfig) *Moves {
+func RegisterMoves(cfg MovesConfig) *Moves {
 	c := &Moves{
 		rejections:  savorypinmove.NewRejectionSet(),
 		cfg:         cfg,
@@ -90,7 +90,7 @@
 	}
 	c.locations.Store(&versionLocations{})
 	c.daemon.Handle(savorypinmember.FrameEvidence, savorypinmember.HandleCall(c.handleEvidence))
-	c.daemon.Handle(savorypinmember.FrameVerdicts, savorypinmember.HandleCall(c.handleVerdicts))
+	c.daemon.Handle(savorypinmember.FrameRejections, savorypinmember.HandleCall(c.handleRejections))
 	c.daemon.Background(c.loop)
 	c.daemon.RegisterState("moves", c.state)
 	return c
--- a/internal/savorypincontroller/moveverdicts.go
+++ b/internal/savorypincontroller/moveverdicts.go
@@ -50,8 +50,8 @@
 func (c *Moves) exchangeRejectionsWith(ctx context.Context, m savorypin.MemberState, rejected []savorypinmove.Rejection) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := savorypinmember.Call[savorypinmember.Verdicts, savorypinmember.Verdicts](
-		ctx, c.daemon.Transport(), m.Address, savorypinmember.FrameVerdicts, savorypinmember.Verdicts{Rejected: rejected})
+	reply, err := savorypinmember.Call[savorypinmember.Rejections, savorypinmember.Rejections](
+		ctx, c.daemon.Transport(), m.Address, savorypinmember.FrameRejections, savorypinmember.Rejections{Rejected: rejected})
 	if err != nil {
 		c.daemon.Logger().Debug("Failed to exchange rejections", "member", m.Name, "err", err)
 		return
@@ -59,13 +59,13 @@
 	c.mergeRejections(ctx, reply.Rejected...)
 }
 
-func (c *Moves) handleVerdicts(
+func (c *Moves) handleRejections(
 	ctx context.Context,
 	_ savorypinmember.Hello,
-	req savorypinmember.Verdicts,
-) (savorypinmember.Verdicts, error) {
+	req savorypinmember.Rejections,
+) (savorypinmember.Rejections, error) {
 	c.mergeRejections(ctx, req.Rejected...)
-	return savorypinmember.Verdicts{Rejected: c.rejections.All()}, nil
+	return savorypinmember.Rejections{Rejected: c.rejections.All()}, nil
 }
 
 // randomPeers returns up to n other usable members, chosen at random.
--- a/internal/savorypincontroller/placement.go
+++ b/internal/savorypincontroller/placement.go
@@ -49,9 +49,9 @@
 	lease          *savorypinlease.Lease
 }
 
-// StartPlacement registers the placement with a daemon. It must be called
+// RegisterPlacement registers the placement with a daemon. It must be called
 // before the daemon runs.
-func StartPlacement(daemon *savorypindaemon.Daemon) *Placement {
+func RegisterPlacement(daemon *savorypindaemon.Daemon) *Placement {
 	p := &Placement{
 		daemon: daemon,
 		slots: savorypinplacement.NewLoadSlots(savorypinplacement.LoadSlotsConfig{
--- a/internal/savorypinentry/call.go
+++ b/internal/savorypinentry/call.go
@@ -130,7 +130,7 @@
 		Deadline:    deadline,
 		Endpoint:    candidate.Endpoint().Name,
 		Path:        route.Path,
-		Ticket:      claimed,
+		Claimed:     claimed,
 	}
 	if claimed != nil {
 		message.Key = call.Key
--- a/internal/savorypinentry/callonce.go
+++ b/internal/savorypinentry/callonce.go
@@ -196,7 +196,7 @@
 	}
 	barred, err := savorypinmember.Call[savorypinmember.BarAttempt, savorypinmember.BarAnswer](
 		ctx, e.daemon.Transport(), m.State().Address, savorypinmember.FrameBar,
-		savorypinmember.BarAttempt{Ticket: claimed, Wait: barWait})
+		savorypinmember.BarAttempt{Claimed: claimed, Wait: barWait})
 	if err != nil {
 		return "", nil, savorypin.Errorf(savorypin.KindUnreachable, claimed.Attempt.Member, "%w", err)
 	}
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -98,7 +98,7 @@
 	e := &Entry{
 		cfg:         cfg,
 		daemon:      daemon,
-		moves:       newMoves(daemon, savorypincontroller.StartPlacement(daemon), cfg.Rand),
+		moves:       newMoves(daemon, savorypincontroller.RegisterPlacement(daemon), cfg.Rand),
 		relays:      map[savorypin.GenerationID]*Relay{},
 		hedgeDelays: newHedgeDelays(),
 		started:     time.Now(),
--- a/internal/savorypinentry/move.go
+++ b/internal/savorypinentry/move.go
@@ -27,7 +27,7 @@
 
 func newMoves(daemon *savorypindaemon.Daemon, placement *savorypincontroller.Placement, random func() float64) *moves {
 	m := &moves{
-		controller: savorypincontroller.StartMoves(savorypincontroller.MovesConfig{
+		controller: savorypincontroller.RegisterMoves(savorypincontroller.MovesConfig{
 			Daemon:    daemon,
 			Placement: placement,
 			Rand:      random,
--- a/internal/savorypinentry/relayattempt.go
+++ b/internal/savorypinentry/relayattempt.go
@@ -21,7 +21,7 @@
 	dialTimeout = 500 * time.Millisecond
 	// dropRetryDelay is the initial delay between retries of dropping an attempt.
 	dropRetryDelay = 500 * time.Millisecond
-	// dropTimeout bounds one request to drop an attempt and the storing of a place.
+	// dropTimeout bounds one request to drop an attempt and the storing of a location.
 	dropTimeout = 2 * time.Second
 	// connReceiveTimeout is how long a connection may receive nothing before the relay
 	// opens another one. A working connection receives something every 250 ms plus a
@@ -301,7 +301,7 @@
 	}
 	r.dropStopping()
 	if s.attempt.Number > 1 {
-		go r.entry.storePlace(savorypinresume.Place{
+		go r.entry.storeLocation(savorypinresume.Location{
 			Address:    s.address,
 			Agent:      s.candidate.Member().Name,
 			Attempt:    s.attempt,
--- a/internal/savorypinentry/relayfind.go
+++ b/internal/savorypinentry/relayfind.go
@@ -22,8 +22,8 @@
 	// maxFullSearches is the maximum number of searches that query all agents at the
 	// same time.
 	maxFullSearches = 16
-	// placeCopies is the number of agents that store where a generation has moved.
-	placeCopies = 3
+	// locationCopies is the number of agents that store where a generation has moved.
+	locationCopies = 3
 )
 
 // Find returns the relay of the generation of a position. If this entry has none, it
@@ -135,25 +135,25 @@
 	entry    *Entry
 	position savorypin.EventID
 
-	mu    sync.Mutex
-	best  *locatedAttempt
-	place *savorypinresume.Place
+	mu       sync.Mutex
+	best     *locatedAttempt
+	location *savorypinresume.Location
 }
 
 // locate searches for the newest attempt that can continue after a position. It
-// queries the agent that is named in the id and those that store places, then the
-// agent at the newest place, and all agents if that finds none.
+// queries the agent that is named in the id and those that store locations, then the
+// agent at the newest location, and all agents if that finds none.
 func (e *Entry) locate(ctx context.Context, position savorypin.EventID) (locatedAttempt, bool) {
 	s := &search{queried: map[string]bool{}, entry: e, position: position}
 	agents := e.agents()
 	id := position.Generation()
-	first := savorypinrank.Spread(string(id), agents, placeCopies)
+	first := savorypinrank.Spread(string(id), agents, locationCopies)
 	if m, ok := e.daemon.Members().Get(id.Agent()); ok {
 		first = append(first, m.State())
 	}
 	s.query(ctx, first)
-	if s.place != nil && (s.best == nil || s.place.Attempt.Compare(s.best.held.Attempt) > 0) {
-		s.query(ctx, []savorypin.MemberState{{Address: s.place.Address, Name: s.place.Agent}})
+	if s.location != nil && (s.best == nil || s.location.Attempt.Compare(s.best.held.Attempt) > 0) {
+		s.query(ctx, []savorypin.MemberState{{Address: s.location.Address, Name: s.location.Agent}})
 	}
 	if s.best == nil {
 		s.queryAll(ctx, agents)
@@ -214,8 +214,8 @@
 func (s *search) merge(m savorypin.MemberState, found savorypinmember.FindAnswer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := found.Place; p != nil && (s.place == nil || p.Attempt.Compare(s.place.Attempt) > 0) {
-		s.place = p
+	if p := found.Location; p != nil && (s.location == nil || p.Attempt.Compare(s.location.Attempt) > 0) {
+		s.location = p
 	}
 	if found.Held == nil || !s.continues(*found.Held) {
 		return false
@@ -246,19 +246,19 @@
 	return nil
 }
 
-// storePlace stores on a few agents where a generation has moved, so that another
+// storeLocation stores on a few agents where a generation has moved, so that another
 // entry can find it.
-func (e *Entry) storePlace(place savorypinresume.Place, keep time.Duration) {
+func (e *Entry) storeLocation(location savorypinresume.Location, keep time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
 	defer cancel()
-	targets := savorypinrank.Spread(string(place.Generation), e.agents(), placeCopies)
+	targets := savorypinrank.Spread(string(location.Generation), e.agents(), locationCopies)
 	var wg sync.WaitGroup
 	for _, m := range targets {
 		wg.Go(func() {
-			_, err := savorypinmember.Call[savorypinmember.Place, savorypinmember.Empty](
-				ctx, e.daemon.Transport(), m.Address, savorypinmember.FramePlace, savorypinmember.Place{Keep: keep, Place: place})
+			_, err := savorypinmember.Call[savorypinmember.Location, savorypinmember.Empty](
+				ctx, e.daemon.Transport(), m.Address, savorypinmember.FrameLocation, savorypinmember.Location{Keep: keep, Location: location})
 			if err != nil {
-				e.daemon.Logger().Debug("Failed to store the place of a generation on an agent", "request", place.Generation, "host", m.Name, "err", err)
+				e.daemon.Logger().Debug("Failed to store the place of a generation on an agent", "request", location.Generation, "host", m.Name, "err", err)
 			}
 		})
 	}
--- a/internal/savorypinmember/callmessages.go
+++ b/internal/savorypinmember/callmessages.go
@@ -45,8 +45,8 @@
 	// Key is the idempotency key; empty if the call may be repeated.
 	Key  string `msgpack:"key"`
 	Path string `msgpack:"path"`
-	// Ticket is the claim of the key; nil if the call may be repeated.
-	Ticket *savorypinclaim.ClaimedAttempt `msgpack:"tick,omitempty"`
+	// Claimed is the claim of the key; nil if the call may be repeated.
+	Claimed *savorypinclaim.ClaimedAttempt `msgpack:"tick,omitempty"`
 }
 
 // PlainAnswer is the response of an endpoint to a plain call.
@@ -71,7 +71,7 @@
 
 // BarAttempt asks an agent never to pass an attempt on to its endpoint.
 type BarAttempt struct {
-	Ticket savorypinclaim.ClaimedAttempt `msgpack:"tick"`
+	Claimed savorypinclaim.ClaimedAttempt `msgpack:"tick"`
 	// Wait is how long the agent waits for the end of an attempt that is in progress.
 	Wait time.Duration `msgpack:"wait"`
 }
--- a/internal/savorypinmember/generationmessages.go
+++ b/internal/savorypinmember/generationmessages.go
@@ -13,7 +13,8 @@
 	FrameAck FrameKind = "ack"
 	// FrameAttach opens a stream to an existing attempt.
 	FrameAttach FrameKind = "attach"
-	// FrameCancel ends an attempt. Entries send it to agents on the stream of a generation.
+	// FrameCancel ends the attempt of a stream. Agents accept it, but entries send FrameDrop
+	// instead.
 	FrameCancel FrameKind = "cancel"
 	// FrameDone ends the stream of a generation. Agents send it to entries.
 	FrameDone FrameKind = "done"
@@ -21,8 +22,8 @@
 	FrameDrop FrameKind = "drop"
 	// FrameFind asks an agent for a generation.
 	FrameFind FrameKind = "find"
-	// FramePlace informs an agent where a generation has moved to.
-	FramePlace FrameKind = "place"
+	// FrameLocation informs an agent where a generation has moved to.
+	FrameLocation FrameKind = "place"
 	// FrameStart opens a stream to a new attempt.
 	FrameStart FrameKind = "start"
 	// FrameTokens carries tokens. Agents send it to entries on the stream of a generation.
@@ -97,15 +98,15 @@
 // FindAnswer is the answer to Find: the attempt that the agent holds, where the generation has
 // moved to, or both.
 type FindAnswer struct {
-	Held  *HeldAttempt           `msgpack:"held"`
-	Place *savorypinresume.Place `msgpack:"place"`
+	Held     *HeldAttempt              `msgpack:"held"`
+	Location *savorypinresume.Location `msgpack:"place"`
 }
 
-// Place informs an agent where a generation has moved to.
-type Place struct {
-	// Keep is how long the agent should keep the place.
-	Keep  time.Duration         `msgpack:"keep"`
-	Place savorypinresume.Place `msgpack:"place"`
+// Location informs an agent where a generation has moved to.
+type Location struct {
+	// Keep is how long the agent should keep the location.
+	Keep     time.Duration            `msgpack:"keep"`
+	Location savorypinresume.Location `msgpack:"place"`
 }
 
 // HeldAttempt describes an attempt that an agent holds.
--- a/internal/savorypinmember/movemessages.go
+++ b/internal/savorypinmember/movemessages.go
@@ -6,8 +6,8 @@
 const (
 	// FrameEvidence reports evidence. Entries send it to the evaluators of a service.
 	FrameEvidence FrameKind = "evidence"
-	// FrameVerdicts exchanges bad verdicts between any two daemons.
-	FrameVerdicts FrameKind = "verdicts"
+	// FrameRejections exchanges rejections between any two daemons.
+	FrameRejections FrameKind = "verdicts"
 )
 
 // Evidence is the evidence that one entry has gathered since its previous report. The evidence
@@ -18,8 +18,8 @@
 	Sequence    uint64                   `msgpack:"seq"`
 }
 
-// Verdicts contains the bad verdicts that the sender knows. The answer contains those that the
+// Rejections contains rejections that the sender knows. The answer contains those that the
 // receiver knows.
-type Verdicts struct {
+type Rejections struct {
 	Rejected []savorypinmove.Rejection `msgpack:"bad"`
 }
--- a/internal/savorypinresume/locations.go
+++ b/internal/savorypinresume/locations.go
@@ -7,9 +7,9 @@
 	"savorypin/internal/savorypin"
 )
 
-// Place is the agent that runs the newest attempt of a generation. A generation has
+// Location is the agent that runs the newest attempt of a generation. A generation has
 // one only if it no longer runs on the agent that is part of its id.
-type Place struct {
+type Location struct {
 	// Address is the address at which other daemons reach the agent.
 	Address string `msgpack:"addr"`
 	// Agent is the name of the agent.
@@ -17,67 +17,67 @@
 	// Attempt is the newest attempt.
 	Attempt savorypin.AttemptID `msgpack:"at"`
 	// Expires is the time after which no caller requests the generation any more,
-	// by the clock of the daemon that stores the place.
+	// by the clock of the daemon that stores the location.
 	Expires time.Time `msgpack:"-"`
 	// Generation is the generation.
 	Generation savorypin.GenerationID `msgpack:"g"`
 }
 
-// Places is an in-memory table of places with a maximum size. It is safe for
+// LocationTable is an in-memory table of locations with a maximum size. It is safe for
 // concurrent use.
-type Places struct {
+type LocationTable struct {
 	limit int
 
-	mu     sync.Mutex
-	places map[savorypin.GenerationID]Place
+	mu        sync.Mutex
+	locations map[savorypin.GenerationID]Location
 }
 
-// NewPlaces returns an empty table for at most limit places.
-func NewPlaces(limit int) *Places {
-	return &Places{limit: limit, places: map[savorypin.GenerationID]Place{}}
+// NewLocationTable returns an empty table for at most limit locations.
+func NewLocationTable(limit int) *LocationTable {
+	return &LocationTable{limit: limit, locations: map[savorypin.GenerationID]Location{}}
 }
 
-// Get returns the place of a generation.
-func (p *Places) Get(id savorypin.GenerationID) (Place, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	place, ok := p.places[id]
-	return place, ok
+// Get returns the location of a generation.
+func (t *LocationTable) Get(id savorypin.GenerationID) (Location, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	location, ok := t.locations[id]
+	return location, ok
 }
 
-// Len returns the number of places.
-func (p *Places) Len() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.places)
+// Len returns the number of locations.
+func (t *LocationTable) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.locations)
 }
 
-// Put stores a place unless the table has one of the same or a newer attempt. A full
-// table drops an arbitrary place, since a generation without a place can still be
+// Put stores a location unless the table has one of the same or a newer attempt. A full
+// table drops an arbitrary location, since a generation without one can still be
 // found by a search of all agents.
-func (p *Places) Put(place Place) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	current, ok := p.places[place.Generation]
-	if ok && current.Attempt.Compare(place.Attempt) >= 0 {
+func (t *LocationTable) Put(location Location) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current, ok := t.locations[location.Generation]
+	if ok && current.Attempt.Compare(location.Attempt) >= 0 {
 		return
 	}
-	if !ok && len(p.places) >= p.limit {
-		for id := range p.places {
-			delete(p.places, id)
+	if !ok && len(t.locations) >= t.limit {
+		for id := range t.locations {
+			delete(t.locations, id)
 			break
 		}
 	}
-	p.places[place.Generation] = place
+	t.locations[location.Generation] = location
 }
 
-// Sweep drops the places that have expired.
-func (p *Places) Sweep(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id, place := range p.places {
-		if place.Expires.Before(now) {
-			delete(p.places, id)
+// Sweep drops the locations that have expired.
+func (t *LocationTable) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, location := range t.locations {
+		if location.Expires.Before(now) {
+			delete(t.locations, id)
 		}
 	}
 }
--- a/internal/savorypinresume/queue_test.go
+++ b/internal/savorypinresume/queue_test.go
@@ -142,27 +142,27 @@
 	})
 })
 
-var _ = Describe("Places", func() {
-	place := func(id string, number int, expires time.Time) savorypinresume.Place {
-		return savorypinresume.Place{
+var _ = Describe("LocationTable", func() {
+	location := func(id string, number int, expires time.Time) savorypinresume.Location {
+		return savorypinresume.Location{
 			Agent: fmt.Sprint("agent-", number), Attempt: attempt(number), Expires: expires,
 			Generation: savorypin.GenerationID(id),
 		}
 	}
 
-	It("keeps the newest place of a generation, within its limit, until the place expires", func() {
+	It("keeps the newest location of a generation, within its limit, until the location expires", func() {
 		now := time.Unix(100, 0)
-		places := savorypinresume.NewPlaces(2)
-		places.Put(place("g", 3, now))
-		places.Put(place("g", 2, now.Add(time.Hour)))
-		got, ok := places.Get("g")
+		locations := savorypinresume.NewLocationTable(2)
+		locations.Put(location("g", 3, now))
+		locations.Put(location("g", 2, now.Add(time.Hour)))
+		got, ok := locations.Get("g")
 		Expect(ok).To(BeTrue())
 		Expect(got.Agent).To(Equal("agent-3"))
-		places.Put(place("h", 1, now.Add(time.Hour)))
-		places.Put(place("i", 1, now.Add(time.Hour)))
-		Expect(places.Len()).To(Equal(2))
-		places.Sweep(now.Add(time.Second))
-		_, ok = places.Get("g")
+		locations.Put(location("h", 1, now.Add(time.Hour)))
+		locations.Put(location("i", 1, now.Add(time.Hour)))
+		Expect(locations.Len()).To(Equal(2))
+		locations.Sweep(now.Add(time.Second))
+		_, ok = locations.Get("g")
 		Expect(ok).To(BeFalse())
 	})
 })
