Say that a move is rolled back and where an answer can resume

Moves were taken back in names and comments and rolled back elsewhere; Continues didn't say that it is a question of whether a reader can resume; Number was the last number. The stored value taken_back and all texts that leave the process stay.

MoveTakenBack -> MoveRolledBack, takeBack -> rollBack, Lineage.Continues and Log.Continues -> CanResumeAt, MachineConfig.Number -> LastNumber: 17 files. Three texts of specs follow in decide_test.go and model_run_test.go.

--- a/internal/cmd/dowait.go
+++ b/internal/cmd/dowait.go
@@ -14,7 +14,7 @@
 const defaultWaitTimeout = 10 * time.Minute
 
 // runWait waits until a move is done or a member has stopped. It fails if the move is
-// taken back or the timeout passes.
+// rolled back or the timeout passes.
 func (c *Config) runWait(ctx context.Context, w *savorypinlanguage.WaitStmt) error {
 	timeout := defaultWaitTimeout
 	if w.For != nil {
@@ -55,7 +55,7 @@
 	case savorypin.MoveDone:
 		fmt.Fprintf(c.stdout, "moves/%s is done: %s\n", w.Move.Text, status.Reason)
 		return true, nil
-	case savorypin.MoveTakenBack:
+	case savorypin.MoveRolledBack:
 		return false, savorypin.Errorf(savorypin.KindNotRun, "moves/"+w.Move.Text, "was taken back: %s", status.Reason)
 	default:
 		return false, nil
--- a/internal/savorypin/attempt.go
+++ b/internal/savorypin/attempt.go
@@ -78,10 +78,10 @@
 	return AttemptID{}
 }
 
-// Continues reports whether an answer with this lineage can resume at the position.
+// CanResumeAt reports whether an answer with this lineage can resume at the position.
 // It can if the token before the position comes from the same attempt, since all
 // earlier tokens are then the same too. A position without an attempt is accepted.
-func (l Lineage) Continues(position EventID) bool {
+func (l Lineage) CanResumeAt(position EventID) bool {
 	if position.next == 0 || position.attempt.IsZero() {
 		return true
 	}
--- a/internal/savorypin/attempt_test.go
+++ b/internal/savorypin/attempt_test.go
@@ -11,12 +11,12 @@
 	"savorypin/internal/savorypin"
 )
 
-func ExampleLineage_Continues() {
+func ExampleLineage_CanResumeAt() {
 	first := savorypin.AttemptID{Number: 1, Term: 5}
 	second := savorypin.AttemptID{Number: 2, Term: 5}
 	resumed := savorypin.Lineage{{Attempt: first}, {Attempt: second, First: 80}}
-	fmt.Println(resumed.Continues(savorypin.NewEventID("g", 60, first)))
-	fmt.Println(resumed.Continues(savorypin.NewEventID("g", 100, first)))
+	fmt.Println(resumed.CanResumeAt(savorypin.NewEventID("g", 60, first)))
+	fmt.Println(resumed.CanResumeAt(savorypin.NewEventID("g", 100, first)))
 	// Output:
 	// true
 	// false
@@ -67,14 +67,14 @@
 			next := rapid.IntRange(0, len(received.tokens)).Draw(t, "next")
 			position := savorypin.NewEventID("g", next, received.lineage.At(next-1))
 			for _, other := range branches {
-				if next > len(other.tokens) || !other.lineage.Continues(position) {
+				if next > len(other.tokens) || !other.lineage.CanResumeAt(position) {
 					continue
 				}
 				if !slices.Equal(other.tokens[:next], received.tokens[:next]) {
 					t.Fatalf("attempt %s would resume after tokens %v, which it does not share", other.id, received.tokens[:next])
 				}
 			}
-			if !received.lineage.Continues(position) {
+			if !received.lineage.CanResumeAt(position) {
 				t.Fatalf("attempt %s does not resume after its own tokens", received.id)
 			}
 		})
--- a/internal/savorypin/spec.go
+++ b/internal/savorypin/spec.go
@@ -101,8 +101,8 @@
 	MovePending MoveState = "pending"
 	// MoveRunning means that the new version has a share of the traffic.
 	MoveRunning MoveState = "running"
-	// MoveTakenBack means that all traffic was returned to the old version.
-	MoveTakenBack MoveState = "taken_back"
+	// MoveRolledBack means that all traffic was returned to the old version.
+	MoveRolledBack MoveState = "taken_back"
 )
 
 // MoveAction is an operator's order for an existing move.
--- a/internal/savorypincluster/move_test.go
+++ b/internal/savorypincluster/move_test.go
@@ -230,7 +230,7 @@
 			c := startMoveAtRate(ctx, 0.2, tc.rate, bothModels)
 			setFaults(c, tc.faults)
 			stop := startLoad(c, tc.workers)
-			expectMoveState(c, savorypin.MoveTakenBack)
+			expectMoveState(c, savorypin.MoveRolledBack)
 			stop()
 			Expect(moveStatus(c).Reason).To(ContainSubstring("worse"))
 			Expect(moveStatus(c).Evidence).NotTo(BeEmpty())
@@ -247,7 +247,7 @@
 		setFaults(c, func(model string, _ []int32, _ int) savorypinstandin.Fault {
 			return savorypinstandin.Fault{Fails: model == newModel}
 		})
-		expectMoveState(c, savorypin.MoveTakenBack)
+		expectMoveState(c, savorypin.MoveRolledBack)
 		stop()
 		Expect(moveStatus(c).Reason).To(ContainSubstring("worse"))
 		expectNewVersionUnused(ctx, c)
@@ -261,7 +261,7 @@
 		applyMove(c, savorypin.MoveGo, 0.3)
 		expectMoveState(c, savorypin.MoveRunning)
 		applyMove(c, savorypin.MoveRollback, 0.3)
-		expectMoveState(c, savorypin.MoveTakenBack)
+		expectMoveState(c, savorypin.MoveRolledBack)
 		expectNewVersionUnused(ctx, c)
 		applyMove(c, savorypin.MoveGo, 1)
 		expectNewVersionUnused(ctx, c)
@@ -334,6 +334,6 @@
 				Expect(json.Unmarshal(o.Status, &status)).To(Succeed())
 			}
 			return status.State
-		}, moveTimeout).Should(Equal(savorypin.MoveTakenBack))
+		}, moveTimeout).Should(Equal(savorypin.MoveRolledBack))
 	})
 })
--- a/internal/savorypincontroller/movestatus.go
+++ b/internal/savorypincontroller/movestatus.go
@@ -184,8 +184,8 @@
 		if o.Deleted || err != nil {
 			return !o.Deleted
 		}
-		takenBack := status.Epoch == rejection.Move.Epoch && status.State == savorypin.MoveTakenBack
-		return !takenBack && status.Epoch <= rejection.Move.Epoch
+		rolledBack := status.Epoch == rejection.Move.Epoch && status.State == savorypin.MoveRolledBack
+		return !rolledBack && status.Epoch <= rejection.Move.Epoch
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/savorypinentry/relay.go
+++ b/internal/savorypinentry/relay.go
@@ -179,13 +179,13 @@
 		version:   cfg.version,
 	}
 	r.machine = savorypinresume.NewMachine(savorypinresume.MachineConfig{
-		Deadline: cfg.deadline,
-		Limits:   savorypinresume.DefaultLimits(),
-		Number:   cfg.lastAttempt,
-		Object:   string(cfg.gen.ID),
-		Policy:   cfg.policy,
-		IsSilent: r.connUnresponsive,
-		Term:     cfg.term,
+		Deadline:   cfg.deadline,
+		Limits:     savorypinresume.DefaultLimits(),
+		LastNumber: cfg.lastAttempt,
+		Object:     string(cfg.gen.ID),
+		Policy:     cfg.policy,
+		IsSilent:   r.connUnresponsive,
+		Term:       cfg.term,
 	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/savorypinentry/relayfind.go
+++ b/internal/savorypinentry/relayfind.go
@@ -233,7 +233,7 @@
 	if s.position.Next() > len(held.Tokens) {
 		return held.Attempt == s.position.Attempt()
 	}
-	return held.Lineage.Continues(s.position)
+	return held.Lineage.CanResumeAt(s.position)
 }
 
 // Cancel cancels a generation.
--- a/internal/savorypinentry/relayreader.go
+++ b/internal/savorypinentry/relayreader.go
@@ -94,7 +94,7 @@
 	defer r.relay.mu.Unlock()
 	log, end := r.relay.machine.Log(), r.relay.machine.End()
 	next := r.position.Next()
-	if next <= log.Len() && !log.Continues(r.position) {
+	if next <= log.Len() && !log.CanResumeAt(r.position) {
 		return nil, nil, savorypin.Errorf(savorypin.KindNotFound, string(r.relay.gen.ID),
 			"the rest of the answer after token %d is lost", next)
 	}
--- a/internal/savorypinmove/cost_test.go
+++ b/internal/savorypinmove/cost_test.go
@@ -78,7 +78,7 @@
 		b.Run(fmt.Sprintf("moves=%d", moves), func(b *testing.B) {
 			all := []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 1000, 0.3)}
 			for i := range moves - 1 {
-				all = append(all, moveAt(fmt.Sprintf("old-%d", i), savorypin.MoveTakenBack, int64(i+1), 0))
+				all = append(all, moveAt(fmt.Sprintf("old-%d", i), savorypin.MoveRolledBack, int64(i+1), 0))
 			}
 			snapshot, rejections := snapshotOf(all...), savorypinmove.NewRejectionSet()
 			s := savorypinmove.RequestSampler{Rand: rand.Float64}
--- a/internal/savorypinmove/decide.go
+++ b/internal/savorypinmove/decide.go
@@ -12,7 +12,7 @@
 )
 
 // WatchDuration is how long the new version is still watched after a move is done. The
-// old version must stay loaded for that long, so that the move can be taken back.
+// old version must stay loaded for that long, so that the move can be rolled back.
 const WatchDuration = 30 * time.Minute
 
 // Settings for raising the share.
@@ -83,7 +83,7 @@
 			}
 		case savorypin.MoveRunning, savorypin.MovePaused:
 			activeMove = m.Name
-		case savorypin.MovePending, savorypin.MoveTakenBack:
+		case savorypin.MovePending, savorypin.MoveRolledBack:
 		}
 		if s != m.Status {
 			changes = append(changes, Change{Move: m, Status: s})
@@ -109,18 +109,18 @@
 // nextStatus returns the status that a move should get. current is the version that the
 // service is on, and activeMove is the move that is under way or watched, if any.
 func (in Input) nextStatus(m savorypinconfig.Move, current, activeMove string) savorypin.MoveStatus {
-	if m.Status.State == savorypin.MoveTakenBack {
+	if m.Status.State == savorypin.MoveRolledBack {
 		return m.Status
 	}
 	if reason, ok := in.Rejected(KeyOf(m)); ok && m.Status.Epoch != 0 {
-		return in.takeBack(m, "the new version is worse than the old one", reason)
+		return in.rollBack(m, "the new version is worse than the old one", reason)
 	}
 	switch m.Status.State {
 	case savorypin.MoveDone:
 		return in.decideWatched(m)
 	case savorypin.MovePaused, savorypin.MoveRunning:
 		return in.decideRunning(m)
-	case savorypin.MovePending, savorypin.MoveTakenBack:
+	case savorypin.MovePending, savorypin.MoveRolledBack:
 	}
 	return in.tryStart(m, current, activeMove)
 }
@@ -134,7 +134,7 @@
 	}
 	switch {
 	case m.Spec.Action == savorypin.MoveRollback:
-		return in.takeBack(m, "ordered by an operator before it began", "")
+		return in.rollBack(m, "ordered by an operator before it began", "")
 	case m.Spec.Action == savorypin.MoveHold:
 		s.Reason = "held by an operator"
 	case in.Now.Before(m.Spec.Start):
@@ -161,13 +161,13 @@
 // decideRunning returns the next status of a running or paused move.
 func (in Input) decideRunning(m savorypinconfig.Move) savorypin.MoveStatus {
 	if m.Spec.Action == savorypin.MoveRollback {
-		return in.takeBack(m, "ordered by an operator", m.Status.Evidence)
+		return in.rollBack(m, "ordered by an operator", m.Status.Evidence)
 	}
 	v := in.Judge(KeyOf(m), false)
 	s := m.Status
 	switch {
 	case v.Finding == FindingBad:
-		return in.takeBack(m, "the new version is worse than the old one", v.Reason)
+		return in.rollBack(m, "the new version is worse than the old one", v.Reason)
 	case m.Spec.Action == savorypin.MoveHold:
 		s.Reason = "held by an operator"
 		s = in.withState(s, savorypin.MovePaused)
@@ -277,22 +277,22 @@
 		return s
 	}
 	if m.Spec.Action == savorypin.MoveRollback {
-		return in.takeBack(m, "ordered by an operator after the move was done", s.Evidence)
+		return in.rollBack(m, "ordered by an operator after the move was done", s.Evidence)
 	}
 	if v := in.Judge(KeyOf(m), true); v.Finding == FindingBad {
-		return in.takeBack(m, "the new version became worse after the move was done", v.Reason)
+		return in.rollBack(m, "the new version became worse after the move was done", v.Reason)
 	}
 	return s
 }
 
-// takeBack returns the final status of a move that is taken back.
-func (in Input) takeBack(m savorypinconfig.Move, reason, evidence string) savorypin.MoveStatus {
+// rollBack returns the final status of a move that is rolled back.
+func (in Input) rollBack(m savorypinconfig.Move, reason, evidence string) savorypin.MoveStatus {
 	s := m.Status
 	s.At = in.Now
 	s.Evidence = evidence
 	s.Reason = reason
 	s.Share = 0
-	s.State = savorypin.MoveTakenBack
+	s.State = savorypin.MoveRolledBack
 	return s
 }
 
@@ -310,7 +310,7 @@
 			ok = !now.Before(m.Status.At.Add(WatchDuration))
 		case savorypin.MoveRunning, savorypin.MovePaused:
 			return "", false
-		case savorypin.MovePending, savorypin.MoveTakenBack:
+		case savorypin.MovePending, savorypin.MoveRolledBack:
 		}
 	}
 	return version, ok
--- a/internal/savorypinmove/decide_test.go
+++ b/internal/savorypinmove/decide_test.go
@@ -63,7 +63,7 @@
 		{"a done move", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, false, "b", 1},
 		{"a done move that is rejected", []savorypinconfig.Move{moveAt("m", savorypin.MoveDone, 3, 1)}, true, "a", 0},
 		{"a move and a later one back, by epoch rather than deadline", []savorypinconfig.Move{moveBack, firstMove}, false, "a", 1},
-		{"a move taken back after the service's spec was set to its new version", []savorypinconfig.Move{modified(moveAt("m", savorypin.MoveTakenBack, 3, 0), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })}, false, "b", 0},
+		{"a move rolled back after the service's spec was set to its new version", []savorypinconfig.Move{modified(moveAt("m", savorypin.MoveRolledBack, 3, 0), func(m *savorypinconfig.Move) { m.Spec.From, m.Spec.To = "b", "a" })}, false, "b", 0},
 		{"a pending move", []savorypinconfig.Move{moveAt("m", savorypin.MovePending, 0, 0)}, false, "a", 0},
 		{"a running move", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, false, "a", 0.2},
 		{"a running move that is rejected", []savorypinconfig.Move{moveAt("m", savorypin.MoveRunning, 3, 0.2)}, true, "a", 0},
@@ -102,12 +102,12 @@
 		share    float64
 		reason   string
 	}{
-		{"a bad version", []savorypinconfig.Move{running}, time.Minute, savorypinmove.FindingBad, 20, savorypin.MoveTakenBack, 0, "worse"},
-		{"a bad version after done", []savorypinconfig.Move{done}, time.Minute, savorypinmove.FindingBad, 20, savorypin.MoveTakenBack, 0, "after the move was done"},
+		{"a bad version", []savorypinconfig.Move{running}, time.Minute, savorypinmove.FindingBad, 20, savorypin.MoveRolledBack, 0, "worse"},
+		{"a bad version after done", []savorypinconfig.Move{done}, time.Minute, savorypinmove.FindingBad, 20, savorypin.MoveRolledBack, 0, "after the move was done"},
 		{"a conflict", []savorypinconfig.Move{modified(pending, func(m *savorypinconfig.Move) { m.Spec.From = "c" })}, 0, savorypinmove.FindingFine, 0, savorypin.MovePending, 0, "conflict"},
 		{"a version that may be worse", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingCaution, 900, savorypin.MoveRunning, 0.1, "share kept"},
 		{"a held move", []savorypinconfig.Move{modified(running, hold)}, 50 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MovePaused, 0.1, "held"},
-		{"a held move whose version is bad", []savorypinconfig.Move{modified(running, hold)}, 50 * time.Minute, savorypinmove.FindingBad, 900, savorypin.MoveTakenBack, 0, "worse"},
+		{"a held move whose version is bad", []savorypinconfig.Move{modified(running, hold)}, 50 * time.Minute, savorypinmove.FindingBad, 900, savorypin.MoveRolledBack, 0, "worse"},
 		{"a move near its deadline", []savorypinconfig.Move{modified(running, func(m *savorypinconfig.Move) { m.Status.Share = 0.7 })}, 55 * time.Minute, savorypinmove.FindingFine, 900, savorypin.MoveDone, 1, "all traffic"},
 		{"a move at its deadline with few attempts", []savorypinconfig.Move{running}, time.Hour, savorypinmove.FindingFine, 30, savorypin.MoveDone, 1, "30 attempts only"},
 		{"a move at its deadline with too few attempts", []savorypinconfig.Move{running}, time.Hour, savorypinmove.FindingFine, 3, savorypin.MoveRunning, 0.1, "too little traffic"},
@@ -117,12 +117,12 @@
 		{"a move that is sped up", []savorypinconfig.Move{modified(running, func(m *savorypinconfig.Move) { m.Spec.MinShare = 0.5 })}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRunning, 0.5, ""},
 		{"a move whose new version no endpoint serves", []savorypinconfig.Move{modified(running, func(m *savorypinconfig.Move) { m.Spec.To = "gone" })}, time.Hour, savorypinmove.FindingFine, 900, savorypin.MoveRunning, 0.1, "no endpoint"},
 		{"a new move", []savorypinconfig.Move{pending}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRunning, 0.01, "first requests"},
-		{"a rollback", []savorypinconfig.Move{modified(running, rollback)}, 0, savorypinmove.FindingFine, 0, savorypin.MoveTakenBack, 0, "operator"},
-		{"a rollback after done", []savorypinconfig.Move{modified(done, rollback)}, time.Minute, savorypinmove.FindingFine, 0, savorypin.MoveTakenBack, 0, "operator"},
+		{"a rollback", []savorypinconfig.Move{modified(running, rollback)}, 0, savorypinmove.FindingFine, 0, savorypin.MoveRolledBack, 0, "operator"},
+		{"a rollback after done", []savorypinconfig.Move{modified(done, rollback)}, time.Minute, savorypinmove.FindingFine, 0, savorypin.MoveRolledBack, 0, "operator"},
 		{"a rollback long after done", []savorypinconfig.Move{modified(done, rollback)}, time.Hour, savorypinmove.FindingFine, 0, savorypin.MoveDone, 1, ""},
 		{"a second move", []savorypinconfig.Move{pending, modified(running, func(m *savorypinconfig.Move) { m.Name = "other" })}, 0, savorypinmove.FindingFine, 0, savorypin.MovePending, 0, "waits for move other"},
 		{"evidence from a single failure domain", []savorypinconfig.Move{running}, 50 * time.Minute, savorypinmove.FindingSuspect, 900, savorypin.MoveRunning, 0.01, "single"},
-		{"a move that was taken back", []savorypinconfig.Move{moveAt("m", savorypin.MoveTakenBack, 3, 0)}, time.Hour, savorypinmove.FindingFine, 900, savorypin.MoveTakenBack, 0, ""},
+		{"a move that was rolled back", []savorypinconfig.Move{moveAt("m", savorypin.MoveRolledBack, 3, 0)}, time.Hour, savorypinmove.FindingFine, 900, savorypin.MoveRolledBack, 0, ""},
 	} {
 		It("decides on "+tc.name, func() {
 			status := tc.moves[0].Status
--- a/internal/savorypinmove/model_run_test.go
+++ b/internal/savorypinmove/model_run_test.go
@@ -107,12 +107,12 @@
 
 // result aggregates the runs of one scenario under one policy.
 type result struct {
-	done             int
-	affected         []int
-	share            float64
-	takenBack        int
-	takenBackSeconds []float64
-	writes           int
+	done              int
+	affected          []int
+	share             float64
+	rolledBack        int
+	rolledBackSeconds []float64
+	writes            int
 }
 
 func runAll(s scenario, p policy, seeds int) result {
@@ -124,16 +124,16 @@
 		if state == savorypin.MoveDone {
 			all.done++
 		}
-		if state == savorypin.MoveTakenBack {
-			all.takenBack++
-			all.takenBackSeconds = append(all.takenBackSeconds, m.elapsed.Seconds())
+		if state == savorypin.MoveRolledBack {
+			all.rolledBack++
+			all.rolledBackSeconds = append(all.rolledBackSeconds, m.elapsed.Seconds())
 		}
 		all.writes = max(all.writes, m.writes)
 		all.affected = append(all.affected, m.affected)
 		all.share += float64(m.newRequests) / float64(m.requests) / float64(seeds)
 	}
 	slices.Sort(all.affected)
-	slices.Sort(all.takenBackSeconds)
+	slices.Sort(all.rolledBackSeconds)
 	return all
 }
 
@@ -163,23 +163,23 @@
 )
 
 var _ = Describe("A move on a queue model", func() {
-	It("takes back bad versions within the limits and completes moves to good ones in time", func() {
+	It("rolls back bad versions within the limits and completes moves to good ones in time", func() {
 		falseAlarms, unfinished := 0, 0
 		for _, s := range scenarios {
 			r := runAll(s, sequentialPolicy, *moveSeeds)
 			Expect(r.writes).To(BeNumerically("<=", maxWrites), s.name)
 			switch {
 			case s.healthy:
-				falseAlarms += r.takenBack
-				unfinished += *moveSeeds - r.done - r.takenBack
+				falseAlarms += r.rolledBack
+				unfinished += *moveSeeds - r.done - r.rolledBack
 				if s.localFault {
-					unfinished -= *moveSeeds - r.done - r.takenBack
+					unfinished -= *moveSeeds - r.done - r.rolledBack
 				}
 			case s.until > modelWindow:
-				Expect(r.takenBack).To(Equal(*moveSeeds), s.name)
+				Expect(r.rolledBack).To(Equal(*moveSeeds), s.name)
 				Expect(r.affected[len(r.affected)-1]).To(BeNumerically("<=", maxAffectedAfterDone), s.name)
 			default:
-				Expect(r.takenBack).To(Equal(*moveSeeds), s.name)
+				Expect(r.rolledBack).To(Equal(*moveSeeds), s.name)
 				Expect(r.affected[len(r.affected)-1]).To(BeNumerically("<=", maxAffected), s.name)
 			}
 		}
@@ -210,7 +210,7 @@
 			for _, p := range policies {
 				r := runAll(s, p.p, *moveSeeds)
 				fmt.Printf("| %s | %s | %d | %d | %d | %d | %.1f %% | %.0f | %d |\n",
-					s.name, p.name, r.takenBack, r.done, median(r.affected), r.affected[len(r.affected)-1], 100*r.share, median(r.takenBackSeconds), r.writes)
+					s.name, p.name, r.rolledBack, r.done, median(r.affected), r.affected[len(r.affected)-1], 100*r.share, median(r.rolledBackSeconds), r.writes)
 			}
 		}
 	})
--- a/internal/savorypinmove/model_test.go
+++ b/internal/savorypinmove/model_test.go
@@ -164,7 +164,7 @@
 	heap.Push(&m.pending, event{at: m.elapsed + d, run: do})
 }
 
-// run runs the model to its end or until the move is taken back.
+// run runs the model to its end or until the move is rolled back.
 func (m *model) run(p policy) {
 	until := m.scenario.until
 	if until == 0 {
@@ -172,7 +172,7 @@
 	}
 	m.arrive()
 	m.tick(p)
-	for len(m.pending) > 0 && m.move().Status.State != savorypin.MoveTakenBack {
+	for len(m.pending) > 0 && m.move().Status.State != savorypin.MoveRolledBack {
 		e := heap.Pop(&m.pending).(event)
 		if e.at > until {
 			return
@@ -310,12 +310,12 @@
 	return []savorypinmove.Change{{Status: s}}
 }
 
-// thresholdPolicy is a baseline that follows the time ramp and takes the move back when
+// thresholdPolicy is a baseline that follows the time ramp and rolls the move back when
 // more than 5 in 100 of at least 20 requests to the new version have failed.
 func thresholdPolicy(m *model) []savorypinmove.Change {
 	changes := timeRampPolicy(m)
 	if m.newRequests >= 20 && float64(m.failed[1]) > 0.05*float64(m.newRequests) {
-		changes[0].Status.State = savorypin.MoveTakenBack
+		changes[0].Status.State = savorypin.MoveRolledBack
 	}
 	return changes
 }
--- a/internal/savorypinmove/traffic.go
+++ b/internal/savorypinmove/traffic.go
@@ -71,11 +71,11 @@
 // TrafficWithRejections returns the traffic of a service. Moves apply in the order in
 // which they were started, which later edits do not change: a done move stays done
 // whatever its spec or the service's spec says afterwards. Moves for which rejected
-// returns true count as taken back even before the platform has that state.
+// returns true count as rolled back even before the platform has that state.
 func TrafficWithRejections(snapshot *savorypinconfig.Snapshot, service string, rejected func(Key) bool) Traffic {
 	spec, _ := snapshot.Service(service)
 	t := Traffic{from: spec.Version}
-	var takenBack, done, open *savorypinconfig.Move
+	var rolledBack, done, open *savorypinconfig.Move
 	moves := snapshot.Moves(service)
 	for i := range moves {
 		m := &moves[i]
@@ -84,15 +84,15 @@
 		}
 		state := m.Status.State
 		if rejected(KeyOf(*m)) {
-			state = savorypin.MoveTakenBack
+			state = savorypin.MoveRolledBack
 		}
 		switch state {
 		case savorypin.MoveDone:
 			done = laterMove(done, m)
 		case savorypin.MoveRunning, savorypin.MovePaused:
 			open = laterMove(open, m)
-		case savorypin.MoveTakenBack:
-			takenBack = laterMove(takenBack, m)
+		case savorypin.MoveRolledBack:
+			rolledBack = laterMove(rolledBack, m)
 		case savorypin.MovePending:
 		}
 	}
@@ -102,9 +102,9 @@
 			share: 1, state: done.Status.State, to: done.Spec.To,
 		}
 	}
-	if takenBack != nil && laterMove(done, takenBack) == takenBack && t.Current() == takenBack.Spec.To {
-		// The service's spec was edited to a version that has since been taken back.
-		t = Traffic{from: takenBack.Spec.From}
+	if rolledBack != nil && laterMove(done, rolledBack) == rolledBack && t.Current() == rolledBack.Spec.To {
+		// The service's spec was edited to a version that has since been rolled back.
+		t = Traffic{from: rolledBack.Spec.From}
 	}
 	if open != nil && laterMove(done, open) == open {
 		t = Traffic{from: t.Current(), move: KeyOf(*open), share: open.Status.Share, state: open.Status.State, to: open.Spec.To}
--- a/internal/savorypinresume/log.go
+++ b/internal/savorypinresume/log.go
@@ -69,10 +69,10 @@
 	return slices.Clone(l.lineage)
 }
 
-// Continues reports whether the log contains the same tokens before a position as
+// CanResumeAt reports whether the log contains the same tokens before a position as
 // the log that the position is from, so that a reader can continue there.
-func (l *Log) Continues(position savorypin.EventID) bool {
-	return l.lineage.Continues(position)
+func (l *Log) CanResumeAt(position savorypin.EventID) bool {
+	return l.lineage.CanResumeAt(position)
 }
 
 // Tail returns the attempt that produced the last token.
--- a/internal/savorypinresume/machine.go
+++ b/internal/savorypinresume/machine.go
@@ -13,9 +13,9 @@
 	Deadline time.Time
 	// Limits are the limits of attempts and of the generation.
 	Limits Limits
-	// Number is the number of the last attempt that was made before this machine;
+	// LastNumber is the number of the last attempt that was made before this machine;
 	// zero if there is none.
-	Number int
+	LastNumber int
 	// Object is the name of the generation in errors.
 	Object string
 	// Policy says whether the generation favors low resume latency or little extra
@@ -68,7 +68,7 @@
 
 // NewMachine returns a machine without attempts. Begin or Adopt starts it.
 func NewMachine(cfg MachineConfig) *Machine {
-	return &Machine{avoid: map[string]bool{}, cfg: cfg, lastNumber: cfg.Number}
+	return &Machine{avoid: map[string]bool{}, cfg: cfg, lastNumber: cfg.LastNumber}
 }
 
 // Avoid returns the endpoints that the next attempt must not use: those of open
