Rename exported names that hid what they do

DecisionRepeat skipped an order, the Log of refusals only counted, a Budget of gossip was a pair of counts, Report was the report of an engine, ReadError and EntriesChanged were functions that read like an error and an event, EraBegan was a callback, and Exchange was the type of a message. Frame kinds, tags, log events and metrics stay.

Three texts of specs follow, in check_internal_test.go and log_test.go.

--- a/internal/savorypinagent/order.go
+++ b/internal/savorypinagent/order.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return none, savorypin.Errorf(savorypin.KindNotRun, req.Endpoint, "%w", err)
 	}
-	if decision == savorypinfence.DecisionRepeat {
+	if decision == savorypinfence.DecisionSkip {
 		return none, nil
 	}
 	err = e.engine.Order(ctx, savorypinendpoint.Order{
--- a/internal/savorypinconfig/exchange.go
+++ b/internal/savorypinconfig/exchange.go
@@ -42,10 +42,10 @@
 	maxRequestedKeys = 256
 )
 
-// Exchange is a configuration message between two daemons. Requests and replies have
+// Message is a configuration message between two daemons. Requests and replies have
 // the same form: a daemon handles a reply that is not empty like a request. Its fields
 // are exported for the codecs.
-type Exchange struct {
+type Message struct {
 	// Buckets are the buckets whose objects are all listed in Offers. The receiver replies
 	// with its objects in them that the sender lacks or has at an older version.
 	Buckets []int `msgpack:"bkt,omitempty"`
@@ -70,16 +70,17 @@
 }
 
 // Empty reports whether there is nothing to send.
-func (e Exchange) Empty() bool {
-	return len(e.Buckets) == 0 && len(e.Objects) == 0 && len(e.Offers) == 0 && len(e.BucketHashes) == 0 && len(e.Wanted) == 0
+func (m Message) Empty() bool {
+	return len(m.Buckets) == 0 && len(m.Objects) == 0 && len(m.Offers) == 0 && len(m.BucketHashes) == 0 && len(m.Wanted) == 0
 }
 
-// Envelope is an outgoing exchange with its receiver. The reply to it must be passed
+// Envelope is an outgoing message with its receiver. The reply to it must be passed
 // to Distributor.HandleReply.
 type Envelope struct {
 	// Address is the address of the receiver.
-	Address  string
-	Exchange Exchange
+	Address string
+	// Message is the message to send.
+	Message Message
 }
 
 // DistributorConfig configures a Distributor.
@@ -139,15 +140,15 @@
 	if peerDigest == snapshot.Digest() || !d.beginComparison() {
 		return nil
 	}
-	return []Envelope{{Address: address, Exchange: Exchange{BucketHashes: snapshot.bucketHashes()}}}
+	return []Envelope{{Address: address, Message: Message{BucketHashes: snapshot.bucketHashes()}}}
 }
 
 // HandleRequest handles a message of a peer. It returns the reply, and the messages to send
 // to other daemons.
-func (d *Distributor) HandleRequest(m Exchange) (Exchange, []Envelope) {
+func (d *Distributor) HandleRequest(m Message) (Message, []Envelope) {
 	changed := d.cfg.Store.Apply(m.Objects...)
 	snapshot := d.cfg.Store.Snapshot()
-	var reply Exchange
+	var reply Message
 	if m.BucketHashes != nil {
 		reply.Buckets, reply.Offers = snapshot.differingBuckets(m.BucketHashes)
 	}
@@ -165,10 +166,10 @@
 }
 
 // HandleReply handles the reply to an envelope and returns the messages to send.
-func (d *Distributor) HandleReply(address string, m Exchange) []Envelope {
+func (d *Distributor) HandleReply(address string, m Message) []Envelope {
 	reply, out := d.HandleRequest(m)
 	if !reply.Empty() {
-		out = append(out, Envelope{Address: address, Exchange: reply})
+		out = append(out, Envelope{Address: address, Message: reply})
 	}
 	return out
 }
@@ -201,7 +202,7 @@
 	var keys []savorypin.Key
 	for _, o := range offers {
 		key := savorypin.Key{Kind: o.Kind, Name: o.Name}
-		if snapshot.Holds(key, o.Version) || now.Sub(d.requestedAt[key]) < requestTimeout {
+		if snapshot.HasVersion(key, o.Version) || now.Sub(d.requestedAt[key]) < requestTimeout {
 			continue
 		}
 		d.requestedAt[key] = now
@@ -233,7 +234,7 @@
 	}
 	var out []Envelope
 	for _, address := range d.cfg.Peers() {
-		out = append(out, Envelope{Address: address, Exchange: Exchange{Offers: offers}})
+		out = append(out, Envelope{Address: address, Message: Message{Offers: offers}})
 	}
 	return out
 }
--- a/internal/savorypinconfig/exchange_test.go
+++ b/internal/savorypinconfig/exchange_test.go
@@ -50,8 +50,8 @@
 			var deliver func(out []savorypinconfig.Envelope)
 			deliver = func(out []savorypinconfig.Envelope) {
 				for _, e := range out {
-					reply, _ := db.HandleRequest(e.Exchange)
-					sent += len(e.Exchange.Objects) + len(reply.Objects)
+					reply, _ := db.HandleRequest(e.Message)
+					sent += len(e.Message.Objects) + len(reply.Objects)
 					deliver(da.HandleReply(e.Address, reply))
 				}
 			}
@@ -67,7 +67,7 @@
 
 	It("requests an object once even if several peers offer it", func() {
 		d := newDistributor(savorypinconfig.NewStore())
-		offer := savorypinconfig.Exchange{Offers: []savorypinconfig.Offer{{Kind: savorypin.KindService, Name: "a", Version: 1}}}
+		offer := savorypinconfig.Message{Offers: []savorypinconfig.Offer{{Kind: savorypin.KindService, Name: "a", Version: 1}}}
 		first, _ := d.HandleRequest(offer)
 		second, _ := d.HandleRequest(offer)
 		Expect(first.Wanted).To(HaveLen(1))
--- a/internal/savorypinconfig/snapshot.go
+++ b/internal/savorypinconfig/snapshot.go
@@ -161,8 +161,8 @@
 	return s.moves[service]
 }
 
-// Holds reports whether an object is in force at the given version or a newer one.
-func (s *Snapshot) Holds(key savorypin.Key, version int64) bool {
+// HasVersion reports whether an object is in force at the given version or a newer one.
+func (s *Snapshot) HasVersion(key savorypin.Key, version int64) bool {
 	stored, ok := s.objects[key]
 	return ok && stored.object.Version >= version
 }
--- a/internal/savorypindaemon/exchange.go
+++ b/internal/savorypindaemon/exchange.go
@@ -23,8 +23,8 @@
 func (d *Daemon) sendExchange(ctx context.Context, e savorypinconfig.Envelope) {
 	callCtx, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
-	answer, err := savorypinmember.Call[savorypinconfig.Exchange, savorypinconfig.Exchange](
-		callCtx, d.transport, e.Address, savorypinmember.FrameConfig, e.Exchange)
+	answer, err := savorypinmember.Call[savorypinconfig.Message, savorypinconfig.Message](
+		callCtx, d.transport, e.Address, savorypinmember.FrameConfig, e.Message)
 	if err != nil {
 		d.logger.Debug("Failed to exchange configuration with a peer", "address", e.Address, "err", err)
 		return
@@ -35,8 +35,8 @@
 func (d *Daemon) handleExchange(
 	ctx context.Context,
 	_ savorypinmember.Hello,
-	req savorypinconfig.Exchange,
-) (savorypinconfig.Exchange, error) {
+	req savorypinconfig.Message,
+) (savorypinconfig.Message, error) {
 	answer, envelopes := d.distributor.HandleRequest(req)
 	d.sendExchanges(context.WithoutCancel(ctx), envelopes)
 	return answer, nil
--- a/internal/savorypindaemon/inforce.go
+++ b/internal/savorypindaemon/inforce.go
@@ -52,7 +52,7 @@
 	group.SetLimit(queryConcurrency)
 	queries := 0
 	config := d.Config()
-	inForceHere := config.Holds(key, version)
+	inForceHere := config.HasVersion(key, version)
 	mayQuery := time.Since(d.distributor.ChangedAt()) > queryDelay
 	record := func(name string, inForce, reached bool) {
 		mu.Lock()
--- a/internal/savorypinentry/callidempotent.go
+++ b/internal/savorypinentry/callidempotent.go
@@ -59,7 +59,7 @@
 		h.delays[key] = delay
 	}
 	return savorypinretry.Config{
-		Backoff:  func(retry int) time.Duration { return initialRetryDelay << (retry - 1) },
+		Backoff:  func(tries int) time.Duration { return initialRetryDelay << (tries - 1) },
 		Delay:    delay,
 		MaxTries: maxCallAttempts,
 		Now:      time.Now,
--- a/internal/savorypinentry/dispatch.go
+++ b/internal/savorypinentry/dispatch.go
@@ -36,7 +36,7 @@
 		Version:     version,
 	}
 	if purpose == savorypin.PurposeFirst {
-		req.MaxFirstToken = e.limits.limiter.Wait(gen.Organisation, e.cfg.FirstTokenLimit)
+		req.MaxFirstToken = e.limits.limiter.MaxWait(gen.Organisation, e.cfg.FirstTokenLimit)
 	}
 	return req
 }
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -63,7 +63,7 @@
 	runCtx             context.Context //nolint:containedctx // Ends when the entry stops.
 	memory             *savorypinresume.Memory
 	moves              *moves
-	refusals           savorypinrefusal.Log
+	refusals           savorypinrefusal.Counter
 	hedgeDelays        *hedgeDelays
 	runner             *savorypinclaim.Runner
 	pendingSettlements atomic.Int64
--- a/internal/savorypinentry/limit.go
+++ b/internal/savorypinentry/limit.go
@@ -114,7 +114,7 @@
 	entryCount, share := l.reachability.Update(regions, time.Now())
 	l.reachableShare.Store(&share)
 	if previous, changed := l.owners.SetEntries(slices.Sorted(maps.Keys(addresses))); changed {
-		l.owner.EntriesChanged(func(organisation string) bool {
+		l.owner.RecordEntriesChange(func(organisation string) bool {
 			return len(previous) > 0 && savorypinrank.Names(organisation, previous)[0] == self.Name
 		}, time.Now())
 	}
--- a/internal/savorypinentry/route.go
+++ b/internal/savorypinentry/route.go
@@ -134,7 +134,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = min(wait, time.Until(deadline))
 	}
-	return e.limits.limiter.Wait(organisation, wait)
+	return e.limits.limiter.MaxWait(organisation, wait)
 }
 
 // endpointFault returns the error that the result of a call is recorded with for its
--- a/internal/savorypinfence/gate.go
+++ b/internal/savorypinfence/gate.go
@@ -32,9 +32,9 @@
 const (
 	// DecisionPass means that the agent passes the order on to the endpoint.
 	DecisionPass Decision = "pass"
-	// DecisionRepeat means that the order has succeeded before and is not passed on
+	// DecisionSkip means that the order has succeeded before and is not passed on
 	// again.
-	DecisionRepeat Decision = "repeat"
+	DecisionSkip Decision = "repeat"
 )
 
 // Gate decides on the orders for one endpoint. It is safe for concurrent use.
@@ -83,7 +83,7 @@
 	case fence < g.fence:
 		return "", fmt.Errorf("order %s: %w: %d is older than %d", name, ErrOldFence, fence, g.fence)
 	case g.succeeded[name]:
-		return DecisionRepeat, nil
+		return DecisionSkip, nil
 	case g.inProgress != "":
 		return "", fmt.Errorf("order %s: %w: %s", name, ErrBusy, g.inProgress)
 	}
--- a/internal/savorypinfence/gate_test.go
+++ b/internal/savorypinfence/gate_test.go
@@ -47,7 +47,7 @@
 		gate.RaiseFence(1)
 		Expect(gate.Begin("load", 1)).To(Equal(savorypinfence.DecisionPass))
 		gate.End("load", nil)
-		Expect(gate.Begin("load", 1)).To(Equal(savorypinfence.DecisionRepeat))
+		Expect(gate.Begin("load", 1)).To(Equal(savorypinfence.DecisionSkip))
 	})
 
 	// The endpoint doesn't check the fencing number. The agent must therefore refuse a late
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -71,8 +71,8 @@
 	ContentEncoded bool
 }
 
-// Report is an engine's report on its requests. It is a few hundred milliseconds old.
-type Report struct {
+// EngineReport is an engine's report on its requests. It is a few hundred milliseconds old.
+type EngineReport struct {
 	// Pending is the number of requests that wait or whose prompt is being processed.
 	Pending int
 	// Running are the IDs of the requests that generate tokens.
@@ -84,7 +84,7 @@
 	// DecodeCall decodes the head of a caller's request.
 	DecodeCall func(*http.Request) *Call
 	// DecodeReport decodes an engine's report.
-	DecodeReport func([]byte) (Report, error)
+	DecodeReport func([]byte) (EngineReport, error)
 	// DecodeReply decodes the head of an endpoint's response.
 	DecodeReply func(*http.Response) Reply
 	// EncodeAttempt returns the headers of a request to an endpoint.
--- a/internal/savorypingateway/bodybudget.go
+++ b/internal/savorypingateway/bodybudget.go
@@ -71,7 +71,7 @@
 			return body, nil
 		}
 		if err != nil {
-			return nil, savorypinpool.ReadError(err)
+			return nil, savorypinpool.ClassifyReadError(err)
 		}
 	}
 }
--- a/internal/savorypingateway/budget.go
+++ b/internal/savorypingateway/budget.go
@@ -60,20 +60,20 @@
 
 // ownCounts returns the numbers of first requests and retries that this gateway has sent, sorted
 // by service.
-func (b *retryBudgets) ownCounts() []savorypingossip.Budget {
+func (b *retryBudgets) ownCounts() []savorypingossip.ServiceSendCounts {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var counts []savorypingossip.Budget
+	var counts []savorypingossip.ServiceSendCounts
 	for service, budget := range b.byService {
 		s := budget.Counts()
-		counts = append(counts, savorypingossip.Budget{First: s.First, Repeats: s.Repeats, Service: service})
+		counts = append(counts, savorypingossip.ServiceSendCounts{First: s.First, Repeats: s.Repeats, Service: service})
 	}
-	slices.SortFunc(counts, func(a, b savorypingossip.Budget) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(counts, func(a, b savorypingossip.ServiceSendCounts) int { return cmp.Compare(a.Service, b.Service) })
 	return counts
 }
 
 // setPeerCounts replaces the request counts of another gateway for the given services.
-func (b *retryBudgets) setPeerCounts(gateway string, counts []savorypingossip.Budget) {
+func (b *retryBudgets) setPeerCounts(gateway string, counts []savorypingossip.ServiceSendCounts) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range counts {
--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -62,7 +62,7 @@
 		Candidates:   g.candidates(req.service.Name()),
 		BackedUp:     req.service.Backups(),
 		Excluded:     tried,
-		Prompt:       req.call.PromptID,
+		PromptID:     req.call.PromptID,
 		PromptTokens: req.call.PromptTokens,
 		Plain:        req.route.Kind() != savorypinfleet.RouteStreaming,
 	}
--- a/internal/savorypingateway/events.go
+++ b/internal/savorypingateway/events.go
@@ -58,7 +58,7 @@
 			return event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return event{}, savorypinpool.ReadError(err)
+			return event{}, savorypinpool.ClassifyReadError(err)
 		}
 		if len(e.raw) > maxEventBytes {
 			return event{}, fmt.Errorf("%w: longer than %d bytes", errInvalidEvent, maxEventBytes)
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -42,7 +42,7 @@
 		OnMessage:         g.handleMessage,
 		NeedsConfirmation: func(early bool) bool { return g.store.needsConfirmation(early) },
 		OnUpdate:          g.handleUpdate,
-		History:           g.picker.History,
+		History:           g.picker.FailureHistory,
 		Log:               g.log,
 		Now:               time.Now,
 		Region:            func(domain string) string { return s.Regions[domain] },
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -127,7 +127,7 @@
 		client: savorypinplatform.NewClient(savorypinplatform.Config{
 			OnCall:     func(string) { c.storeCalls.Inc(1) },
 			Dialect:    cfg.Dialect,
-			EraBegan:   func(era int64) { cfg.Log.Emit(savorypinevent.EraBegan{Era: era}) },
+			OnNewEra:   func(era int64) { cfg.Log.Emit(savorypinevent.EraBegan{Era: era}) },
 			HTTPClient: &http.Client{Transport: transport},
 			// Lists are read in pages of one megabyte.
 			MaxResponseBytes: maxStoreResponseBytes,
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -52,7 +52,7 @@
 	s.logSent(a, waiting)
 	start := time.Now()
 	g.rollouts.CountSent(e.Service(), e.Version())
-	err = s.exchange(conn, a, w, work.PromptRead)
+	err = s.exchange(conn, a, w, work.RecordPrefill)
 	if err == nil {
 		g.picker.ClearSuspicion(e)
 		g.recordVersionResult(s.req, e, false, time.Since(start))
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -197,26 +197,26 @@
 }
 
 // fetchReport requests an engine's report of its requests and the keep-alive of the connection.
-func (g *Gateway) fetchReport(conn *savorypinpool.Conn, e *savorypinfleet.Endpoint) (savorypinfleet.Report, time.Duration, error) {
+func (g *Gateway) fetchReport(conn *savorypinpool.Conn, e *savorypinfleet.Endpoint) (savorypinfleet.EngineReport, time.Duration, error) {
 	deadline := time.Now().Add(reportTimeout)
 	req := savorypinpool.Request{Header: http.Header{}, Host: e.Address(), Method: http.MethodGet, URI: g.cfg.Codec.ReportPath}
 	if err := conn.Send(req, deadline); err != nil {
-		return savorypinfleet.Report{}, 0, err
+		return savorypinfleet.EngineReport{}, 0, err
 	}
 	if err := conn.SetReadDeadline(deadline); err != nil {
-		return savorypinfleet.Report{}, 0, err
+		return savorypinfleet.EngineReport{}, 0, err
 	}
 	resp, err := conn.Receive(http.MethodGet)
 	if err != nil {
-		return savorypinfleet.Report{}, 0, err
+		return savorypinfleet.EngineReport{}, 0, err
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
 	if err != nil {
-		return savorypinfleet.Report{}, 0, err
+		return savorypinfleet.EngineReport{}, 0, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return savorypinfleet.Report{}, 0, fmt.Errorf("report: status %d", resp.StatusCode)
+		return savorypinfleet.EngineReport{}, 0, fmt.Errorf("report: status %d", resp.StatusCode)
 	}
 	report, err := g.cfg.Codec.DecodeReport(data)
 	return report, g.cfg.Codec.DecodeReply(resp).KeepAlive, err
--- a/internal/savorypingossip/check_internal_test.go
+++ b/internal/savorypingossip/check_internal_test.go
@@ -93,8 +93,8 @@
 		part  Part
 		state GatewayState
 	}{
-		{"a budget that is not a number", PartBudget, GatewayState{Budgets: []Budget{{Repeats: math.NaN()}}}},
-		{"a negative budget", PartBudget, GatewayState{Budgets: []Budget{{First: -1e9}}}},
+		{"a send count that is not a number", PartBudget, GatewayState{Budgets: []ServiceSendCounts{{Repeats: math.NaN()}}}},
+		{"a negative send count", PartBudget, GatewayState{Budgets: []ServiceSendCounts{{First: -1e9}}}},
 		{"a negative load", PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", Running: -5}}}},
 		{"a load above the bound", PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", Waiting: 1 << 50}}}},
 		{"a failure in the future", PartFailure, GatewayState{Failures: []savorypinpick.Failure{{Age: -1}}}},
@@ -144,7 +144,7 @@
 
 func FuzzDatagram(f *testing.F) {
 	f.Add(messageWith(PartHeartbeat, GatewayState{Domain: "d1", Name: "a"}))
-	f.Add(messageWith(PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", Prompts: []string{"p"}, Running: 1}}}))
+	f.Add(messageWith(PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", PromptIDs: []string{"p"}, Running: 1}}}))
 	f.Add(messageWith(PartFailure, GatewayState{Suspects: []string{"e"}, Failures: []savorypinpick.Failure{{Domain: "d1"}}}))
 	f.Add(mustEncode(Message{Address: "a", WantReply: true, Copies: []CopyStatus{{Kind: "config", At: 3}}, Sent: 4}))
 	// Arrays that declare four billion entries, as the whole message and as its updates, with
--- a/internal/savorypingossip/fleet_internal_test.go
+++ b/internal/savorypingossip/fleet_internal_test.go
@@ -105,11 +105,11 @@
 	case PartHeartbeat:
 		return GatewayState{Domain: m.domain, Name: address}
 	case PartBudget:
-		return GatewayState{Budgets: []Budget{{Service: "assistant", First: 12, Repeats: 3}}}
+		return GatewayState{Budgets: []ServiceSendCounts{{Service: "assistant", First: 12, Repeats: 3}}}
 	case PartLoad:
 		var loads []savorypinpick.Load
 		for i := range m.streams {
-			loads = append(loads, savorypinpick.Load{Endpoint: fmt.Sprintf("i-%010d", i), Prompts: []string{"91bd3f06"}, Running: 1, Waiting: 8000})
+			loads = append(loads, savorypinpick.Load{Endpoint: fmt.Sprintf("i-%010d", i), PromptIDs: []string{"91bd3f06"}, Running: 1, Waiting: 8000})
 		}
 		return GatewayState{Loads: loads}
 	case PartFailure, PartRollout:
--- a/internal/savorypingossip/gossip.go
+++ b/internal/savorypingossip/gossip.go
@@ -58,8 +58,8 @@
 	// forwarded: copies, echo and history.
 	OnMessage func(Message)
 	// NeedsConfirmation reports whether a copy is so old that another gateway has to confirm
-	// it. If sooner is set, it uses the lower age limit of the gateways that others query.
-	NeedsConfirmation func(sooner bool) bool
+	// it. If early is set, it uses the lower age limit of the gateways that others query.
+	NeedsConfirmation func(early bool) bool
 	// OnUpdate is called with each update that was not received before.
 	OnUpdate func(ReceivedUpdate)
 	// History returns the older failures that this gateway has stored.
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -85,7 +85,7 @@
 
 // GatewayState is the state that a gateway publishes about itself. Each part uses some of the fields.
 type GatewayState struct {
-	Budgets []Budget `msgpack:"b,omitempty"`
+	Budgets []ServiceSendCounts `msgpack:"b,omitempty"`
 	// Configuration is the operator's version of the configuration in force.
 	Configuration int64 `msgpack:"c,omitempty"`
 	// Domain is the gateway's failure domain.
@@ -136,9 +136,9 @@
 	Era int64 `msgpack:"e"`
 }
 
-// Budget counts the requests that a gateway has sent to a service within the window of the
-// retry budget: first attempts and repeats.
-type Budget struct {
+// ServiceSendCounts contains the numbers of requests that a gateway has sent to a service within
+// the window of the retry budget: first attempts and repeats.
+type ServiceSendCounts struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to leave the names out
 
 	First   float64 `msgpack:"f"`
--- a/internal/savorypinlimit/fair_test.go
+++ b/internal/savorypinlimit/fair_test.go
@@ -25,9 +25,9 @@
 
 // simulateOverload sends load times the capacity to one queue for a minute and
 // returns, for each organisation, the ratio of what it received to its fair share.
-// The maximum wait comes from Limiter.Wait, or is the same for all organisations
-// if useWait is false.
-func simulateOverload(load float64, useWait bool) []float64 {
+// The maximum wait comes from Limiter.MaxWait, or is the same for all organisations
+// if useMaxWait is false.
+func simulateOverload(load float64, useMaxWait bool) []float64 {
 	random := rand.New(rand.NewPCG(11, 11))
 	now := time.Unix(1000, 0)
 	limiter := savorypinlimit.NewLimiter(savorypinlimit.Config{Count: func(string, int64) {}, Now: func() time.Time { return now }})
@@ -60,8 +60,8 @@
 			}
 			a, _ := limiter.Admit(fmt.Sprint(i), 2*overloadRequestTokens)
 			maxWait := overloadMaxWait
-			if useWait {
-				maxWait = limiter.Wait(fmt.Sprint(i), overloadMaxWait)
+			if useMaxWait {
+				maxWait = limiter.MaxWait(fmt.Sprint(i), overloadMaxWait)
 			}
 			if queuedTokens/overloadCapacity > maxWait.Seconds() {
 				a.Cancel()
@@ -103,7 +103,7 @@
 })
 
 // BenchmarkFairness reports Jain's index and the ratios to the fair share of the
-// worst served and of the large organisation, with Limiter.Wait and with the same
+// worst served and of the large organisation, with Limiter.MaxWait and with the same
 // maximum wait for all.
 func BenchmarkFairness(b *testing.B) {
 	for _, load := range []float64{0.9, 1.2, 2, 5} {
--- a/internal/savorypinlimit/fleet_test.go
+++ b/internal/savorypinlimit/fleet_test.go
@@ -100,7 +100,7 @@
 		known, share := e.reach.Update(regions, f.now)
 		if before, changed := e.owners.SetEntries(names); changed {
 			e.liveNames = names
-			e.owner.EntriesChanged(func(o string) bool {
+			e.owner.RecordEntriesChange(func(o string) bool {
 				return len(before) > 0 && savorypinrank.Names(o, before)[0] == e.name
 			}, f.now)
 		}
--- a/internal/savorypinlimit/limiter.go
+++ b/internal/savorypinlimit/limiter.go
@@ -302,11 +302,11 @@
 	overFairDivisor = 2
 )
 
-// Wait returns the maximum wait for the first token of an organisation; maxWait
+// MaxWait returns the maximum wait for the first token of an organisation; maxWait
 // is that of an organisation within its fair share. Under overload an
 // organisation that is over its fair share is refused earlier, so that the queue
 // has room for the others.
-func (l *Limiter) Wait(name string, maxWait time.Duration) time.Duration {
+func (l *Limiter) MaxWait(name string, maxWait time.Duration) time.Duration {
 	if o, ok := (*l.organisations.Load())[name]; ok && o.overFair.Load() {
 		return maxWait / overFairDivisor
 	}
--- a/internal/savorypinlimit/owner.go
+++ b/internal/savorypinlimit/owner.go
@@ -54,14 +54,14 @@
 // only renews grants, as those of a previous owner may still be valid.
 func NewOwner(now time.Time) *Owner {
 	o := &Owner{organisations: map[string]*ownedOrganisation{}}
-	o.EntriesChanged(func(string) bool { return false }, now)
+	o.RecordEntriesChange(func(string) bool { return false }, now)
 	return o
 }
 
-// EntriesChanged records a change of the live entries, by which this entry may
+// RecordEntriesChange records a change of the live entries, by which this entry may
 // have become the owner of organisations. The function ownedBefore reports whether
 // it owned an organisation before the change.
-func (o *Owner) EntriesChanged(ownedBefore func(organisation string) bool, now time.Time) {
+func (o *Owner) RecordEntriesChange(ownedBefore func(organisation string) bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.changes = slices.DeleteFunc(o.changes, func(c entriesChange) bool { return now.Sub(c.at) > RenewOnlyDuration })
--- a/internal/savorypinpick/gossip.go
+++ b/internal/savorypinpick/gossip.go
@@ -20,10 +20,10 @@
 type Load struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
 	Endpoint string   `msgpack:"e"`
-	// Prompts are the IDs of the last parts of the prompts that the endpoint has prefilled
+	// PromptIDs are the IDs of the last parts of the prompts that the endpoint has prefilled
 	// for running streams.
-	Prompts []string `msgpack:"p,omitempty"`
-	Running int64    `msgpack:"r"`
+	PromptIDs []string `msgpack:"p,omitempty"`
+	Running   int64    `msgpack:"r"`
 	// Waiting is the number of prompt tokens still to be prefilled.
 	Waiting int64 `msgpack:"w,omitempty"`
 }
@@ -65,9 +65,9 @@
 	return true
 }
 
-// History returns the domain failures that the hazard estimate is based on, for
+// FailureHistory returns the domain failures that the hazard estimate is based on, for
 // gateways that have just started.
-func (p *Picker) History() []Failure {
+func (p *Picker) FailureHistory() []Failure {
 	now := p.cfg.Now()
 	var history []Failure
 	for _, f := range p.cfg.Hazard.Failures() {
@@ -126,7 +126,7 @@
 		if running := state.running.Load(); running > 0 && !state.plain.Load() {
 			promptIDs := prompts[id.(string)]
 			loads = append(loads, Load{
-				Endpoint: id.(string), Prompts: promptIDs[:min(len(promptIDs), maxPromptsPerLoad)], Running: running, Waiting: state.waitingTokens.Load(),
+				Endpoint: id.(string), PromptIDs: promptIDs[:min(len(promptIDs), maxPromptsPerLoad)], Running: running, Waiting: state.waitingTokens.Load(),
 			})
 		}
 		return true
@@ -146,7 +146,7 @@
 	}
 	for _, l := range loads {
 		p.addRemoteLoad(l, 1)
-		p.prompts.recordRemote(l.Endpoint, l.Prompts)
+		p.prompts.recordRemote(l.Endpoint, l.PromptIDs)
 	}
 	p.remoteLoads[gateway] = loads
 	if len(loads) == 0 {
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -178,8 +178,8 @@
 	Excluded map[string]bool
 	// Plain is true if the response is not a stream.
 	Plain bool
-	// Prompt is the ID of the last part of the prompt; empty if unknown.
-	Prompt string
+	// PromptID is the ID of the last part of the prompt; empty if unknown.
+	PromptID string
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
 }
@@ -210,7 +210,7 @@
 	risks := p.risks(now)
 	allowed := q.allowed(q.Candidates)
 	sample := p.sample(allowed, q.affinityHash(), now)
-	if cached := p.cachedEndpoint(allowed, q.Prompt); cached != nil {
+	if cached := p.cachedEndpoint(allowed, q.PromptID); cached != nil {
 		sample = append(sample, cached)
 	}
 	return firstEndpoint(lowestScored(sample, scoreMarginTokens, func(e *savorypinfleet.Endpoint) float64 {
@@ -249,10 +249,10 @@
 // affinityHash returns the hash that determines the sample of endpoints: that of the
 // prompt, or a random one if the prompt is unknown.
 func (q Query) affinityHash() uint64 {
-	if q.Prompt == "" {
+	if q.PromptID == "" {
 		return rand.Uint64()
 	}
-	return xxhash.Sum64String(q.Prompt)
+	return xxhash.Sum64String(q.PromptID)
 }
 
 // AverageStreamDuration returns the average duration of a stream.
--- a/internal/savorypinpick/picker_test.go
+++ b/internal/savorypinpick/picker_test.go
@@ -133,7 +133,7 @@
 		for prompt := range 20 {
 			one, two := newFleet(), newFleet()
 			q := one.query()
-			q.Prompt = fmt.Sprint(prompt)
+			q.PromptID = fmt.Sprint(prompt)
 			Expect(one.picker.Choose(q).ID()).To(Equal(two.picker.Choose(q).ID()))
 		}
 	})
@@ -149,13 +149,13 @@
 		}
 		work := one.picker.Begin(one.endpoints[1], nil, promptTokens)
 		one.picker.RecordPromptCached(one.endpoints[1], "prompt")
-		work.PromptRead()
+		work.RecordPrefill()
 		Expect(one.picker.Loads()).To(Equal([]savorypinpick.Load{
-			{Endpoint: one.endpoints[1].ID(), Prompts: []string{"prompt"}, Running: 1},
+			{Endpoint: one.endpoints[1].ID(), PromptIDs: []string{"prompt"}, Running: 1},
 		}))
 		two.picker.SetLoads("one", one.picker.Loads())
 		q := two.query()
-		q.Prompt = "prompt"
+		q.PromptID = "prompt"
 		Expect(two.picker.Choose(q)).To(Equal(two.endpoints[1]))
 		Expect(two.picker.PromptCachedAt(two.endpoints[1], "prompt")).To(BeTrue())
 		two.picker.MarkFailed(two.endpoints[1])
--- a/internal/savorypinpick/score.go
+++ b/internal/savorypinpick/score.go
@@ -87,7 +87,7 @@
 	if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 		s += crossRegionPenaltyTokens
 	}
-	if p.PromptCachedAt(e, q.Prompt) {
+	if p.PromptCachedAt(e, q.PromptID) {
 		// A cached prompt counts twice: the endpoint saves the prefill, and the cached
 		// copy is not wasted.
 		s -= cachedPromptFactor * float64(q.PromptTokens)
--- a/internal/savorypinpick/work.go
+++ b/internal/savorypinpick/work.go
@@ -36,8 +36,8 @@
 	return w
 }
 
-// PromptRead records that the prompt has been prefilled.
-func (w *Work) PromptRead() {
+// RecordPrefill records that the prompt has been prefilled.
+func (w *Work) RecordPrefill() {
 	if w.waitingTokens > 0 {
 		updateDurationAverage(&w.picker.prefillDuration, w.picker.cfg.Now().Sub(w.startedAt))
 	}
--- a/internal/savorypinplatform/client.go
+++ b/internal/savorypinplatform/client.go
@@ -122,9 +122,9 @@
 type Config struct {
 	// OnCall is called before each call with its HTTP method, or "watch" for a watch.
 	OnCall func(method string)
-	// EraBegan is called at the first response of each era except the first era that the
+	// OnNewEra is called at the first response of each era except the first era that the
 	// client sees.
-	EraBegan func(era int64)
+	OnNewEra func(era int64)
 	// HTTPClient makes the calls; nil means a client with default settings.
 	HTTPClient *http.Client
 	// MaxResponseBytes is the maximum size of the body of a response; zero means 64 MiB.
@@ -156,8 +156,8 @@
 	if cfg.OnCall == nil {
 		cfg.OnCall = func(string) {}
 	}
-	if cfg.EraBegan == nil {
-		cfg.EraBegan = func(int64) {}
+	if cfg.OnNewEra == nil {
+		cfg.OnNewEra = func(int64) {}
 	}
 	if cfg.MaxResponseBytes == 0 {
 		cfg.MaxResponseBytes = defaultMaxResponseBytes
--- a/internal/savorypinplatform/era.go
+++ b/internal/savorypinplatform/era.go
@@ -53,7 +53,7 @@
 		return 0, fmt.Errorf("%w: %w: era %d after era %d", ErrUnavailable, ErrStaleEra, era, c.era.newest())
 	}
 	if newer {
-		c.cfg.EraBegan(era)
+		c.cfg.OnNewEra(era)
 	}
 	return era, nil
 }
--- a/internal/savorypinplatform/era_test.go
+++ b/internal/savorypinplatform/era_test.go
@@ -66,7 +66,7 @@
 	}))
 	DeferCleanup(server.Close)
 	return savorypinplatform.NewClient(savorypinplatform.Config{
-		Dialect: newDialect(), EraBegan: func(era int64) { *began = append(*began, era) }, URL: server.URL,
+		Dialect: newDialect(), OnNewEra: func(era int64) { *began = append(*began, era) }, URL: server.URL,
 	}), &calls
 }
 
--- a/internal/savorypinpool/conn.go
+++ b/internal/savorypinpool/conn.go
@@ -117,7 +117,7 @@
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
-			return nil, fmt.Errorf("read response head: %w", ReadError(err))
+			return nil, fmt.Errorf("read response head: %w", ClassifyReadError(err))
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -126,10 +126,10 @@
 	}
 }
 
-// ReadError classifies an error from reading a response: it wraps ErrMalformed if the
+// ClassifyReadError classifies an error from reading a response: it wraps ErrMalformed if the
 // connection is intact but the response violates the protocol, and returns other errors
 // unchanged.
-func ReadError(err error) error {
+func ClassifyReadError(err error) error {
 	var netErr net.Error
 	switch {
 	case errors.Is(err, ErrMalformed), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
--- a/internal/savorypinrefusal/log.go
+++ b/internal/savorypinrefusal/log.go
@@ -12,7 +12,7 @@
 	"savorypin/internal/savorypin"
 )
 
-// MaxRefusals is the largest number of refusals that a Log holds.
+// MaxRefusals is the largest number of refusals that a Counter holds.
 const MaxRefusals = 4096
 
 // Refusal counts the refused requests of an organisation for one kind of error and
@@ -37,58 +37,58 @@
 	organisation string
 }
 
-// Log counts refusals by organisation, kind of error and object. It is safe for
+// Counter counts refusals by organisation, kind of error and object. It is safe for
 // concurrent use.
-type Log struct {
+type Counter struct {
 	mu       sync.Mutex
 	refusals map[refusalKey]*Refusal
 }
 
 // Record counts an error that is returned to a caller if it is a refusal. If the
-// log is full, it removes the oldest refusal.
-func (l *Log) Record(organisation string, err error, now time.Time) {
+// counter is full, it removes the oldest refusal.
+func (c *Counter) Record(organisation string, err error, now time.Time) {
 	var e *savorypin.Error
 	if !errors.As(err, &e) || (e.Kind != savorypin.KindLimited && e.Kind != savorypin.KindNotRun) {
 		return
 	}
 	key := refusalKey{kind: e.Kind, object: e.Object, organisation: organisation}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.refusals == nil {
-		l.refusals = map[refusalKey]*Refusal{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusals == nil {
+		c.refusals = map[refusalKey]*Refusal{}
 	}
-	refusal, ok := l.refusals[key]
+	refusal, ok := c.refusals[key]
 	if !ok {
-		if len(l.refusals) >= MaxRefusals {
-			l.removeOldest()
+		if len(c.refusals) >= MaxRefusals {
+			c.removeOldest()
 		}
 		refusal = &Refusal{Kind: e.Kind, Object: e.Object, Organisation: organisation}
-		l.refusals[key] = refusal
+		c.refusals[key] = refusal
 	}
 	refusal.Last = now
 	refusal.Reason = e.Err.Error()
 	refusal.Total++
 }
 
-// removeOldest removes the refusal with the oldest Last. The caller holds l.mu.
-func (l *Log) removeOldest() {
+// removeOldest removes the refusal with the oldest Last. The caller holds c.mu.
+func (c *Counter) removeOldest() {
 	var oldest refusalKey
 	var at time.Time
-	for key, refusal := range l.refusals {
+	for key, refusal := range c.refusals {
 		if at.IsZero() || refusal.Last.Before(at) {
 			oldest = key
 			at = refusal.Last
 		}
 	}
-	delete(l.refusals, oldest)
+	delete(c.refusals, oldest)
 }
 
 // State returns the refusals, sorted by organisation, kind and object.
-func (l *Log) State() State {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (c *Counter) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	s := State{Refusals: []Refusal{}}
-	for _, refusal := range l.refusals {
+	for _, refusal := range c.refusals {
 		s.Refusals = append(s.Refusals, *refusal)
 	}
 	slices.SortFunc(s.Refusals, func(a, b Refusal) int {
--- a/internal/savorypinrefusal/log_test.go
+++ b/internal/savorypinrefusal/log_test.go
@@ -18,7 +18,7 @@
 	savorypintest.RunSuite(t, "savorypinrefusal")
 }
 
-var _ = Describe("Log", func() {
+var _ = Describe("Counter", func() {
 	for _, tc := range []struct {
 		name string
 		err  error
@@ -30,19 +30,19 @@
 		{"no other error", errors.New("broken"), 0},
 	} {
 		It("counts "+tc.name, func() {
-			var log savorypinrefusal.Log
-			log.Record("shops", tc.err, time.Unix(1, 0))
-			Expect(log.State().Refusals).To(HaveLen(tc.want))
+			var counter savorypinrefusal.Counter
+			counter.Record("shops", tc.err, time.Unix(1, 0))
+			Expect(counter.State().Refusals).To(HaveLen(tc.want))
 		})
 	}
 
 	It("counts refusals, keeps the last reason and bounds its size", func() {
-		var log savorypinrefusal.Log
+		var counter savorypinrefusal.Counter
 		for i := range savorypinrefusal.MaxRefusals + 5 {
-			log.Record("shops", savorypin.Errorf(savorypin.KindNotRun, fmt.Sprint(i), "reason %d", i), time.Unix(int64(i), 0))
+			counter.Record("shops", savorypin.Errorf(savorypin.KindNotRun, fmt.Sprint(i), "reason %d", i), time.Unix(int64(i), 0))
 		}
-		log.Record("shops", savorypin.Errorf(savorypin.KindNotRun, "9", "again"), time.Unix(savorypinrefusal.MaxRefusals+9, 0))
-		all := log.State().Refusals
+		counter.Record("shops", savorypin.Errorf(savorypin.KindNotRun, "9", "again"), time.Unix(savorypinrefusal.MaxRefusals+9, 0))
+		all := counter.State().Refusals
 		Expect(all).To(HaveLen(savorypinrefusal.MaxRefusals))
 		for _, refusal := range all {
 			if refusal.Object == "9" {
--- a/internal/savorypinretry/retry_test.go
+++ b/internal/savorypinretry/retry_test.go
@@ -86,7 +86,7 @@
 					reasons = append(reasons, reason)
 					return func() (int, error) { return n + 1, tc.tries[n].run(ctx) }, true
 				}
-				got, err := savorypinretry.Do(ctx, hedgerConfig(), attempt)
+				got, err := savorypinretry.Do(ctx, retryConfig(), attempt)
 				if !errors.Is(err, tc.wantErr) || (err == nil && got != tc.want) {
 					t.Errorf("got %d, %v", got, err)
 				}
@@ -115,7 +115,7 @@
 	return nil
 }
 
-func hedgerConfig() savorypinretry.Config {
+func retryConfig() savorypinretry.Config {
 	return savorypinretry.Config{
 		Backoff: func(int) time.Duration { return time.Millisecond },
 		Delay: savorypinretry.NewQuantile(savorypinretry.QuantileConfig{
--- a/internal/savorypinscaling/fleet.go
+++ b/internal/savorypinscaling/fleet.go
@@ -307,7 +307,7 @@
 // force.
 func (f *Fleet) inForce(key savorypin.Key, version int64) bool {
 	for _, n := range f.nodes {
-		if n.running && !n.store.Snapshot().Holds(key, version) {
+		if n.running && !n.store.Snapshot().HasVersion(key, version) {
 			return false
 		}
 	}
--- a/internal/savorypinscaling/fleet_test.go
+++ b/internal/savorypinscaling/fleet_test.go
@@ -44,7 +44,7 @@
 		for _, excluded := range except {
 			skip = skip || excluded == n
 		}
-		if !skip && !n.Config().Holds(o.Key, o.Version) {
+		if !skip && !n.Config().HasVersion(o.Key, o.Version) {
 			return false
 		}
 	}
@@ -196,7 +196,7 @@
 		for _, n := range f.Nodes() {
 			n.Restart()
 			Expect(f.RunUntil(time.Minute, n.Synced)).To(BeNumerically("<=", ticks(24)))
-			Expect(n.Config().Holds(o.Key, o.Version)).To(BeTrue())
+			Expect(n.Config().HasVersion(o.Key, o.Version)).To(BeTrue())
 		}
 	})
 
--- a/internal/savorypinscaling/node.go
+++ b/internal/savorypinscaling/node.go
@@ -228,13 +228,13 @@
 
 func (n *Node) sendExchanges(out []savorypinconfig.Envelope) {
 	for _, e := range out {
-		call(n, e.Address, savorypinmember.FrameConfig, e.Exchange,
-			func(to *Node, m savorypinconfig.Exchange) savorypinconfig.Exchange {
+		call(n, e.Address, savorypinmember.FrameConfig, e.Message,
+			func(to *Node, m savorypinconfig.Message) savorypinconfig.Message {
 				answer, further := to.distributor.HandleRequest(m)
 				to.sendExchanges(further)
 				return answer
 			},
-			func(answer savorypinconfig.Exchange) { n.sendExchanges(n.distributor.HandleReply(e.Address, answer)) })
+			func(answer savorypinconfig.Message) { n.sendExchanges(n.distributor.HandleReply(e.Address, answer)) })
 	}
 }
 
