Write rollout as one word and correct comments on clocks and redirects

Comments and specs had roll-out beside the names' rollout. WindowConfig.Now was said to have to be monotonic, but the code reads its Unix time; the comment now says what a step of the clock does. The usage of the root command is again the sentence by which the project introduces itself.

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -123,7 +123,7 @@
 		Flags:          c.logFlags(),
 		Name:           "savorypin",
 		Suggest:        true,
-		Usage:          "serve long generations despite engine failures",
+		Usage:          "serve long generations on engines that fail",
 		Writer:         c.stdout,
 	}
 }
--- a/internal/savorypinendpoint/plain.go
+++ b/internal/savorypinendpoint/plain.go
@@ -79,7 +79,8 @@
 		return Answer{}, false, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	// Without GetBody, the client does not follow a 307 or 308 redirect of a call with a
-	// body, which would send the call again.
+	// body, which would send the call again. A call without a body is still sent again
+	// after such a redirect.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", call.ContentType)
 	if call.Key != "" {
--- a/internal/savorypinfleet/configuration.go
+++ b/internal/savorypinfleet/configuration.go
@@ -1,5 +1,5 @@
 // Package savorypinfleet holds a gateway's view of the system: the operator's
-// configuration, the endpoints and the roll-outs. Configurations and directories are
+// configuration, the endpoints and the rollouts. Configurations and directories are
 // immutable once built, so that requests can read them without locks. The package also
 // defines the calls, attempts and replies that a platform's codec encodes and decodes.
 package savorypinfleet
--- a/internal/savorypinfleet/endpoint.go
+++ b/internal/savorypinfleet/endpoint.go
@@ -137,10 +137,10 @@
 	return known != nil && known.Incarnation() == e.Incarnation()
 }
 
-// RolloutState is the state of a roll-out.
+// RolloutState is the state of a rollout.
 type RolloutState string
 
-// The states of roll-outs, in sorted order.
+// The states of rollouts, in sorted order.
 const (
 	RolloutCompleted  RolloutState = "done"
 	RolloutPending    RolloutState = ""
--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -12,7 +12,7 @@
 )
 
 // candidates returns the endpoints of a service that a request may be sent to: those that
-// accept new requests, of the versions that the roll-out allows. It returns endpoints that are
+// accept new requests, of the versions that the rollout allows. It returns endpoints that are
 // stopping, or whose pause has just ended, only if there are no others.
 func (g *Gateway) candidates(service string) []*savorypinfleet.Endpoint {
 	ready := g.readyEndpoints(service)
@@ -34,7 +34,7 @@
 }
 
 // readyEndpoints returns the endpoints of a service that are listed as ready, of the versions
-// that the roll-out allows.
+// that the rollout allows.
 func (g *Gateway) readyEndpoints(service string) []*savorypinfleet.Endpoint {
 	side, version := g.rollouts.Choose(service)
 	all := g.view.directory.Load().Service(service)
--- a/internal/savorypingateway/publish.go
+++ b/internal/savorypingateway/publish.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// publishRollouts passes the current roll-outs to the tracker.
+// publishRollouts passes the current rollouts to the tracker.
 func (s *store) publishRollouts() {
 	var rollouts []savorypinfleet.Rollout
 	for _, o := range s.mirrors[s.cfg.Objects.RolloutKind].Objects() {
--- a/internal/savorypingateway/rollout.go
+++ b/internal/savorypingateway/rollout.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// rolloutInterval is the interval at which the states of roll-outs are checked.
+	// rolloutInterval is the interval at which the states of rollouts are checked.
 	rolloutInterval = 200 * time.Millisecond
 	// rolloutWriteStagger is the delay of a write for each gateway that writes before this one,
 	// see writeTurn.
@@ -42,8 +42,8 @@
 	}
 }
 
-// writeRollouts writes the states of roll-outs to the store. Every gateway may write them: a
-// write is conditional on the version of the roll-out's object that it refers to, so that a late
+// writeRollouts writes the states of rollouts to the store. Every gateway may write them: a
+// write is conditional on the version of the rollout's object that it refers to, so that a late
 // or repeated one changes nothing. They try in the order of their addresses until one succeeds.
 func (g *Gateway) writeRollouts(ctx context.Context) error {
 	dueSince := map[savorypinfleet.Rollout]time.Time{}
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -30,7 +30,7 @@
 	watchHoldRatio = 0.5
 	// watchPause is the time between two watches, so that changes are read in batches.
 	watchPause = 400 * time.Millisecond
-	// maxRolloutAge is the maximum age of the copy of the roll-outs: versions that no roll-out
+	// maxRolloutAge is the maximum age of the copy of the rollouts: versions that no rollout
 	// names get no requests anyway.
 	maxRolloutAge = 6 * time.Second
 	// maxAgeJitterRatio is the fraction of a maximum age over which the calls of the gateways
@@ -90,7 +90,7 @@
 	awaitFirstList func(context.Context) error
 	// endpointsChanged is called with each new list of endpoints and its era.
 	endpointsChanged func(old, next *savorypinfleet.Directory, era int64)
-	// updateRollouts is called with each new list of roll-outs and its era.
+	// updateRollouts is called with each new list of rollouts and its era.
 	updateRollouts func(rollouts []savorypinfleet.Rollout, era int64)
 	// notifyPeers is called when a copy has changed, to announce it to other gateways.
 	notifyPeers func()
--- a/internal/savorypingossip/check.go
+++ b/internal/savorypingossip/check.go
@@ -13,7 +13,7 @@
 const (
 	// maxClockSkew is how far the wall clock of another host may be ahead of this one's.
 	maxClockSkew = time.Hour
-	// maxAge bounds the ages of copies, roll-outs and failures.
+	// maxAge bounds the ages of copies, rollouts and failures.
 	maxAge = 24 * time.Hour
 	// maxListLength bounds the number of entries in a list.
 	maxListLength = 1024
--- a/internal/savorypingossip/check_internal_test.go
+++ b/internal/savorypingossip/check_internal_test.go
@@ -98,7 +98,7 @@
 		{"a negative load", PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", Running: -5}}}},
 		{"a load above the bound", PartLoad, GatewayState{Loads: []savorypinpick.Load{{Endpoint: "e", Waiting: 1 << 50}}}},
 		{"a failure in the future", PartFailure, GatewayState{Failures: []savorypinpick.Failure{{Age: -1}}}},
-		{"a roll-out that began in the future", PartRollout, GatewayState{Rollouts: []savorypinrollout.Report{{Age: -1}}}},
+		{"a rollout that began in the future", PartRollout, GatewayState{Rollouts: []savorypinrollout.Report{{Age: -1}}}},
 		{"an unknown part", "other", GatewayState{Name: "x"}},
 	} {
 		It("rejects "+tc.name+" and doesn't forward the update", func() {
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -56,7 +56,7 @@
 	// PartFailure is the recent failures that the gateway itself has detected, and its
 	// suspects.
 	PartFailure Part = "failure"
-	// PartRollout is the gateway's observations of the versions in roll-outs.
+	// PartRollout is the gateway's observations of the versions in rollouts.
 	PartRollout Part = "rollout"
 	// PartLoad is the load that the gateway has placed on all endpoints.
 	PartLoad Part = "work"
--- a/internal/savorypinlimit/window.go
+++ b/internal/savorypinlimit/window.go
@@ -10,7 +10,10 @@
 
 // WindowConfig configures a WindowBudget.
 type WindowConfig struct {
-	// Now is the clock; it must be monotonic.
+	// Now is the clock, such as time.Now. Only the Unix time of its result is used, so it
+	// need not be monotonic. If it steps forward, sends leave the window early: a step
+	// of the length of the window removes them all, and the slack can be used again. If
+	// it steps back, sends stay in the window longer, by the length of the step.
 	Now func() time.Time
 	// Ratio is the number of repeats that each first send allows.
 	Ratio float64
--- a/internal/savorypinrollout/evidence.go
+++ b/internal/savorypinrollout/evidence.go
@@ -16,7 +16,7 @@
 	// a route, and that of all routes together.
 	rejectThreshold = 6.9
 	// deadlineRejectThreshold is the lower threshold that applies at the deadline of
-	// the roll-out, when no time is left to collect more evidence.
+	// the rollout, when no time is left to collect more evidence.
 	deadlineRejectThreshold = 3.0
 	// degradedFailureFactor and degradedFailureMargin define the failure ratio of a
 	// bad version: the old version's ratio times the factor, and at least the old
--- a/internal/savorypinrollout/tracker.go
+++ b/internal/savorypinrollout/tracker.go
@@ -19,7 +19,7 @@
 	moveExposureRatio = 0.8
 	// minMoveWindow is the time before the deadline at which the rest of the traffic
 	// moves at the latest, and completionWindow the time before the deadline at
-	// which the roll-out is completed.
+	// which the rollout is completed.
 	minMoveWindow    = 600 * time.Millisecond
 	completionWindow = 250 * time.Millisecond
 )
@@ -49,7 +49,7 @@
 	ExposureSlack float64
 }
 
-// Report is the state of a roll-out that a gateway sends to the others.
+// Report is the state of a rollout that a gateway sends to the others.
 type Report struct {
 	// Age is the time since the first gateway saw the order.
 	Age time.Duration `msgpack:"a"`
@@ -65,10 +65,10 @@
 // changed, so that the operator can write it again.
 const missingOrderRetention = 5 * time.Minute
 
-// trackedRollout is a gateway's state of one roll-out.
+// trackedRollout is a gateway's state of one rollout.
 type trackedRollout struct {
 	byRoute map[string]Counts
-	// completed is set if the roll-out was completed in this era of the store or an
+	// completed is set if the rollout was completed in this era of the store or an
 	// earlier one.
 	completed bool
 	// missingSince is when the order was first missing in the store; zero while it
@@ -86,7 +86,7 @@
 	oldLatency map[string]*latencyAverage
 }
 
-// Tracker holds a gateway's state of all roll-outs. It is safe for concurrent use.
+// Tracker holds a gateway's state of all rollouts. It is safe for concurrent use.
 type Tracker struct {
 	cfg Config
 
@@ -95,12 +95,12 @@
 	tracked map[string]*trackedRollout
 }
 
-// New returns a tracker without roll-outs.
+// New returns a tracker without rollouts.
 func New(cfg Config) *Tracker {
 	return &Tracker{cfg: cfg, tracked: map[string]*trackedRollout{}}
 }
 
-// Update applies the roll-outs that the store holds in an era. State that the store
+// Update applies the rollouts that the store holds in an era. State that the store
 // lost with an earlier era stays in force: a rejected version stays rejected, its
 // state is written again, and a missing order is kept for missingOrderRetention so
 // that the operator can write it again.
@@ -124,7 +124,7 @@
 	t.era = max(t.era, era)
 }
 
-// isNewOrder reports whether a roll-out in the store is a new order rather than an
+// isNewOrder reports whether a rollout in the store is a new order rather than an
 // update of the tracked one. An order that has ended never becomes open again, so an open
 // one for the same version is new, unless the era has changed and the store lost its state.
 func (t *Tracker) isNewOrder(tracked *trackedRollout, r savorypinfleet.Rollout) bool {
@@ -158,13 +158,13 @@
 	}
 }
 
-// ended reports whether a roll-out was completed or rolled back.
+// ended reports whether a rollout was completed or rolled back.
 func ended(r savorypinfleet.Rollout) bool {
 	return r.State == savorypinfleet.RolloutCompleted || r.State == savorypinfleet.RolloutRolledBack
 }
 
 // Choose returns which versions may get the next request of a service, and the
-// version that is rolled out; SideAny and "" if the service has no roll-out.
+// version that is rolled out; SideAny and "" if the service has no rollout.
 func (t *Tracker) Choose(service string) (Side, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -292,7 +292,7 @@
 	return total
 }
 
-// Reports returns the reports on open roll-outs that this gateway sends to the others,
+// Reports returns the reports on open rollouts that this gateway sends to the others,
 // sorted by service.
 func (t *Tracker) Reports() []Report {
 	t.mu.Lock()
@@ -339,7 +339,7 @@
 	return rejected
 }
 
-// PendingUpdates returns the roll-outs whose state in the store has to change, with the new
+// PendingUpdates returns the rollouts whose state in the store has to change, with the new
 // state, sorted by service.
 func (t *Tracker) PendingUpdates() []savorypinfleet.Rollout {
 	t.mu.Lock()
@@ -361,7 +361,7 @@
 	return due
 }
 
-// nextState returns the state that a roll-out should have in the store. It rejects the
+// nextState returns the state that a rollout should have in the store. It rejects the
 // version if the evidence at the deadline reaches deadlineRejectThreshold.
 func (t *Tracker) nextState(tr *trackedRollout) savorypinfleet.RolloutState {
 	switch {
--- a/internal/savorypinrollout/tracker_test.go
+++ b/internal/savorypinrollout/tracker_test.go
@@ -63,7 +63,7 @@
 }
 
 // run sends perSecond requests a second until one second after the deadline and
-// returns the last state of the roll-out.
+// returns the last state of the rollout.
 func (f *fleet) run(r *rand.Rand, perSecond int, behave behavior) savorypinfleet.RolloutState {
 	start := f.now
 	for f.now.Sub(start) < rolloutDuration+time.Second {
@@ -177,7 +177,7 @@
 
 	It("takes the deadline from other gateways' reports after a restart", func() {
 		f := newFleet(2)
-		// The roll-out is due to be completed 250 ms before its deadline; 200 ms are left.
+		// The rollout is due to be completed 250 ms before its deadline; 200 ms are left.
 		f.now = f.now.Add(11800 * time.Millisecond)
 		f.trackers[1] = savorypinrollout.New(savorypinrollout.Config{
 			Gateways: func() int { return 2 }, Now: func() time.Time { return f.now }, ExposureShare: exposureShare, ExposureSlack: exposureSlack,
@@ -237,7 +237,7 @@
 		Expect(side).To(Equal(savorypinrollout.SideAny), "the operator deleted the order")
 	})
 
-	It("allows any version without a roll-out, and only the new one after completion", func() {
+	It("allows any version without a rollout, and only the new one after completion", func() {
 		f := newFleet(1)
 		side, _ := f.trackers[0].Choose("other")
 		Expect(side).To(Equal(savorypinrollout.SideAny))
--- a/main.go
+++ b/main.go
@@ -1,4 +1,4 @@
-// Savorypin serves long generations despite engine failures.
+// Savorypin serves long generations on engines that fail.
 package main
 
 import (
