--- a/internal/savorypincluster/move_test.go
+++ b/internal/savorypincluster/move_test.go
@@ -161,7 +161,7 @@
 	return n
 }
 
-// rejectingDaemons returns how many daemons have a verdict that rejects the move.
+// rejectingDaemons returns how many daemons have a rejection of the move.
 func rejectingDaemons(c *savorypincluster.Cluster) int {
 	var daemons []*savorypindaemon.Daemon
 	for _, e := range c.Entries() {
@@ -230,7 +230,7 @@
 			c := startMoveAtRate(ctx, 0.2, tc.rate, bothModels)
 			setFaults(c, tc.faults)
 			stop := startLoad(c, tc.workers)
-			expectMoveState(c, savorypin.MoveTakenBack)
+			expectMoveState(c, savorypin.MoveRolledBack)
 			stop()
 			Expect(moveStatus(c).Reason).To(ContainSubstring("worse"))
 			Expect(moveStatus(c).Evidence).NotTo(BeEmpty())
@@ -247,7 +247,7 @@
 		setFaults(c, func(model string, _ []int32, _ int) savorypinstandin.Fault {
 			return savorypinstandin.Fault{Fails: model == newModel}
 		})
-		expectMoveState(c, savorypin.MoveTakenBack)
+		expectMoveState(c, savorypin.MoveRolledBack)
 		stop()
 		Expect(moveStatus(c).Reason).To(ContainSubstring("worse"))
 		expectNewVersionUnused(ctx, c)
@@ -261,7 +261,7 @@
 		applyMove(c, savorypin.MoveGo, 0.3)
 		expectMoveState(c, savorypin.MoveRunning)
 		applyMove(c, savorypin.MoveRollback, 0.3)
-		expectMoveState(c, savorypin.MoveTakenBack)
+		expectMoveState(c, savorypin.MoveRolledBack)
 		expectNewVersionUnused(ctx, c)
 		applyMove(c, savorypin.MoveGo, 1)
 		expectNewVersionUnused(ctx, c)
@@ -320,7 +320,7 @@
 		expectNewVersionUnused(ctx, c)
 		Expect(moveStatus(c).State).To(Equal(savorypin.MoveRunning))
 
-		By("restarting a daemon that has the verdict")
+		By("restarting a daemon that has the rejection")
 		Expect(c.RestartAgent(1)).To(Succeed())
 		Eventually(func() int { return rejectingDaemons(c) }, moveTimeout).Should(Equal(total))
 
@@ -334,6 +334,6 @@
 				Expect(json.Unmarshal(o.Status, &status)).To(Succeed())
 			}
 			return status.State
-		}, moveTimeout).Should(Equal(savorypin.MoveTakenBack))
+		}, moveTimeout).Should(Equal(savorypin.MoveRolledBack))
 	})
 })
