--- a/internal/savorypinmembership/gossip.go
+++ b/internal/savorypinmembership/gossip.go
@@ -37,7 +37,9 @@
 	// pauseLimit is the time between two ticks from which a daemon considers itself to have
 	// been paused.
 	pauseLimit = 2 * time.Second
-	// publishInterval is the minimum time between two views if no change is urgent.
+	// publishInterval is the minimum time between two views if no change is urgent. Urgent are
+	// a new suspicion by this daemon, its refutation of an update about itself, and a suspicion or
+	// a change of health or of draining that another member reports. Others, such as loads, wait.
 	publishInterval = 50 * time.Millisecond
 	// regionUnreachableAfter is the time without a message after which a region counts as
 	// unreachable.
