--- a/internal/savorypintest/suite.go
+++ b/internal/savorypintest/suite.go
@@ -13,7 +13,8 @@
 const rapidSeed = "20261204"
 
 // RunSuite runs the specs of a package. Property-based tests use a fixed seed
-// unless the flag -rapid.seed sets another one.
+// unless the flag -rapid.seed sets another one. Specs that are listed in
+// KNOWN-RED.txt are skipped.
 func RunSuite(t *testing.T, name string) {
 	t.Helper()
 	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
@@ -21,6 +22,11 @@
 			t.Fatal(err)
 		}
 	}
+	failures, dir, err := knownFailures()
+	if err != nil {
+		t.Fatal(err)
+	}
+	skipKnownFailures(listedIn(failures, dir))
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	suite, reporter := ginkgo.GinkgoConfiguration()
 	suite.RandomSeed = 1
