Log the end of an endpoint's process with the parts of the prompts that it had

The logs named endpoints and events, so that a failing domain, an overload and a part of a prompt that crashes engines looked alike. 'endpoint crashed' says that the host refused a new connection after one that broke, how many events the endpoint had sent, and the parts of the prompt that other requests may share, as hashes; gateway_endpoints_crashed counts them. No decision changes.

--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -25,6 +25,7 @@
 	KindConfigurationInForce Kind = "configuration in force"
 	KindDependency           Kind = "dependency"
 	KindDomainSuspect        Kind = "failure domain suspect"
+	KindEndpointCrashed      Kind = "endpoint crashed"
 	KindEndpointLeaves       Kind = "endpoint leaves"
 	KindEndpointPauses       Kind = "endpoint pauses"
 	KindEndpointSuspect      Kind = "endpoint suspect"
--- a/internal/savorypinevent/stateevents.go
+++ b/internal/savorypinevent/stateevents.go
@@ -121,6 +121,30 @@
 	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "reason", e.Reason, "domainFailed", e.DomainFailed}
 }
 
+// EndpointCrashed reports that the process of an endpoint ended while it had a stream: the
+// connection ended and the host refuses a new one.
+type EndpointCrashed struct {
+	Domain   string
+	Endpoint string
+	// Events is the number of events that the endpoint had sent for the stream.
+	Events int
+	// ID is the ID of the request.
+	ID string
+	// Parts are the parts of the prompt that other requests may share.
+	Parts string
+}
+
+// Kind returns the kind of the event.
+func (EndpointCrashed) Kind() Kind { return KindEndpointCrashed }
+
+// Level returns the level of the log line.
+func (EndpointCrashed) Level() log.Level { return log.InfoLevel }
+
+// Fields returns the fields as alternating names and values.
+func (e EndpointCrashed) Fields() []any {
+	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "events", e.Events, "parts", e.Parts, "id", e.ID}
+}
+
 // DomainSuspect reports that a whole failure domain is considered failed.
 type DomainSuspect struct {
 	Domain string
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -26,6 +26,9 @@
 	OutputTokens int
 	// PromptID is the ID of the last part of the prompt; empty if unknown.
 	PromptID string
+	// PromptParts are the parts of the prompt that other requests may share, in order: all but
+	// the last.
+	PromptParts []PromptPart
 	// PromptTokens is the number of tokens of the prompt; zero if unknown.
 	PromptTokens int
 	URI          string
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -7,6 +7,8 @@
 	answered metrics.Counter
 	// brokenOff counts streams that ended incomplete after their response header was sent.
 	brokenOff metrics.Counter
+	// endpointsCrashed counts the streams whose endpoint's process ended.
+	endpointsCrashed metrics.Counter
 	// endpointsDistrusted counts invalid responses of endpoints, endpointsLeft the endpoints that
 	// announced in a response that they stop.
 	endpointsDistrusted metrics.Counter
@@ -30,6 +32,7 @@
 	return counters{
 		answered:            metrics.GetOrRegisterCounter("gateway_answered", r),
 		brokenOff:           metrics.GetOrRegisterCounter("gateway_broken_off", r),
+		endpointsCrashed:    metrics.GetOrRegisterCounter("gateway_endpoints_crashed", r),
 		endpointsDistrusted: metrics.GetOrRegisterCounter("gateway_endpoints_distrusted", r),
 		failed:              metrics.GetOrRegisterCounter("gateway_failed", r),
 		firstEvent:          metrics.GetOrRegisterTimer("gateway_first_event", r),
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -83,21 +83,6 @@
 	return 0
 }
 
-// handleBrokenConnection handles a connection that broke before the response was complete. It
-// opens a new one to find out whether the endpoint is lost or just that connection.
-func (g *Gateway) handleBrokenConnection(e *savorypinfleet.Endpoint, reason string) {
-	g.pool.CloseIdle(e.Address())
-	go g.log.RunRecovered("look for endpoint", func() {
-		conn, err := g.pool.Open(context.Background(), e.Address(), g.connectTimeout(e))
-		if err == nil {
-			g.pool.Put(conn, 0)
-			g.log.Debug("endpoint accepts a new connection after a broken one", "endpoint", e.ID(), "reason", reason)
-			return
-		}
-		g.markEndpointFailed(e, reason)
-	})
-}
-
 // handleProtocolError marks an endpoint suspect that sent an invalid response. This does not count
 // as a failure of its domain.
 func (g *Gateway) handleProtocolError(e *savorypinfleet.Endpoint, reason string) {
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -38,6 +38,8 @@
 
 // stream is a request whose response is a sequence of events, over all of its attempts.
 type stream struct {
+	// attemptEvents is the number of events that the current attempt has added.
+	attemptEvents int
 	// backup is the endpoint that holds a copy of the run's KV cache, set with the first event
 	// of an attempt; nil if there is none.
 	backup *savorypinfleet.Endpoint
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -18,6 +18,7 @@
 func (s *stream) attempt(ctx context.Context, e *savorypinfleet.Endpoint, restore bool) error {
 	g := s.gateway
 	s.tried[e.ID()] = true
+	s.attemptEvents = 0
 	conn, err := g.connect(ctx, e)
 	if err != nil {
 		return err
@@ -87,7 +88,7 @@
 	case isProtocolError(err):
 		g.handleProtocolError(e, err.Error())
 	default:
-		g.handleBrokenConnection(e, err.Error())
+		s.handleBrokenConnection(e, err.Error())
 	}
 	return err
 }
@@ -172,6 +173,7 @@
 			// Before the first event the run has no KV cache to copy.
 			s.backup = a.Backup
 		}
+		s.attemptEvents++
 		w.recordEvent()
 		s.gateway.picker.ClearSuspicion(a.Endpoint)
 		if e.id > s.lastEventID+1 {
