Keep parts of prompts that crash engines from further engines

Cause: a poison pill, or query of death. A stream that lost its engine before the first event was sent to the next one, up to max_attempts, and nothing remembered over attempts, requests and gateways what an engine had died of. The class is retries that spread a fault caused by the request itself.

Fix: savorypinquarantine. An engine whose process ended (its host refuses a new connection) speaks against the parts, all but the last, of the requests on which it had not begun an answer; an answer that began and went on acquits its parts. Gateways exchange crashes, begins and verdicts by gossip, so that crashes add up that each of them sees one of. Requests with it are refused as not run at once with the time to the next probe; attempts that have not begun are given up; one request may crash two engines. The verdicts are kept in the store for a start of all gateways.

Why it works: the evidence is what the crash depends on, not who asked, so that sound requests of the route, the caller and the first part are served; what ends several engines at once, or ends them as planned, counts once or not at all.

--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -36,6 +36,7 @@
 	KindLinesLeftOut         Kind = "lines left out"
 	KindPanicked             Kind = "panicked"
 	KindProcess              Kind = "process"
+	KindQuarantineChanged    Kind = "quarantine changed"
 	KindReadinessChanged     Kind = "readiness changed"
 	KindRequestAnswered      Kind = "request answered"
 	KindRequestRefused       Kind = "request refused"
--- a/internal/savorypinevent/requestevents.go
+++ b/internal/savorypinevent/requestevents.go
@@ -93,6 +93,8 @@
 	// Endpoints is the number of endpoints of the service that accepted requests.
 	Endpoints int
 	ID        string
+	// Part is the part of the prompt that is in quarantine, if that is the reason.
+	Part string
 	// Path is the URI of the request.
 	Path       string
 	Reason     string
@@ -110,10 +112,14 @@
 
 // Fields returns the fields as alternating names and values.
 func (e RequestRefused) Fields() []any {
-	return []any{
+	fields := []any{
 		"id", e.ID, "status", e.Status, "reason", e.Reason, "path", e.Path, "retryAfter", milliseconds(e.RetryAfter),
 		"configuration", e.Configuration, "confirmationAge", milliseconds(e.ConfirmationAge), "endpoints", e.Endpoints, "suspects", e.Suspects,
 	}
+	if e.Part != "" {
+		fields = append(fields, "part", e.Part)
+	}
+	return fields
 }
 
 // StreamSent reports the endpoint that a stream is sent to, and the state on which the
--- a/internal/savorypinevent/stateevents.go
+++ b/internal/savorypinevent/stateevents.go
@@ -132,6 +132,8 @@
 	ID string
 	// Parts are the parts of the prompt that other requests may share.
 	Parts string
+	// Suspicion is the number of crashes that count against the most suspect of the parts.
+	Suspicion int
 }
 
 // Kind returns the kind of the event.
@@ -142,7 +144,32 @@
 
 // Fields returns the fields as alternating names and values.
 func (e EndpointCrashed) Fields() []any {
-	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "events", e.Events, "parts", e.Parts, "id", e.ID}
+	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "events", e.Events, "parts", e.Parts, "suspicion", e.Suspicion, "id", e.ID}
+}
+
+// QuarantineChanged reports that a part of prompts was put into quarantine or released.
+type QuarantineChanged struct {
+	// Crashes is the number of crashes that count against the part; zero if another gateway
+	// decided.
+	Crashes int
+	Part    string
+	// Remaining is the time until a request with the part is sent as a probe.
+	Remaining time.Duration
+	// Released says that the quarantine has ended.
+	Released bool
+	// Round counts the times that the part was put into quarantine or failed a probe.
+	Round int
+}
+
+// Kind returns the kind of the event.
+func (QuarantineChanged) Kind() Kind { return KindQuarantineChanged }
+
+// Level returns the level of the log line.
+func (QuarantineChanged) Level() log.Level { return log.WarnLevel }
+
+// Fields returns the fields as alternating names and values.
+func (e QuarantineChanged) Fields() []any {
+	return []any{"part", e.Part, "released", e.Released, "round", e.Round, "crashes", e.Crashes, "remaining", milliseconds(e.Remaining)}
 }
 
 // DomainSuspect reports that a whole failure domain is considered failed.
--- a/internal/savorypinfleet/endpoint.go
+++ b/internal/savorypinfleet/endpoint.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // EndpointState is the state that an endpoint reports.
@@ -86,6 +89,11 @@
 	started int64
 }
 
+// Hash returns a hash of the incarnation that is the same at all gateways.
+func (i Incarnation) Hash() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %s %d", i.address, i.id, i.started))
+}
+
 // Incarnation returns the incarnation of the endpoint.
 func (e *Endpoint) Incarnation() Incarnation {
 	return Incarnation{address: e.cfg.Address, id: e.cfg.ID, started: e.cfg.Started.UnixMilli()}
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -53,6 +53,8 @@
 
 // refusal is an error response of the gateway itself.
 type refusal struct {
+	// part is the part of the prompt that is in quarantine, if that is the reason.
+	part       string
 	reason     string
 	retryAfter time.Duration
 	status     int
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -16,7 +16,13 @@
 	failed         metrics.Counter
 	endpointsLeft  metrics.Counter
 	endpointPauses metrics.Counter
-	refused        metrics.Counter
+	// partsConfined counts the parts of prompts that were put into quarantine, by any gateway,
+	// and partsReleased those that were released. partsRefused counts the streams that were not
+	// sent, or not sent again, because of a part in quarantine.
+	partsConfined metrics.Counter
+	partsRefused  metrics.Counter
+	partsReleased metrics.Counter
+	refused       metrics.Counter
 	// repeated counts the second and later attempts of plain requests.
 	repeated metrics.Counter
 	requests metrics.Counter
@@ -38,6 +44,9 @@
 		firstEvent:          metrics.GetOrRegisterTimer("gateway_first_event", r),
 		endpointsLeft:       metrics.GetOrRegisterCounter("gateway_endpoints_left", r),
 		endpointPauses:      metrics.GetOrRegisterCounter("gateway_endpoint_pauses", r),
+		partsConfined:       metrics.GetOrRegisterCounter("gateway_parts_confined", r),
+		partsRefused:        metrics.GetOrRegisterCounter("gateway_parts_refused", r),
+		partsReleased:       metrics.GetOrRegisterCounter("gateway_parts_released", r),
 		plainAnswer:         metrics.GetOrRegisterTimer("gateway_plain_answer", r),
 		refused:             metrics.GetOrRegisterCounter("gateway_refused", r),
 		repeated:            metrics.GetOrRegisterCounter("gateway_repeated", r),
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -33,6 +33,7 @@
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinplatform"
 	"savorypin/internal/savorypinpool"
+	"savorypin/internal/savorypinquarantine"
 	"savorypin/internal/savorypinrollout"
 	"savorypin/internal/savorypinseal"
 )
@@ -94,6 +95,8 @@
 	peers         *savorypingossip.Table
 	picker        *savorypinpick.Picker
 	pool          *savorypinpool.Pool
+	// quarantine keeps parts of prompts that crash endpoints from them.
+	quarantine *savorypinquarantine.Registry
 	// notReadyReason is why the gateway was not ready at the last sweep; empty if it was.
 	notReadyReason string
 	registry       metrics.Registry
@@ -138,6 +141,7 @@
 		EntryTimeout: expiryHeartbeats * cfg.Settings.Heartbeat,
 		Now:          time.Now,
 	})
+	g.quarantine = g.newQuarantine()
 	g.retryBudgets = newRetryBudgets(cfg.Settings, g.gatewayCount)
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
 	g.gossip = g.newGossip()
@@ -194,6 +198,7 @@
 	group.Go(func() error { return g.register(backgroundCtx) })
 	group.Go(func() error { return g.writeRollouts(backgroundCtx) })
 	group.Go(func() error { return g.persistPrompts(backgroundCtx) })
+	group.Go(func() error { return g.persistQuarantine(backgroundCtx) })
 	group.Go(func() error { return g.sweep(backgroundCtx) })
 	group.Go(func() error { return g.log.Run(backgroundCtx) })
 	group.Go(func() error {
@@ -248,6 +253,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", savorypinmetrics.NewHandler(g.registry))
 	mux.HandleFunc("GET /state", g.serveState)
+	mux.HandleFunc("DELETE /quarantine/{part}", g.serveRelease)
 	return mux
 }
 
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -64,6 +64,8 @@
 		return savorypingossip.GatewayState{Budgets: g.retryBudgets.ownCounts()}
 	case savorypingossip.PartFailure:
 		return savorypingossip.GatewayState{Failures: g.picker.Failures(), Suspects: g.picker.Suspects()}
+	case savorypingossip.PartQuarantine:
+		return savorypingossip.GatewayState{Quarantine: g.quarantineReport()}
 	case savorypingossip.PartRollout:
 		return savorypingossip.GatewayState{Rollouts: g.rollouts.Reports()}
 	case savorypingossip.PartLoad:
@@ -87,6 +89,8 @@
 		g.retryBudgets.setPeerCounts(update.Origin, update.State.Budgets)
 	case savorypingossip.PartFailure:
 		g.handleFailures(update)
+	case savorypingossip.PartQuarantine:
+		g.handleQuarantineReport(update)
 	case savorypingossip.PartRollout:
 		if g.rollouts.ApplyReports(update.Origin, update.State.Rollouts) {
 			g.announceRejection(update.Origin)
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -60,7 +60,7 @@
 // logRefusal logs a refusal and the state that led to it.
 func (g *Gateway) logRefusal(call *savorypinfleet.Call, service string, refused *refusal) {
 	e := savorypinevent.RequestRefused{
-		ID: call.ID, Path: call.URI, Reason: refused.reason, RetryAfter: refused.retryAfter, Status: refused.status,
+		ID: call.ID, Part: refused.part, Path: call.URI, Reason: refused.reason, RetryAfter: refused.retryAfter, Status: refused.status,
 		Configuration: g.configurationVersion(),
 	}
 	if age, ok := g.view.confirmationAge(bootClock()); ok {
--- a/internal/savorypingateway/prompts.go
+++ b/internal/savorypingateway/prompts.go
@@ -31,7 +31,7 @@
 func (g *Gateway) persistPrompts(ctx context.Context) error {
 	g.log.RunRecovered("recall prompts", func() { g.loadPrompts(ctx) })
 	savorypinloop.Every(ctx, promptsWriteInterval, func() {
-		if readers := g.peers.Readers(); readers[0] == g.peerAddress() && !g.store.breaker.Failing() {
+		if g.isFirstReader() && !g.store.breaker.Failing() {
 			g.log.RunRecovered("write prompts", func() { g.writePrompts(ctx) })
 		}
 	})
@@ -66,11 +66,7 @@
 		return
 	}
 	o := savorypin.Object{Key: promptsKey, Spec: data}
-	_, err = g.store.client.Update(ctx, o)
-	if errors.Is(err, savorypinplatform.ErrNotFound) {
-		_, err = g.store.client.Create(ctx, o)
-	}
-	if err != nil {
+	if err := g.store.put(ctx, o); err != nil {
 		// The next write replaces this one.
 		g.log.Debug("writing prompts to the store failed", "err", err)
 	}
--- /dev/null
+++ b/internal/savorypingateway/quarantine.go
@@ -0,0 +1,172 @@
+package savorypingateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"reflect"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinadmission"
+	"savorypin/internal/savorypinevent"
+	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypingossip"
+	"savorypin/internal/savorypinplatform"
+	"savorypin/internal/savorypinquarantine"
+)
+
+// quarantineKey is the key of the object that holds the parts of prompts in quarantine. Gateways
+// read it when they start, as all of them may have stopped at once.
+var quarantineKey = savorypin.Key{Kind: "savorypin-quarantine", Name: "parts"}
+
+// quarantineWriteInterval is the interval at which changes of the quarantine are written.
+const quarantineWriteInterval = time.Second
+
+// quarantineSpec is the spec of the object with the key quarantineKey.
+type quarantineSpec struct {
+	Parts []savorypinquarantine.Saved `json:"parts"`
+}
+
+func (g *Gateway) newQuarantine() *savorypinquarantine.Registry {
+	return savorypinquarantine.New(savorypinquarantine.Config{
+		Now:       time.Now,
+		OnVerdict: g.handleVerdict,
+		Rank:      g.probeRank,
+	})
+}
+
+// handleVerdict logs that a part was put into quarantine or released, and tells the other
+// gateways. It abandons the attempts that may be about to crash endpoints.
+func (g *Gateway) handleVerdict(c savorypinquarantine.Change) {
+	g.log.Emit(savorypinevent.QuarantineChanged{
+		Crashes: c.Crashes, Part: c.Part.String(), Remaining: c.Remaining, Released: c.Released, Round: int(c.Round),
+	})
+	if c.Released {
+		g.counters.partsReleased.Inc(1)
+	} else {
+		g.counters.partsConfined.Inc(1)
+		g.streams.abandon(c.Part)
+	}
+	g.gossip.TriggerRound()
+}
+
+// probeRank returns the place of this gateway in the order in which the live gateways may probe a
+// part. The order differs from part to part.
+func (g *Gateway) probeRank(part savorypinfleet.PromptPart) int {
+	hash := func(address string) uint64 { return xxhash.Sum64String(address + part.String()) }
+	own := hash(g.peerAddress())
+	rank := 0
+	for _, p := range g.peers.Live() {
+		if cmp.Less(hash(p.Address), own) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// quarantineReport returns what this gateway reports to the others; nil for nothing.
+func (g *Gateway) quarantineReport() *savorypinquarantine.Report {
+	r := g.quarantine.Report()
+	if reflect.ValueOf(r).IsZero() {
+		return nil
+	}
+	return &r
+}
+
+// handleQuarantineReport processes another gateway's report.
+func (g *Gateway) handleQuarantineReport(update savorypingossip.ReceivedUpdate) {
+	if r := update.State.Quarantine; r != nil {
+		g.quarantine.Apply(update.Origin, *r, update.Age)
+	}
+}
+
+// mayBlamePrompt reports whether a crash of an endpoint may be due to a prompt: one that is
+// stopping, or was removed from the list, may have ended as planned.
+func (g *Gateway) mayBlamePrompt(e *savorypinfleet.Endpoint) bool {
+	listed := g.view.directory.Load().Endpoint(e.ID())
+	return listed != nil && listed.Incarnation() == e.Incarnation() && listed.Ready() &&
+		g.admission.State(e) == savorypinadmission.StateOpen
+}
+
+// persistQuarantine loads the parts that were last written to the store, and then writes changes
+// while this gateway is the first of the readers.
+func (g *Gateway) persistQuarantine(ctx context.Context) error {
+	g.log.RunRecovered("load quarantine", func() { g.loadQuarantine(ctx) })
+	var written []savorypinquarantine.Saved
+	var era int64
+	for {
+		if err := wait(ctx, quarantineWriteInterval); err != nil {
+			return err
+		}
+		parts := g.quarantine.Save()
+		// A store that was restored from an older copy may have lost the last write.
+		current := g.store.client.Era()
+		unchanged := slices.Equal(parts, written) && (len(parts) == 0 || current == era)
+		if unchanged || !g.isFirstReader() || g.store.breaker.Failing() {
+			continue
+		}
+		g.log.RunRecovered("write quarantine", func() {
+			if g.writeQuarantine(ctx, parts) {
+				written, era = parts, current
+			}
+		})
+	}
+}
+
+// isFirstReader reports whether this gateway is the first of those that read the store for all,
+// which also writes what the gateways share.
+func (g *Gateway) isFirstReader() bool {
+	return g.peers.Readers()[0] == g.peerAddress()
+}
+
+func (g *Gateway) loadQuarantine(ctx context.Context) {
+	o, err := g.store.client.GetStale(ctx, quarantineKey)
+	if errors.Is(err, savorypinplatform.ErrNotFound) {
+		return
+	}
+	if err != nil {
+		g.log.Debug("reading the quarantine from the store failed", "err", err)
+		return
+	}
+	var spec quarantineSpec
+	if err := json.Unmarshal(o.Spec, &spec); err != nil {
+		g.log.Emit(savorypinevent.Ignored{Err: err, What: "parts of prompts in quarantine"})
+		return
+	}
+	g.quarantine.Load(spec.Parts)
+}
+
+// writeQuarantine replaces the parts in the store. It reports success.
+func (g *Gateway) writeQuarantine(ctx context.Context, parts []savorypinquarantine.Saved) bool {
+	data, err := json.Marshal(quarantineSpec{Parts: parts})
+	if err != nil {
+		g.log.Emit(savorypinevent.Process{Err: err, What: "quarantine not written"})
+		return false
+	}
+	if err := g.store.put(ctx, savorypin.Object{Key: quarantineKey, Spec: data}); err != nil {
+		g.log.Debug("writing the quarantine to the store failed", "err", err)
+		return false
+	}
+	return true
+}
+
+// serveRelease ends the quarantine of a part by order of an operator.
+func (g *Gateway) serveRelease(w http.ResponseWriter, r *http.Request) {
+	part, err := strconv.ParseUint(r.PathValue("part"), 16, 64)
+	if err != nil {
+		http.Error(w, "the part is not a hexadecimal hash", http.StatusBadRequest)
+		return
+	}
+	if !g.quarantine.Release(savorypinfleet.PromptPart(part)) {
+		http.Error(w, "the part is not in quarantine", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -63,6 +63,8 @@
 	EndpointsHeld int    `json:"endpointsHeld"`
 	Name          string `json:"name"`
 	NotReady      string `json:"notReady,omitempty"`
+	// QuarantinedParts is the number of parts of prompts in quarantine.
+	QuarantinedParts int `json:"quarantinedParts"`
 	// StoreEra is the number of times that the store was restored from an older copy.
 	StoreEra int64 `json:"storeEra"`
 	Streams  int   `json:"streams"`
@@ -70,11 +72,12 @@
 
 func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
 	s := state{
-		Endpoints:     g.view.directory.Load().Len(),
-		EndpointsHeld: g.admission.CountNotOpen(g.view.directory.Load()),
-		Name:          g.settings.Load().Name,
-		StoreEra:      g.store.client.Era(),
-		Streams:       g.streams.len(),
+		Endpoints:        g.view.directory.Load().Len(),
+		EndpointsHeld:    g.admission.CountNotOpen(g.view.directory.Load()),
+		Name:             g.settings.Load().Name,
+		QuarantinedParts: g.quarantine.Len(),
+		StoreEra:         g.store.client.Era(),
+		Streams:          g.streams.len(),
 	}
 	s.NotReady, _ = g.ready()
 	if c := g.view.configuration.Load(); c != nil {
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -221,6 +222,15 @@
 	s.log.Emit(savorypinevent.Dependency{Err: err, Lost: s.unreachable, Name: "store"})
 }
 
+// put replaces an object of the gateways' own, or creates it.
+func (s *store) put(ctx context.Context, o savorypin.Object) error {
+	_, err := s.client.Update(ctx, o)
+	if errors.Is(err, savorypinplatform.ErrNotFound) {
+		_, err = s.client.Create(ctx, o)
+	}
+	return err
+}
+
 // wait returns nil after d, or the error of ctx if that is done earlier.
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinforecast"
+	"savorypin/internal/savorypinquarantine"
 )
 
 // Parameters of streams.
@@ -33,6 +35,8 @@
 	errUnreachable      = errors.New("endpoint is silent")
 	errEndpointFailed   = errors.New("endpoint responded with an error")
 	errCallerWrite      = errors.New("write to caller failed")
+	errConfined         = errors.New("part of the prompt is in quarantine")
+	errCrashes          = errors.New("request has crashed endpoints")
 	errDeadlineTooClose = errors.New("not enough time is left for the rest")
 )
 
@@ -43,6 +47,11 @@
 	// backup is the endpoint that holds a copy of the run's KV cache, set with the first event
 	// of an attempt; nil if there is none.
 	backup *savorypinfleet.Endpoint
+	// confinement is why the request was not sent, or not sent again; nil if it was for other
+	// reasons.
+	confinement *savorypinquarantine.Confinement
+	// crashed is the number of endpoints that crashed before the answer had begun there.
+	crashed atomic.Int32
 	// headerSent is set once the response header was sent to the caller.
 	headerSent bool
 	// fullPrefill is set if the endpoint of the last attempt had to prefill the whole prompt.
@@ -62,9 +71,11 @@
 	lastEventID int64
 	// mayHaveRun is set if an endpoint may have run the request.
 	mayHaveRun bool
-	req        *request
-	rc         *http.ResponseController
-	attempts   int
+	// probe is set if the request is a probe of parts in quarantine.
+	probe    *savorypinquarantine.Probe
+	req      *request
+	rc       *http.ResponseController
+	attempts int
 	// stalledAttempts is the number of attempts that were abandoned although their hosts
 	// answered.
 	stalledAttempts int
@@ -114,6 +125,9 @@
 		if _, err := s.w.Write(s.failure.body); err != nil {
 			g.log.Debug("writing the error response to the caller failed", "id", s.req.call.ID, "err", err)
 		}
+	case s.confinement != nil:
+		g.counters.partsRefused.Inc(1)
+		g.refuse(s.w, s.req.call, s.req.service.Name(), confinedRefusal(s.confinement, s.mayHaveRun))
 	case !s.mayHaveRun && errors.Is(err, errDeadlineTooClose):
 		// No attempt can complete before the deadline.
 		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal(errDeadlineTooClose.Error(), s.req.remaining()))
@@ -129,11 +143,19 @@
 // run sends the request to endpoints until the response is complete.
 func (s *stream) run(ctx context.Context) error {
 	s.gateway.retryBudgets.forService(s.req.service.Name()).RecordFirst()
+	s.probe, s.confinement = s.gateway.quarantine.Admit(s.req.call.PromptParts)
+	if s.confinement != nil {
+		return errConfined
+	}
+	defer s.probe.End()
 	lastErr := errNotRun
 	for s.attempts < s.req.route.MaxAttempts() {
 		if s.mayHaveRun && !s.req.route.Retryable() {
 			return lastErr
 		}
+		if err := s.checkQuarantine(); err != nil {
+			return fmt.Errorf("%w after %w", err, lastErr)
+		}
 		if s.deadlineTooClose() {
 			return fmt.Errorf("%w after %w", errDeadlineTooClose, lastErr)
 		}
@@ -194,6 +216,9 @@
 		if !s.mayHaveRun || s.gateway.retryDelay(s.req.service.Name()) > s.req.remaining() {
 			return nil, false, errNotRun
 		}
+		if err := s.checkQuarantine(); err != nil {
+			return nil, false, err
+		}
 		// A lost endpoint restarts within seconds; waiting for it saves prefilling the prompt again.
 		clear(s.tried)
 		if err := wait(ctx, endpointRetryInterval); err != nil {
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -40,7 +40,7 @@
 	waiting := g.picker.WaitingTokens(e)
 	work := g.picker.Begin(e, backup, tokens)
 	defer work.End()
-	w := g.newWatchdog(ctx, s.req, e, conn, s.stalledAttempts)
+	w := g.newWatchdog(ctx, s, e, conn)
 	defer w.stop()
 	s.attempts++
 	a := savorypinfleet.Attempt{
@@ -69,10 +69,12 @@
 // handleFailure handles a failed attempt by its cause, and returns an error that names the cause.
 func (s *stream) handleFailure(e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
 	g := s.gateway
-	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) {
+	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) && g.quarantine.Confined(s.req.call.PromptParts) == nil {
 		g.recordVersionResult(s.req, e, true, took)
 	}
 	switch {
+	case w.confined.Load():
+		err = errConfined
 	case w.unreachable.Load():
 		err = errUnreachable
 		g.markEndpointFailed(e, err.Error())
@@ -156,6 +158,7 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
+			s.recordBegin(w)
 			return nil
 		}
 		if err != nil {
@@ -174,6 +177,9 @@
 			s.backup = a.Backup
 		}
 		s.attemptEvents++
+		if s.attemptEvents == beginEvents {
+			s.recordBegin(w)
+		}
 		w.recordEvent()
 		s.gateway.picker.ClearSuspicion(a.Endpoint)
 		if e.id > s.lastEventID+1 {
--- a/internal/savorypingateway/streamset.go
+++ b/internal/savorypingateway/streamset.go
@@ -1,6 +1,11 @@
 package savorypingateway
 
-import "sync"
+import (
+	"slices"
+	"sync"
+
+	"savorypin/internal/savorypinfleet"
+)
 
 // streamSet holds the watchdogs of all running streams, so that the streams in a failed domain
 // can be checked at once. It is safe for concurrent use.
@@ -30,6 +35,19 @@
 	return len(s.watchdogs)
 }
 
+// abandon ends the attempts of streams whose prompts have a part, unless their answers have begun
+// or they are probes.
+func (s *streamSet) abandon(part savorypinfleet.PromptPart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.watchdogs {
+		if !w.begun.Load() && !w.probe && slices.Contains(w.parts, part) {
+			w.confined.Store(true)
+			w.conn.Close()
+		}
+	}
+}
+
 // checkDomain makes the watchdogs of a service's streams in a failure domain check their
 // endpoints at once.
 func (s *streamSet) checkDomain(domain, service string) {
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -39,6 +39,14 @@
 // watchdog detects that an attempt of a stream has stalled. It then closes the connection, so
 // that the reader gets an error.
 type watchdog struct {
+	// begun is set once the answer has begun and gone on, confined once the attempt was
+	// abandoned because a part of its prompt was put into quarantine.
+	begun    atomic.Bool
+	confined atomic.Bool
+	// parts are the parts of the prompt that other requests may share, and probe says that the
+	// request is a probe of those in quarantine.
+	parts    []savorypinfleet.PromptPart
+	probe    bool
 	timeouts atomic.Pointer[stallTimeouts]
 	checking atomic.Bool
 	// firstEventSeen is set once the first event has arrived.
@@ -67,15 +75,9 @@
 	timer         *time.Timer
 }
 
-// newWatchdog starts a watchdog for one attempt. stalledBefore is the number of earlier attempts
-// of the stream that were abandoned although their hosts answered.
-func (g *Gateway) newWatchdog(
-	ctx context.Context,
-	req *request,
-	e *savorypinfleet.Endpoint,
-	conn *savorypinpool.Conn,
-	stalledBefore int,
-) *watchdog {
+// newWatchdog starts a watchdog for one attempt of a stream.
+func (g *Gateway) newWatchdog(ctx context.Context, s *stream, e *savorypinfleet.Endpoint, conn *savorypinpool.Conn) *watchdog {
+	req := s.req
 	target := req.route.TargetLatency()
 	if target == 0 {
 		target = defaultTargetLatency
@@ -84,7 +86,10 @@
 	if gap == 0 {
 		gap = defaultTargetGap
 	}
-	w := &watchdog{conn: conn, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, requestID: req.call.ID, sentAt: time.Now(), stalledBefore: stalledBefore}
+	w := &watchdog{
+		conn: conn, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, parts: req.call.PromptParts, probe: s.probe != nil,
+		requestID: req.call.ID, sentAt: time.Now(), stalledBefore: s.stalledAttempts,
+	}
 	w.timeouts.Store(&stallTimeouts{
 		check: time.Duration(firstCheckRatio * float64(target)),
 		limit: time.Duration(firstLimitFactor * float64(target)),
--- a/internal/savorypingossip/check.go
+++ b/internal/savorypingossip/check.go
@@ -59,6 +59,7 @@
 	err := errors.Join(
 		checkBound("number of entries", max(len(s.Budgets), len(s.Loads), len(s.Rollouts), len(s.Suspects)) <= maxListLength),
 		validateFailures(s.Failures),
+		checkBound("quarantine", s.Quarantine == nil || s.Quarantine.Valid()),
 	)
 	for _, b := range s.Budgets {
 		err = errors.Join(err, checkBound("budget", validCount(b.First) && validCount(b.Repeats)))
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -18,6 +18,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinpick"
+	"savorypin/internal/savorypinquarantine"
 	"savorypin/internal/savorypinrollout"
 )
 
@@ -56,6 +57,9 @@
 	// PartFailure is the recent failures that the gateway itself has detected, and its
 	// suspects.
 	PartFailure Part = "failure"
+	// PartQuarantine is the crashes of endpoints that the gateway itself has observed, and its
+	// verdicts on parts of prompts.
+	PartQuarantine Part = "quarantine"
 	// PartRollout is the gateway's observations of the versions in rollouts.
 	PartRollout Part = "rollout"
 	// PartLoad is the load that the gateway has placed on all endpoints.
@@ -64,7 +68,7 @@
 
 // parts are all parts in order of priority. If a message can't hold all updates, those of low
 // priority are sent in later messages.
-var parts = []Part{PartFailure, PartHeartbeat, PartLoad, PartRollout, PartBudget}
+var parts = []Part{PartFailure, PartQuarantine, PartHeartbeat, PartLoad, PartRollout, PartBudget}
 
 // Update is one part of the state of a gateway, as published by that gateway. Receivers
 // forward it unchanged except for its age.
@@ -93,10 +97,12 @@
 	// Failures are the domain failures that the gateway itself has detected recently.
 	Failures []savorypinpick.Failure `msgpack:"f,omitempty"`
 	// Leaving says that the gateway accepts no new callers.
-	Leaving  bool                      `msgpack:"l,omitempty"`
-	Loads    []savorypinpick.Load      `msgpack:"w,omitempty"`
-	Name     string                    `msgpack:"n,omitempty"`
-	Rollouts []savorypinrollout.Report `msgpack:"r,omitempty"`
+	Leaving bool                 `msgpack:"l,omitempty"`
+	Loads   []savorypinpick.Load `msgpack:"w,omitempty"`
+	Name    string               `msgpack:"n,omitempty"`
+	// Quarantine is nil if there is nothing to report.
+	Quarantine *savorypinquarantine.Report `msgpack:"q,omitempty"`
+	Rollouts   []savorypinrollout.Report   `msgpack:"r,omitempty"`
 	// Suspects are the endpoints that the gateway itself has found to fail.
 	Suspects []string `msgpack:"u,omitempty"`
 }
--- a/internal/savorypingossip/updates.go
+++ b/internal/savorypingossip/updates.go
@@ -56,7 +56,7 @@
 		// Load changes often. Large fleets, whose heartbeat interval is longer, publish it
 		// less often.
 		return PublishIntervals{Min: (heartbeat - minHeartbeatInterval) * 3 / 4, Refresh: refreshHeartbeats * heartbeat}
-	case PartFailure, PartRollout:
+	case PartFailure, PartQuarantine, PartRollout:
 	}
 	return PublishIntervals{Refresh: refreshHeartbeats * heartbeat}
 }
--- /dev/null
+++ b/internal/savorypinquarantine/admit.go
@@ -0,0 +1,101 @@
+package savorypinquarantine
+
+import (
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+)
+
+// Confinement says that a request must not be sent to an endpoint, because of one of its parts.
+type Confinement struct {
+	Part savorypinfleet.PromptPart
+	// RetryAfter is the time until the part may be probed.
+	RetryAfter time.Duration
+}
+
+// Probe is a request that is sent although parts of it are in quarantine, to see whether they
+// still crash endpoints. A nil Probe is one of no part.
+type Probe struct {
+	registry *Registry
+	parts    []*confined
+}
+
+// Confined returns the confinement of a request with the given parts; nil if none of them is in
+// quarantine.
+func (r *Registry) Confined(parts []savorypinfleet.PromptPart) *Confinement {
+	if r.active.Load() == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	matched := r.match(parts)
+	if len(matched) == 0 {
+		return nil
+	}
+	return r.confinement(matched, r.cfg.Now())
+}
+
+// Admit decides whether a new request with the given parts is sent. It returns a confinement if
+// it isn't, and a probe if it is one.
+func (r *Registry) Admit(parts []savorypinfleet.PromptPart) (*Probe, *Confinement) {
+	if r.active.Load() == 0 {
+		return nil, nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	matched := r.match(parts)
+	if len(matched) == 0 {
+		return nil, nil
+	}
+	now := r.cfg.Now()
+	for _, v := range matched {
+		if v.probing || now.Before(r.probeAt(v)) {
+			return nil, r.confinement(matched, now)
+		}
+	}
+	for _, v := range matched {
+		v.probing = true
+	}
+	return &Probe{registry: r, parts: matched}, nil
+}
+
+// match returns the parts that are in quarantine. The caller holds r.mu.
+func (r *Registry) match(parts []savorypinfleet.PromptPart) []*confined {
+	var matched []*confined
+	for _, part := range parts {
+		if v, ok := r.verdicts[part]; ok && !v.Released {
+			matched = append(matched, v)
+		}
+	}
+	return matched
+}
+
+// probeAt returns when this gateway may probe a part.
+func (r *Registry) probeAt(v *confined) time.Time {
+	return v.until.Add(time.Duration(r.cfg.Rank(v.Part)) * probeStagger)
+}
+
+// confinement returns the confinement by the part that lasts longest. Another gateway may probe a
+// part before this one; a part that is being probed is known soon.
+func (r *Registry) confinement(matched []*confined, now time.Time) *Confinement {
+	c := &Confinement{}
+	for _, v := range matched {
+		if remaining := max(v.until.Sub(now), probeStagger); remaining > c.RetryAfter {
+			c.Part, c.RetryAfter = v.Part, remaining
+		}
+	}
+	return c
+}
+
+// End ends a probe. If it neither crashed an endpoint nor released its parts, another request may
+// be the next probe at once.
+func (p *Probe) End() {
+	if p == nil {
+		return
+	}
+	p.registry.mu.Lock()
+	defer p.registry.mu.Unlock()
+	for _, v := range p.parts {
+		v.probing = false
+	}
+}
--- /dev/null
+++ b/internal/savorypinquarantine/evidence.go
@@ -0,0 +1,217 @@
+package savorypinquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+)
+
+// place is where a part was found in the prompts of the streams that an endpoint had.
+type place struct {
+	// depth is the number of parts before it, at most.
+	depth int
+	// innermost is set if it was the last suspect of a prompt.
+	innermost bool
+}
+
+// crash is a crash of an endpoint, as all gateways together have reported it.
+type crash struct {
+	at       time.Time
+	endpoint uint64
+	// explained is set once a part among the suspects was put into quarantine. Such a crash
+	// says nothing about the others.
+	explained bool
+	suspects  map[savorypinfleet.PromptPart]place
+}
+
+// add adds suspects, in the order of a prompt.
+func (c *crash) add(suspects []savorypinfleet.PromptPart) {
+	for depth, part := range suspects {
+		known := c.suspects[part]
+		c.suspects[part] = place{
+			depth:     max(known.depth, depth),
+			innermost: known.innermost || depth == len(suspects)-1,
+		}
+	}
+}
+
+// evidence holds the crashes that aren't explained yet, and the begins on parts.
+type evidence struct {
+	// crashes are in no order, and byPart indexes them by their suspects.
+	crashes []*crash
+	byPart  map[savorypinfleet.PromptPart][]*crash
+	begins  beginMemory
+}
+
+// crashOf returns the crash of an incarnation, or nil.
+func (v *evidence) crashOf(endpoint uint64) *crash {
+	i := slices.IndexFunc(v.crashes, func(c *crash) bool { return c.endpoint == endpoint })
+	if i < 0 {
+		return nil
+	}
+	return v.crashes[i]
+}
+
+// record adds a crash at a time, or more suspects of a known one. It drops the oldest crash if
+// there are too many.
+func (v *evidence) record(endpoint uint64, at time.Time, suspects []savorypinfleet.PromptPart) {
+	c := v.crashOf(endpoint)
+	if c == nil {
+		c = &crash{at: at, endpoint: endpoint, suspects: map[savorypinfleet.PromptPart]place{}}
+		v.crashes = append(v.crashes, c)
+	}
+	c.add(suspects)
+	if len(v.crashes) > maxCrashes {
+		slices.SortFunc(v.crashes, func(a, b *crash) int { return b.at.Compare(a.at) })
+		v.crashes = v.crashes[:maxCrashes]
+	}
+	v.index()
+}
+
+// index updates byPart.
+func (v *evidence) index() {
+	v.byPart = map[savorypinfleet.PromptPart][]*crash{}
+	for _, c := range v.crashes {
+		for part := range c.suspects {
+			v.byPart[part] = append(v.byPart[part], c)
+		}
+	}
+}
+
+// expire drops the crashes that are too old to count.
+func (v *evidence) expire(now time.Time) {
+	old := func(c *crash) bool { return now.Sub(c.at) > evidenceRetention }
+	if slices.ContainsFunc(v.crashes, old) {
+		v.crashes = slices.DeleteFunc(v.crashes, old)
+		v.index()
+	}
+}
+
+// explain marks the crashes that have a part among their suspects.
+func (v *evidence) explain(part savorypinfleet.PromptPart) {
+	for _, c := range v.byPart[part] {
+		c.explained = true
+	}
+}
+
+// count returns the number of unexplained crashes that have a part among their suspects and came
+// after the last begin on it. Crashes at about the same time have a cause in common more often
+// than a part, such as a lost failure domain or a completed rollout, and count once.
+func (v *evidence) count(part savorypinfleet.PromptPart) int {
+	begun := v.begins.last(part)
+	var times []time.Time
+	for _, c := range v.byPart[part] {
+		if !c.explained && c.at.After(begun) {
+			times = append(times, c.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	groups := 0
+	var first time.Time
+	for _, at := range times {
+		if groups == 0 || at.Sub(first) >= commonCauseWindow {
+			groups++
+			first = at
+		}
+	}
+	return groups
+}
+
+// candidate is a part that may have caused crashes.
+type candidate struct {
+	place
+	part    savorypinfleet.PromptPart
+	crashes int
+	// trusted is set if an answer on the part has begun lately.
+	trusted bool
+}
+
+// candidates returns the suspects of the unexplained crashes, with the crashes that each of them
+// would explain.
+func (v *evidence) candidates(now time.Time) []candidate {
+	var candidates []candidate
+	for part, crashes := range v.byPart {
+		n := v.count(part)
+		if n == 0 {
+			continue
+		}
+		c := candidate{part: part, crashes: n, trusted: v.trusted(part, now)}
+		for _, crash := range crashes {
+			p := crash.suspects[part]
+			c.depth, c.innermost = max(c.depth, p.depth), c.innermost || p.innermost
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// culprit returns the part that explains the most crashes, of those with enough crashes to blame
+// them. Of several that explain as many, it is one on which no answer has begun lately, and then
+// the one deepest in its prompt, since the parts before it are shared by more requests.
+func (v *evidence) culprit(now time.Time) (savorypinfleet.PromptPart, bool) {
+	blamed := slices.DeleteFunc(v.candidates(now), func(c candidate) bool { return !v.enough(c, now) })
+	if len(blamed) == 0 {
+		return 0, false
+	}
+	worst := slices.MaxFunc(blamed, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.crashes, b.crashes), compareBool(!a.trusted, !b.trusted), compareBool(a.innermost, b.innermost),
+			cmp.Compare(a.depth, b.depth), cmp.Compare(a.part, b.part),
+		)
+	})
+	return worst.part, true
+}
+
+// enough reports whether a part has caused enough crashes to be blamed. A part on which answers
+// began lately, or behind which there always was another suspect, needs more, so that the
+// others are blamed first.
+func (v *evidence) enough(c candidate, now time.Time) bool {
+	if !c.trusted && c.innermost {
+		return c.crashes >= minCrashes
+	}
+	return c.crashes >= minCrashesShared && now.Sub(v.begins.last(c.part)) >= trustPeriod
+}
+
+// trusted reports whether an answer on a part has begun lately.
+func (v *evidence) trusted(part savorypinfleet.PromptPart, now time.Time) bool {
+	begun := v.begins.last(part)
+	return !begun.IsZero() && now.Sub(begun) < trustMemory
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// beginMemory remembers when answers on parts last began. It keeps the parts of two generations,
+// so that parts that are never seen again don't add up.
+type beginMemory struct {
+	current, previous map[savorypinfleet.PromptPart]time.Time
+}
+
+// record remembers a begin, unless a later one is known.
+func (m *beginMemory) record(part savorypinfleet.PromptPart, at time.Time) {
+	if !at.After(m.last(part)) {
+		return
+	}
+	if m.current == nil || len(m.current) >= maxBeginsRemembered {
+		m.previous, m.current = m.current, map[savorypinfleet.PromptPart]time.Time{}
+	}
+	m.current[part] = at
+}
+
+// last returns when an answer on a part last began; zero if that isn't known.
+func (m *beginMemory) last(part savorypinfleet.PromptPart) time.Time {
+	if at, ok := m.current[part]; ok {
+		return at
+	}
+	return m.previous[part]
+}
--- /dev/null
+++ b/internal/savorypinquarantine/exchange.go
@@ -0,0 +1,199 @@
+package savorypinquarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"savorypin/internal/savorypinfleet"
+)
+
+// timedCrash is a crash with the time from which it is reported.
+type timedCrash struct {
+	Crash
+	at time.Time
+}
+
+// timedBegin is a begin with the time from which it is reported.
+type timedBegin struct {
+	Begin
+	at time.Time
+}
+
+// ownReport holds this gateway's observations until they are old. Entries don't change while they
+// are reported, so that the gossip sends them no more than needed.
+type ownReport struct {
+	begins  map[savorypinfleet.PromptPart]timedBegin
+	crashes []timedCrash
+	serial  uint32
+}
+
+// addCrash adds a crash.
+func (o *ownReport) addCrash(c Crash, now time.Time) {
+	same := func(known timedCrash) bool {
+		return known.Endpoint == c.Endpoint && slices.Equal(known.Suspects, c.Suspects)
+	}
+	if !slices.ContainsFunc(o.crashes, same) {
+		o.crashes = append(o.crashes, timedCrash{Crash: c, at: now})
+	}
+}
+
+// addBegin adds a begin that was some time ago.
+func (o *ownReport) addBegin(part savorypinfleet.PromptPart, age time.Duration, now time.Time) {
+	if o.begins == nil {
+		o.begins = map[savorypinfleet.PromptPart]timedBegin{}
+	}
+	o.serial++
+	o.begins[part] = timedBegin{Begin: Begin{Age: age, Part: part, Serial: o.serial}, at: now}
+}
+
+// expire drops the observations that were reported for long enough.
+func (o *ownReport) expire(now time.Time) {
+	o.crashes = slices.DeleteFunc(o.crashes, func(c timedCrash) bool { return now.Sub(c.at) > reportRetention })
+	maps.DeleteFunc(o.begins, func(_ savorypinfleet.PromptPart, b timedBegin) bool { return now.Sub(b.at) > reportRetention })
+}
+
+// Report returns what this gateway reports to the others. It is empty while there are neither
+// crashes nor verdicts.
+func (r *Registry) Report() Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own.expire(r.cfg.Now())
+	var report Report
+	suspects := 0
+	for _, c := range slices.Backward(r.own.crashes) {
+		if suspects += len(c.Suspects); suspects > maxReportSuspects {
+			break
+		}
+		report.Crashes = append(report.Crashes, c.Crash)
+	}
+	for _, b := range r.own.begins {
+		report.Begins = append(report.Begins, b.Begin)
+	}
+	// The latest begins come first.
+	slices.SortFunc(report.Begins, func(a, b Begin) int { return cmp.Compare(b.Serial, a.Serial) })
+	report.Begins = report.Begins[:min(len(report.Begins), maxReportBegins)]
+	report.Verdicts = r.sortedVerdicts(r.cfg.Now())
+	report.Verdicts = report.Verdicts[:min(len(report.Verdicts), maxReportVerdicts)]
+	return report
+}
+
+// sortedVerdicts returns the verdicts that are reported, those in force first. The caller holds
+// r.mu.
+func (r *Registry) sortedVerdicts(now time.Time) []Verdict {
+	var verdicts []Verdict
+	for _, v := range r.verdicts {
+		if now.Sub(v.until) < verdictRetention {
+			verdicts = append(verdicts, v.Verdict)
+		}
+	}
+	slices.SortFunc(verdicts, func(a, b Verdict) int {
+		return cmp.Or(compareBool(a.Released, b.Released), cmp.Compare(b.Round, a.Round), cmp.Compare(a.Part, b.Part))
+	})
+	return verdicts
+}
+
+// Apply processes a report that another gateway published the given time ago.
+func (r *Registry) Apply(origin string, report Report, age time.Duration) {
+	r.mu.Lock()
+	defer r.unlock()
+	now := r.cfg.Now()
+	for _, b := range report.Begins {
+		r.applyBegin(origin, b, now.Add(-age))
+	}
+	for _, v := range report.Verdicts {
+		r.applyVerdict(v, now)
+	}
+	for _, c := range report.Crashes {
+		r.evidence.record(c.Endpoint, now.Add(-age), c.Suspects[:min(len(c.Suspects), maxSuspects)])
+	}
+	r.reportTrust(now)
+	r.judge(now)
+}
+
+// applyBegin records another gateway's begin, unless it was recorded already. The caller holds
+// r.mu.
+func (r *Registry) applyBegin(origin string, b Begin, publishedAt time.Time) {
+	key := beginKey{origin: origin, part: b.Part}
+	if r.beginSerials[key] == b.Serial {
+		return
+	}
+	if len(r.beginSerials) >= maxBeginsRemembered {
+		clear(r.beginSerials)
+	}
+	r.beginSerials[key] = b.Serial
+	r.evidence.begins.record(b.Part, publishedAt.Add(-b.Age))
+}
+
+// applyVerdict adopts another gateway's verdict if it supersedes the known one. The caller holds
+// r.mu.
+func (r *Registry) applyVerdict(v Verdict, now time.Time) {
+	if known, ok := r.verdicts[v.Part]; ok && !v.supersedes(known.Verdict) {
+		return
+	}
+	if v.Released {
+		r.release(v)
+		return
+	}
+	r.confine(v, 0, now)
+}
+
+// reportTrust reports this gateway's last begins on parts that others are about to blame. The
+// caller holds r.mu.
+func (r *Registry) reportTrust(now time.Time) {
+	for _, c := range r.evidence.candidates(now) {
+		begun := r.ownBegins.last(c.part)
+		if c.crashes < minCrashes-1 || begun.IsZero() || now.Sub(begun) > trustMemory {
+			continue
+		}
+		if known, ok := r.own.begins[c.part]; ok && !begun.After(known.at.Add(-known.Age)) {
+			continue
+		}
+		r.own.addBegin(c.part, now.Sub(begun), now)
+	}
+}
+
+// Saved is a part in quarantine, as it is kept in the platform's store.
+type Saved struct {
+	Part  savorypinfleet.PromptPart `json:"part"`
+	Round int32                     `json:"round"`
+	// Until is when the quarantine ends, in milliseconds since the Unix epoch.
+	Until int64 `json:"until"`
+}
+
+// Save returns the parts in quarantine, sorted.
+func (r *Registry) Save() []Saved {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var saved []Saved
+	for _, v := range r.verdicts {
+		if !v.Released {
+			saved = append(saved, Saved{Part: v.Part, Round: v.Round, Until: v.until.UnixMilli()})
+		}
+	}
+	slices.SortFunc(saved, func(a, b Saved) int { return cmp.Compare(a.Part, b.Part) })
+	return saved
+}
+
+// Load adds parts that were saved before all gateways stopped. A quarantine that would have
+// ended lasts for the time of its round from now, at most.
+func (r *Registry) Load(saved []Saved) {
+	r.mu.Lock()
+	defer r.unlock()
+	now := r.cfg.Now()
+	for _, s := range saved {
+		v := Verdict{Part: s.Part, Round: s.Round}
+		if known, ok := r.verdicts[s.Part]; s.Round < 1 || s.Round > maxRound || ok && !v.supersedes(known.Verdict) {
+			continue
+		}
+		remaining := min(time.UnixMilli(s.Until).Sub(now), quarantineOf(s.Round))
+		r.setVerdict(&confined{Verdict: v, until: now.Add(remaining)})
+		r.changes = append(r.changes, Change{Verdict: v, Remaining: remaining})
+	}
+}
+
+// Len returns the number of parts in quarantine.
+func (r *Registry) Len() int {
+	return int(r.active.Load())
+}
--- a/internal/savorypintest/knownred.go
+++ b/internal/savorypintest/knownred.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -77,15 +78,14 @@
 	if err != nil {
 		return nil, "", err
 	}
-	f, err := os.Open(filepath.Join(root, knownRedFile))
+	list, err := os.ReadFile(filepath.Join(root, knownRedFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, dir, nil
 	}
 	if err != nil {
 		return nil, "", err
 	}
-	defer f.Close()
-	failures, err := parseKnownRed(f)
+	failures, err := parseKnownRed(bytes.NewReader(list))
 	return failures, dir, err
 }
 
