Read the quarantine again until the store responds

Cause: a gateway read the saved verdicts once as it started; without a response it began with none. It now reads them at its next interval until the store responds, and writes none before.

--- a/internal/savorypingateway/quarantine.go
+++ b/internal/savorypingateway/quarantine.go
@@ -95,16 +95,22 @@
 		g.admission.State(e) == savorypinadmission.StateOpen
 }
 
-// persistQuarantine loads the parts that were last written to the store, and then writes changes
-// while this gateway is the first of the readers.
+// persistQuarantine loads the parts that were last written to the store, as soon as it responds,
+// and then writes changes while this gateway is the first of the readers.
 func (g *Gateway) persistQuarantine(ctx context.Context) error {
-	g.log.RunRecovered("load quarantine", func() { g.loadQuarantine(ctx) })
+	loaded := false
 	var written []savorypinquarantine.Saved
 	var era int64
 	for {
+		if !loaded && !g.store.breaker.Failing() {
+			g.log.RunRecovered("load quarantine", func() { loaded = g.loadQuarantine(ctx) })
+		}
 		if err := wait(ctx, quarantineWriteInterval); err != nil {
 			return err
 		}
+		if !loaded {
+			continue
+		}
 		parts := g.quarantine.Save()
 		// A store that was restored from an older copy may have lost the last write.
 		current := g.store.client.Era()
@@ -126,21 +132,24 @@
 	return g.peers.Readers()[0] == g.peerAddress()
 }
 
-func (g *Gateway) loadQuarantine(ctx context.Context) {
+// loadQuarantine adds the parts that were last written to the store. It reports whether the store
+// responded.
+func (g *Gateway) loadQuarantine(ctx context.Context) bool {
 	o, err := g.store.client.GetStale(ctx, quarantineKey)
 	if errors.Is(err, savorypinplatform.ErrNotFound) {
-		return
+		return true
 	}
 	if err != nil {
 		g.log.Debug("reading the quarantine from the store failed", "err", err)
-		return
+		return false
 	}
 	var spec quarantineSpec
 	if err := json.Unmarshal(o.Spec, &spec); err != nil {
 		g.log.Emit(savorypinevent.Ignored{Err: err, What: "parts of prompts in quarantine"})
-		return
+		return true
 	}
 	g.quarantine.Load(spec.Parts)
+	return true
 }
 
 // writeQuarantine replaces the parts in the store. It reports success.
