Send whole events at once when a stream breaks off inside the next one

Callers got whole events late, at the resume, or not at all if the stream may not be resumed: an event is written without a flush while a part of the next one has been received, and nothing flushed it when that next event never came. Found by the specs for responses with neither a length nor chunks ('is aborted inside an event if it may not be resumed, after its whole events' failed: nothing arrived). An attempt that ends with an error now flushes what it has written.

The specs pin down that such a response is whole only if it ends after an event, and is resumed if it ends inside one or is reset; they hold on the old code too, but for the one named.

--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -162,7 +162,7 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			return s.flushAfter(err)
 		}
 		if !e.advances(s.lastEventID) {
 			// Neither a comment nor an event that the caller already has counts as progress.
@@ -237,3 +237,15 @@
 	}
 	return s.rc.Flush()
 }
+
+// flushAfter sends the events that were written without a flush, as the rest of the next event was
+// expected, and returns the error because of which it won't come.
+func (s *stream) flushAfter(err error) error {
+	if !s.headerSent {
+		return err
+	}
+	if flushErr := s.rc.Flush(); flushErr != nil {
+		return fmt.Errorf("%w: %w", errCallerWrite, flushErr)
+	}
+	return err
+}
