Show in explain which crashes led to a part's quarantine, and document the quarantine

explain lists the crashes and changes of the quarantine at all gateways that concern the part because of which a request was refused, however long before. An attempt that ends with missing events flushes too.

The gossip spec of 300 gateways with crashes and verdicts passes its bound of 150,000 bytes a second.

--- a/internal/savorypinexplain/causes.go
+++ b/internal/savorypinexplain/causes.go
@@ -44,7 +44,7 @@
 		c.Requests += n
 	}
 	for _, history := range historiesByID(lines) {
-		last := history[len(history)-1]
+		last := finalLine(history)
 		add(causeName(last), last.At, 1)
 	}
 	for _, line := range lines {
--- a/internal/savorypinexplain/report.go
+++ b/internal/savorypinexplain/report.go
@@ -24,6 +24,7 @@
 	savorypinevent.KindConfigurationInForce: true,
 	savorypinevent.KindDependency:           true,
 	savorypinevent.KindDomainSuspect:        true,
+	savorypinevent.KindEndpointCrashed:      true,
 	savorypinevent.KindEndpointLeaves:       true,
 	savorypinevent.KindEndpointPauses:       true,
 	savorypinevent.KindEndpointSuspect:      true,
@@ -33,6 +34,7 @@
 	savorypinevent.KindIgnored:              true,
 	savorypinevent.KindLinesLeftOut:         true,
 	savorypinevent.KindProcess:              true,
+	savorypinevent.KindQuarantineChanged:    true,
 	savorypinevent.KindReadinessChanged:     true,
 	savorypinevent.KindRollout:              true,
 }
@@ -42,6 +44,9 @@
 	// GatewayEvents are the events that changed the state of the request's gateways,
 	// from eventLookback before the request to its last line.
 	GatewayEvents []Line
+	// PartEvents are the crashes and the changes of the quarantine, at any gateway before the
+	// request's last line, that concern the part of its prompt because of which it was refused.
+	PartEvents []Line
 	// Summary says in a sentence how the request ended and why.
 	Summary string
 	// History are the lines with the ID of the request, in the order of their times.
@@ -75,13 +80,57 @@
 			report.GatewayEvents = append(report.GatewayEvents, line)
 		}
 	}
+	report.PartEvents = partEvents(sorted, refusedPart(report.History), last.At)
 	report.Summary = summarize(report.History)
 	return report, nil
 }
 
+// refusedPart returns the part of the prompt because of which a request was refused, or "".
+func refusedPart(history []Line) string {
+	for _, line := range slices.Backward(history) {
+		if part := line.Value("part"); part != "" {
+			return part
+		}
+	}
+	return ""
+}
+
+// partEvents returns the lines until a time that concern a part of prompts.
+func partEvents(lines []Line, part string, until time.Duration) []Line {
+	var events []Line
+	if part == "" {
+		return nil
+	}
+	for _, line := range lines {
+		concerned := line.Value("part") == part
+		switch savorypinevent.Kind(line.Kind) {
+		case savorypinevent.KindEndpointCrashed:
+			concerned = slices.Contains(strings.Split(line.Value("parts"), ","), part)
+		case savorypinevent.KindQuarantineChanged:
+		default:
+			continue
+		}
+		if concerned && line.At <= until {
+			events = append(events, line)
+		}
+	}
+	return events
+}
+
+// finalLine returns the last line of a request's history that says what became of the request
+// itself: the end of its endpoint's process is found out beside it.
+func finalLine(history []Line) Line {
+	for _, line := range slices.Backward(history) {
+		if !isGatewayEvent[savorypinevent.Kind(line.Kind)] {
+			return line
+		}
+	}
+	return history[len(history)-1]
+}
+
 // summarize says how a request ended and why.
 func summarize(history []Line) string {
-	last := history[len(history)-1]
+	last := finalLine(history)
 	switch savorypinevent.Kind(last.Kind) {
 	case savorypinevent.KindRequestRefused:
 		return summarizeRefusal(history, last)
@@ -138,6 +187,12 @@
 	for _, line := range r.History {
 		writeLine(&text, start, line)
 	}
+	if len(r.PartEvents) > 0 {
+		fmt.Fprintf(&text, "\ncrashes and quarantine of the part, at all gateways\n")
+		for _, line := range r.PartEvents {
+			writeLine(&text, start, line)
+		}
+	}
 	fmt.Fprintf(&text, "\nstate changes at its gateways, from %s before\n", eventLookback)
 	for _, line := range r.GatewayEvents {
 		writeLine(&text, start, line)
--- a/internal/savorypinexplain/report_test.go
+++ b/internal/savorypinexplain/report_test.go
@@ -55,6 +55,27 @@
 		Expect(text.String()).To(ContainSubstring("+1.217 s  edge-1               stream broken          endpoint=i-1"))
 	})
 
+	It("names the part of the prompt that is in quarantine, and the crashes of any gateway because of it", func() {
+		more := `
+  1.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="endpoint crashed" gateway=edge-2 endpoint=i-1 events=0 parts=aa,bb suspicion=1 id=r7
+  1.100 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="stream failed" gateway=edge-2 id=r7 attempts=1 age=90 err="retry budget is spent"
+  1.200 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="endpoint crashed" gateway=edge-2 endpoint=i-1 events=0 parts=aa suspicion=0 id=r7
+  2.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="quarantine changed" gateway=edge-2 part=bb released=false round=1 crashes=3
+  60.000 edge-1 time=2026-12-04T05:00:00.100Z level=info msg="request refused" gateway=edge-1 id=r8 status=503 reason="part of the prompt is in quarantine" part=bb
+  61.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="quarantine changed" gateway=edge-2 part=bb released=true round=1 crashes=0
+`
+		report, err := savorypinexplain.Explain("r8", readLines(more))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Summary).To(ContainSubstring("status 503: part of the prompt is in quarantine"))
+		Expect(report.PartEvents).To(HaveLen(2))
+		var text strings.Builder
+		Expect(report.Write(&text)).To(Succeed())
+		Expect(text.String()).To(ContainSubstring("-59.000 s  edge-2               endpoint crashed       endpoint=i-1 events=0 parts=aa,bb"))
+		report, err = savorypinexplain.Explain("r7", readLines(more))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Summary).To(HavePrefix("the stream failed"))
+	})
+
 	It("uses the gateway's time if the log collector put no time in front of the line", func() {
 		line := `time=2026-12-04T05:00:00.250Z level=info msg="stream sent" gateway=edge-1 id=r1`
 		Expect(readLines(line)[0].At).To(Equal(time.Duration(time.Date(2026, 12, 4, 5, 0, 0, 250e6, time.UTC).UnixNano())))
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -183,7 +183,7 @@
 		w.recordEvent()
 		s.gateway.picker.ClearSuspicion(a.Endpoint)
 		if e.id > s.lastEventID+1 {
-			return fmt.Errorf("%w: %d after %d", errMissingEvents, e.id, s.lastEventID)
+			return s.flushAfter(fmt.Errorf("%w: %d after %d", errMissingEvents, e.id, s.lastEventID))
 		}
 		w.pause()
 		err = s.deliver(resp, e, !events.buffered())
--- a/internal/savorypingossip/fleet_internal_test.go
+++ b/internal/savorypingossip/fleet_internal_test.go
@@ -9,7 +9,9 @@
 	. "github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinpick"
+	"savorypin/internal/savorypinquarantine"
 )
 
 const (
@@ -29,7 +31,11 @@
 	domain string
 	gossip *Gossip
 	// loads are the PartLoad updates that were received, by origin.
-	loads         map[string]GatewayState
+	loads map[string]GatewayState
+	// crashes are the crashes that other gateways reported, and quarantine is what this one
+	// reports.
+	crashes       map[uint64]bool
+	quarantine    *savorypinquarantine.Report
 	bytesReceived int
 	// streams is the number of streams that the gateway has placed.
 	streams int
@@ -73,7 +79,7 @@
 // add starts the gateway with index i, which has three streams. It replaces the gateway that had
 // this index.
 func (f *fleet) add(i int, started int64) *member {
-	m := &member{domain: fmt.Sprint("d", i%fleetDomains), loads: map[string]GatewayState{}, streams: 3, up: true}
+	m := &member{domain: fmt.Sprint("d", i%fleetDomains), crashes: map[uint64]bool{}, loads: map[string]GatewayState{}, streams: 3, up: true}
 	address := f.address(i)
 	m.gossip = New(Config{
 		Address: address, Clock: func() time.Duration { return f.now },
@@ -85,6 +91,11 @@
 			if received.Part == PartLoad {
 				m.loads[received.Origin] = received.State
 			}
+			if received.State.Quarantine != nil {
+				for _, c := range received.State.Quarantine.Crashes {
+					m.crashes[c.Endpoint] = true
+				}
+			}
 		},
 		History: func() []savorypinpick.Failure { return nil },
 		Now:     f.wallClock, Region: regionOf, Started: started,
@@ -112,6 +123,8 @@
 			loads = append(loads, savorypinpick.Load{Endpoint: fmt.Sprintf("i-%010d", i), PromptIDs: []string{"91bd3f06"}, Running: 1, Waiting: 8000})
 		}
 		return GatewayState{Loads: loads}
+	case PartQuarantine:
+		return GatewayState{Quarantine: m.quarantine}
 	case PartFailure, PartRollout:
 	}
 	return GatewayState{}
@@ -170,6 +183,19 @@
 	return n
 }
 
+// bytesReceived returns the most bytes that a gateway receives in a second, over a time.
+func (f *fleet) bytesReceived(d time.Duration) int {
+	for _, m := range f.members {
+		m.bytesReceived = 0
+	}
+	f.advance(d)
+	most := 0
+	for _, m := range f.members {
+		most = max(most, m.bytesReceived)
+	}
+	return most / int(d/time.Second)
+}
+
 // introduceAll adds each gateway to the tables of all others.
 func (f *fleet) introduceAll() {
 	for _, m := range f.members {
@@ -242,6 +268,34 @@
 		})
 	}
 
+	It("of 300 passes on crashes and verdicts on parts of prompts within the traffic limit", Label("large"), func() {
+		f := newFleet(300)
+		f.introduceAll()
+		f.advance(10 * time.Second)
+		quiet := f.bytesReceived(10 * time.Second)
+		parts := []savorypinfleet.PromptPart{1, 2}
+		for i := range 5 {
+			crash := savorypinquarantine.Crash{Endpoint: uint64(i), Suspects: parts}
+			f.members[60*i].quarantine = &savorypinquarantine.Report{Crashes: []savorypinquarantine.Crash{crash}}
+		}
+		f.advance(maxPropagationTime)
+		for i := range 5 {
+			knowing := 0
+			for _, m := range f.members {
+				if m.crashes[uint64(i)] {
+					knowing++
+				}
+			}
+			Expect(knowing).To(BeNumerically(">=", 299*95/100))
+		}
+		for _, m := range f.members {
+			m.quarantine = &savorypinquarantine.Report{Verdicts: []savorypinquarantine.Verdict{{Part: 2, Round: 1}}}
+		}
+		confined := f.bytesReceived(10 * time.Second)
+		AddReportEntry("bytes a second", fmt.Sprintf("quiet %d, with a part in quarantine %d", quiet, confined))
+		Expect(confined).To(BeNumerically("<", 150_000))
+	})
+
 	It("converges within two seconds of a start of all gateways with three seed addresses", func() {
 		f := newFleet(68)
 		f.advance(2 * time.Second)
