Log the limits on requests that endpoints name in their answers

The logs had no line on it, so that a limit that isn't read, isn't shared, is used whole by each gateway or is passed by repeats all looked alike. The answer's limit is decoded, with an invalid number told from none; 'endpoint limits' logs it and gateway_endpoint_limits counts the answers. No decision changes.

--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -27,6 +27,7 @@
 	KindDomainSuspect        Kind = "failure domain suspect"
 	KindEndpointCrashed      Kind = "endpoint crashed"
 	KindEndpointLeaves       Kind = "endpoint leaves"
+	KindEndpointLimits       Kind = "endpoint limits"
 	KindEndpointPauses       Kind = "endpoint pauses"
 	KindEndpointSuspect      Kind = "endpoint suspect"
 	KindEndpointsChanged     Kind = "endpoints changed"
--- a/internal/savorypinevent/stateevents.go
+++ b/internal/savorypinevent/stateevents.go
@@ -64,6 +64,29 @@
 	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "id", e.ID}
 }
 
+// EndpointLimits reports that an endpoint named another limit on the requests that it gets, or no
+// longer names one.
+type EndpointLimits struct {
+	Endpoint string
+	// ID is the id of the request that the endpoint responded to; empty if another gateway
+	// reported the limit.
+	ID string
+	// Limited says whether there is a limit, and PerSecond is the number of requests a second.
+	Limited   bool
+	PerSecond float64
+}
+
+// Kind returns the kind of the event.
+func (EndpointLimits) Kind() Kind { return KindEndpointLimits }
+
+// Level returns the level of the log line.
+func (EndpointLimits) Level() log.Level { return log.InfoLevel }
+
+// Fields returns the fields as alternating names and values.
+func (e EndpointLimits) Fields() []any {
+	return []any{"endpoint", e.Endpoint, "limited", e.Limited, "perSecond", e.PerSecond, "id", e.ID}
+}
+
 // EndpointPauses reports that an endpoint asked for no requests for some time.
 type EndpointPauses struct {
 	Endpoint string
--- a/internal/savorypinexplain/report.go
+++ b/internal/savorypinexplain/report.go
@@ -26,6 +26,7 @@
 	savorypinevent.KindDomainSuspect:        true,
 	savorypinevent.KindEndpointCrashed:      true,
 	savorypinevent.KindEndpointLeaves:       true,
+	savorypinevent.KindEndpointLimits:       true,
 	savorypinevent.KindEndpointPauses:       true,
 	savorypinevent.KindEndpointSuspect:      true,
 	savorypinevent.KindEndpointsChanged:     true,
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -55,6 +55,26 @@
 	RestoreFromBackup bool
 }
 
+// LimitState says whether a response names a limit on requests.
+type LimitState string
+
+// The states of limits, in sorted order.
+const (
+	// LimitAbsent means that the endpoint names no limit.
+	LimitAbsent LimitState = ""
+	// LimitInvalid means that the limit can't be read, so that an earlier one stays in force.
+	LimitInvalid LimitState = "invalid"
+	// LimitNamed means that the endpoint names a limit.
+	LimitNamed LimitState = "named"
+)
+
+// RequestLimit is the limit that an endpoint names on the requests of all gateways together.
+type RequestLimit struct {
+	// PerSecond is the number of requests a second; it may be zero.
+	PerSecond float64
+	State     LimitState
+}
+
 // Reply is the decoded head of an endpoint's response.
 type Reply struct {
 	// ID is the ID of the request to which the endpoint responds; empty if it is missing.
@@ -62,6 +82,8 @@
 	// KeepAlive is how long the connection may be idle before the endpoint closes it; zero if
 	// unknown.
 	KeepAlive time.Duration
+	// Limit is the limit on requests that the endpoint names.
+	Limit RequestLimit
 	// Leaving says that the endpoint is about to stop.
 	Leaving bool
 	// NotExecuted says that the endpoint did not run the request.
--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -94,6 +94,7 @@
 		g.counters.endpointsLeft.Inc(1)
 		g.log.Emit(savorypinevent.EndpointLeaves{Domain: e.Domain(), Endpoint: e.ID(), ID: call.ID})
 	}
+	g.recordLimit(e, call, reply.Limit)
 	if status != http.StatusServiceUnavailable || reply.RetryAfter <= 0 {
 		return
 	}
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -16,6 +16,8 @@
 	failed         metrics.Counter
 	endpointsLeft  metrics.Counter
 	endpointPauses metrics.Counter
+	// endpointLimits counts the responses that name a limit on requests.
+	endpointLimits metrics.Counter
 	// partsConfined counts the parts of prompts that were put into quarantine, by any gateway,
 	// and partsReleased those that were released. partsRefused counts the streams that were not
 	// sent, or not sent again, because of a part in quarantine.
@@ -43,6 +45,7 @@
 		failed:              metrics.GetOrRegisterCounter("gateway_failed", r),
 		firstEvent:          metrics.GetOrRegisterTimer("gateway_first_event", r),
 		endpointsLeft:       metrics.GetOrRegisterCounter("gateway_endpoints_left", r),
+		endpointLimits:      metrics.GetOrRegisterCounter("gateway_endpoint_limits", r),
 		endpointPauses:      metrics.GetOrRegisterCounter("gateway_endpoint_pauses", r),
 		partsConfined:       metrics.GetOrRegisterCounter("gateway_parts_confined", r),
 		partsRefused:        metrics.GetOrRegisterCounter("gateway_parts_refused", r),
