Keep to the limits on requests that endpoints name, over all gateways together

Cause: the answer's limit wasn't read. The class is an announced limit without a mechanism behind it; beyond reading it, each gateway alone would have used all of it.

Fix: savorypinlimit.SharedRates. Each gateway sends to a limited endpoint by a token bucket with its share of nine tenths of the limit. The shares follow the requests to the service that gateways already tell each other for the retry budgets, and add up to one, since each counts itself with what the others have heard of it. A share that never saves up a whole request is used by chance, in proportion. Every send takes from it: first attempts, repeats, resumes, restores from a backup; reports of a limited engine aren't asked for. What it doesn't take goes to other endpoints; if none takes the request it is refused as not run at once, with the time until this gateway's share allows one. Limits are passed on by gossip, so that a gateway needn't ask first; an answer without one, a second or more after the last with one, ends it everywhere; it ends with the incarnation. At a limit near zero only the busiest gateway sends one request each 4 s.

Why it works: the sum over the gateways is bounded whoever gets the requests, with a margin for what they hear late. Weighed: an even split (a skewed demand gets a fraction), grants by an owner as for organisations (a request and an answer for each share, terms of 8 s beside windows of 4 s), counting all sends together (bytes and delay at 300 gateways).

--- a/internal/savorypinadmission/admission.go
+++ b/internal/savorypinadmission/admission.go
@@ -293,6 +293,11 @@
 	if shortest == 0 {
 		return 0, false
 	}
-	spread := max(minRetrySpread, time.Duration(retrySpreadRatio*float64(shortest)))
-	return shortest + time.Duration(r.cfg.Random()*float64(spread)), true
+	return r.Spread(shortest), true
+}
+
+// Spread returns a delay plus a random one, so that callers do not return all at once.
+func (r *Registry) Spread(delay time.Duration) time.Duration {
+	spread := max(minRetrySpread, time.Duration(retrySpreadRatio*float64(delay)))
+	return delay + time.Duration(r.cfg.Random()*float64(spread))
 }
--- a/internal/savorypinfleet/endpoint.go
+++ b/internal/savorypinfleet/endpoint.go
@@ -45,11 +45,16 @@
 // Endpoint is one incarnation of a process that serves requests.
 type Endpoint struct {
 	cfg EndpointConfig
+	// hash is the hash of the incarnation.
+	hash uint64
 }
 
 // NewEndpoint returns an Endpoint with a configuration.
 func NewEndpoint(cfg EndpointConfig) *Endpoint {
-	return &Endpoint{cfg: cfg}
+	e := &Endpoint{cfg: cfg}
+	i := e.Incarnation()
+	e.hash = xxhash.Sum64String(fmt.Sprintf("%s %s %d", i.address, i.id, i.started))
+	return e
 }
 
 // Address returns the IP address and port.
@@ -58,6 +63,9 @@
 // Domain returns the failure domain.
 func (e *Endpoint) Domain() string { return e.cfg.Domain }
 
+// IncarnationHash returns a hash of the incarnation that is the same at all gateways.
+func (e *Endpoint) IncarnationHash() uint64 { return e.hash }
+
 // ID returns the ID of the endpoint. A restarted process may have the same ID; Incarnation tells
 // them apart.
 func (e *Endpoint) ID() string { return e.cfg.ID }
@@ -89,11 +97,6 @@
 	started int64
 }
 
-// Hash returns a hash of the incarnation that is the same at all gateways.
-func (i Incarnation) Hash() uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%s %s %d", i.address, i.id, i.started))
-}
-
 // Incarnation returns the incarnation of the endpoint.
 func (e *Endpoint) Incarnation() Incarnation {
 	return Incarnation{address: e.cfg.Address, id: e.cfg.ID, started: e.cfg.Started.UnixMilli()}
--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -80,6 +80,9 @@
 	if delay, ok := g.admission.RetryAfter(g.readyEndpoints(service)); ok {
 		return delay
 	}
+	if delay, ok := g.limitWait(g.candidates(service)); ok {
+		return g.admission.Spread(delay)
+	}
 	return transientRetryDelay
 }
 
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -18,6 +18,8 @@
 	endpointPauses metrics.Counter
 	// endpointLimits counts the responses that name a limit on requests.
 	endpointLimits metrics.Counter
+	// limitHeld counts the choices of an endpoint that were given up because of its limit.
+	limitHeld metrics.Counter
 	// partsConfined counts the parts of prompts that were put into quarantine, by any gateway,
 	// and partsReleased those that were released. partsRefused counts the streams that were not
 	// sent, or not sent again, because of a part in quarantine.
@@ -47,6 +49,7 @@
 		endpointsLeft:       metrics.GetOrRegisterCounter("gateway_endpoints_left", r),
 		endpointLimits:      metrics.GetOrRegisterCounter("gateway_endpoint_limits", r),
 		endpointPauses:      metrics.GetOrRegisterCounter("gateway_endpoint_pauses", r),
+		limitHeld:           metrics.GetOrRegisterCounter("gateway_limit_held", r),
 		partsConfined:       metrics.GetOrRegisterCounter("gateway_parts_confined", r),
 		partsRefused:        metrics.GetOrRegisterCounter("gateway_parts_refused", r),
 		partsReleased:       metrics.GetOrRegisterCounter("gateway_parts_released", r),
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -28,6 +28,7 @@
 	"savorypin/internal/savorypinforecast"
 	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinhazard"
+	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinmetrics"
 	"savorypin/internal/savorypinpick"
@@ -85,10 +86,12 @@
 	retryBudgets *retryBudgets
 	cfg          Config
 	counters     counters
-	forecast     *savorypinforecast.Forecast
-	gossip       *savorypingossip.Gossip
-	admission    *savorypinadmission.Registry
-	log          *savorypinevent.Log
+	// endpointLimits holds the limits that endpoints named on the requests of all gateways.
+	endpointLimits *savorypinlimit.SharedRates
+	forecast       *savorypinforecast.Forecast
+	gossip         *savorypingossip.Gossip
+	admission      *savorypinadmission.Registry
+	log            *savorypinevent.Log
 	// discoveryDone is closed after the first attempt to read the list of gateways, whether it
 	// succeeded or not.
 	discoveryDone chan struct{}
@@ -142,7 +145,10 @@
 		Now:          time.Now,
 	})
 	g.quarantine = g.newQuarantine()
-	g.retryBudgets = newRetryBudgets(cfg.Settings, g.gatewayCount)
+	g.retryBudgets = newRetryBudgets(cfg.Settings, g.peerAddress(), g.gatewayCount, func() time.Duration { return g.peers.HeartbeatInterval() })
+	g.endpointLimits = savorypinlimit.NewSharedRates(savorypinlimit.SharedRateConfig{
+		Busiest: g.retryBudgets.busiest, Now: time.Now, Share: g.retryBudgets.share,
+	})
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
 	g.gossip = g.newGossip()
 	g.store = newStore(cfg, &g.view, g.counters)
@@ -274,6 +280,7 @@
 				g.Reload()
 			}
 			g.picker.RemoveUnlisted(g.view.directory.Load())
+			g.retainLimits()
 			g.updatePeers()
 			g.logReadiness()
 		})
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -64,6 +64,8 @@
 		return savorypingossip.GatewayState{Budgets: g.retryBudgets.ownCounts()}
 	case savorypingossip.PartFailure:
 		return savorypingossip.GatewayState{Failures: g.picker.Failures(), Suspects: g.picker.Suspects()}
+	case savorypingossip.PartLimit:
+		return savorypingossip.GatewayState{Limits: g.endpointLimits.Report()}
 	case savorypingossip.PartQuarantine:
 		return savorypingossip.GatewayState{Quarantine: g.quarantineReport()}
 	case savorypingossip.PartRollout:
@@ -89,6 +91,8 @@
 		g.retryBudgets.setPeerCounts(update.Origin, update.State.Budgets)
 	case savorypingossip.PartFailure:
 		g.handleFailures(update)
+	case savorypingossip.PartLimit:
+		g.handleLimits(update)
 	case savorypingossip.PartQuarantine:
 		g.handleQuarantineReport(update)
 	case savorypingossip.PartRollout:
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -99,7 +99,7 @@
 	reported := &outcome{kind: outcomeUnsent}
 	sent, unsent := 0, 0
 	for sent < req.route.MaxAttempts() && unsent < maxUnsentAttempts && ctx.Err() == nil {
-		e := g.picker.Choose(g.query(req, tried))
+		e := g.chooseEndpoint(req, tried)
 		if e == nil || sent > 0 && !budget.TryRepeat() {
 			break
 		}
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -60,9 +60,11 @@
 	Endpoints            int           `json:"endpoints"`
 	// EndpointsHeld is the number of listed endpoints that get no new requests, or get them
 	// only if there are no others.
-	EndpointsHeld int    `json:"endpointsHeld"`
-	Name          string `json:"name"`
-	NotReady      string `json:"notReady,omitempty"`
+	EndpointsHeld int `json:"endpointsHeld"`
+	// LimitedEndpoints is the number of endpoints that named a limit on requests.
+	LimitedEndpoints int    `json:"limitedEndpoints"`
+	Name             string `json:"name"`
+	NotReady         string `json:"notReady,omitempty"`
 	// QuarantinedParts is the number of parts of prompts in quarantine.
 	QuarantinedParts int `json:"quarantinedParts"`
 	// StoreEra is the number of times that the store was restored from an older copy.
@@ -74,6 +76,7 @@
 	s := state{
 		Endpoints:        g.view.directory.Load().Len(),
 		EndpointsHeld:    g.admission.CountNotOpen(g.view.directory.Load()),
+		LimitedEndpoints: g.endpointLimits.Len(),
 		Name:             g.settings.Load().Name,
 		QuarantinedParts: g.quarantine.Len(),
 		StoreEra:         g.store.client.Era(),
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -205,12 +205,12 @@
 func (s *stream) nextEndpoint(ctx context.Context) (*savorypinfleet.Endpoint, bool, error) {
 	if b := s.backup; b != nil {
 		s.backup = nil
-		if s.gateway.canRestore(b) && !s.gateway.picker.Suspect(b) {
+		if s.gateway.canRestore(b) && !s.gateway.picker.Suspect(b) && s.gateway.endpointLimits.Take(b.IncarnationHash()) {
 			return b, true, nil
 		}
 	}
 	for {
-		if e := s.gateway.picker.Choose(s.gateway.query(s.req, s.tried)); e != nil {
+		if e := s.gateway.chooseEndpoint(s.req, s.tried); e != nil {
 			return e, false, nil
 		}
 		if !s.mayHaveRun || s.gateway.retryDelay(s.req.service.Name()) > s.req.remaining() {
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -185,9 +185,10 @@
 // mayHaveRequest reports whether the engine has the request, or may have it among those that its
 // report counts but does not name. It takes ownership of the connection. After the first event it
 // returns true without a report: the engine may still run a request whose response is lost, so
-// that only the timeouts decide. It does the same during a pause that the endpoint asked for.
+// that only the timeouts decide. It does the same during a pause that the endpoint asked for, and
+// if the endpoint has a limit on requests.
 func (w *watchdog) mayHaveRequest(conn *savorypinpool.Conn) bool {
-	if w.firstEventSeen.Load() || w.gateway.admission.Paused(w.endpoint) {
+	if w.firstEventSeen.Load() || w.gateway.admission.Paused(w.endpoint) || w.gateway.endpointLimits.Limited(w.endpoint.IncarnationHash()) {
 		w.gateway.pool.Put(conn, 0)
 		return true
 	}
--- a/internal/savorypingossip/check.go
+++ b/internal/savorypingossip/check.go
@@ -57,13 +57,16 @@
 // validate returns an error if a value in the state is out of bounds.
 func (s *GatewayState) validate() error {
 	err := errors.Join(
-		checkBound("number of entries", max(len(s.Budgets), len(s.Loads), len(s.Rollouts), len(s.Suspects)) <= maxListLength),
+		checkBound("number of entries", max(len(s.Budgets), len(s.Limits), len(s.Loads), len(s.Rollouts), len(s.Suspects)) <= maxListLength),
 		validateFailures(s.Failures),
 		checkBound("quarantine", s.Quarantine == nil || s.Quarantine.Valid()),
 	)
 	for _, b := range s.Budgets {
 		err = errors.Join(err, checkBound("budget", validCount(b.First) && validCount(b.Repeats)))
 	}
+	for _, l := range s.Limits {
+		err = errors.Join(err, checkBound("limit", l.Valid()))
+	}
 	for _, l := range s.Loads {
 		err = errors.Join(err, checkBound("load", l.Running >= 0 && l.Running <= maxRequests && l.Waiting >= 0 && l.Waiting <= maxTokens))
 	}
--- a/internal/savorypingossip/fleet_internal_test.go
+++ b/internal/savorypingossip/fleet_internal_test.go
@@ -125,7 +125,7 @@
 		return GatewayState{Loads: loads}
 	case PartQuarantine:
 		return GatewayState{Quarantine: m.quarantine}
-	case PartFailure, PartRollout:
+	case PartFailure, PartLimit, PartRollout:
 	}
 	return GatewayState{}
 }
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"savorypin/internal/savorypin"
+	"savorypin/internal/savorypinlimit"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinquarantine"
 	"savorypin/internal/savorypinrollout"
@@ -57,6 +58,8 @@
 	// PartFailure is the recent failures that the gateway itself has detected, and its
 	// suspects.
 	PartFailure Part = "failure"
+	// PartLimit is the limits on requests that the gateway itself has seen endpoints name.
+	PartLimit Part = "limit"
 	// PartQuarantine is the crashes of endpoints that the gateway itself has observed, and its
 	// verdicts on parts of prompts.
 	PartQuarantine Part = "quarantine"
@@ -68,7 +71,7 @@
 
 // parts are all parts in order of priority. If a message can't hold all updates, those of low
 // priority are sent in later messages.
-var parts = []Part{PartFailure, PartQuarantine, PartHeartbeat, PartLoad, PartRollout, PartBudget}
+var parts = []Part{PartFailure, PartQuarantine, PartLimit, PartHeartbeat, PartLoad, PartRollout, PartBudget}
 
 // Update is one part of the state of a gateway, as published by that gateway. Receivers
 // forward it unchanged except for its age.
@@ -97,9 +100,10 @@
 	// Failures are the domain failures that the gateway itself has detected recently.
 	Failures []savorypinpick.Failure `msgpack:"f,omitempty"`
 	// Leaving says that the gateway accepts no new callers.
-	Leaving bool                 `msgpack:"l,omitempty"`
-	Loads   []savorypinpick.Load `msgpack:"w,omitempty"`
-	Name    string               `msgpack:"n,omitempty"`
+	Leaving bool                        `msgpack:"l,omitempty"`
+	Limits  []savorypinlimit.NamedLimit `msgpack:"t,omitempty"`
+	Loads   []savorypinpick.Load        `msgpack:"w,omitempty"`
+	Name    string                      `msgpack:"n,omitempty"`
 	// Quarantine is nil if there is nothing to report.
 	Quarantine *savorypinquarantine.Report `msgpack:"q,omitempty"`
 	Rollouts   []savorypinrollout.Report   `msgpack:"r,omitempty"`
--- a/internal/savorypingossip/updates.go
+++ b/internal/savorypingossip/updates.go
@@ -50,7 +50,7 @@
 	switch part {
 	case PartHeartbeat:
 		return PublishIntervals{Min: heartbeat, Refresh: heartbeat}
-	case PartBudget:
+	case PartBudget, PartLimit:
 		return PublishIntervals{Min: heartbeat, Refresh: refreshHeartbeats * heartbeat}
 	case PartLoad:
 		// Load changes often. Large fleets, whose heartbeat interval is longer, publish it
--- a/internal/savorypinquarantine/quarantine.go
+++ b/internal/savorypinquarantine/quarantine.go
@@ -136,7 +136,7 @@
 	if len(suspects) == 0 {
 		return
 	}
-	c := Crash{Endpoint: e.Incarnation().Hash(), Suspects: suspects}
+	c := Crash{Endpoint: e.IncarnationHash(), Suspects: suspects}
 	r.own.addCrash(c, now)
 	r.evidence.record(c.Endpoint, now, suspects)
 	r.judge(now)
