Keep the gateways' parts of the requests apart from the retry budgets

retryBudgets had come to hold the parts by which the limits of endpoints are shared. requestShares holds them now, with an injected clock; the counts that gateways tell each other feed both. Bringing a bucket up to date stood twice in SharedRates.

--- a/internal/savorypingateway/budget.go
+++ b/internal/savorypingateway/budget.go
@@ -18,32 +18,22 @@
 
 // retryBudgets holds the retry budget of each service. It is safe for concurrent use.
 type retryBudgets struct {
-	// address is the peer address of this gateway.
-	address string
 	// gatewayCount returns the number of gateways that share the budgets.
 	gatewayCount func() int
-	// heartbeatInterval returns the time after which the others have heard of a report.
-	heartbeatInterval func() time.Duration
-	settings          Settings
+	settings     Settings
 
 	mu        sync.Mutex
 	byService map[string]*savorypinlimit.WindowBudget
-	// ownKnown are the first requests that the other gateways have heard of from this one, by
-	// service, and ownReported those that it last reported, at reportedAt.
-	ownKnown, ownReported map[string]float64
-	reportedAt            time.Time
 	// peerCounts holds the request counts that other gateways reported, by service and gateway.
 	peerCounts map[string]map[string]savorypinlimit.SendCounts
 }
 
-func newRetryBudgets(s Settings, address string, gatewayCount func() int, heartbeatInterval func() time.Duration) *retryBudgets {
+func newRetryBudgets(s Settings, gatewayCount func() int) *retryBudgets {
 	return &retryBudgets{
-		address:           address,
-		byService:         map[string]*savorypinlimit.WindowBudget{},
-		peerCounts:        map[string]map[string]savorypinlimit.SendCounts{},
-		gatewayCount:      gatewayCount,
-		heartbeatInterval: heartbeatInterval,
-		settings:          s,
+		byService:    map[string]*savorypinlimit.WindowBudget{},
+		peerCounts:   map[string]map[string]savorypinlimit.SendCounts{},
+		gatewayCount: gatewayCount,
+		settings:     s,
 	}
 }
 
@@ -79,47 +69,9 @@
 		counts = append(counts, savorypingossip.ServiceSendCounts{First: s.First, Repeats: s.Repeats, Service: service})
 	}
 	slices.SortFunc(counts, func(a, b savorypingossip.ServiceSendCounts) int { return cmp.Compare(a.Service, b.Service) })
-	b.recordReportLocked(counts)
 	return counts
 }
 
-// recordReportLocked records what this gateway reports. What it reported at least a heartbeat ago
-// is known to the others. The caller holds b.mu.
-func (b *retryBudgets) recordReportLocked(counts []savorypingossip.ServiceSendCounts) {
-	now := time.Now()
-	if now.Sub(b.reportedAt) < b.heartbeatInterval() {
-		return
-	}
-	b.ownKnown, b.ownReported, b.reportedAt = b.ownReported, map[string]float64{}, now
-	for _, c := range counts {
-		b.ownReported[c.Service] = c.First
-	}
-}
-
-// share returns this gateway's part of the requests to a service, by what all gateways have heard
-// of each other.
-func (b *retryBudgets) share(service string) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var others []float64
-	for _, peer := range b.peerCounts[service] {
-		others = append(others, peer.First)
-	}
-	return savorypinlimit.ShareOf(b.ownKnown[service], others, b.gatewayCount())
-}
-
-// busiest reports whether no other gateway is known to have more requests to a service.
-func (b *retryBudgets) busiest(service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for gateway, peer := range b.peerCounts[service] {
-		if c := cmp.Compare(peer.First, b.ownKnown[service]); c > 0 || c == 0 && gateway < b.address {
-			return false
-		}
-	}
-	return true
-}
-
 // setPeerCounts replaces the request counts of another gateway for the given services.
 func (b *retryBudgets) setPeerCounts(gateway string, counts []savorypingossip.ServiceSendCounts) {
 	b.mu.Lock()
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -103,7 +103,9 @@
 	// notReadyReason is why the gateway was not ready at the last sweep; empty if it was.
 	notReadyReason string
 	registry       metrics.Registry
-	rollouts       *savorypinrollout.Tracker
+	// requestShares knows this gateway's part of the requests to each service.
+	requestShares *requestShares
+	rollouts      *savorypinrollout.Tracker
 	// sealer authenticates messages between gateways.
 	sealer    *savorypinseal.Sealer
 	settings  atomic.Pointer[Settings]
@@ -145,9 +147,15 @@
 		Now:          time.Now,
 	})
 	g.quarantine = g.newQuarantine()
-	g.retryBudgets = newRetryBudgets(cfg.Settings, g.peerAddress(), g.gatewayCount, func() time.Duration { return g.peers.HeartbeatInterval() })
+	g.retryBudgets = newRetryBudgets(cfg.Settings, g.gatewayCount)
+	g.requestShares = newRequestShares(requestSharesConfig{
+		Address:           g.peerAddress(),
+		GatewayCount:      g.gatewayCount,
+		HeartbeatInterval: func() time.Duration { return g.peers.HeartbeatInterval() },
+		Now:               time.Now,
+	})
 	g.endpointLimits = savorypinlimit.NewSharedRates(savorypinlimit.SharedRateConfig{
-		Busiest: g.retryBudgets.busiest, Now: time.Now, Share: g.retryBudgets.share,
+		Busiest: g.requestShares.busiest, Now: time.Now, Share: g.requestShares.share,
 	})
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
 	g.gossip = g.newGossip()
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -61,7 +61,9 @@
 			Configuration: g.configurationVersion(), Domain: s.Domain, Leaving: g.stopping.Load(), Name: s.Name,
 		}
 	case savorypingossip.PartBudget:
-		return savorypingossip.GatewayState{Budgets: g.retryBudgets.ownCounts()}
+		counts := g.retryBudgets.ownCounts()
+		g.requestShares.recordReport(counts)
+		return savorypingossip.GatewayState{Budgets: counts}
 	case savorypingossip.PartFailure:
 		return savorypingossip.GatewayState{Failures: g.picker.Failures(), Suspects: g.picker.Suspects()}
 	case savorypingossip.PartLimit:
@@ -89,6 +91,7 @@
 		g.store.handlePeerVersion(update.Origin, update.State.Configuration)
 	case savorypingossip.PartBudget:
 		g.retryBudgets.setPeerCounts(update.Origin, update.State.Budgets)
+		g.requestShares.setPeer(update.Origin, update.State.Budgets)
 	case savorypingossip.PartFailure:
 		g.handleFailures(update)
 	case savorypingossip.PartLimit:
@@ -221,6 +224,7 @@
 	g.livePeers = live
 	g.picker.RetainGateways(live)
 	g.retryBudgets.retainPeers(live)
+	g.requestShares.retainPeers(live)
 }
 
 // gatewayCount returns the number of gateways that may share a limit with this one. A gateway
--- a/internal/savorypinlimit/sharedrate.go
+++ b/internal/savorypinlimit/sharedrate.go
@@ -213,6 +213,17 @@
 	rate.updatedAt = now
 }
 
+// refilled returns the share of an endpoint's limit with the tokens up to now; nil if it has no limit.
+// The caller holds r.mu.
+func (r *SharedRates) refilled(endpoint uint64) *sharedRate {
+	rate, ok := r.rates[endpoint]
+	if !ok {
+		return nil
+	}
+	r.refill(rate, r.cfg.Now())
+	return rate
+}
+
 // Take reports whether a request may be sent to an endpoint, and counts it if so. A share that
 // never saves up a whole request is used by chance, so that the shares of many gateways add up to
 // the limit.
@@ -222,11 +233,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rate, ok := r.rates[endpoint]
-	if !ok {
+	rate := r.refilled(endpoint)
+	if rate == nil {
 		return true
 	}
-	r.refill(rate, r.cfg.Now())
 	if rate.tokens >= 1 {
 		rate.tokens--
 		return true
@@ -261,11 +271,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rate, ok := r.rates[endpoint]
-	if !ok {
+	rate := r.refilled(endpoint)
+	if rate == nil {
 		return 0
 	}
-	r.refill(rate, r.cfg.Now())
 	perSecond, burst := r.rateOf(rate)
 	if perSecond == 0 {
 		return time.Duration(float64(time.Second) / minSharedRate)
