Count failed probes since the last verdict, and skip reports that teach nothing

Found by reading: a part that was blamed wrongly, released and blamed again waited twice as long for its probe each time, up to 32 minutes, since the round of its verdict went on. The time now follows the probes that failed since the part was put into quarantine; the spec for it fails without the change. A crash that other gateways report again rebuilt the index of all suspects and judged anew; it no longer does.

--- a/internal/savorypinquarantine/evidence.go
+++ b/internal/savorypinquarantine/evidence.go
@@ -26,15 +26,16 @@
 	suspects  map[savorypinfleet.PromptPart]place
 }
 
-// add adds suspects, in the order of a prompt.
-func (c *crash) add(suspects []savorypinfleet.PromptPart) {
+// add adds suspects, in the order of a prompt. It reports whether it learned anything.
+func (c *crash) add(suspects []savorypinfleet.PromptPart) bool {
+	learned := false
 	for depth, part := range suspects {
-		known := c.suspects[part]
-		c.suspects[part] = place{
-			depth:     max(known.depth, depth),
-			innermost: known.innermost || depth == len(suspects)-1,
-		}
+		known, ok := c.suspects[part]
+		p := place{depth: max(known.depth, depth), innermost: known.innermost || depth == len(suspects)-1}
+		learned = learned || !ok || p != known
+		c.suspects[part] = p
 	}
+	return learned
 }
 
 // evidence holds the crashes that aren't explained yet, and the begins on parts.
@@ -55,19 +56,25 @@
 }
 
 // record adds a crash at a time, or more suspects of a known one. It drops the oldest crash if
-// there are too many.
-func (v *evidence) record(endpoint uint64, at time.Time, suspects []savorypinfleet.PromptPart) {
+// there are too many. It reports whether it learned anything: gateways send their reports again.
+func (v *evidence) record(endpoint uint64, at time.Time, suspects []savorypinfleet.PromptPart) bool {
+	if len(suspects) == 0 {
+		return false
+	}
 	c := v.crashOf(endpoint)
 	if c == nil {
 		c = &crash{at: at, endpoint: endpoint, suspects: map[savorypinfleet.PromptPart]place{}}
 		v.crashes = append(v.crashes, c)
 	}
-	c.add(suspects)
+	if !c.add(suspects) {
+		return false
+	}
 	if len(v.crashes) > maxCrashes {
 		slices.SortFunc(v.crashes, func(a, b *crash) int { return b.at.Compare(a.at) })
 		v.crashes = v.crashes[:maxCrashes]
 	}
 	v.index()
+	return true
 }
 
 // index updates byPart.
--- a/internal/savorypinquarantine/exchange.go
+++ b/internal/savorypinquarantine/exchange.go
@@ -105,11 +105,15 @@
 	for _, v := range report.Verdicts {
 		r.applyVerdict(v, now)
 	}
+	learned := false
 	for _, c := range report.Crashes {
-		r.evidence.record(c.Endpoint, now.Add(-age), c.Suspects[:min(len(c.Suspects), maxSuspects)])
+		suspects := c.Suspects[:min(len(c.Suspects), maxSuspects)]
+		learned = r.evidence.record(c.Endpoint, now.Add(-age), suspects) || learned
+	}
+	if learned {
+		r.reportTrust(now)
+		r.judge(now)
 	}
-	r.reportTrust(now)
-	r.judge(now)
 }
 
 // applyBegin records another gateway's begin, unless it was recorded already. The caller holds
@@ -156,8 +160,9 @@
 
 // Saved is a part in quarantine, as it is kept in the platform's store.
 type Saved struct {
-	Part  savorypinfleet.PromptPart `json:"part"`
-	Round int32                     `json:"round"`
+	Failed int32                     `json:"failed"`
+	Part   savorypinfleet.PromptPart `json:"part"`
+	Round  int32                     `json:"round"`
 	// Until is when the quarantine ends, in milliseconds since the Unix epoch.
 	Until int64 `json:"until"`
 }
@@ -169,7 +174,7 @@
 	var saved []Saved
 	for _, v := range r.verdicts {
 		if !v.Released {
-			saved = append(saved, Saved{Part: v.Part, Round: v.Round, Until: v.until.UnixMilli()})
+			saved = append(saved, Saved{Failed: v.Failed, Part: v.Part, Round: v.Round, Until: v.until.UnixMilli()})
 		}
 	}
 	slices.SortFunc(saved, func(a, b Saved) int { return cmp.Compare(a.Part, b.Part) })
@@ -183,11 +188,11 @@
 	defer r.unlock()
 	now := r.cfg.Now()
 	for _, s := range saved {
-		v := Verdict{Part: s.Part, Round: s.Round}
-		if known, ok := r.verdicts[s.Part]; s.Round < 1 || s.Round > maxRound || ok && !v.supersedes(known.Verdict) {
+		v := Verdict{Failed: s.Failed, Part: s.Part, Round: s.Round}
+		if known, ok := r.verdicts[s.Part]; s.Round < 1 || s.Round > maxRound || s.Failed < 0 || ok && !v.supersedes(known.Verdict) {
 			continue
 		}
-		remaining := min(time.UnixMilli(s.Until).Sub(now), quarantineOf(s.Round))
+		remaining := min(time.UnixMilli(s.Until).Sub(now), quarantineOf(s.Failed))
 		r.setVerdict(&confined{Verdict: v, until: now.Add(remaining)})
 		r.changes = append(r.changes, Change{Verdict: v, Remaining: remaining})
 	}
--- a/internal/savorypinquarantine/quarantine.go
+++ b/internal/savorypinquarantine/quarantine.go
@@ -138,8 +138,9 @@
 	}
 	c := Crash{Endpoint: e.IncarnationHash(), Suspects: suspects}
 	r.own.addCrash(c, now)
-	r.evidence.record(c.Endpoint, now, suspects)
-	r.judge(now)
+	if r.evidence.record(c.Endpoint, now, suspects) {
+		r.judge(now)
+	}
 }
 
 // suspects returns the parts on which no answer has begun just now, at most maxSuspects. Of more
@@ -170,7 +171,7 @@
 func (r *Registry) failProbe(parts []savorypinfleet.PromptPart, now time.Time) {
 	for _, part := range parts {
 		if v, ok := r.verdicts[part]; ok && !v.Released {
-			r.confine(Verdict{Part: part, Round: v.Round + 1}, 1, now)
+			r.confine(Verdict{Failed: v.Failed + 1, Part: part, Round: v.Round + 1}, 1, now)
 		}
 	}
 }
@@ -201,15 +202,15 @@
 
 // confine puts a part into quarantine or prolongs it. The caller holds r.mu.
 func (r *Registry) confine(v Verdict, crashes int, now time.Time) {
-	remaining := quarantineOf(v.Round)
+	remaining := quarantineOf(v.Failed)
 	r.setVerdict(&confined{Verdict: v, until: now.Add(remaining)})
 	r.changes = append(r.changes, Change{Verdict: v, Crashes: crashes, Remaining: remaining})
 }
 
-// quarantineOf returns the time from the beginning of a round to its probe.
-func quarantineOf(round int32) time.Duration {
+// quarantineOf returns the time to the next probe after a number of failed ones.
+func quarantineOf(failed int32) time.Duration {
 	d := firstQuarantine
-	for ; round > 1 && d < maxQuarantine; round-- {
+	for ; failed > 0 && d < maxQuarantine; failed-- {
 		d *= 2
 	}
 	return min(d, maxQuarantine)
--- a/internal/savorypinquarantine/quarantine_test.go
+++ b/internal/savorypinquarantine/quarantine_test.go
@@ -257,6 +257,24 @@
 		Expect(probes).To(Equal([]time.Duration{29 * time.Second, 89 * time.Second, 209 * time.Second, 449 * time.Second}))
 	})
 
+	It("that is blamed again after its release is probed as soon as the first time", func() {
+		b := confinedBench()
+		for range 3 {
+			b.pass(10 * time.Minute)
+			probe, confinement := b.Admit(parts("deadly"))
+			Expect(confinement).To(BeNil())
+			b.RecordBegin(parts("deadly"))
+			probe.End()
+			b.pass(5 * time.Minute)
+			for range 3 {
+				b.crash("deadly")
+				b.pass(time.Second)
+			}
+			_, confinement = b.Admit(parts("deadly"))
+			Expect(confinement.RetryAfter).To(Equal(29 * time.Second))
+		}
+	})
+
 	It("may be probed again at once after a probe that showed nothing", func() {
 		b := confinedBench()
 		b.pass(time.Minute)
--- a/internal/savorypinquarantine/report.go
+++ b/internal/savorypinquarantine/report.go
@@ -30,8 +30,10 @@
 
 // Verdict is the state of a part that is or was in quarantine.
 type Verdict struct {
-	_msgpack struct{}                  `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
-	Part     savorypinfleet.PromptPart `msgpack:"p"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
+	// Failed is the number of probes that failed since the part was put into quarantine.
+	Failed int32                     `msgpack:"f"`
+	Part   savorypinfleet.PromptPart `msgpack:"p"`
 	// Released says that the quarantine has ended.
 	Released bool `msgpack:"r"`
 	// Round counts the times that the part was put into quarantine, or a probe of it failed.
@@ -72,6 +74,6 @@
 		return false
 	}
 	badBegin := func(b Begin) bool { return b.Age < 0 || b.Age > maxBeginAge }
-	badVerdict := func(v Verdict) bool { return v.Round < 1 || v.Round > maxRound }
+	badVerdict := func(v Verdict) bool { return v.Round < 1 || v.Round > maxRound || v.Failed < 0 || v.Failed >= v.Round }
 	return !slices.ContainsFunc(r.Begins, badBegin) && !slices.ContainsFunc(r.Verdicts, badVerdict)
 }
