Wait for outcomes on their way to the committer before a restart

Cause: the spec waited until no shard had an outcome left to write; one that an entry was still sending to the committer of its shard was in no shard, and the restart of all daemons lost it, which is allowed. An entry's state now holds how many outcomes it is sending, and the spec waits for these first: stricter than before.

--- a/internal/savorypincluster/call_test.go
+++ b/internal/savorypincluster/call_test.go
@@ -13,6 +13,7 @@
 
 	"savorypin/internal/savorypinclaim"
 	"savorypin/internal/savorypincluster"
+	"savorypin/internal/savorypinentry"
 	"savorypin/pkg/savorypinclient"
 )
 
@@ -85,10 +86,14 @@
 	}, waitTimeout).Should(Equal([2]int{savorypinclaim.Shards, savorypinclaim.Shards}))
 }
 
-// waitOutcomesWritten waits until no entry has an outcome left to write.
+// waitOutcomesWritten waits until no entry has an outcome left to send or to write. It looks at those
+// that are sent first, since they are written afterwards.
 func waitOutcomesWritten(c *savorypincluster.Cluster) {
 	Eventually(func() int {
 		waiting := 0
+		for _, e := range c.Entries() {
+			waiting += int(e.Daemon().States()["entry"].(savorypinentry.State).PendingSettlements)
+		}
 		for _, e := range c.Entries() {
 			for _, s := range e.Daemon().States()["claims"].([]savorypinclaim.ShardState) {
 				waiting += s.Waiting
--- a/internal/savorypinentry/entry.go
+++ b/internal/savorypinentry/entry.go
@@ -139,17 +139,20 @@
 
 // State is the part of the state dump that only entries have.
 type State struct {
-	AnswerBytes    int          `json:"answerBytes"`
-	Calls          int          `json:"calls"`
-	Generations    []RelayState `json:"generations"`
-	WaitingResumes int          `json:"waitingResumes"`
+	AnswerBytes int          `json:"answerBytes"`
+	Calls       int          `json:"calls"`
+	Generations []RelayState `json:"generations"`
+	// PendingSettlements is the number of outcomes on their way to the committers of their shards.
+	PendingSettlements int64 `json:"pendingSettlements"`
+	WaitingResumes     int   `json:"waitingResumes"`
 }
 
 func (e *Entry) state() any {
 	s := State{
-		AnswerBytes:    e.memory.Used(),
-		Generations:    e.Relays(),
-		WaitingResumes: e.resumeQueue.Waiting(),
+		AnswerBytes:        e.memory.Used(),
+		Generations:        e.Relays(),
+		PendingSettlements: e.pendingSettlements.Load(),
+		WaitingResumes:     e.resumeQueue.Waiting(),
 	}
 	e.mu.Lock()
 	s.Calls = e.calls
