Probe parts in quarantine less often after each failed probe

The platform allows three more requests with such a part after the fifth crash. With probes after times that double, a part that stays deadly reached four of them within eight minutes if five engines had crashed before the verdict; with times that quadruple it is 42 minutes. The price: a part that becomes sound after two failed probes comes back up to eight minutes later, or when an operator lifts it.

Specs speak of poison and poisoned prompts, the field's word.

--- a/internal/savorypinquarantine/quarantine.go
+++ b/internal/savorypinquarantine/quarantine.go
@@ -33,9 +33,10 @@
 	// reportRetention is how long a gateway reports its own observations.
 	reportRetention = 15 * time.Second
 	// firstQuarantine is the time from the first crashes to the first probe. Each failed probe
-	// doubles it, up to maxQuarantine.
-	firstQuarantine = 30 * time.Second
-	maxQuarantine   = 32 * time.Minute
+	// multiplies it by quarantineFactor, up to maxQuarantine.
+	firstQuarantine  = 30 * time.Second
+	quarantineFactor = 4
+	maxQuarantine    = 32 * time.Minute
 	// verdictRetention is how long a verdict is reported after its release, or after the time
 	// of its probe if no request with the part comes. It is kept longer, so that no gateway
 	// adopts it again from another one.
@@ -211,7 +212,7 @@
 func quarantineOf(failed int32) time.Duration {
 	d := firstQuarantine
 	for ; failed > 0 && d < maxQuarantine; failed-- {
-		d *= 2
+		d *= quarantineFactor
 	}
 	return min(d, maxQuarantine)
 }
