--- a/internal/savorypinquarantine/exchange.go
+++ b/internal/savorypinquarantine/exchange.go
@@ -181,8 +181,8 @@
 	return saved
 }
 
-// Load adds parts that were saved before all gateways stopped. A quarantine that would have
-// ended lasts for the time of its round from now, at most.
+// Load adds parts that were saved before all gateways stopped. They are probed at the saved time, but
+// not later than after a new verdict, since the wall clock may have been set back.
 func (r *Registry) Load(saved []Saved) {
 	r.mu.Lock()
 	defer r.unlock()
