Count only noticeably slow answers against a version that is rolled out

Cause: an answer counted as failed if it took over four times the old version's mean, with no least difference.

Change: such an answer is also at least 20 ms later than the mean. Where a call takes 7 ms or more, four times the mean is later than that anyway, so that nothing changes there.

Evidence: the new row of savorypinrollout (100 answers of 0.1 ms, then 10 of 0.5 ms) failed before, and passes now; the rows of a version that is really slower pass with both.

--- a/internal/savorypinrollout/evidence.go
+++ b/internal/savorypinrollout/evidence.go
@@ -28,6 +28,9 @@
 	// slowAnswerFactor is the multiple of the old version's mean latency on the route
 	// above which an answer counts as failed.
 	slowAnswerFactor = 4
+	// minSlowDelay is the least delay beyond the mean of an answer that counts as failed:
+	// scheduling and the network delay answers of a sound version by up to as much.
+	minSlowDelay = 20 * time.Millisecond
 	// latencySampleWeight is the weight of a new sample in the moving average of the
 	// latency.
 	latencySampleWeight = 0.1
@@ -88,9 +91,10 @@
 	mean time.Duration
 }
 
-// isSlow reports whether an answer took more than slowAnswerFactor times the mean.
+// isSlow reports whether an answer took more than slowAnswerFactor times the mean, and at least
+// minSlowDelay longer than it.
 func (a *latencyAverage) isSlow(took time.Duration) bool {
-	return a.mean > 0 && took > slowAnswerFactor*a.mean
+	return a.mean > 0 && took > slowAnswerFactor*a.mean && took-a.mean >= minSlowDelay
 }
 
 func (a *latencyAverage) observe(took time.Duration) {
--- a/internal/savorypinrollout/tracker_test.go
+++ b/internal/savorypinrollout/tracker_test.go
@@ -159,6 +159,30 @@
 		})
 	}
 
+	// Guards against the rejection of a good version because of delays by the scheduler or the
+	// network, which are several times the mean of a service that answers within a millisecond.
+	for _, c := range []struct {
+		name     string
+		old, new time.Duration
+		want     savorypinrollout.Side
+	}{
+		{"allows a version that answers within half a millisecond where the old one takes 0.1 ms", 100 * time.Microsecond, 500 * time.Microsecond, savorypinrollout.SideNew},
+		{"rejects a version that takes several times as long as 0.1 ms and is noticeably slower", 100 * time.Microsecond, 30 * time.Millisecond, savorypinrollout.SideOld},
+		{"rejects a version that takes five times as long as 15 ms", 15 * time.Millisecond, 75 * time.Millisecond, savorypinrollout.SideOld},
+	} {
+		It(c.name, func() {
+			f := newFleet(1)
+			for range 100 {
+				f.trackers[0].RecordAnswer(service, "r", "v1", false, c.old)
+			}
+			for range 10 {
+				f.trackers[0].RecordAnswer(service, "r", "v2", false, c.new)
+			}
+			side, _ := f.trackers[0].Choose(service)
+			Expect(side).To(Equal(c.want))
+		})
+	}
+
 	It("applies the rejection of another gateway and keeps it when the order's state changes", func() {
 		f := newFleet(2)
 		f.trackers[0].Update([]savorypinfleet.Rollout{f.rollout}, f.rollout.Era)
