Log the end of an endpoint's process under a plain request, with a hash of what it was asked

The logs couldn't tell a request that crashes servers from overload: an attempt whose connection ended was "outcome unknown", and nothing looked whether the process had ended. A gateway now opens a new connection after one broke under a plain request, as it does for streams, and logs "endpoint crashed" if the host refuses it. The line names the request by a hash of service, organisation, method, host, URI, prompt and body, so that repeats with other IDs and headers have the same one. Nothing decides by it yet.

PromptPart becomes Subject: a part of a prompt or a whole request, told apart by the highest bit, so that reports between gateways and the stored quarantine keep their form.

--- a/internal/savorypinevent/endpointevents.go
+++ b/internal/savorypinevent/endpointevents.go
@@ -27,18 +27,21 @@
 	return []any{"domain", e.Domain, "service", e.Service, "endpoints", e.Endpoints, "seenBy", e.SeenBy}
 }
 
-// EndpointCrashed reports that the process of an endpoint ended while it had a stream: the
+// EndpointCrashed reports that the process of an endpoint ended while it had a request: the
 // connection ended and the host refuses a new one.
 type EndpointCrashed struct {
 	Domain   string
 	Endpoint string
-	// Events is the number of events that the endpoint had sent for the stream.
+	// Events is the number of events that the endpoint had sent if the request is a stream.
 	Events int
 	// ID is the ID of the request.
 	ID string
 	// Parts are the parts of the prompt that other requests may share.
 	Parts string
-	// Suspicion is the number of crashes that count against the most suspect of the parts.
+	// Request is the hash of what the endpoint was asked, which a repeat shares.
+	Request string
+	// Suspicion is the number of crashes that count against the most suspect of the parts and
+	// the request.
 	Suspicion int
 }
 
@@ -50,7 +53,7 @@
 
 // Fields returns the fields as alternating names and values.
 func (e EndpointCrashed) Fields() []any {
-	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "events", e.Events, "parts", e.Parts, "suspicion", e.Suspicion, "id", e.ID}
+	return []any{"endpoint", e.Endpoint, "domain", e.Domain, "events", e.Events, "parts", e.Parts, "request", e.Request, "suspicion", e.Suspicion, "id", e.ID}
 }
 
 // EndpointLeaves reports that an endpoint announced in a response that it is stopping.
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -28,7 +28,7 @@
 	PromptID string
 	// PromptParts are the parts of the prompt that other requests may share, in order: all but
 	// the last.
-	PromptParts []PromptPart
+	PromptParts []Subject
 	// PromptTokens is the number of tokens of the prompt; zero if unknown.
 	PromptTokens int
 	URI          string
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"savorypin/internal/savorypinfleet"
@@ -38,6 +39,17 @@
 	service      *savorypinfleet.Service
 	// deadline is the earlier of the caller's deadline and the end of the route's timeout.
 	deadline time.Time
+
+	hash sync.Once
+	// subject is set by whole.
+	subject savorypinfleet.Subject
+}
+
+// whole returns the subject of the whole request. Its body is hashed at the first call, as few
+// requests need it.
+func (r *request) whole() savorypinfleet.Subject {
+	r.hash.Do(func() { r.subject = savorypinfleet.NewRequest(r.service.Name(), r.organisation, r.call) })
+	return r.subject
 }
 
 // remaining returns the time until the deadline.
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -7,7 +7,7 @@
 	answered metrics.Counter
 	// brokenOff counts streams that ended incomplete after their response header was sent.
 	brokenOff metrics.Counter
-	// endpointsCrashed counts the streams whose endpoint's process ended.
+	// endpointsCrashed counts the requests whose endpoint's process ended.
 	endpointsCrashed metrics.Counter
 	// endpointsDistrusted counts invalid responses of endpoints, endpointsLeft the endpoints that
 	// announced in a response that they stop.
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -179,9 +180,34 @@
 		g.updateSuspicion(e, result)
 	}
 	g.releaseConn(conn, keepAlive)
+	if ctx.Err() == nil && connectionBroke(result) {
+		go g.log.RunRecovered("look for endpoint", func() { g.logPlainCrash(req, e) })
+	}
 	return result
 }
 
+// connectionBroke reports whether an attempt got no response because its connection ended.
+func connectionBroke(o *outcome) bool {
+	var timeout net.Error
+	return o.kind == outcomeUnknown && !isProtocolError(o.err) && !errors.Is(o.err, savorypinpool.ErrUnrelated) &&
+		!errors.Is(o.err, errUnsigned) && !(errors.As(o.err, &timeout) && timeout.Timeout())
+}
+
+// logPlainCrash logs that an endpoint's process ended under a request, if its host refuses a new
+// connection.
+func (g *Gateway) logPlainCrash(req *request, e *savorypinfleet.Endpoint) {
+	conn, err := g.pool.Open(context.Background(), e.Address(), g.connectTimeout(e))
+	if err == nil {
+		g.pool.Put(conn, 0)
+		return
+	}
+	if !processEnded(err) {
+		return
+	}
+	g.counters.endpointsCrashed.Inc(1)
+	g.log.Emit(savorypinevent.EndpointCrashed{Domain: e.Domain(), Endpoint: e.ID(), ID: req.call.ID, Request: req.whole().String()})
+}
+
 // idleTimeout returns how long a connection may stay idle after its response was read whole. It
 // is zero if the endpoint does not say, and negative if the connection can't be reused.
 func idleTimeout(conn *savorypinpool.Conn, resp *http.Response, reply savorypinfleet.Reply) time.Duration {
--- a/internal/savorypingateway/quarantine.go
+++ b/internal/savorypingateway/quarantine.go
@@ -57,7 +57,7 @@
 
 // probeRank returns the place of this gateway in the order in which the live gateways may probe a
 // part. The order differs from part to part.
-func (g *Gateway) probeRank(part savorypinfleet.PromptPart) int {
+func (g *Gateway) probeRank(part savorypinfleet.Subject) int {
 	hash := func(address string) uint64 { return xxhash.Sum64String(address + part.String()) }
 	own := hash(g.peerAddress())
 	rank := 0
@@ -171,7 +171,7 @@
 		http.Error(w, "the part is not a hexadecimal hash", http.StatusBadRequest)
 		return
 	}
-	if !g.quarantine.Release(savorypinfleet.PromptPart(part)) {
+	if !g.quarantine.Release(savorypinfleet.Subject(part)) {
 		http.Error(w, "the part is not in quarantine", http.StatusNotFound)
 		return
 	}
--- a/internal/savorypingateway/streamcrash.go
+++ b/internal/savorypingateway/streamcrash.go
@@ -64,7 +64,7 @@
 	g.counters.endpointsCrashed.Inc(1)
 	g.log.Emit(savorypinevent.EndpointCrashed{
 		Domain: e.Domain(), Endpoint: e.ID(), Events: events, ID: s.req.call.ID,
-		Parts: savorypinfleet.JoinPromptParts(parts), Suspicion: g.quarantine.Suspicion(parts),
+		Parts: savorypinfleet.JoinSubjects(parts), Request: s.req.whole().String(), Suspicion: g.quarantine.Suspicion(parts),
 	})
 }
 
--- a/internal/savorypingateway/streamset.go
+++ b/internal/savorypingateway/streamset.go
@@ -37,7 +37,7 @@
 
 // abandon ends the attempts of streams whose prompts have a part, unless their answers have begun
 // or they are probes.
-func (s *streamSet) abandon(part savorypinfleet.PromptPart) {
+func (s *streamSet) abandon(part savorypinfleet.Subject) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for w := range s.watchdogs {
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -45,7 +45,7 @@
 	confined atomic.Bool
 	// parts are the parts of the prompt that other requests may share, and probe says that the
 	// request is a probe of those in quarantine.
-	parts    []savorypinfleet.PromptPart
+	parts    []savorypinfleet.Subject
 	probe    bool
 	timeouts atomic.Pointer[stallTimeouts]
 	checking atomic.Bool
--- a/internal/savorypingossip/fleet_internal_test.go
+++ b/internal/savorypingossip/fleet_internal_test.go
@@ -273,7 +273,7 @@
 		f.introduceAll()
 		f.advance(10 * time.Second)
 		quiet := f.bytesReceived(10 * time.Second)
-		parts := []savorypinfleet.PromptPart{1, 2}
+		parts := []savorypinfleet.Subject{1, 2}
 		for i := range 5 {
 			crash := savorypinquarantine.Crash{Endpoint: uint64(i), Suspects: parts}
 			f.members[60*i].quarantine = &savorypinquarantine.Report{Crashes: []savorypinquarantine.Crash{crash}}
--- a/internal/savorypinquarantine/admit.go
+++ b/internal/savorypinquarantine/admit.go
@@ -8,7 +8,7 @@
 
 // Confinement says that a request must not be sent to an endpoint, because of one of its parts.
 type Confinement struct {
-	Part savorypinfleet.PromptPart
+	Part savorypinfleet.Subject
 	// RetryAfter is the time until the part may be probed.
 	RetryAfter time.Duration
 }
@@ -22,7 +22,7 @@
 
 // Confined returns the confinement of a request with the given parts; nil if none of them is in
 // quarantine.
-func (r *Registry) Confined(parts []savorypinfleet.PromptPart) *Confinement {
+func (r *Registry) Confined(parts []savorypinfleet.Subject) *Confinement {
 	if r.active.Load() == 0 {
 		return nil
 	}
@@ -37,7 +37,7 @@
 
 // Admit decides whether a new request with the given parts is sent. It returns a confinement if
 // it isn't, and a probe if it is one.
-func (r *Registry) Admit(parts []savorypinfleet.PromptPart) (*Probe, *Confinement) {
+func (r *Registry) Admit(parts []savorypinfleet.Subject) (*Probe, *Confinement) {
 	if r.active.Load() == 0 {
 		return nil, nil
 	}
@@ -60,7 +60,7 @@
 }
 
 // match returns the parts that are in quarantine. The caller holds r.mu.
-func (r *Registry) match(parts []savorypinfleet.PromptPart) []*confined {
+func (r *Registry) match(parts []savorypinfleet.Subject) []*confined {
 	var matched []*confined
 	for _, part := range parts {
 		if v, ok := r.verdicts[part]; ok && !v.Released {
--- a/internal/savorypinquarantine/evidence.go
+++ b/internal/savorypinquarantine/evidence.go
@@ -23,11 +23,11 @@
 	// explained is set once a part among the suspects was put into quarantine. Such a crash
 	// says nothing about the others.
 	explained bool
-	suspects  map[savorypinfleet.PromptPart]place
+	suspects  map[savorypinfleet.Subject]place
 }
 
 // add adds suspects, in the order of a prompt. It reports whether it learned anything.
-func (c *crash) add(suspects []savorypinfleet.PromptPart) bool {
+func (c *crash) add(suspects []savorypinfleet.Subject) bool {
 	learned := false
 	for depth, part := range suspects {
 		known, ok := c.suspects[part]
@@ -42,7 +42,7 @@
 type evidence struct {
 	// crashes are in no order, and byPart indexes them by their suspects.
 	crashes []*crash
-	byPart  map[savorypinfleet.PromptPart][]*crash
+	byPart  map[savorypinfleet.Subject][]*crash
 	begins  beginMemory
 }
 
@@ -57,13 +57,13 @@
 
 // record adds a crash at a time, or more suspects of a known one. It drops the oldest crash if
 // there are too many. It reports whether it learned anything: gateways send their reports again.
-func (v *evidence) record(endpoint uint64, at time.Time, suspects []savorypinfleet.PromptPart) bool {
+func (v *evidence) record(endpoint uint64, at time.Time, suspects []savorypinfleet.Subject) bool {
 	if len(suspects) == 0 {
 		return false
 	}
 	c := v.crashOf(endpoint)
 	if c == nil {
-		c = &crash{at: at, endpoint: endpoint, suspects: map[savorypinfleet.PromptPart]place{}}
+		c = &crash{at: at, endpoint: endpoint, suspects: map[savorypinfleet.Subject]place{}}
 		v.crashes = append(v.crashes, c)
 	}
 	if !c.add(suspects) {
@@ -79,7 +79,7 @@
 
 // index updates byPart.
 func (v *evidence) index() {
-	v.byPart = map[savorypinfleet.PromptPart][]*crash{}
+	v.byPart = map[savorypinfleet.Subject][]*crash{}
 	for _, c := range v.crashes {
 		for part := range c.suspects {
 			v.byPart[part] = append(v.byPart[part], c)
@@ -97,7 +97,7 @@
 }
 
 // explain marks the crashes that have a part among their suspects.
-func (v *evidence) explain(part savorypinfleet.PromptPart) {
+func (v *evidence) explain(part savorypinfleet.Subject) {
 	for _, c := range v.byPart[part] {
 		c.explained = true
 	}
@@ -106,7 +106,7 @@
 // count returns the number of unexplained crashes that have a part among their suspects and came
 // after the last begin on it. Crashes at about the same time have a cause in common more often
 // than a part, such as a lost failure domain or a completed rollout, and count once.
-func (v *evidence) count(part savorypinfleet.PromptPart) int {
+func (v *evidence) count(part savorypinfleet.Subject) int {
 	begun := v.begins.last(part)
 	var times []time.Time
 	for _, c := range v.byPart[part] {
@@ -129,7 +129,7 @@
 // candidate is a part that may have caused crashes.
 type candidate struct {
 	place
-	part    savorypinfleet.PromptPart
+	part    savorypinfleet.Subject
 	crashes int
 	// trusted is set if an answer on the part has begun lately.
 	trusted bool
@@ -157,7 +157,7 @@
 // culprit returns the part that explains the most crashes, of those with enough crashes to blame
 // them. Of several that explain as many, it is one on which no answer has begun lately, and then
 // the one deepest in its prompt, since the parts before it are shared by more requests.
-func (v *evidence) culprit(now time.Time) (savorypinfleet.PromptPart, bool) {
+func (v *evidence) culprit(now time.Time) (savorypinfleet.Subject, bool) {
 	blamed := slices.DeleteFunc(v.candidates(now), func(c candidate) bool { return !v.enough(c, now) })
 	if len(blamed) == 0 {
 		return 0, false
@@ -182,7 +182,7 @@
 }
 
 // trusted reports whether an answer on a part has begun lately.
-func (v *evidence) trusted(part savorypinfleet.PromptPart, now time.Time) bool {
+func (v *evidence) trusted(part savorypinfleet.Subject, now time.Time) bool {
 	begun := v.begins.last(part)
 	return !begun.IsZero() && now.Sub(begun) < trustMemory
 }
@@ -201,22 +201,22 @@
 // beginMemory remembers when answers on parts last began. It keeps the parts of two generations,
 // so that parts that are never seen again don't add up.
 type beginMemory struct {
-	current, previous map[savorypinfleet.PromptPart]time.Time
+	current, previous map[savorypinfleet.Subject]time.Time
 }
 
 // record remembers a begin, unless a later one is known.
-func (m *beginMemory) record(part savorypinfleet.PromptPart, at time.Time) {
+func (m *beginMemory) record(part savorypinfleet.Subject, at time.Time) {
 	if !at.After(m.last(part)) {
 		return
 	}
 	if m.current == nil || len(m.current) >= maxBeginsRemembered {
-		m.previous, m.current = m.current, map[savorypinfleet.PromptPart]time.Time{}
+		m.previous, m.current = m.current, map[savorypinfleet.Subject]time.Time{}
 	}
 	m.current[part] = at
 }
 
 // last returns when an answer on a part last began; zero if that isn't known.
-func (m *beginMemory) last(part savorypinfleet.PromptPart) time.Time {
+func (m *beginMemory) last(part savorypinfleet.Subject) time.Time {
 	if at, ok := m.current[part]; ok {
 		return at
 	}
--- a/internal/savorypinquarantine/exchange.go
+++ b/internal/savorypinquarantine/exchange.go
@@ -24,7 +24,7 @@
 // ownReport holds this gateway's observations until they are old. Entries don't change while they
 // are reported, so that the gossip sends them no more than needed.
 type ownReport struct {
-	begins  map[savorypinfleet.PromptPart]timedBegin
+	begins  map[savorypinfleet.Subject]timedBegin
 	crashes []timedCrash
 	serial  uint32
 }
@@ -40,9 +40,9 @@
 }
 
 // addBegin adds a begin that was some time ago.
-func (o *ownReport) addBegin(part savorypinfleet.PromptPart, age time.Duration, now time.Time) {
+func (o *ownReport) addBegin(part savorypinfleet.Subject, age time.Duration, now time.Time) {
 	if o.begins == nil {
-		o.begins = map[savorypinfleet.PromptPart]timedBegin{}
+		o.begins = map[savorypinfleet.Subject]timedBegin{}
 	}
 	o.serial++
 	o.begins[part] = timedBegin{Begin: Begin{Age: age, Part: part, Serial: o.serial}, at: now}
@@ -51,7 +51,7 @@
 // expire drops the observations that were reported for long enough.
 func (o *ownReport) expire(now time.Time) {
 	o.crashes = slices.DeleteFunc(o.crashes, func(c timedCrash) bool { return now.Sub(c.at) > reportRetention })
-	maps.DeleteFunc(o.begins, func(_ savorypinfleet.PromptPart, b timedBegin) bool { return now.Sub(b.at) > reportRetention })
+	maps.DeleteFunc(o.begins, func(_ savorypinfleet.Subject, b timedBegin) bool { return now.Sub(b.at) > reportRetention })
 }
 
 // Report returns what this gateway reports to the others. It is empty while there are neither
@@ -160,9 +160,9 @@
 
 // Saved is a part in quarantine, as it is kept in the platform's store.
 type Saved struct {
-	Failed int32                     `json:"failed"`
-	Part   savorypinfleet.PromptPart `json:"part"`
-	Round  int32                     `json:"round"`
+	Failed int32                  `json:"failed"`
+	Part   savorypinfleet.Subject `json:"part"`
+	Round  int32                  `json:"round"`
 	// Until is when the quarantine ends, in milliseconds since the Unix epoch.
 	Until int64 `json:"until"`
 }
--- a/internal/savorypinquarantine/fleet_test.go
+++ b/internal/savorypinquarantine/fleet_test.go
@@ -40,7 +40,7 @@
 	attempts  int
 	poisoned  bool
 	gateway   int
-	parts     []savorypinfleet.PromptPart
+	parts     []savorypinfleet.Subject
 }
 
 // simulation is a fleet of gateways whose reports arrive late, and endpoints that crash as they
@@ -64,7 +64,7 @@
 		s.gateways = append(s.gateways, savorypinquarantine.New(savorypinquarantine.Config{
 			Now:       func() time.Time { return s.now },
 			OnVerdict: func(savorypinquarantine.Change) {},
-			Rank:      func(savorypinfleet.PromptPart) int { return i },
+			Rank:      func(savorypinfleet.Subject) int { return i },
 		}))
 	}
 	return s
--- a/internal/savorypinquarantine/quarantine.go
+++ b/internal/savorypinquarantine/quarantine.go
@@ -61,7 +61,7 @@
 	// OnVerdict is called after a part was put into quarantine or released, without locks.
 	OnVerdict func(Change)
 	// Rank returns the place of this gateway in the order in which gateways may probe a part.
-	Rank func(savorypinfleet.PromptPart) int
+	Rank func(savorypinfleet.Subject) int
 }
 
 // Change is a change of the quarantine of a part.
@@ -92,7 +92,7 @@
 
 	mu       sync.Mutex
 	evidence evidence
-	verdicts map[savorypinfleet.PromptPart]*confined
+	verdicts map[savorypinfleet.Subject]*confined
 	// ownBegins are the begins of this gateway's own answers.
 	ownBegins beginMemory
 	// own are this gateway's observations that it still reports.
@@ -105,12 +105,12 @@
 // beginKey identifies the begins that a gateway reports on a part.
 type beginKey struct {
 	origin string
-	part   savorypinfleet.PromptPart
+	part   savorypinfleet.Subject
 }
 
 // New returns a Registry without evidence.
 func New(cfg Config) *Registry {
-	return &Registry{cfg: cfg, beginSerials: map[beginKey]uint32{}, verdicts: map[savorypinfleet.PromptPart]*confined{}}
+	return &Registry{cfg: cfg, beginSerials: map[beginKey]uint32{}, verdicts: map[savorypinfleet.Subject]*confined{}}
 }
 
 // unlock releases the lock and reports the changes that were made under it.
@@ -126,7 +126,7 @@
 // RecordCrash records that an endpoint of this gateway crashed while it had a request with the
 // given parts on which it had not begun an answer that went on. Probe says that the request was
 // a probe of its parts in quarantine.
-func (r *Registry) RecordCrash(e *savorypinfleet.Endpoint, parts []savorypinfleet.PromptPart, probe bool) {
+func (r *Registry) RecordCrash(e *savorypinfleet.Endpoint, parts []savorypinfleet.Subject, probe bool) {
 	r.mu.Lock()
 	defer r.unlock()
 	now := r.cfg.Now()
@@ -146,9 +146,9 @@
 
 // suspects returns the parts on which no answer has begun just now, at most maxSuspects. Of more
 // it returns a random selection, so that the same ones can't stay out each time.
-func (r *Registry) suspects(parts []savorypinfleet.PromptPart, now time.Time) []savorypinfleet.PromptPart {
-	var suspects []savorypinfleet.PromptPart
-	seen := map[savorypinfleet.PromptPart]bool{}
+func (r *Registry) suspects(parts []savorypinfleet.Subject, now time.Time) []savorypinfleet.Subject {
+	var suspects []savorypinfleet.Subject
+	seen := map[savorypinfleet.Subject]bool{}
 	for _, part := range parts {
 		begun := r.evidence.begins.last(part)
 		if !seen[part] && (begun.IsZero() || now.Sub(begun) >= trustPeriod) {
@@ -161,7 +161,7 @@
 	}
 	selected := rand.Perm(len(suspects))[:maxSuspects]
 	slices.Sort(selected)
-	selection := make([]savorypinfleet.PromptPart, 0, maxSuspects)
+	selection := make([]savorypinfleet.Subject, 0, maxSuspects)
 	for _, i := range selected {
 		selection = append(selection, suspects[i])
 	}
@@ -169,7 +169,7 @@
 }
 
 // failProbe prolongs the quarantine of the parts that a probe had.
-func (r *Registry) failProbe(parts []savorypinfleet.PromptPart, now time.Time) {
+func (r *Registry) failProbe(parts []savorypinfleet.Subject, now time.Time) {
 	for _, part := range parts {
 		if v, ok := r.verdicts[part]; ok && !v.Released {
 			r.confine(Verdict{Failed: v.Failed + 1, Part: part, Round: v.Round + 1}, 1, now)
@@ -249,7 +249,7 @@
 }
 
 // leastNeeded returns the part whose verdict is dropped first. The caller holds r.mu.
-func (r *Registry) leastNeeded() savorypinfleet.PromptPart {
+func (r *Registry) leastNeeded() savorypinfleet.Subject {
 	var least *confined
 	for _, v := range r.verdicts {
 		if least == nil || compareBool(!v.Released, !least.Released) < 0 || v.Released == least.Released && v.until.Before(least.until) {
@@ -261,7 +261,7 @@
 
 // RecordBegin records that an answer of this gateway's on the given parts has begun and gone on,
 // which releases them.
-func (r *Registry) RecordBegin(parts []savorypinfleet.PromptPart) {
+func (r *Registry) RecordBegin(parts []savorypinfleet.Subject) {
 	if len(parts) == 0 {
 		return
 	}
@@ -288,7 +288,7 @@
 
 // Release ends the quarantine of a part by order of an operator. It reports whether the part was
 // in quarantine.
-func (r *Registry) Release(part savorypinfleet.PromptPart) bool {
+func (r *Registry) Release(part savorypinfleet.Subject) bool {
 	r.mu.Lock()
 	defer r.unlock()
 	v, ok := r.verdicts[part]
@@ -300,7 +300,7 @@
 }
 
 // Suspicion returns the number of crashes that count against the most suspect of the parts.
-func (r *Registry) Suspicion(parts []savorypinfleet.PromptPart) int {
+func (r *Registry) Suspicion(parts []savorypinfleet.Subject) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	worst := 0
@@ -312,6 +312,6 @@
 
 // MayCrashAnother reports whether a request that has crashed a number of endpoints may be sent to
 // another one.
-func (r *Registry) MayCrashAnother(crashed int, parts []savorypinfleet.PromptPart) bool {
+func (r *Registry) MayCrashAnother(crashed int, parts []savorypinfleet.Subject) bool {
 	return crashed < maxCrashesPerRequest || r.Suspicion(parts) < maxCrashesPerRequest
 }
--- a/internal/savorypinquarantine/quarantine_test.go
+++ b/internal/savorypinquarantine/quarantine_test.go
@@ -26,14 +26,14 @@
 	b.Registry = savorypinquarantine.New(savorypinquarantine.Config{
 		Now:       func() time.Time { return b.now },
 		OnVerdict: func(c savorypinquarantine.Change) { b.changes = append(b.changes, c) },
-		Rank:      func(savorypinfleet.PromptPart) int { return b.rank },
+		Rank:      func(savorypinfleet.Subject) int { return b.rank },
 	})
 	return b
 }
 
 // parts returns the parts with the given IDs.
-func parts(ids ...string) []savorypinfleet.PromptPart {
-	var list []savorypinfleet.PromptPart
+func parts(ids ...string) []savorypinfleet.Subject {
+	var list []savorypinfleet.Subject
 	for _, id := range ids {
 		list = append(list, savorypinfleet.NewPromptPart(id))
 	}
--- a/internal/savorypinquarantine/report.go
+++ b/internal/savorypinquarantine/report.go
@@ -14,7 +14,7 @@
 	Endpoint uint64 `msgpack:"e"`
 	// Suspects are the parts on which the endpoint may have begun an answer. They are in the
 	// order of the prompt.
-	Suspects []savorypinfleet.PromptPart `msgpack:"s"`
+	Suspects []savorypinfleet.Subject `msgpack:"s"`
 }
 
 // Begin says that an answer on a part has begun and gone on, which a part that crashes engines
@@ -22,8 +22,8 @@
 type Begin struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
 	// Age is the time since then when the entry was made.
-	Age  time.Duration             `msgpack:"a"`
-	Part savorypinfleet.PromptPart `msgpack:"p"`
+	Age  time.Duration          `msgpack:"a"`
+	Part savorypinfleet.Subject `msgpack:"p"`
 	// Serial tells a later begin from an entry that is sent again.
 	Serial uint32 `msgpack:"s"`
 }
@@ -32,8 +32,8 @@
 type Verdict struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
 	// Failed is the number of probes that failed since the part was put into quarantine.
-	Failed int32                     `msgpack:"f"`
-	Part   savorypinfleet.PromptPart `msgpack:"p"`
+	Failed int32                  `msgpack:"f"`
+	Part   savorypinfleet.Subject `msgpack:"p"`
 	// Released says that the quarantine has ended.
 	Released bool `msgpack:"r"`
 	// Round counts the times that the part was put into quarantine, or a probe of it failed.
