Speak of subjects in the quarantine, which may be more than parts of prompts

Names only, as whole requests are to be a second kind of subject; the wire format and the stored quarantine keep their names.

--- a/internal/savorypingateway/quarantine.go
+++ b/internal/savorypingateway/quarantine.go
@@ -44,13 +44,13 @@
 // gateways. It abandons the attempts that may be about to crash endpoints.
 func (g *Gateway) handleVerdict(c savorypinquarantine.Change) {
 	g.log.Emit(savorypinevent.QuarantineChanged{
-		Crashes: c.Crashes, Part: c.Part.String(), Remaining: c.Remaining, Released: c.Released, Round: int(c.Round),
+		Crashes: c.Crashes, Part: c.Subject.String(), Remaining: c.Remaining, Released: c.Released, Round: int(c.Round),
 	})
 	if c.Released {
 		g.counters.partsReleased.Inc(1)
 	} else {
 		g.counters.partsConfined.Inc(1)
-		g.streams.abandon(c.Part)
+		g.streams.abandon(c.Subject)
 	}
 	g.gossip.TriggerRound()
 }
--- a/internal/savorypingateway/streamcrash.go
+++ b/internal/savorypingateway/streamcrash.go
@@ -92,7 +92,7 @@
 	if mayHaveRun {
 		refused = &refusal{reason: errConfined.Error(), status: http.StatusBadGateway}
 	}
-	refused.part = c.Part.String()
+	refused.part = c.Subject.String()
 	return refused
 }
 
--- a/internal/savorypingossip/fleet_internal_test.go
+++ b/internal/savorypingossip/fleet_internal_test.go
@@ -289,7 +289,7 @@
 			Expect(knowing).To(BeNumerically(">=", 299*95/100))
 		}
 		for _, m := range f.members {
-			m.quarantine = &savorypinquarantine.Report{Verdicts: []savorypinquarantine.Verdict{{Part: 2, Round: 1}}}
+			m.quarantine = &savorypinquarantine.Report{Verdicts: []savorypinquarantine.Verdict{{Subject: 2, Round: 1}}}
 		}
 		confined := f.bytesReceived(10 * time.Second)
 		AddReportEntry("bytes a second", fmt.Sprintf("quiet %d, with a part in quarantine %d", quiet, confined))
--- a/internal/savorypinquarantine/admit.go
+++ b/internal/savorypinquarantine/admit.go
@@ -6,44 +6,45 @@
 	"savorypin/internal/savorypinfleet"
 )
 
-// Confinement says that a request must not be sent to an endpoint, because of one of its parts.
+// Confinement says that a request must not be sent to an endpoint, because of one of its
+// subjects.
 type Confinement struct {
-	Part savorypinfleet.Subject
-	// RetryAfter is the time until the part may be probed.
+	Subject savorypinfleet.Subject
+	// RetryAfter is the time until the subject may be probed.
 	RetryAfter time.Duration
 }
 
-// Probe is a request that is sent although parts of it are in quarantine, to see whether they
-// still crash endpoints. A nil Probe is one of no part.
+// Probe is a request that is sent although subjects of it are in quarantine, to see whether
+// they still crash endpoints. A nil Probe is one of no subject.
 type Probe struct {
 	registry *Registry
-	parts    []*confined
+	subjects []*confined
 }
 
-// Confined returns the confinement of a request with the given parts; nil if none of them is in
+// Confined returns the confinement of a request with the given subjects; nil if none of them is in
 // quarantine.
-func (r *Registry) Confined(parts []savorypinfleet.Subject) *Confinement {
+func (r *Registry) Confined(subjects []savorypinfleet.Subject) *Confinement {
 	if r.active.Load() == 0 {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	matched := r.match(parts)
+	matched := r.match(subjects)
 	if len(matched) == 0 {
 		return nil
 	}
 	return r.confinement(matched, r.cfg.Now())
 }
 
-// Admit decides whether a new request with the given parts is sent. It returns a confinement if
+// Admit decides whether a new request with the given subjects is sent. It returns a confinement if
 // it isn't, and a probe if it is one.
-func (r *Registry) Admit(parts []savorypinfleet.Subject) (*Probe, *Confinement) {
+func (r *Registry) Admit(subjects []savorypinfleet.Subject) (*Probe, *Confinement) {
 	if r.active.Load() == 0 {
 		return nil, nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	matched := r.match(parts)
+	matched := r.match(subjects)
 	if len(matched) == 0 {
 		return nil, nil
 	}
@@ -56,38 +57,38 @@
 	for _, v := range matched {
 		v.probing = true
 	}
-	return &Probe{registry: r, parts: matched}, nil
+	return &Probe{registry: r, subjects: matched}, nil
 }
 
-// match returns the parts that are in quarantine. The caller holds r.mu.
-func (r *Registry) match(parts []savorypinfleet.Subject) []*confined {
+// match returns the subjects that are in quarantine. The caller holds r.mu.
+func (r *Registry) match(subjects []savorypinfleet.Subject) []*confined {
 	var matched []*confined
-	for _, part := range parts {
-		if v, ok := r.verdicts[part]; ok && !v.Released {
+	for _, s := range subjects {
+		if v, ok := r.verdicts[s]; ok && !v.Released {
 			matched = append(matched, v)
 		}
 	}
 	return matched
 }
 
-// probeAt returns when this gateway may probe a part.
+// probeAt returns when this gateway may probe a subject.
 func (r *Registry) probeAt(v *confined) time.Time {
-	return v.until.Add(time.Duration(r.cfg.Rank(v.Part)) * probeStagger)
+	return v.until.Add(time.Duration(r.cfg.Rank(v.Subject)) * probeStagger)
 }
 
-// confinement returns the confinement by the part that lasts longest. Another gateway may probe a
-// part before this one; a part that is being probed is known soon.
+// confinement returns the confinement by the subject that lasts longest. Another gateway may
+// probe a subject before this one; the outcome of a probe is known soon.
 func (r *Registry) confinement(matched []*confined, now time.Time) *Confinement {
 	c := &Confinement{}
 	for _, v := range matched {
 		if remaining := max(v.until.Sub(now), probeStagger); remaining > c.RetryAfter {
-			c.Part, c.RetryAfter = v.Part, remaining
+			c.Subject, c.RetryAfter = v.Subject, remaining
 		}
 	}
 	return c
 }
 
-// End ends a probe. If it neither crashed an endpoint nor released its parts, another request may
+// End ends a probe. If it neither crashed an endpoint nor released its subjects, another request may
 // be the next probe at once.
 func (p *Probe) End() {
 	if p == nil {
@@ -95,7 +96,7 @@
 	}
 	p.registry.mu.Lock()
 	defer p.registry.mu.Unlock()
-	for _, v := range p.parts {
+	for _, v := range p.subjects {
 		v.probing = false
 	}
 }
--- a/internal/savorypinquarantine/evidence.go
+++ b/internal/savorypinquarantine/evidence.go
@@ -8,9 +8,9 @@
 	"savorypin/internal/savorypinfleet"
 )
 
-// place is where a part was found in the prompts of the streams that an endpoint had.
+// place is where a subject was found among those of the requests that an endpoint had.
 type place struct {
-	// depth is the number of parts before it, at most.
+	// depth is the number of suspects before it, at most.
 	depth int
 	// innermost is set if it was the last suspect of a prompt.
 	innermost bool
@@ -20,30 +20,30 @@
 type crash struct {
 	at       time.Time
 	endpoint uint64
-	// explained is set once a part among the suspects was put into quarantine. Such a crash
+	// explained is set once a subject among the suspects was put into quarantine. Such a crash
 	// says nothing about the others.
 	explained bool
 	suspects  map[savorypinfleet.Subject]place
 }
 
-// add adds suspects, in the order of a prompt. It reports whether it learned anything.
+// add adds suspects, in the order of Crash.Suspects. It reports whether it learned anything.
 func (c *crash) add(suspects []savorypinfleet.Subject) bool {
 	learned := false
-	for depth, part := range suspects {
-		known, ok := c.suspects[part]
+	for depth, subject := range suspects {
+		known, ok := c.suspects[subject]
 		p := place{depth: max(known.depth, depth), innermost: known.innermost || depth == len(suspects)-1}
 		learned = learned || !ok || p != known
-		c.suspects[part] = p
+		c.suspects[subject] = p
 	}
 	return learned
 }
 
-// evidence holds the crashes that aren't explained yet, and the begins on parts.
+// evidence holds the crashes that aren't explained yet, and the begins on subjects.
 type evidence struct {
-	// crashes are in no order, and byPart indexes them by their suspects.
-	crashes []*crash
-	byPart  map[savorypinfleet.Subject][]*crash
-	begins  beginMemory
+	// crashes are in no order, and bySubject indexes them by their suspects.
+	crashes   []*crash
+	bySubject map[savorypinfleet.Subject][]*crash
+	begins    beginMemory
 }
 
 // crashOf returns the crash of an incarnation, or nil.
@@ -77,12 +77,12 @@
 	return true
 }
 
-// index updates byPart.
+// index updates bySubject.
 func (v *evidence) index() {
-	v.byPart = map[savorypinfleet.Subject][]*crash{}
+	v.bySubject = map[savorypinfleet.Subject][]*crash{}
 	for _, c := range v.crashes {
-		for part := range c.suspects {
-			v.byPart[part] = append(v.byPart[part], c)
+		for subject := range c.suspects {
+			v.bySubject[subject] = append(v.bySubject[subject], c)
 		}
 	}
 }
@@ -96,20 +96,20 @@
 	}
 }
 
-// explain marks the crashes that have a part among their suspects.
-func (v *evidence) explain(part savorypinfleet.Subject) {
-	for _, c := range v.byPart[part] {
+// explain marks the crashes that have a subject among their suspects.
+func (v *evidence) explain(subject savorypinfleet.Subject) {
+	for _, c := range v.bySubject[subject] {
 		c.explained = true
 	}
 }
 
-// count returns the number of unexplained crashes that have a part among their suspects and came
+// count returns the number of unexplained crashes that have a subject among their suspects and came
 // after the last begin on it. Crashes at about the same time have a cause in common more often
-// than a part, such as a lost failure domain or a completed rollout, and count once.
-func (v *evidence) count(part savorypinfleet.Subject) int {
-	begun := v.begins.last(part)
+// than a subject, such as a lost failure domain or a completed rollout, and count once.
+func (v *evidence) count(subject savorypinfleet.Subject) int {
+	begun := v.begins.last(subject)
 	var times []time.Time
-	for _, c := range v.byPart[part] {
+	for _, c := range v.bySubject[subject] {
 		if !c.explained && c.at.After(begun) {
 			times = append(times, c.at)
 		}
@@ -126,12 +126,12 @@
 	return groups
 }
 
-// candidate is a part that may have caused crashes.
+// candidate is a subject that may have caused crashes.
 type candidate struct {
 	place
-	part    savorypinfleet.Subject
+	subject savorypinfleet.Subject
 	crashes int
-	// trusted is set if an answer on the part has begun lately.
+	// trusted is set if an answer on the subject has begun lately.
 	trusted bool
 }
 
@@ -139,14 +139,14 @@
 // would explain.
 func (v *evidence) candidates(now time.Time) []candidate {
 	var candidates []candidate
-	for part, crashes := range v.byPart {
-		n := v.count(part)
+	for subject, crashes := range v.bySubject {
+		n := v.count(subject)
 		if n == 0 {
 			continue
 		}
-		c := candidate{part: part, crashes: n, trusted: v.trusted(part, now)}
+		c := candidate{subject: subject, crashes: n, trusted: v.trusted(subject, now)}
 		for _, crash := range crashes {
-			p := crash.suspects[part]
+			p := crash.suspects[subject]
 			c.depth, c.innermost = max(c.depth, p.depth), c.innermost || p.innermost
 		}
 		candidates = append(candidates, c)
@@ -154,7 +154,7 @@
 	return candidates
 }
 
-// culprit returns the part that explains the most crashes, of those with enough crashes to blame
+// culprit returns the subject that explains the most crashes, of those with enough crashes to blame
 // them. Of several that explain as many, it is one on which no answer has begun lately, and then
 // the one deepest in its prompt, since the parts before it are shared by more requests.
 func (v *evidence) culprit(now time.Time) (savorypinfleet.Subject, bool) {
@@ -165,10 +165,10 @@
 	worst := slices.MaxFunc(blamed, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.crashes, b.crashes), compareBool(!a.trusted, !b.trusted), compareBool(a.innermost, b.innermost),
-			cmp.Compare(a.depth, b.depth), cmp.Compare(a.part, b.part),
+			cmp.Compare(a.depth, b.depth), cmp.Compare(a.subject, b.subject),
 		)
 	})
-	return worst.part, true
+	return worst.subject, true
 }
 
 // enough reports whether a part has caused enough crashes to be blamed. A part on which answers
@@ -178,12 +178,12 @@
 	if !c.trusted && c.innermost {
 		return c.crashes >= minCrashes
 	}
-	return c.crashes >= minCrashesShared && now.Sub(v.begins.last(c.part)) >= trustPeriod
+	return c.crashes >= minCrashesShared && now.Sub(v.begins.last(c.subject)) >= trustPeriod
 }
 
-// trusted reports whether an answer on a part has begun lately.
-func (v *evidence) trusted(part savorypinfleet.Subject, now time.Time) bool {
-	begun := v.begins.last(part)
+// trusted reports whether an answer on a subject has begun lately.
+func (v *evidence) trusted(subject savorypinfleet.Subject, now time.Time) bool {
+	begun := v.begins.last(subject)
 	return !begun.IsZero() && now.Sub(begun) < trustMemory
 }
 
@@ -198,27 +198,27 @@
 	return -1
 }
 
-// beginMemory remembers when answers on parts last began. It keeps the parts of two generations,
-// so that parts that are never seen again don't add up.
+// beginMemory remembers when answers on subjects last began. It keeps the subjects of two generations,
+// so that subjects that are never seen again don't add up.
 type beginMemory struct {
 	current, previous map[savorypinfleet.Subject]time.Time
 }
 
 // record remembers a begin, unless a later one is known.
-func (m *beginMemory) record(part savorypinfleet.Subject, at time.Time) {
-	if !at.After(m.last(part)) {
+func (m *beginMemory) record(subject savorypinfleet.Subject, at time.Time) {
+	if !at.After(m.last(subject)) {
 		return
 	}
 	if m.current == nil || len(m.current) >= maxBeginsRemembered {
 		m.previous, m.current = m.current, map[savorypinfleet.Subject]time.Time{}
 	}
-	m.current[part] = at
+	m.current[subject] = at
 }
 
-// last returns when an answer on a part last began; zero if that isn't known.
-func (m *beginMemory) last(part savorypinfleet.Subject) time.Time {
-	if at, ok := m.current[part]; ok {
+// last returns when an answer on a subject last began; zero if that isn't known.
+func (m *beginMemory) last(subject savorypinfleet.Subject) time.Time {
+	if at, ok := m.current[subject]; ok {
 		return at
 	}
-	return m.previous[part]
+	return m.previous[subject]
 }
--- a/internal/savorypinquarantine/exchange.go
+++ b/internal/savorypinquarantine/exchange.go
@@ -40,12 +40,12 @@
 }
 
 // addBegin adds a begin that was some time ago.
-func (o *ownReport) addBegin(part savorypinfleet.Subject, age time.Duration, now time.Time) {
+func (o *ownReport) addBegin(subject savorypinfleet.Subject, age time.Duration, now time.Time) {
 	if o.begins == nil {
 		o.begins = map[savorypinfleet.Subject]timedBegin{}
 	}
 	o.serial++
-	o.begins[part] = timedBegin{Begin: Begin{Age: age, Part: part, Serial: o.serial}, at: now}
+	o.begins[subject] = timedBegin{Begin: Begin{Age: age, Subject: subject, Serial: o.serial}, at: now}
 }
 
 // expire drops the observations that were reported for long enough.
@@ -89,7 +89,7 @@
 		}
 	}
 	slices.SortFunc(verdicts, func(a, b Verdict) int {
-		return cmp.Or(compareBool(a.Released, b.Released), cmp.Compare(b.Round, a.Round), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(compareBool(a.Released, b.Released), cmp.Compare(b.Round, a.Round), cmp.Compare(a.Subject, b.Subject))
 	})
 	return verdicts
 }
@@ -119,7 +119,7 @@
 // applyBegin records another gateway's begin, unless it was recorded already. The caller holds
 // r.mu.
 func (r *Registry) applyBegin(origin string, b Begin, publishedAt time.Time) {
-	key := beginKey{origin: origin, part: b.Part}
+	key := beginKey{origin: origin, subject: b.Subject}
 	if r.beginSerials[key] == b.Serial {
 		return
 	}
@@ -127,13 +127,13 @@
 		clear(r.beginSerials)
 	}
 	r.beginSerials[key] = b.Serial
-	r.evidence.begins.record(b.Part, publishedAt.Add(-b.Age))
+	r.evidence.begins.record(b.Subject, publishedAt.Add(-b.Age))
 }
 
 // applyVerdict adopts another gateway's verdict if it supersedes the known one. The caller holds
 // r.mu.
 func (r *Registry) applyVerdict(v Verdict, now time.Time) {
-	if known, ok := r.verdicts[v.Part]; ok && !v.supersedes(known.Verdict) {
+	if known, ok := r.verdicts[v.Subject]; ok && !v.supersedes(known.Verdict) {
 		return
 	}
 	if v.Released {
@@ -143,53 +143,53 @@
 	r.confine(v, 0, now)
 }
 
-// reportTrust reports this gateway's last begins on parts that others are about to blame. The
+// reportTrust reports this gateway's last begins on subjects that others are about to blame. The
 // caller holds r.mu.
 func (r *Registry) reportTrust(now time.Time) {
 	for _, c := range r.evidence.candidates(now) {
-		begun := r.ownBegins.last(c.part)
+		begun := r.ownBegins.last(c.subject)
 		if c.crashes < minCrashes-1 || begun.IsZero() || now.Sub(begun) > trustMemory {
 			continue
 		}
-		if known, ok := r.own.begins[c.part]; ok && !begun.After(known.at.Add(-known.Age)) {
+		if known, ok := r.own.begins[c.subject]; ok && !begun.After(known.at.Add(-known.Age)) {
 			continue
 		}
-		r.own.addBegin(c.part, now.Sub(begun), now)
+		r.own.addBegin(c.subject, now.Sub(begun), now)
 	}
 }
 
-// Saved is a part in quarantine, as it is kept in the platform's store.
+// Saved is a subject in quarantine, as it is kept in the platform's store.
 type Saved struct {
-	Failed int32                  `json:"failed"`
-	Part   savorypinfleet.Subject `json:"part"`
-	Round  int32                  `json:"round"`
+	Failed  int32                  `json:"failed"`
+	Subject savorypinfleet.Subject `json:"part"`
+	Round   int32                  `json:"round"`
 	// Until is when the quarantine ends, in milliseconds since the Unix epoch.
 	Until int64 `json:"until"`
 }
 
-// Save returns the parts in quarantine, sorted.
+// Save returns the subjects in quarantine, sorted.
 func (r *Registry) Save() []Saved {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var saved []Saved
 	for _, v := range r.verdicts {
 		if !v.Released {
-			saved = append(saved, Saved{Failed: v.Failed, Part: v.Part, Round: v.Round, Until: v.until.UnixMilli()})
+			saved = append(saved, Saved{Failed: v.Failed, Subject: v.Subject, Round: v.Round, Until: v.until.UnixMilli()})
 		}
 	}
-	slices.SortFunc(saved, func(a, b Saved) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(saved, func(a, b Saved) int { return cmp.Compare(a.Subject, b.Subject) })
 	return saved
 }
 
-// Load adds parts that were saved before all gateways stopped. They are probed at the saved time, but
+// Load adds subjects that were saved before all gateways stopped. They are probed at the saved time, but
 // not later than after a new verdict, since the wall clock may have been set back.
 func (r *Registry) Load(saved []Saved) {
 	r.mu.Lock()
 	defer r.unlock()
 	now := r.cfg.Now()
 	for _, s := range saved {
-		v := Verdict{Failed: s.Failed, Part: s.Part, Round: s.Round}
-		if known, ok := r.verdicts[s.Part]; s.Round < 1 || s.Round > maxRound || s.Failed < 0 || ok && !v.supersedes(known.Verdict) {
+		v := Verdict{Failed: s.Failed, Subject: s.Subject, Round: s.Round}
+		if known, ok := r.verdicts[s.Subject]; s.Round < 1 || s.Round > maxRound || s.Failed < 0 || ok && !v.supersedes(known.Verdict) {
 			continue
 		}
 		remaining := min(time.UnixMilli(s.Until).Sub(now), quarantineOf(s.Failed))
@@ -198,7 +198,7 @@
 	}
 }
 
-// Len returns the number of parts in quarantine.
+// Len returns the number of subjects in quarantine.
 func (r *Registry) Len() int {
 	return int(r.active.Load())
 }
--- a/internal/savorypinquarantine/quarantine.go
+++ b/internal/savorypinquarantine/quarantine.go
@@ -1,6 +1,6 @@
-// Package savorypinquarantine finds parts of prompts that crash the endpoints that begin an
-// answer on them (poison pills), and keeps requests with such a part from endpoints. Gateways
-// add up what they observe by exchanging reports. The package does no network I/O and takes the
+// Package savorypinquarantine finds subjects that crash the endpoints that begin an answer on them
+// (poison pills), and keeps requests with such a subject from endpoints. Gateways add up what they
+// observe by exchanging reports. The package does no network I/O and takes the
 // time from its configuration.
 package savorypinquarantine
 
@@ -15,18 +15,18 @@
 )
 
 const (
-	// minCrashes is the number of crashes after which a part is put into quarantine, and
-	// minCrashesShared that for a part which other evidence speaks for.
+	// minCrashes is the number of crashes after which a subject is put into quarantine, and
+	// minCrashesShared that for one which other evidence speaks for.
 	minCrashes       = 3
 	minCrashesShared = 5
 	// maxCrashesPerRequest is the number of endpoints that one request may crash if one of its
-	// parts is suspect.
+	// subjects is suspect.
 	maxCrashesPerRequest = 2
 	// commonCauseWindow is the time within which several crashes count as one.
 	commonCauseWindow = 250 * time.Millisecond
-	// trustPeriod is the time after the last begin on a part in which it isn't blamed.
+	// trustPeriod is the time after the last begin on a subject in which it isn't blamed.
 	trustPeriod = 3 * time.Second
-	// trustMemory is how long a begin speaks for a part.
+	// trustMemory is how long a begin speaks for a subject.
 	trustMemory = 2 * time.Minute
 	// evidenceRetention is how long a crash counts.
 	evidenceRetention = 10 * time.Minute
@@ -38,7 +38,7 @@
 	quarantineFactor = 4
 	maxQuarantine    = 32 * time.Minute
 	// verdictRetention is how long a verdict is reported after its release, or after the time
-	// of its probe if no request with the part comes. It is kept longer, so that no gateway
+	// of its probe if no request with the subject comes. It is kept longer, so that no gateway
 	// adopts it again from another one.
 	verdictRetention = time.Hour
 	// probeStagger is the time by which the gateways' probes are apart, so that the outcome of
@@ -58,36 +58,36 @@
 type Config struct {
 	// Now returns the current time.
 	Now func() time.Time
-	// OnVerdict is called after a part was put into quarantine or released, without locks.
+	// OnVerdict is called after a subject was put into quarantine or released, without locks.
 	OnVerdict func(Change)
-	// Rank returns the place of this gateway in the order in which gateways may probe a part.
+	// Rank returns the place of this gateway in the order in which gateways may probe a subject.
 	Rank func(savorypinfleet.Subject) int
 }
 
-// Change is a change of the quarantine of a part.
+// Change is a change of the quarantine of a subject.
 type Change struct {
 	Verdict
-	// Crashes is the number of crashes that count against the part; zero if another gateway
+	// Crashes is the number of crashes that count against the subject; zero if another gateway
 	// decided.
 	Crashes int
 	// Remaining is the time until the next probe.
 	Remaining time.Duration
 }
 
-// confined is a part with a verdict.
+// confined is a subject with a verdict.
 type confined struct {
 	Verdict
-	// until is when the first gateway may send a probe, or when the part was released.
+	// until is when the first gateway may send a probe, or when the subject was released.
 	until time.Time
 	// probing is set while a request of this gateway is the probe.
 	probing bool
 }
 
-// Registry holds the parts in quarantine and the evidence for further ones. It is safe for
-// concurrent use; requests take no lock while no part is in quarantine.
+// Registry holds the subjects in quarantine and the evidence for further ones. It is safe for
+// concurrent use; requests take no lock while no subject is in quarantine.
 type Registry struct {
 	cfg Config
-	// active is the number of parts in quarantine.
+	// active is the number of subjects in quarantine.
 	active atomic.Int64
 
 	mu       sync.Mutex
@@ -102,10 +102,10 @@
 	changes      []Change
 }
 
-// beginKey identifies the begins that a gateway reports on a part.
+// beginKey identifies the begins that a gateway reports on a subject.
 type beginKey struct {
-	origin string
-	part   savorypinfleet.Subject
+	origin  string
+	subject savorypinfleet.Subject
 }
 
 // New returns a Registry without evidence.
@@ -124,16 +124,16 @@
 }
 
 // RecordCrash records that an endpoint of this gateway crashed while it had a request with the
-// given parts on which it had not begun an answer that went on. Probe says that the request was
-// a probe of its parts in quarantine.
-func (r *Registry) RecordCrash(e *savorypinfleet.Endpoint, parts []savorypinfleet.Subject, probe bool) {
+// given subjects on which it had not begun an answer that went on. Probe says that the request was
+// a probe of those in quarantine.
+func (r *Registry) RecordCrash(e *savorypinfleet.Endpoint, subjects []savorypinfleet.Subject, probe bool) {
 	r.mu.Lock()
 	defer r.unlock()
 	now := r.cfg.Now()
 	if probe {
-		r.failProbe(parts, now)
+		r.failProbe(subjects, now)
 	}
-	suspects := r.suspects(parts, now)
+	suspects := r.suspects(subjects, now)
 	if len(suspects) == 0 {
 		return
 	}
@@ -144,17 +144,17 @@
 	}
 }
 
-// suspects returns the parts on which no answer has begun just now, at most maxSuspects. Of more
+// suspects returns the subjects on which no answer has begun just now, at most maxSuspects. Of more
 // it returns a random selection, so that the same ones can't stay out each time.
-func (r *Registry) suspects(parts []savorypinfleet.Subject, now time.Time) []savorypinfleet.Subject {
+func (r *Registry) suspects(subjects []savorypinfleet.Subject, now time.Time) []savorypinfleet.Subject {
 	var suspects []savorypinfleet.Subject
 	seen := map[savorypinfleet.Subject]bool{}
-	for _, part := range parts {
-		begun := r.evidence.begins.last(part)
-		if !seen[part] && (begun.IsZero() || now.Sub(begun) >= trustPeriod) {
-			suspects = append(suspects, part)
+	for _, subject := range subjects {
+		begun := r.evidence.begins.last(subject)
+		if !seen[subject] && (begun.IsZero() || now.Sub(begun) >= trustPeriod) {
+			suspects = append(suspects, subject)
 		}
-		seen[part] = true
+		seen[subject] = true
 	}
 	if len(suspects) <= maxSuspects {
 		return suspects
@@ -168,40 +168,40 @@
 	return selection
 }
 
-// failProbe prolongs the quarantine of the parts that a probe had.
-func (r *Registry) failProbe(parts []savorypinfleet.Subject, now time.Time) {
-	for _, part := range parts {
-		if v, ok := r.verdicts[part]; ok && !v.Released {
-			r.confine(Verdict{Failed: v.Failed + 1, Part: part, Round: v.Round + 1}, 1, now)
+// failProbe prolongs the quarantine of the subjects that a probe had.
+func (r *Registry) failProbe(subjects []savorypinfleet.Subject, now time.Time) {
+	for _, subject := range subjects {
+		if v, ok := r.verdicts[subject]; ok && !v.Released {
+			r.confine(Verdict{Failed: v.Failed + 1, Subject: subject, Round: v.Round + 1}, 1, now)
 		}
 	}
 }
 
-// judge puts the parts into quarantine that the evidence is enough for. The caller holds r.mu.
+// judge puts the subjects into quarantine that the evidence is enough for. The caller holds r.mu.
 func (r *Registry) judge(now time.Time) {
 	r.evidence.expire(now)
-	for part, v := range r.verdicts {
+	for subject, v := range r.verdicts {
 		if !v.Released {
-			r.evidence.explain(part)
+			r.evidence.explain(subject)
 		}
 	}
 	r.expireVerdicts(now)
 	for {
-		part, ok := r.evidence.culprit(now)
+		subject, ok := r.evidence.culprit(now)
 		if !ok {
 			return
 		}
 		round := int32(1)
-		if v, ok := r.verdicts[part]; ok {
+		if v, ok := r.verdicts[subject]; ok {
 			round = v.Round + 1
 		}
-		crashes := r.evidence.count(part)
-		r.evidence.explain(part)
-		r.confine(Verdict{Part: part, Round: round}, crashes, now)
+		crashes := r.evidence.count(subject)
+		r.evidence.explain(subject)
+		r.confine(Verdict{Subject: subject, Round: round}, crashes, now)
 	}
 }
 
-// confine puts a part into quarantine or prolongs it. The caller holds r.mu.
+// confine puts a subject into quarantine or prolongs it. The caller holds r.mu.
 func (r *Registry) confine(v Verdict, crashes int, now time.Time) {
 	remaining := quarantineOf(v.Failed)
 	r.setVerdict(&confined{Verdict: v, until: now.Add(remaining)})
@@ -217,10 +217,10 @@
 	return min(d, maxQuarantine)
 }
 
-// setVerdict replaces the verdict on a part. If there are too many, it drops one that was released,
+// setVerdict replaces the verdict on a subject. If there are too many, it drops one that was released,
 // or else the one that ends first. The caller holds r.mu.
 func (r *Registry) setVerdict(v *confined) {
-	r.verdicts[v.Part] = v
+	r.verdicts[v.Subject] = v
 	if len(r.verdicts) > maxVerdicts {
 		delete(r.verdicts, r.leastNeeded())
 	}
@@ -229,15 +229,15 @@
 
 // expireVerdicts drops the verdicts that no gateway reports any more. The caller holds r.mu.
 func (r *Registry) expireVerdicts(now time.Time) {
-	for part, v := range r.verdicts {
+	for subject, v := range r.verdicts {
 		if now.Sub(v.until) > 2*verdictRetention {
-			delete(r.verdicts, part)
+			delete(r.verdicts, subject)
 		}
 	}
 	r.countActive()
 }
 
-// countActive updates the number of parts in quarantine. The caller holds r.mu.
+// countActive updates the number of subjects in quarantine. The caller holds r.mu.
 func (r *Registry) countActive() {
 	active := 0
 	for _, v := range r.verdicts {
@@ -248,7 +248,7 @@
 	r.active.Store(int64(active))
 }
 
-// leastNeeded returns the part whose verdict is dropped first. The caller holds r.mu.
+// leastNeeded returns the subject whose verdict is dropped first. The caller holds r.mu.
 func (r *Registry) leastNeeded() savorypinfleet.Subject {
 	var least *confined
 	for _, v := range r.verdicts {
@@ -256,62 +256,62 @@
 			least = v
 		}
 	}
-	return least.Part
+	return least.Subject
 }
 
-// RecordBegin records that an answer of this gateway's on the given parts has begun and gone on,
+// RecordBegin records that an answer of this gateway's on the given subjects has begun and gone on,
 // which releases them.
-func (r *Registry) RecordBegin(parts []savorypinfleet.Subject) {
-	if len(parts) == 0 {
+func (r *Registry) RecordBegin(subjects []savorypinfleet.Subject) {
+	if len(subjects) == 0 {
 		return
 	}
 	r.mu.Lock()
 	defer r.unlock()
 	now := r.cfg.Now()
-	for _, part := range parts {
-		if v, ok := r.verdicts[part]; ok && !v.Released {
-			r.release(Verdict{Part: part, Round: v.Round, Released: true})
+	for _, subject := range subjects {
+		if v, ok := r.verdicts[subject]; ok && !v.Released {
+			r.release(Verdict{Subject: subject, Round: v.Round, Released: true})
 		}
-		if r.evidence.count(part) > 0 {
-			r.own.addBegin(part, 0, now)
+		if r.evidence.count(subject) > 0 {
+			r.own.addBegin(subject, 0, now)
 		}
-		r.evidence.begins.record(part, now)
-		r.ownBegins.record(part, now)
+		r.evidence.begins.record(subject, now)
+		r.ownBegins.record(subject, now)
 	}
 }
 
-// release ends the quarantine of a part. The caller holds r.mu.
+// release ends the quarantine of a subject. The caller holds r.mu.
 func (r *Registry) release(v Verdict) {
 	r.setVerdict(&confined{Verdict: v, until: r.cfg.Now()})
 	r.changes = append(r.changes, Change{Verdict: v})
 }
 
-// Release ends the quarantine of a part by order of an operator. It reports whether the part was
+// Release ends the quarantine of a subject by order of an operator. It reports whether it was
 // in quarantine.
-func (r *Registry) Release(part savorypinfleet.Subject) bool {
+func (r *Registry) Release(subject savorypinfleet.Subject) bool {
 	r.mu.Lock()
 	defer r.unlock()
-	v, ok := r.verdicts[part]
+	v, ok := r.verdicts[subject]
 	if !ok || v.Released {
 		return false
 	}
-	r.release(Verdict{Part: part, Round: v.Round, Released: true})
+	r.release(Verdict{Subject: subject, Round: v.Round, Released: true})
 	return true
 }
 
-// Suspicion returns the number of crashes that count against the most suspect of the parts.
-func (r *Registry) Suspicion(parts []savorypinfleet.Subject) int {
+// Suspicion returns the number of crashes that count against the most suspect of the subjects.
+func (r *Registry) Suspicion(subjects []savorypinfleet.Subject) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	worst := 0
-	for _, part := range parts {
-		worst = max(worst, r.evidence.count(part))
+	for _, subject := range subjects {
+		worst = max(worst, r.evidence.count(subject))
 	}
 	return worst
 }
 
 // MayCrashAnother reports whether a request that has crashed a number of endpoints may be sent to
 // another one.
-func (r *Registry) MayCrashAnother(crashed int, parts []savorypinfleet.Subject) bool {
-	return crashed < maxCrashesPerRequest || r.Suspicion(parts) < maxCrashesPerRequest
+func (r *Registry) MayCrashAnother(crashed int, subjects []savorypinfleet.Subject) bool {
+	return crashed < maxCrashesPerRequest || r.Suspicion(subjects) < maxCrashesPerRequest
 }
--- a/internal/savorypinquarantine/quarantine_test.go
+++ b/internal/savorypinquarantine/quarantine_test.go
@@ -220,7 +220,7 @@
 		b := confinedBench()
 		probe, confinement := b.Admit(parts("first", "poison"))
 		Expect(probe).To(BeNil())
-		Expect(confinement.Part).To(Equal(savorypinfleet.NewPromptPart("poison")))
+		Expect(confinement.Subject).To(Equal(savorypinfleet.NewPromptPart("poison")))
 		Expect(confinement.RetryAfter).To(Equal(29 * time.Second))
 		_, confinement = b.Admit(parts("first"))
 		Expect(confinement).To(BeNil())
--- a/internal/savorypinquarantine/report.go
+++ b/internal/savorypinquarantine/report.go
@@ -12,35 +12,35 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
 	// Endpoint is the hash of the endpoint's incarnation.
 	Endpoint uint64 `msgpack:"e"`
-	// Suspects are the parts on which the endpoint may have begun an answer. They are in the
-	// order of the prompt.
+	// Suspects are the parts on which the endpoint may have begun an answer, in the order of the
+	// prompt, and behind them the request itself.
 	Suspects []savorypinfleet.Subject `msgpack:"s"`
 }
 
-// Begin says that an answer on a part has begun and gone on, which a part that crashes engines
+// Begin says that an answer on a subject has begun and gone on, which one that crashes endpoints
 // doesn't allow.
 type Begin struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
 	// Age is the time since then when the entry was made.
-	Age  time.Duration          `msgpack:"a"`
-	Part savorypinfleet.Subject `msgpack:"p"`
+	Age     time.Duration          `msgpack:"a"`
+	Subject savorypinfleet.Subject `msgpack:"p"`
 	// Serial tells a later begin from an entry that is sent again.
 	Serial uint32 `msgpack:"s"`
 }
 
-// Verdict is the state of a part that is or was in quarantine.
+// Verdict is the state of a subject that is or was in quarantine.
 type Verdict struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
-	// Failed is the number of probes that failed since the part was put into quarantine.
-	Failed int32                  `msgpack:"f"`
-	Part   savorypinfleet.Subject `msgpack:"p"`
+	// Failed is the number of probes that failed since the subject was put into quarantine.
+	Failed  int32                  `msgpack:"f"`
+	Subject savorypinfleet.Subject `msgpack:"p"`
 	// Released says that the quarantine has ended.
 	Released bool `msgpack:"r"`
-	// Round counts the times that the part was put into quarantine, or a probe of it failed.
+	// Round counts the times that the subject was put into quarantine, or a probe of it failed.
 	Round int32 `msgpack:"n"`
 }
 
-// supersedes reports whether a verdict replaces another one on the same part: it is of a later
+// supersedes reports whether a verdict replaces another one on the same subject: it is of a later
 // round, or the release of the same one.
 func (v Verdict) supersedes(other Verdict) bool {
 	return v.Round > other.Round || v.Round == other.Round && v.Released && !other.Released
