--- a/internal/savorypinevent/endpointevents.go
+++ b/internal/savorypinevent/endpointevents.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"savorypin/internal/savorypinfleet"
 )
 
 // DomainSuspect reports that a whole failure domain is considered failed.
@@ -173,18 +175,18 @@
 	}
 }
 
-// QuarantineChanged reports that a part of prompts was put into quarantine or released.
+// QuarantineChanged reports that a part of prompts or a request was put into quarantine or released.
 type QuarantineChanged struct {
-	// Crashes is the number of crashes that count against the part; zero if another gateway
+	// Crashes is the number of crashes that count against it; zero if another gateway
 	// decided.
 	Crashes int
-	Part    string
-	// Remaining is the time until a request with the part is sent as a probe.
+	// Remaining is the time until a request with it is sent as a probe.
 	Remaining time.Duration
 	// Released says that the quarantine has ended.
 	Released bool
-	// Round counts the times that the part was put into quarantine or failed a probe.
-	Round int
+	// Round counts the times that it was put into quarantine or failed a probe.
+	Round   int
+	Subject savorypinfleet.Subject
 }
 
 // Kind returns the kind of the event.
@@ -195,5 +197,6 @@
 
 // Fields returns the fields as alternating names and values.
 func (e QuarantineChanged) Fields() []any {
-	return []any{"part", e.Part, "released", e.Released, "round", e.Round, "crashes", e.Crashes, "remaining", milliseconds(e.Remaining)}
+	fields := appendSubject(nil, e.Subject)
+	return append(fields, "released", e.Released, "round", e.Round, "crashes", e.Crashes, "remaining", milliseconds(e.Remaining))
 }
--- a/internal/savorypinevent/requestevents.go
+++ b/internal/savorypinevent/requestevents.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"savorypin/internal/savorypinfleet"
 )
 
 // AttemptEnded reports the outcome of one attempt of a plain request at an endpoint.
@@ -93,13 +95,13 @@
 	// Endpoints is the number of endpoints of the service that accepted requests.
 	Endpoints int
 	ID        string
-	// Part is the part of the prompt that is in quarantine, if that is the reason.
-	Part string
 	// Path is the URI of the request.
 	Path       string
 	Reason     string
 	RetryAfter time.Duration
 	Status     int
+	// Subject is what crashes endpoints, if that is the reason; zero if it isn't.
+	Subject savorypinfleet.Subject
 	// Suspects is the number of these endpoints that were suspected of having failed.
 	Suspects int
 }
@@ -116,12 +118,21 @@
 		"id", e.ID, "status", e.Status, "reason", e.Reason, "path", e.Path, "retryAfter", milliseconds(e.RetryAfter),
 		"configuration", e.Configuration, "confirmationAge", milliseconds(e.ConfirmationAge), "endpoints", e.Endpoints, "suspects", e.Suspects,
 	}
-	if e.Part != "" {
-		fields = append(fields, "part", e.Part)
+	if e.Subject != 0 {
+		fields = appendSubject(fields, e.Subject)
 	}
 	return fields
 }
 
+// appendSubject adds the name and the hash of a subject.
+func appendSubject(fields []any, s savorypinfleet.Subject) []any {
+	name := "part"
+	if s.IsRequest() {
+		name = "request"
+	}
+	return append(fields, name, s.String())
+}
+
 // StreamSent reports the endpoint that a stream is sent to, and the state on which the
 // choice was based.
 type StreamSent struct {
--- a/internal/savorypinexplain/report.go
+++ b/internal/savorypinexplain/report.go
@@ -45,9 +45,10 @@
 	// GatewayEvents are the events that changed the state of the request's gateways,
 	// from eventLookback before the request to its last line.
 	GatewayEvents []Line
-	// PartEvents are the crashes and the changes of the quarantine, at any gateway before the
-	// request's last line, that concern the part of its prompt because of which it was refused.
-	PartEvents []Line
+	// SubjectEvents are the crashes and the changes of the quarantine, at any gateway before the
+	// request's last line, that concern what it was refused for: a part of its prompt, or the
+	// request itself.
+	SubjectEvents []Line
 	// Summary says in a sentence how the request ended and why.
 	Summary string
 	// History are the lines with the ID of the request, in the order of their times.
@@ -81,37 +82,46 @@
 			report.GatewayEvents = append(report.GatewayEvents, line)
 		}
 	}
-	report.PartEvents = partEvents(sorted, refusedPart(report.History), last.At)
+	report.SubjectEvents = subjectEvents(sorted, refusedSubject(report.History), last.At)
 	report.Summary = summarize(report.History)
 	return report, nil
 }
 
-// refusedPart returns the part of the prompt because of which a request was refused, or "".
-func refusedPart(history []Line) string {
+// subject is what a request was refused for, as log lines name it.
+type subject struct {
+	part, request string
+}
+
+// refusedSubject returns what a request was refused for; empty for other reasons.
+func refusedSubject(history []Line) subject {
 	for _, line := range slices.Backward(history) {
-		if part := line.Value("part"); part != "" {
-			return part
+		if savorypinevent.Kind(line.Kind) != savorypinevent.KindRequestRefused {
+			continue
+		}
+		if s := (subject{part: line.Value("part"), request: line.Value("request")}); s != (subject{}) {
+			return s
 		}
 	}
-	return ""
+	return subject{}
 }
 
-// partEvents returns the lines until a time that concern a part of prompts.
-func partEvents(lines []Line, part string, until time.Duration) []Line {
-	var events []Line
-	if part == "" {
-		return nil
+// concerns reports whether a crash or a change of the quarantine concerns a subject.
+func (s subject) concerns(line Line) bool {
+	switch savorypinevent.Kind(line.Kind) {
+	case savorypinevent.KindEndpointCrashed:
+		return s.request != "" && line.Value("request") == s.request ||
+			s.part != "" && slices.Contains(strings.Split(line.Value("parts"), ","), s.part)
+	case savorypinevent.KindQuarantineChanged:
+		return line.Value("part") == s.part && line.Value("request") == s.request
 	}
+	return false
+}
+
+// subjectEvents returns the lines until a time that concern a subject.
+func subjectEvents(lines []Line, s subject, until time.Duration) []Line {
+	var events []Line
 	for _, line := range lines {
-		concerned := line.Value("part") == part
-		switch savorypinevent.Kind(line.Kind) {
-		case savorypinevent.KindEndpointCrashed:
-			concerned = slices.Contains(strings.Split(line.Value("parts"), ","), part)
-		case savorypinevent.KindQuarantineChanged:
-		default:
-			continue
-		}
-		if concerned && line.At <= until {
+		if s != (subject{}) && line.At <= until && s.concerns(line) {
 			events = append(events, line)
 		}
 	}
@@ -188,9 +198,9 @@
 	for _, line := range r.History {
 		writeLine(&text, start, line)
 	}
-	if len(r.PartEvents) > 0 {
-		fmt.Fprintf(&text, "\ncrashes and quarantine of the part, at all gateways\n")
-		for _, line := range r.PartEvents {
+	if len(r.SubjectEvents) > 0 {
+		fmt.Fprintf(&text, "\ncrashes and quarantine of the part or the request, at all gateways\n")
+		for _, line := range r.SubjectEvents {
 			writeLine(&text, start, line)
 		}
 	}
--- a/internal/savorypinexplain/report_test.go
+++ b/internal/savorypinexplain/report_test.go
@@ -67,7 +67,7 @@
 		report, err := savorypinexplain.Explain("r8", readLines(more))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(report.Summary).To(ContainSubstring("status 503: part of the prompt is in quarantine"))
-		Expect(report.PartEvents).To(HaveLen(2))
+		Expect(report.SubjectEvents).To(HaveLen(2))
 		var text strings.Builder
 		Expect(report.Write(&text)).To(Succeed())
 		Expect(text.String()).To(ContainSubstring("-59.000 s  edge-2               endpoint crashed       endpoint=i-1 events=0 parts=aa,bb"))
@@ -76,6 +76,20 @@
 		Expect(report.Summary).To(HavePrefix("the stream failed"))
 	})
 
+	It("names the request that is in quarantine, and the crashes of any gateway under its repeats", func() {
+		more := `
+  1.000 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="endpoint crashed" gateway=edge-2 endpoint=i-1 events=0 parts= request=cc suspicion=1 id=r7
+  1.100 edge-2 time=2026-12-04T05:00:00.100Z level=info msg="endpoint crashed" gateway=edge-2 endpoint=i-1 events=0 parts= request=dd suspicion=1 id=r9
+  2.000 edge-1 time=2026-12-04T05:00:00.100Z level=info msg="quarantine changed" gateway=edge-1 request=cc released=false round=1 crashes=3
+  60.000 edge-1 time=2026-12-04T05:00:00.100Z level=info msg="request refused" gateway=edge-1 id=r8 status=503 reason="request is in quarantine" request=cc
+`
+		report, err := savorypinexplain.Explain("r8", readLines(more))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Summary).To(ContainSubstring("status 503: request is in quarantine"))
+		Expect(report.SubjectEvents).To(HaveLen(2))
+		Expect(report.SubjectEvents[0].Value("id")).To(Equal("r7"))
+	})
+
 	It("uses the gateway's time if the log collector put no time in front of the line", func() {
 		line := `time=2026-12-04T05:00:00.250Z level=info msg="stream sent" gateway=edge-1 id=r1`
 		Expect(readLines(line)[0].At).To(Equal(time.Duration(time.Date(2026, 12, 4, 5, 0, 0, 250e6, time.UTC).UnixNano())))
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -52,6 +53,14 @@
 	return r.subject
 }
 
+// has reports whether a subject is a part of the prompt or the request itself.
+func (r *request) has(subject savorypinfleet.Subject) bool {
+	if subject.IsRequest() {
+		return subject == r.whole()
+	}
+	return slices.Contains(r.call.PromptParts, subject)
+}
+
 // remaining returns the time until the deadline.
 func (r *request) remaining() time.Duration {
 	return time.Until(r.deadline)
@@ -65,11 +74,11 @@
 
 // refusal is an error response of the gateway itself.
 type refusal struct {
-	// part is the part of the prompt that is in quarantine, if that is the reason.
-	part       string
 	reason     string
 	retryAfter time.Duration
 	status     int
+	// subject is what crashes endpoints, if that is the reason; zero if it isn't.
+	subject savorypinfleet.Subject
 }
 
 // notRunRefusal returns a refusal which guarantees that the request has not run.
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -26,7 +26,11 @@
 	partsConfined metrics.Counter
 	partsRefused  metrics.Counter
 	partsReleased metrics.Counter
-	refused       metrics.Counter
+	// requestsConfined, repeatsRefused and requestsReleased count the same of whole requests.
+	requestsConfined metrics.Counter
+	repeatsRefused   metrics.Counter
+	requestsReleased metrics.Counter
+	refused          metrics.Counter
 	// repeated counts the second and later attempts of plain requests.
 	repeated metrics.Counter
 	requests metrics.Counter
@@ -54,6 +58,9 @@
 		partsRefused:        metrics.GetOrRegisterCounter("gateway_parts_refused", r),
 		partsReleased:       metrics.GetOrRegisterCounter("gateway_parts_released", r),
 		plainAnswer:         metrics.GetOrRegisterTimer("gateway_plain_answer", r),
+		repeatsRefused:      metrics.GetOrRegisterCounter("gateway_repeats_refused", r),
+		requestsConfined:    metrics.GetOrRegisterCounter("gateway_requests_confined", r),
+		requestsReleased:    metrics.GetOrRegisterCounter("gateway_requests_released", r),
 		refused:             metrics.GetOrRegisterCounter("gateway_refused", r),
 		repeated:            metrics.GetOrRegisterCounter("gateway_repeated", r),
 		requests:            metrics.GetOrRegisterCounter("gateway_requests", r),
@@ -62,3 +69,17 @@
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
 	}
 }
+
+// recordVerdict counts a change of the quarantine of a part of a prompt, or of a request.
+func (c *counters) recordVerdict(request, released bool) {
+	switch {
+	case request && released:
+		c.requestsReleased.Inc(1)
+	case request:
+		c.requestsConfined.Inc(1)
+	case released:
+		c.partsReleased.Inc(1)
+	default:
+		c.partsConfined.Inc(1)
+	}
+}
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -79,6 +79,8 @@
 
 // Gateway is the daemon. Use New to create one.
 type Gateway struct {
+	// abandoned holds the attempts of plain requests that were given up.
+	abandoned abandonedAttempts
 	// livePeers are the addresses of the other gateways that were live at the last sweep.
 	livePeers map[string]bool
 	// bodyBudget limits the memory of buffered response bodies.
@@ -98,7 +100,7 @@
 	peers         *savorypingossip.Table
 	picker        *savorypinpick.Picker
 	pool          *savorypinpool.Pool
-	// quarantine keeps parts of prompts that crash endpoints from them.
+	// quarantine keeps parts of prompts, and requests, that crash endpoints from them.
 	quarantine *savorypinquarantine.Registry
 	// notReadyReason is why the gateway was not ready at the last sweep; empty if it was.
 	notReadyReason string
@@ -267,7 +269,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", savorypinmetrics.NewHandler(g.registry))
 	mux.HandleFunc("GET /state", g.serveState)
-	mux.HandleFunc("DELETE /quarantine/{part}", g.serveRelease)
+	mux.HandleFunc("DELETE /quarantine/{subject}", g.serveRelease)
 	return mux
 }
 
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -60,7 +60,7 @@
 // logRefusal logs a refusal and the state that led to it.
 func (g *Gateway) logRefusal(call *savorypinfleet.Call, service string, refused *refusal) {
 	e := savorypinevent.RequestRefused{
-		ID: call.ID, Part: refused.part, Path: call.URI, Reason: refused.reason, RetryAfter: refused.retryAfter, Status: refused.status,
+		ID: call.ID, Path: call.URI, Subject: refused.subject, Reason: refused.reason, RetryAfter: refused.retryAfter, Status: refused.status,
 		Configuration: g.configurationVersion(),
 	}
 	if age, ok := g.view.confirmationAge(bootClock()); ok {
@@ -127,6 +127,9 @@
 func (g *Gateway) connect(ctx context.Context, e *savorypinfleet.Endpoint) (*savorypinpool.Conn, error) {
 	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
 	if err != nil && ctx.Err() == nil {
+		if processEnded(err) {
+			g.recordAbandoned(e)
+		}
 		g.markEndpointFailed(e, "connect")
 	}
 	return conn, err
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
-	"savorypin/internal/savorypinpool"
+	"savorypin/internal/savorypinquarantine"
 )
 
 // Parameters of plain requests.
@@ -91,45 +89,98 @@
 	})
 }
 
+// plainCall is a plain request over all of its attempts.
+type plainCall struct {
+	// confinement is why the request was not sent, or not sent again; nil if it was for other
+	// reasons.
+	confinement *savorypinquarantine.Confinement
+	gateway     *Gateway
+	// isolated is set if the request was not sent because it is suspect of crashing endpoints.
+	isolated bool
+	// probe is set if the request is a probe of subjects in quarantine.
+	probe *savorypinquarantine.Probe
+	// reported is the outcome that the caller is told.
+	reported *outcome
+	req      *request
+	// sent and unsent are the numbers of attempts in which the request was sent or not.
+	sent, unsent int
+	tried        map[string]bool
+}
+
 // tryPlain sends a request to endpoints until one succeeds. It returns a refusal if no endpoint
 // sent a response.
 func (g *Gateway) tryPlain(ctx context.Context, req *request) (*outcome, *refusal) {
-	budget := g.retryBudgets.forService(req.service.Name())
-	budget.RecordFirst()
-	tried := map[string]bool{}
-	reported := &outcome{kind: outcomeUnsent}
-	sent, unsent := 0, 0
-	for sent < req.route.MaxAttempts() && unsent < maxUnsentAttempts && ctx.Err() == nil {
-		e := g.chooseEndpoint(req, tried)
-		if e == nil || sent > 0 && !budget.TryRepeat() {
-			break
-		}
-		tried[e.ID()] = true
-		result := g.attemptPlain(ctx, req, e, sent+1 < req.route.MaxAttempts())
-		if !result.succeeded() {
-			g.logAttempt(req, e, result, sent)
-		}
-		if result.kind == outcomeUnsent {
-			unsent++
-			continue
-		}
-		sent++
-		result.attempts, result.endpoint = sent, e
-		if sent > 1 {
-			g.counters.repeated.Inc(1)
-		}
-		// A response, even a failure, tells the caller more than a later attempt without one.
-		if reported.kind != outcomeAnswered || result.succeeded() {
-			reported = result
-		}
-		if result.succeeded() || !req.route.Retryable() && result.kind != outcomeNotRun {
+	g.retryBudgets.forService(req.service.Name()).RecordFirst()
+	p := &plainCall{gateway: g, reported: &outcome{kind: outcomeUnsent}, req: req, tried: map[string]bool{}}
+	p.probe, p.confinement = g.quarantine.Admit(g.subjects(req))
+	defer p.probe.End()
+	for p.mayAttempt() && ctx.Err() == nil {
+		if done := p.attempt(ctx); done {
 			break
 		}
 	}
-	if reported.kind == outcomeAnswered {
-		return reported, nil
+	if p.reported.kind == outcomeAnswered {
+		return p.reported, nil
+	}
+	return nil, p.refusal()
+}
+
+// mayAttempt reports whether the request may be sent, or sent again.
+func (p *plainCall) mayAttempt() bool {
+	if p.probe == nil || p.sent > 0 {
+		p.confinement = p.gateway.quarantine.Confined(p.gateway.subjects(p.req))
+	}
+	return p.confinement == nil && p.sent < p.req.route.MaxAttempts() && p.unsent < maxUnsentAttempts
+}
+
+// attempt sends the request to one endpoint. It reports whether no other attempt is to follow.
+func (p *plainCall) attempt(ctx context.Context) (done bool) {
+	g, req := p.gateway, p.req
+	isolation, ok := g.isolate(req)
+	if !ok {
+		p.isolated = true
+		return true
+	}
+	defer isolation.End()
+	e := g.chooseEndpoint(req, p.tried)
+	if e == nil || p.sent > 0 && !g.retryBudgets.forService(req.service.Name()).TryRepeat() {
+		return true
+	}
+	p.tried[e.ID()] = true
+	result := g.attemptPlain(ctx, req, e, p.sent+1 < req.route.MaxAttempts())
+	if !result.succeeded() {
+		g.logAttempt(req, e, result, p.sent)
+	}
+	if result.kind == outcomeUnsent {
+		p.unsent++
+		return false
+	}
+	p.sent++
+	result.attempts, result.endpoint = p.sent, e
+	if p.sent > 1 {
+		g.counters.repeated.Inc(1)
 	}
-	return nil, plainRefusal(req, reported, g.retryDelay(req.service.Name()))
+	// A response, even a failure, tells the caller more than a later attempt without one.
+	if p.reported.kind != outcomeAnswered || result.succeeded() {
+		p.reported = result
+	}
+	if result.kind == outcomeUnknown {
+		p.handleLostResponse(e, result)
+	}
+	return result.succeeded() || !req.route.Retryable() && result.kind != outcomeNotRun
+}
+
+// refusal returns the refusal of a request without a response.
+func (p *plainCall) refusal() *refusal {
+	g := p.gateway
+	mayHaveRun := p.reported.kind == outcomeUnknown
+	switch {
+	case p.confinement != nil:
+		return g.confinedRefusal(p.confinement, mayHaveRun)
+	case p.isolated && !mayHaveRun:
+		return isolatedRefusal(p.req.whole())
+	}
+	return plainRefusal(p.req, p.reported, g.retryDelay(p.req.service.Name()))
 }
 
 // plainRefusal returns the refusal of a request without a response, given the outcome of the last
@@ -155,172 +206,3 @@
 		Outcome: string(o.kind), Status: status,
 	})
 }
-
-// attemptPlain sends a request to one endpoint and reads the whole response.
-func (g *Gateway) attemptPlain(ctx context.Context, req *request, e *savorypinfleet.Endpoint, mayRetry bool) *outcome {
-	deadline := req.deadline
-	if mayRetry && req.route.Retryable() {
-		deadline = time.Now().Add(attemptTimeout(req.route.TargetLatency(), req.remaining()))
-	}
-	conn, err := g.connect(ctx, e)
-	if err != nil {
-		return &outcome{err: err, kind: outcomeUnsent}
-	}
-	defer context.AfterFunc(ctx, conn.Close)()
-	work := g.picker.BeginPlain(e)
-	defer work.End()
-	start := time.Now()
-	g.rollouts.CountSent(e.Service(), e.Version())
-	result, keepAlive := g.exchange(conn, req, savorypinfleet.Attempt{
-		Call: req.call, Deadline: req.remaining(), Endpoint: e, Organisation: req.organisation, Priority: noPriority,
-	}, deadline)
-	if ctx.Err() == nil {
-		work.RecordAnswer(!result.succeeded())
-		g.recordVersionResult(req, e, !result.succeeded(), time.Since(start))
-		g.updateSuspicion(e, result)
-	}
-	g.releaseConn(conn, keepAlive)
-	if ctx.Err() == nil && connectionBroke(result) {
-		go g.log.RunRecovered("look for endpoint", func() { g.logPlainCrash(req, e) })
-	}
-	return result
-}
-
-// connectionBroke reports whether an attempt got no response because its connection ended.
-func connectionBroke(o *outcome) bool {
-	var timeout net.Error
-	return o.kind == outcomeUnknown && !isProtocolError(o.err) && !errors.Is(o.err, savorypinpool.ErrUnrelated) &&
-		!errors.Is(o.err, errUnsigned) && !(errors.As(o.err, &timeout) && timeout.Timeout())
-}
-
-// logPlainCrash logs that an endpoint's process ended under a request, if its host refuses a new
-// connection.
-func (g *Gateway) logPlainCrash(req *request, e *savorypinfleet.Endpoint) {
-	conn, err := g.pool.Open(context.Background(), e.Address(), g.connectTimeout(e))
-	if err == nil {
-		g.pool.Put(conn, 0)
-		return
-	}
-	if !processEnded(err) {
-		return
-	}
-	g.counters.endpointsCrashed.Inc(1)
-	g.log.Emit(savorypinevent.EndpointCrashed{Domain: e.Domain(), Endpoint: e.ID(), ID: req.call.ID, Request: req.whole().String()})
-}
-
-// idleTimeout returns how long a connection may stay idle after its response was read whole. It
-// is zero if the endpoint does not say, and negative if the connection can't be reused.
-func idleTimeout(conn *savorypinpool.Conn, resp *http.Response, reply savorypinfleet.Reply) time.Duration {
-	if resp.Close || conn.Buffered() > 0 {
-		return -1
-	}
-	return reply.KeepAlive
-}
-
-// releaseConn returns a connection to the pool for keepAlive, or closes it if that is negative.
-func (g *Gateway) releaseConn(conn *savorypinpool.Conn, keepAlive time.Duration) {
-	if keepAlive < 0 {
-		conn.Close()
-		return
-	}
-	g.pool.Put(conn, keepAlive)
-}
-
-// attemptTimeout returns the timeout of an attempt that can be retried elsewhere, given the
-// target latency, zero for none, and the time left until the request's deadline.
-func attemptTimeout(target, left time.Duration) time.Duration {
-	if target > 0 {
-		return min(left, time.Duration(plainAttemptRatio*float64(target)))
-	}
-	return left / 2
-}
-
-// updateSuspicion marks an endpoint suspect that sent an invalid response, marks one failed that
-// was replaced by another incarnation, and clears one that sent a valid response.
-func (g *Gateway) updateSuspicion(e *savorypinfleet.Endpoint, o *outcome) {
-	switch o.kind {
-	case outcomeAnswered:
-		g.picker.ClearSuspicion(e)
-	case outcomeNotRun:
-		if o.resp.StatusCode == http.StatusMisdirectedRequest {
-			g.picker.RecordReplacement(e)
-			g.markEndpointFailed(e, "another incarnation answers")
-		}
-	case outcomeUnknown:
-		if isProtocolError(o.err) {
-			g.handleProtocolError(e, o.err.Error())
-		}
-	case outcomeUnsent:
-	}
-}
-
-// exchange sends a request and reads the whole response. It also returns how long the
-// connection may stay idle; negative if it can't be reused.
-func (g *Gateway) exchange(
-	conn *savorypinpool.Conn,
-	req *request,
-	attempt savorypinfleet.Attempt,
-	deadline time.Time,
-) (*outcome, time.Duration) {
-	unknown := func(err error) (*outcome, time.Duration) {
-		return &outcome{err: err, kind: outcomeUnknown}, -1
-	}
-	if err := conn.Send(wireRequest(g.cfg.Codec, attempt), deadline); err != nil {
-		return unknown(err)
-	}
-	if err := conn.SetReadDeadline(deadline); err != nil {
-		return unknown(err)
-	}
-	resp, err := conn.Receive(req.call.Method)
-	if err != nil {
-		return unknown(err)
-	}
-	defer resp.Body.Close()
-	body, err := req.bodies.read(resp.Body)
-	if err != nil {
-		return unknown(err)
-	}
-	reply := g.cfg.Codec.DecodeReply(resp)
-	keepAlive := idleTimeout(conn, resp, reply)
-	if !matchesCall(conn, reply, req.call) {
-		return unknown(savorypinpool.ErrUnrelated)
-	}
-	g.recordAdmission(attempt.Endpoint, req.call, resp.StatusCode, reply)
-	switch {
-	case reply.NotExecuted:
-		return &outcome{kind: outcomeNotRun, resp: resp}, keepAlive
-	case reply.ContentEncoded, !reply.Signed:
-		return &outcome{err: errUnsigned, kind: outcomeUnknown}, -1
-	}
-	return &outcome{body: body, kind: outcomeAnswered, resp: resp}, keepAlive
-}
-
-// matchesCall reports whether a response belongs to a call. If the connection has carried another
-// request, a response without an ID may be a late duplicate of the response to that one.
-func matchesCall(conn *savorypinpool.Conn, reply savorypinfleet.Reply, call *savorypinfleet.Call) bool {
-	if reply.ID == "" {
-		return !conn.Reused()
-	}
-	return reply.ID == call.ID
-}
-
-// errUnsigned means that a response may not be what the endpoint sent: it lacks the endpoint's
-// signature, or its body is encoded.
-var errUnsigned = errors.New("answer is not signed or not plain")
-
-// isProtocolError reports whether an attempt failed because the response was malformed, invalid
-// or too long.
-func isProtocolError(err error) bool {
-	return errors.Is(err, savorypinpool.ErrMalformed) || errors.Is(err, errBodyTooLong) || errors.Is(err, errInvalidEvent)
-}
-
-// wireRequest returns the HTTP request of an attempt.
-func wireRequest(codec savorypinfleet.Codec, a savorypinfleet.Attempt) savorypinpool.Request {
-	return savorypinpool.Request{
-		Body:   a.Call.Body,
-		Header: codec.EncodeAttempt(a),
-		Host:   a.Call.Host,
-		Method: a.Call.Method,
-		URI:    a.Call.URI,
-	}
-}
--- a/internal/savorypingateway/quarantine.go
+++ b/internal/savorypingateway/quarantine.go
@@ -12,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypinadmission"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
@@ -20,7 +19,7 @@
 	"savorypin/internal/savorypinquarantine"
 )
 
-// quarantineKey is the key of the object that holds the parts of prompts in quarantine. Gateways
+// quarantineKey is the key of the object that holds the subjects in quarantine. Gateways
 // read it when they start, as all of them may have stopped at once.
 var quarantineKey = savorypin.Key{Kind: "savorypin-quarantine", Name: "parts"}
 
@@ -29,7 +28,7 @@
 
 // quarantineSpec is the spec of the object with the key quarantineKey.
 type quarantineSpec struct {
-	Parts []savorypinquarantine.Saved `json:"parts"`
+	Subjects []savorypinquarantine.Saved `json:"parts"`
 }
 
 func (g *Gateway) newQuarantine() *savorypinquarantine.Registry {
@@ -40,25 +39,23 @@
 	})
 }
 
-// handleVerdict logs that a part was put into quarantine or released, and tells the other
+// handleVerdict logs that a subject was put into quarantine or released, and tells the other
 // gateways. It abandons the attempts that may be about to crash endpoints.
 func (g *Gateway) handleVerdict(c savorypinquarantine.Change) {
 	g.log.Emit(savorypinevent.QuarantineChanged{
-		Crashes: c.Crashes, Part: c.Subject.String(), Remaining: c.Remaining, Released: c.Released, Round: int(c.Round),
+		Crashes: c.Crashes, Subject: c.Subject, Remaining: c.Remaining, Released: c.Released, Round: int(c.Round),
 	})
-	if c.Released {
-		g.counters.partsReleased.Inc(1)
-	} else {
-		g.counters.partsConfined.Inc(1)
+	g.counters.recordVerdict(c.Subject.IsRequest(), c.Released)
+	if !c.Released {
 		g.streams.abandon(c.Subject)
 	}
 	g.gossip.TriggerRound()
 }
 
 // probeRank returns the place of this gateway in the order in which the live gateways may probe a
-// part. The order differs from part to part.
-func (g *Gateway) probeRank(part savorypinfleet.Subject) int {
-	hash := func(address string) uint64 { return xxhash.Sum64String(address + part.String()) }
+// subject. The order differs from subject to subject.
+func (g *Gateway) probeRank(subject savorypinfleet.Subject) int {
+	hash := func(address string) uint64 { return xxhash.Sum64String(address + subject.String()) }
 	own := hash(g.peerAddress())
 	rank := 0
 	for _, p := range g.peers.Live() {
@@ -80,20 +77,23 @@
 
 // handleQuarantineReport processes another gateway's report.
 func (g *Gateway) handleQuarantineReport(update savorypingossip.ReceivedUpdate) {
-	if r := update.State.Quarantine; r != nil {
-		g.quarantine.Apply(update.Origin, *r, update.Age)
+	r := update.State.Quarantine
+	if r == nil {
+		return
+	}
+	g.quarantine.Apply(update.Origin, *r, update.Age)
+	if len(r.Crashes) == 0 || g.abandoned.empty() {
+		return
+	}
+	byHash := g.endpointsByHash()
+	for _, c := range r.Crashes {
+		if e := byHash[c.Endpoint]; e != nil {
+			g.recordAbandoned(e)
+		}
 	}
 }
 
-// mayBlamePrompt reports whether a crash of an endpoint may be due to a prompt: one that is
-// stopping, or was removed from the list, may have ended as planned.
-func (g *Gateway) mayBlamePrompt(e *savorypinfleet.Endpoint) bool {
-	listed := g.view.directory.Load().Endpoint(e.ID())
-	return listed != nil && listed.Incarnation() == e.Incarnation() && listed.Ready() &&
-		g.admission.State(e) == savorypinadmission.StateOpen
-}
-
-// persistQuarantine loads the parts that were last written to the store, as soon as it responds,
+// persistQuarantine loads the subjects that were last written to the store, as soon as it responds,
 // and then writes changes while this gateway is the first of the readers.
 func (g *Gateway) persistQuarantine(ctx context.Context) error {
 	loaded := false
@@ -109,16 +109,16 @@
 		if !loaded {
 			continue
 		}
-		parts := g.quarantine.Save()
+		subjects := g.quarantine.Save()
 		// A store that was restored from an older copy may have lost the last write.
 		current := g.store.client.Era()
-		unchanged := slices.Equal(parts, written) && (len(parts) == 0 || current == era)
+		unchanged := slices.Equal(subjects, written) && (len(subjects) == 0 || current == era)
 		if unchanged || !g.isFirstReader() || g.store.breaker.Failing() {
 			continue
 		}
 		g.log.RunRecovered("write quarantine", func() {
-			if g.writeQuarantine(ctx, parts) {
-				written, era = parts, current
+			if g.writeQuarantine(ctx, subjects) {
+				written, era = subjects, current
 			}
 		})
 	}
@@ -130,7 +130,7 @@
 	return g.peers.Readers()[0] == g.peerAddress()
 }
 
-// loadQuarantine adds the parts that were last written to the store. It reports whether the store
+// loadQuarantine adds the subjects that were last written to the store. It reports whether the store
 // responded.
 func (g *Gateway) loadQuarantine(ctx context.Context) bool {
 	o, err := g.store.client.GetStale(ctx, quarantineKey)
@@ -143,16 +143,16 @@
 	}
 	var spec quarantineSpec
 	if err := json.Unmarshal(o.Spec, &spec); err != nil {
-		g.log.Emit(savorypinevent.Ignored{Err: err, What: "parts of prompts in quarantine"})
+		g.log.Emit(savorypinevent.Ignored{Err: err, What: "subjects in quarantine"})
 		return true
 	}
-	g.quarantine.Load(spec.Parts)
+	g.quarantine.Load(spec.Subjects)
 	return true
 }
 
-// writeQuarantine replaces the parts in the store. It reports success.
-func (g *Gateway) writeQuarantine(ctx context.Context, parts []savorypinquarantine.Saved) bool {
-	data, err := json.Marshal(quarantineSpec{Parts: parts})
+// writeQuarantine replaces the subjects in the store. It reports success.
+func (g *Gateway) writeQuarantine(ctx context.Context, subjects []savorypinquarantine.Saved) bool {
+	data, err := json.Marshal(quarantineSpec{Subjects: subjects})
 	if err != nil {
 		g.log.Emit(savorypinevent.Process{Err: err, What: "quarantine not written"})
 		return false
@@ -164,15 +164,15 @@
 	return true
 }
 
-// serveRelease ends the quarantine of a part by order of an operator.
+// serveRelease ends the quarantine of a subject by order of an operator.
 func (g *Gateway) serveRelease(w http.ResponseWriter, r *http.Request) {
-	part, err := strconv.ParseUint(r.PathValue("part"), 16, 64)
+	subject, err := strconv.ParseUint(r.PathValue("subject"), 16, 64)
 	if err != nil {
-		http.Error(w, "the part is not a hexadecimal hash", http.StatusBadRequest)
+		http.Error(w, "not a hexadecimal hash", http.StatusBadRequest)
 		return
 	}
-	if !g.quarantine.Release(savorypinfleet.Subject(part)) {
-		http.Error(w, "the part is not in quarantine", http.StatusNotFound)
+	if !g.quarantine.Release(savorypinfleet.Subject(subject)) {
+		http.Error(w, "neither a part nor a request with this hash is in quarantine", http.StatusNotFound)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -65,8 +65,10 @@
 	LimitedEndpoints int    `json:"limitedEndpoints"`
 	Name             string `json:"name"`
 	NotReady         string `json:"notReady,omitempty"`
-	// QuarantinedParts is the number of parts of prompts in quarantine.
-	QuarantinedParts int `json:"quarantinedParts"`
+	// QuarantinedParts and QuarantinedRequests are the numbers of parts of prompts and of requests
+	// in quarantine.
+	QuarantinedParts    int `json:"quarantinedParts"`
+	QuarantinedRequests int `json:"quarantinedRequests"`
 	// StoreEra is the number of times that the store was restored from an older copy.
 	StoreEra int64 `json:"storeEra"`
 	Streams  int   `json:"streams"`
@@ -78,10 +80,10 @@
 		EndpointsHeld:    g.admission.CountNotOpen(g.view.directory.Load()),
 		LimitedEndpoints: g.endpointLimits.Len(),
 		Name:             g.settings.Load().Name,
-		QuarantinedParts: g.quarantine.Len(),
 		StoreEra:         g.store.client.Era(),
 		Streams:          g.streams.len(),
 	}
+	s.QuarantinedParts, s.QuarantinedRequests = g.quarantine.Count()
 	s.NotReady, _ = g.ready()
 	if c := g.view.configuration.Load(); c != nil {
 		s.ConfigurationVersion = c.Version()
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -36,6 +36,8 @@
 	errEndpointFailed   = errors.New("endpoint responded with an error")
 	errCallerWrite      = errors.New("write to caller failed")
 	errConfined         = errors.New("part of the prompt is in quarantine")
+	errRequestConfined  = errors.New("request is in quarantine")
+	errSuspect          = errors.New("request is suspect of crashing endpoints")
 	errCrashes          = errors.New("request has crashed endpoints")
 	errDeadlineTooClose = errors.New("not enough time is left for the rest")
 )
@@ -71,7 +73,7 @@
 	lastEventID int64
 	// mayHaveRun is set if an endpoint may have run the request.
 	mayHaveRun bool
-	// probe is set if the request is a probe of parts in quarantine.
+	// probe is set if the request is a probe of subjects in quarantine.
 	probe    *savorypinquarantine.Probe
 	req      *request
 	rc       *http.ResponseController
@@ -126,8 +128,7 @@
 			g.log.Debug("writing the error response to the caller failed", "id", s.req.call.ID, "err", err)
 		}
 	case s.confinement != nil:
-		g.counters.partsRefused.Inc(1)
-		g.refuse(s.w, s.req.call, s.req.service.Name(), confinedRefusal(s.confinement, s.mayHaveRun))
+		g.refuse(s.w, s.req.call, s.req.service.Name(), g.confinedRefusal(s.confinement, s.mayHaveRun))
 	case !s.mayHaveRun && errors.Is(err, errDeadlineTooClose):
 		// No attempt can complete before the deadline.
 		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal(errDeadlineTooClose.Error(), s.req.remaining()))
@@ -143,7 +144,7 @@
 // run sends the request to endpoints until the response is complete.
 func (s *stream) run(ctx context.Context) error {
 	s.gateway.retryBudgets.forService(s.req.service.Name()).RecordFirst()
-	s.probe, s.confinement = s.gateway.quarantine.Admit(s.req.call.PromptParts)
+	s.probe, s.confinement = s.gateway.quarantine.Admit(s.gateway.subjects(s.req))
 	if s.confinement != nil {
 		return errConfined
 	}
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -69,7 +69,7 @@
 // handleFailure handles a failed attempt by its cause, and returns an error that names the cause.
 func (s *stream) handleFailure(e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
 	g := s.gateway
-	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) && g.quarantine.Confined(s.req.call.PromptParts) == nil {
+	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) && g.quarantine.Confined(g.subjects(s.req)) == nil {
 		g.recordVersionResult(s.req, e, true, took)
 	}
 	switch {
--- a/internal/savorypingateway/streamset.go
+++ b/internal/savorypingateway/streamset.go
@@ -1,7 +1,6 @@
 package savorypingateway
 
 import (
-	"slices"
 	"sync"
 
 	"savorypin/internal/savorypinfleet"
@@ -35,13 +34,13 @@
 	return len(s.watchdogs)
 }
 
-// abandon ends the attempts of streams whose prompts have a part, unless their answers have begun
-// or they are probes.
-func (s *streamSet) abandon(part savorypinfleet.Subject) {
+// abandon ends the attempts of streams that have a subject, unless their answers have begun or they
+// are probes.
+func (s *streamSet) abandon(subject savorypinfleet.Subject) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for w := range s.watchdogs {
-		if !w.begun.Load() && !w.probe && slices.Contains(w.parts, part) {
+		if !w.begun.Load() && !w.probe && w.req.has(subject) {
 			w.confined.Store(true)
 			w.conn.Close()
 		}
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -40,13 +40,12 @@
 // that the reader gets an error.
 type watchdog struct {
 	// begun is set once the answer has begun and gone on, confined once the attempt was
-	// abandoned because a part of its prompt was put into quarantine.
+	// abandoned because a subject of the request was put into quarantine.
 	begun    atomic.Bool
 	confined atomic.Bool
-	// parts are the parts of the prompt that other requests may share, and probe says that the
-	// request is a probe of those in quarantine.
-	parts    []savorypinfleet.Subject
+	// probe says that the request is a probe of subjects in quarantine.
 	probe    bool
+	req      *request
 	timeouts atomic.Pointer[stallTimeouts]
 	checking atomic.Bool
 	// firstEventSeen is set once the first event has arrived.
@@ -64,7 +63,6 @@
 	// if it did answer but the stream made no progress.
 	unreachable atomic.Bool
 	stalled     atomic.Bool
-	requestID   string
 	// paused is set while an event is being written to the caller.
 	paused atomic.Bool
 	// sentAt is when the request was sent.
@@ -87,8 +85,8 @@
 		gap = defaultTargetGap
 	}
 	w := &watchdog{
-		conn: conn, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, parts: req.call.PromptParts, probe: s.probe != nil,
-		requestID: req.call.ID, sentAt: time.Now(), stalledBefore: s.stalledAttempts,
+		conn: conn, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, probe: s.probe != nil, req: req,
+		sentAt: time.Now(), stalledBefore: s.stalledAttempts,
 	}
 	w.timeouts.Store(&stallTimeouts{
 		check: time.Duration(firstCheckRatio * float64(target)),
@@ -195,11 +193,11 @@
 	report, keepAlive, err := w.gateway.fetchReport(conn, w.endpoint)
 	if err != nil {
 		conn.Close()
-		w.gateway.log.Debug("requesting the engine's report failed", "id", w.requestID, "endpoint", w.endpoint.ID(), "err", err)
+		w.gateway.log.Debug("requesting the engine's report failed", "id", w.req.call.ID, "endpoint", w.endpoint.ID(), "err", err)
 		return false
 	}
 	w.gateway.pool.Put(conn, keepAlive)
-	return report.Pending > 0 || slices.Contains(report.Running, w.requestID)
+	return report.Pending > 0 || slices.Contains(report.Running, w.req.call.ID)
 }
 
 // fetchReport requests an engine's report of its requests and the keep-alive of the connection.
--- a/internal/savorypinquarantine/evidence.go
+++ b/internal/savorypinquarantine/evidence.go
@@ -12,7 +12,7 @@
 type place struct {
 	// depth is the number of suspects before it, at most.
 	depth int
-	// innermost is set if it was the last suspect of a prompt.
+	// innermost is set if it was the last suspect of a prompt, or a request.
 	innermost bool
 }
 
@@ -20,10 +20,9 @@
 type crash struct {
 	at       time.Time
 	endpoint uint64
-	// explained is set once a subject among the suspects was put into quarantine. Such a crash
-	// says nothing about the others.
-	explained bool
-	suspects  map[savorypinfleet.Subject]place
+	// explainedBy are the suspects that were put into quarantine because of this crash and others.
+	explainedBy []savorypinfleet.Subject
+	suspects    map[savorypinfleet.Subject]place
 }
 
 // add adds suspects, in the order of Crash.Suspects. It reports whether it learned anything.
@@ -31,14 +30,15 @@
 	learned := false
 	for depth, subject := range suspects {
 		known, ok := c.suspects[subject]
-		p := place{depth: max(known.depth, depth), innermost: known.innermost || depth == len(suspects)-1}
+		last := depth == len(suspects)-1 || suspects[depth+1].IsRequest()
+		p := place{depth: max(known.depth, depth), innermost: known.innermost || last}
 		learned = learned || !ok || p != known
 		c.suspects[subject] = p
 	}
 	return learned
 }
 
-// evidence holds the crashes that aren't explained yet, and the begins on subjects.
+// evidence holds the crashes and the begins on subjects.
 type evidence struct {
 	// crashes are in no order, and bySubject indexes them by their suspects.
 	crashes   []*crash
@@ -96,24 +96,53 @@
 	}
 }
 
-// explain marks the crashes that have a subject among their suspects.
+// explain marks the crashes that have a subject among their suspects as explained by it.
 func (v *evidence) explain(subject savorypinfleet.Subject) {
 	for _, c := range v.bySubject[subject] {
-		c.explained = true
+		if !slices.Contains(c.explainedBy, subject) {
+			c.explainedBy = append(c.explainedBy, subject)
+		}
 	}
 }
 
-// count returns the number of unexplained crashes that have a subject among their suspects and came
-// after the last begin on it. Crashes at about the same time have a cause in common more often
-// than a subject, such as a lost failure domain or a completed rollout, and count once.
+// count returns the number of crashes that count against a subject: those that came after the last
+// begin on it and aren't explained. Those at about the same time have a cause in common more often
+// than a part, such as a lost failure domain or a completed rollout, and count once against it; a
+// request has had several endpoints in turn.
 func (v *evidence) count(subject savorypinfleet.Subject) int {
 	begun := v.begins.last(subject)
 	var times []time.Time
+	requests := map[savorypinfleet.Subject]bool{}
 	for _, c := range v.bySubject[subject] {
-		if !c.explained && c.at.After(begun) {
+		if c.at.After(begun) && !c.explainedFor(subject, requests) {
 			times = append(times, c.at)
 		}
 	}
+	if subject.IsRequest() {
+		return len(times)
+	}
+	return countGroups(times)
+}
+
+// explainedFor reports whether a crash no longer counts against a subject. One that a part explains
+// counts against no other subject. One that a request explains still counts against other requests,
+// which may have been beside it, and all that it explains count once against a part, which may be
+// what makes several requests crash endpoints: requests holds those that have been counted.
+func (c *crash) explainedFor(subject savorypinfleet.Subject, requests map[savorypinfleet.Subject]bool) bool {
+	if len(c.explainedBy) == 0 {
+		return false
+	}
+	byPart := slices.ContainsFunc(c.explainedBy, func(by savorypinfleet.Subject) bool { return !by.IsRequest() })
+	if byPart || subject.IsRequest() {
+		return byPart || slices.Contains(c.explainedBy, subject)
+	}
+	counted := requests[c.explainedBy[0]]
+	requests[c.explainedBy[0]] = true
+	return counted
+}
+
+// countGroups returns the number of times, of which those within commonCauseWindow count as one.
+func countGroups(times []time.Time) int {
 	slices.SortFunc(times, time.Time.Compare)
 	groups := 0
 	var first time.Time
@@ -155,8 +184,9 @@
 }
 
 // culprit returns the subject that explains the most crashes, of those with enough crashes to blame
-// them. Of several that explain as many, it is one on which no answer has begun lately, and then
-// the one deepest in its prompt, since the parts before it are shared by more requests.
+// them. Of several that explain as many, it is one on which no answer has begun lately, then a
+// request, which bars the fewest others, and then the part deepest in its prompt, since the parts
+// before it are shared by more requests.
 func (v *evidence) culprit(now time.Time) (savorypinfleet.Subject, bool) {
 	blamed := slices.DeleteFunc(v.candidates(now), func(c candidate) bool { return !v.enough(c, now) })
 	if len(blamed) == 0 {
@@ -164,18 +194,19 @@
 	}
 	worst := slices.MaxFunc(blamed, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(a.crashes, b.crashes), compareBool(!a.trusted, !b.trusted), compareBool(a.innermost, b.innermost),
+			cmp.Compare(a.crashes, b.crashes), compareBool(!a.trusted, !b.trusted),
+			compareBool(a.subject.IsRequest(), b.subject.IsRequest()), compareBool(a.innermost, b.innermost),
 			cmp.Compare(a.depth, b.depth), cmp.Compare(a.subject, b.subject),
 		)
 	})
 	return worst.subject, true
 }
 
-// enough reports whether a part has caused enough crashes to be blamed. A part on which answers
-// began lately, or behind which there always was another suspect, needs more, so that the
-// others are blamed first.
+// enough reports whether a subject has caused enough crashes to be blamed. A part on which answers
+// began lately, or behind which there always was another one, needs more, so that the others are
+// blamed first.
 func (v *evidence) enough(c candidate, now time.Time) bool {
-	if !c.trusted && c.innermost {
+	if c.subject.IsRequest() || !c.trusted && c.innermost {
 		return c.crashes >= minCrashes
 	}
 	return c.crashes >= minCrashesShared && now.Sub(v.begins.last(c.subject)) >= trustPeriod
--- a/internal/savorypinquarantine/exchange.go
+++ b/internal/savorypinquarantine/exchange.go
@@ -58,8 +58,9 @@
 // crashes nor verdicts.
 func (r *Registry) Report() Report {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	r.own.expire(r.cfg.Now())
+	r.evidence.expire(r.cfg.Now())
 	var report Report
 	suspects := 0
 	for _, c := range slices.Backward(r.own.crashes) {
@@ -107,7 +108,7 @@
 	}
 	learned := false
 	for _, c := range report.Crashes {
-		suspects := c.Suspects[:min(len(c.Suspects), maxSuspects)]
+		suspects := c.Suspects[:min(len(c.Suspects), maxSuspects+1)]
 		learned = r.evidence.record(c.Endpoint, now.Add(-age), suspects) || learned
 	}
 	if learned {
@@ -192,7 +193,7 @@
 		if known, ok := r.verdicts[s.Subject]; s.Round < 1 || s.Round > maxRound || s.Failed < 0 || ok && !v.supersedes(known.Verdict) {
 			continue
 		}
-		remaining := min(time.UnixMilli(s.Until).Sub(now), quarantineOf(s.Failed))
+		remaining := min(time.UnixMilli(s.Until).Sub(now), quarantineOf(s.Subject, s.Failed))
 		r.setVerdict(&confined{Verdict: v, until: now.Add(remaining)})
 		r.changes = append(r.changes, Change{Verdict: v, Remaining: remaining})
 	}
@@ -202,3 +203,15 @@
 func (r *Registry) Len() int {
 	return int(r.active.Load())
 }
+
+// Count returns the number of parts and of requests in quarantine.
+func (r *Registry) Count() (parts, requests int) {
+	for _, s := range r.Save() {
+		if s.Subject.IsRequest() {
+			requests++
+		} else {
+			parts++
+		}
+	}
+	return parts, requests
+}
--- /dev/null
+++ b/internal/savorypinquarantine/isolate.go
@@ -0,0 +1,56 @@
+package savorypinquarantine
+
+import "savorypin/internal/savorypinfleet"
+
+// isolationCrashes is the number of crashes that make a request so suspect that it is isolated.
+const isolationCrashes = 2
+
+// Isolation is an attempt of a request that is suspect by several crashes. A nil Isolation is one of
+// a request that isn't.
+type Isolation struct {
+	registry *Registry
+	service  string
+}
+
+// Isolate decides whether a request is sent to an endpoint of a service. One that is suspect by
+// several crashes is sent if no other one of this gateway is at the service, so that the next crash
+// tells them apart, and if spare reports that further endpoints are left to serve the rest.
+func (r *Registry) Isolate(service string, request savorypinfleet.Subject, spare func() bool) (*Isolation, bool) {
+	if !r.Watching() {
+		return nil, true
+	}
+	if r.Suspicion([]savorypinfleet.Subject{request}) < isolationCrashes {
+		return nil, true
+	}
+	// The lock isn't held, as spare may ask the registry which endpoints have crashed.
+	if !spare() {
+		return nil, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isolated[service] {
+		return nil, false
+	}
+	r.isolated[service] = true
+	return &Isolation{registry: r, service: service}, true
+}
+
+// End ends the attempt.
+func (i *Isolation) End() {
+	if i == nil {
+		return
+	}
+	i.registry.mu.Lock()
+	defer i.registry.mu.Unlock()
+	delete(i.registry.isolated, i.service)
+}
+
+// Crashed reports whether an incarnation of an endpoint is known to have crashed.
+func (r *Registry) Crashed(e *savorypinfleet.Endpoint) bool {
+	if !r.Watching() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.evidence.crashOf(e.IncarnationHash()) != nil
+}
--- a/internal/savorypinquarantine/quarantine.go
+++ b/internal/savorypinquarantine/quarantine.go
@@ -37,6 +37,10 @@
 	firstQuarantine  = 30 * time.Second
 	quarantineFactor = 4
 	maxQuarantine    = 32 * time.Minute
+	// maxRequestProbes is the number of probes of a request, which may have but few endpoints to
+	// crash, until it is left to the operators: the next one comes after lastQuarantine.
+	maxRequestProbes = 2
+	lastQuarantine   = 24 * time.Hour
 	// verdictRetention is how long a verdict is reported after its release, or after the time
 	// of its probe if no request with the subject comes. It is kept longer, so that no gateway
 	// adopts it again from another one.
@@ -89,6 +93,8 @@
 	cfg Config
 	// active is the number of subjects in quarantine.
 	active atomic.Int64
+	// watching is set while there is a crash or a verdict.
+	watching atomic.Bool
 
 	mu       sync.Mutex
 	evidence evidence
@@ -100,6 +106,8 @@
 	// beginSerials are the serials of other gateways' begins that were processed.
 	beginSerials map[beginKey]uint32
 	changes      []Change
+	// isolated holds the services that have an isolated request of this gateway.
+	isolated map[string]bool
 }
 
 // beginKey identifies the begins that a gateway reports on a subject.
@@ -110,13 +118,22 @@
 
 // New returns a Registry without evidence.
 func New(cfg Config) *Registry {
-	return &Registry{cfg: cfg, beginSerials: map[beginKey]uint32{}, verdicts: map[savorypinfleet.Subject]*confined{}}
+	return &Registry{
+		cfg: cfg, beginSerials: map[beginKey]uint32{}, isolated: map[string]bool{}, verdicts: map[savorypinfleet.Subject]*confined{},
+	}
+}
+
+// Watching reports whether there is a crash or a verdict that may concern a request. Until then
+// requests needn't be hashed.
+func (r *Registry) Watching() bool {
+	return r.watching.Load()
 }
 
 // unlock releases the lock and reports the changes that were made under it.
 func (r *Registry) unlock() {
 	changes := r.changes
 	r.changes = nil
+	r.watching.Store(len(r.evidence.crashes) > 0 || r.active.Load() > 0)
 	r.mu.Unlock()
 	for _, c := range changes {
 		r.cfg.OnVerdict(c)
@@ -144,26 +161,37 @@
 	}
 }
 
-// suspects returns the subjects on which no answer has begun just now, at most maxSuspects. Of more
-// it returns a random selection, so that the same ones can't stay out each time.
+// suspects returns the subjects on which no answer has begun just now: at most maxSuspects parts, and
+// the request. Of more parts it returns a random selection, so that the same ones can't stay out each
+// time.
 func (r *Registry) suspects(subjects []savorypinfleet.Subject, now time.Time) []savorypinfleet.Subject {
-	var suspects []savorypinfleet.Subject
+	var parts, requests []savorypinfleet.Subject
 	seen := map[savorypinfleet.Subject]bool{}
 	for _, subject := range subjects {
 		begun := r.evidence.begins.last(subject)
-		if !seen[subject] && (begun.IsZero() || now.Sub(begun) >= trustPeriod) {
-			suspects = append(suspects, subject)
-		}
+		known := seen[subject]
 		seen[subject] = true
+		switch {
+		case known, !begun.IsZero() && now.Sub(begun) < trustPeriod:
+		case subject.IsRequest():
+			requests = append(requests, subject)
+		default:
+			parts = append(parts, subject)
+		}
 	}
-	if len(suspects) <= maxSuspects {
-		return suspects
+	return append(selectParts(parts), requests...)
+}
+
+// selectParts returns the parts, or maxSuspects of them at random in their order.
+func selectParts(parts []savorypinfleet.Subject) []savorypinfleet.Subject {
+	if len(parts) <= maxSuspects {
+		return parts
 	}
-	selected := rand.Perm(len(suspects))[:maxSuspects]
+	selected := rand.Perm(len(parts))[:maxSuspects]
 	slices.Sort(selected)
 	selection := make([]savorypinfleet.Subject, 0, maxSuspects)
 	for _, i := range selected {
-		selection = append(selection, suspects[i])
+		selection = append(selection, parts[i])
 	}
 	return selection
 }
@@ -203,13 +231,16 @@
 
 // confine puts a subject into quarantine or prolongs it. The caller holds r.mu.
 func (r *Registry) confine(v Verdict, crashes int, now time.Time) {
-	remaining := quarantineOf(v.Failed)
+	remaining := quarantineOf(v.Subject, v.Failed)
 	r.setVerdict(&confined{Verdict: v, until: now.Add(remaining)})
 	r.changes = append(r.changes, Change{Verdict: v, Crashes: crashes, Remaining: remaining})
 }
 
-// quarantineOf returns the time to the next probe after a number of failed ones.
-func quarantineOf(failed int32) time.Duration {
+// quarantineOf returns the time to the next probe of a subject after a number of failed ones.
+func quarantineOf(subject savorypinfleet.Subject, failed int32) time.Duration {
+	if subject.IsRequest() && failed >= maxRequestProbes {
+		return lastQuarantine
+	}
 	d := firstQuarantine
 	for ; failed > 0 && d < maxQuarantine; failed-- {
 		d *= quarantineFactor
@@ -269,6 +300,10 @@
 	defer r.unlock()
 	now := r.cfg.Now()
 	for _, subject := range subjects {
+		if subject.IsRequest() && !r.suspected(subject) {
+			// Most requests are never seen again and would only displace parts.
+			continue
+		}
 		if v, ok := r.verdicts[subject]; ok && !v.Released {
 			r.release(Verdict{Subject: subject, Round: v.Round, Released: true})
 		}
@@ -280,6 +315,12 @@
 	}
 }
 
+// suspected reports whether a crash or a verdict concerns a subject. The caller holds r.mu.
+func (r *Registry) suspected(subject savorypinfleet.Subject) bool {
+	v, ok := r.verdicts[subject]
+	return ok && !v.Released || len(r.evidence.bySubject[subject]) > 0
+}
+
 // release ends the quarantine of a subject. The caller holds r.mu.
 func (r *Registry) release(v Verdict) {
 	r.setVerdict(&confined{Verdict: v, until: r.cfg.Now()})
