Never repeat a request on the connection on which an endpoint refused it

An operator of a system like this one saw callers told "not run, try again" for requests that a replica ran, as a faulty replica had written an earlier refusal once more. It can happen here: a response is matched by the request's ID, and a caller may send the same ID again. If that goes out on the kept connection on which the ID was refused, the earlier refusal looks like its response; the caller hears 503 while the request runs, and repeats what may run once only.

Change: a connection remembers the IDs that were refused on it, up to 32, and isn't used for them again. Nothing else is affected: with another ID, without one on a used connection, or before the next request, the copy is dropped already, and streams close their connection after a refusal.

--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -122,10 +122,14 @@
 // noPriority lets the endpoint choose the priority of a request.
 const noPriority = -1
 
-// connect returns a connection to an endpoint. If none can be made in time, the endpoint is
-// marked failed.
-func (g *Gateway) connect(ctx context.Context, e *savorypinfleet.Endpoint) (*savorypinpool.Conn, error) {
+// connect returns a connection to an endpoint for a request with an ID. If none can be made in time,
+// the endpoint is marked failed.
+func (g *Gateway) connect(ctx context.Context, e *savorypinfleet.Endpoint, id string) (*savorypinpool.Conn, error) {
 	conn, err := g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
+	for err == nil && conn.HasRefused(id) {
+		conn.Close()
+		conn, err = g.pool.Get(ctx, e.Address(), g.connectTimeout(e))
+	}
 	if err != nil && ctx.Err() == nil {
 		if processEnded(err) {
 			g.recordAbandoned(e)
--- a/internal/savorypingateway/plainattempt.go
+++ b/internal/savorypingateway/plainattempt.go
@@ -17,7 +17,7 @@
 	if mayRetry && req.route.Retryable() {
 		deadline = time.Now().Add(attemptTimeout(req.route.TargetLatency(), req.remaining()))
 	}
-	conn, err := g.connect(ctx, e)
+	conn, err := g.connect(ctx, e, req.call.ID)
 	if err != nil {
 		return &outcome{err: err, kind: outcomeUnsent}
 	}
@@ -131,6 +131,9 @@
 	g.recordAdmission(attempt.Endpoint, req.call, resp.StatusCode, reply)
 	switch {
 	case reply.NotExecuted:
+		if !conn.RecordRefusal(req.call.ID) {
+			keepAlive = -1
+		}
 		return &outcome{kind: outcomeNotRun, resp: resp}, keepAlive
 	case reply.ContentEncoded, !reply.Signed:
 		return &outcome{err: errUnsigned, kind: outcomeUnknown}, -1
--- a/internal/savorypinpool/conn.go
+++ b/internal/savorypinpool/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -22,6 +23,8 @@
 	// maxHeadBytes is the maximum size of a response head, including all interim
 	// responses before it.
 	maxHeadBytes = 64 << 10
+	// maxRefusals is the number of refusals after which a connection isn't used again.
+	maxRefusals = 32
 )
 
 // Conn is a connection to an endpoint that carries one request at a time. Only
@@ -32,7 +35,9 @@
 	head      *headReader
 	idleUntil time.Time
 	nc        net.Conn
-	reused    bool
+	// refused are the IDs of the requests that the endpoint refused on this connection.
+	refused []string
+	reused  bool
 }
 
 func newConn(nc net.Conn, address string) *Conn {
@@ -74,6 +79,17 @@
 // Reused reports whether the connection has carried an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
+// RecordRefusal records that the endpoint refused the request with an ID on this connection. It
+// reports whether the connection may be used again.
+func (c *Conn) RecordRefusal(id string) bool {
+	c.refused = append(c.refused, id)
+	return len(c.refused) <= maxRefusals
+}
+
+// HasRefused reports whether the endpoint refused a request with an ID on this connection. If it writes
+// that refusal once more, it looks like the response to a repeat.
+func (c *Conn) HasRefused(id string) bool { return slices.Contains(c.refused, id) }
+
 // Buffered returns the number of bytes that can be read without blocking.
 func (c *Conn) Buffered() int { return c.br.Buffered() }
 
--- a/internal/savorypinpool/pool_test.go
+++ b/internal/savorypinpool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -107,6 +108,17 @@
 		Expect(get().Reused()).To(BeFalse())
 	})
 
+	It("knows the requests that were refused on it, and is given up after many", func() {
+		c := get()
+		refusals := 0
+		for c.RecordRefusal(fmt.Sprint("r", refusals)) {
+			refusals++
+		}
+		Expect(refusals).To(BeNumerically(">", 10))
+		Expect(c.HasRefused("r1")).To(BeTrue())
+		Expect(c.HasRefused("r")).To(BeFalse())
+	})
+
 	It("sends the request unchanged and skips interim responses", func() {
 		c := get()
 		server := <-p.conns
