Don't report a plain request as not run after an attempt that may have run

The outcome of the last attempt replaced that of the first.

Change: an attempt that was refused doesn't replace one that may have run; the caller gets 502.

--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -46,6 +46,20 @@
 	resp     *http.Response
 }
 
+// replaces reports whether the caller is told this outcome rather than that of an earlier attempt. A
+// response, even a failure, tells it more than a later attempt without one, and a request that may
+// have run must not be reported as not run.
+func (o *outcome) replaces(earlier *outcome) bool {
+	switch earlier.kind {
+	case outcomeAnswered:
+		return o.succeeded()
+	case outcomeUnknown:
+		return o.kind != outcomeNotRun
+	case outcomeNotRun, outcomeUnsent:
+	}
+	return true
+}
+
 // succeeded reports whether there is a response with a status below 500.
 func (o *outcome) succeeded() bool {
 	return o.kind == outcomeAnswered && o.resp.StatusCode < http.StatusInternalServerError
@@ -160,8 +174,7 @@
 	if p.sent > 1 {
 		g.counters.repeated.Inc(1)
 	}
-	// A response, even a failure, tells the caller more than a later attempt without one.
-	if p.reported.kind != outcomeAnswered || result.succeeded() {
+	if result.replaces(p.reported) {
 		p.reported = result
 	}
 	if result.kind == outcomeUnknown {
@@ -183,11 +196,11 @@
 	return plainRefusal(p.req, p.reported, g.retryDelay(p.req.service.Name()))
 }
 
-// plainRefusal returns the refusal of a request without a response, given the outcome of the last
-// attempt that was sent. A request that has not run may be retried after retryAfter.
-func plainRefusal(req *request, last *outcome, retryAfter time.Duration) *refusal {
+// plainRefusal returns the refusal of a request without a response, given the outcome that the caller
+// is told. A request that has not run may be retried after retryAfter.
+func plainRefusal(req *request, reported *outcome, retryAfter time.Duration) *refusal {
 	switch {
-	case last.kind == outcomeUnsent, last.kind == outcomeNotRun:
+	case reported.kind == outcomeUnsent, reported.kind == outcomeNotRun:
 		return notRunRefusal("no endpoint took the request", retryAfter)
 	case req.expired():
 		return &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout}
