--- a/internal/savorypincluster/resume_test.go
+++ b/internal/savorypincluster/resume_test.go
@@ -83,6 +83,30 @@
 	const tokens = 300
 	want := savorypinstandin.Answer(savorypincluster.Model, 7, "a prompt", tokens)
 
+	// Guards against an engine's error in the middle of a stream that has begun, or a stream that then
+	// looks complete.
+	It("ends a stream that has begun with an error of its own when its engine ends and all others fail", func(ctx SpecContext) {
+		c := startCluster(ctx, 1, 2)
+		var got []int32
+		_, err := c.Client().Stream(ctx, savorypinclient.Request{
+			MaxTokens: tokens, Prompt: streamPrompt, Seed: 7, Service: savorypincluster.Service, TimeoutMS: 3000,
+		}, func(token savorypinclient.Token) error {
+			got = append(got, token.ID)
+			if len(got) == tokens/3 {
+				killed := busiestAgent(c).Engine
+				for _, a := range c.Agents() {
+					a.Engine.SetFailRatio(1)
+				}
+				killed.Kill()
+			}
+			return nil
+		})
+		var failure *savorypinclient.Error
+		Expect(errors.As(err, &failure)).To(BeTrue(), fmt.Sprint(err))
+		Expect(got).To(Equal(want[:len(got)]))
+		Expect(len(got)).To(BeNumerically("<", tokens))
+	})
+
 	for _, policy := range []savorypin.ResumePolicy{savorypin.ResumeFrugal, savorypin.ResumeLatency} {
 		It("regenerates no token when a connection is black-holed, with policy "+string(policy), func(ctx SpecContext) {
 			n := newNetwork()
