Keep requests that are suspect by one crash from the last endpoint

Suspect by one crash only, it was sent to the last server.

Change: a request that is suspect at all is sent only if another endpoint is left; after two crashes it also goes alone, as before. The price is that calls which were beside it at the first crash wait for a second endpoint too.

--- a/internal/savorypinquarantine/isolate.go
+++ b/internal/savorypinquarantine/isolate.go
@@ -12,20 +12,25 @@
 	service  string
 }
 
-// Isolate decides whether a request is sent to an endpoint of a service. One that is suspect by
-// several crashes is sent if no other one of this gateway is at the service, so that the next crash
-// tells them apart, and if spare reports that further endpoints are left to serve the rest.
+// Isolate decides whether a request is sent to an endpoint of a service. One that is suspect is sent
+// if spare reports that further endpoints are left to serve the rest. One that is suspect by several
+// crashes is also sent only if no other one of this gateway is at the service, so that the next crash
+// tells them apart.
 func (r *Registry) Isolate(service string, request savorypinfleet.Subject, spare func() bool) (*Isolation, bool) {
 	if !r.Watching() {
 		return nil, true
 	}
-	if r.Suspicion([]savorypinfleet.Subject{request}) < isolationCrashes {
+	crashes := r.Suspicion([]savorypinfleet.Subject{request})
+	if crashes == 0 {
 		return nil, true
 	}
 	// The lock isn't held, as spare may ask the registry which endpoints have crashed.
 	if !spare() {
 		return nil, false
 	}
+	if crashes < isolationCrashes {
+		return nil, true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isolated[service] {
--- a/internal/savorypinquarantine/request_test.go
+++ b/internal/savorypinquarantine/request_test.go
@@ -219,21 +219,23 @@
 	})
 })
 
-var _ = Describe("A request that is suspect by two crashes", func() {
+var _ = Describe("A request that is suspect", func() {
 	spare := func() bool { return true }
 	noSpare := func() bool { return false }
 	whole := request("poison")[0]
 
-	It("is sent alone, and only if another endpoint is left", func() {
+	It("is sent only if another endpoint is left, and alone after two crashes", func() {
 		b := newBench()
 		b.crashUnder(request("poison"))
-		for _, s := range []func() bool{spare, noSpare} {
-			isolation, ok := b.Isolate("ledger", whole, s)
+		_, ok := b.Isolate("ledger", whole, noSpare)
+		Expect(ok).To(BeFalse(), "one crash")
+		for range 2 {
+			isolation, ok := b.Isolate("ledger", whole, spare)
 			Expect(ok).To(BeTrue(), "one crash")
 			Expect(isolation).To(BeNil())
 		}
 		b.crashUnder(request("poison"))
-		_, ok := b.Isolate("ledger", whole, noSpare)
+		_, ok = b.Isolate("ledger", whole, noSpare)
 		Expect(ok).To(BeFalse())
 		isolation, ok := b.Isolate("ledger", whole, spare)
 		Expect(ok).To(BeTrue())
