--- a/internal/savorypingateway/prompts.go
+++ b/internal/savorypingateway/prompts.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"time"
 
 	"savorypin/internal/savorypin"
-	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinloop"
 	"savorypin/internal/savorypinpick"
-	"savorypin/internal/savorypinplatform"
 )
 
 // promptsKey is the key of the object that holds the prompts of all running streams. Gateways
@@ -38,36 +34,17 @@
 	return ctx.Err()
 }
 
+// loadPrompts adds the prompts that were last written.
 func (g *Gateway) loadPrompts(ctx context.Context) {
-	o, err := g.store.client.GetStale(ctx, promptsKey)
-	if errors.Is(err, savorypinplatform.ErrNotFound) {
-		return
+	if spec, found, _ := readShared[promptsSpec](ctx, g, promptsKey); found {
+		g.picker.AddPrompts(spec.Prompts)
 	}
-	if err != nil {
-		g.log.Debug("reading prompts from the store failed", "err", err)
-		return
-	}
-	var spec promptsSpec
-	if err := json.Unmarshal(o.Spec, &spec); err != nil {
-		g.log.Emit(savorypinevent.Ignored{Err: err, What: "prompts of running streams"})
-		return
-	}
-	g.picker.AddPrompts(spec.Prompts)
 }
 
+// writePrompts replaces the prompts in the store. The next write makes up for one that fails.
 func (g *Gateway) writePrompts(ctx context.Context) {
 	spec := promptsSpec{Prompts: g.picker.RecentPrompts(2 * promptsWriteInterval)}
-	if len(spec.Prompts) == 0 {
-		return
-	}
-	data, err := json.Marshal(spec)
-	if err != nil {
-		g.log.Emit(savorypinevent.Process{Err: err, What: "prompts not written"})
-		return
-	}
-	o := savorypin.Object{Key: promptsKey, Spec: data}
-	if err := g.store.put(ctx, o); err != nil {
-		// The next write replaces this one.
-		g.log.Debug("writing prompts to the store failed", "err", err)
+	if len(spec.Prompts) > 0 {
+		g.writeShared(ctx, promptsKey, spec)
 	}
 }
--- a/internal/savorypingateway/quarantine.go
+++ b/internal/savorypingateway/quarantine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,7 +13,6 @@
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
-	"savorypin/internal/savorypinplatform"
 	"savorypin/internal/savorypinquarantine"
 )
 
@@ -117,51 +114,21 @@
 			continue
 		}
 		g.log.RunRecovered("write quarantine", func() {
-			if g.writeQuarantine(ctx, subjects) {
+			if g.writeShared(ctx, quarantineKey, quarantineSpec{Subjects: subjects}) {
 				written, era = subjects, current
 			}
 		})
 	}
 }
 
-// isFirstReader reports whether this gateway is the first of those that read the store for all,
-// which also writes what the gateways share.
-func (g *Gateway) isFirstReader() bool {
-	return g.peers.Readers()[0] == g.peerAddress()
-}
-
 // loadQuarantine adds the subjects that were last written to the store. It reports whether the store
 // responded.
 func (g *Gateway) loadQuarantine(ctx context.Context) bool {
-	o, err := g.store.client.GetStale(ctx, quarantineKey)
-	if errors.Is(err, savorypinplatform.ErrNotFound) {
-		return true
-	}
-	if err != nil {
-		g.log.Debug("reading the quarantine from the store failed", "err", err)
-		return false
-	}
-	var spec quarantineSpec
-	if err := json.Unmarshal(o.Spec, &spec); err != nil {
-		g.log.Emit(savorypinevent.Ignored{Err: err, What: "subjects in quarantine"})
-		return true
-	}
-	g.quarantine.Load(spec.Subjects)
-	return true
-}
-
-// writeQuarantine replaces the subjects in the store. It reports success.
-func (g *Gateway) writeQuarantine(ctx context.Context, subjects []savorypinquarantine.Saved) bool {
-	data, err := json.Marshal(quarantineSpec{Subjects: subjects})
-	if err != nil {
-		g.log.Emit(savorypinevent.Process{Err: err, What: "quarantine not written"})
-		return false
-	}
-	if err := g.store.put(ctx, savorypin.Object{Key: quarantineKey, Spec: data}); err != nil {
-		g.log.Debug("writing the quarantine to the store failed", "err", err)
-		return false
+	spec, found, responded := readShared[quarantineSpec](ctx, g, quarantineKey)
+	if found {
+		g.quarantine.Load(spec.Subjects)
 	}
-	return true
+	return responded
 }
 
 // serveRelease ends the quarantine of a subject by order of an operator.
--- /dev/null
+++ b/internal/savorypingateway/streamcrash.go
@@ -0,0 +1,50 @@
+package savorypingateway
+
+import (
+	"savorypin/internal/savorypinfleet"
+)
+
+// recordBegin records that the answer of the current attempt has begun and gone on.
+func (s *stream) recordBegin(w *watchdog) {
+	if s.attemptEvents > 0 && !w.begun.Swap(true) {
+		s.gateway.quarantine.RecordBegin(s.gateway.subjects(s.req))
+	}
+}
+
+// handleBrokenConnection handles a connection that broke before the response was complete. If the
+// prompt is suspected of crashing endpoints, it returns only when it is known whether this one has
+// crashed.
+func (s *stream) handleBrokenConnection(e *savorypinfleet.Endpoint, reason string) {
+	g := s.gateway
+	g.pool.CloseIdle(e.Address())
+	c := crash{endpoint: e, events: s.attemptEvents, id: s.req.call.ID, probe: s.probe != nil, subjects: s.req.subjects()}
+	look := func() {
+		g.lookForEndpoint(e, reason, func() {
+			if g.recordCrash(c) {
+				s.crashed.Add(1)
+			}
+		})
+	}
+	if c.events < beginEvents && (c.probe || g.quarantine.Suspicion(g.subjects(s.req)) > 0) {
+		look()
+		return
+	}
+	go g.log.RunRecovered("look for endpoint", look)
+}
+
+// checkQuarantine returns an error if the request must not be sent to another endpoint, since a
+// subject of it is in quarantine or is about to be.
+func (s *stream) checkQuarantine() error {
+	q := s.gateway.quarantine
+	crashed := int(s.crashed.Load())
+	if s.probe == nil || crashed > 0 {
+		s.confinement = q.Confined(s.gateway.subjects(s.req))
+	}
+	if s.confinement != nil {
+		return errConfined
+	}
+	if !q.MayCrashAnother(crashed, s.req.call.PromptParts) {
+		return errCrashes
+	}
+	return nil
+}
