Count crashes at about the same time once against a request too, unless it was sent in between

A request that is asked often may be at all endpoints of a service when they end for another reason; three such crashes condemned it, and its callers would have been refused for 30 s.

Change: crashes within 100 ms count once against a request, unless it was sent after it may have crashed an endpoint: after an attempt of the same call lost its connection, or while the gateway suspects it already. Gateways report that with the crash (one more field at its end, which older ones skip).

--- a/internal/savorypingateway/crash.go
+++ b/internal/savorypingateway/crash.go
@@ -30,6 +30,11 @@
 	return append(slices.Clip(r.call.PromptParts), r.whole())
 }
 
+// suspects reports whether a request itself may have crashed an endpoint.
+func (g *Gateway) suspects(req *request) bool {
+	return g.quarantine.Watching() && g.quarantine.Suspicion([]savorypinfleet.Subject{req.whole()}) > 0
+}
+
 // lookForEndpoint opens a connection to an endpoint whose last one broke, to find out whether the
 // endpoint is lost or just that connection. It marks the endpoint failed if none can be made, and
 // calls onCrash if its process has ended.
@@ -61,8 +66,9 @@
 	events int
 	// id is the ID of the request.
 	id string
-	// probe is set if the request was a probe.
-	probe bool
+	// probe is set if the request was a probe, and sequel if it was sent after it may have crashed
+	// another endpoint.
+	probe, sequel bool
 	// subjects are the parts of the prompt and the request itself.
 	subjects []savorypinfleet.Subject
 }
@@ -71,7 +77,7 @@
 func (g *Gateway) recordCrash(c crash) bool {
 	blamed := c.events < beginEvents && g.mayBlameRequest(c.endpoint)
 	if blamed {
-		g.quarantine.RecordCrash(c.endpoint, c.subjects, c.probe)
+		g.quarantine.RecordCrash(savorypinquarantine.Observation{Endpoint: c.endpoint, Probe: c.probe, Sequel: c.sequel, Subjects: c.subjects})
 		g.gossip.TriggerRound()
 	}
 	g.counters.endpointsCrashed.Inc(1)
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -79,7 +79,8 @@
 
 // Gateway is the daemon. Use New to create one.
 type Gateway struct {
-	// abandoned holds the attempts of plain requests that were given up.
+	// abandoned holds the attempts of plain requests that were given up, and those of streams that
+	// ended because of a verdict.
 	abandoned abandonedAttempts
 	// livePeers are the addresses of the other gateways that were live at the last sweep.
 	livePeers map[string]bool
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -116,6 +116,8 @@
 	// reported is the outcome that the caller is told.
 	reported *outcome
 	req      *request
+	// sequel is set if the next attempt comes after the request may have crashed an endpoint.
+	sequel bool
 	// sent and unsent are the numbers of attempts in which the request was sent or not.
 	sent, unsent int
 	tried        map[string]bool
@@ -156,6 +158,7 @@
 		return true
 	}
 	defer isolation.End()
+	p.sequel = p.sequel || isolation != nil
 	e := g.chooseEndpoint(req, p.tried)
 	if e == nil || p.sent > 0 && !g.retryBudgets.forService(req.service.Name()).TryRepeat() {
 		return true
--- a/internal/savorypingateway/plaincrash.go
+++ b/internal/savorypingateway/plaincrash.go
@@ -16,11 +16,12 @@
 // as the request may be their cause.
 func (p *plainCall) handleLostResponse(e *savorypinfleet.Endpoint, result *outcome) {
 	g := p.gateway
-	c := crash{endpoint: e, id: p.req.call.ID, probe: p.probe != nil, subjects: p.req.subjects()}
+	c := crash{endpoint: e, id: p.req.call.ID, probe: p.probe != nil, sequel: p.sequel, subjects: p.req.subjects()}
 	if !result.connectionBroke() {
 		g.abandon(c)
 		return
 	}
+	p.sequel = true
 	g.pool.CloseIdle(e.Address())
 	look := func() {
 		g.lookForEndpoint(e, result.err.Error(), func() { g.recordCrash(c) })
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -78,6 +78,8 @@
 	req      *request
 	rc       *http.ResponseController
 	attempts int
+	// sequel is set if the current attempt comes after the request may have crashed an endpoint.
+	sequel bool
 	// stalledAttempts is the number of attempts that were abandoned although their hosts
 	// answered.
 	stalledAttempts int
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -43,6 +43,7 @@
 	w := g.newWatchdog(ctx, s, e, conn)
 	defer w.stop()
 	s.attempts++
+	s.sequel = s.attempts > 1 || g.suspects(s.req)
 	a := savorypinfleet.Attempt{
 		Backup: backup, Call: s.req.call, Deadline: s.req.remaining(), Endpoint: e, LastEventID: s.lastEventHeader(),
 		Organisation: s.req.organisation, Priority: noPriority, RestoreFromBackup: restore,
@@ -75,6 +76,7 @@
 	switch {
 	case w.confined.Load():
 		err = errConfined
+		g.abandon(s.crash(e))
 	case w.unreachable.Load():
 		err = errUnreachable
 		g.markEndpointFailed(e, err.Error())
--- a/internal/savorypingateway/streamcrash.go
+++ b/internal/savorypingateway/streamcrash.go
@@ -17,7 +17,7 @@
 func (s *stream) handleBrokenConnection(e *savorypinfleet.Endpoint, reason string) {
 	g := s.gateway
 	g.pool.CloseIdle(e.Address())
-	c := crash{endpoint: e, events: s.attemptEvents, id: s.req.call.ID, probe: s.probe != nil, subjects: s.req.subjects()}
+	c := s.crash(e)
 	look := func() {
 		g.lookForEndpoint(e, reason, func() {
 			if g.recordCrash(c) {
@@ -32,6 +32,13 @@
 	go g.log.RunRecovered("look for endpoint", look)
 }
 
+// crash returns the crash of an endpoint under the current attempt.
+func (s *stream) crash(e *savorypinfleet.Endpoint) crash {
+	return crash{
+		endpoint: e, events: s.attemptEvents, id: s.req.call.ID, probe: s.probe != nil, sequel: s.sequel, subjects: s.req.subjects(),
+	}
+}
+
 // checkQuarantine returns an error if the request must not be sent to another endpoint, since a
 // subject of it is in quarantine or is about to be.
 func (s *stream) checkQuarantine() error {
--- a/internal/savorypinquarantine/evidence.go
+++ b/internal/savorypinquarantine/evidence.go
@@ -14,6 +14,8 @@
 	depth int
 	// innermost is set if it was the last suspect of a prompt, or a request.
 	innermost bool
+	// sequel is set if it was sent after it may have crashed another endpoint.
+	sequel bool
 }
 
 // crash is a crash of an endpoint, as all gateways together have reported it.
@@ -25,13 +27,13 @@
 	suspects    map[savorypinfleet.Subject]place
 }
 
-// add adds suspects, in the order of Crash.Suspects. It reports whether it learned anything.
-func (c *crash) add(suspects []savorypinfleet.Subject) bool {
+// add adds the suspects of a gateway's report. It reports whether it learned anything.
+func (c *crash) add(report Crash) bool {
 	learned := false
-	for depth, subject := range suspects {
+	for depth, subject := range report.Suspects {
 		known, ok := c.suspects[subject]
-		last := depth == len(suspects)-1 || suspects[depth+1].IsRequest()
-		p := place{depth: max(known.depth, depth), innermost: known.innermost || last}
+		last := depth == len(report.Suspects)-1 || report.Suspects[depth+1].IsRequest()
+		p := place{depth: max(known.depth, depth), innermost: known.innermost || last, sequel: known.sequel || report.Sequel}
 		learned = learned || !ok || p != known
 		c.suspects[subject] = p
 	}
@@ -55,18 +57,18 @@
 	return v.crashes[i]
 }
 
-// record adds a crash at a time, or more suspects of a known one. It drops the oldest crash if
-// there are too many. It reports whether it learned anything: gateways send their reports again.
-func (v *evidence) record(endpoint uint64, at time.Time, suspects []savorypinfleet.Subject) bool {
-	if len(suspects) == 0 {
+// record adds a reported crash at a time, or more suspects of a known one. It drops the oldest crash
+// if there are too many. It reports whether it learned anything: gateways send their reports again.
+func (v *evidence) record(report Crash, at time.Time) bool {
+	if len(report.Suspects) == 0 {
 		return false
 	}
-	c := v.crashOf(endpoint)
+	c := v.crashOf(report.Endpoint)
 	if c == nil {
-		c = &crash{at: at, endpoint: endpoint, suspects: map[savorypinfleet.Subject]place{}}
+		c = &crash{at: at, endpoint: report.Endpoint, suspects: map[savorypinfleet.Subject]place{}}
 		v.crashes = append(v.crashes, c)
 	}
-	if !c.add(suspects) {
+	if !c.add(report) {
 		return false
 	}
 	if len(v.crashes) > maxCrashes {
@@ -107,21 +109,32 @@
 
 // count returns the number of crashes that count against a subject: those that came after the last
 // begin on it and aren't explained. Those at about the same time have a cause in common more often
-// than a part, such as a lost failure domain or a completed rollout, and count once against it; a
-// request has had several endpoints in turn.
+// than a subject, such as a lost failure domain or a completed rollout, and count once; but not those
+// under a request that was sent to one endpoint after the other.
 func (v *evidence) count(subject savorypinfleet.Subject) int {
 	begun := v.begins.last(subject)
-	var times []time.Time
+	var crashes []*crash
 	requests := map[savorypinfleet.Subject]bool{}
 	for _, c := range v.bySubject[subject] {
 		if c.at.After(begun) && !c.explainedFor(subject, requests) {
-			times = append(times, c.at)
+			crashes = append(crashes, c)
 		}
 	}
+	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	window := partCauseWindow
 	if subject.IsRequest() {
-		return len(times)
+		window = requestCauseWindow
 	}
-	return countGroups(times)
+	groups := 0
+	var first time.Time
+	for _, c := range crashes {
+		sequel := subject.IsRequest() && c.suspects[subject].sequel
+		if groups == 0 || sequel || c.at.Sub(first) >= window {
+			groups++
+			first = c.at
+		}
+	}
+	return groups
 }
 
 // explainedFor reports whether a crash no longer counts against a subject. One that a part explains
@@ -141,20 +154,6 @@
 	return counted
 }
 
-// countGroups returns the number of times, of which those within commonCauseWindow count as one.
-func countGroups(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
-	groups := 0
-	var first time.Time
-	for _, at := range times {
-		if groups == 0 || at.Sub(first) >= commonCauseWindow {
-			groups++
-			first = at
-		}
-	}
-	return groups
-}
-
 // candidate is a subject that may have caused crashes.
 type candidate struct {
 	place
--- a/internal/savorypinquarantine/exchange.go
+++ b/internal/savorypinquarantine/exchange.go
@@ -32,7 +32,7 @@
 // addCrash adds a crash.
 func (o *ownReport) addCrash(c Crash, now time.Time) {
 	same := func(known timedCrash) bool {
-		return known.Endpoint == c.Endpoint && slices.Equal(known.Suspects, c.Suspects)
+		return known.Endpoint == c.Endpoint && known.Sequel == c.Sequel && slices.Equal(known.Suspects, c.Suspects)
 	}
 	if !slices.ContainsFunc(o.crashes, same) {
 		o.crashes = append(o.crashes, timedCrash{Crash: c, at: now})
@@ -108,8 +108,8 @@
 	}
 	learned := false
 	for _, c := range report.Crashes {
-		suspects := c.Suspects[:min(len(c.Suspects), maxSuspects+1)]
-		learned = r.evidence.record(c.Endpoint, now.Add(-age), suspects) || learned
+		c.Suspects = c.Suspects[:min(len(c.Suspects), maxSuspects+1)]
+		learned = r.evidence.record(c, now.Add(-age)) || learned
 	}
 	if learned {
 		r.reportTrust(now)
--- a/internal/savorypinquarantine/isolate.go
+++ b/internal/savorypinquarantine/isolate.go
@@ -5,9 +5,11 @@
 // isolationCrashes is the number of crashes that make a request so suspect that it is isolated.
 const isolationCrashes = 2
 
-// Isolation is an attempt of a request that is suspect by several crashes. A nil Isolation is one of
-// a request that isn't.
+// Isolation is an attempt of a request that is suspect. A nil Isolation is one of a request that
+// isn't.
 type Isolation struct {
+	// alone is set if no other suspect request of this gateway is at the service meanwhile.
+	alone    bool
 	registry *Registry
 	service  string
 }
@@ -28,8 +30,9 @@
 	if !spare() {
 		return nil, false
 	}
-	if crashes < isolationCrashes {
-		return nil, true
+	isolation := &Isolation{alone: crashes >= isolationCrashes, registry: r, service: service}
+	if !isolation.alone {
+		return isolation, true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -37,12 +40,12 @@
 		return nil, false
 	}
 	r.isolated[service] = true
-	return &Isolation{registry: r, service: service}, true
+	return isolation, true
 }
 
 // End ends the attempt.
 func (i *Isolation) End() {
-	if i == nil {
+	if i == nil || !i.alone {
 		return
 	}
 	i.registry.mu.Lock()
--- a/internal/savorypinquarantine/quarantine.go
+++ b/internal/savorypinquarantine/quarantine.go
@@ -22,8 +22,10 @@
 	// maxCrashesPerRequest is the number of endpoints that one request may crash if one of its
 	// subjects is suspect.
 	maxCrashesPerRequest = 2
-	// commonCauseWindow is the time within which several crashes count as one.
-	commonCauseWindow = 250 * time.Millisecond
+	// partCauseWindow is the time within which several crashes count as one against a part, and
+	// requestCauseWindow that for a request, which may crash endpoints within a few milliseconds.
+	partCauseWindow    = 250 * time.Millisecond
+	requestCauseWindow = 100 * time.Millisecond
 	// trustPeriod is the time after the last begin on a subject in which it isn't blamed.
 	trustPeriod = 3 * time.Second
 	// trustMemory is how long a begin speaks for a subject.
@@ -127,23 +129,33 @@
 	}
 }
 
-// RecordCrash records that an endpoint of this gateway crashed while it had a request with the
-// given subjects on which it had not begun an answer that went on. Probe says that the request was
-// a probe of those in quarantine.
-func (r *Registry) RecordCrash(e *savorypinfleet.Endpoint, subjects []savorypinfleet.Subject, probe bool) {
+// Observation is the end of an endpoint's process while it had a request on which it had not begun
+// an answer that went on, as a gateway saw it.
+type Observation struct {
+	Endpoint *savorypinfleet.Endpoint
+	// Probe says that the request was a probe of its subjects in quarantine.
+	Probe bool
+	// Sequel says that the request was sent after it may have crashed another endpoint.
+	Sequel bool
+	// Subjects are the parts of the prompt and the request itself.
+	Subjects []savorypinfleet.Subject
+}
+
+// RecordCrash records an observation of this gateway.
+func (r *Registry) RecordCrash(o Observation) {
 	r.mu.Lock()
 	defer r.unlock()
 	now := r.cfg.Now()
-	if probe {
-		r.failProbe(subjects, now)
+	if o.Probe {
+		r.failProbe(o.Subjects, now)
 	}
-	suspects := r.suspects(subjects, now)
+	suspects := r.suspects(o.Subjects, now)
 	if len(suspects) == 0 {
 		return
 	}
-	c := Crash{Endpoint: e.IncarnationHash(), Suspects: suspects}
+	c := Crash{Endpoint: o.Endpoint.IncarnationHash(), Sequel: o.Sequel, Suspects: suspects}
 	r.own.addCrash(c, now)
-	if r.evidence.record(c.Endpoint, now, suspects) {
+	if r.evidence.record(c, now) {
 		r.judge(now)
 	}
 }
--- a/internal/savorypinquarantine/report.go
+++ b/internal/savorypinquarantine/report.go
@@ -15,6 +15,8 @@
 	// Suspects are the parts on which the endpoint may have begun an answer, in the order of the
 	// prompt, and behind them the request itself.
 	Suspects []savorypinfleet.Subject `msgpack:"s"`
+	// Sequel says that the request was sent after it may have crashed another endpoint.
+	Sequel bool `msgpack:"q"`
 }
 
 // Begin says that an answer on a subject has begun and gone on, which one that crashes endpoints
