Case 5: after a late write of a roll-out's end the service gets no endpoint any more

Tried: a roll-out of a version that is bad after its deadline; the store does the write of the status completed 1.2 s late and doesn't answer it.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+set -uo pipefail
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.."
+if [ ! -x target/savorypin ] || [ ! -x target/review-standin ]; then
+  echo "run the build of the deploy file and review/build.sh first" >&2
+  exit 2
+fi
+exec target/review-standin rollout target/savorypin "$here/record.txt"
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 // replicasPerService is the number of replicas of each service, one in each zone.
@@ -77,6 +78,17 @@
 	return n, err
 }
 
+// replicasOf returns the replicas whose id begins so.
+func (d *deployment) replicasOf(service string) []*replica {
+	var replicas []*replica
+	for _, r := range d.replicas {
+		if strings.HasPrefix(r.id, "i-"+service) {
+			replicas = append(replicas, r)
+		}
+	}
+	return replicas
+}
+
 // execution returns the run of a request, at whatever replica.
 func (d *deployment) execution(id string) (execution, bool) {
 	for _, r := range d.replicas {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -23,6 +23,8 @@
 type work struct {
 	// duration is the time that a plain request takes.
 	duration time.Duration
+	// failed says that the answer is a failure, status 500.
+	failed bool
 	// eventInterval is the time between two events of a stream.
 	eventInterval time.Duration
 	// pauseAfter is the event after which a stream is preempted for pause; zero for none.
@@ -52,10 +54,13 @@
 	address string
 	born    int64
 	id      string
+	version string
 	work    decide
 
 	mu         sync.Mutex
+	conns      map[net.Conn]bool
 	executions map[string]*execution
+	listener   net.Listener
 	running    map[string]int
 }
 
@@ -67,7 +72,7 @@
 	}
 	r := &replica{
 		address: l.Addr().String(), born: time.Now().UnixMilli(), executions: map[string]*execution{}, id: id,
-		running: map[string]int{}, work: d,
+		conns: map[net.Conn]bool{}, listener: l, running: map[string]int{}, version: "v1", work: d,
 	}
 	go func() {
 		for {
@@ -82,10 +87,20 @@
 	return r, nil
 }
 
+// stop ends the replica at once.
+func (r *replica) stop() {
+	r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		conn.Close()
+	}
+}
+
 // entry returns the replica's entry in the store.
 func (r *replica) entry(service, zone string) map[string]any {
 	return map[string]any{
-		"service": service, "address": r.address, "zone": zone, "version": "v1", "slots": 48, "state": "ready",
+		"service": service, "address": r.address, "zone": zone, "version": r.version, "slots": 48, "state": "ready",
 		"cold_left_ms": 0, "stage": "mixed", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
 		"seq": 1, "born": r.born,
 	}
@@ -94,6 +109,9 @@
 // serve serves the requests of one connection, one at a time.
 func (r *replica) serve(conn net.Conn) {
 	defer conn.Close()
+	r.mu.Lock()
+	r.conns[conn] = true
+	r.mu.Unlock()
 	br := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(br)
@@ -127,9 +145,9 @@
 	gone := watchConn(br)
 	var whole bool
 	if w.stream {
-		whole = r.stream(conn, gone, req, w)
+		whole = stream(conn, gone, req, w)
 	} else {
-		whole = r.plain(conn, gone, id, w)
+		whole = plain(conn, gone, id, w)
 	}
 	r.end(e, whole)
 	if whole {
@@ -182,16 +200,20 @@
 }
 
 // plain runs a plain request. It returns false if the other side has left before.
-func (r *replica) plain(conn net.Conn, gone <-chan struct{}, id string, w work) bool {
+func plain(conn net.Conn, gone <-chan struct{}, id string, w work) bool {
 	if !sleep(w.duration, gone) {
 		return false
 	}
-	return write(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nKeep-Alive: timeout=10\r\n%s", headerRequestID, id, headerSignature, signature, withLength("done "+id))
+	status := "200 OK"
+	if w.failed {
+		status = "500 Internal Server Error"
+	}
+	return write(conn, "HTTP/1.1 %s\r\n%s: %s\r\n%s: %s\r\nKeep-Alive: timeout=10\r\n%s", status, headerRequestID, id, headerSignature, signature, withLength("done "+id))
 }
 
 // stream runs a request whose answer is a stream: it writes the events after Last-Event-Id. It
 // returns false if the other side has left before.
-func (r *replica) stream(conn net.Conn, gone <-chan struct{}, req *http.Request, w work) bool {
+func stream(conn net.Conn, gone <-chan struct{}, req *http.Request, w work) bool {
 	id := req.Header.Get(headerRequestID)
 	first, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	if err != nil {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -44,7 +44,12 @@
 	// changed is closed at the next change.
 	changed chan struct{}
 	events  []storeEvent
-	kinds   map[string]map[string]object
+	// onStatus is called, with the lock held, after the status of an object was replaced.
+	onStatus func(kind, name string, status json.RawMessage)
+	// lateBy returns how much later a write of a status is done, which is then never answered; zero if
+	// it is done at once and answered. It is called with the lock held; nil means that none is late.
+	lateBy func(kind, name string, status json.RawMessage) time.Duration
+	kinds  map[string]map[string]object
 	// cut says that the machines are cut off: they get no answers. The operator isn't.
 	cut      bool
 	revision int64
@@ -78,6 +83,13 @@
 	return nil
 }
 
+// remove deletes an object, as the platform does with the entry of a replica that has left.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, object{Metadata: objectMetadata{Name: name}}, true)
+}
+
 // setCut sets whether the machines are cut off. What they ask meanwhile is never answered.
 func (s *store) setCut(cut bool) {
 	s.mu.Lock()
@@ -169,23 +181,45 @@
 		name = o.Metadata.Name
 	}
 	o.Metadata.Name = name
-	current, exists := s.kinds[kind][name]
-	switch {
-	case r.Method == http.MethodPost && exists:
-		answer(w, http.StatusConflict, current)
-		return
-	case r.Method != http.MethodPost && !exists:
-		w.WriteHeader(http.StatusNotFound)
+	if isStatus && s.lateBy != nil {
+		if late := s.lateBy(kind, name, o.Status); late > 0 {
+			time.AfterFunc(late, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.apply(r.Method, kind, o, isStatus)
+			})
+			s.hang(r)
+		}
+	}
+	status, result := s.apply(r.Method, kind, o, isStatus)
+	if status == http.StatusNotFound {
+		w.WriteHeader(status)
 		return
+	}
+	answer(w, status, result)
+}
+
+// apply carries out a write if its condition holds. It returns the status and the object of the answer.
+// The caller holds s.mu.
+func (s *store) apply(method, kind string, o object, isStatus bool) (int, object) {
+	current, exists := s.kinds[kind][o.Metadata.Name]
+	switch {
+	case method == http.MethodPost && exists:
+		return http.StatusConflict, current
+	case method != http.MethodPost && !exists:
+		return http.StatusNotFound, object{}
 	case exists && o.Metadata.Revision != 0 && o.Metadata.Revision != current.Metadata.Revision:
-		answer(w, http.StatusConflict, current)
-		return
+		return http.StatusConflict, current
 	}
 	if isStatus {
 		current.Status = o.Status
 		o = current
 	}
-	answer(w, http.StatusOK, s.write(kind, o, r.Method == http.MethodDelete))
+	written := s.write(kind, o, method == http.MethodDelete)
+	if isStatus && s.onStatus != nil {
+		s.onStatus(kind, o.Metadata.Name, o.Status)
+	}
+	return http.StatusOK, written
 }
 
 // watch answers once there are events after a revision or the time is over. The caller holds s.mu.
