--- a/review/standin/case_rollout.go
+++ b/review/standin/case_rollout.go
@@ -74,10 +74,15 @@
 	time.Sleep(dayDuration - orderDelay)
 	close(stop)
 	sales, drafts := counts()
+	return judgeStarved(sales, drafts), nil
+}
+
+// judgeStarved compares the share of the sales that were served with that of all requests.
+func judgeStarved(sales, drafts kindCount) verdict {
 	all := kindCount{sent: sales.sent + drafts.sent, served: sales.served + drafts.served}
 	return verdict{broken: sales.share() < all.share()/4, text: fmt.Sprintf(
 		"sales: %d of %d served (%.3f); drafts: %d of %d (%.3f); all: %.3f, a quarter of which is %.3f", sales.served, sales.sent, sales.share(),
-		drafts.served, drafts.sent, drafts.share(), all.share(), all.share()/4)}, nil
+		drafts.served, drafts.sent, drafts.share(), all.share(), all.share()/4)}
 }
 
 // onCompleted makes the platform act when the roll-out is completed: the old replicas stop at once. With
