Case 2: after a restart a gateway refuses all long prompts; cases in the order of their gravity

Tried: SIGKILL to a gateway and a new start 0.5 s later, while clients send 20 streams a second with prompts of 12 tokens and one in 2 s with 8,200.

Without the kill, in five of five plays, all are served.

The cases get new numbers, the gravest first.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,4 @@
   echo "run the build of the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec target/review-standin revoked target/savorypin "$here/record.txt"
+exec target/review-standin stop target/savorypin "$here/record.txt"
--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -98,6 +98,8 @@
 	process *exec.Cmd
 	// exited is closed when the process has ended.
 	exited chan struct{}
+	// settings is the path of the settings file.
+	settings string
 }
 
 // freeHost returns a loopback address at which the ports of a gateway are free.
@@ -129,38 +131,50 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gateway{bench: b, front: fmt.Sprintf("%s:%d", host, frontPort), host: host, exited: make(chan struct{})}
+	g := &gateway{bench: b, front: fmt.Sprintf("%s:%d", host, frontPort), host: host}
 	path := filepath.Join(b.dir, host+".yaml")
 	if err := os.WriteFile(path, render("settings.yaml.tmpl", settings{Host: host, Seeds: []string{host}, Store: store}), 0o600); err != nil {
 		return nil, err
 	}
-	out, err := os.Create(filepath.Join(b.dir, host+".log"))
-	if err != nil {
+	g.settings = path
+	if err := g.start(); err != nil {
 		return nil, err
 	}
-	g.process = exec.Command(b.program, "--log-format", "logfmt", "gateway", "--metrics-port", fmt.Sprint(metricsPort))
-	g.process.Env = append(os.Environ(), string(render("environment.tmpl", path)))
-	g.process.Stdout, g.process.Stderr = out, out
-	g.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	err = errors.Join(g.process.Start(), out.Close())
+	b.atEnd(g.kill)
+	return g, g.awaitReady(20 * time.Second)
+}
+
+// start starts the process. Its output is appended to the log.
+func (g *gateway) start() error {
+	out, err := os.OpenFile(g.logPath(), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	process := exec.Command(g.bench.program, "--log-format", "logfmt", "gateway", "--metrics-port", fmt.Sprint(metricsPort))
+	process.Env = append(os.Environ(), string(render("environment.tmpl", g.settings)))
+	process.Stdout, process.Stderr = out, out
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := errors.Join(process.Start(), out.Close()); err != nil {
+		return err
 	}
-	b.logf("gateway started at %s", host)
+	exited := make(chan struct{})
+	g.process, g.exited = process, exited
+	g.bench.logf("gateway started at %s", g.host)
 	go func() {
 		// The state of a process that was killed is an error.
-		_ = g.process.Wait()
-		close(g.exited)
+		_ = process.Wait()
+		close(exited)
 	}()
-	b.atEnd(g.kill)
-	return g, g.awaitReady(20 * time.Second)
+	return nil
 }
 
+func (g *gateway) logPath() string { return filepath.Join(g.bench.dir, g.host+".log") }
+
 func (g *gateway) kill() {
 	// Kill fails if the process has ended.
 	_ = g.process.Process.Kill()
 	<-g.exited
-	data, err := os.ReadFile(filepath.Join(g.bench.dir, g.host+".log"))
+	data, err := os.ReadFile(g.logPath())
 	if err != nil {
 		return
 	}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -32,11 +32,13 @@
 	path        string
 	// outputTokens is the maximum number of tokens of a stream; zero for a plain request.
 	outputTokens int
+	// ownTokens is the size of the part of a stream's prompt that belongs to the request itself.
+	ownTokens int
 }
 
 // newCall returns a call with a new id.
 func newCall(path, key string, deadline time.Duration) call {
-	return call{deadline: deadline, id: fmt.Sprintf("%016x", 0x1c41d07b<<32+requestSerial.Add(1)), key: key, method: http.MethodPost, path: path}
+	return call{deadline: deadline, id: fmt.Sprintf("%016x", 0x1c41d07b<<32+requestSerial.Add(1)), key: key, method: http.MethodPost, ownTokens: 8000, path: path}
 }
 
 // result is what a client has seen of a call.
@@ -136,12 +138,16 @@
 		fmt.Fprintf(&b, "Last-Event-Id: %d\r\n", k.lastEventID)
 	}
 	if k.outputTokens > 0 {
-		fmt.Fprintf(&b, "%s: m\r\n%s: 8200,%d\r\n%s: 5c1e07a2:200,%s:8000\r\n", headerModel, headerTokenUsage, k.outputTokens, headerPrefixParts, k.id)
+		fmt.Fprintf(&b, "%s: m\r\n%s: %d,%d\r\n%s: 5c1e07a2:%d,%s:%d\r\n", headerModel, headerTokenUsage, k.sharedTokens()+k.ownTokens,
+			k.outputTokens, headerPrefixParts, k.sharedTokens(), k.id, k.ownTokens)
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	return b.Bytes()
 }
 
+// sharedTokens is the size of the part of the prompt that requests share: 200 tokens of long prompts.
+func (k call) sharedTokens() int { return min(200, k.ownTokens) }
+
 // lastEvent returns the id of the last whole event of a stream; zero if there is none.
 func lastEvent(body []byte) int {
 	last := 0
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -14,6 +14,7 @@
 	serviceEngine = "huvo11a"
 	serviceLedger = "wuno96b"
 	pathStream    = "/lohu930/2f"
+	pathSummary   = "/geno521/2f"
 	pathOnce      = "/pufi791/2f"
 	pathSale      = "/pule252/2f"
 	pathJob       = "/kore114/2f"
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -27,6 +27,8 @@
 	failed bool
 	// eventInterval is the time between two events of a stream.
 	eventInterval time.Duration
+	// firstDelay is the time before the first event, beyond eventInterval.
+	firstDelay time.Duration
 	// pauseAfter is the event after which a stream is preempted for pause; zero for none.
 	pauseAfter int
 	pause      time.Duration
@@ -223,6 +225,9 @@
 		headerRequestID, id, headerSignature, signature, headerWeights) {
 		return false
 	}
+	if !sleep(w.firstDelay, gone) {
+		return false
+	}
 	for i := first + 1; i <= eventCount(req); i++ {
 		if !sleep(w.eventInterval, gone) {
 			return false
@@ -238,6 +243,16 @@
 	return write(conn, "0\r\n\r\n")
 }
 
+// promptTokens returns the number of tokens of a request's prompt.
+func promptTokens(req *http.Request) int {
+	in, _, _ := strings.Cut(req.Header.Get(headerTokenUsage), ",")
+	tokens, err := strconv.Atoi(strings.TrimSpace(in))
+	if err != nil {
+		return 0
+	}
+	return tokens
+}
+
 // eventCount returns the number of events of the answer to a request.
 func eventCount(req *http.Request) int {
 	_, out, _ := strings.Cut(req.Header.Get(headerTokenUsage), ",")
