--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -125,15 +125,16 @@
 	return true
 }
 
-// startGateway starts a gateway whose store is at an address, and waits until it is ready.
-func (b *bench) startGateway(store string) (*gateway, error) {
+// startGateway starts a gateway whose store is at an address, and waits until it is ready. The seeds are
+// the hosts of other gateways.
+func (b *bench) startGateway(store string, seeds ...string) (*gateway, error) {
 	host, err := freeHost()
 	if err != nil {
 		return nil, err
 	}
 	g := &gateway{bench: b, front: fmt.Sprintf("%s:%d", host, frontPort), host: host}
 	path := filepath.Join(b.dir, host+".yaml")
-	if err := os.WriteFile(path, render("settings.yaml.tmpl", settings{Host: host, Seeds: []string{host}, Store: store}), 0o600); err != nil {
+	if err := os.WriteFile(path, render("settings.yaml.tmpl", settings{Host: host, Seeds: append(seeds, host), Store: store}), 0o600); err != nil {
 		return nil, err
 	}
 	g.settings = path
--- a/review/standin/case_revoked.go
+++ b/review/standin/case_revoked.go
@@ -21,7 +21,7 @@
 	furtherRoutes = 1400
 	// revokedCallers is the number of clients that use a key that is taken away, and callInterval the
 	// time between two requests of one of them.
-	revokedCallers = 50
+	revokedCallers = 80
 	callInterval   = 100 * time.Millisecond
 	// saleDuration is the work of a sale.
 	saleDuration = 15 * time.Millisecond
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -50,6 +50,8 @@
 	// it is done at once and answered. It is called with the lock held; nil means that none is late.
 	lateBy func(kind, name string, status json.RawMessage) time.Duration
 	kinds  map[string]map[string]object
+	// era is the header that rises when the store comes back from a copy.
+	era int
 	// cut says that the machines are cut off: they get no answers. The operator isn't.
 	cut      bool
 	revision int64
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: l.Addr().String(), changed: make(chan struct{}), kinds: map[string]map[string]object{}, revision: 100}
+	s := &store{address: l.Addr().String(), changed: make(chan struct{}), era: 1, kinds: map[string]map[string]object{}, revision: 100}
 	server := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		// Serve returns when the case ends.
@@ -90,6 +92,33 @@
 	s.write(kind, object{Metadata: objectMetadata{Name: name}}, true)
 }
 
+// storeCopy is the content of a store at a moment.
+type storeCopy struct {
+	events   []storeEvent
+	kinds    map[string]map[string]object
+	revision int64
+}
+
+// copy returns a copy of the store's content.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kinds := map[string]map[string]object{}
+	for kind, objects := range s.kinds {
+		kinds[kind] = maps.Clone(objects)
+	}
+	return storeCopy{events: slices.Clone(s.events), kinds: kinds, revision: s.revision}
+}
+
+// comeBack replaces the store's content by a copy.
+func (s *store) comeBack(from storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.events, s.kinds, s.revision = from.events, from.kinds, from.revision
+	s.wake()
+}
+
 // setCut sets whether the machines are cut off. What they ask meanwhile is never answered.
 func (s *store) setCut(cut bool) {
 	s.mu.Lock()
@@ -133,7 +162,7 @@
 	name, isStatus := strings.CutSuffix(name, "/status")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w.Header().Set("Store-Era", "1")
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
 	switch {
 	case s.cut:
 		s.hang(r)
@@ -234,7 +263,11 @@
 		wait = 0
 	}
 	end := time.After(time.Duration(wait) * time.Millisecond)
-	for over := false; ; {
+	for over, era := false, s.era; ; {
+		if era != s.era || since > s.revision {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if s.cut {
 			s.hang(r)
 		}
