Send the head of a whole response that has no event, and never let net/http answer

Cause: the head of a stream was sent with its first event only. A response that ended before one left the handler without anything written, and net/http makes an empty success of that. The same happened to requests that were given up because their caller had closed its side of the connection.

The log of before couldn't tell this from a head that is lost on its way.

Change: the head of a whole response is sent at its end at the latest; comments are passed on with the next event or at the end; a handler that returns with nothing written is counted, logged, and its connection closed.

--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -41,6 +41,7 @@
 	KindReadinessChanged     Kind = "readiness changed"
 	KindRequestAnswered      Kind = "request answered"
 	KindRequestRefused       Kind = "request refused"
+	KindRequestUnanswered    Kind = "request unanswered"
 	KindRollout              Kind = "rollout"
 	KindStreamBroken         Kind = "stream broken"
 	KindStreamCompleted      Kind = "stream completed"
--- a/internal/savorypinevent/requestevents.go
+++ b/internal/savorypinevent/requestevents.go
@@ -63,10 +63,12 @@
 
 // Level returns the level of the log line.
 func (e RequestEnded) Level() log.Level {
-	if e.EventKind == KindStreamFailed {
+	switch e.EventKind {
+	case KindRequestUnanswered, KindStreamFailed:
 		return log.WarnLevel
+	default:
+		return log.InfoLevel
 	}
-	return log.InfoLevel
 }
 
 // Fields returns the fields as alternating names and values.
--- a/internal/savorypinexplain/causes.go
+++ b/internal/savorypinexplain/causes.go
@@ -79,6 +79,8 @@
 	switch savorypinevent.Kind(last.Kind) {
 	case savorypinevent.KindRequestRefused:
 		return fmt.Sprintf("refused with %s: %s", last.Value("status"), last.Value("reason"))
+	case savorypinevent.KindRequestUnanswered:
+		return "unanswered: " + outermostMessage(last.Value("err"))
 	case savorypinevent.KindStreamFailed:
 		return "stream failed: " + outermostMessage(last.Value("err"))
 	case savorypinevent.KindRequestAnswered:
--- a/internal/savorypinexplain/report.go
+++ b/internal/savorypinexplain/report.go
@@ -145,6 +145,8 @@
 	switch savorypinevent.Kind(last.Kind) {
 	case savorypinevent.KindRequestRefused:
 		return summarizeRefusal(history, last)
+	case savorypinevent.KindRequestUnanswered:
+		return fmt.Sprintf("the gateway had no response after %s ms and ended the connection: %s", last.Value("age"), last.Value("err"))
 	case savorypinevent.KindStreamFailed:
 		return fmt.Sprintf("the stream failed after event %s and %s attempts: %s",
 			orNone(last.Value("event")), last.Value("attempts"), last.Value("err"))
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -40,6 +40,8 @@
 	storeCalls  metrics.Counter
 	firstEvent  metrics.Timer
 	plainAnswer metrics.Timer
+	// unanswered counts the requests that ended without a response although their callers waited.
+	unanswered metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -67,6 +69,7 @@
 		resumed:             metrics.GetOrRegisterCounter("gateway_resumed", r),
 		resumeGap:           metrics.GetOrRegisterTimer("gateway_resume_gap", r),
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
+		unanswered:          metrics.GetOrRegisterCounter("gateway_unanswered", r),
 	}
 }
 
--- a/internal/savorypingateway/events.go
+++ b/internal/savorypingateway/events.go
@@ -11,8 +11,12 @@
 	"savorypin/internal/savorypinpool"
 )
 
-// maxEventBytes limits one event of a stream; each stream buffers one.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes limits one event of a stream; each stream buffers one.
+	maxEventBytes = 64 << 10
+	// maxCommentBytes limits the comments between two events, which are buffered.
+	maxCommentBytes = 64 << 10
+)
 
 // errInvalidEvent means that a stream contains something other than a valid event.
 var errInvalidEvent = errors.New("not an event of a stream")
@@ -80,3 +84,29 @@
 		}
 	}
 }
+
+// idleBytes are the parts of a response that bring no new event.
+type idleBytes struct {
+	// comments holds the comments since the last new event.
+	comments []byte
+}
+
+// add adds a comment; a repeated event is dropped. It returns an error that wraps errInvalidEvent if
+// there are too many comments.
+func (b *idleBytes) add(e event) error {
+	if e.hasField {
+		return nil
+	}
+	b.comments = append(b.comments, e.raw...)
+	if len(b.comments) > maxCommentBytes {
+		return fmt.Errorf("%w: no new event after %d bytes of comments", errInvalidEvent, len(b.comments))
+	}
+	return nil
+}
+
+// takeComments returns the comments before a new event, and begins anew.
+func (b *idleBytes) takeComments() []byte {
+	comments := b.comments
+	*b = idleBytes{}
+	return comments
+}
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -17,6 +17,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	call := g.cfg.Codec.DecodeCall(r)
+	g.requireResponse(w, r, call, func(w http.ResponseWriter) { g.serveCall(w, r, call) })
+}
+
+// serveCall serves a caller's call. It returns without a response only if the caller has left.
+func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request, call *savorypinfleet.Call) {
 	req, refused := g.admit(w, r, call)
 	if refused != nil {
 		g.refuse(w, call, "", refused)
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -156,18 +156,21 @@
 // relay sends the complete events of a response to the caller, each of them once.
 func (s *stream) relay(resp *http.Response, a savorypinfleet.Attempt, w *watchdog, onFirstEvent func()) error {
 	events := newEventReader(resp.Body)
+	var idle idleBytes
 	first := true
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			s.recordBegin(w)
-			return nil
+			return s.end(resp, idle.comments)
 		}
 		if err != nil {
 			return s.flushAfter(err)
 		}
 		if !e.advances(s.lastEventID) {
-			// Neither a comment nor an event that the caller already has counts as progress.
+			if err := idle.add(e); err != nil {
+				return s.flushAfter(err)
+			}
 			continue
 		}
 		if first {
@@ -188,7 +191,7 @@
 			return s.flushAfter(fmt.Errorf("%w: %d after %d", errMissingEvents, e.id, s.lastEventID))
 		}
 		w.pause()
-		err = s.deliver(resp, e, !events.buffered())
+		err = s.deliver(resp, e, idle.takeComments(), !events.buffered())
 		w.resume()
 		if err != nil {
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
@@ -220,15 +223,32 @@
 	s.longestPause = max(s.longestPause, pause)
 }
 
-// deliver sends an event to the caller.
-func (s *stream) deliver(resp *http.Response, e event, flush bool) error {
-	if !s.headerSent {
-		s.headerSent = true
-		s.gateway.cfg.Codec.EncodeReply(s.w.Header(), resp, s.req.call)
-		s.w.WriteHeader(resp.StatusCode)
+// end handles the end of a response. It sends the header if there was no event to send it with.
+func (s *stream) end(resp *http.Response, comments []byte) error {
+	s.sendHeader(resp)
+	if _, err := s.w.Write(comments); err != nil {
+		return fmt.Errorf("%w: %w", errCallerWrite, err)
 	}
-	if _, err := s.w.Write(e.raw); err != nil {
-		return err
+	return nil
+}
+
+// sendHeader sends the header of the response to the caller, unless an earlier one was sent.
+func (s *stream) sendHeader(resp *http.Response) {
+	if s.headerSent {
+		return
+	}
+	s.headerSent = true
+	s.gateway.cfg.Codec.EncodeReply(s.w.Header(), resp, s.req.call)
+	s.w.WriteHeader(resp.StatusCode)
+}
+
+// deliver sends an event to the caller, after the comments that came before it.
+func (s *stream) deliver(resp *http.Response, e event, comments []byte, flush bool) error {
+	s.sendHeader(resp)
+	for _, p := range [][]byte{comments, e.raw} {
+		if _, err := s.w.Write(p); err != nil {
+			return err
+		}
 	}
 	s.recordPause(time.Now())
 	if e.id > 0 {
