Take an empty response with neither a length nor chunks for cut off

Cause: the end of the connection was taken for the end of the response even if nothing of its content had come, when it can't be told from a cut.

Change: such a response ends the attempt. It is resumed or retried where the route allows it; otherwise the caller gets 502. Unframed responses with content are whole as before.

--- a/internal/savorypingateway/plainattempt.go
+++ b/internal/savorypingateway/plainattempt.go
@@ -137,6 +137,8 @@
 		return &outcome{kind: outcomeNotRun, resp: resp}, keepAlive
 	case reply.ContentEncoded, !reply.Signed:
 		return &outcome{err: errUnsigned, kind: outcomeUnknown}, -1
+	case len(body) == 0 && !framed(resp):
+		return unknown(errMayBeCutOff)
 	}
 	return &outcome{body: body, kind: outcomeAnswered, resp: resp}, keepAlive
 }
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -225,6 +225,9 @@
 
 // end handles the end of a response. It sends the header if there was no event to send it with.
 func (s *stream) end(resp *http.Response, comments []byte) error {
+	if s.attemptEvents == 0 && !framed(resp) {
+		return s.flushAfter(errMayBeCutOff)
+	}
 	s.sendHeader(resp)
 	if _, err := s.w.Write(comments); err != nil {
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
