Bound the repeated events of a response that brings no new one

Comments have a bound since they are buffered; repeated events now have one too (4 MiB between two new events), so that neither relies on the watch for silence, which a stream that can't be resumed must not be ended by.

--- a/internal/savorypingateway/events.go
+++ b/internal/savorypingateway/events.go
@@ -16,6 +16,9 @@
 	maxEventBytes = 64 << 10
 	// maxCommentBytes limits the comments between two events, which are buffered.
 	maxCommentBytes = 64 << 10
+	// maxRepeatedBytes limits the repeated events between two new ones. An endpoint that ignores the
+	// last event's ID repeats all events before it.
+	maxRepeatedBytes = 4 << 20
 )
 
 // errInvalidEvent means that a stream contains something other than a valid event.
@@ -89,17 +92,20 @@
 type idleBytes struct {
 	// comments holds the comments since the last new event.
 	comments []byte
+	// repeated is the number of bytes of the repeated events since then.
+	repeated int
 }
 
-// add adds a comment; a repeated event is dropped. It returns an error that wraps errInvalidEvent if
-// there are too many comments.
+// add adds a comment or a repeated event. It returns an error that wraps errInvalidEvent if there are
+// too many.
 func (b *idleBytes) add(e event) error {
 	if e.hasField {
-		return nil
+		b.repeated += len(e.raw)
+	} else {
+		b.comments = append(b.comments, e.raw...)
 	}
-	b.comments = append(b.comments, e.raw...)
-	if len(b.comments) > maxCommentBytes {
-		return fmt.Errorf("%w: no new event after %d bytes of comments", errInvalidEvent, len(b.comments))
+	if len(b.comments) > maxCommentBytes || b.repeated > maxRepeatedBytes {
+		return fmt.Errorf("%w: no new event in %d bytes", errInvalidEvent, len(b.comments)+b.repeated)
 	}
 	return nil
 }
