Weigh each request in a planned stop by what it may take, and answer all before the exit

Cause: streams were weighed by the average duration of all streams, plain requests not at all. After many short streams a long one was taken, after many long ones a short one was refused.

Change: stopAdmission takes what is due before the exit; late in the grace period others only if twice the time of the slowest of their kind and size fits; before that, while the load balancer still sends callers, all that may be repeated. It decides before a body is read and again behind it. A request without a response gets 504 shortly before the exit.

--- a/internal/savorypinfleet/configuration.go
+++ b/internal/savorypinfleet/configuration.go
@@ -159,6 +159,7 @@
 	byHost      map[string][]*Route
 	requiresKey bool
 	limits      Limits
+	routeNames  map[string]bool
 	services    map[string]*Service
 	version     int64
 }
@@ -170,6 +171,7 @@
 		byHost:      map[string][]*Route{},
 		requiresKey: len(cfg.Organisations) > 0,
 		limits:      cfg.Limits,
+		routeNames:  map[string]bool{},
 		services:    map[string]*Service{},
 		version:     cfg.Version,
 	}
@@ -180,6 +182,7 @@
 	}
 	for _, r := range cfg.Routes {
 		c.byHost[r.Host()] = append(c.byHost[r.Host()], r)
+		c.routeNames[r.Name()] = true
 	}
 	for _, routes := range c.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int {
@@ -196,6 +199,9 @@
 // there are organisations.
 func (c *Configuration) RequiresKey() bool { return c.requiresKey }
 
+// HasRoute reports whether there is a route with a name.
+func (c *Configuration) HasRoute(name string) bool { return c.routeNames[name] }
+
 // Limits returns the limits on callers' requests.
 func (c *Configuration) Limits() Limits { return c.limits }
 
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -34,6 +35,16 @@
 	URI          string
 }
 
+// LastEvent returns the number of the last event that the caller received; zero for none.
+func (c *Call) LastEvent() int64 {
+	n, err := strconv.ParseInt(c.LastEventID, 10, 64)
+	if err != nil {
+		// Endpoints get the ID as the caller sent it, and decide what it means.
+		return 0
+	}
+	return n
+}
+
 // Attempt is a call as it is sent to one endpoint.
 type Attempt struct {
 	// Backup is the endpoint to which the KV cache of the generation is copied; nil for none.
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypinforecast"
 )
 
 // Delays after which callers may retry refused requests.
@@ -61,6 +62,11 @@
 	return slices.Contains(r.call.PromptParts, subject)
 }
 
+// kind returns the kind of requests that are expected to behave like this one.
+func (r *request) kind() savorypinforecast.Kind {
+	return savorypinforecast.Kind{Route: r.route.Name(), Service: r.service.Name()}
+}
+
 // remaining returns the time until the deadline.
 func (r *request) remaining() time.Duration {
 	return time.Until(r.deadline)
@@ -99,25 +105,29 @@
 	if route == nil {
 		return nil, &refusal{reason: "no route", status: http.StatusNotFound}
 	}
-	if route.Kind() == savorypinfleet.RouteStreaming && !acceptsStream(g.stoppingFor(), g.settings.Load().StopGracePeriod, g.picker.AverageStreamDuration()) {
-		return nil, notRunRefusal("gateway stops", otherGatewayRetryDelay)
-	}
 	organisation, refused := g.authorise(c, route, call)
 	if refused != nil {
 		return nil, refused
 	}
 	req := &request{arrived: arrived, bodies: bodyReader{budget: g.bodyBudget}, call: call, organisation: organisation, route: route}
 	req.deadline = arrived.Add(requestTimeout(call, route))
+	name := chooseService(route.Shares())
+	req.service = c.Service(name)
+	if req.service == nil {
+		req.service = savorypinfleet.NewService(savorypinfleet.ServiceConfig{Name: name})
+	}
+	if !g.acceptsWhileStopping(req) {
+		return nil, stoppingRefusal()
+	}
 	if refused := g.readBody(w, r, call, c.Limits()); refused != nil {
 		if r.Context().Err() != nil {
 			return nil, nil
 		}
 		return nil, refused
 	}
-	name := chooseService(route.Shares())
-	req.service = c.Service(name)
-	if req.service == nil {
-		req.service = savorypinfleet.NewService(savorypinfleet.ServiceConfig{Name: name})
+	// The shutdown may have begun, or gone on, while the body was on its way.
+	if !g.acceptsWhileStopping(req) {
+		return nil, stoppingRefusal()
 	}
 	return req, nil
 }
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -91,10 +91,13 @@
 	counters     counters
 	// endpointLimits holds the limits that endpoints named on the requests of all gateways.
 	endpointLimits *savorypinlimit.SharedRates
-	forecast       *savorypinforecast.Forecast
-	gossip         *savorypingossip.Gossip
-	admission      *savorypinadmission.Registry
-	log            *savorypinevent.Log
+	// exiting is done shortly before the process exits. Requests that have no response then get one.
+	exiting   context.Context //nolint:containedctx // it ends requests, which have contexts of their own
+	exit      context.CancelFunc
+	forecast  *savorypinforecast.Forecast
+	gossip    *savorypingossip.Gossip
+	admission *savorypinadmission.Registry
+	log       *savorypinevent.Log
 	// discoveryDone is closed after the first attempt to read the list of gateways, whether it
 	// succeeded or not.
 	discoveryDone chan struct{}
@@ -111,6 +114,7 @@
 	rollouts      *savorypinrollout.Tracker
 	// sealer authenticates messages between gateways.
 	sealer    *savorypinseal.Sealer
+	slowest   *savorypinforecast.Slowest
 	settings  atomic.Pointer[Settings]
 	stopStart atomic.Pointer[time.Time]
 	stopping  atomic.Bool
@@ -132,7 +136,9 @@
 		pool:          savorypinpool.New(savorypinpool.Config{}),
 		registry:      registry,
 		sealer:        savorypinseal.New(cfg.Settings.PeerKeys...),
+		slowest:       savorypinforecast.NewSlowest(),
 	}
+	g.exiting, g.exit = context.WithCancel(context.Background())
 	g.settings.Store(&cfg.Settings)
 	g.picker = savorypinpick.New(savorypinpick.Config{
 		Gateways:        g.gatewayCount,
@@ -292,6 +298,7 @@
 			}
 			g.picker.RemoveUnlisted(g.view.directory.Load())
 			g.retainLimits()
+			g.retainDurations()
 			g.updatePeers()
 			g.logReadiness()
 		})
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -17,12 +17,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	call := g.cfg.Codec.DecodeCall(r)
-	g.requireResponse(w, r, call, func(w http.ResponseWriter) { g.serveCall(w, r, call) })
+	g.requireResponse(w, r, call, func(w *responseTracker, r *http.Request) { g.serveCall(w, r, call) })
 }
 
 // serveCall serves a caller's call. It returns without a response only if the caller has left.
-func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request, call *savorypinfleet.Call) {
-	req, refused := g.admit(w, r, call)
+func (g *Gateway) serveCall(w *responseTracker, r *http.Request, call *savorypinfleet.Call) {
+	// Only on its own writer does net/http notice that a body is too large.
+	req, refused := g.admit(w.ResponseWriter, r, call)
 	if refused != nil {
 		g.refuse(w, call, "", refused)
 		return
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -72,7 +72,7 @@
 	defer g.setWriteDeadline(w, req.deadline)()
 	defer req.bodies.release()
 	result, refused := g.tryPlain(ctx, req)
-	if r.Context().Err() != nil {
+	if callerLeft(r) {
 		g.logCallerLeft(req)
 		return
 	}
@@ -82,6 +82,7 @@
 	}
 	g.counters.answered.Inc(1)
 	g.counters.plainAnswer.UpdateSince(req.arrived)
+	g.slowest.ObservePlain(req.kind(), time.Since(req.arrived))
 	g.log.Emit(savorypinevent.RequestEnded{
 		Age: time.Since(req.arrived), Attempts: result.attempts, Configuration: g.configurationVersion(),
 		Endpoint: result.endpoint.ID(), ID: req.call.ID, Route: req.route.Name(), Status: result.resp.StatusCode,
@@ -195,6 +196,8 @@
 		return g.confinedRefusal(p.confinement, mayHaveRun)
 	case p.isolated && !mayHaveRun:
 		return isolatedRefusal(p.req.whole())
+	case mayHaveRun && g.exiting.Err() != nil:
+		return exitRefusal()
 	}
 	return plainRefusal(p.req, p.reported, g.retryDelay(p.req.service.Name()))
 }
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -16,14 +16,10 @@
 	// stopAcceptRatio is the fraction of the grace period in which new requests are still
 	// accepted: the load balancer takes some seconds to send them elsewhere.
 	stopAcceptRatio = 0.5
-	// loadBalancerDelay is how long the load balancer goes on sending new callers: it checks the
-	// readiness every second and removes a gateway after two failed checks.
-	loadBalancerDelay = 2500 * time.Millisecond
-	// usualDurationFactor multiplies the usual duration of a stream to give the time that must
-	// be left for a new one after loadBalancerDelay.
-	usualDurationFactor = 2
 	// stopMargin is the time between the exit of the process and the end of the grace period.
 	stopMargin = 600 * time.Millisecond
+	// lastResponseTime is the time before the exit in which requests without a response get one.
+	lastResponseTime = 150 * time.Millisecond
 )
 
 const (
@@ -40,13 +36,6 @@
 	defaultMaxHeaderBytes = 64 << 10
 )
 
-// acceptsStream reports whether a new stream is accepted at the given time since the shutdown
-// began, given the grace period and the usual duration of streams. A stream that would be cut
-// off is better served by another gateway from the beginning.
-func acceptsStream(sinceStop, grace, usual time.Duration) bool {
-	return sinceStop < loadBalancerDelay || grace-stopMargin-sinceStop > usualDurationFactor*usual
-}
-
 // stoppingFor returns the time since the shutdown began; zero if it has not.
 func (g *Gateway) stoppingFor() time.Duration {
 	at := g.stopStart.Load()
@@ -117,7 +106,9 @@
 	if err := wait(context.WithoutCancel(ctx), acceptPeriod); err != nil {
 		return err
 	}
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace-stopMargin-time.Since(start))
+	left := grace - stopMargin - time.Since(start)
+	defer time.AfterFunc(left-lastResponseTime, g.exit).Stop()
+	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
 	defer cancel()
 	if err := server.Shutdown(shutdownCtx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("stop serving callers: %w", err)
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -94,9 +93,9 @@
 	defer cancel()
 	defer g.setWriteDeadline(w, req.deadline)()
 	defer req.bodies.release()
-	s := &stream{gateway: g, lastEventAt: req.arrived, rc: http.NewResponseController(w), req: req, tried: map[string]bool{}, w: w}
-	if last, err := strconv.ParseInt(req.call.LastEventID, 10, 64); err == nil {
-		s.lastEventID = last
+	s := &stream{
+		gateway: g, lastEventAt: req.arrived, lastEventID: req.call.LastEvent(), rc: http.NewResponseController(w), req: req,
+		tried: map[string]bool{}, w: w,
 	}
 	defer g.picker.RecordStreamEnd(req.call.PromptID)
 	err := s.run(ctx)
@@ -106,7 +105,7 @@
 		s.logEnd(savorypinevent.KindStreamCompleted, nil)
 		return
 	}
-	if r.Context().Err() != nil {
+	if callerLeft(r) {
 		s.logEnd(savorypinevent.KindCallerLeft, nil)
 		return
 	}
@@ -136,6 +135,8 @@
 		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal(errDeadlineTooClose.Error(), s.req.remaining()))
 	case !s.mayHaveRun:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal("no endpoint took the request", g.retryDelay(s.req.service.Name())))
+	case g.exiting.Err() != nil:
+		g.refuse(s.w, s.req.call, s.req.service.Name(), exitRefusal())
 	case s.req.expired():
 		g.refuse(s.w, s.req.call, s.req.service.Name(), &refusal{reason: "no answer in time", status: http.StatusGatewayTimeout})
 	default:
@@ -193,12 +194,19 @@
 func (s *stream) recordDuration() {
 	took := time.Since(s.req.arrived)
 	s.gateway.picker.RecordStreamDuration(took)
-	if s.attempts != 1 || s.req.call.LastEventID != "" {
+	if s.req.call.LastEventID != "" {
 		return
 	}
-	completed := savorypinforecast.CompletedStream{Events: s.lastEventID, TimeToFirstEvent: s.firstEventDelay, OutputTokens: s.req.call.OutputTokens, Duration: took}
-	if s.fullPrefill {
-		completed.PromptTokens = s.req.call.PromptTokens
+	completed := savorypinforecast.CompletedStream{
+		Events: s.lastEventID, TimeToFirstEvent: s.firstEventDelay, OutputTokens: s.req.call.OutputTokens,
+		Duration: took, PromptTokens: s.req.call.PromptTokens,
+	}
+	s.gateway.slowest.ObserveStream(s.req.kind(), completed)
+	if s.attempts != 1 {
+		return
+	}
+	if !s.fullPrefill {
+		completed.PromptTokens = 0
 	}
 	s.gateway.forecast.Observe(s.req.service.Name(), completed)
 }
--- a/internal/savorypingateway/unanswered_test.go
+++ b/internal/savorypingateway/unanswered_test.go
@@ -1,6 +1,7 @@
 package savorypingateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -30,11 +31,12 @@
 		// Guards against an empty success of net/http for a request that nothing has answered.
 		It(c.name, func() {
 			g := &Gateway{
+				exiting:  context.Background(),
 				counters: newCounters(metrics.NewRegistry()),
 				log:      savorypinevent.New(savorypinevent.Config{Logger: log.New(GinkgoWriter)}),
 			}
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				g.requireResponse(w, r, &savorypinfleet.Call{}, c.handle)
+				g.requireResponse(w, r, &savorypinfleet.Call{}, func(w *responseTracker, _ *http.Request) { c.handle(w) })
 			}))
 			defer server.Close()
 			resp, err := http.Post(server.URL, "text/plain", nil)
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -258,11 +258,6 @@
 	return xxhash.Sum64String(q.PromptID)
 }
 
-// AverageStreamDuration returns the average duration of a stream.
-func (p *Picker) AverageStreamDuration() time.Duration {
-	return time.Duration(p.streamDuration.Load())
-}
-
 // RecordStreamDuration records the duration of a completed stream.
 func (p *Picker) RecordStreamDuration(d time.Duration) {
 	updateDurationAverage(&p.streamDuration, d)
