Make the estimate that refuses streams a lower bound that can find out that it is wrong

Cause: the time to the first event was taken to be proportional to the prompt. Its fixed part, learned from prompts of 12 tokens, gave 33 s for 8,200 tokens. One minimum for all sizes and routes of a service rose with each short prompt, and what is refused is never seen, so that nothing corrected it.

Change: prefills are kept by size, and say of other sizes only what holds for any fixed part (a rapid property checks it); estimates are by route and service, end 30 s after the last completed stream, and let one stream in twenty pass as a probe. The log and two metrics show what is refused. True refusals are given at once as before.

--- a/internal/savorypinforecast/forecast.go
+++ b/internal/savorypinforecast/forecast.go
@@ -1,7 +1,7 @@
-// Package savorypinforecast estimates from completed streams the minimum time that a
-// stream of a service takes. A stream that can't complete before its deadline should not
-// be started, because it would only take capacity from others. The package uses no
-// clock.
+// Package savorypinforecast estimates from completed requests how long others of their kind
+// take: at least, so that a stream that can't complete before its deadline isn't started, as it
+// would only take capacity from others; and at most, so that a stopping gateway takes what it
+// can finish.
 package savorypinforecast
 
 import (
@@ -9,11 +9,24 @@
 	"time"
 )
 
-// slowdownWeight is the weight of an observation above the current minimum. It lets the
-// minimum rise slowly if engines have become slower for good.
-const slowdownWeight = 0.01
+const (
+	// slowdownWeight is the weight of an observation above the current minimum. It lets the
+	// minimum rise slowly if engines have become slower for good.
+	slowdownWeight = 0.01
+	// maxAge is the time after which an observation says nothing any more.
+	maxAge = 30 * time.Second
+	// probeInterval is the number of streams of a kind of which one is started although the
+	// estimate says that it can't complete: what is refused can't correct the estimate.
+	probeInterval = 20
+)
+
+// Kind identifies requests that are expected to behave alike.
+type Kind struct {
+	Route   string
+	Service string
+}
 
-// CompletedStream describes a stream that completed in one attempt.
+// CompletedStream describes a completed stream.
 type CompletedStream struct {
 	// Events is the number of events of the response.
 	Events int64
@@ -49,8 +62,8 @@
 	*m = decayingMin(old + slowdownWeight*(x-old))
 }
 
-// serviceStats holds the observed minimums of a service.
-type serviceStats struct {
+// kindStats holds the observed minimums of a kind.
+type kindStats struct {
 	// minEvents is the number of events of the shortest responses. The requested maximum
 	// is a poor estimate where callers allow for more tokens than they need.
 	minEvents decayingMin
@@ -59,54 +72,107 @@
 	// eventsPerOutputToken is the number of events per output token that the request
 	// allowed.
 	eventsPerOutputToken decayingMin
-	// secondsPerPromptToken is the time to the first event per prefilled prompt token.
-	secondsPerPromptToken decayingMin
+	// observedAt is when a stream was last observed.
+	observedAt time.Time
+	prefill    prefillStats
+	// refused is the number of streams that were not started since the last probe.
+	refused int
 }
 
-// Forecast estimates the durations of streams by service. It is safe for concurrent
+// Config configures a Forecast.
+type Config struct {
+	// Now returns the current time; nil means time.Now.
+	Now func() time.Time
+}
+
+// Forecast estimates the least durations of streams by kind. It is safe for concurrent
 // use.
 type Forecast struct {
-	mu       sync.Mutex
-	services map[string]*serviceStats
+	now func() time.Time
+
+	mu    sync.Mutex
+	kinds map[Kind]*kindStats
 }
 
 // New returns a Forecast without observations.
-func New() *Forecast {
-	return &Forecast{services: map[string]*serviceStats{}}
+func New(cfg Config) *Forecast {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Forecast{kinds: map[Kind]*kindStats{}, now: cfg.Now}
 }
 
-// Observe adds a completed stream of a service. Streams without a measurable rate of
+// Observe adds a stream that completed in one attempt. Streams without a measurable rate of
 // events are ignored.
-func (f *Forecast) Observe(service string, stream CompletedStream) {
+func (f *Forecast) Observe(kind Kind, stream CompletedStream) {
 	if stream.Events < 2 || stream.OutputTokens <= 0 || stream.Duration <= stream.TimeToFirstEvent {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.services[service]
-	if s == nil {
-		s = &serviceStats{}
-		f.services[service] = s
+	now := f.now()
+	s := f.kinds[kind]
+	if s == nil || now.Sub(s.observedAt) > maxAge {
+		s = &kindStats{prefill: prefillStats{}}
+		f.kinds[kind] = s
 	}
+	s.observedAt = now
 	s.minEvents.observe(float64(stream.Events))
 	s.secondsPerEvent.observe((stream.Duration - stream.TimeToFirstEvent).Seconds() / float64(stream.Events-1))
 	s.eventsPerOutputToken.observe(float64(stream.Events) / float64(stream.OutputTokens))
 	if stream.PromptTokens > 0 {
-		s.secondsPerPromptToken.observe(stream.TimeToFirstEvent.Seconds() / float64(stream.PromptTokens))
+		s.prefill.observe(stream.PromptTokens, stream.TimeToFirstEvent, now)
 	}
 }
 
-// MinDuration returns the estimated minimum time for the rest of a stream of a service;
-// zero if the service has no observations.
-func (f *Forecast) MinDuration(service string, r Remaining) time.Duration {
+// MinDuration returns the estimated minimum time for the rest of a stream of a kind; zero if
+// there are no recent observations.
+func (f *Forecast) MinDuration(kind Kind, r Remaining) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.services[service]
-	if s == nil {
+	s := f.kinds[kind]
+	now := f.now()
+	if s == nil || now.Sub(s.observedAt) > maxAge {
 		return 0
 	}
 	total := min(float64(s.minEvents), float64(s.eventsPerOutputToken)*float64(r.OutputTokens))
 	events := max(0, total-float64(r.Events))
-	seconds := float64(s.secondsPerPromptToken)*float64(r.PromptTokens) + float64(s.secondsPerEvent)*events
-	return time.Duration(seconds * float64(time.Second))
+	return s.prefill.minDuration(r.PromptTokens, now) + seconds(float64(s.secondsPerEvent)*events)
+}
+
+// Probe reports whether a new stream of a kind is started although MinDuration says that it can't
+// complete in time. It counts the stream as refused if not.
+func (f *Forecast) Probe(kind Kind) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.kinds[kind]
+	if s == nil {
+		return true
+	}
+	s.refused++
+	if s.refused < probeInterval {
+		return false
+	}
+	s.refused = 0
+	return true
+}
+
+// Retain drops what was seen of the kinds for which keep returns false.
+func (f *Forecast) Retain(keep func(Kind) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	retain(f.kinds, keep)
+}
+
+// retain drops the entries of the kinds for which keep returns false.
+func retain[T any](stats map[Kind]T, keep func(Kind) bool) {
+	for kind := range stats {
+		if !keep(kind) {
+			delete(stats, kind)
+		}
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
 }
--- a/internal/savorypinforecast/slowest.go
+++ b/internal/savorypinforecast/slowest.go
@@ -14,12 +14,6 @@
 	minSamples = 20
 )
 
-// Kind identifies requests that are expected to behave alike.
-type Kind struct {
-	Route   string
-	Service string
-}
-
 // decayingMax tracks the maximum of a series of observations; smaller observations lower it slowly.
 // It is zero before the first observation.
 type decayingMax float64
@@ -121,11 +115,7 @@
 func (s *Slowest) Retain(keep func(Kind) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for kind := range s.stats {
-		if !keep(kind) {
-			delete(s.stats, kind)
-		}
-	}
+	retain(s.stats, keep)
 }
 
 // statsLocked returns the maximums of a kind. The caller holds s.mu.
@@ -137,7 +127,3 @@
 	}
 	return stats
 }
-
-func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
-}
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -7,6 +7,10 @@
 	answered metrics.Counter
 	// brokenOff counts streams that ended incomplete after their response header was sent.
 	brokenOff metrics.Counter
+	// deadlineRefused counts the streams that were not sent, or not sent again, as they were expected
+	// not to complete in time, and deadlineProbes those that were sent in spite of that.
+	deadlineRefused metrics.Counter
+	deadlineProbes  metrics.Counter
 	// endpointsCrashed counts the requests whose endpoint's process ended.
 	endpointsCrashed metrics.Counter
 	// endpointsDistrusted counts invalid responses of endpoints, endpointsLeft the endpoints that
@@ -48,6 +52,8 @@
 	return counters{
 		answered:            metrics.GetOrRegisterCounter("gateway_answered", r),
 		brokenOff:           metrics.GetOrRegisterCounter("gateway_broken_off", r),
+		deadlineProbes:      metrics.GetOrRegisterCounter("gateway_deadline_probes", r),
+		deadlineRefused:     metrics.GetOrRegisterCounter("gateway_deadline_refused", r),
 		endpointsCrashed:    metrics.GetOrRegisterCounter("gateway_endpoints_crashed", r),
 		endpointsDistrusted: metrics.GetOrRegisterCounter("gateway_endpoints_distrusted", r),
 		failed:              metrics.GetOrRegisterCounter("gateway_failed", r),
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -130,7 +130,7 @@
 		bodyBudget:    newBodyBudget(cfg.Settings.MemoryBytes),
 		cfg:           cfg,
 		counters:      newCounters(registry),
-		forecast:      savorypinforecast.New(),
+		forecast:      savorypinforecast.New(savorypinforecast.Config{Now: time.Now}),
 		log:           cfg.Log,
 		discoveryDone: make(chan struct{}),
 		pool:          savorypinpool.New(savorypinpool.Config{}),
--- a/internal/savorypingateway/stopadmission.go
+++ b/internal/savorypingateway/stopadmission.go
@@ -80,7 +80,9 @@
 	if c == nil {
 		return
 	}
-	g.slowest.Retain(func(kind savorypinforecast.Kind) bool { return c.HasRoute(kind.Route) })
+	keep := func(kind savorypinforecast.Kind) bool { return c.HasRoute(kind.Route) }
+	g.forecast.Retain(keep)
+	g.slowest.Retain(keep)
 }
 
 // stoppingRefusal returns the refusal of a request that another gateway can serve at once.
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -160,8 +160,8 @@
 		if err := s.checkQuarantine(); err != nil {
 			return fmt.Errorf("%w after %w", err, lastErr)
 		}
-		if s.deadlineTooClose() {
-			return fmt.Errorf("%w after %w", errDeadlineTooClose, lastErr)
+		if err := s.checkDeadline(); err != nil {
+			return fmt.Errorf("%w after %w", err, lastErr)
 		}
 		e, restore, err := s.nextEndpoint(ctx)
 		if err != nil {
@@ -181,13 +181,23 @@
 	return lastErr
 }
 
-// deadlineTooClose reports whether the rest of the stream can't complete before its deadline.
-func (s *stream) deadlineTooClose() bool {
+// checkDeadline returns an error if the rest of the stream can't complete before its deadline. Now and then
+// it lets a new stream pass as a probe: if it completes, the estimate was too high.
+func (s *stream) checkDeadline() error {
 	remaining := savorypinforecast.Remaining{Events: s.lastEventID, OutputTokens: s.req.call.OutputTokens}
 	if s.backup == nil && !s.gateway.picker.PromptCached(s.req.call.PromptID) {
 		remaining.PromptTokens = s.req.call.PromptTokens
 	}
-	return s.req.remaining() < s.gateway.forecast.MinDuration(s.req.service.Name(), remaining)
+	needed, left := s.gateway.forecast.MinDuration(s.req.kind(), remaining), s.req.remaining()
+	if needed <= left {
+		return nil
+	}
+	if s.attempts == 0 && s.lastEventID == 0 && s.gateway.forecast.Probe(s.req.kind()) {
+		s.gateway.counters.deadlineProbes.Inc(1)
+		return nil
+	}
+	s.gateway.counters.deadlineRefused.Inc(1)
+	return fmt.Errorf("%w: it takes %s or more, of %s", errDeadlineTooClose, needed.Round(time.Millisecond), left.Round(time.Millisecond))
 }
 
 // recordDuration records the duration of a complete stream.
@@ -208,7 +218,7 @@
 	if !s.fullPrefill {
 		completed.PromptTokens = 0
 	}
-	s.gateway.forecast.Observe(s.req.service.Name(), completed)
+	s.gateway.forecast.Observe(s.req.kind(), completed)
 }
 
 // nextEndpoint returns the endpoint of the next attempt and whether it holds a copy of the run's
