End an attempt for silence only where giving up can gain something

Cause: the watchdog took silence for failure, whether another attempt may follow or not.

Change: a stream that can't be resumed is ended only by its endpoint, its deadline or its caller, also before the first event and while its host is silent, and its half-open connection is kept until the deadline. One that may be resumed moves after the short limit if another attempt, the budget and another endpoint are there; else it is given twice the target latency. A safe plain request is given up early only if it can be sent elsewhere.

--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"savorypin/internal/savorypinadmission"
@@ -68,6 +69,17 @@
 	}
 }
 
+// canRepeat reports whether a request may be sent again, by the retry budget, and there is an endpoint for
+// it, given the IDs of endpoints that are out of the question.
+func (g *Gateway) canRepeat(req *request, excluded map[string]bool) bool {
+	if !g.retryBudgets.forService(req.service.Name()).MayRepeat() {
+		return false
+	}
+	return slices.ContainsFunc(g.candidates(req.service.Name()), func(e *savorypinfleet.Endpoint) bool {
+		return !excluded[e.ID()]
+	})
+}
+
 // canRestore reports whether an endpoint that holds a copy of a run's KV cache may still resume
 // the run.
 func (g *Gateway) canRestore(e *savorypinfleet.Endpoint) bool {
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -39,8 +39,10 @@
 	repeated metrics.Counter
 	requests metrics.Counter
 	// resumed counts the failed attempts of streams that may be followed by another attempt.
-	resumed     metrics.Counter
-	resumeGap   metrics.Timer
+	resumed   metrics.Counter
+	resumeGap metrics.Timer
+	// silentHosts counts the streams that went on although the endpoint's host did not answer.
+	silentHosts metrics.Counter
 	storeCalls  metrics.Counter
 	firstEvent  metrics.Timer
 	plainAnswer metrics.Timer
@@ -74,6 +76,7 @@
 		requests:            metrics.GetOrRegisterCounter("gateway_requests", r),
 		resumed:             metrics.GetOrRegisterCounter("gateway_resumed", r),
 		resumeGap:           metrics.GetOrRegisterTimer("gateway_resume_gap", r),
+		silentHosts:         metrics.GetOrRegisterCounter("gateway_silent_hosts", r),
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
 		unanswered:          metrics.GetOrRegisterCounter("gateway_unanswered", r),
 	}
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -125,6 +125,20 @@
 	g.streams.checkDomain(domain, service)
 }
 
+// connectFor returns a connection to an endpoint for a request. If the request can't be repeated, the
+// connection outlasts the silence of the endpoint's host until the request's deadline: nothing else can
+// bring the response.
+func (g *Gateway) connectFor(ctx context.Context, e *savorypinfleet.Endpoint, req *request) (*savorypinpool.Conn, error) {
+	conn, err := g.connect(ctx, e, req.call.ID)
+	if err != nil || req.route.Retryable() {
+		return conn, err
+	}
+	if err := conn.TolerateSilence(req.remaining()); err != nil {
+		g.log.Debug("setting the keep-alive of a connection failed", "id", req.call.ID, "endpoint", e.ID(), "err", err)
+	}
+	return conn, nil
+}
+
 // noPriority lets the endpoint choose the priority of a request.
 const noPriority = -1
 
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -165,7 +165,7 @@
 		return true
 	}
 	p.tried[e.ID()] = true
-	result := g.attemptPlain(ctx, req, e, p.sent+1 < req.route.MaxAttempts())
+	result := g.attemptPlain(ctx, req, e, p.mayRepeat())
 	if !result.succeeded() {
 		g.logAttempt(req, e, result, p.sent)
 	}
@@ -187,6 +187,11 @@
 	return result.succeeded() || !req.route.Retryable() && result.kind != outcomeNotRun
 }
 
+// mayRepeat reports whether the request may be sent to another endpoint after the current attempt.
+func (p *plainCall) mayRepeat() bool {
+	return p.req.route.Retryable() && p.sent+1 < p.req.route.MaxAttempts() && p.gateway.canRepeat(p.req, p.tried)
+}
+
 // refusal returns the refusal of a request without a response.
 func (p *plainCall) refusal() *refusal {
 	g := p.gateway
--- a/internal/savorypingateway/plainattempt.go
+++ b/internal/savorypingateway/plainattempt.go
@@ -11,13 +11,14 @@
 	"savorypin/internal/savorypinpool"
 )
 
-// attemptPlain sends a request to one endpoint and reads the whole response.
-func (g *Gateway) attemptPlain(ctx context.Context, req *request, e *savorypinfleet.Endpoint, mayRetry bool) *outcome {
+// attemptPlain sends a request to one endpoint and reads the whole response. If another attempt may follow,
+// it gives up in time for that.
+func (g *Gateway) attemptPlain(ctx context.Context, req *request, e *savorypinfleet.Endpoint, mayRepeat bool) *outcome {
 	deadline := req.deadline
-	if mayRetry && req.route.Retryable() {
+	if mayRepeat {
 		deadline = time.Now().Add(attemptTimeout(req.route.TargetLatency(), req.remaining()))
 	}
-	conn, err := g.connect(ctx, e, req.call.ID)
+	conn, err := g.connectFor(ctx, e, req)
 	if err != nil {
 		return &outcome{err: err, kind: outcomeUnsent}
 	}
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -19,7 +19,7 @@
 	g := s.gateway
 	s.tried[e.ID()] = true
 	s.attemptEvents = 0
-	conn, err := g.connect(ctx, e, s.req.call.ID)
+	conn, err := g.connectFor(ctx, e, s.req)
 	if err != nil {
 		return err
 	}
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -26,6 +26,9 @@
 	// maxReportAge is the maximum age of a report: a request that was sent later may be missing
 	// from it.
 	maxReportAge = 600 * time.Millisecond
+	// unresumableInterval is the interval at which the host of a stream is checked that goes on although
+	// its endpoint is silent.
+	unresumableInterval = 2 * time.Second
 	// defaultTargetGap applies if the route has no target gap.
 	defaultTargetGap = time.Second
 	// firstLimitFactor multiplies the target latency to give the time without a first event
@@ -70,7 +73,14 @@
 	// stalledBefore is the number of earlier attempts that were abandoned although their hosts
 	// answered.
 	stalledBefore int
-	timer         *time.Timer
+	// lastAttempt is set if no other attempt may follow.
+	lastAttempt bool
+	// patience is the time without an event after which an attempt is abandoned that can't be resumed
+	// at another endpoint, although the endpoint's host answers.
+	patience time.Duration
+	// silent is set once the endpoint's host did not answer, until the next event.
+	silent atomic.Bool
+	timer  *time.Timer
 }
 
 // newWatchdog starts a watchdog for one attempt of a stream.
@@ -86,12 +96,10 @@
 	}
 	w := &watchdog{
 		conn: conn, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, probe: s.probe != nil, req: req,
+		lastAttempt: s.attempts+1 >= req.route.MaxAttempts(), patience: firstLimitFactor * target,
 		sentAt: time.Now(), stalledBefore: s.stalledAttempts,
 	}
-	w.timeouts.Store(&stallTimeouts{
-		check: time.Duration(firstCheckRatio * float64(target)),
-		limit: time.Duration(firstLimitFactor * float64(target)),
-	})
+	w.timeouts.Store(&stallTimeouts{check: time.Duration(firstCheckRatio * float64(target)), limit: firstLimitFactor * target})
 	w.lastEventAt.Store(time.Now().UnixNano())
 	w.timer = time.AfterFunc(w.timeouts.Load().check, func() { g.log.RunRecovered("check stream", w.check) })
 	g.streams.add(w)
@@ -101,6 +109,7 @@
 // recordEvent resets the timer at a new event. The timeouts between events, which are shorter
 // than those before the first one, apply from now on.
 func (w *watchdog) recordEvent() {
+	w.silent.Store(false)
 	now := time.Now().UnixNano()
 	pause := now - w.lastEventAt.Swap(now)
 	if w.firstEventSeen.Swap(true) && pause > w.longestPause.Load() {
@@ -138,7 +147,8 @@
 
 // check opens a new connection to the endpoint's host, which accepts it even if the endpoint is
 // busy. It abandons the attempt if the host does not accept it, if the engine does not have the
-// request, or if the last event is too long ago.
+// request, or if the last event is too long ago, unless the answer could still come and nothing
+// else would.
 func (w *watchdog) check() {
 	if w.checking.Swap(true) {
 		return
@@ -168,9 +178,31 @@
 		w.timer.Reset(delay)
 		return
 	}
-	w.unreachable.Store(err != nil)
-	w.stalled.Store(err == nil)
-	w.conn.Close()
+	switch {
+	case !w.req.route.Retryable():
+		w.recordSilence(err)
+		w.timer.Reset(unresumableInterval)
+	case err == nil && idle <= w.patience && !w.canMove():
+		w.timer.Reset(min(timeouts.check, max(w.patience-idle, time.Millisecond)))
+	default:
+		w.unreachable.Store(err != nil)
+		w.stalled.Store(err == nil)
+		w.conn.Close()
+	}
+}
+
+// recordSilence marks the endpoint failed if its host did not answer, given the error of the attempt to
+// connect. It does so once for each silence.
+func (w *watchdog) recordSilence(err error) {
+	if err != nil && !w.silent.Swap(true) {
+		w.gateway.counters.silentHosts.Inc(1)
+		w.gateway.markEndpointFailed(w.endpoint, errUnreachable.Error())
+	}
+}
+
+// canMove reports whether the stream can be resumed at another endpoint now.
+func (w *watchdog) canMove() bool {
+	return !w.lastAttempt && w.gateway.canRepeat(w.req, map[string]bool{w.endpoint.ID(): true})
 }
 
 // isMissing reports whether an engine does not have a request, given whether the engine's report
--- a/internal/savorypinlimit/window.go
+++ b/internal/savorypinlimit/window.go
@@ -64,16 +64,29 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.advance()
+	if !b.allowsLocked() {
+		return false
+	}
+	b.repeats[i]++
+	return true
+}
+
+// MayRepeat reports whether the budget allows a repeat now, without counting one.
+func (b *WindowBudget) MayRepeat() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	return b.allowsLocked()
+}
+
+// allowsLocked reports whether the budget allows a repeat. The caller holds b.mu.
+func (b *WindowBudget) allowsLocked() bool {
 	total := b.windowCounts()
 	for _, o := range b.peers {
 		total.First += o.First
 		total.Repeats += o.Repeats
 	}
-	if total.Repeats+1 > b.cfg.Ratio*total.First+b.cfg.Slack*b.slackRatio {
-		return false
-	}
-	b.repeats[i]++
-	return true
+	return total.Repeats+1 <= b.cfg.Ratio*total.First+b.cfg.Slack*b.slackRatio
 }
 
 // Counts returns what this process has sent within the window, without its peers.
--- a/internal/savorypinpool/conn.go
+++ b/internal/savorypinpool/conn.go
@@ -38,6 +38,8 @@
 	// refused are the IDs of the requests that the endpoint refused on this connection.
 	refused []string
 	reused  bool
+	// tolerant is set if the connection outlasts a longer silence of its peer than others.
+	tolerant bool
 }
 
 func newConn(nc net.Conn, address string) *Conn {
@@ -103,6 +105,26 @@
 	return c.nc.SetReadDeadline(t)
 }
 
+// TolerateSilence makes the kernel keep the connection for a time although the peer's host is silent. A
+// host that has restarted meanwhile still ends it, as it resets connections that it doesn't know.
+func (c *Conn) TolerateSilence(d time.Duration) error {
+	count := int((d - keepAliveIdle) / keepAliveInterval)
+	if count <= keepAliveCount {
+		return nil
+	}
+	c.tolerant = true
+	return c.setKeepAliveCount(min(count, maxKeepAliveCount))
+}
+
+// setKeepAliveCount sets the number of unanswered probes after which the kernel ends the connection.
+func (c *Conn) setKeepAliveCount(count int) error {
+	tcp, ok := c.nc.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: count})
+}
+
 // Send writes a request, before the deadline if it is not zero.
 func (c *Conn) Send(r Request, deadline time.Time) error {
 	var buf bytes.Buffer
--- a/internal/savorypinpool/pool.go
+++ b/internal/savorypinpool/pool.go
@@ -30,6 +30,8 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// maxKeepAliveCount is the largest count that the kernel takes.
+	maxKeepAliveCount = 127
 	// sweepInterval is how often expired idle connections are closed.
 	sweepInterval = 2 * time.Second
 )
@@ -155,6 +157,13 @@
 		c.Close()
 		return
 	}
+	if c.tolerant {
+		c.tolerant = false
+		if err := c.setKeepAliveCount(keepAliveCount); err != nil {
+			c.Close()
+			return
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= maxIdle {
--- a/internal/savorypinpool/pool_test.go
+++ b/internal/savorypinpool/pool_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"savorypin/internal/savorypinpool"
 )
@@ -98,6 +99,34 @@
 		})
 	}
 
+	// Guards against a request that can't be repeated and is given up while its endpoint's host is silent.
+	It("outlasts the silence of its peer for as long as it is told, until it is reused", func() {
+		var dialed net.Conn
+		pool := savorypinpool.New(savorypinpool.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			var err error
+			dialed, err = (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return dialed, err
+		}})
+		probes := func() int {
+			raw, err := dialed.(*net.TCPConn).SyscallConn()
+			Expect(err).NotTo(HaveOccurred())
+			count := 0
+			Expect(raw.Control(func(fd uintptr) {
+				count, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
+			})).To(Succeed())
+			Expect(err).NotTo(HaveOccurred())
+			return count
+		}
+		c, err := pool.Open(context.Background(), p.address, 5*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.TolerateSilence(25 * time.Second)).To(Succeed())
+		Expect(probes()).To(Equal(24))
+		Expect(c.TolerateSilence(time.Hour)).To(Succeed())
+		Expect(probes()).To(Equal(127))
+		pool.Put(c, 10*time.Second)
+		Expect(probes()).To(Equal(3))
+	})
+
 	It("is closed by CloseIdle and, after the idle timeout, by Sweep", func() {
 		pool.Put(get(), 10*time.Second)
 		pool.CloseIdle(p.address)
