Count request bodies in the memory of the process

Cause: response bodies have a budget over all requests, request bodies had none; each was copied once more to be sent in one piece with its head.

Change: request bodies share an eighth of the memory; what doesn't fit is refused at once as not run. Bodies above 16 KB are written beside their head.

--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -33,12 +32,12 @@
 // request is an admitted request.
 type request struct {
 	arrived time.Time
-	// bodies holds the buffered response bodies.
-	bodies       bodyReader
-	call         *savorypinfleet.Call
-	organisation string
-	route        *savorypinfleet.Route
-	service      *savorypinfleet.Service
+	// bodies holds the buffered response bodies, upload the request's own.
+	bodies, upload bodyReader
+	call           *savorypinfleet.Call
+	organisation   string
+	route          *savorypinfleet.Route
+	service        *savorypinfleet.Service
 	// deadline is the earlier of the caller's deadline and the end of the route's timeout.
 	deadline time.Time
 
@@ -109,7 +108,9 @@
 	if refused != nil {
 		return nil, refused
 	}
-	req := &request{arrived: arrived, bodies: bodyReader{budget: g.bodyBudget}, call: call, organisation: organisation, route: route}
+	req := &request{arrived: arrived, call: call, organisation: organisation, route: route}
+	req.bodies = bodyReader{budget: g.responseBudget, limit: maxResponseBodyBytes}
+	req.upload = bodyReader{budget: g.requestBudget, limit: maxRequestBodyBytes(c.Limits())}
 	req.deadline = arrived.Add(requestTimeout(call, route))
 	name := chooseService(route.Shares())
 	req.service = c.Service(name)
@@ -119,7 +120,8 @@
 	if !g.acceptsWhileStopping(req) {
 		return nil, stoppingRefusal()
 	}
-	if refused := g.readBody(w, r, call, c.Limits()); refused != nil {
+	if refused := readBody(w, r, req); refused != nil {
+		req.release()
 		if r.Context().Err() != nil {
 			return nil, nil
 		}
@@ -127,6 +129,7 @@
 	}
 	// The shutdown may have begun, or gone on, while the body was on its way.
 	if !g.acceptsWhileStopping(req) {
+		req.release()
 		return nil, stoppingRefusal()
 	}
 	return req, nil
@@ -171,27 +174,39 @@
 	return ok && age < s.RevocationDelay
 }
 
+// maxRequestBodyBytes returns the maximum number of bytes of a request body.
+func maxRequestBodyBytes(limits savorypinfleet.Limits) int64 {
+	if limits.MaxBodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return limits.MaxBodyBytes
+}
+
 // readBody reads the whole request body, so that only complete requests are forwarded.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, call *savorypinfleet.Call, limits savorypinfleet.Limits) *refusal {
+func readBody(w http.ResponseWriter, r *http.Request, req *request) *refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
-	limit := limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := req.upload.readSized(http.MaxBytesReader(w, r.Body, req.upload.limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, errBodyBudget):
+		return notRunRefusal("no memory for the body", otherGatewayRetryDelay)
+	case errors.Is(err, errBodyTooLong), errors.As(err, &tooLarge):
 		return &refusal{reason: "body is too large", status: http.StatusRequestEntityTooLarge}
 	case err != nil:
 		return &refusal{reason: "body can't be read", status: http.StatusBadRequest}
 	}
-	call.Body = body
+	req.call.Body = body
 	return nil
 }
 
+// release returns the memory of the request's bodies to their budgets.
+func (r *request) release() {
+	r.bodies.release()
+	r.upload.release()
+}
+
 // chooseService chooses a service at random by the weights of a route's shares.
 func chooseService(shares []savorypinfleet.Share) string {
 	if len(shares) == 1 {
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -84,8 +84,9 @@
 	abandoned abandonedAttempts
 	// livePeers are the addresses of the other gateways that were live at the last sweep.
 	livePeers map[string]bool
-	// bodyBudget limits the memory of buffered response bodies.
-	bodyBudget   *bodyBudget
+	// requestBudget and responseBudget limit the memory of buffered bodies.
+	requestBudget, responseBudget *bodyBudget
+
 	retryBudgets *retryBudgets
 	cfg          Config
 	counters     counters
@@ -127,16 +128,17 @@
 func New(cfg Config) *Gateway {
 	registry := metrics.NewRegistry()
 	g := &Gateway{
-		bodyBudget:    newBodyBudget(cfg.Settings.MemoryBytes),
-		cfg:           cfg,
-		counters:      newCounters(registry),
-		forecast:      savorypinforecast.New(savorypinforecast.Config{Now: time.Now}),
-		log:           cfg.Log,
-		discoveryDone: make(chan struct{}),
-		pool:          savorypinpool.New(savorypinpool.Config{}),
-		registry:      registry,
-		sealer:        savorypinseal.New(cfg.Settings.PeerKeys...),
-		slowest:       savorypinforecast.NewSlowest(),
+		requestBudget:  newBodyBudget(cfg.Settings.MemoryBytes, requestMemoryRatio),
+		responseBudget: newBodyBudget(cfg.Settings.MemoryBytes, responseMemoryRatio),
+		cfg:            cfg,
+		counters:       newCounters(registry),
+		forecast:       savorypinforecast.New(savorypinforecast.Config{Now: time.Now}),
+		log:            cfg.Log,
+		discoveryDone:  make(chan struct{}),
+		pool:           savorypinpool.New(savorypinpool.Config{}),
+		registry:       registry,
+		sealer:         savorypinseal.New(cfg.Settings.PeerKeys...),
+		slowest:        savorypinforecast.NewSlowest(),
 	}
 	g.exiting, g.exit = context.WithCancel(context.Background())
 	g.settings.Store(&cfg.Settings)
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	defer g.setWriteDeadline(w, req.deadline)()
-	defer req.bodies.release()
+	defer req.release()
 	result, refused := g.tryPlain(ctx, req)
 	if callerLeft(r) {
 		g.logCallerLeft(req)
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	defer g.setWriteDeadline(w, req.deadline)()
-	defer req.bodies.release()
+	defer req.release()
 	s := &stream{
 		gateway: g, lastEventAt: req.arrived, lastEventID: req.call.LastEvent(), rc: http.NewResponseController(w), req: req,
 		tried: map[string]bool{}, w: w,
--- a/internal/savorypinpool/conn.go
+++ b/internal/savorypinpool/conn.go
@@ -16,13 +16,18 @@
 	"golang.org/x/sys/unix"
 )
 
-// Settings of reads.
+// Settings of reads and writes.
 const (
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 	// maxHeadBytes is the maximum size of a response head, including all interim
 	// responses before it.
 	maxHeadBytes = 64 << 10
+	// headBytes is the usual size of a request's head.
+	headBytes = 1 << 10
+	// maxCopiedBytes is the size of a request body up to which it is copied, to be sent with its head in
+	// one piece.
+	maxCopiedBytes = 16 << 10
 	// maxRefusals is the number of refusals after which a connection isn't used again.
 	maxRefusals = 32
 )
@@ -128,7 +133,10 @@
 // Send writes a request, before the deadline if it is not zero.
 func (c *Conn) Send(r Request, deadline time.Time) error {
 	var buf bytes.Buffer
-	buf.Grow(len(r.Body) + 1024)
+	copied := len(r.Body) <= maxCopiedBytes
+	if copied {
+		buf.Grow(len(r.Body) + headBytes)
+	}
 	buf.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&buf); err != nil {
 		return fmt.Errorf("write request head: %w", err)
@@ -137,11 +145,15 @@
 		buf.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	buf.WriteString("\r\n")
-	buf.Write(r.Body)
+	parts := net.Buffers{buf.Bytes(), r.Body}
+	if copied {
+		buf.Write(r.Body)
+		parts = net.Buffers{buf.Bytes()}
+	}
 	if err := c.nc.SetWriteDeadline(deadline); err != nil {
 		return fmt.Errorf("set write deadline: %w", err)
 	}
-	if _, err := c.nc.Write(buf.Bytes()); err != nil {
+	if _, err := parts.WriteTo(c.nc); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
 	return nil
