Split the engine's report and uploads into files of their own, and end stopped watchdogs

watchdog.go held the requests of reports beside its decisions, admit.go the reading of bodies beside admission. A watchdog whose check was under way when its attempt ended set its timer once more; it now knows that it has ended.

--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -1,7 +1,6 @@
 package savorypingateway
 
 import (
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -26,9 +25,6 @@
 // defaultTimeout limits a request if neither its route nor its caller does.
 const defaultTimeout = time.Minute
 
-// defaultMaxBodyBytes limits a request body if the configuration does not.
-const defaultMaxBodyBytes = 4 << 20
-
 // request is an admitted request.
 type request struct {
 	arrived time.Time
@@ -174,33 +170,6 @@
 	return ok && age < s.RevocationDelay
 }
 
-// maxRequestBodyBytes returns the maximum number of bytes of a request body.
-func maxRequestBodyBytes(limits savorypinfleet.Limits) int64 {
-	if limits.MaxBodyBytes <= 0 {
-		return defaultMaxBodyBytes
-	}
-	return limits.MaxBodyBytes
-}
-
-// readBody reads the whole request body, so that only complete requests are forwarded.
-func readBody(w http.ResponseWriter, r *http.Request, req *request) *refusal {
-	if r.ContentLength == 0 {
-		return nil
-	}
-	body, err := req.upload.readSized(http.MaxBytesReader(w, r.Body, req.upload.limit), r.ContentLength)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, errBodyBudget):
-		return notRunRefusal("no memory for the body", otherGatewayRetryDelay)
-	case errors.Is(err, errBodyTooLong), errors.As(err, &tooLarge):
-		return &refusal{reason: "body is too large", status: http.StatusRequestEntityTooLarge}
-	case err != nil:
-		return &refusal{reason: "body can't be read", status: http.StatusBadRequest}
-	}
-	req.call.Body = body
-	return nil
-}
-
 // release returns the memory of the request's bodies to their budgets.
 func (r *request) release() {
 	r.bodies.release()
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,19 +9,12 @@
 	"savorypin/internal/savorypinpool"
 )
 
-// Time and size limits of the checks of a stream.
+// Times of the checks of a stream.
 const (
 	// firstCheckRatio is the fraction of the target latency after which an endpoint that has
 	// sent no event is asked for a report of its requests: the prefill of a prompt takes about as
 	// long.
 	firstCheckRatio = 0.35
-	// reportTimeout limits the time of a report.
-	reportTimeout = 400 * time.Millisecond
-	// maxReportBytes limits the size of a report.
-	maxReportBytes = 1 << 20
-	// maxReportAge is the maximum age of a report: a request that was sent later may be missing
-	// from it.
-	maxReportAge = 600 * time.Millisecond
 	// unresumableInterval is the interval at which the host of a stream is checked that goes on although
 	// its endpoint is silent.
 	unresumableInterval = 2 * time.Second
@@ -66,6 +55,8 @@
 	// if it did answer but the stream made no progress.
 	unreachable atomic.Bool
 	stalled     atomic.Bool
+	// stopped is set once the attempt has ended.
+	stopped atomic.Bool
 	// paused is set while an event is being written to the caller.
 	paused atomic.Bool
 	// sentAt is when the request was sent.
@@ -136,6 +127,7 @@
 
 // stop ends the watchdog.
 func (w *watchdog) stop() {
+	w.stopped.Store(true)
 	w.timer.Stop()
 	w.gateway.streams.remove(w)
 }
@@ -154,7 +146,7 @@
 		return
 	}
 	defer w.checking.Store(false)
-	if w.ctx.Err() != nil {
+	if w.ended() {
 		return
 	}
 	lastEvent := w.lastEventAt.Load()
@@ -162,7 +154,7 @@
 	reported := err == nil && w.mayHaveRequest(conn)
 	sinceSent := time.Since(w.sentAt)
 	healthy := err == nil && !isMissing(reported, sinceSent)
-	if w.lastEventAt.Load() != lastEvent || w.ctx.Err() != nil {
+	if w.lastEventAt.Load() != lastEvent || w.ended() {
 		return
 	}
 	idle := time.Since(time.Unix(0, lastEvent))
@@ -191,6 +183,11 @@
 	}
 }
 
+// ended reports whether the attempt or its request has ended.
+func (w *watchdog) ended() bool {
+	return w.stopped.Load() || w.ctx.Err() != nil
+}
+
 // recordSilence marks the endpoint failed if its host did not answer, given the error of the attempt to
 // connect. It does so once for each silence.
 func (w *watchdog) recordSilence(err error) {
@@ -204,56 +201,3 @@
 func (w *watchdog) canMove() bool {
 	return !w.lastAttempt && w.gateway.canRepeat(w.req, map[string]bool{w.endpoint.ID(): true})
 }
-
-// isMissing reports whether an engine does not have a request, given whether the engine's report
-// includes or may include it, and the time since it was sent. Reports lag behind: when a failure
-// domain is lost, all streams there are checked at once, including those that were just sent.
-func isMissing(reported bool, sinceSent time.Duration) bool {
-	return !reported && sinceSent >= maxReportAge
-}
-
-// mayHaveRequest reports whether the engine has the request, or may have it among those that its
-// report counts but does not name. It takes ownership of the connection. After the first event it
-// returns true without a report: the engine may still run a request whose response is lost, so
-// that only the timeouts decide. It does the same during a pause that the endpoint asked for, and
-// if the endpoint has a limit on requests.
-func (w *watchdog) mayHaveRequest(conn *savorypinpool.Conn) bool {
-	if w.firstEventSeen.Load() || w.gateway.admission.Paused(w.endpoint) || w.gateway.endpointLimits.Limited(w.endpoint.IncarnationHash()) {
-		w.gateway.pool.Put(conn, 0)
-		return true
-	}
-	report, keepAlive, err := w.gateway.fetchReport(conn, w.endpoint)
-	if err != nil {
-		conn.Close()
-		w.gateway.log.Debug("requesting the engine's report failed", "id", w.req.call.ID, "endpoint", w.endpoint.ID(), "err", err)
-		return false
-	}
-	w.gateway.pool.Put(conn, keepAlive)
-	return report.Pending > 0 || slices.Contains(report.Running, w.req.call.ID)
-}
-
-// fetchReport requests an engine's report of its requests and the keep-alive of the connection.
-func (g *Gateway) fetchReport(conn *savorypinpool.Conn, e *savorypinfleet.Endpoint) (savorypinfleet.EngineReport, time.Duration, error) {
-	deadline := time.Now().Add(reportTimeout)
-	req := savorypinpool.Request{Header: http.Header{}, Host: e.Address(), Method: http.MethodGet, URI: g.cfg.Codec.ReportPath}
-	if err := conn.Send(req, deadline); err != nil {
-		return savorypinfleet.EngineReport{}, 0, err
-	}
-	if err := conn.SetReadDeadline(deadline); err != nil {
-		return savorypinfleet.EngineReport{}, 0, err
-	}
-	resp, err := conn.Receive(http.MethodGet)
-	if err != nil {
-		return savorypinfleet.EngineReport{}, 0, err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
-	if err != nil {
-		return savorypinfleet.EngineReport{}, 0, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return savorypinfleet.EngineReport{}, 0, fmt.Errorf("report: status %d", resp.StatusCode)
-	}
-	report, err := g.cfg.Codec.DecodeReport(data)
-	return report, g.cfg.Codec.DecodeReply(resp).KeepAlive, err
-}
