Reserve the memory of an upload as it arrives

Now a length that doesn't fit is refused at once, and memory is taken as the body comes.

Test: "that are only announced keep no memory from others" (platform): 20 of 1 MiB announced at a budget of 2 MiB, and an upload beside them is served.

--- a/internal/savorypingateway/bodybudget.go
+++ b/internal/savorypingateway/bodybudget.go
@@ -61,33 +61,24 @@
 	reserved int64
 }
 
-// readSized reads a body whose length is known; it is negative if it isn't. It reserves the memory before
-// it reads anything. The error wraps errBodyTooLong if the body exceeds a limit, and errBodyBudget too if
-// that is the limit of all bodies.
-func (b *bodyReader) readSized(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return b.read(r)
-	}
+// unknownLength is the length of a body whose head doesn't name it.
+const unknownLength = -1
+
+// read reads a whole body, given its length or unknownLength. The error wraps errBodyTooLong if the body
+// exceeds a limit, and errBodyBudget too if that is the limit of all bodies. A length that exceeds it is
+// refused before anything is read; the memory is reserved as the body arrives, so that a slow one doesn't
+// keep it from others.
+func (b *bodyReader) read(r io.Reader, length int64) ([]byte, error) {
 	if length > b.limit {
 		return nil, fmt.Errorf("%w: %d bytes", errBodyTooLong, length)
 	}
-	if err := b.reserve(length); err != nil {
-		return nil, err
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, err
+	if length > b.budget.remaining.Load() {
+		return nil, fmt.Errorf("%w: %w: %d bytes", errBodyTooLong, errBodyBudget, length)
 	}
-	return body, nil
-}
-
-// read reads a whole body. The error wraps errBodyTooLong if the body exceeds a limit, and errBodyBudget
-// too if that is the limit of all bodies.
-func (b *bodyReader) read(r io.Reader) ([]byte, error) {
 	var body []byte
-	for {
+	for int64(len(body)) != length {
 		if len(body) == cap(body) {
-			grown, err := b.grow(body)
+			grown, err := b.grow(body, length)
 			if err != nil {
 				return nil, err
 			}
@@ -95,25 +86,32 @@
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF) && length > int64(len(body)):
+			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
 			return body, nil
-		}
-		if err != nil {
+		case err != nil:
 			return nil, savorypinpool.ClassifyReadError(err)
 		}
 	}
+	return body, nil
 }
 
-// grow returns a copy of a body with a larger capacity.
-func (b *bodyReader) grow(body []byte) ([]byte, error) {
-	growth := int(min(int64(max(minBodyGrowth, len(body))), b.limit+1-int64(len(body))))
+// grow returns a copy of a body with a larger capacity, up to its length if that is known.
+func (b *bodyReader) grow(body []byte, length int64) ([]byte, error) {
+	end := b.limit + 1
+	if length != unknownLength {
+		end = length
+	}
+	growth := min(int64(max(minBodyGrowth, len(body))), end-int64(len(body)))
 	if growth <= 0 {
 		return nil, fmt.Errorf("%w: over %d bytes", errBodyTooLong, b.limit)
 	}
-	if err := b.reserve(int64(growth)); err != nil {
+	if err := b.reserve(growth); err != nil {
 		return nil, err
 	}
-	grown := make([]byte, len(body), len(body)+growth)
+	grown := make([]byte, len(body), len(body)+int(growth))
 	copy(grown, body)
 	return grown, nil
 }
--- a/internal/savorypingateway/plainattempt.go
+++ b/internal/savorypingateway/plainattempt.go
@@ -120,7 +120,7 @@
 		return unknown(err)
 	}
 	defer resp.Body.Close()
-	body, err := req.bodies.read(resp.Body)
+	body, err := req.bodies.read(resp.Body, unknownLength)
 	if err != nil {
 		return unknown(err)
 	}
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -145,7 +145,7 @@
 	if err := conn.SetReadDeadline(time.Now().Add(failureReadTimeout)); err != nil {
 		return err
 	}
-	body, err := s.req.bodies.read(resp.Body)
+	body, err := s.req.bodies.read(resp.Body, unknownLength)
 	if err != nil {
 		return err
 	}
--- a/internal/savorypingateway/upload.go
+++ b/internal/savorypingateway/upload.go
@@ -23,7 +23,7 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	body, err := req.upload.readSized(http.MaxBytesReader(w, r.Body, req.upload.limit), r.ContentLength)
+	body, err := req.upload.read(http.MaxBytesReader(w, r.Body, req.upload.limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errBodyBudget):
