Reserve engine memory for streams, and send their priority to the engine

Engines of a service with streams of several priorities ran out of memory in bursts: copies of running streams took as much memory as the streams, several gateways chose the same idle engine for them, and no gateway counted what was placed.

Each attempt now reserves the tokens of its prompt and its largest response at its endpoint, and at that of its copy. The load reports of gateways carry the sums, in blocks of 256 tokens. A stream goes to an engine with memory left if there is one. Copies take a part of an engine's memory that follows the risk of the stream's failure domain, and none under load while no domain is expected to fail. The engine gets a rank of the priority, the organisation's before the route's, resumed streams before new ones. Where all streams of a service have one priority nothing changes.

A caller could name any number of tokens; those beyond their bounds now count as unknown, and no request reserves more than an engine holds.

--- a/internal/savorypinfleet/configuration.go
+++ b/internal/savorypinfleet/configuration.go
@@ -107,7 +107,9 @@
 	// Backups says that engines can copy the KV cache of a running generation to another
 	// engine.
 	Backups bool
-	Name    string
+	// MemoryTokens is the number of tokens that the KV memory of an engine holds; zero if unknown.
+	MemoryTokens int
+	Name         string
 }
 
 // Service is a set of endpoints that serve the same requests.
@@ -124,6 +126,9 @@
 // engine.
 func (s *Service) Backups() bool { return s.cfg.Backups }
 
+// MemoryTokens returns the number of tokens that the KV memory of an engine holds; zero if unknown.
+func (s *Service) MemoryTokens() int { return max(0, s.cfg.MemoryTokens) }
+
 // Name returns the name of the service.
 func (s *Service) Name() string { return s.cfg.Name }
 
@@ -159,9 +164,11 @@
 	byHost      map[string][]*Route
 	requiresKey bool
 	limits      Limits
-	routeNames  map[string]bool
-	services    map[string]*Service
-	version     int64
+	// priorities are the distinct priorities of the streams to each service, in ascending order.
+	priorities map[string][]int
+	routeNames map[string]bool
+	services   map[string]*Service
+	version    int64
 }
 
 // NewConfiguration returns a Configuration that is indexed for lookups by requests.
@@ -171,6 +178,7 @@
 		byHost:      map[string][]*Route{},
 		requiresKey: len(cfg.Organisations) > 0,
 		limits:      cfg.Limits,
+		priorities:  streamPriorities(cfg),
 		routeNames:  map[string]bool{},
 		services:    map[string]*Service{},
 		version:     cfg.Version,
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -32,6 +32,7 @@
 	bodies, upload bodyReader
 	call           *savorypinfleet.Call
 	organisation   string
+	priority       priority
 	route          *savorypinfleet.Route
 	service        *savorypinfleet.Service
 	// deadline is the earlier of the caller's deadline and the end of the route's timeout.
@@ -113,6 +114,7 @@
 	if req.service == nil {
 		req.service = savorypinfleet.NewService(savorypinfleet.ServiceConfig{Name: name})
 	}
+	req.priority = newPriority(c, req)
 	if !g.acceptsWhileStopping(req) {
 		return nil, stoppingRefusal()
 	}
--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -65,7 +65,8 @@
 		Excluded:     tried,
 		PromptID:     req.call.PromptID,
 		PromptTokens: req.call.PromptTokens,
-		Plain:        req.route.Kind() != savorypinfleet.RouteStreaming,
+		MemoryTokens: req.memoryTokens(), ReserveTokens: req.reserveTokens(),
+		Plain: req.route.Kind() != savorypinfleet.RouteStreaming,
 	}
 }
 
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -139,9 +139,6 @@
 	return conn, nil
 }
 
-// noPriority lets the endpoint choose the priority of a request.
-const noPriority = -1
-
 // connect returns a connection to an endpoint for a request with an ID. If none can be made in time,
 // the endpoint is marked failed.
 func (g *Gateway) connect(ctx context.Context, e *savorypinfleet.Endpoint, id string) (*savorypinpool.Conn, error) {
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -16,8 +16,6 @@
 
 // Parameters of streams.
 const (
-	// resumePriority gives streams that have begun priority over new ones.
-	resumePriority = 1
 	// endpointRetryInterval is the time between two attempts to choose an endpoint.
 	endpointRetryInterval = 50 * time.Millisecond
 	// failureReadTimeout limits the time to read the body of an endpoint's error response.
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -39,6 +39,7 @@
 	s.fullPrefill = tokens > 0
 	waiting := g.picker.WaitingTokens(e)
 	work := g.picker.Begin(e, backup, tokens)
+	work.Reserve(s.req.reserveTokens())
 	defer work.End()
 	w := g.newWatchdog(ctx, s, e, conn)
 	defer w.stop()
@@ -46,10 +47,7 @@
 	s.sequel = s.attempts > 1 || g.suspects(s.req)
 	a := savorypinfleet.Attempt{
 		Backup: backup, Call: s.req.call, Deadline: s.req.remaining(), Endpoint: e, LastEventID: s.lastEventHeader(),
-		Organisation: s.req.organisation, Priority: noPriority, RestoreFromBackup: restore,
-	}
-	if s.lastEventID > 0 {
-		a.Priority = resumePriority
+		Organisation: s.req.organisation, Priority: s.req.priority.forAttempt(s.lastEventID > 0), RestoreFromBackup: restore,
 	}
 	s.logSent(a, waiting)
 	start := time.Now()
--- a/internal/savorypinpick/gossip.go
+++ b/internal/savorypinpick/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -26,6 +27,36 @@
 	Running   int64    `msgpack:"r"`
 	// Waiting is the number of prompt tokens still to be prefilled.
 	Waiting int64 `msgpack:"w,omitempty"`
+	// Memory is the KV memory that is reserved there; nil for none. It comes last, as gateways of
+	// earlier releases don't send it.
+	Memory *MemoryLoad `msgpack:"m,omitempty"`
+}
+
+// memoryBlock is the unit of a MemoryLoad in tokens. A load takes part in most messages, so that it
+// has to be small.
+const memoryBlock = 256
+
+// MemoryLoad is the KV memory that a gateway has reserved at an endpoint, in blocks of 256 tokens.
+type MemoryLoad struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes the struct as an array, without field names
+	// Copies is reserved for copies of requests that run elsewhere, Requests for requests that are
+	// sent to the endpoint.
+	Copies   uint16 `msgpack:"c"`
+	Requests uint16 `msgpack:"r"`
+}
+
+// memoryLoad returns what this gateway has reserved at an endpoint; nil for nothing.
+func (s *endpointState) memoryLoad() *MemoryLoad {
+	copied, reserved := s.copied.Load(), s.reserved.Load()
+	if copied <= 0 && reserved <= 0 {
+		return nil
+	}
+	return &MemoryLoad{Copies: memoryBlocks(copied), Requests: memoryBlocks(reserved)}
+}
+
+// memoryBlocks returns a number of tokens in blocks, rounded up.
+func memoryBlocks(tokens int64) uint16 {
+	return uint16(min(math.MaxUint16, max(0, tokens+memoryBlock-1)/memoryBlock))
 }
 
 // Failure is a failure of a service's endpoints in a domain, as gateways exchange it.
@@ -123,10 +154,12 @@
 	var loads []Load
 	p.states.Range(func(id, value any) bool {
 		state := value.(*endpointState)
-		if running := state.running.Load(); running > 0 && !state.plain.Load() {
+		running, memory := state.running.Load(), state.memoryLoad()
+		if (running > 0 || memory != nil) && !state.plain.Load() {
 			promptIDs := prompts[id.(string)]
 			loads = append(loads, Load{
 				Endpoint: id.(string), PromptIDs: promptIDs[:min(len(promptIDs), maxPromptsPerLoad)], Running: running, Waiting: state.waitingTokens.Load(),
+				Memory: memory,
 			})
 		}
 		return true
@@ -158,6 +191,10 @@
 	state := p.stateByID(l.Endpoint)
 	state.remoteRunning.Add(sign * l.Running)
 	state.remoteWaitingTokens.Add(sign * l.Waiting)
+	if l.Memory != nil {
+		state.remoteReserved.Add(sign * memoryBlock * int64(l.Memory.Requests))
+		state.remoteCopied.Add(sign * memoryBlock * int64(l.Memory.Copies))
+	}
 }
 
 // RetainGateways removes the loads of gateways that are not in live.
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -42,9 +42,6 @@
 	// scoreMarginTokens is the score difference, in tokens, up to which endpoints count
 	// as equal. It equals the score of one running request.
 	scoreMarginTokens = 400
-	// backupRiskWeight is the score of a failure risk of 1 in the selection of an endpoint
-	// for a backup. Each backup that it keeps and each request that it runs score 1.
-	backupRiskWeight = 4
 	// initialStreamDuration is the average stream duration assumed before any stream has
 	// completed, and initialPrefillDuration the average prefill duration.
 	initialStreamDuration  = 6 * time.Second
@@ -92,6 +89,12 @@
 // epoch, zero for none.
 type endpointState struct {
 	backups atomic.Int64
+	// copied and reserved are the KV memory in tokens that this gateway has reserved for copies and
+	// for requests; remoteCopied and remoteReserved are those of the other gateways.
+	copied         atomic.Int64
+	remoteCopied   atomic.Int64
+	remoteReserved atomic.Int64
+	reserved       atomic.Int64
 	// failedAt is when the endpoint or its domain last failed, unless the endpoint has
 	// answered since. replacedAt is when another incarnation answered at its address.
 	failedAt    atomic.Int64
@@ -177,12 +180,18 @@
 	BackedUp bool
 	// Excluded holds the IDs of endpoints that must not be selected.
 	Excluded map[string]bool
+	// MemoryTokens is the size of the KV memory of the service's engines in tokens; zero if it is
+	// unknown or not to be limited.
+	MemoryTokens int
 	// Plain is true if the response is not a stream.
 	Plain bool
 	// PromptID is the ID of the last part of the prompt; empty if unknown.
 	PromptID string
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
+	// ReserveTokens is the number of tokens of KV memory that the request needs at most: those of
+	// its prompt and of its response.
+	ReserveTokens int
 }
 
 // Choose returns the endpoint with the best score, or nil if there is none. The score
@@ -216,9 +225,15 @@
 	if cached := p.cachedEndpoint(allowed, q.PromptID); cached != nil {
 		sample = append(sample, cached)
 	}
-	return firstEndpoint(lowestScored(sample, scoreMarginTokens, func(e *savorypinfleet.Endpoint) float64 {
+	score := func(e *savorypinfleet.Endpoint) float64 {
 		return p.streamScore(e, q, risks) + p.suspectPenalty(e, now)
-	}))
+	}
+	best := firstEndpoint(lowestScored(sample, scoreMarginTokens, score))
+	if best == nil || p.Fits(best, q) {
+		return best
+	}
+	// None in the sample has memory left, but another endpoint may.
+	return firstEndpoint(lowestScored(allowed, scoreMarginTokens, score))
 }
 
 // allowed returns the endpoints that are not excluded.
@@ -270,36 +285,6 @@
 	average.Store(old + int64(durationWeight*float64(int64(d)-old)))
 }
 
-// ChooseBackup returns the endpoint that keeps a backup of the KV cache of a request on
-// primary: one with few backups and requests in another failure domain with a low
-// failure risk. Endpoints that may be lost are used only if there are no others. It
-// returns nil if all endpoints in other domains are suspect.
-func (p *Picker) ChooseBackup(primary *savorypinfleet.Endpoint, q Query) *savorypinfleet.Endpoint {
-	now := p.cfg.Now()
-	risks := p.risks(now)
-	var eligible, possiblyLost []*savorypinfleet.Endpoint
-	for _, e := range q.allowed(q.Candidates) {
-		switch {
-		case e.Domain() == primary.Domain() || p.suspect(e, now):
-		case p.possiblyLost(e):
-			possiblyLost = append(possiblyLost, e)
-		default:
-			eligible = append(eligible, e)
-		}
-	}
-	if len(eligible) == 0 {
-		eligible = possiblyLost
-	}
-	return randomEndpoint(lowestScored(eligible, 0, func(e *savorypinfleet.Endpoint) float64 {
-		state := p.state(e)
-		s := float64(state.backups.Load()) + p.runningRequests(state) + backupRiskWeight*risks[e.Domain()]
-		if p.cfg.Regions[e.Domain()] != p.cfg.Region {
-			s++
-		}
-		return s
-	}))
-}
-
 // WaitingTokens returns the number of prompt tokens known to wait at an endpoint, over
 // all gateways.
 func (p *Picker) WaitingTokens(e *savorypinfleet.Endpoint) int {
@@ -323,5 +308,5 @@
 
 // idle reports whether no gateway has work at the endpoint.
 func (s *endpointState) idle() bool {
-	return s.backups.Load() == 0 && s.running.Load() == 0 && s.remoteRunning.Load() == 0
+	return s.backups.Load() == 0 && s.running.Load() == 0 && s.remoteRunning.Load() == 0 && s.reservedMemory().total() == 0
 }
--- a/internal/savorypinpick/picker_test.go
+++ b/internal/savorypinpick/picker_test.go
@@ -32,11 +32,14 @@
 	f.storeOutage = true
 }
 
-func newFleet() *fleet {
+func newFleet() *fleet { return newFleetOfGateways(1) }
+
+// newFleetOfGateways returns a fleet whose requests are placed by a number of gateways.
+func newFleetOfGateways(gateways int) *fleet {
 	f := &fleet{now: time.Unix(1000, 0)}
 	regions := map[string]string{"a": "near", "b": "near", "c": "far"}
 	f.picker = savorypinpick.New(savorypinpick.Config{
-		Gateways: func() int { return 1 },
+		Gateways: func() int { return gateways },
 		ListConfirmedAt: func() time.Time {
 			if f.storeOutage {
 				return f.listConfirmedAt
--- a/internal/savorypinpick/score.go
+++ b/internal/savorypinpick/score.go
@@ -84,6 +84,7 @@
 	state := p.state(e)
 	s := float64(state.waitingTokens.Load()+state.remoteWaitingTokens.Load()) + p.runningRequests(state)*runningRequestTokens
 	s += risks[e.Domain()] * p.exposedFraction(q) * float64(q.PromptTokens)
+	s += overcommitWeight * q.overcommitted(state)
 	if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 		s += crossRegionPenaltyTokens
 	}
--- a/internal/savorypinpick/work.go
+++ b/internal/savorypinpick/work.go
@@ -7,13 +7,19 @@
 	"savorypin/internal/savorypinfleet"
 )
 
+// maxWaitingTokens bounds the prompt tokens that a request adds to those waiting at an endpoint, in case
+// its caller names an implausible number.
+const maxWaitingTokens = 1 << 20
+
 // Work is one request at one endpoint, from sending it to its end.
 type Work struct {
-	backup        *endpointState
-	startedAt     time.Time
-	ended         atomic.Bool
-	endpoint      *endpointState
-	picker        *Picker
+	backup    *endpointState
+	startedAt time.Time
+	ended     atomic.Bool
+	endpoint  *endpointState
+	picker    *Picker
+	// reserved is the number of tokens of KV memory reserved at the endpoint, and for the backup.
+	reserved      int64
 	waitingTokens int64
 }
 
@@ -26,7 +32,7 @@
 // Begin records that a request is sent to e whose prompt has the given number of tokens
 // to prefill, and that backup keeps a copy of its KV cache; backup may be nil.
 func (p *Picker) Begin(e, backup *savorypinfleet.Endpoint, tokens int) *Work {
-	w := &Work{startedAt: p.cfg.Now(), endpoint: p.state(e), picker: p, waitingTokens: int64(tokens)}
+	w := &Work{startedAt: p.cfg.Now(), endpoint: p.state(e), picker: p, waitingTokens: min(maxWaitingTokens, int64(tokens))}
 	w.endpoint.running.Add(1)
 	w.endpoint.waitingTokens.Add(w.waitingTokens)
 	if backup != nil {
@@ -57,6 +63,7 @@
 	}
 	w.clearWaiting()
 	w.endpoint.running.Add(-1)
+	w.releaseMemory()
 	if w.backup != nil {
 		w.backup.backups.Add(-1)
 	}
