Use suspect endpoints with memory left while most are suspect

A gateway that is cut off suspects most endpoints and tells the others when it is back.

Where memory is limited, the samples of streams and of copies now contain suspect endpoints, so that each endpoint is in a few of them, and a suspect endpoint is a choice if most of the sample are. A stream that doesn't fit in its sample goes to a sample of those that it fits into, instead of the first of all.

--- a/internal/savorypinpick/backup.go
+++ b/internal/savorypinpick/backup.go
@@ -1,8 +1,6 @@
 package savorypinpick
 
 import (
-	"time"
-
 	"savorypin/internal/savorypinfleet"
 )
 
@@ -35,10 +33,9 @@
 	risks := p.risks(now)
 	limits := newCopyLimits(risks, primary.Domain(), q)
 	var eligible, possiblyLost []*savorypinfleet.Endpoint
-	for _, e := range q.allowed(q.Candidates) {
+	for _, e := range p.backupSample(primary, q) {
 		switch {
-		case e.Domain() == primary.Domain() || p.suspect(e, now):
-		case !limits.allow(p.state(e)):
+		case p.suspect(e, now) || !limits.allow(p.state(e)):
 		case p.possiblyLost(e):
 			possiblyLost = append(possiblyLost, e)
 		default:
@@ -48,19 +45,25 @@
 	if len(eligible) == 0 {
 		eligible = possiblyLost
 	}
-	return randomEndpoint(lowestScored(p.backupSample(eligible, q, now), 0, func(e *savorypinfleet.Endpoint) float64 {
+	return randomEndpoint(lowestScored(eligible, 0, func(e *savorypinfleet.Endpoint) float64 {
 		return p.backupScore(e, q, risks)
 	}))
 }
 
-// backupSample returns the endpoints to score. If memory is limited, it is a sample, as in
-// chooseStream: otherwise all gateways select the same idle endpoint before they receive each other's
-// load reports.
-func (p *Picker) backupSample(eligible []*savorypinfleet.Endpoint, q Query, now time.Time) []*savorypinfleet.Endpoint {
-	if q.MemoryTokens <= 0 || len(eligible) == 0 {
-		return eligible
+// backupSample returns the endpoints in other failure domains to select from. If memory is limited, it
+// is a sample, whether they are suspect or not: otherwise all gateways select the same few endpoints before
+// they receive each other's load reports.
+func (p *Picker) backupSample(primary *savorypinfleet.Endpoint, q Query) []*savorypinfleet.Endpoint {
+	var others []*savorypinfleet.Endpoint
+	for _, e := range q.allowed(q.Candidates) {
+		if e.Domain() != primary.Domain() {
+			others = append(others, e)
+		}
+	}
+	if q.MemoryTokens <= 0 {
+		return others
 	}
-	return p.sample(eligible, ^q.affinityHash(), now)
+	return p.rendezvousSample(others, ^q.affinityHash())
 }
 
 // backupScore returns the score of an endpoint for a backup; lower is better.
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -219,21 +219,60 @@
 // gets the same sample at every gateway and so can reach the engine that has it cached.
 func (p *Picker) chooseStream(q Query) *savorypinfleet.Endpoint {
 	now := p.cfg.Now()
-	risks := p.risks(now)
 	allowed := q.allowed(q.Candidates)
-	sample := p.sample(allowed, q.affinityHash(), now)
+	sample := p.streamSample(allowed, q, now)
 	if cached := p.cachedEndpoint(allowed, q.PromptID); cached != nil {
 		sample = append(sample, cached)
 	}
-	score := func(e *savorypinfleet.Endpoint) float64 {
-		return p.streamScore(e, q, risks) + p.suspectPenalty(e, now)
-	}
-	best := firstEndpoint(lowestScored(sample, scoreMarginTokens, score))
+	best := p.bestForStream(sample, q, now)
 	if best == nil || p.Fits(best, q) {
 		return best
 	}
 	// None in the sample has memory left, but another endpoint may.
-	return firstEndpoint(lowestScored(allowed, scoreMarginTokens, score))
+	fitting := p.fitting(allowed, q)
+	if len(fitting) == 0 {
+		return best
+	}
+	return p.bestForStream(p.rendezvousSample(fitting, q.affinityHash()), q, now)
+}
+
+// streamSample returns the endpoints that are scored for a stream. Where memory is limited, the sample
+// contains suspect endpoints too: a gateway that is cut off suspects most endpoints and tells the others,
+// which would all use the few that are not suspect.
+func (p *Picker) streamSample(endpoints []*savorypinfleet.Endpoint, q Query, now time.Time) []*savorypinfleet.Endpoint {
+	if q.MemoryTokens > 0 {
+		return p.rendezvousSample(endpoints, q.affinityHash())
+	}
+	return p.sample(endpoints, q.affinityHash(), now)
+}
+
+// bestForStream returns the endpoint with the best score for a stream, or nil if there is none. A suspect
+// endpoint is the best only if all are suspect or, where memory is limited, if most of them are and the
+// others are full.
+func (p *Picker) bestForStream(endpoints []*savorypinfleet.Endpoint, q Query, now time.Time) *savorypinfleet.Endpoint {
+	risks := p.risks(now)
+	penalty := float64(suspectScore)
+	if q.MemoryTokens > 0 && p.mostlySuspect(endpoints, now) {
+		penalty = suspectPenaltyTokens
+	}
+	return firstEndpoint(lowestScored(endpoints, scoreMarginTokens, func(e *savorypinfleet.Endpoint) float64 {
+		s := p.streamScore(e, q, risks)
+		if p.suspect(e, now) {
+			s += penalty
+		}
+		return s
+	}))
+}
+
+// fitting returns the endpoints that have memory left for a request.
+func (p *Picker) fitting(endpoints []*savorypinfleet.Endpoint, q Query) []*savorypinfleet.Endpoint {
+	var fitting []*savorypinfleet.Endpoint
+	for _, e := range endpoints {
+		if p.Fits(e, q) {
+			fitting = append(fitting, e)
+		}
+	}
+	return fitting
 }
 
 // allowed returns the endpoints that are not excluded.
--- a/internal/savorypinpick/reservation_test.go
+++ b/internal/savorypinpick/reservation_test.go
@@ -168,3 +168,32 @@
 		}
 	})
 })
+
+var _ = Describe("Endpoints that are suspect", func() {
+	// Guards against all streams going to the few endpoints that a gateway without a sound network doesn't
+	// suspect: they run out of memory, while the others are idle.
+	It("are used where memory is limited if most are suspect and the others are full", func() {
+		f := newFleet()
+		for _, e := range f.endpoints[1:] {
+			f.picker.RecordRemoteSuspect(e)
+		}
+		used := map[string]int{}
+		for range 12 {
+			e := f.picker.Choose(f.limitedQuery())
+			used[e.ID()]++
+			f.place(e, nil)
+		}
+		Expect(used[f.endpoints[0].ID()]).To(BeNumerically("<=", 3))
+	})
+
+	// Guards against streams that are sent to a failed domain because the others have a queue.
+	It("are left alone where memory is limited while most are not suspect", func() {
+		f := newFleet()
+		f.picker.RecordRemoteSuspect(f.endpoints[0])
+		for range 12 {
+			e := f.picker.Choose(f.limitedQuery())
+			Expect(e).NotTo(Equal(f.endpoints[0]))
+			f.place(e, nil)
+		}
+	})
+})
--- a/internal/savorypinpick/sample.go
+++ b/internal/savorypinpick/sample.go
@@ -28,15 +28,30 @@
 // hash. It skips suspect endpoints, and returns all endpoints if all are suspect.
 func (p *Picker) sample(endpoints []*savorypinfleet.Endpoint, affinity uint64, now time.Time) []*savorypinfleet.Endpoint {
 	n := sampleSize(len(endpoints), p.cfg.Gateways())
+	sample := leadingEndpoints(endpoints, affinity, n, func(e *savorypinfleet.Endpoint) bool { return !p.suspect(e, now) })
+	if len(sample) == 0 {
+		return slices.Clone(endpoints)
+	}
+	return sample
+}
+
+// rendezvousSample returns the endpoints with the largest rendezvous weights for an affinity hash, whether
+// they are suspect or not.
+func (p *Picker) rendezvousSample(endpoints []*savorypinfleet.Endpoint, affinity uint64) []*savorypinfleet.Endpoint {
+	n := sampleSize(len(endpoints), p.cfg.Gateways())
+	return leadingEndpoints(endpoints, affinity, n, func(*savorypinfleet.Endpoint) bool { return true })
+}
+
+// leadingEndpoints returns the n endpoints with the largest rendezvous weights among those that include
+// selects, by descending weight.
+func leadingEndpoints(
+	endpoints []*savorypinfleet.Endpoint, affinity uint64, n int, include func(*savorypinfleet.Endpoint) bool,
+) []*savorypinfleet.Endpoint {
 	leading := make([]ranked, 0, n+1)
 	for _, e := range endpoints {
-		if p.suspect(e, now) {
-			continue
+		if include(e) {
+			leading = insertRanked(leading, n, ranked{endpoint: e, weight: rendezvousWeight(affinity, e.Address())})
 		}
-		leading = insertRanked(leading, n, ranked{endpoint: e, weight: rendezvousWeight(affinity, e.Address())})
-	}
-	if len(leading) == 0 {
-		return slices.Clone(endpoints)
 	}
 	sample := make([]*savorypinfleet.Endpoint, len(leading))
 	for i, r := range leading {
--- a/internal/savorypinpick/score.go
+++ b/internal/savorypinpick/score.go
@@ -70,6 +70,10 @@
 // suspectScore is larger than any score of an endpoint that is not suspect.
 const suspectScore = 1e12
 
+// suspectPenaltyTokens is the score penalty, in tokens, of a suspect endpoint if most endpoints are
+// suspect. An attempt at a lost endpoint costs a connection timeout, and at worst a new prefill.
+const suspectPenaltyTokens = 8000
+
 // suspectPenalty returns the score added to a suspect endpoint.
 func (p *Picker) suspectPenalty(e *savorypinfleet.Endpoint, now time.Time) float64 {
 	if p.suspect(e, now) {
--- a/internal/savorypinpick/suspicion.go
+++ b/internal/savorypinpick/suspicion.go
@@ -17,6 +17,18 @@
 	return now.UnixNano() < state.suspectUntil.Load() || p.newerThanList(state.replacedAt.Load())
 }
 
+// mostlySuspect reports whether most of the endpoints are suspect. Then the suspicion says more of the
+// gateways' links than of the endpoints.
+func (p *Picker) mostlySuspect(endpoints []*savorypinfleet.Endpoint, now time.Time) bool {
+	n := 0
+	for _, e := range endpoints {
+		if p.suspect(e, now) {
+			n++
+		}
+	}
+	return 2*n > len(endpoints)
+}
+
 // possiblyLost reports whether an endpoint or its domain has failed, the endpoint has
 // not answered since, and the endpoint list is too old to show whether it still exists.
 // During a store outage a lost endpoint stays in the list for longer than a suspicion
