Inject the boot-time clock into the gateway

Specs of the revocation delay need a clock that they control. Without one in its configuration a gateway uses the clock of the host, as before.

--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -166,7 +166,7 @@
 	if !s.StrictRevocation {
 		return true
 	}
-	age, ok := g.view.confirmationAge(bootClock())
+	age, ok := g.view.confirmationAge(g.cfg.Clock())
 	return ok && age < s.RevocationDelay
 }
 
--- a/internal/savorypingateway/catchup_test.go
+++ b/internal/savorypingateway/catchup_test.go
@@ -61,6 +61,7 @@
 	server := httptest.NewServer(h)
 	DeferCleanup(server.Close)
 	cfg := Config{
+		Clock:    bootClock,
 		Dialect:  versionOnlyDialect(),
 		Log:      savorypinevent.New(savorypinevent.Config{Logger: log.New(io.Discard)}),
 		Objects:  Objects{Configuration: savorypin.Key{Kind: "config"}, EndpointKind: endpointKind, RolloutKind: "rollouts"},
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -67,6 +67,9 @@
 
 // Config configures a Gateway.
 type Config struct {
+	// Clock returns the time since the host booted, including the time for which it was suspended;
+	// nil for the clock of the host.
+	Clock   func() time.Duration
 	Codec   savorypinfleet.Codec
 	Dialect savorypinplatform.Dialect
 	// Log receives the events.
@@ -126,6 +129,9 @@
 
 // New returns a gateway that is not running yet.
 func New(cfg Config) *Gateway {
+	if cfg.Clock == nil {
+		cfg.Clock = bootClock
+	}
 	registry := metrics.NewRegistry()
 	g := &Gateway{
 		requestBudget:  newBodyBudget(cfg.Settings.MemoryBytes, requestMemoryRatio),
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -36,7 +36,7 @@
 	}
 	return savorypingossip.New(savorypingossip.Config{
 		Address:           address,
-		Clock:             bootClock,
+		Clock:             g.cfg.Clock,
 		StateOf:           g.composeState,
 		Copies:            func() []savorypingossip.CopyStatus { return g.store.copies() },
 		OnMessage:         g.handleMessage,
@@ -192,7 +192,7 @@
 
 // syncServer returns the server that sends the changes of this gateway's copies to others.
 func (g *Gateway) syncServer() *savorypingossip.SyncServer {
-	return &savorypingossip.SyncServer{Address: g.peerAddress(), Clock: bootClock, Log: g.log, Mirrors: g.store.mirrors, Sealer: g.sealer}
+	return &savorypingossip.SyncServer{Address: g.peerAddress(), Clock: g.cfg.Clock, Log: g.log, Mirrors: g.store.mirrors, Sealer: g.sealer}
 }
 
 // peerAddress returns the address on which this gateway receives messages of other gateways.
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -69,7 +69,7 @@
 		ID: call.ID, Path: call.URI, Subject: refused.subject, Reason: refused.reason, RetryAfter: refused.retryAfter, Status: refused.status,
 		Configuration: g.configurationVersion(),
 	}
-	if age, ok := g.view.confirmationAge(bootClock()); ok {
+	if age, ok := g.view.confirmationAge(g.cfg.Clock()); ok {
 		e.ConfirmationAge = age
 	}
 	for _, endpoint := range g.candidates(service) {
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -26,7 +26,7 @@
 	if !s.StrictRevocation {
 		return "", true
 	}
-	age, ok := g.view.confirmationAge(bootClock())
+	age, ok := g.view.confirmationAge(g.cfg.Clock())
 	if !ok || age > time.Duration(readyMaxAgeRatio*float64(s.RevocationDelay)) {
 		return "configuration is not confirmed", false
 	}
@@ -88,7 +88,7 @@
 	if c := g.view.configuration.Load(); c != nil {
 		s.ConfigurationVersion = c.Version()
 	}
-	if age, ok := g.view.confirmationAge(bootClock()); ok {
+	if age, ok := g.view.confirmationAge(g.cfg.Clock()); ok {
 		s.ConfirmationAge = age
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -188,7 +188,7 @@
 
 // age returns the time since a copy was confirmed. It is the host's uptime if it never was.
 func (s *store) age(kind savorypin.Kind) time.Duration {
-	return bootClock() - s.mirrors[kind].State().ConfirmedAt
+	return s.cfg.Clock() - s.mirrors[kind].State().ConfirmedAt
 }
 
 // lastConfirmed returns the boot-clock time at which the store last answered this gateway or,
@@ -211,7 +211,7 @@
 	if err == nil {
 		s.breaker.RecordSuccess()
 	} else {
-		s.breaker.RecordFailure(bootClock(), s.gatewayCount())
+		s.breaker.RecordFailure(s.cfg.Clock(), s.gatewayCount())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -11,7 +11,7 @@
 
 // copies describes the state of this gateway's copies for other gateways.
 func (s *store) copies() []savorypingossip.CopyStatus {
-	now := bootClock()
+	now := s.cfg.Clock()
 	copies := make([]savorypingossip.CopyStatus, 0, len(s.mirrors))
 	for kind, mirror := range s.mirrors {
 		state := mirror.State()
@@ -67,7 +67,7 @@
 // fetchChanges fetches the changes of a kind from another gateway.
 func (s *store) fetchChanges(address string, kind savorypin.Kind) {
 	mirror := s.mirrors[kind]
-	state, requestedAt := mirror.State(), bootClock()
+	state, requestedAt := mirror.State(), s.cfg.Clock()
 	t, ok := s.transfer(address, kind, state.Version, state.Era)
 	if !ok {
 		return
--- a/internal/savorypingateway/storeread.go
+++ b/internal/savorypingateway/storeread.go
@@ -46,7 +46,7 @@
 	for {
 		if age := s.age(kind); age >= interval {
 			reader := s.isReader()
-			if (reader || age >= maxAge) && s.breaker.Allow(bootClock(), s.lastConfirmed(), reader) {
+			if (reader || age >= maxAge) && s.breaker.Allow(s.cfg.Clock(), s.lastConfirmed(), reader) {
 				return ctx.Err()
 			}
 		}
@@ -67,7 +67,7 @@
 }
 
 func (s *store) readConfiguration(ctx context.Context) error {
-	sentAt := bootClock()
+	sentAt := s.cfg.Clock()
 	o, err := s.client.Get(ctx, s.cfg.Objects.Configuration)
 	if err != nil {
 		return err
@@ -153,7 +153,7 @@
 }
 
 func (s *store) list(ctx context.Context, kind savorypin.Kind) error {
-	sentAt := bootClock()
+	sentAt := s.cfg.Clock()
 	listing, err := s.client.ListAll(ctx, kind)
 	if err != nil {
 		return err
@@ -181,7 +181,7 @@
 // watchOnce waits up to hold for changes after the copy's version.
 func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
 	mirror := s.mirrors[kind]
-	state, confirmedAt := mirror.State(), bootClock()
+	state, confirmedAt := mirror.State(), s.cfg.Clock()
 	changed := false
 	err := s.client.WatchFor(ctx, kind, state.Version, hold, func(o savorypin.Object) error {
 		if o.Era != state.Era {
@@ -204,7 +204,7 @@
 		if hold > immediateHold {
 			// The store ends its response when the hold time ends or with the last change, so
 			// that the copy was complete at that time.
-			confirmedAt = bootClock()
+			confirmedAt = s.cfg.Clock()
 		}
 		mirror.Confirm(confirmedAt, state.Era)
 		s.markListed(kind)
