Put a configuration and its confirmation in force as one value

Cause: the copy of the configuration was confirmed before its content was decoded and in force, and a request took the configuration first and then checked the age of the copy. A confirmation by another gateway, or a second read, did the same while the copy was being decoded.

Copies are put in force one at a time in the order of their revisions, each before its confirmation; a confirmation that finds its copy not in force yet is left to whoever puts the copy in force, so that gossip never waits for a decoder. The same holds for endpoints, whose first list counted as listed while it was decoded, and for rollouts, of which an older copy could replace a newer one.

The spec of catchup_test.go that called publishEndpoints calls putInForce, which replaces it there; it checks the same.

--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -91,16 +91,17 @@
 // caller has disconnected.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, call *savorypinfleet.Call) (*request, *refusal) {
 	arrived := time.Now()
-	c := g.view.configuration.Load()
-	if c == nil || !g.view.listed.Load() {
+	current := g.view.current.Load()
+	if current == nil || !g.view.listed.Load() {
 		return nil, notRunRefusal("no configuration yet", storeRetryDelay)
 	}
+	c := current.configuration
 	path, _, _ := strings.Cut(call.URI, "?")
 	route := c.Route(call.Host, path)
 	if route == nil {
 		return nil, &refusal{reason: "no route", status: http.StatusNotFound}
 	}
-	organisation, refused := g.authorise(c, route, call)
+	organisation, refused := g.authorise(current, route, call)
 	if refused != nil {
 		return nil, refused
 	}
@@ -144,7 +145,8 @@
 }
 
 // authorise returns the caller's organisation, or "" if no API key is required.
-func (g *Gateway) authorise(c *savorypinfleet.Configuration, route *savorypinfleet.Route, call *savorypinfleet.Call) (string, *refusal) {
+func (g *Gateway) authorise(current *snapshot, route *savorypinfleet.Route, call *savorypinfleet.Call) (string, *refusal) {
+	c := current.configuration
 	if !c.RequiresKey() || route.Public() {
 		return "", nil
 	}
@@ -152,21 +154,21 @@
 	if o == nil {
 		return "", &refusal{reason: "unknown key", status: http.StatusUnauthorized}
 	}
-	if !g.keysConfirmed() {
+	if !g.keysConfirmed(current) {
 		return "", notRunRefusal("configuration is not confirmed", storeRetryDelay)
 	}
 	return o.Name, nil
 }
 
-// keysConfirmed reports whether the API keys of the configuration are current enough: a revoked
+// keysConfirmed reports whether the API keys of a configuration are current enough: a revoked
 // key must not be served for longer than the revocation delay, even if the store is
 // unreachable.
-func (g *Gateway) keysConfirmed() bool {
+func (g *Gateway) keysConfirmed(current *snapshot) bool {
 	s := g.settings.Load()
 	if !s.StrictRevocation {
 		return true
 	}
-	age, ok := g.view.confirmationAge(g.cfg.Clock())
+	age, ok := current.confirmationAge(g.cfg.Clock())
 	return ok && age < s.RevocationDelay
 }
 
--- a/internal/savorypingateway/catchup_test.go
+++ b/internal/savorypingateway/catchup_test.go
@@ -21,6 +21,7 @@
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinplatform"
+	"savorypin/internal/savorypinseal"
 )
 
 const (
@@ -70,6 +71,7 @@
 	v := &view{}
 	v.directory.Store(savorypinfleet.NewDirectory(nil))
 	s := newStore(cfg, v, newCounters(metrics.NewRegistry()))
+	s.sealer = savorypinseal.New()
 	s.endpointsChanged = func(_, _ *savorypinfleet.Directory, _ int64) {}
 	s.notifyPeers = func() {}
 	return s
@@ -136,7 +138,7 @@
 	} {
 		It(c.name, func() {
 			s := newTestStore(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
-			s.publishEndpoints()
+			s.putInForce(endpointKind)
 			Expect(s.view.listed.Load()).To(BeFalse())
 			if c.storeFailing {
 				s.breaker.RecordFailure(bootClock(), 1)
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -151,7 +151,7 @@
 	g.picker = savorypinpick.New(savorypinpick.Config{
 		Gateways:        g.gatewayCount,
 		Hazard:          savorypinhazard.New(cfg.Settings.Domains),
-		ListConfirmedAt: func() time.Time { return time.Now().Add(-g.store.age(cfg.Objects.EndpointKind)) },
+		ListConfirmedAt: func() time.Time { return time.Now().Add(-g.store.ageInForce(cfg.Objects.EndpointKind)) },
 		Now:             time.Now,
 		PromptRetention: promptRetentionFactor * cfg.Settings.MinPromptRetention,
 		Region:          cfg.Settings.Region,
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -69,7 +69,7 @@
 		ID: call.ID, Path: call.URI, Subject: refused.subject, Reason: refused.reason, RetryAfter: refused.retryAfter, Status: refused.status,
 		Configuration: g.configurationVersion(),
 	}
-	if age, ok := g.view.confirmationAge(g.cfg.Clock()); ok {
+	if age, ok := g.view.current.Load().confirmationAge(g.cfg.Clock()); ok {
 		e.ConfirmationAge = age
 	}
 	for _, endpoint := range g.candidates(service) {
@@ -83,7 +83,7 @@
 
 // configurationVersion returns the version of the configuration in force; zero if there is none.
 func (g *Gateway) configurationVersion() int64 {
-	if c := g.view.configuration.Load(); c != nil {
+	if c := g.view.configuration(); c != nil {
 		return c.Version()
 	}
 	return 0
--- a/internal/savorypingateway/publish.go
+++ b/internal/savorypingateway/publish.go
@@ -9,13 +9,12 @@
 // publishConfiguration puts the newest configuration in force. If the store was restored from an
 // older copy, the configuration in force stays, and the mirror keeps it for gateways that
 // request it.
-func (s *store) publishConfiguration() {
-	mirror := s.mirrors[s.cfg.Objects.Configuration.Kind]
-	s.adoptConfiguration(mirror.Objects())
+func (s *store) publishConfiguration(objects []savorypin.Object, _ int64) {
+	s.adoptConfiguration(objects)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inForce.Name != "" {
-		mirror.ReplaceIfLater(s.inForce, s.isLaterConfiguration)
+		s.mirrors[s.cfg.Objects.Configuration.Kind].ReplaceIfLater(s.inForce, s.isLaterConfiguration)
 	}
 }
 
@@ -57,12 +56,10 @@
 	s.log.Emit(savorypinevent.ConfigurationInForce{Era: o.Era, Revision: o.Version, Version: c.Version()})
 }
 
-// publishEndpoints puts the list of endpoints in force.
-func (s *store) publishEndpoints() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []*savorypinfleet.Endpoint
-	for _, o := range s.mirrors[s.cfg.Objects.EndpointKind].Objects() {
+// publishEndpoints puts a list of endpoints in force.
+func (s *store) publishEndpoints(objects []savorypin.Object, era int64) {
+	list := make([]*savorypinfleet.Endpoint, 0, len(objects))
+	for _, o := range objects {
 		e, err := s.cfg.Objects.DecodeEndpoint(o)
 		if err != nil {
 			s.log.Debug("decoding an endpoint object failed; ignoring it", "err", err)
@@ -73,22 +70,23 @@
 	old := s.view.directory.Load()
 	next := savorypinfleet.NewDirectory(list)
 	s.view.directory.Store(next)
-	s.endpointsChanged(old, next, s.mirrors[s.cfg.Objects.EndpointKind].State().Era)
+	s.endpointsChanged(old, next, era)
 }
 
 // markListed records that a kind was read from the store, or that another gateway has confirmed
-// a fetched copy. Requests are served only once that is so for the endpoints: the copy that a
-// starting gateway fetches may come from one that has had no updates for a long time.
+// a fetched copy. Requests are served only once that is so for the endpoints, and the copy is in
+// force: the one that a starting gateway fetches may come from one that has had no updates for a
+// long time.
 func (s *store) markListed(kind savorypin.Kind) {
 	if kind == s.cfg.Objects.EndpointKind {
-		s.view.listed.Store(true)
+		s.listed.Store(true)
 	}
 }
 
-// publishRollouts passes the current rollouts to the tracker.
-func (s *store) publishRollouts() {
+// publishRollouts passes rollouts to the tracker.
+func (s *store) publishRollouts(objects []savorypin.Object, era int64) {
 	var rollouts []savorypinfleet.Rollout
-	for _, o := range s.mirrors[s.cfg.Objects.RolloutKind].Objects() {
+	for _, o := range objects {
 		r, err := s.cfg.Objects.DecodeRollout(o)
 		if err != nil {
 			s.log.Emit(savorypinevent.Ignored{Err: err, What: "rollout " + o.Name})
@@ -97,5 +95,5 @@
 		rollouts = append(rollouts, r)
 		s.log.Emit(rolloutEvent("seen", r, nil))
 	}
-	s.updateRollouts(rollouts, s.mirrors[s.cfg.Objects.RolloutKind].State().Era)
+	s.updateRollouts(rollouts, era)
 }
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -14,10 +14,11 @@
 
 // ready reports whether the gateway is ready for new callers, and the reason if it is not.
 func (g *Gateway) ready() (string, bool) {
+	current := g.view.current.Load()
 	switch {
 	case g.stopping.Load():
 		return "stopping", false
-	case g.view.configuration.Load() == nil:
+	case current == nil:
 		return "no configuration yet", false
 	case !g.view.listed.Load():
 		return "no list of endpoints yet", false
@@ -26,7 +27,7 @@
 	if !s.StrictRevocation {
 		return "", true
 	}
-	age, ok := g.view.confirmationAge(g.cfg.Clock())
+	age, ok := current.confirmationAge(g.cfg.Clock())
 	if !ok || age > time.Duration(readyMaxAgeRatio*float64(s.RevocationDelay)) {
 		return "configuration is not confirmed", false
 	}
@@ -85,10 +86,11 @@
 	}
 	s.QuarantinedParts, s.QuarantinedRequests = g.quarantine.Count()
 	s.NotReady, _ = g.ready()
-	if c := g.view.configuration.Load(); c != nil {
-		s.ConfigurationVersion = c.Version()
+	current := g.view.current.Load()
+	if current != nil {
+		s.ConfigurationVersion = current.configuration.Version()
 	}
-	if age, ok := g.view.confirmationAge(g.cfg.Clock()); ok {
+	if age, ok := current.confirmationAge(g.cfg.Clock()); ok {
 		s.ConfirmationAge = age
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -54,7 +54,7 @@
 		MaxHeaderBytes:    defaultMaxHeaderBytes,
 		ReadHeaderTimeout: defaultIdleTimeout,
 	}
-	c := g.view.configuration.Load()
+	c := g.view.configuration()
 	if c == nil {
 		return server
 	}
@@ -76,7 +76,7 @@
 func (g *Gateway) awaitInitialState(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, startupTimeout)
 	defer cancel()
-	for g.view.configuration.Load() == nil || !g.view.listed.Load() {
+	for g.view.configuration() == nil || !g.view.listed.Load() {
 		if err := wait(ctx, startupPollInterval); err != nil {
 			return
 		}
--- a/internal/savorypingateway/stopadmission.go
+++ b/internal/savorypingateway/stopadmission.go
@@ -76,7 +76,7 @@
 
 // retainDurations drops the durations of requests on routes that are no longer configured.
 func (g *Gateway) retainDurations() {
-	c := g.view.configuration.Load()
+	c := g.view.configuration()
 	if c == nil {
 		return
 	}
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"savorypin/internal/savorypin"
@@ -79,8 +80,8 @@
 	closeIdle func()
 	log       *savorypinevent.Log
 	mirrors   map[savorypin.Kind]*savorypinmirror.Mirror
-	// publish holds the functions that put a changed copy in force, by kind.
-	publish map[savorypin.Kind]func()
+	// publications put changed copies in force, by kind.
+	publications map[savorypin.Kind]*publication
 	// isReader reports whether this gateway reads the store for all gateways.
 	isReader func() bool
 	// sealer authenticates transfers between gateways.
@@ -104,6 +105,10 @@
 	// gatewayCount returns the number of gateways.
 	gatewayCount func() int
 
+	// listed is set once the copy of the endpoints was read from the store or confirmed by another
+	// gateway.
+	listed atomic.Bool
+
 	mu sync.Mutex
 	// fetching is true for the kinds of which a transfer from another gateway is in progress.
 	fetching map[savorypin.Kind]bool
@@ -142,17 +147,14 @@
 		mirrors:  map[savorypin.Kind]*savorypinmirror.Mirror{},
 		view:     v,
 	}
-	s.publish = map[savorypin.Kind]func(){
-		cfg.Objects.Configuration.Kind: s.publishConfiguration,
-		cfg.Objects.EndpointKind:       s.publishEndpoints,
-		cfg.Objects.RolloutKind:        s.publishRollouts,
+	s.publications = map[savorypin.Kind]*publication{
+		cfg.Objects.Configuration.Kind: newPublication(s.publishConfiguration),
+		cfg.Objects.EndpointKind:       newPublication(s.publishEndpoints),
+		cfg.Objects.RolloutKind:        newPublication(s.publishRollouts),
 	}
-	for kind := range s.publish {
+	for kind := range s.publications {
 		s.mirrors[kind] = savorypinmirror.New()
 	}
-	v.confirmed = func() time.Duration {
-		return s.mirrors[cfg.Objects.Configuration.Kind].State().ConfirmedAt
-	}
 	return s
 }
 
@@ -191,6 +193,12 @@
 	return s.cfg.Clock() - s.mirrors[kind].State().ConfirmedAt
 }
 
+// ageInForce returns the time since the copy in force was confirmed, which may be an older one than
+// the copy: decoding takes a while.
+func (s *store) ageInForce(kind savorypin.Kind) time.Duration {
+	return s.cfg.Clock() - time.Duration(s.publications[kind].confirmedAt.Load())
+}
+
 // lastConfirmed returns the boot-clock time at which the store last answered this gateway or,
 // as far as this one knows, another one.
 func (s *store) lastConfirmed() time.Duration {
--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -62,6 +62,7 @@
 	if age < s.maxAges[kind] || s.breaker.Failing() {
 		s.markListed(kind)
 	}
+	s.confirmInForce(kind)
 }
 
 // fetchChanges fetches the changes of a kind from another gateway.
@@ -72,8 +73,9 @@
 	if !ok {
 		return
 	}
-	if mirror.Merge(t.Delta) {
-		s.publish[kind]()
+	changed := mirror.Merge(t.Delta)
+	s.putInForce(kind)
+	if changed {
 		s.notifyPeers()
 	}
 	if t.Age >= 0 {
@@ -97,7 +99,7 @@
 // another gateway. If it stays later than the version in force here, the configuration is
 // fetched from there: the store may have been restored from a copy that lacks it.
 func (s *store) handlePeerVersion(address string, version int64) {
-	if c := s.view.configuration.Load(); c != nil && c.Version() >= version {
+	if c := s.view.configuration(); c != nil && c.Version() >= version {
 		return
 	}
 	now := time.Now()
@@ -114,6 +116,7 @@
 		t, ok := s.transfer(address, s.cfg.Objects.Configuration.Kind, 0, noEra)
 		if ok {
 			s.adoptConfiguration(t.Delta.Objects)
+			s.confirmInForce(s.cfg.Objects.Configuration.Kind)
 		}
 	})
 }
--- a/internal/savorypingateway/storeread.go
+++ b/internal/savorypingateway/storeread.go
@@ -80,7 +80,7 @@
 // apply applies a changed object to its copy and puts it in force.
 func (s *store) apply(o savorypin.Object) {
 	if s.mirrors[o.Kind].Apply(o) {
-		s.publish[o.Kind]()
+		s.putInForce(o.Kind)
 		s.notifyPeers()
 	}
 }
@@ -166,13 +166,10 @@
 // clock, and puts it in force.
 func (s *store) applyList(listing savorypinplatform.Listing, kind savorypin.Kind, sentAt time.Duration) {
 	mirror := s.mirrors[kind]
-	first := mirror.State().ConfirmedAt == 0
 	changed := mirror.Replace(listing.Objects, listing.Version, listing.Era)
 	mirror.Confirm(sentAt, listing.Era)
-	if changed || first {
-		s.publish[kind]()
-	}
 	s.markListed(kind)
+	s.putInForce(kind)
 	if changed {
 		s.notifyPeers()
 	}
@@ -197,7 +194,7 @@
 		return nil
 	})
 	if changed {
-		s.publish[kind]()
+		s.putInForce(kind)
 		s.notifyPeers()
 	}
 	if err == nil {
@@ -208,6 +205,7 @@
 		}
 		mirror.Confirm(confirmedAt, state.Era)
 		s.markListed(kind)
+		s.confirmInForce(kind)
 	}
 	return err
 }
--- a/internal/savorypinmirror/mirror.go
+++ b/internal/savorypinmirror/mirror.go
@@ -35,6 +35,9 @@
 	// CompactedVersion is the version after which all deletions are known. A copy made from a
 	// list at a version lacks the deletions before that version.
 	CompactedVersion int64
+	// Revision counts the changes of the objects in this mirror. Unlike versions, revisions of
+	// different mirrors are not comparable.
+	Revision int64
 }
 
 // Relation is the relation of another copy to this one.
@@ -120,6 +123,7 @@
 	}
 	m.objects[o.Name] = o
 	m.state.LastChangeVersion = max(m.state.LastChangeVersion, o.Version)
+	m.state.Revision++
 	return true
 }
 
@@ -128,7 +132,10 @@
 	if ok && known.Version > r.Version || m.removed[r.Name] >= r.Version {
 		return false
 	}
-	delete(m.objects, r.Name)
+	if ok {
+		delete(m.objects, r.Name)
+		m.state.Revision++
+	}
 	m.removed[r.Name] = r.Version
 	m.state.LastChangeVersion = max(m.state.LastChangeVersion, r.Version)
 	m.prune()
@@ -191,7 +198,7 @@
 // copy was known to be complete at that time, although in the earlier era.
 func (m *Mirror) resetToEra(objects []savorypin.Object, at, era int64) {
 	m.objects, m.removed = map[string]savorypin.Object{}, map[string]int64{}
-	m.state = State{Version: at, ConfirmedAt: m.state.ConfirmedAt, Era: era, CompactedVersion: at}
+	m.state = State{Version: at, ConfirmedAt: m.state.ConfirmedAt, Era: era, CompactedVersion: at, Revision: m.state.Revision + 1}
 	for _, o := range objects {
 		o.Era = era
 		m.apply(o)
@@ -199,9 +206,9 @@
 }
 
 // ReplaceIfLater replaces the content of the held object of the same name with that of o if
-// later(o, held) returns true. The version and era of the held object are kept. It is used for
-// objects whose content has a version number from its writer: a store restored from an older copy
-// may lack the latest content.
+// later(o, held) returns true. The version and era of the held object and the mirror's revision are
+// kept. It is used for objects whose content has a version number from its writer: a store restored
+// from an older copy may lack the latest content.
 func (m *Mirror) ReplaceIfLater(o savorypin.Object, later func(a, b savorypin.Object) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -246,6 +253,13 @@
 	return m.objectsAfter(0)
 }
 
+// Snapshot returns all objects, sorted by name, and the state of the mirror at the same time.
+func (m *Mirror) Snapshot() ([]savorypin.Object, State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.objectsAfter(0), m.state
+}
+
 // objectsAfter returns the objects with a version after since, sorted by name.
 func (m *Mirror) objectsAfter(since int64) []savorypin.Object {
 	var objects []savorypin.Object
--- a/internal/savorypinmirror/mirror_test.go
+++ b/internal/savorypinmirror/mirror_test.go
@@ -45,6 +45,31 @@
 		})
 	}
 
+	// Guards against a change that is never put in force, or a copy that counts as changed for good.
+	for _, c := range []struct {
+		name   string
+		change func(*savorypinmirror.Mirror) bool
+		want   bool
+	}{
+		{"a newer version", func(m *savorypinmirror.Mirror) bool { return m.Apply(object("a", 5)) }, true},
+		{"the same version", func(m *savorypinmirror.Mirror) bool { return m.Apply(object("a", 4)) }, false},
+		{"a deletion", func(m *savorypinmirror.Mirror) bool { return m.Apply(deleted("a", 5)) }, true},
+		{"a deletion of an unknown object", func(m *savorypinmirror.Mirror) bool { return m.Apply(deleted("b", 5)) }, false},
+		{"the same list", func(m *savorypinmirror.Mirror) bool { return m.Replace([]savorypin.Object{object("a", 4)}, 6, 0) }, false},
+		{"a list without the object", func(m *savorypinmirror.Mirror) bool { return m.Replace(nil, 6, 0) }, true},
+		{"a list of a later era", func(m *savorypinmirror.Mirror) bool { return m.Replace([]savorypin.Object{object("a", 4)}, 4, 1) }, true},
+	} {
+		It("has a new revision exactly if its objects change, after "+c.name, func() {
+			m := savorypinmirror.New()
+			m.Apply(object("a", 4))
+			_, before := m.Snapshot()
+			Expect(c.change(m)).To(Equal(c.want))
+			objects, after := m.Snapshot()
+			Expect(after.Revision > before.Revision).To(Equal(c.want))
+			Expect(objects).To(Equal(m.Objects()))
+		})
+	}
+
 	It("removes objects that a list lacks, unless they are newer than the list", func() {
 		m := savorypinmirror.New()
 		m.Apply(object("old", 2))
