Record the crashes under a request before it is refused

Callers saw a request that had just crashed an endpoint, and was refused with 502, sent to the next endpoint and crash it too when they repeated it at once. Seen once under load as a failure of 'A request that crashes endpoints leaves an endpoint to other requests while it is only suspect' (502 in place of 503): the crash under the last attempt of request q1 was recorded after request q2 had been admitted.

Cause: whether a broken connection was a crash is found out by another connection. The attempt waited for that only while crashes were known and if another attempt could follow. So the last attempt, an attempt that can't be repeated, one with no other endpoint left, and a second attempt that broke before the first crash was recorded, let the response go ahead of the record. It also ended the isolation of a suspect request too early.

Change: these looks belong to the request. One without a response awaits all of them, until its deadline at most; so does an attempt while crashes are known or another look is in progress. Streams do the same before their answer has begun. Requests that get a response wait for none, as before.

--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -110,6 +110,8 @@
 	// reasons.
 	confinement *savorypinquarantine.Confinement
 	gateway     *Gateway
+	// looks are for the endpoints whose connections broke.
+	looks looks
 	// isolated is set if the request was not sent because it is suspect of crashing endpoints.
 	isolated bool
 	// probe is set if the request is a probe of subjects in quarantine.
@@ -136,6 +138,9 @@
 			break
 		}
 	}
+	if !p.reported.succeeded() {
+		p.looks.await(ctx)
+	}
 	if p.reported.kind == outcomeAnswered {
 		return p.reported, nil
 	}
@@ -182,7 +187,7 @@
 		p.reported = result
 	}
 	if result.kind == outcomeUnknown {
-		p.handleLostResponse(e, result)
+		p.handleLostResponse(ctx, e, result)
 	}
 	return result.succeeded() || !req.route.Retryable() && result.kind != outcomeNotRun
 }
--- a/internal/savorypingateway/plaincrash.go
+++ b/internal/savorypingateway/plaincrash.go
@@ -1,6 +1,7 @@
 package savorypingateway
 
 import (
+	"context"
 	"time"
 
 	"savorypin/internal/savorypinfleet"
@@ -12,26 +13,24 @@
 const isolatedRetryDelay = time.Second
 
 // handleLostResponse handles an attempt without a response, of which it is unknown whether it has
-// run. While crashes are known, it returns only when it is known whether a broken connection was one,
-// as the request may be their cause.
-func (p *plainCall) handleLostResponse(e *savorypinfleet.Endpoint, result *outcome) {
+// run. While crashes are known, or after another broken connection, it returns only when it is known
+// whether a broken connection was a crash, as the request may be the cause.
+func (p *plainCall) handleLostResponse(ctx context.Context, e *savorypinfleet.Endpoint, result *outcome) {
 	g := p.gateway
 	c := crash{endpoint: e, id: p.req.call.ID, probe: p.probe != nil, sequel: p.sequel, subjects: p.req.subjects()}
 	if !result.connectionBroke() {
 		g.abandon(c)
 		return
 	}
+	await := p.probe != nil || p.looks.begun() || g.quarantine.Watching()
 	p.sequel = true
 	g.pool.CloseIdle(e.Address())
-	look := func() {
+	p.looks.begin(g, func() {
 		g.lookForEndpoint(e, result.err.Error(), func() { g.recordCrash(c) })
+	})
+	if await {
+		p.looks.await(ctx)
 	}
-	mayRepeat := p.req.route.Retryable() && p.sent < p.req.route.MaxAttempts()
-	if p.probe != nil || mayRepeat && g.quarantine.Watching() {
-		look()
-		return
-	}
-	go g.log.RunRecovered("look for endpoint", look)
 }
 
 // isolate decides whether a plain request is sent to an endpoint, given the crashes that it is
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -64,11 +64,11 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	return s.handleFailure(e, w, err, time.Since(start))
+	return s.handleFailure(ctx, e, w, err, time.Since(start))
 }
 
 // handleFailure handles a failed attempt by its cause, and returns an error that names the cause.
-func (s *stream) handleFailure(e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
+func (s *stream) handleFailure(ctx context.Context, e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
 	g := s.gateway
 	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) && g.quarantine.Confined(g.subjects(s.req)) == nil {
 		g.recordVersionResult(s.req, e, true, took)
@@ -92,7 +92,7 @@
 	case isProtocolError(err):
 		g.handleProtocolError(e, err.Error())
 	default:
-		s.handleBrokenConnection(e, err.Error())
+		s.handleBrokenConnection(ctx, e, err.Error())
 	}
 	return err
 }
--- a/internal/savorypingateway/streamcrash.go
+++ b/internal/savorypingateway/streamcrash.go
@@ -1,6 +1,8 @@
 package savorypingateway
 
 import (
+	"context"
+
 	"savorypin/internal/savorypinfleet"
 )
 
@@ -12,9 +14,9 @@
 }
 
 // handleBrokenConnection handles a connection that broke before the response was complete. If the
-// prompt is suspected of crashing endpoints, it returns only when it is known whether this one has
-// crashed.
-func (s *stream) handleBrokenConnection(e *savorypinfleet.Endpoint, reason string) {
+// prompt is suspected of crashing endpoints, or another connection broke before, it returns only when
+// it is known whether this endpoint has crashed.
+func (s *stream) handleBrokenConnection(ctx context.Context, e *savorypinfleet.Endpoint, reason string) {
 	g := s.gateway
 	g.pool.CloseIdle(e.Address())
 	c := s.crash(e)
@@ -25,11 +27,16 @@
 			}
 		})
 	}
-	if c.events < beginEvents && (c.probe || g.quarantine.Suspicion(g.subjects(s.req)) > 0) {
-		look()
+	if c.events >= beginEvents {
+		// The request isn't blamed, so that nothing waits for the result.
+		go g.log.RunRecovered("look for endpoint", look)
 		return
 	}
-	go g.log.RunRecovered("look for endpoint", look)
+	await := c.probe || s.looks.begun() || g.quarantine.Suspicion(g.subjects(s.req)) > 0
+	s.looks.begin(g, look)
+	if await {
+		s.looks.await(ctx)
+	}
 }
 
 // crash returns the crash of an endpoint under the current attempt.
