Confirm a watch no later than its timeout

A gateway that was suspended while the response to a watch of the endpoints waited in its kernel took the copy as complete at the time at which it went on and read the response, and told the other gateways the same. The list may have been older by the whole suspension.

Cause: the end of a watch was taken from the clock after the read. Change: it is at most the timeout of the watch after the request. A gateway that runs never reads a response later than that, so that it confirms as before.

Evidence: with a clock that goes on by an hour during the response, 'A gateway whose copy of the endpoints has reached its maximum age doesn't take a watch as later than its timeout' failed before (confirmed at 3,660 s in place of 60 s and the timeout) and holds now.

--- a/internal/savorypingateway/catchup_test.go
+++ b/internal/savorypingateway/catchup_test.go
@@ -106,6 +106,25 @@
 		Expect(after.ConfirmedAt).To(BeNumerically(">", before.ConfirmedAt))
 	})
 
+	// Guards against a copy that counts as confirmed while the gateway was suspended, although the
+	// response had come before that.
+	It("doesn't take a watch as later than its timeout", func() {
+		const hold = 200 * time.Millisecond
+		var now atomic.Int64
+		now.Store(int64(time.Minute))
+		var listed atomic.Bool
+		s := newTestStore(func(w http.ResponseWriter, _ *http.Request) {
+			if listed.Swap(true) {
+				now.Add(int64(time.Hour))
+			}
+			fmt.Fprint(w, 1)
+		})
+		s.cfg.Clock = func() time.Duration { return time.Duration(now.Load()) }
+		Expect(s.list(context.Background(), endpointKind)).To(Succeed())
+		Expect(s.watchOnce(context.Background(), endpointKind, hold)).To(Succeed())
+		Expect(s.mirrors[endpointKind].State().ConfirmedAt).To(Equal(time.Minute + watchTimeout(hold, s.maxAges[endpointKind])))
+	})
+
 	It("gives up after two attempts if the store is unavailable", func() {
 		var calls atomic.Int64
 		s := newTestStore(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/savorypingateway/storeread.go
+++ b/internal/savorypingateway/storeread.go
@@ -127,7 +127,12 @@
 // watchChanges waits for changes of a kind for a fraction of the maximum age of its copy.
 func (s *store) watchChanges(ctx context.Context, kind savorypin.Kind, maxAge time.Duration) error {
 	hold := time.Duration(watchHoldRatio * float64(maxAge))
-	return s.readWithin(ctx, kind, hold, hold+time.Duration(catchUpSecondRatio*float64(maxAge)))
+	return s.readWithin(ctx, kind, hold, watchTimeout(hold, maxAge))
+}
+
+// watchTimeout returns the timeout of a watch with a hold time.
+func watchTimeout(hold, maxAge time.Duration) time.Duration {
+	return hold + time.Duration(catchUpSecondRatio*float64(maxAge))
 }
 
 // readWithin calls readChanges with a timeout.
@@ -178,7 +183,7 @@
 // watchOnce waits up to hold for changes after the copy's version.
 func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
 	mirror := s.mirrors[kind]
-	state, confirmedAt := mirror.State(), s.cfg.Clock()
+	state, sentAt := mirror.State(), s.cfg.Clock()
 	changed := false
 	err := s.client.WatchFor(ctx, kind, state.Version, hold, func(o savorypin.Object) error {
 		if o.Era != state.Era {
@@ -198,10 +203,12 @@
 		s.notifyPeers()
 	}
 	if err == nil {
+		confirmedAt := sentAt
 		if hold > immediateHold {
 			// The store ends its response when the hold time ends or with the last change, so
-			// that the copy was complete at that time.
-			confirmedAt = s.cfg.Clock()
+			// that the copy was complete at that time. Only a gateway that was suspended reads it
+			// after the timeout, when the response may be much older.
+			confirmedAt = min(s.cfg.Clock(), sentAt+watchTimeout(hold, s.maxAges[kind]))
 		}
 		mirror.Confirm(confirmedAt, state.Era)
 		s.markListed(kind)
