Give a stream up for silence only if its next attempt will be made

Callers saw streams on resumable routes broken off although their endpoints, which had preempted the runs, would have gone on: after twice the target latency, or at once if the host took no connection, where the attempts or the retry budget were spent or no other endpoint was left. A planned stop makes such a loss count.

Cause: the check asked only whether another attempt might follow, and only until twice the target latency. What can end the stream between the check and the next attempt was not asked: the time that is left, the quarantine, the limits of other endpoints, and other streams that take the last of the retry budget.

Change: the check gives an attempt up only if all of these allow the next one, and takes the repeat from the budget before. Otherwise the stream goes on until its endpoint, its deadline, its caller or the end of the grace period ends it; gateway_streams_kept counts that. An engine whose report lacks the request still gets it again. A stream that can move is moved as before.

Evidence: of the 20 specs 'A stream whose endpoint is silent for longer than all limits' 13 failed on the code before.

--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -43,6 +43,9 @@
 	resumeGap metrics.Timer
 	// silentHosts counts the streams that went on although the endpoint's host did not answer.
 	silentHosts metrics.Counter
+	// streamsKept counts the streams that went on although their endpoints were silent for twice the
+	// target latency.
+	streamsKept metrics.Counter
 	storeCalls  metrics.Counter
 	firstEvent  metrics.Timer
 	plainAnswer metrics.Timer
@@ -77,6 +80,7 @@
 		resumed:             metrics.GetOrRegisterCounter("gateway_resumed", r),
 		resumeGap:           metrics.GetOrRegisterTimer("gateway_resume_gap", r),
 		silentHosts:         metrics.GetOrRegisterCounter("gateway_silent_hosts", r),
+		streamsKept:         metrics.GetOrRegisterCounter("gateway_streams_kept", r),
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
 		unanswered:          metrics.GetOrRegisterCounter("gateway_unanswered", r),
 	}
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -75,10 +75,12 @@
 	// mayHaveRun is set if an endpoint may have run the request.
 	mayHaveRun bool
 	// probe is set if the request is a probe of subjects in quarantine.
-	probe    *savorypinquarantine.Probe
-	req      *request
-	rc       *http.ResponseController
-	attempts int
+	probe *savorypinquarantine.Probe
+	req   *request
+	rc    *http.ResponseController
+	// repeatTaken is set if the next attempt is already counted in the retry budget.
+	repeatTaken bool
+	attempts    int
 	// sequel is set if the current attempt comes after the request may have crashed an endpoint.
 	sequel bool
 	// stalledAttempts is the number of attempts that were abandoned although their hosts
@@ -184,14 +186,20 @@
 	return lastErr
 }
 
+// minDuration returns the estimated minimum time for the rest of a stream after an event, given whether an
+// endpoint holds a copy of its KV cache.
+func (g *Gateway) minDuration(req *request, lastEventID int64, backedUp bool) time.Duration {
+	remaining := savorypinforecast.Remaining{Events: lastEventID, OutputTokens: req.call.OutputTokens}
+	if !backedUp && !g.picker.PromptCached(req.call.PromptID) {
+		remaining.PromptTokens = req.call.PromptTokens
+	}
+	return g.forecast.MinDuration(req.kind(), remaining)
+}
+
 // checkDeadline returns an error if the rest of the stream can't complete before its deadline. Now and then
 // it lets a new stream pass as a probe: if it completes, the estimate was too high.
 func (s *stream) checkDeadline() error {
-	remaining := savorypinforecast.Remaining{Events: s.lastEventID, OutputTokens: s.req.call.OutputTokens}
-	if s.backup == nil && !s.gateway.picker.PromptCached(s.req.call.PromptID) {
-		remaining.PromptTokens = s.req.call.PromptTokens
-	}
-	needed, left := s.gateway.forecast.MinDuration(s.req.kind(), remaining), s.req.remaining()
+	needed, left := s.gateway.minDuration(s.req, s.lastEventID, s.backup != nil), s.req.remaining()
 	if needed <= left {
 		return nil
 	}
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -23,10 +23,11 @@
 	if err != nil {
 		return err
 	}
-	if s.attempts > 0 && !g.retryBudgets.forService(s.req.service.Name()).TryRepeat() {
+	if s.attempts > 0 && !s.repeatTaken && !g.retryBudgets.forService(s.req.service.Name()).TryRepeat() {
 		g.pool.Put(conn, 0)
 		return errBudgetSpent
 	}
+	s.repeatTaken = false
 	defer context.AfterFunc(ctx, conn.Close)()
 	var backup *savorypinfleet.Endpoint
 	if s.req.service.Backups() {
@@ -40,7 +41,7 @@
 	waiting := g.picker.WaitingTokens(e)
 	work := g.picker.Begin(e, backup, tokens)
 	defer work.End()
-	w := g.newWatchdog(ctx, s, e, conn)
+	w := g.newWatchdog(ctx, s, e, conn, backup != nil)
 	defer w.stop()
 	s.attempts++
 	s.sequel = s.attempts > 1 || g.suspects(s.req)
@@ -70,6 +71,7 @@
 // handleFailure handles a failed attempt by its cause, and returns an error that names the cause.
 func (s *stream) handleFailure(ctx context.Context, e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
 	g := s.gateway
+	s.repeatTaken = w.repeatTaken.Load()
 	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) && g.quarantine.Confined(g.subjects(s.req)) == nil {
 		g.recordVersionResult(s.req, e, true, took)
 	}
@@ -185,7 +187,7 @@
 		if s.attemptEvents == beginEvents {
 			s.recordBegin(w)
 		}
-		w.recordEvent()
+		w.recordEvent(e.id)
 		s.gateway.picker.ClearSuspicion(a.Endpoint)
 		if e.id > s.lastEventID+1 {
 			return s.flushAfter(fmt.Errorf("%w: %d after %d", errMissingEvents, e.id, s.lastEventID))
--- a/internal/savorypingateway/watchdog.go
+++ b/internal/savorypingateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,9 +16,9 @@
 	// sent no event is asked for a report of its requests: the prefill of a prompt takes about as
 	// long.
 	firstCheckRatio = 0.35
-	// unresumableInterval is the interval at which the host of a stream is checked that goes on although
-	// its endpoint is silent.
-	unresumableInterval = 2 * time.Second
+	// keptInterval is the interval at which the host of a stream is checked that goes on although its
+	// endpoint is silent.
+	keptInterval = 2 * time.Second
 	// defaultTargetGap applies if the route has no target gap.
 	defaultTargetGap = time.Second
 	// firstLimitFactor multiplies the target latency to give the time without a first event
@@ -66,16 +67,28 @@
 	stalledBefore int
 	// lastAttempt is set if no other attempt may follow.
 	lastAttempt bool
-	// patience is the time without an event after which an attempt is abandoned that can't be resumed
-	// at another endpoint, although the endpoint's host answers.
+	// patience is the time without an event after which an attempt of whose request the endpoint knows
+	// nothing is abandoned although no other endpoint is left, and after which the host of one that goes
+	// on is checked less often.
 	patience time.Duration
+	// backup says that another endpoint holds a copy of the run's KV cache after the first event.
+	backup bool
+	// crashed is the number of endpoints that have crashed under the request.
+	crashed *atomic.Int32
+	// lastEventID is the number of the last event.
+	lastEventID atomic.Int64
+	// repeatTaken is set if the attempt was abandoned and the next one is already counted in the retry
+	// budget.
+	repeatTaken atomic.Bool
+	// kept is set once the endpoint has been silent for longer than patience, until the next event.
+	kept atomic.Bool
 	// silent is set once the endpoint's host did not answer, until the next event.
 	silent atomic.Bool
 	timer  *time.Timer
 }
 
 // newWatchdog starts a watchdog for one attempt of a stream.
-func (g *Gateway) newWatchdog(ctx context.Context, s *stream, e *savorypinfleet.Endpoint, conn *savorypinpool.Conn) *watchdog {
+func (g *Gateway) newWatchdog(ctx context.Context, s *stream, e *savorypinfleet.Endpoint, conn *savorypinpool.Conn, backup bool) *watchdog {
 	req := s.req
 	target := req.route.TargetLatency()
 	if target == 0 {
@@ -86,21 +99,26 @@
 		gap = defaultTargetGap
 	}
 	w := &watchdog{
-		conn: conn, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, probe: s.probe != nil, req: req,
+		backup: backup, conn: conn, crashed: &s.crashed, ctx: ctx, endpoint: e, targetGap: gap, gateway: g, probe: s.probe != nil, req: req,
 		lastAttempt: s.attempts+1 >= req.route.MaxAttempts(), patience: firstLimitFactor * target,
 		sentAt: time.Now(), stalledBefore: s.stalledAttempts,
 	}
 	w.timeouts.Store(&stallTimeouts{check: time.Duration(firstCheckRatio * float64(target)), limit: firstLimitFactor * target})
+	w.lastEventID.Store(s.lastEventID)
 	w.lastEventAt.Store(time.Now().UnixNano())
 	w.timer = time.AfterFunc(w.timeouts.Load().check, func() { g.log.RunRecovered("check stream", w.check) })
 	g.streams.add(w)
 	return w
 }
 
-// recordEvent resets the timer at a new event. The timeouts between events, which are shorter
-// than those before the first one, apply from now on.
-func (w *watchdog) recordEvent() {
+// recordEvent resets the timer at a new event, which has a number unless that is zero. The timeouts
+// between events, which are shorter than those before the first one, apply from now on.
+func (w *watchdog) recordEvent(id int64) {
+	if id > 0 {
+		w.lastEventID.Store(id)
+	}
 	w.silent.Store(false)
+	w.kept.Store(false)
 	now := time.Now().UnixNano()
 	pause := now - w.lastEventAt.Swap(now)
 	if w.firstEventSeen.Swap(true) && pause > w.longestPause.Load() {
@@ -138,9 +156,9 @@
 }
 
 // check opens a new connection to the endpoint's host, which accepts it even if the endpoint is
-// busy. It abandons the attempt if the host does not accept it, if the engine does not have the
-// request, or if the last event is too long ago, unless the answer could still come and nothing
-// else would.
+// busy. If the host does not accept it, the engine does not have the request, or the last event is
+// too long ago, it abandons the attempt if the stream goes on elsewhere then. Otherwise the endpoint
+// may still go on, and nothing else would.
 func (w *watchdog) check() {
 	if w.checking.Swap(true) {
 		return
@@ -170,17 +188,25 @@
 		w.timer.Reset(delay)
 		return
 	}
-	switch {
-	case !w.req.route.Retryable():
+	if !w.takeMove(err == nil && !healthy && idle > w.patience) {
 		w.recordSilence(err)
-		w.timer.Reset(unresumableInterval)
-	case err == nil && idle <= w.patience && !w.canMove():
-		w.timer.Reset(min(timeouts.check, max(w.patience-idle, time.Millisecond)))
-	default:
-		w.unreachable.Store(err != nil)
-		w.stalled.Store(err == nil)
-		w.conn.Close()
+		w.recordKept(idle)
+		w.timer.Reset(w.intervalWhileKept(idle, timeouts.check))
+		return
 	}
+	w.repeatTaken.Store(true)
+	w.unreachable.Store(err != nil)
+	w.stalled.Store(err == nil)
+	w.conn.Close()
+}
+
+// intervalWhileKept returns the time until the next check of a stream that goes on although its endpoint
+// has been silent for a time. As long as another endpoint could still help in time, it is short.
+func (w *watchdog) intervalWhileKept(idle, check time.Duration) time.Duration {
+	if w.req.route.Retryable() && idle <= w.patience {
+		return min(check, keptInterval)
+	}
+	return keptInterval
 }
 
 // ended reports whether the attempt or its request has ended.
@@ -197,7 +223,41 @@
 	}
 }
 
-// canMove reports whether the stream can be resumed at another endpoint now.
-func (w *watchdog) canMove() bool {
-	return !w.lastAttempt && w.gateway.canRepeat(w.req, map[string]bool{w.endpoint.ID(): true})
+// recordKept counts the stream if its endpoint has been silent for longer than patience. It does so once
+// for each silence.
+func (w *watchdog) recordKept(idle time.Duration) {
+	if idle > w.patience && !w.kept.Swap(true) {
+		w.gateway.counters.streamsKept.Inc(1)
+	}
+}
+
+// takeMove reports whether the stream can be resumed elsewhere now, and counts that in the retry budget if
+// so: of several streams that are abandoned at once, the budget may have room for one. If same is set, the
+// next attempt may be at the same endpoint, too.
+func (w *watchdog) takeMove(same bool) bool {
+	if !w.req.route.Retryable() || w.lastAttempt || !same && !w.otherEndpointTakes() {
+		return false
+	}
+	return w.mayResume() && w.gateway.retryBudgets.forService(w.req.service.Name()).TryRepeat()
+}
+
+// otherEndpointTakes reports whether another endpoint is there for the stream, and takes a request now by
+// the limits that endpoints named.
+func (w *watchdog) otherEndpointTakes() bool {
+	others := slices.DeleteFunc(slices.Clone(w.gateway.candidates(w.req.service.Name())), func(e *savorypinfleet.Endpoint) bool {
+		return e.ID() == w.endpoint.ID()
+	})
+	_, held := w.gateway.limitWait(others)
+	return len(others) > 0 && !held
+}
+
+// mayResume reports whether another attempt would be made: the rest has to fit into the time that is left,
+// with the prompt to be read again, and the quarantine has to allow it.
+func (w *watchdog) mayResume() bool {
+	g, crashed := w.gateway, int(w.crashed.Load())
+	confined := (!w.probe || crashed > 0) && g.quarantine.Confined(g.subjects(w.req)) != nil
+	if confined || !g.quarantine.MayCrashAnother(crashed, w.req.call.PromptParts) {
+		return false
+	}
+	return g.minDuration(w.req, w.lastEventID.Load(), w.backup && w.firstEventSeen.Load()) <= w.req.remaining()
 }
