Decode a configuration once, and not under the lock of its copy

Each change of the configuration was decoded three times, twice of these under the lock of the copy, for which the gossip and the transfers to other gateways wait. On a small host with 1,400 routes that held up the confirmations of all kinds.

Cause: whether the copy has to keep the configuration in force, as a restored store lacks it, was found out by decoding both objects again. Now the versions that are known are compared, and the lock is held only to replace the object that was decoded.

Evidence: 'decodes the next one once' failed before (3 in place of 1). 'keeps it for other gateways if the store was restored from a copy that lacks it' holds before and after.

--- a/internal/savorypingateway/publish.go
+++ b/internal/savorypingateway/publish.go
@@ -10,39 +10,37 @@
 // older copy, the configuration in force stays, and the mirror keeps it for gateways that
 // request it.
 func (s *store) publishConfiguration(objects []savorypin.Object, _ int64) {
-	s.adoptConfiguration(objects)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.inForce.Name != "" {
-		s.mirrors[s.cfg.Objects.Configuration.Kind].ReplaceIfLater(s.inForce, s.isLaterConfiguration)
+	for _, o := range objects {
+		if o.Key == s.cfg.Objects.Configuration {
+			s.keepInForce(o, s.adoptConfiguration(o))
+		}
 	}
 }
 
-// isLaterConfiguration reports whether the configuration a has a later version than b, by the
-// operator's numbering. One that can't be decoded counts as earlier.
-func (s *store) isLaterConfiguration(a, b savorypin.Object) bool {
-	first, err := s.cfg.Objects.DecodeConfiguration(a)
-	if err != nil {
-		return false
+// keepInForce replaces the mirror's object with that of the configuration in force if this is later, or
+// if the object can't be decoded, in which case its configuration is nil. It decodes nothing, since it
+// holds the mirror's lock, for which gossip waits.
+func (s *store) keepInForce(o savorypin.Object, c *savorypinfleet.Configuration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce.Name == "" || c != nil && c.Version() >= s.view.configuration().Version() {
+		return
 	}
-	second, err := s.cfg.Objects.DecodeConfiguration(b)
-	return err != nil || first.Version() > second.Version()
+	s.mirrors[o.Kind].ReplaceIfLater(s.inForce, func(_, held savorypin.Object) bool {
+		return held.Era == o.Era && held.Version == o.Version
+	})
 }
 
-// adoptConfiguration puts the configuration among the objects in force if it is later than the
-// current one.
-func (s *store) adoptConfiguration(objects []savorypin.Object) {
-	for _, o := range objects {
-		if o.Key != s.cfg.Objects.Configuration {
-			continue
-		}
-		c, err := s.cfg.Objects.DecodeConfiguration(o)
-		if err != nil {
-			s.log.Emit(savorypinevent.Ignored{Err: err, What: "configuration"})
-			continue
-		}
-		s.adopt(o, c)
+// adoptConfiguration puts the configuration of an object in force if it is later than the current
+// one. It returns the configuration, or nil if the object can't be decoded.
+func (s *store) adoptConfiguration(o savorypin.Object) *savorypinfleet.Configuration {
+	c, err := s.cfg.Objects.DecodeConfiguration(o)
+	if err != nil {
+		s.log.Emit(savorypinevent.Ignored{Err: err, What: "configuration"})
+		return nil
 	}
+	s.adopt(o, c)
+	return c
 }
 
 // adopt puts a configuration in force if it is later than the current one.
--- a/internal/savorypingateway/revocation_test.go
+++ b/internal/savorypingateway/revocation_test.go
@@ -39,7 +39,7 @@
 func (c testConfiguration) object() savorypin.Object {
 	spec, err := json.Marshal(c)
 	Expect(err).NotTo(HaveOccurred())
-	return savorypin.Object{Key: savorypin.Key{Kind: configurationKind}, Spec: spec, Version: c.Version}
+	return savorypin.Object{Key: savorypin.Key{Kind: configurationKind, Name: "main"}, Spec: spec, Version: c.Version}
 }
 
 func (c testConfiguration) listing() savorypinplatform.Listing {
@@ -49,6 +49,8 @@
 // revocation is a gateway with an injected clock whose first configuration has a key that later
 // ones lack.
 type revocation struct {
+	// decoded is the number of configurations that were decoded.
+	decoded atomic.Int32
 	// gate blocks the decoding of later configurations.
 	gate    *gate
 	gateway *Gateway
@@ -64,7 +66,7 @@
 		Clock: r.clock,
 		Log:   savorypinevent.New(savorypinevent.Config{Logger: log.New(io.Discard)}),
 		Objects: Objects{
-			Configuration: savorypin.Key{Kind: configurationKind}, DecodeConfiguration: r.decode,
+			Configuration: savorypin.Key{Kind: configurationKind, Name: "main"}, DecodeConfiguration: r.decode,
 			EndpointKind: endpointKind, RolloutKind: "rollouts",
 		},
 		Settings: Settings{DrainDelay: shortDrain, RevocationDelay: revocationDelay, StrictRevocation: true},
@@ -82,6 +84,7 @@
 }
 
 func (r *revocation) decode(o savorypin.Object) (*savorypinfleet.Configuration, error) {
+	r.decoded.Add(1)
 	var c testConfiguration
 	if err := json.Unmarshal(o.Spec, &c); err != nil {
 		return nil, err
@@ -175,6 +178,31 @@
 		Expect(r.status()).To(Equal(http.StatusUnauthorized))
 	})
 
+	// Guards against gossip that waits while a long configuration is decoded under the copy's lock, and
+	// against a small host that decodes it several times.
+	It("decodes the next one once", func() {
+		r := newRevocation()
+		close(r.gate.opened)
+		before := r.decoded.Load()
+		r.list(revoked)
+		Expect(r.decoded.Load() - before).To(Equal(int32(1)))
+		Expect(r.status()).To(Equal(http.StatusUnauthorized))
+	})
+
+	It("keeps it for other gateways if the store was restored from a copy that lacks it", func() {
+		r := newRevocation()
+		close(r.gate.opened)
+		r.list(revoked)
+		restored := testConfiguration{Keys: []string{revokedKey}, Version: 1}.listing()
+		restored.Era = 1
+		r.gateway.store.applyList(restored, configurationKind, time.Duration(r.now.Load()))
+		objects, state := r.gateway.store.mirrors[configurationKind].Snapshot()
+		Expect(state.Era).To(Equal(int64(1)))
+		Expect(objects).To(HaveLen(1))
+		Expect(objects[0].Spec).To(MatchJSON(revoked.object().Spec))
+		Expect(r.status()).To(Equal(http.StatusUnauthorized))
+	})
+
 	// Guards against a configuration that can't be decoded and makes all gateways refuse all keys.
 	It("serves its keys again if the store has one that can't be decoded", func() {
 		r := newRevocation()
--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -114,10 +114,15 @@
 	}
 	go s.log.RunRecovered("fetch configuration", func() {
 		t, ok := s.transfer(address, s.cfg.Objects.Configuration.Kind, 0, noEra)
-		if ok {
-			s.adoptConfiguration(t.Delta.Objects)
-			s.confirmInForce(s.cfg.Objects.Configuration.Kind)
+		if !ok {
+			return
 		}
+		for _, o := range t.Delta.Objects {
+			if o.Key == s.cfg.Objects.Configuration {
+				s.adoptConfiguration(o)
+			}
+		}
+		s.confirmInForce(s.cfg.Objects.Configuration.Kind)
 	})
 }
 
