--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -67,6 +67,9 @@
 
 // Config configures a Gateway.
 type Config struct {
+	// Clock returns the time since the host booted, including the time for which it was suspended;
+	// nil for the clock of the host.
+	Clock   func() time.Duration
 	Codec   savorypinfleet.Codec
 	Dialect savorypinplatform.Dialect
 	// Log receives the events.
@@ -126,6 +129,9 @@
 
 // New returns a gateway that is not running yet.
 func New(cfg Config) *Gateway {
+	if cfg.Clock == nil {
+		cfg.Clock = bootClock
+	}
 	registry := metrics.NewRegistry()
 	g := &Gateway{
 		requestBudget:  newBodyBudget(cfg.Settings.MemoryBytes, requestMemoryRatio),
@@ -145,7 +151,7 @@
 	g.picker = savorypinpick.New(savorypinpick.Config{
 		Gateways:        g.gatewayCount,
 		Hazard:          savorypinhazard.New(cfg.Settings.Domains),
-		ListConfirmedAt: func() time.Time { return time.Now().Add(-g.store.age(cfg.Objects.EndpointKind)) },
+		ListConfirmedAt: func() time.Time { return time.Now().Add(-g.store.ageInForce(cfg.Objects.EndpointKind)) },
 		Now:             time.Now,
 		PromptRetention: promptRetentionFactor * cfg.Settings.MinPromptRetention,
 		Region:          cfg.Settings.Region,
