Read on at endpoints for callers that read slowly

Cause: an event was read from the endpoint and written to the caller by one goroutine. A caller that did not read blocked the write, so that the endpoint's response stayed unread until the endpoint aborted it.

Change: the connection of a caller queues what the kernel does not take at once while a stream is relayed. Each write is one attempt that does not block; a goroutine exists only while the queue is not empty. The queues share a budget of 1/16 of the memory limit (savorypinbuffer). When it is used up, less urgent streams, and then those that hold most, are aborted; if none gives way the stream is held back as before. Both are counted and logged. A response that has begun for a caller that left is aborted instead of ended, so that it does not look complete to one that has only closed its sending side.

The specs of "A connection of a caller" and "A budget of buffers" test new code.

--- /dev/null
+++ b/internal/savorypinbuffer/suite_test.go
@@ -0,0 +1,11 @@
+package savorypinbuffer_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func TestBuffer(t *testing.T) {
+	savorypintest.RunSuite(t, "Buffer")
+}
--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -21,6 +21,7 @@
 // The kinds of events, in sorted order.
 const (
 	KindAttemptEnded         Kind = "attempt ended"
+	KindBufferFull           Kind = "buffer full"
 	KindCallerLeft           Kind = "caller left"
 	KindConfigurationInForce Kind = "configuration in force"
 	KindDependency           Kind = "dependency"
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -7,6 +7,10 @@
 	answered metrics.Counter
 	// brokenOff counts streams that ended incomplete after their response header was sent.
 	brokenOff metrics.Counter
+	// bufferAborted counts the streams of slow callers that were aborted so that others can buffer their
+	// events, and bufferHeldBack those whose endpoints are read no faster than the callers read.
+	bufferAborted  metrics.Counter
+	bufferHeldBack metrics.Counter
 	// deadlineRefused counts the streams that were not sent, or not sent again, as they were expected
 	// not to complete in time, and deadlineProbes those that were sent in spite of that.
 	deadlineRefused metrics.Counter
@@ -43,6 +47,8 @@
 	resumeGap metrics.Timer
 	// silentHosts counts the streams that went on although the endpoint's host did not answer.
 	silentHosts metrics.Counter
+	// slowCallers counts the streams whose events were buffered, as their callers read slowly.
+	slowCallers metrics.Counter
 	storeCalls  metrics.Counter
 	firstEvent  metrics.Timer
 	plainAnswer metrics.Timer
@@ -54,6 +60,8 @@
 	return counters{
 		answered:            metrics.GetOrRegisterCounter("gateway_answered", r),
 		brokenOff:           metrics.GetOrRegisterCounter("gateway_broken_off", r),
+		bufferAborted:       metrics.GetOrRegisterCounter("gateway_buffer_aborted", r),
+		bufferHeldBack:      metrics.GetOrRegisterCounter("gateway_buffer_held_back", r),
 		deadlineProbes:      metrics.GetOrRegisterCounter("gateway_deadline_probes", r),
 		deadlineRefused:     metrics.GetOrRegisterCounter("gateway_deadline_refused", r),
 		endpointsCrashed:    metrics.GetOrRegisterCounter("gateway_endpoints_crashed", r),
@@ -77,6 +85,7 @@
 		resumed:             metrics.GetOrRegisterCounter("gateway_resumed", r),
 		resumeGap:           metrics.GetOrRegisterTimer("gateway_resume_gap", r),
 		silentHosts:         metrics.GetOrRegisterCounter("gateway_silent_hosts", r),
+		slowCallers:         metrics.GetOrRegisterCounter("gateway_slow_callers", r),
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
 		unanswered:          metrics.GetOrRegisterCounter("gateway_unanswered", r),
 	}
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinadmission"
+	"savorypin/internal/savorypinbuffer"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinforecast"
@@ -120,8 +121,10 @@
 	stopStart atomic.Pointer[time.Time]
 	stopping  atomic.Bool
 	store     *store
-	streams   streamSet
-	view      view
+	// streamBudget limits the memory of the events that are buffered for slow callers.
+	streamBudget *savorypinbuffer.Budget
+	streams      streamSet
+	view         view
 }
 
 // New returns a gateway that is not running yet.
@@ -139,6 +142,7 @@
 		registry:       registry,
 		sealer:         savorypinseal.New(cfg.Settings.PeerKeys...),
 		slowest:        savorypinforecast.NewSlowest(),
+		streamBudget:   newStreamBudget(cfg.Settings.MemoryBytes),
 	}
 	g.exiting, g.exit = context.WithCancel(context.Background())
 	g.settings.Store(&cfg.Settings)
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -55,6 +55,8 @@
 
 // state is the content of the state dump.
 type state struct {
+	// BufferedBytes is the memory that is reserved for the events of slow callers.
+	BufferedBytes        int64         `json:"bufferedBytes"`
 	ConfigurationVersion int64         `json:"configurationVersion"`
 	ConfirmationAge      time.Duration `json:"confirmationAgeNs"`
 	Endpoints            int           `json:"endpoints"`
@@ -76,6 +78,7 @@
 
 func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
 	s := state{
+		BufferedBytes:    g.streamBudget.Used(),
 		Endpoints:        g.view.directory.Load().Len(),
 		EndpointsHeld:    g.admission.CountNotOpen(g.view.directory.Load()),
 		LimitedEndpoints: g.endpointLimits.Len(),
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -49,6 +49,7 @@
 // Of later configurations only the limit on bodies applies.
 func (g *Gateway) newCallerServer() *http.Server {
 	server := &http.Server{
+		ConnContext:       withCallerConn,
 		Handler:           g,
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    defaultMaxHeaderBytes,
@@ -89,7 +90,7 @@
 	g.awaitInitialState(ctx)
 	server := g.newCallerServer()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
+	go func() { failed <- server.Serve(callerListener{l}) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve callers: %w", err)
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -98,25 +98,43 @@
 		tried: map[string]bool{}, w: w,
 	}
 	defer g.picker.RecordStreamEnd(req.call.PromptID)
+	caller := g.bufferFor(r, req)
 	err := s.run(ctx)
 	if err == nil {
-		g.counters.answered.Inc(1)
+		// What the caller takes beyond that says nothing about the endpoint.
 		s.recordDuration()
+	}
+	if finishErr := caller.finish(); finishErr != nil && err == nil {
+		err = fmt.Errorf("%w: %w", errCallerWrite, finishErr)
+	}
+	switch {
+	case err == nil:
+		g.counters.answered.Inc(1)
 		s.logEnd(savorypinevent.KindStreamCompleted, nil)
 		return
-	}
-	if callerLeft(r) {
+	case caller.gaveWay():
+		err = errGaveWay
+	case callerLeft(r):
 		s.logEnd(savorypinevent.KindCallerLeft, nil)
+		s.abortBegun()
 		return
 	}
 	s.logEnd(savorypinevent.KindStreamFailed, err)
 	if s.headerSent {
 		g.counters.brokenOff.Inc(1)
-		panic(http.ErrAbortHandler)
 	}
+	s.abortBegun()
 	s.sendFailure(err)
 }
 
+// abortBegun aborts a response that has begun. Else net/http would end it, also for a caller that has
+// only closed its sending side, so that it looks complete.
+func (s *stream) abortBegun() {
+	if s.headerSent {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // sendFailure responds to a stream that failed before its response header was sent.
 func (s *stream) sendFailure(err error) {
 	g := s.gateway
