Bound the bodies on their way to one endpoint

Cause: an endpoint crashes if the requests that it holds exceed its memory, and nothing limited the bytes that a gateway sends to one endpoint at a time.

Change: the bytes of the bodies that this gateway has sent to an incarnation of an endpoint and that have no response head yet stay within the largest body that the configuration allows, 4 MiB at least; a body that is alone always fits. Other requests go to another endpoint, or are refused as not run with a Retry-After.

--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"savorypin/internal/savorypinfleet"
@@ -34,6 +35,8 @@
 	organisation   string
 	route          *savorypinfleet.Route
 	service        *savorypinfleet.Service
+	// uploading counts the body at the endpoint that has no response to it yet; nil if there is none.
+	uploading *atomic.Int64
 	// deadline is the earlier of the caller's deadline and the end of the route's timeout.
 	deadline time.Time
 
@@ -172,6 +175,7 @@
 
 // release returns the memory of the request's bodies to their budgets.
 func (r *request) release() {
+	r.endUpload()
 	r.bodies.release()
 	r.upload.release()
 }
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -54,6 +54,9 @@
 	plainAnswer metrics.Timer
 	// unanswered counts the requests that ended without a response although their callers waited.
 	unanswered metrics.Counter
+	// uploadHeld counts the choices of an endpoint that were given up because of the bodies of other
+	// requests on their way to it.
+	uploadHeld metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -87,6 +90,7 @@
 		silentHosts:         metrics.GetOrRegisterCounter("gateway_silent_hosts", r),
 		slowCallers:         metrics.GetOrRegisterCounter("gateway_slow_callers", r),
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
+		uploadHeld:          metrics.GetOrRegisterCounter("gateway_upload_held", r),
 		unanswered:          metrics.GetOrRegisterCounter("gateway_unanswered", r),
 	}
 }
--- a/internal/savorypingateway/endpointlimit.go
+++ b/internal/savorypingateway/endpointlimit.go
@@ -58,23 +58,32 @@
 	return byHash
 }
 
-// retainLimits drops the limits of endpoints that are no longer listed.
+// retainLimits drops the limits and the uploads of endpoints that are no longer listed.
 func (g *Gateway) retainLimits() {
 	byHash := g.endpointsByHash()
-	g.endpointLimits.Retain(func(endpoint uint64) bool { return byHash[endpoint] != nil })
+	listed := func(endpoint uint64) bool { return byHash[endpoint] != nil }
+	g.endpointLimits.Retain(listed)
+	g.uploads.retain(listed)
 }
 
 // chooseEndpoint returns the endpoint for the next attempt of a request, and counts the attempt
-// against its limit, if it has one. It returns nil if there is none that takes the request now.
+// against its limits. It returns nil if there is none that takes the request now.
 func (g *Gateway) chooseEndpoint(req *request, tried map[string]bool) *savorypinfleet.Endpoint {
 	excluded := maps.Clone(tried)
 	for {
 		e := g.picker.Choose(g.query(req, excluded))
-		if e == nil || g.endpointLimits.Take(e.IncarnationHash()) {
+		if e == nil {
+			req.endUpload()
+			return nil
+		}
+		excluded[e.ID()] = true
+		if !g.takeUpload(e, req) {
+			continue
+		}
+		if g.endpointLimits.Take(e.IncarnationHash()) {
 			return e
 		}
 		g.counters.limitHeld.Inc(1)
-		excluded[e.ID()] = true
 	}
 }
 
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -124,7 +124,9 @@
 	// streamBudget limits the memory of the events that are buffered for slow callers.
 	streamBudget *savorypinbuffer.Budget
 	streams      streamSet
-	view         view
+	// uploads knows the bodies that were sent to each endpoint and have no response yet.
+	uploads uploads
+	view    view
 }
 
 // New returns a gateway that is not running yet.
--- a/internal/savorypingateway/plainattempt.go
+++ b/internal/savorypingateway/plainattempt.go
@@ -116,6 +116,7 @@
 		return unknown(err)
 	}
 	resp, err := conn.Receive(req.call.Method)
+	req.endUpload()
 	if err != nil {
 		return unknown(err)
 	}
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -244,7 +244,8 @@
 func (s *stream) nextEndpoint(ctx context.Context) (*savorypinfleet.Endpoint, bool, error) {
 	if b := s.backup; b != nil {
 		s.backup = nil
-		if s.gateway.canRestore(b) && !s.gateway.picker.Suspect(b) && s.gateway.endpointLimits.Take(b.IncarnationHash()) {
+		if s.gateway.canRestore(b) && !s.gateway.picker.Suspect(b) && s.gateway.takeUpload(b, s.req) &&
+			s.gateway.endpointLimits.Take(b.IncarnationHash()) {
 			return b, true, nil
 		}
 	}
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -113,6 +113,7 @@
 		return err
 	}
 	resp, err := conn.Receive(s.req.call.Method) //nolint:bodyclose // closing would wait for the rest; the connection is closed instead
+	s.req.endUpload()
 	if err != nil {
 		return err
 	}
