Watch for callers that leave while a stream is held back

Cause: a stream that found the memory for slow callers used up before it had queued anything did not close its connection when the caller left, so that its write went on until the deadline.

Change: the connection is watched from the moment that the caller proves slow. A spec lets 24 slow streams of three priorities make each other give way.

--- a/internal/savorypingateway/callerconn.go
+++ b/internal/savorypingateway/callerconn.go
@@ -50,8 +50,8 @@
 	// for the first time.
 	onBuffering, onFull func()
 
-	full bool
-	// stop ends the watch for a caller that leaves; nil until bytes are queued for the first time.
+	buffering, full bool
+	// stop ends the watch for a caller that leaves; nil until the caller has proved slow.
 	stop func() bool
 }
 
@@ -167,20 +167,29 @@
 		return
 	}
 	c.draining = true
-	if c.use.stop == nil {
-		// A write that blocks would otherwise go on until its deadline.
-		c.use.stop = context.AfterFunc(c.use.ctx, func() { c.Close() })
+	if !c.use.buffering {
+		c.use.buffering = true
 		c.use.onBuffering()
 	}
+	c.watchLocked()
 	go c.drain(c.use.holder)
 }
 
+// watchLocked closes the connection when the caller leaves. A write that blocks would otherwise go on until
+// its deadline. The caller holds c.mu.
+func (c *callerConn) watchLocked() {
+	if c.use.stop == nil {
+		c.use.stop = context.AfterFunc(c.use.ctx, func() { c.Close() })
+	}
+}
+
 // recordFullLocked reports once for each stream that the budget is used up. The caller holds c.mu.
 func (c *callerConn) recordFullLocked() {
 	if !c.use.full {
 		c.use.full = true
 		c.use.onFull()
 	}
+	c.watchLocked()
 }
 
 // drain writes the queue until it is empty or a write fails.
--- a/internal/savorypingateway/callerconn_test.go
+++ b/internal/savorypingateway/callerconn_test.go
@@ -120,6 +120,47 @@
 			caller.Close()
 		}
 	})
+
+	// Guards against streams that wait for each other's locks for good when they make each other give way, and
+	// against memory that stays reserved after that.
+	It("ends with all of its bytes or none of the rest when many streams of all priorities are slow", func() {
+		const streams, streamBytes = 24, 1 << 20
+		budget := savorypinbuffer.New(16 * blockBytes)
+		slow := make(chan struct{})
+		start := sync.OnceFunc(func() { close(slow) })
+		ended := make(chan bool, streams)
+		for i := range streams {
+			conn, caller, err := newCallerPair()
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(caller.Close)
+			Expect(conn.Conn.(*net.TCPConn).SetWriteBuffer(smallBufferBytes)).To(Succeed())
+			Expect(caller.(*net.TCPConn).SetReadBuffer(smallBufferBytes)).To(Succeed())
+			use := &bufferUse{ctx: context.Background(), onBuffering: func() {}, onFull: start}
+			use.holder = budget.NewHolder(savorypinbuffer.HolderConfig{Priority: i % 3, Yield: func(int64) { conn.yield(use) }})
+			received := make(chan int64, 1)
+			go func() {
+				<-slow
+				n, _ := io.Copy(io.Discard, caller)
+				received <- n
+			}()
+			go func() {
+				conn.begin(use)
+				for range streamBytes / 1024 {
+					if _, err := conn.Write(make([]byte, 1024)); err != nil {
+						break
+					}
+				}
+				err := conn.finish()
+				conn.Close()
+				n := <-received
+				ended <- err == nil && n == streamBytes || err != nil && n < streamBytes
+			}()
+		}
+		for range streams {
+			Eventually(ended, "20s").Should(Receive(BeTrue()))
+		}
+		Expect(budget.Used()).To(BeZero())
+	})
 })
 
 // BenchmarkCallerWrite measures the write of an event to a caller that keeps up.
