--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinadmission"
+	"savorypin/internal/savorypinbuffer"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinforecast"
@@ -123,8 +124,12 @@
 	stopStart atomic.Pointer[time.Time]
 	stopping  atomic.Bool
 	store     *store
-	streams   streamSet
-	view      view
+	// streamBudget limits the memory of the events that are buffered for slow callers.
+	streamBudget *savorypinbuffer.Budget
+	streams      streamSet
+	// uploads knows the bodies that were sent to each endpoint and have no response yet.
+	uploads uploads
+	view    view
 }
 
 // New returns a gateway that is not running yet.
@@ -145,6 +150,7 @@
 		registry:       registry,
 		sealer:         savorypinseal.New(cfg.Settings.PeerKeys...),
 		slowest:        savorypinforecast.NewSlowest(),
+		streamBudget:   newStreamBudget(cfg.Settings.MemoryBytes),
 	}
 	g.exiting, g.exit = context.WithCancel(context.Background())
 	g.settings.Store(&cfg.Settings)
