Log and count what a stream's endpoint had reserved, and describe it

An operator could not see why an engine was chosen that had no memory left, or why a stream had no copy.

--- a/internal/savorypinevent/requestevents.go
+++ b/internal/savorypinevent/requestevents.go
@@ -150,6 +150,13 @@
 	// Event is the number of the last event that was delivered.
 	Event int64
 	ID    string
+	// Priority is the rank of the stream's priority among the streams to its service; 0 is the highest.
+	Priority int
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+	// Reserved is the number of tokens of KV memory that were reserved at the endpoint before, over all
+	// gateways; zero if memory is not limited.
+	Reserved int
 	// Restored reports whether the endpoint is to continue from the copy of the KV cache.
 	Restored bool
 	// Waiting is the number of prompt tokens that are queued at the endpoint.
@@ -166,7 +173,7 @@
 func (e StreamSent) Fields() []any {
 	return []any{
 		"id", e.ID, "endpoint", e.Endpoint, "domain", e.Domain, "attempt", e.Attempt, "backup", e.Backup, "restored", e.Restored,
-		"event", e.Event, "waiting", e.Waiting, "directoryAge", milliseconds(e.DirectoryAge), "age", milliseconds(e.Age),
+		"event", e.Event, "prompt", e.PromptTokens, "priority", e.Priority, "reserved", e.Reserved, "waiting", e.Waiting, "directoryAge", milliseconds(e.DirectoryAge), "age", milliseconds(e.Age),
 	}
 }
 
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -11,6 +11,10 @@
 	// events, and bufferHeldBack those whose endpoints are read no faster than the callers read.
 	bufferAborted  metrics.Counter
 	bufferHeldBack metrics.Counter
+	// copiesOmitted counts the streams without a copy of their KV cache for want of memory, overcommitted
+	// those that were sent to an endpoint without memory left.
+	copiesOmitted metrics.Counter
+	overcommitted metrics.Counter
 	// deadlineRefused counts the streams that were not sent, or not sent again, as they were expected
 	// not to complete in time, and deadlineProbes those that were sent in spite of that.
 	deadlineRefused metrics.Counter
@@ -68,6 +72,8 @@
 		brokenOff:           metrics.GetOrRegisterCounter("gateway_broken_off", r),
 		bufferAborted:       metrics.GetOrRegisterCounter("gateway_buffer_aborted", r),
 		bufferHeldBack:      metrics.GetOrRegisterCounter("gateway_buffer_held_back", r),
+		copiesOmitted:       metrics.GetOrRegisterCounter("gateway_copies_omitted", r),
+		overcommitted:       metrics.GetOrRegisterCounter("gateway_overcommitted", r),
 		deadlineProbes:      metrics.GetOrRegisterCounter("gateway_deadline_probes", r),
 		deadlineRefused:     metrics.GetOrRegisterCounter("gateway_deadline_refused", r),
 		endpointsCrashed:    metrics.GetOrRegisterCounter("gateway_endpoints_crashed", r),
--- a/internal/savorypingateway/priority.go
+++ b/internal/savorypingateway/priority.go
@@ -67,3 +67,18 @@
 	}
 	return min(r.memoryTokens(), r.call.PromptTokens+r.call.OutputTokens)
 }
+
+// countMemory counts a stream that is sent to an endpoint without memory left, or without a copy for want
+// of it.
+func (s *stream) countMemory(e, backup *savorypinfleet.Endpoint) {
+	q := s.gateway.query(s.req, nil)
+	if q.MemoryTokens == 0 {
+		return
+	}
+	if !s.gateway.picker.Fits(e, q) {
+		s.gateway.counters.overcommitted.Inc(1)
+	}
+	if backup == nil && s.req.service.Backups() {
+		s.gateway.counters.copiesOmitted.Inc(1)
+	}
+}
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -38,7 +38,8 @@
 		tokens = 0
 	}
 	s.fullPrefill = tokens > 0
-	waiting := g.picker.WaitingTokens(e)
+	load := g.loadOf(e)
+	s.countMemory(e, backup)
 	work := g.picker.Begin(e, backup, tokens)
 	work.Reserve(s.req.reserveTokens())
 	defer work.End()
@@ -50,7 +51,7 @@
 		Backup: backup, Call: s.req.call, Deadline: s.req.remaining(), Endpoint: e, LastEventID: s.lastEventHeader(),
 		Organisation: s.req.organisation, Priority: s.req.priority.forAttempt(s.lastEventID > 0), RestoreFromBackup: restore,
 	}
-	s.logSent(a, waiting)
+	s.logSent(a, load)
 	start := time.Now()
 	g.rollouts.CountSent(e.Service(), e.Version())
 	err = s.exchange(conn, a, w, work.RecordPrefill)
