Keep copies of the most urgent streams wherever they fit

Urgent streams lost their caches with their failure domain as often as others, and were late because of it. They now have a copy wherever 95 % of an engine's memory hold it; less urgent ones share a third of it, by the risk of their domain.

--- a/internal/savorypingateway/candidates.go
+++ b/internal/savorypingateway/candidates.go
@@ -65,7 +65,7 @@
 		Excluded:     tried,
 		PromptID:     req.call.PromptID,
 		PromptTokens: req.call.PromptTokens,
-		MemoryTokens: req.memoryTokens(), ReserveTokens: req.reserveTokens(),
+		MemoryTokens: req.memoryTokens(), Rank: req.priority.rank, ReserveTokens: req.reserveTokens(),
 		Plain: req.route.Kind() != savorypinfleet.RouteStreaming,
 	}
 }
--- a/internal/savorypinpick/backup.go
+++ b/internal/savorypinpick/backup.go
@@ -14,14 +14,16 @@
 	// maxCopyFraction limits the copies at an endpoint for a primary of average risk: engines run
 	// fewer requests at once the more memory copies take. maxRelativeRisk and minRelativeRisk bound
 	// how far the limit follows the risk of the primary's domain.
-	maxCopyFraction = 0.25
+	maxCopyFraction = 0.33
 	maxRelativeRisk = 2
-	minRelativeRisk = 0.5
+	minRelativeRisk = 0.7
 	// maxLoadForCopy is the reserved fraction up to which an endpoint takes a copy. The rest is for
 	// requests, which must not be preempted for copies.
 	maxLoadForCopy = 0.8
-	// maxLoadWithoutRisk replaces maxLoadForCopy while no domain is expected to fail.
-	maxLoadWithoutRisk = 0.35
+	// maxLoadWithoutRisk replaces maxLoadForCopy while no domain is expected to fail, and
+	// maxLoadForUrgentCopy for copies of the most urgent requests.
+	maxLoadWithoutRisk   = 0.35
+	maxLoadForUrgentCopy = 0.95
 )
 
 // ChooseBackup returns the endpoint that keeps a backup of the KV cache of a request on
@@ -90,7 +92,8 @@
 }
 
 // newCopyLimits returns the limits for a copy of a request whose primary is in a domain, given the
-// failure risks by domain. The riskier the domain, the more memory a copy is worth.
+// failure risks by domain. The riskier the domain, the more memory a copy is worth. The most urgent
+// requests have a copy wherever it fits: those that are less urgent make room for them.
 func newCopyLimits(risks map[string]float64, domain string, q Query) copyLimits {
 	if q.MemoryTokens <= 0 {
 		return copyLimits{unlimited: true}
@@ -101,7 +104,10 @@
 	}
 	memory := float64(q.MemoryTokens)
 	limits := copyLimits{copies: memory, total: maxLoadWithoutRisk * memory, reservation: float64(q.ReserveTokens)}
-	if sum > 0 {
+	switch {
+	case q.Rank == 0:
+		limits.total = maxLoadForUrgentCopy * memory
+	case sum > 0:
 		relativeRisk := risks[domain] * float64(len(risks)) / sum
 		limits.copies = min(maxRelativeRisk, max(minRelativeRisk, relativeRisk)) * maxCopyFraction * memory
 		limits.total = maxLoadForCopy * memory
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -189,6 +189,9 @@
 	PromptID string
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
+	// Rank is the number of priorities that are higher than the request's. It matters only where
+	// memory is limited.
+	Rank int
 	// ReserveTokens is the number of tokens of KV memory that the request needs at most: those of
 	// its prompt and of its response.
 	ReserveTokens int
