--- /dev/null
+++ b/internal/savorypinqueue/suite_test.go
@@ -0,0 +1,11 @@
+package savorypinqueue_test
+
+import (
+	"testing"
+
+	"savorypin/internal/savorypintest"
+)
+
+func TestQueue(t *testing.T) {
+	savorypintest.RunSuite(t, "Queue")
+}
