Start streams that wait for nobody under the lock of the queue

Cause: with separate questions and records (MayPass, RecordStart), two streams that arrive together could both take the same place.

Change: TryPass asks, starts and records in one step.

--- a/internal/savorypinqueue/bench_test.go
+++ b/internal/savorypinqueue/bench_test.go
@@ -42,7 +42,7 @@
 				q.Offer(savorypinqueue.OwnNews(), fits)
 				_, _ = q.Join(one)
 			}},
-			{"may pass", func() { q.MayPass(one) }},
+			{"pass", func() { q.TryPass(one, fits) }},
 		} {
 			b.Run(fmt.Sprintf("%s/waiting=%d", bc.name, length), func(b *testing.B) {
 				b.ReportAllocs()
--- a/internal/savorypinqueue/queue.go
+++ b/internal/savorypinqueue/queue.go
@@ -172,35 +172,31 @@
 	return true
 }
 
-// MayPass reports whether an item may start without waiting, if it fits: nothing that waits comes
-// before it, and the next start isn't kept for less urgent items.
-func (q *Queue) MayPass(item Item) bool {
+// TryPass starts an item without waiting, if nothing that waits comes before it, the next start isn't
+// kept for less urgent items, and tryStart starts it. It reports whether it has started. tryStart must
+// not call the queue.
+func (q *Queue) TryPass(item Item, tryStart func(Item) bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if item.validate() != nil {
-		return false
-	}
 	now := q.cfg.Now()
 	q.expire(now)
-	if q.share.due() && q.line.hasLessUrgent(item.Priority) {
+	if item.validate() != nil || !q.mayPass(item, now) || !tryStart(item) {
 		return false
 	}
-	return q.line.before(q.newTicket(item, now)).all == 0
+	if q.line.length > 0 {
+		q.rates.advance(now, &q.line)
+		q.rates.recordPass(item.Priority, &q.line)
+		q.share.recordStart(item.Priority, &q.line)
+	}
+	return true
 }
 
-// RecordStart records the start of an item that passed without waiting.
-func (q *Queue) RecordStart(priority int) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if priority < 0 || priority >= priorities {
-		return
-	}
-	q.rates.advance(q.cfg.Now(), &q.line)
-	if q.line.length == 0 {
-		return
+// mayPass reports whether an item may start before those that wait.
+func (q *Queue) mayPass(item Item, now time.Time) bool {
+	if q.share.due() && q.line.hasLessUrgent(item.Priority) {
+		return false
 	}
-	q.rates.recordPass(priority, &q.line)
-	q.share.recordStart(priority, &q.line)
+	return q.line.before(q.newTicket(item, now)).all == 0
 }
 
 // Refuse refuses the waiting items that match, for a reason that is not the queue's own, such as a
--- a/internal/savorypinqueue/queue_test.go
+++ b/internal/savorypinqueue/queue_test.go
@@ -111,18 +111,19 @@
 
 	// Guards against new streams that pass those that wait.
 	It("lets an item start without waiting only if none waits before it", func() {
-		Expect(q.MayPass(item(clock, 9, time.Second))).To(BeTrue())
+		passes := func(priority int, left time.Duration) bool { return q.TryPass(item(clock, priority, left), fits) }
+		Expect(passes(9, time.Second)).To(BeTrue())
 		_, _ = q.Join(item(clock, 5, 2*time.Second))
-		Expect(q.MayPass(item(clock, 9, time.Second))).To(BeFalse())
-		Expect(q.MayPass(item(clock, 5, 3*time.Second))).To(BeFalse())
-		Expect(q.MayPass(item(clock, 5, time.Second))).To(BeTrue())
-		Expect(q.MayPass(item(clock, -1, time.Second))).To(BeFalse())
+		Expect(passes(9, time.Second)).To(BeFalse())
+		Expect(passes(5, 3*time.Second)).To(BeFalse())
+		Expect(passes(-1, time.Second)).To(BeFalse())
+		Expect(q.TryPass(item(clock, 4, time.Second), func(savorypinqueue.Item) bool { return false })).To(BeFalse())
+		Expect(passes(5, time.Second)).To(BeTrue())
 		for range 7 {
-			Expect(q.MayPass(item(clock, 4, time.Second))).To(BeTrue())
-			q.RecordStart(4)
+			Expect(passes(4, time.Second)).To(BeTrue())
 		}
 		// The eighth start is kept for the less urgent one.
-		Expect(q.MayPass(item(clock, 4, time.Second))).To(BeFalse())
+		Expect(passes(4, time.Second)).To(BeFalse())
 		started, _ := startOne(q)
 		Expect(started.Priority).To(Equal(5))
 	})
