Let streams wait at the gateway for an engine with memory left

Cause: a stream that fits no engine of a service with several priorities is sent to one all the same, which then preempts another one; and the order in which streams get the memory that becomes free is that of their arrival at engines.

Change: a new stream of such a service keeps room at an endpoint before its first attempt, or waits in the queue of its service (savorypinqueue). Ends of attempts, load reports and changes of the list offer places; the load part of the gossip names the services for which streams wait, so that gateways share what all of them see. Those that wait are refused as not run at their latest useful start, when the gateway stops, and by a new configuration without their route or key. A ticket that fits nowhere blocks others ever more seldom. Services with one priority, and those whose engines' memory is unknown, are served as before.

--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -48,6 +48,7 @@
 	KindStreamFailed         Kind = "stream failed"
 	KindStreamResumed        Kind = "stream resumed"
 	KindStreamSent           Kind = "stream sent"
+	KindStreamWaited         Kind = "stream waited"
 )
 
 // Event is an event that can be logged.
--- a/internal/savorypinexplain/report.go
+++ b/internal/savorypinexplain/report.go
@@ -139,8 +139,29 @@
 	return history[len(history)-1]
 }
 
-// summarize says how a request ended and why.
+// summarize says how a request ended and why, and how long it waited.
 func summarize(history []Line) string {
+	return summarizeEnd(history) + summarizeWait(history)
+}
+
+// summarizeWait says how a request waited for an endpoint with room, if a line reports it.
+func summarizeWait(history []Line) string {
+	for _, line := range slices.Backward(history) {
+		if savorypinevent.Kind(line.Kind) != savorypinevent.KindStreamWaited {
+			continue
+		}
+		text := fmt.Sprintf("; it waited %s ms for an endpoint of %s with room, at priority %s, and %s",
+			line.Value("wait"), line.Value("service"), line.Value("priority"), line.Value("outcome"))
+		if reason := line.Value("reason"); reason != "" {
+			text += fmt.Sprintf(" (%s), with %s streams waiting", reason, line.Value("length"))
+		}
+		return text
+	}
+	return ""
+}
+
+// summarizeEnd says how a request ended and why.
+func summarizeEnd(history []Line) string {
 	last := finalLine(history)
 	switch savorypinevent.Kind(last.Kind) {
 	case savorypinevent.KindRequestRefused:
--- a/internal/savorypinexplain/report_test.go
+++ b/internal/savorypinexplain/report_test.go
@@ -90,6 +90,26 @@
 		Expect(report.SubjectEvents[0].Value("id")).To(Equal("r7"))
 	})
 
+	for _, tc := range []struct{ id, summary string }{
+		{"r1", "status 503: no room at endpoints: displaced; configuration 4, confirmed 300 ms before, 3 endpoints, 0 of them suspect; " +
+			"the stream failed: no endpoint has room; it waited 2100 ms for an endpoint of llm with room, at priority 2, and was refused (displaced), with 80 streams waiting"},
+		{"r2", "the stream completed in 9000 ms: first event after 3000 ms, longest pause 90 ms, 1 attempts; " +
+			"it waited 1500 ms for an endpoint of llm with room, at priority 0, and started"},
+	} {
+		It("says how long "+tc.id+" waited for room at an endpoint, and why it was refused", func() {
+			waits := `
+  2.000 edge-1 time=2026-12-04T05:00:00.100Z level=info msg="stream waited" gateway=edge-1 id=r1 service=llm priority=2 outcome="was refused" wait=2100 length=80 age=2103 reason=displaced retryAfter=900
+  2.000 edge-1 time=2026-12-04T05:00:00.100Z level=warn msg="stream failed" gateway=edge-1 id=r1 attempts=0 age=2103 err="no endpoint has room"
+  2.001 edge-1 time=2026-12-04T05:00:00.100Z level=warn msg="request refused" gateway=edge-1 id=r1 status=503 reason="no room at endpoints: displaced" configuration=4 confirmationAge=300 endpoints=3 suspects=0
+  3.000 edge-1 time=2026-12-04T05:00:00.100Z level=info msg="stream waited" gateway=edge-1 id=r2 service=llm priority=0 outcome=started wait=1500 length=3 age=1502
+  9.000 edge-1 time=2026-12-04T05:00:00.100Z level=info msg="stream completed" gateway=edge-1 id=r2 attempts=1 age=9000 first=3000 longestPause=90 event=90
+`
+			report, err := savorypinexplain.Explain(tc.id, readLines(waits))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(report.Summary).To(HaveSuffix(tc.summary))
+		})
+	}
+
 	It("uses the gateway's time if the log collector put no time in front of the line", func() {
 		line := `time=2026-12-04T05:00:00.250Z level=info msg="stream sent" gateway=edge-1 id=r1`
 		Expect(readLines(line)[0].At).To(Equal(time.Duration(time.Date(2026, 12, 4, 5, 0, 0, 250e6, time.UTC).UnixNano())))
--- a/internal/savorypinfleet/message.go
+++ b/internal/savorypinfleet/message.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -35,6 +36,12 @@
 	URI          string
 }
 
+// Path returns the path of the URI.
+func (c *Call) Path() string {
+	path, _, _ := strings.Cut(c.URI, "?")
+	return path
+}
+
 // LastEvent returns the number of the last event that the caller received; zero for none.
 func (c *Call) LastEvent() int64 {
 	n, err := strconv.ParseInt(c.LastEventID, 10, 64)
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -96,8 +95,7 @@
 	if c == nil || !g.view.listed.Load() {
 		return nil, notRunRefusal("no configuration yet", storeRetryDelay)
 	}
-	path, _, _ := strings.Cut(call.URI, "?")
-	route := c.Route(call.Host, path)
+	route := c.Route(call.Host, call.Path())
 	if route == nil {
 		return nil, &refusal{reason: "no route", status: http.StatusNotFound}
 	}
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -48,6 +48,11 @@
 	plainAnswer metrics.Timer
 	// unanswered counts the requests that ended without a response although their callers waited.
 	unanswered metrics.Counter
+	// waited counts the streams that waited for an endpoint with room, waitRefused those that were
+	// refused because of that, at once or later, and waitLeft those whose callers left meanwhile.
+	waited, waitLeft, waitRefused metrics.Counter
+	// wait is how long those waited that started.
+	wait metrics.Timer
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -79,6 +84,10 @@
 		silentHosts:         metrics.GetOrRegisterCounter("gateway_silent_hosts", r),
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
 		unanswered:          metrics.GetOrRegisterCounter("gateway_unanswered", r),
+		wait:                metrics.GetOrRegisterTimer("gateway_wait", r),
+		waited:              metrics.GetOrRegisterCounter("gateway_waited", r),
+		waitLeft:            metrics.GetOrRegisterCounter("gateway_wait_left", r),
+		waitRefused:         metrics.GetOrRegisterCounter("gateway_wait_refused", r),
 	}
 }
 
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -103,8 +103,12 @@
 	// succeeded or not.
 	discoveryDone chan struct{}
 	peers         *savorypingossip.Table
-	picker        *savorypinpick.Picker
-	pool          *savorypinpool.Pool
+	// peersWaiting knows for which services streams wait at other gateways.
+	peersWaiting peersWaiting
+	picker       *savorypinpick.Picker
+	pool         *savorypinpool.Pool
+	// queues holds the streams that wait for an endpoint with room.
+	queues streamQueues
 	// quarantine keeps parts of prompts, and requests, that crash endpoints from them.
 	quarantine *savorypinquarantine.Registry
 	// notReadyReason is why the gateway was not ready at the last sweep; empty if it was.
@@ -168,10 +172,13 @@
 	g.endpointLimits = savorypinlimit.NewSharedRates(savorypinlimit.SharedRateConfig{
 		Busiest: g.requestShares.busiest, Now: time.Now, Share: g.requestShares.share,
 	})
+	g.queues.gateway = g
+	g.queues.maxBytes = int(waitingMemoryRatio * requestMemoryRatio * float64(cfg.Settings.MemoryBytes))
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
 	g.gossip = g.newGossip()
 	g.store = newStore(cfg, &g.view, g.counters)
 	g.store.sealer = g.sealer
+	g.store.configurationChanged = g.configurationChanged
 	g.store.endpointsChanged = g.directoryChanged
 	g.store.notifyPeers = g.gossip.TriggerRound
 	g.store.awaitFirstList = g.awaitFirstList
@@ -303,6 +310,7 @@
 			g.retainDurations()
 			g.updatePeers()
 			g.logReadiness()
+			g.queues.loadsChanged()
 		})
 	})
 	return ctx.Err()
@@ -327,6 +335,7 @@
 			Restarted: len(restarted), Era: state.Era, Revision: state.LastChangeVersion,
 		})
 	}
+	g.queues.loadsChanged()
 }
 
 // bootClock returns the time since the host booted. Unlike the monotonic clock it includes the
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -73,7 +73,7 @@
 	case savorypingossip.PartRollout:
 		return savorypingossip.GatewayState{Rollouts: g.rollouts.Reports()}
 	case savorypingossip.PartLoad:
-		return savorypingossip.GatewayState{Loads: g.picker.Loads()}
+		return savorypingossip.GatewayState{Loads: g.picker.Loads(), Waiting: g.queues.waitingServices()}
 	}
 	return savorypingossip.GatewayState{}
 }
@@ -104,6 +104,8 @@
 		}
 	case savorypingossip.PartLoad:
 		g.picker.SetLoads(update.Origin, update.State.Loads)
+		g.peersWaiting.set(update.Origin, update.State.Waiting)
+		g.queues.loadsChanged()
 	}
 }
 
@@ -225,6 +227,7 @@
 	g.picker.RetainGateways(live)
 	g.retryBudgets.retainPeers(live)
 	g.requestShares.retainPeers(live)
+	g.peersWaiting.retain(live)
 }
 
 // gatewayCount returns the number of gateways that may share a limit with this one. A gateway
--- a/internal/savorypingateway/publish.go
+++ b/internal/savorypingateway/publish.go
@@ -43,6 +43,7 @@
 			continue
 		}
 		s.adopt(o, c)
+		s.configurationChanged()
 	}
 }
 
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorypin/internal/savorypinevent"
+	"savorypin/internal/savorypinqueue"
 )
 
 // readyMaxAgeRatio is the fraction of the revocation delay for which a gateway without a
@@ -72,6 +73,8 @@
 	// StoreEra is the number of times that the store was restored from an older copy.
 	StoreEra int64 `json:"storeEra"`
 	Streams  int   `json:"streams"`
+	// Waiting holds the waiting queues by service.
+	Waiting map[string]savorypinqueue.State `json:"waiting,omitempty"`
 }
 
 func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
@@ -82,6 +85,7 @@
 		Name:             g.settings.Load().Name,
 		StoreEra:         g.store.client.Era(),
 		Streams:          g.streams.len(),
+		Waiting:          g.queues.states(),
 	}
 	s.QuarantinedParts, s.QuarantinedRequests = g.quarantine.Count()
 	s.NotReady, _ = g.ready()
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -100,6 +100,8 @@
 	g.stopStart.Store(&start)
 	g.stopping.Store(true)
 	grace := g.settings.Load().StopGracePeriod
+	g.refuseWaiting()
+	defer time.AfterFunc(loadBalancerDelay, g.refuseWaiting).Stop()
 	// Callers go on sending requests on open connections; each response now tells them to
 	// close the connection.
 	acceptPeriod := time.Duration(stopAcceptRatio * float64(grace))
--- a/internal/savorypingateway/store.go
+++ b/internal/savorypingateway/store.go
@@ -89,6 +89,8 @@
 	// awaitFirstList waits until this gateway has a list of endpoints or has to list them
 	// itself.
 	awaitFirstList func(context.Context) error
+	// configurationChanged is called after a configuration has been put in force.
+	configurationChanged func()
 	// endpointsChanged is called with each new list of endpoints and its era.
 	endpointsChanged func(old, next *savorypinfleet.Directory, era int64)
 	// updateRollouts is called with each new list of rollouts and its era.
@@ -135,6 +137,8 @@
 			Timeout:          storeTimeout,
 			URL:              cfg.Settings.Store,
 		}),
+		configurationChanged: func() {},
+
 		fetching: map[savorypin.Kind]bool{},
 		breaker:  savorypinbreaker.New(),
 		maxAges:  maxAgesByKind(cfg),
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -71,7 +71,9 @@
 	// mayHaveRun is set if an endpoint may have run the request.
 	mayHaveRun bool
 	// probe is set if the request is a probe of subjects in quarantine.
-	probe    *savorypinquarantine.Probe
+	probe *savorypinquarantine.Probe
+	// place is room at an endpoint that is kept until the next attempt begins; nil if there is none.
+	place    *place
 	req      *request
 	rc       *http.ResponseController
 	attempts int
@@ -82,6 +84,8 @@
 	stalledAttempts int
 	tried           map[string]bool
 	w               http.ResponseWriter
+	// waitRefusal is the refusal of a stream that did not get a place in time; nil if it isn't one.
+	waitRefusal *refusal
 }
 
 // relayStream serves a request whose response is a sequence of events. It aborts a response
@@ -128,6 +132,8 @@
 		}
 	case s.confinement != nil:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), g.confinedRefusal(s.confinement, s.mayHaveRun))
+	case s.waitRefusal != nil:
+		g.refuse(s.w, s.req.call, s.req.service.Name(), s.waitRefusal)
 	case !s.mayHaveRun && errors.Is(err, errDeadlineTooClose):
 		// No attempt can complete before the deadline.
 		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal(errDeadlineTooClose.Error(), s.req.remaining()))
@@ -150,6 +156,7 @@
 		return errConfined
 	}
 	defer s.probe.End()
+	defer s.returnPlace()
 	lastErr := errNotRun
 	for s.attempts < s.req.route.MaxAttempts() {
 		if s.mayHaveRun && !s.req.route.Retryable() {
@@ -182,11 +189,7 @@
 // checkDeadline returns an error if the rest of the stream can't complete before its deadline. Now and then
 // it lets a new stream pass as a probe: if it completes, the estimate was too high.
 func (s *stream) checkDeadline() error {
-	remaining := savorypinforecast.Remaining{Events: s.lastEventID, OutputTokens: s.req.call.OutputTokens}
-	if s.backup == nil && !s.gateway.picker.PromptCached(s.req.call.PromptID) {
-		remaining.PromptTokens = s.req.call.PromptTokens
-	}
-	needed, left := s.gateway.forecast.MinDuration(s.req.kind(), remaining), s.req.remaining()
+	needed, left := s.minDuration(), s.req.remaining()
 	if needed <= left {
 		return nil
 	}
@@ -228,6 +231,10 @@
 			return b, true, nil
 		}
 	}
+	if q := s.queue(); q != nil {
+		e, err := s.awaitPlace(ctx, q)
+		return e, false, err
+	}
 	for {
 		if e := s.gateway.chooseEndpoint(s.req, s.tried); e != nil {
 			return e, false, nil
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -19,6 +19,8 @@
 	g := s.gateway
 	s.tried[e.ID()] = true
 	s.attemptEvents = 0
+	// An attempt that does not begin leaves its place to others.
+	defer s.returnPlace()
 	conn, err := g.connectFor(ctx, e, s.req)
 	if err != nil {
 		return err
@@ -40,6 +42,8 @@
 	waiting := g.picker.WaitingTokens(e)
 	work := g.picker.Begin(e, backup, tokens)
 	work.Reserve(s.req.reserveTokens())
+	s.releasePlace()
+	defer g.queues.attemptEnded(s.req.service.Name())
 	defer work.End()
 	w := g.newWatchdog(ctx, s, e, conn)
 	defer w.stop()
--- a/internal/savorypingossip/check.go
+++ b/internal/savorypingossip/check.go
@@ -57,7 +57,7 @@
 // validate returns an error if a value in the state is out of bounds.
 func (s *GatewayState) validate() error {
 	err := errors.Join(
-		checkBound("number of entries", max(len(s.Budgets), len(s.Limits), len(s.Loads), len(s.Rollouts), len(s.Suspects)) <= maxListLength),
+		checkBound("number of entries", max(len(s.Budgets), len(s.Limits), len(s.Loads), len(s.Rollouts), len(s.Suspects), len(s.Waiting)) <= maxListLength),
 		validateFailures(s.Failures),
 		checkBound("quarantine", s.Quarantine == nil || s.Quarantine.Valid()),
 	)
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -109,6 +109,8 @@
 	Rollouts   []savorypinrollout.Report   `msgpack:"r,omitempty"`
 	// Suspects are the endpoints that the gateway itself has found to fail.
 	Suspects []string `msgpack:"u,omitempty"`
+	// Waiting are the services for which streams wait at the gateway.
+	Waiting []string `msgpack:"v,omitempty"`
 }
 
 // ReceivedUpdate is a decoded update that was not received before.
--- a/internal/savorypinqueue/item.go
+++ b/internal/savorypinqueue/item.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// priorities is the number of priorities; 0 is the most urgent one.
-const priorities = 10
+// MaxPriority is the least urgent priority; 0 is the most urgent one. priorities is their number.
+const (
+	MaxPriority = 9
+	priorities  = MaxPriority + 1
+)
 
 // errInvalid is the error of items that can't be ordered or counted.
 var errInvalid = errors.New("invalid item")
@@ -20,7 +23,7 @@
 	LatestStart time.Time
 	// Owner identifies the stream to its owner.
 	Owner any
-	// Priority is from 0, the most urgent one, to 9.
+	// Priority is from 0, the most urgent one, to MaxPriority.
 	Priority int
 	// Resumed is true if the stream has begun before, and Returned if its caller was refused before.
 	Resumed, Returned bool
@@ -32,7 +35,7 @@
 func (i Item) validate() error {
 	switch {
 	case i.Priority < 0 || i.Priority >= priorities:
-		return fmt.Errorf("%w: priority %d is not from 0 to %d", errInvalid, i.Priority, priorities-1)
+		return fmt.Errorf("%w: priority %d is not from 0 to %d", errInvalid, i.Priority, MaxPriority)
 	case i.LatestStart.IsZero():
 		return fmt.Errorf("%w: the latest start is missing", errInvalid)
 	case i.Bytes < 0:
@@ -100,10 +103,11 @@
 	// latest is the item's latest start, limited by the longest wait.
 	latest time.Time
 	number uint64
-	// passes is how often others have started before it as it did not fit.
-	passes int
-	queue  *Queue
-	ready  chan Decision
+	// blocks is how often it has kept others from starting in vain, and passes how often others have
+	// started before it since as it did not fit.
+	blocks, passes int
+	queue          *Queue
+	ready          chan Decision
 }
 
 // newTicket returns a ticket that is not in the line yet.
--- a/internal/savorypinqueue/load_test.go
+++ b/internal/savorypinqueue/load_test.go
@@ -151,15 +151,15 @@
 	// Guards against a queue that stands still as an item that fits nowhere is at its head.
 	It("with one item that never fits goes on with the others", func() {
 		q, clock := newQueue(savorypinqueue.Config{MaxPasses: 5, MaxBlock: time.Second})
-		_, _ = q.Join(savorypinqueue.Item{LatestStart: clock.now.Add(time.Hour), Tokens: 1 << 40})
+		_, _ = q.Join(savorypinqueue.Item{LatestStart: clock.now.Add(15 * time.Second), Tokens: 1 << 40})
 		started := 0
 		for range 1000 {
 			_, _ = q.Join(item(clock, 0, 25*time.Second))
 			started += q.Offer(savorypinqueue.OwnNews(), func(i savorypinqueue.Item) bool { return i.Tokens < 10 })
 			clock.advance(10 * time.Millisecond)
 		}
-		// In ten seconds it blocks for one at a time, after five starts.
-		Expect(started).To(BeNumerically(">=", 45))
+		// In ten seconds it blocks for a second after 5, 10, 20, 40, 80 and 160 starts.
+		Expect(started).To(BeNumerically("~", 400, 10))
 		Expect(q.State().OldestWait).To(Equal(10 * time.Second))
 	})
 
--- a/internal/savorypinqueue/naive_test.go
+++ b/internal/savorypinqueue/naive_test.go
@@ -14,6 +14,7 @@
 	item          savorypinqueue.Item
 	latest        time.Time
 	number        int
+	blocks        int
 	passes        int
 }
 
@@ -181,7 +182,11 @@
 }
 
 func (q *naiveQueue) blocks(t *naiveTicket, now time.Time) bool {
-	if t.passes < q.cfg.MaxPasses {
+	allowed := q.cfg.MaxPasses
+	for range t.blocks {
+		allowed *= 2
+	}
+	if t.passes < allowed {
 		return false
 	}
 	if t.blockingSince.IsZero() {
@@ -190,6 +195,7 @@
 	if now.Sub(t.blockingSince) < q.cfg.MaxBlock {
 		return true
 	}
+	t.blocks++
 	t.blockingSince, t.passes = time.Time{}, 0
 	return false
 }
--- a/internal/savorypinqueue/offer.go
+++ b/internal/savorypinqueue/offer.go
@@ -97,11 +97,14 @@
 	}
 }
 
+// maxBlocks limits the factor by which the passes before a block grow.
+const maxBlocks = 10
+
 // blocks reports whether a ticket that does not fit keeps those behind it from starting, so that the
 // memory that it needs can become free. It does so for a time after others have passed it too often;
-// then they pass it again, as often.
+// then they pass it again, twice as often as before, since it may fit nowhere.
 func (q *Queue) blocks(t *Ticket, now time.Time) bool {
-	if t.passes < q.cfg.MaxPasses {
+	if t.passes < q.cfg.MaxPasses<<min(t.blocks, maxBlocks) {
 		return false
 	}
 	if t.blockingSince.IsZero() || now.Before(t.blockingSince) {
@@ -111,6 +114,7 @@
 		return true
 	}
 	t.blockingSince = time.Time{}
+	t.blocks++
 	t.passes = 0
 	return false
 }
--- a/internal/savorypinqueue/state.go
+++ b/internal/savorypinqueue/state.go
@@ -47,3 +47,19 @@
 	}
 	return s
 }
+
+// Smallest returns the waiting item that needs the least memory. It returns false if nothing waits.
+func (q *Queue) Smallest() (Item, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var smallest *Ticket
+	for t := range q.line.all() {
+		if smallest == nil || t.item.Tokens < smallest.item.Tokens {
+			smallest = t
+		}
+	}
+	if smallest == nil {
+		return Item{}, false
+	}
+	return smallest.item, true
+}
