Leave some places to streams that wait at other gateways

Cause: each gateway gave the places that its own attempts left to its own waiting streams. One without attempts, such as one that has just started, would never see room under overload, and an urgent stream that is alone at its gateway would wait behind less urgent ones at others.

Change: the load part of the gossip carries the most urgent waiting priority of each service. A gateway leaves an eighth of its own places to others, a quarter if more urgent streams wait there, and takes what all see only after those with more urgent streams had time to.

What the shares do under the load of the deployments was not measured.

--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -73,7 +73,7 @@
 	case savorypingossip.PartRollout:
 		return savorypingossip.GatewayState{Rollouts: g.rollouts.Reports()}
 	case savorypingossip.PartLoad:
-		return savorypingossip.GatewayState{Loads: g.picker.Loads(), Waiting: g.queues.waitingServices()}
+		return savorypingossip.GatewayState{Loads: g.picker.Loads(), Waiting: g.queues.report()}
 	}
 	return savorypingossip.GatewayState{}
 }
--- a/internal/savorypingateway/streamqueue.go
+++ b/internal/savorypingateway/streamqueue.go
@@ -1,11 +1,14 @@
 package savorypingateway
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinqueue"
 )
@@ -14,6 +17,16 @@
 // that are still free then are offered again.
 const placeVisibility = 400 * time.Millisecond
 
+const (
+	// urgentVisibilities multiplies placeVisibility where more urgent streams wait at other gateways.
+	urgentVisibilities = 4
+	// yieldToUrgent and yieldToOthers are the fractions of the places left by its own attempts that a
+	// gateway doesn't take at once, if more urgent streams, or others, wait at other gateways. A gateway
+	// that has just started has no attempts whose places it could take.
+	yieldToUrgent = 0.25
+	yieldToOthers = 0.125
+)
+
 // place is room at an endpoint that is kept for a stream until its attempt begins.
 type place struct {
 	endpoint *savorypinfleet.Endpoint
@@ -50,9 +63,16 @@
 
 // offerOwn offers a place that only this gateway knows of yet.
 func (q *streamQueue) offerOwn() {
-	if q.queue.Len() > 0 {
-		q.queue.Offer(savorypinqueue.OwnNews(), q.tryStart)
+	q.queue.Offer(savorypinqueue.OwnNews(), q.tryStart)
+}
+
+// rivals returns the numbers of other gateways where streams of the service wait.
+func (q *streamQueue) rivals() rivals {
+	own, ok := q.queue.MostUrgent()
+	if !ok {
+		return rivals{}
 	}
+	return q.gateway.peersWaiting.rivals(q.service, own)
 }
 
 // offerShared offers the places that other gateways see too.
@@ -62,21 +82,25 @@
 		return
 	}
 	req := smallest.Owner.(*waiter).stream.req
-	places := q.newPlaces(len(q.gateway.endpointsWithRoom(req, nil)), time.Now())
+	r := q.rivals()
+	places := q.newPlaces(len(q.gateway.endpointsWithRoom(req, nil)), r, time.Now())
 	if places > 0 {
-		gateways := 1 + q.gateway.peersWaiting.count(q.service)
-		q.queue.Offer(savorypinqueue.News{Gateways: gateways, Places: places}, q.tryStart)
+		q.queue.Offer(savorypinqueue.News{Gateways: 1 + r.moreUrgent + r.others, Places: places}, q.tryStart)
 	}
 }
 
 // newPlaces returns the number of places that are new, given that of all. Each report of another gateway
-// shows again those that nobody has taken yet: they count as new once all gateways had the time to take them.
-func (q *streamQueue) newPlaces(places int, now time.Time) int {
+// shows again those that nobody has taken yet: they count as new once all gateways had the time to take
+// them. Where more urgent streams wait at other gateways, only these count, later.
+func (q *streamQueue) newPlaces(places int, r rivals, now time.Time) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	known := q.knownPlaces
+	known, interval := q.knownPlaces, placeVisibility
 	q.knownPlaces = places
-	if now.Sub(q.offeredAt) >= placeVisibility {
+	if r.moreUrgent > 0 {
+		known, interval = places, urgentVisibilities*placeVisibility
+	}
+	if now.Sub(q.offeredAt) >= interval {
 		q.offeredAt = now
 		return places
 	}
@@ -126,10 +150,13 @@
 	q.mu.Lock()
 	queue := q.queues[service]
 	q.mu.Unlock()
-	if queue != nil {
+	if queue == nil || queue.queue.Len() == 0 {
+		return
+	}
+	if !queue.rivals().yield(rand.Float64()) {
 		queue.offerOwn()
-		queue.offerShared()
 	}
+	queue.offerShared()
 }
 
 // loadsChanged offers places after news of endpoints or of other gateways.
@@ -139,16 +166,16 @@
 	}
 }
 
-// waitingServices returns the services for which streams wait, in sorted order.
-func (q *streamQueues) waitingServices() []string {
-	var services []string
+// report returns the services for which streams wait, in sorted order.
+func (q *streamQueues) report() []savorypingossip.ServiceWaiting {
+	var waiting []savorypingossip.ServiceWaiting
 	for _, queue := range q.all() {
-		if queue.queue.Len() > 0 {
-			services = append(services, queue.service)
+		if priority, ok := queue.queue.MostUrgent(); ok {
+			waiting = append(waiting, savorypingossip.ServiceWaiting{Priority: uint8(priority), Service: queue.service})
 		}
 	}
-	slices.Sort(services)
-	return services
+	slices.SortFunc(waiting, func(a, b savorypingossip.ServiceWaiting) int { return cmp.Compare(a.Service, b.Service) })
+	return waiting
 }
 
 // refuse refuses the waiting streams for which check returns a refusal.
@@ -174,15 +201,33 @@
 // peersWaiting knows for which services streams wait at other gateways. It is safe for concurrent use.
 type peersWaiting struct {
 	mu       sync.Mutex
-	services map[string][]string
+	services map[string][]savorypingossip.ServiceWaiting
+}
+
+// rivals are the numbers of other gateways where streams of a service wait: more urgent ones than at this
+// gateway, and others.
+type rivals struct {
+	moreUrgent, others int
+}
+
+// yield reports whether this gateway leaves a place of its own to them, given a random number.
+func (r rivals) yield(random float64) bool {
+	switch {
+	case r.moreUrgent > 0:
+		return random < yieldToUrgent
+	case r.others > 0:
+		return random < yieldToOthers
+	default:
+		return false
+	}
 }
 
 // set replaces the services of another gateway.
-func (p *peersWaiting) set(gateway string, services []string) {
+func (p *peersWaiting) set(gateway string, services []savorypingossip.ServiceWaiting) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.services == nil {
-		p.services = map[string][]string{}
+		p.services = map[string][]savorypingossip.ServiceWaiting{}
 	}
 	p.services[gateway] = services
 }
@@ -198,17 +243,24 @@
 	}
 }
 
-// count returns the number of other gateways with waiting streams of a service.
-func (p *peersWaiting) count(service string) int {
+// rivals returns the numbers of other gateways with waiting streams of a service, given the most urgent
+// priority that waits at this one.
+func (p *peersWaiting) rivals(service string, own int) rivals {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
+	var r rivals
 	for _, services := range p.services {
-		if slices.Contains(services, service) {
-			n++
+		for _, s := range services {
+			switch {
+			case s.Service != service:
+			case int(s.Priority) < own:
+				r.moreUrgent++
+			default:
+				r.others++
+			}
 		}
 	}
-	return n
+	return r
 }
 
 // maxRecentSubjects limits the number of subjects of each half of a recentSubjects.
--- a/internal/savorypingateway/streamqueue_test.go
+++ b/internal/savorypingateway/streamqueue_test.go
@@ -1,6 +1,7 @@
 package savorypingateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"savorypin/internal/savorypinfleet"
+	"savorypin/internal/savorypingossip"
 )
 
 var _ = Describe("The places that a queue is offered", func() {
@@ -17,29 +19,53 @@
 		q := &streamQueue{}
 		for _, c := range []struct {
 			after        time.Duration
+			rivals       rivals
 			places, news int
 		}{
-			{0, 3, 3},
-			{10 * time.Millisecond, 3, 0},
-			{20 * time.Millisecond, 5, 2},
-			{30 * time.Millisecond, 1, 0},
-			{40 * time.Millisecond, 2, 1},
-			{placeVisibility, 2, 2},
-			{placeVisibility + time.Millisecond, 2, 0},
+			{0, rivals{}, 3, 3},
+			{10 * time.Millisecond, rivals{others: 1}, 3, 0},
+			{20 * time.Millisecond, rivals{others: 1}, 5, 2},
+			{30 * time.Millisecond, rivals{}, 1, 0},
+			{40 * time.Millisecond, rivals{}, 2, 1},
+			{placeVisibility, rivals{}, 2, 2},
+			{placeVisibility + time.Millisecond, rivals{}, 2, 0},
+			// More urgent streams at other gateways have the new places, and time for the others.
+			{placeVisibility + 2*time.Millisecond, rivals{moreUrgent: 1}, 4, 0},
+			{3 * placeVisibility, rivals{moreUrgent: 1}, 4, 0},
+			{5 * placeVisibility, rivals{moreUrgent: 1}, 4, 4},
 		} {
-			Expect(q.newPlaces(c.places, at.Add(c.after))).To(Equal(c.news), "after %s", c.after)
+			Expect(q.newPlaces(c.places, c.rivals, at.Add(c.after))).To(Equal(c.news), "after %s", c.after)
 		}
 	})
 
 	It("are shared with the live gateways where streams of the service wait", func() {
 		var p peersWaiting
-		p.set("a", []string{"llm", "other"})
-		p.set("b", []string{"llm"})
+		p.set("a", []savorypingossip.ServiceWaiting{{Priority: 1, Service: "llm"}, {Service: "other"}})
+		p.set("b", []savorypingossip.ServiceWaiting{{Priority: 0, Service: "llm"}})
 		p.set("c", nil)
-		Expect(p.count("llm")).To(Equal(2))
+		Expect(p.rivals("llm", 1)).To(Equal(rivals{moreUrgent: 1, others: 1}))
+		Expect(p.rivals("llm", 0)).To(Equal(rivals{others: 2}))
 		p.retain(map[string]bool{"b": true})
-		Expect(p.count("llm")).To(Equal(1))
-		Expect(p.count("other")).To(BeZero())
+		Expect(p.rivals("llm", 1)).To(Equal(rivals{moreUrgent: 1}))
+		Expect(p.rivals("other", 1)).To(Equal(rivals{}))
+	})
+
+	// Guards against gateways without attempts of their own, such as one that has just started, whose
+	// streams never get the places that the others leave.
+	It("are left to other gateways now and then, more often to more urgent streams", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		yields := func(r rivals) int {
+			n := 0
+			for range 1000 {
+				if r.yield(random.Float64()) {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(yields(rivals{})).To(BeZero())
+		Expect(yields(rivals{others: 3})).To(BeNumerically("~", 125, 40))
+		Expect(yields(rivals{moreUrgent: 1, others: 3})).To(BeNumerically("~", 250, 50))
 	})
 })
 
--- a/internal/savorypingossip/message.go
+++ b/internal/savorypingossip/message.go
@@ -110,7 +110,14 @@
 	// Suspects are the endpoints that the gateway itself has found to fail.
 	Suspects []string `msgpack:"u,omitempty"`
 	// Waiting are the services for which streams wait at the gateway.
-	Waiting []string `msgpack:"v,omitempty"`
+	Waiting []ServiceWaiting `msgpack:"v,omitempty"`
+}
+
+// ServiceWaiting says that streams of a service wait at a gateway for an endpoint with room.
+type ServiceWaiting struct {
+	// Priority is that of the most urgent one; 0 is the most urgent priority.
+	Priority uint8  `msgpack:"p,omitempty"`
+	Service  string `msgpack:"s"`
 }
 
 // ReceivedUpdate is a decoded update that was not received before.
--- a/internal/savorypinqueue/state.go
+++ b/internal/savorypinqueue/state.go
@@ -48,6 +48,13 @@
 	return s
 }
 
+// MostUrgent returns the most urgent priority that waits. It returns false if nothing waits.
+func (q *Queue) MostUrgent() (int, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.line.mostUrgent(), q.line.length > 0
+}
+
 // Smallest returns the waiting item that needs the least memory. It returns false if nothing waits.
 func (q *Queue) Smallest() (Item, bool) {
 	q.mu.Lock()
