--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -7,6 +7,10 @@
 	answered metrics.Counter
 	// brokenOff counts streams that ended incomplete after their response header was sent.
 	brokenOff metrics.Counter
+	// bufferAborted counts the streams of slow callers that were aborted so that others can buffer their
+	// events, and bufferHeldBack those whose endpoints are read no faster than the callers read.
+	bufferAborted  metrics.Counter
+	bufferHeldBack metrics.Counter
 	// deadlineRefused counts the streams that were not sent, or not sent again, as they were expected
 	// not to complete in time, and deadlineProbes those that were sent in spite of that.
 	deadlineRefused metrics.Counter
@@ -43,11 +47,19 @@
 	resumeGap metrics.Timer
 	// silentHosts counts the streams that went on although the endpoint's host did not answer.
 	silentHosts metrics.Counter
+	// streamsKept counts the streams that went on although their endpoints were silent for twice the
+	// target latency.
+	streamsKept metrics.Counter
+	// slowCallers counts the streams whose events were buffered, as their callers read slowly.
+	slowCallers metrics.Counter
 	storeCalls  metrics.Counter
 	firstEvent  metrics.Timer
 	plainAnswer metrics.Timer
 	// unanswered counts the requests that ended without a response although their callers waited.
 	unanswered metrics.Counter
+	// uploadHeld counts the choices of an endpoint that were given up because of the bodies of other
+	// requests on their way to it.
+	uploadHeld metrics.Counter
 	// waited counts the streams that waited for an endpoint with room, waitRefused those that were
 	// refused because of that, at once or later, and waitLeft those whose callers left meanwhile.
 	waited, waitLeft, waitRefused metrics.Counter
@@ -59,6 +71,8 @@
 	return counters{
 		answered:            metrics.GetOrRegisterCounter("gateway_answered", r),
 		brokenOff:           metrics.GetOrRegisterCounter("gateway_broken_off", r),
+		bufferAborted:       metrics.GetOrRegisterCounter("gateway_buffer_aborted", r),
+		bufferHeldBack:      metrics.GetOrRegisterCounter("gateway_buffer_held_back", r),
 		deadlineProbes:      metrics.GetOrRegisterCounter("gateway_deadline_probes", r),
 		deadlineRefused:     metrics.GetOrRegisterCounter("gateway_deadline_refused", r),
 		endpointsCrashed:    metrics.GetOrRegisterCounter("gateway_endpoints_crashed", r),
@@ -82,7 +96,10 @@
 		resumed:             metrics.GetOrRegisterCounter("gateway_resumed", r),
 		resumeGap:           metrics.GetOrRegisterTimer("gateway_resume_gap", r),
 		silentHosts:         metrics.GetOrRegisterCounter("gateway_silent_hosts", r),
+		streamsKept:         metrics.GetOrRegisterCounter("gateway_streams_kept", r),
+		slowCallers:         metrics.GetOrRegisterCounter("gateway_slow_callers", r),
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
+		uploadHeld:          metrics.GetOrRegisterCounter("gateway_upload_held", r),
 		unanswered:          metrics.GetOrRegisterCounter("gateway_unanswered", r),
 		wait:                metrics.GetOrRegisterTimer("gateway_wait", r),
 		waited:              metrics.GetOrRegisterCounter("gateway_waited", r),
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinadmission"
+	"savorypin/internal/savorypinbuffer"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinforecast"
@@ -67,6 +68,9 @@
 
 // Config configures a Gateway.
 type Config struct {
+	// Clock returns the time since the host booted, including the time for which it was suspended;
+	// nil for the clock of the host.
+	Clock   func() time.Duration
 	Codec   savorypinfleet.Codec
 	Dialect savorypinplatform.Dialect
 	// Log receives the events.
@@ -124,12 +128,19 @@
 	stopStart atomic.Pointer[time.Time]
 	stopping  atomic.Bool
 	store     *store
-	streams   streamSet
-	view      view
+	// streamBudget limits the memory of the events that are buffered for slow callers.
+	streamBudget *savorypinbuffer.Budget
+	streams      streamSet
+	// uploads knows the bodies that were sent to each endpoint and have no response yet.
+	uploads uploads
+	view    view
 }
 
 // New returns a gateway that is not running yet.
 func New(cfg Config) *Gateway {
+	if cfg.Clock == nil {
+		cfg.Clock = bootClock
+	}
 	registry := metrics.NewRegistry()
 	g := &Gateway{
 		requestBudget:  newBodyBudget(cfg.Settings.MemoryBytes, requestMemoryRatio),
@@ -143,13 +154,14 @@
 		registry:       registry,
 		sealer:         savorypinseal.New(cfg.Settings.PeerKeys...),
 		slowest:        savorypinforecast.NewSlowest(),
+		streamBudget:   newStreamBudget(cfg.Settings.MemoryBytes),
 	}
 	g.exiting, g.exit = context.WithCancel(context.Background())
 	g.settings.Store(&cfg.Settings)
 	g.picker = savorypinpick.New(savorypinpick.Config{
 		Gateways:        g.gatewayCount,
 		Hazard:          savorypinhazard.New(cfg.Settings.Domains),
-		ListConfirmedAt: func() time.Time { return time.Now().Add(-g.store.age(cfg.Objects.EndpointKind)) },
+		ListConfirmedAt: func() time.Time { return time.Now().Add(-g.store.ageInForce(cfg.Objects.EndpointKind)) },
 		Now:             time.Now,
 		PromptRetention: promptRetentionFactor * cfg.Settings.MinPromptRetention,
 		Region:          cfg.Settings.Region,
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -49,12 +49,13 @@
 // Of later configurations only the limit on bodies applies.
 func (g *Gateway) newCallerServer() *http.Server {
 	server := &http.Server{
+		ConnContext:       withCallerConn,
 		Handler:           g,
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    defaultMaxHeaderBytes,
 		ReadHeaderTimeout: defaultIdleTimeout,
 	}
-	c := g.view.configuration.Load()
+	c := g.view.configuration()
 	if c == nil {
 		return server
 	}
@@ -76,7 +77,7 @@
 func (g *Gateway) awaitInitialState(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, startupTimeout)
 	defer cancel()
-	for g.view.configuration.Load() == nil || !g.view.listed.Load() {
+	for g.view.configuration() == nil || !g.view.listed.Load() {
 		if err := wait(ctx, startupPollInterval); err != nil {
 			return
 		}
@@ -89,7 +90,7 @@
 	g.awaitInitialState(ctx)
 	server := g.newCallerServer()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
+	go func() { failed <- server.Serve(callerListener{l}) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve callers: %w", err)
--- a/internal/savorypingateway/storepeers.go
+++ b/internal/savorypingateway/storepeers.go
@@ -11,7 +11,7 @@
 
 // copies describes the state of this gateway's copies for other gateways.
 func (s *store) copies() []savorypingossip.CopyStatus {
-	now := bootClock()
+	now := s.cfg.Clock()
 	copies := make([]savorypingossip.CopyStatus, 0, len(s.mirrors))
 	for kind, mirror := range s.mirrors {
 		state := mirror.State()
@@ -62,18 +62,20 @@
 	if age < s.maxAges[kind] || s.breaker.Failing() {
 		s.markListed(kind)
 	}
+	s.confirmInForce(kind)
 }
 
 // fetchChanges fetches the changes of a kind from another gateway.
 func (s *store) fetchChanges(address string, kind savorypin.Kind) {
 	mirror := s.mirrors[kind]
-	state, requestedAt := mirror.State(), bootClock()
+	state, requestedAt := mirror.State(), s.cfg.Clock()
 	t, ok := s.transfer(address, kind, state.Version, state.Era)
 	if !ok {
 		return
 	}
-	if mirror.Merge(t.Delta) {
-		s.publish[kind]()
+	changed := mirror.Merge(t.Delta)
+	s.putInForce(kind)
+	if changed {
 		s.notifyPeers()
 	}
 	if t.Age >= 0 {
@@ -97,7 +99,7 @@
 // another gateway. If it stays later than the version in force here, the configuration is
 // fetched from there: the store may have been restored from a copy that lacks it.
 func (s *store) handlePeerVersion(address string, version int64) {
-	if c := s.view.configuration.Load(); c != nil && c.Version() >= version {
+	if c := s.view.configuration(); c != nil && c.Version() >= version {
 		return
 	}
 	now := time.Now()
@@ -112,9 +114,15 @@
 	}
 	go s.log.RunRecovered("fetch configuration", func() {
 		t, ok := s.transfer(address, s.cfg.Objects.Configuration.Kind, 0, noEra)
-		if ok {
-			s.adoptConfiguration(t.Delta.Objects)
+		if !ok {
+			return
 		}
+		for _, o := range t.Delta.Objects {
+			if o.Key == s.cfg.Objects.Configuration {
+				s.adoptConfiguration(o)
+			}
+		}
+		s.confirmInForce(s.cfg.Objects.Configuration.Kind)
 	})
 }
 
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -63,6 +63,8 @@
 	// succeeds.
 	failure *outcome
 	gateway *Gateway
+	// looks are for the endpoints whose connections broke before the answer had begun there.
+	looks looks
 	// lastEventAt is when the last event was sent to the caller, or when the request arrived
 	// if none was.
 	lastEventAt time.Time
@@ -73,10 +75,12 @@
 	// probe is set if the request is a probe of subjects in quarantine.
 	probe *savorypinquarantine.Probe
 	// place is room at an endpoint that is kept until the next attempt begins; nil if there is none.
-	place    *place
-	req      *request
-	rc       *http.ResponseController
-	attempts int
+	place *place
+	req   *request
+	rc    *http.ResponseController
+	// repeatTaken is set if the next attempt is already counted in the retry budget.
+	repeatTaken bool
+	attempts    int
 	// sequel is set if the current attempt comes after the request may have crashed an endpoint.
 	sequel bool
 	// stalledAttempts is the number of attempts that were abandoned although their hosts
@@ -100,25 +104,44 @@
 		tried: map[string]bool{}, w: w,
 	}
 	defer g.picker.RecordStreamEnd(req.call.PromptID)
+	caller := g.bufferFor(r, req)
 	err := s.run(ctx)
 	if err == nil {
-		g.counters.answered.Inc(1)
+		// What the caller takes beyond that says nothing about the endpoint.
 		s.recordDuration()
+	}
+	if finishErr := caller.finish(); finishErr != nil && err == nil {
+		err = fmt.Errorf("%w: %w", errCallerWrite, finishErr)
+	}
+	switch {
+	case err == nil:
+		g.counters.answered.Inc(1)
 		s.logEnd(savorypinevent.KindStreamCompleted, nil)
 		return
-	}
-	if callerLeft(r) {
+	case caller.gaveWay():
+		err = errGaveWay
+	case callerLeft(r):
 		s.logEnd(savorypinevent.KindCallerLeft, nil)
+		s.abortBegun()
 		return
 	}
+	s.looks.await(ctx)
 	s.logEnd(savorypinevent.KindStreamFailed, err)
 	if s.headerSent {
 		g.counters.brokenOff.Inc(1)
-		panic(http.ErrAbortHandler)
 	}
+	s.abortBegun()
 	s.sendFailure(err)
 }
 
+// abortBegun aborts a response that has begun. Else net/http would end it, also for a caller that has
+// only closed its sending side, so that it looks complete.
+func (s *stream) abortBegun() {
+	if s.headerSent {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // sendFailure responds to a stream that failed before its response header was sent.
 func (s *stream) sendFailure(err error) {
 	g := s.gateway
@@ -186,10 +209,20 @@
 	return lastErr
 }
 
+// minDuration returns the estimated minimum time for the rest of a stream after an event, given whether an
+// endpoint holds a copy of its KV cache.
+func (g *Gateway) minDuration(req *request, lastEventID int64, backedUp bool) time.Duration {
+	remaining := savorypinforecast.Remaining{Events: lastEventID, OutputTokens: req.call.OutputTokens}
+	if !backedUp && !g.picker.PromptCached(req.call.PromptID) {
+		remaining.PromptTokens = req.call.PromptTokens
+	}
+	return g.forecast.MinDuration(req.kind(), remaining)
+}
+
 // checkDeadline returns an error if the rest of the stream can't complete before its deadline. Now and then
 // it lets a new stream pass as a probe: if it completes, the estimate was too high.
 func (s *stream) checkDeadline() error {
-	needed, left := s.minDuration(), s.req.remaining()
+	needed, left := s.gateway.minDuration(s.req, s.lastEventID, s.backup != nil), s.req.remaining()
 	if needed <= left {
 		return nil
 	}
@@ -227,7 +260,8 @@
 func (s *stream) nextEndpoint(ctx context.Context) (*savorypinfleet.Endpoint, bool, error) {
 	if b := s.backup; b != nil {
 		s.backup = nil
-		if s.gateway.canRestore(b) && !s.gateway.picker.Suspect(b) && s.gateway.endpointLimits.Take(b.IncarnationHash()) {
+		if s.gateway.canRestore(b) && !s.gateway.picker.Suspect(b) && s.gateway.takeUpload(b, s.req) &&
+			s.gateway.endpointLimits.Take(b.IncarnationHash()) {
 			return b, true, nil
 		}
 	}
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -25,10 +25,11 @@
 	if err != nil {
 		return err
 	}
-	if s.attempts > 0 && !g.retryBudgets.forService(s.req.service.Name()).TryRepeat() {
+	if s.attempts > 0 && !s.repeatTaken && !g.retryBudgets.forService(s.req.service.Name()).TryRepeat() {
 		g.pool.Put(conn, 0)
 		return errBudgetSpent
 	}
+	s.repeatTaken = false
 	defer context.AfterFunc(ctx, conn.Close)()
 	var backup *savorypinfleet.Endpoint
 	if s.req.service.Backups() {
@@ -45,7 +46,7 @@
 	s.releasePlace()
 	defer g.queues.attemptEnded(s.req.service.Name())
 	defer work.End()
-	w := g.newWatchdog(ctx, s, e, conn)
+	w := g.newWatchdog(ctx, s, e, conn, backup != nil)
 	defer w.stop()
 	s.attempts++
 	s.sequel = s.attempts > 1 || g.suspects(s.req)
@@ -66,12 +67,13 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	return s.handleFailure(e, w, err, time.Since(start))
+	return s.handleFailure(ctx, e, w, err, time.Since(start))
 }
 
 // handleFailure handles a failed attempt by its cause, and returns an error that names the cause.
-func (s *stream) handleFailure(e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
+func (s *stream) handleFailure(ctx context.Context, e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
 	g := s.gateway
+	s.repeatTaken = w.repeatTaken.Load()
 	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) && g.quarantine.Confined(g.subjects(s.req)) == nil {
 		g.recordVersionResult(s.req, e, true, took)
 	}
@@ -94,7 +96,7 @@
 	case isProtocolError(err):
 		g.handleProtocolError(e, err.Error())
 	default:
-		s.handleBrokenConnection(e, err.Error())
+		s.handleBrokenConnection(ctx, e, err.Error())
 	}
 	return err
 }
@@ -115,6 +117,7 @@
 		return err
 	}
 	resp, err := conn.Receive(s.req.call.Method) //nolint:bodyclose // closing would wait for the rest; the connection is closed instead
+	s.req.endUpload()
 	if err != nil {
 		return err
 	}
@@ -187,7 +190,7 @@
 		if s.attemptEvents == beginEvents {
 			s.recordBegin(w)
 		}
-		w.recordEvent()
+		w.recordEvent(e.id)
 		s.gateway.picker.ClearSuspicion(a.Endpoint)
 		if e.id > s.lastEventID+1 {
 			return s.flushAfter(fmt.Errorf("%w: %d after %d", errMissingEvents, e.id, s.lastEventID))
--- a/internal/savorypingateway/streamqueue_test.go
+++ b/internal/savorypingateway/streamqueue_test.go
@@ -121,7 +121,7 @@
 				call:    &savorypinfleet.Call{APIKey: "key", Host: "h", URI: c.uri},
 				service: savorypinfleet.NewService(savorypinfleet.ServiceConfig{Name: "llm"}),
 			}
-			refused := g.refusalBy(c.next, req)
+			refused := g.refusalBy(&snapshot{configuration: c.next}, req)
 			if c.status == 0 {
 				Expect(refused).To(BeNil())
 				return
--- a/internal/savorypingateway/waiting.go
+++ b/internal/savorypingateway/waiting.go
@@ -10,7 +10,6 @@
 
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
-	"savorypin/internal/savorypinforecast"
 	"savorypin/internal/savorypinpick"
 	"savorypin/internal/savorypinqueue"
 )
@@ -44,18 +43,9 @@
 	})
 }
 
-// minDuration returns the least time that the rest of the stream takes.
-func (s *stream) minDuration() time.Duration {
-	remaining := savorypinforecast.Remaining{Events: s.lastEventID, OutputTokens: s.req.call.OutputTokens}
-	if s.backup == nil && !s.gateway.picker.PromptCached(s.req.call.PromptID) {
-		remaining.PromptTokens = s.req.call.PromptTokens
-	}
-	return s.gateway.forecast.MinDuration(s.req.kind(), remaining)
-}
-
 // waitingItem returns the item of a stream in its queue.
 func (s *stream) waitingItem(q *streamQueue, w *waiter) savorypinqueue.Item {
-	latest := s.req.deadline.Add(-s.minDuration())
+	latest := s.req.deadline.Add(-s.gateway.minDuration(s.req, s.lastEventID, false))
 	if !latest.After(time.Now()) {
 		// A probe of the forecast, see checkDeadline.
 		latest = s.req.deadline
@@ -129,7 +119,7 @@
 		return stoppingRefusal()
 	}
 	// The confirmation of the key may have run out meanwhile.
-	return g.refusalBy(g.view.configuration.Load(), s.req)
+	return g.refusalBy(g.view.current.Load(), s.req)
 }
 
 // endWait records that the stream doesn't start, and returns the error that ends it.
@@ -184,21 +174,21 @@
 // configurationChanged refuses the waiting streams whose route or key is gone, as the configuration in
 // force does.
 func (g *Gateway) configurationChanged() {
-	c := g.view.configuration.Load()
-	if c == nil {
+	current := g.view.current.Load()
+	if current == nil {
 		return
 	}
-	g.queues.refuse(savorypinqueue.ReasonConfiguration, func(req *request) *refusal { return g.refusalBy(c, req) })
+	g.queues.refuse(savorypinqueue.ReasonConfiguration, func(req *request) *refusal { return g.refusalBy(current, req) })
 }
 
 // refusalBy returns the refusal of an admitted request by a later configuration; nil if that admits it
 // too.
-func (g *Gateway) refusalBy(c *savorypinfleet.Configuration, req *request) *refusal {
-	route := c.Route(req.call.Host, req.call.Path())
+func (g *Gateway) refusalBy(current *snapshot, req *request) *refusal {
+	route := current.configuration.Route(req.call.Host, req.call.Path())
 	if route == nil {
 		return &refusal{reason: "no route", status: http.StatusNotFound}
 	}
-	if _, refused := g.authorise(c, route, req.call); refused != nil {
+	if _, refused := g.authorise(current, route, req.call); refused != nil {
 		return refused
 	}
 	serves := slices.ContainsFunc(route.Shares(), func(s savorypinfleet.Share) bool { return s.Service == req.service.Name() })
@@ -241,6 +231,7 @@
 	}
 	e := g.chooseEndpoint(req, tried)
 	if e == nil || !g.picker.Fits(e, savorypinpick.Query{MemoryTokens: req.memoryTokens(), ReserveTokens: req.reserveTokens()}) {
+		req.endUpload()
 		return nil
 	}
 	p := &place{endpoint: e, work: g.picker.Begin(e, nil, 0)}
