--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,8 +99,7 @@
 		return nil, notRunRefusal("no configuration yet", storeRetryDelay)
 	}
 	c := current.configuration
-	path, _, _ := strings.Cut(call.URI, "?")
-	route := c.Route(call.Host, path)
+	route := c.Route(call.Host, call.Path())
 	if route == nil {
 		return nil, &refusal{reason: "no route", status: http.StatusNotFound}
 	}
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -64,6 +64,11 @@
 	// uploadHeld counts the choices of an endpoint that were given up because of the bodies of other
 	// requests on their way to it.
 	uploadHeld metrics.Counter
+	// waited counts the streams that waited for an endpoint with room, waitRefused those that were
+	// refused because of that, at once or later, and waitLeft those whose callers left meanwhile.
+	waited, waitLeft, waitRefused metrics.Counter
+	// wait is how long those waited that started.
+	wait metrics.Timer
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -102,6 +107,10 @@
 		storeCalls:          metrics.GetOrRegisterCounter("gateway_store_calls", r),
 		uploadHeld:          metrics.GetOrRegisterCounter("gateway_upload_held", r),
 		unanswered:          metrics.GetOrRegisterCounter("gateway_unanswered", r),
+		wait:                metrics.GetOrRegisterTimer("gateway_wait", r),
+		waited:              metrics.GetOrRegisterCounter("gateway_waited", r),
+		waitLeft:            metrics.GetOrRegisterCounter("gateway_wait_left", r),
+		waitRefused:         metrics.GetOrRegisterCounter("gateway_wait_refused", r),
 	}
 }
 
--- a/internal/savorypingateway/publish.go
+++ b/internal/savorypingateway/publish.go
@@ -40,6 +40,7 @@
 		return nil
 	}
 	s.adopt(o, c)
+	s.configurationChanged()
 	return c
 }
 
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -74,6 +74,8 @@
 	mayHaveRun bool
 	// probe is set if the request is a probe of subjects in quarantine.
 	probe *savorypinquarantine.Probe
+	// place is room at an endpoint that is kept until the next attempt begins; nil if there is none.
+	place *place
 	req   *request
 	rc    *http.ResponseController
 	// repeatTaken is set if the next attempt is already counted in the retry budget.
@@ -86,6 +88,8 @@
 	stalledAttempts int
 	tried           map[string]bool
 	w               http.ResponseWriter
+	// waitRefusal is the refusal of a stream that did not get a place in time; nil if it isn't one.
+	waitRefusal *refusal
 }
 
 // relayStream serves a request whose response is a sequence of events. It aborts a response
@@ -151,6 +155,8 @@
 		}
 	case s.confinement != nil:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), g.confinedRefusal(s.confinement, s.mayHaveRun))
+	case s.waitRefusal != nil:
+		g.refuse(s.w, s.req.call, s.req.service.Name(), s.waitRefusal)
 	case !s.mayHaveRun && errors.Is(err, errDeadlineTooClose):
 		// No attempt can complete before the deadline.
 		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal(errDeadlineTooClose.Error(), s.req.remaining()))
@@ -173,6 +179,7 @@
 		return errConfined
 	}
 	defer s.probe.End()
+	defer s.returnPlace()
 	lastErr := errNotRun
 	for s.attempts < s.req.route.MaxAttempts() {
 		if s.mayHaveRun && !s.req.route.Retryable() {
@@ -258,6 +265,10 @@
 			return b, true, nil
 		}
 	}
+	if q := s.queue(); q != nil {
+		e, err := s.awaitPlace(ctx, q)
+		return e, false, err
+	}
 	for {
 		if e := s.gateway.chooseEndpoint(s.req, s.tried); e != nil {
 			return e, false, nil
