--- a/internal/savorypingateway/priority.go
+++ b/internal/savorypingateway/priority.go
@@ -75,7 +75,8 @@
 	if q.MemoryTokens == 0 {
 		return
 	}
-	if !s.gateway.picker.Fits(e, q) {
+	// A place that is kept for the stream is already reserved.
+	if s.place == nil && !s.gateway.picker.Fits(e, q) {
 		s.gateway.counters.overcommitted.Inc(1)
 	}
 	if backup == nil && s.req.service.Backups() {
