--- a/internal/savorypinpick/backup.go
+++ b/internal/savorypinpick/backup.go
@@ -31,6 +31,12 @@
 // failure risk. Endpoints that may be lost are used only if there are no others. It
 // returns nil if all endpoints in other domains are suspect or have no memory to spare.
 func (p *Picker) ChooseBackup(primary *savorypinfleet.Endpoint, q Query) *savorypinfleet.Endpoint {
+	return randomEndpoint(p.BackupChoices(primary, q))
+}
+
+// BackupChoices returns the endpoints with the best score for a backup, among which ChooseBackup
+// draws one.
+func (p *Picker) BackupChoices(primary *savorypinfleet.Endpoint, q Query) []*savorypinfleet.Endpoint {
 	now := p.cfg.Now()
 	risks := p.risks(now)
 	limits := newCopyLimits(risks, primary.Domain(), q)
@@ -48,9 +54,9 @@
 	if len(eligible) == 0 {
 		eligible = possiblyLost
 	}
-	return randomEndpoint(lowestScored(p.backupSample(eligible, q, now), 0, func(e *savorypinfleet.Endpoint) float64 {
+	return lowestScored(p.backupSample(eligible, q, now), 0, func(e *savorypinfleet.Endpoint) float64 {
 		return p.backupScore(e, q, risks)
-	}))
+	})
 }
 
 // backupSample returns the endpoints to score. If memory is limited, it is a sample, as in
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -200,34 +200,47 @@
 // a suspect endpoint only if all are suspect.
 func (p *Picker) Choose(q Query) *savorypinfleet.Endpoint {
 	if q.Plain {
-		return p.choosePlain(q)
+		now := p.cfg.Now()
+		return randomEndpoint(q.bestPlain(func(e *savorypinfleet.Endpoint) float64 { return p.plainTerms(e, now).sum() }))
 	}
-	return p.chooseStream(q)
+	s := p.newStreamScorer(q)
+	return s.choose(func(e *savorypinfleet.Endpoint) float64 { return s.terms(e).sum() })
 }
 
-// choosePlain scores all endpoints, because services with plain requests have few.
-func (p *Picker) choosePlain(q Query) *savorypinfleet.Endpoint {
-	now := p.cfg.Now()
-	return randomEndpoint(lowestScored(q.allowed(q.Candidates), 0, func(e *savorypinfleet.Endpoint) float64 {
-		return p.plainScore(e) + p.suspectPenalty(e, now)
-	}))
+// bestPlain returns the endpoints with the lowest score for a plain request. It scores all
+// endpoints, because services with plain requests have few.
+func (q Query) bestPlain(score func(*savorypinfleet.Endpoint) float64) []*savorypinfleet.Endpoint {
+	return lowestScored(q.allowed(q.Candidates), 0, score)
+}
+
+// streamScorer scores endpoints for one stream.
+type streamScorer struct {
+	// exposedFraction is that of the stream.
+	exposedFraction float64
+	now             time.Time
+	picker          *Picker
+	query           Query
+	// risks are the failure risks by domain.
+	risks map[string]float64
 }
 
-// chooseStream scores the endpoint that has the prompt cached and a sample of the others
-// that is determined by the prompt. Load reports of other gateways arrive late, so if
-// every gateway scored all endpoints, all would select the same one. A repeated prompt
-// gets the same sample at every gateway and so can reach the engine that has it cached.
-func (p *Picker) chooseStream(q Query) *savorypinfleet.Endpoint {
+func (p *Picker) newStreamScorer(q Query) streamScorer {
 	now := p.cfg.Now()
-	risks := p.risks(now)
+	return streamScorer{exposedFraction: p.exposedFraction(q), now: now, picker: p, query: q, risks: p.risks(now)}
+}
+
+// choose returns the endpoint with the best score, or nil if there is none. It scores the
+// endpoint that has the prompt cached and a sample of the others that is determined by the
+// prompt. Load reports of other gateways arrive late, so if every gateway scored all
+// endpoints, all would select the same one. A repeated prompt gets the same sample at every
+// gateway and so can reach the engine that has it cached.
+func (s *streamScorer) choose(score func(*savorypinfleet.Endpoint) float64) *savorypinfleet.Endpoint {
+	p, q := s.picker, s.query
 	allowed := q.allowed(q.Candidates)
-	sample := p.sample(allowed, q.affinityHash(), now)
+	sample := p.sample(allowed, q.affinityHash(), s.now)
 	if cached := p.cachedEndpoint(allowed, q.PromptID); cached != nil {
 		sample = append(sample, cached)
 	}
-	score := func(e *savorypinfleet.Endpoint) float64 {
-		return p.streamScore(e, q, risks) + p.suspectPenalty(e, now)
-	}
 	best := firstEndpoint(lowestScored(sample, scoreMarginTokens, score))
 	if best == nil || p.Fits(best, q) {
 		return best
--- a/internal/savorypinpick/score.go
+++ b/internal/savorypinpick/score.go
@@ -71,29 +71,43 @@
 const suspectScore = 1e12
 
 // suspectPenalty returns the score added to a suspect endpoint.
-func (p *Picker) suspectPenalty(e *savorypinfleet.Endpoint, now time.Time) float64 {
-	if p.suspect(e, now) {
+func (p *Picker) suspectPenalty(s *endpointState, now time.Time) float64 {
+	if p.suspectState(s, now.UnixNano()) {
 		return suspectScore
 	}
 	return 0
 }
 
-// streamScore returns the score of an endpoint for a stream, in tokens; lower is
-// better.
-func (p *Picker) streamScore(e *savorypinfleet.Endpoint, q Query, risks map[string]float64) float64 {
+// streamTerms are the parts of the score of an endpoint for a stream, in tokens.
+type streamTerms struct {
+	waitingTokens, runningRequests, failureRisk, overcommittedMemory, region, cachedPrompt, suspicion float64
+}
+
+// sum returns the score; lower is better.
+func (t streamTerms) sum() float64 {
+	return t.waitingTokens + t.runningRequests + t.failureRisk + t.overcommittedMemory + t.region + t.cachedPrompt + t.suspicion
+}
+
+// terms returns the terms of the score of an endpoint.
+func (s *streamScorer) terms(e *savorypinfleet.Endpoint) streamTerms {
+	p, q := s.picker, &s.query
 	state := p.state(e)
-	s := float64(state.waitingTokens.Load()+state.remoteWaitingTokens.Load()) + p.runningRequests(state)*runningRequestTokens
-	s += risks[e.Domain()] * p.exposedFraction(q) * float64(q.PromptTokens)
-	s += overcommitWeight * q.overcommitted(state)
+	t := streamTerms{
+		waitingTokens:       float64(state.waitingTokens.Load() + state.remoteWaitingTokens.Load()),
+		runningRequests:     p.runningRequests(state) * runningRequestTokens,
+		failureRisk:         s.risks[e.Domain()] * s.exposedFraction * float64(q.PromptTokens),
+		overcommittedMemory: overcommitWeight * q.overcommitted(state),
+		suspicion:           p.suspectPenalty(state, s.now),
+	}
 	if p.cfg.Regions[e.Domain()] != p.cfg.Region {
-		s += crossRegionPenaltyTokens
+		t.region = crossRegionPenaltyTokens
 	}
 	if p.PromptCachedAt(e, q.PromptID) {
 		// A cached prompt counts twice: the endpoint saves the prefill, and the cached
 		// copy is not wasted.
-		s -= cachedPromptFactor * float64(q.PromptTokens)
+		t.cachedPrompt = -cachedPromptFactor * float64(q.PromptTokens)
 	}
-	return s
+	return t
 }
 
 // runningRequests returns the number of requests known to run at an endpoint, over all
@@ -102,18 +116,31 @@
 	return float64(state.running.Load() + state.remoteRunning.Load())
 }
 
-// plainScore returns the score of an endpoint for a plain request, in nanoseconds;
-// lower is better.
-func (p *Picker) plainScore(e *savorypinfleet.Endpoint) float64 {
+// plainTerms are the parts of the score of an endpoint for a plain request, in nanoseconds.
+type plainTerms struct {
+	latency, queue, failureRate, region, suspicion float64
+}
+
+// sum returns the score; lower is better.
+func (t plainTerms) sum() float64 {
+	return t.latency + t.queue + t.failureRate + t.region + t.suspicion
+}
+
+// plainTerms returns the terms of the score of an endpoint for a plain request.
+func (p *Picker) plainTerms(e *savorypinfleet.Endpoint, now time.Time) plainTerms {
 	state := p.state(e)
 	latency := float64(state.latency.Load())
 	if latency == 0 {
 		latency = float64(initialLatency)
 	}
-	s := latency + latency*p.runningRequests(state)/float64(e.Slots())
-	s += float64(failurePenalty) * float64(state.failureRate.Load()) / 1e6
+	t := plainTerms{
+		latency:     latency,
+		queue:       latency * p.runningRequests(state) / float64(e.Slots()),
+		failureRate: float64(failurePenalty) * float64(state.failureRate.Load()) / 1e6,
+		suspicion:   p.suspectPenalty(state, now),
+	}
 	if p.cfg.Regions[e.Domain()] != p.cfg.Region {
-		s += float64(crossRegionLatencyPenalty)
+		t.region = float64(crossRegionLatencyPenalty)
 	}
-	return s
+	return t
 }
--- a/internal/savorypinpick/suspicion.go
+++ b/internal/savorypinpick/suspicion.go
@@ -13,8 +13,12 @@
 }
 
 func (p *Picker) suspect(e *savorypinfleet.Endpoint, now time.Time) bool {
-	state := p.state(e)
-	return now.UnixNano() < state.suspectUntil.Load() || p.newerThanList(state.replacedAt.Load())
+	return p.suspectState(p.state(e), now.UnixNano())
+}
+
+// suspectState reports whether an endpoint with a state is suspect at a time in nanoseconds.
+func (p *Picker) suspectState(s *endpointState, now int64) bool {
+	return now < s.suspectUntil.Load() || p.newerThanList(s.replacedAt.Load())
 }
 
 // possiblyLost reports whether an endpoint or its domain has failed, the endpoint has
