Preview decisions on probes, isolation and limits without taking them

A question of an operator about a request must not take the place of a probe, isolate a request, use up the share of a limit or count a stream as refused.

The quarantine, the forecast and the shared limits now have previews that share the checks of the decisions. The admission registry names the reason why it holds an endpoint, by the switch that its state follows from. Decisions are as before; tests compare each preview with the decision that follows it.

--- a/internal/savorypinadmission/admission.go
+++ b/internal/savorypinadmission/admission.go
@@ -226,15 +226,16 @@
 }
 
 func (r *Registry) state(rec record, now time.Time) State {
-	switch {
-	case now.Before(rec.pausedUntil):
+	switch r.hold(rec, now) {
+	case HoldPaused, HoldRelisted:
 		return StateClosed
-	case !rec.relistedAt.IsZero() && now.Sub(rec.relistedAt) < r.cfg.EntryTimeout:
-		return StateClosed
-	case !rec.stoppingAt.IsZero(), !rec.drainedAt.IsZero():
+	case HoldStopping:
 		return r.stoppingState(rec, now)
-	case r.skippedByRamp(rec, now):
-		return StateLastResort
+	case HoldRamp:
+		if r.skippedByRamp(rec, now) {
+			return StateLastResort
+		}
+	case HoldNone:
 	}
 	return StateOpen
 }
@@ -250,12 +251,17 @@
 	return StateLastResort
 }
 
+// ramp returns the time after a pause in which the share of an endpoint grows, and the part of it
+// that has passed.
+func (rec record) ramp(now time.Time) (ramp, elapsed time.Duration) {
+	return min(maxRamp, rec.pausedUntil.Sub(rec.pausedAt)), now.Sub(rec.pausedUntil)
+}
+
 // skippedByRamp reports whether a request skips an endpoint whose share of the requests
 // is still growing after a pause.
 func (r *Registry) skippedByRamp(rec record, now time.Time) bool {
-	ramp := min(maxRamp, rec.pausedUntil.Sub(rec.pausedAt))
-	elapsed := now.Sub(rec.pausedUntil)
-	return ramp > 0 && elapsed < ramp && r.cfg.Random() >= float64(elapsed)/float64(ramp)
+	ramp, elapsed := rec.ramp(now)
+	return r.cfg.Random() >= float64(elapsed)/float64(ramp)
 }
 
 // CountNotOpen returns the number of endpoints in a directory that are not open.
--- a/internal/savorypinforecast/forecast.go
+++ b/internal/savorypinforecast/forecast.go
@@ -149,14 +149,25 @@
 	if s == nil {
 		return true
 	}
-	s.refused++
-	if s.refused < probeInterval {
+	if !s.probeDue() {
+		s.refused++
 		return false
 	}
 	s.refused = 0
 	return true
 }
 
+// ProbeDue reports what Probe would report now. It counts nothing.
+func (f *Forecast) ProbeDue(kind Kind) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.kinds[kind]
+	return s == nil || s.probeDue()
+}
+
+// probeDue reports whether the next stream that would be refused is a probe instead.
+func (s *kindStats) probeDue() bool { return s.refused+1 >= probeInterval }
+
 // Retain drops what was seen of the kinds for which keep returns false.
 func (f *Forecast) Retain(keep func(Kind) bool) {
 	f.mu.Lock()
--- a/internal/savorypinforecast/forecast_test.go
+++ b/internal/savorypinforecast/forecast_test.go
@@ -130,8 +130,13 @@
 	It("lets one stream in twenty pass as a probe, which corrects it if it completes", func() {
 		probes := 0
 		for range 100 {
+			due := f.ProbeDue(assistant)
+			Expect(f.ProbeDue(assistant)).To(Equal(due), "a preview counts nothing")
 			if f.Probe(assistant) {
+				Expect(due).To(BeTrue())
 				probes++
+			} else {
+				Expect(due).To(BeFalse())
 			}
 		}
 		Expect(probes).To(Equal(5))
--- a/internal/savorypinlimit/sharedrate.go
+++ b/internal/savorypinlimit/sharedrate.go
@@ -237,16 +237,42 @@
 	if rate == nil {
 		return true
 	}
-	if rate.tokens >= 1 {
+	switch chance := r.chance(rate); chance {
+	case 0:
+		return false
+	case 1:
 		rate.tokens--
 		return true
+	default:
+		rate.tokens = 0
+		return r.cfg.Random() < chance
+	}
+}
+
+// chance returns the probability that a share has a request left. The caller holds r.mu.
+func (r *SharedRates) chance(rate *sharedRate) float64 {
+	if rate.tokens >= 1 {
+		return 1
 	}
 	if _, burst := r.rateOf(rate); burst >= 1 {
-		return false
+		return 0
+	}
+	return max(0, rate.tokens)
+}
+
+// Chance returns the probability that Take would report now that a request may be sent to an
+// endpoint. It counts nothing.
+func (r *SharedRates) Chance(endpoint uint64) float64 {
+	if r.limited.Load() == 0 {
+		return 1
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rate := r.refilled(endpoint)
+	if rate == nil {
+		return 1
 	}
-	taken := r.cfg.Random() < rate.tokens
-	rate.tokens = 0
-	return taken
+	return r.chance(rate)
 }
 
 // Limited reports whether an endpoint has a limit.
--- a/internal/savorypinlimit/sharedrate_test.go
+++ b/internal/savorypinlimit/sharedrate_test.go
@@ -230,6 +230,25 @@
 		Expect(rates.Wait(limitedEndpoint)).To(BeNumerically("~", 111*time.Millisecond, 2*time.Millisecond))
 	})
 
+	// Guards against a preview that differs from what it previews, or uses up a share.
+	It("may be previewed, which takes nothing", func() {
+		Expect(rates.Chance(limitedEndpoint)).To(Equal(1.0))
+		rates.Name(limitedEndpoint, "ledger", 1)
+		Expect(rates.Chance(limitedEndpoint)).To(BeZero())
+		now = now.Add(500 * time.Millisecond)
+		for range 5 {
+			Expect(rates.Chance(limitedEndpoint)).To(BeNumerically("~", 0.225, 0.001), "a share of half a request")
+		}
+		rates.Name(limitedEndpoint, "ledger", 10)
+		now = now.Add(time.Second)
+		for range 4 {
+			Expect(rates.Chance(limitedEndpoint)).To(Equal(1.0))
+			Expect(taken(1)).To(Equal(1))
+		}
+		Expect(rates.Chance(limitedEndpoint)).To(BeZero())
+		Expect(taken(1)).To(BeZero())
+	})
+
 	It("follows the last answer", func() {
 		rates.Name(limitedEndpoint, "ledger", 10)
 		Expect(rates.Name(limitedEndpoint, "ledger", 10.5)).To(BeFalse(), "within the tolerance")
--- a/internal/savorypinquarantine/admit.go
+++ b/internal/savorypinquarantine/admit.go
@@ -48,11 +48,8 @@
 	if len(matched) == 0 {
 		return nil, nil
 	}
-	now := r.cfg.Now()
-	for _, v := range matched {
-		if v.probing || now.Before(r.probeAt(v)) {
-			return nil, r.confinement(matched, now)
-		}
+	if c := r.checkProbe(matched); c != nil {
+		return nil, c
 	}
 	for _, v := range matched {
 		v.probing = true
@@ -60,6 +57,34 @@
 	return &Probe{registry: r, subjects: matched}, nil
 }
 
+// Preview returns what Admit would decide now: whether the request would be a probe, and its
+// confinement if it would not be sent. It changes nothing.
+func (r *Registry) Preview(subjects []savorypinfleet.Subject) (probe bool, c *Confinement) {
+	if r.active.Load() == 0 {
+		return false, nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	matched := r.match(subjects)
+	if len(matched) == 0 {
+		return false, nil
+	}
+	c = r.checkProbe(matched)
+	return c == nil, c
+}
+
+// checkProbe returns the confinement of a request with subjects that are in quarantine; nil if it
+// may be sent as a probe of them. The caller holds r.mu.
+func (r *Registry) checkProbe(matched []*confined) *Confinement {
+	now := r.cfg.Now()
+	for _, v := range matched {
+		if v.probing || now.Before(r.probeAt(v)) {
+			return r.confinement(matched, now)
+		}
+	}
+	return nil
+}
+
 // match returns the subjects that are in quarantine. The caller holds r.mu.
 func (r *Registry) match(subjects []savorypinfleet.Subject) []*confined {
 	var matched []*confined
--- a/internal/savorypinquarantine/isolate.go
+++ b/internal/savorypinquarantine/isolate.go
@@ -19,16 +19,9 @@
 // crashes is also sent only if no other one of this gateway is at the service, so that the next crash
 // tells them apart.
 func (r *Registry) Isolate(service string, request savorypinfleet.Subject, spare func() bool) (*Isolation, bool) {
-	if !r.Watching() {
-		return nil, true
-	}
-	crashes := r.Suspicion([]savorypinfleet.Subject{request})
-	if crashes == 0 {
-		return nil, true
-	}
-	// The lock isn't held, as spare may ask the registry which endpoints have crashed.
-	if !spare() {
-		return nil, false
+	crashes, ok := r.checkSuspect(request, spare)
+	if crashes == 0 || !ok {
+		return nil, ok
 	}
 	isolation := &Isolation{alone: crashes >= isolationCrashes, registry: r, service: service}
 	if !isolation.alone {
@@ -43,6 +36,28 @@
 	return isolation, true
 }
 
+// MayIsolate reports what Isolate would decide now. It changes nothing.
+func (r *Registry) MayIsolate(service string, request savorypinfleet.Subject, spare func() bool) bool {
+	crashes, ok := r.checkSuspect(request, spare)
+	if !ok || crashes < isolationCrashes {
+		return ok
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.isolated[service]
+}
+
+// checkSuspect returns the number of crashes that a request is suspect by, and whether it may be sent
+// unless it has to be alone.
+func (r *Registry) checkSuspect(request savorypinfleet.Subject, spare func() bool) (crashes int, ok bool) {
+	if !r.Watching() {
+		return 0, true
+	}
+	crashes = r.Suspicion([]savorypinfleet.Subject{request})
+	// The lock isn't held, as spare may ask the registry which endpoints have crashed.
+	return crashes, crashes == 0 || spare()
+}
+
 // End ends the attempt.
 func (i *Isolation) End() {
 	if i == nil || !i.alone {
