Convert the terms of scores for operators only where they are listed

The explanation of a choice among 600 endpoints made a list of terms for each of them, of which an answer holds 100. The conversion now happens on demand. The choice itself is untouched.

--- a/internal/savorypinpick/bench_test.go
+++ b/internal/savorypinpick/bench_test.go
@@ -14,7 +14,8 @@
 // benchEndpoints is the number of endpoints of the largest deployment.
 const benchEndpoints = 600
 
-// BenchmarkChoose guards the cost of a decision against what its explanation needs.
+// BenchmarkChoose guards the cost of a decision against what its explanation needs, and operators'
+// questions against a cost that slows down callers' requests.
 func BenchmarkChoose(b *testing.B) {
 	now := time.Unix(1000, 0)
 	picker := savorypinpick.New(savorypinpick.Config{
@@ -45,5 +46,10 @@
 				picker.Choose(c.query)
 			}
 		})
+		b.Run("explain "+c.name, func(b *testing.B) {
+			for b.Loop() {
+				picker.Explain(c.query)
+			}
+		})
 	}
 }
--- a/internal/savorypinpick/explain.go
+++ b/internal/savorypinpick/explain.go
@@ -58,7 +58,18 @@
 	ReservedTokens int
 	// Score is the sum of the terms; lower is better.
 	Score float64
-	Terms []Term
+	// isPlain says that the request is a plain one. Then plain is set, otherwise stream.
+	isPlain bool
+	plain   plainTerms
+	stream  streamTerms
+}
+
+// Terms returns the terms of the score.
+func (c Comparison) Terms() []Term {
+	if c.isPlain {
+		return c.plain.named()
+	}
+	return c.stream.named()
 }
 
 // Explanation says how Choose selects an endpoint.
@@ -82,10 +93,10 @@
 	if q.Plain {
 		return p.explainPlain(q)
 	}
-	s, r := p.newStreamScorer(q), newScoreRecorder()
+	s, r := p.newStreamScorer(q), newScoreRecorder(q)
 	x := Explanation{Chosen: s.choose(func(e *savorypinfleet.Endpoint) float64 {
 		t := s.terms(e)
-		return r.record(Comparison{Endpoint: e, ReservedTokens: p.ReservedTokens(e), Score: t.sum(), Terms: t.named()})
+		return r.record(Comparison{Endpoint: e, ReservedTokens: p.ReservedTokens(e), Score: t.sum(), stream: t})
 	})}
 	x.Compared, x.Margin = r.compared, scoreMarginTokens
 	x.RandomSample = q.PromptID == "" && len(x.Compared) < len(q.allowed(q.Candidates))
@@ -93,10 +104,10 @@
 }
 
 func (p *Picker) explainPlain(q Query) Explanation {
-	now, r := p.cfg.Now(), newScoreRecorder()
+	now, r := p.cfg.Now(), newScoreRecorder(q)
 	best := q.bestPlain(func(e *savorypinfleet.Endpoint) float64 {
 		t := p.plainTerms(e, now)
-		return r.record(Comparison{Endpoint: e, Score: t.sum(), Terms: t.named()})
+		return r.record(Comparison{Endpoint: e, Score: t.sum(), plain: t, isPlain: true})
 	})
 	x := Explanation{Chosen: randomEndpoint(best), Compared: r.compared}
 	if len(best) > 1 {
@@ -112,8 +123,9 @@
 	indexes map[*savorypinfleet.Endpoint]int
 }
 
-func newScoreRecorder() *scoreRecorder {
-	return &scoreRecorder{indexes: map[*savorypinfleet.Endpoint]int{}}
+func newScoreRecorder(q Query) *scoreRecorder {
+	n := len(q.Candidates)
+	return &scoreRecorder{compared: make([]Comparison, 0, n), indexes: make(map[*savorypinfleet.Endpoint]int, n)}
 }
 
 // record records an endpoint, or replaces its record if it was scored before, and returns its score.
--- a/internal/savorypinpick/explain_test.go
+++ b/internal/savorypinpick/explain_test.go
@@ -17,7 +17,7 @@
 		if c.Endpoint != f.endpoints[endpoint] {
 			continue
 		}
-		for _, t := range c.Terms {
+		for _, t := range c.Terms() {
 			if t.Name == name {
 				return t.Score
 			}
@@ -52,7 +52,7 @@
 				Expect(x.Chosen).To(Equal(f.picker.Choose(q)))
 				for _, compared := range x.Compared {
 					sum := 0.0
-					for _, t := range compared.Terms {
+					for _, t := range compared.Terms() {
 						sum += t.Score
 					}
 					Expect(sum).To(BeNumerically("~", compared.Score, 1e-3))
