Answer where a request would go at the gateway's introspection port

Operators could see why a request was refused or where it went only from the log, and only after it was sent.

GET /where takes the description of a request and decides on it by the steps that a caller's request takes: admission up to the body, the quarantine, the forecast, the isolation of suspect requests, and the choice of an endpoint with its limit. These steps are now shared instead of copied: admitHead, the limits of a body, minDuration, chooseWith, and the refusals, whose counters moved to where they are sent. The dry run uses a key of the named organisation, which never leaves the gateway. It takes no budget, limit, reservation or probe and changes no counter.

The answer holds the outcome, each term of the scores of the endpoints compared (the best 100 of them), what is reserved, why other endpoints are held, and the age of the list, the configuration and the other gateways' loads.

--- a/internal/savorypinfleet/configuration.go
+++ b/internal/savorypinfleet/configuration.go
@@ -216,6 +216,17 @@
 // Organisation returns the organisation that owns an API key, or nil.
 func (c *Configuration) Organisation(key string) *Organisation { return c.byKey[key] }
 
+// KeyOf returns an API key of the organisation with a name. It returns false if there is no such
+// organisation or it has no key.
+func (c *Configuration) KeyOf(organisation string) (string, bool) {
+	for key, o := range c.byKey {
+		if o.Name == organisation {
+			return key, true
+		}
+	}
+	return "", false
+}
+
 // Route returns the route of the host with the longest matching path prefix, or nil.
 func (c *Configuration) Route(host, path string) *Route {
 	for _, r := range c.byHost[host] {
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -91,6 +91,28 @@
 // admit decides whether a request is served. It returns a nil request and a nil refusal if the
 // caller has disconnected.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, call *savorypinfleet.Call) (*request, *refusal) {
+	req, refused := g.admitHead(call)
+	if refused != nil {
+		return nil, refused
+	}
+	if refused := readBody(w, r, req); refused != nil {
+		req.release()
+		if r.Context().Err() != nil {
+			return nil, nil
+		}
+		return nil, refused
+	}
+	// The shutdown may have begun, or gone on, while the body was on its way.
+	if !g.acceptsWhileStopping(req) {
+		req.release()
+		return nil, stoppingRefusal()
+	}
+	return req, nil
+}
+
+// admitHead decides whether a request is served, before its body is read. If the request is refused
+// because the gateway stops, both results are set.
+func (g *Gateway) admitHead(call *savorypinfleet.Call) (*request, *refusal) {
 	arrived := time.Now()
 	c := g.view.configuration.Load()
 	if c == nil || !g.view.listed.Load() {
@@ -116,19 +138,7 @@
 	}
 	req.priority = newPriority(c, req)
 	if !g.acceptsWhileStopping(req) {
-		return nil, stoppingRefusal()
-	}
-	if refused := readBody(w, r, req); refused != nil {
-		req.release()
-		if r.Context().Err() != nil {
-			return nil, nil
-		}
-		return nil, refused
-	}
-	// The shutdown may have begun, or gone on, while the body was on its way.
-	if !g.acceptsWhileStopping(req) {
-		req.release()
-		return nil, stoppingRefusal()
+		return req, stoppingRefusal()
 	}
 	return req, nil
 }
--- a/internal/savorypingateway/bodybudget.go
+++ b/internal/savorypingateway/bodybudget.go
@@ -69,11 +69,8 @@
 // refused before anything is read; the memory is reserved as the body arrives, so that a slow one doesn't
 // keep it from others.
 func (b *bodyReader) read(r io.Reader, length int64) ([]byte, error) {
-	if length > b.limit {
-		return nil, fmt.Errorf("%w: %d bytes", errBodyTooLong, length)
-	}
-	if length > b.budget.remaining.Load() {
-		return nil, fmt.Errorf("%w: %w: %d bytes", errBodyTooLong, errBodyBudget, length)
+	if err := b.check(length); err != nil {
+		return nil, err
 	}
 	var body []byte
 	for int64(len(body)) != length {
@@ -98,6 +95,17 @@
 	return body, nil
 }
 
+// check returns the error of read for a body whose length exceeds a limit.
+func (b *bodyReader) check(length int64) error {
+	if length > b.limit {
+		return fmt.Errorf("%w: %d bytes", errBodyTooLong, length)
+	}
+	if length > b.budget.remaining.Load() {
+		return fmt.Errorf("%w: %w: %d bytes", errBodyTooLong, errBodyBudget, length)
+	}
+	return nil
+}
+
 // grow returns a copy of a body with a larger capacity, up to its length if that is known.
 func (b *bodyReader) grow(body []byte, length int64) ([]byte, error) {
 	end := b.limit + 1
--- a/internal/savorypingateway/crash.go
+++ b/internal/savorypingateway/crash.go
@@ -97,15 +97,21 @@
 		g.admission.State(e) == savorypinadmission.StateOpen
 }
 
+// countConfined counts a request that is refused because of a confinement.
+func (g *Gateway) countConfined(c *savorypinquarantine.Confinement) {
+	if c.Subject.IsRequest() {
+		g.counters.repeatsRefused.Inc(1)
+	} else {
+		g.counters.partsRefused.Inc(1)
+	}
+}
+
 // confinedRefusal returns the refusal of a request with a subject in quarantine. One that may have
 // run must not be reported as not run.
-func (g *Gateway) confinedRefusal(c *savorypinquarantine.Confinement, mayHaveRun bool) *refusal {
+func confinedRefusal(c *savorypinquarantine.Confinement, mayHaveRun bool) *refusal {
 	reason := errConfined
 	if c.Subject.IsRequest() {
 		reason = errRequestConfined
-		g.counters.repeatsRefused.Inc(1)
-	} else {
-		g.counters.partsRefused.Inc(1)
 	}
 	refused := notRunRefusal(reason.Error(), c.RetryAfter)
 	if mayHaveRun {
--- a/internal/savorypingateway/endpointlimit.go
+++ b/internal/savorypingateway/endpointlimit.go
@@ -7,6 +7,7 @@
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
+	"savorypin/internal/savorypinpick"
 )
 
 // recordLimit records the limit on requests that an endpoint named in a response, or that it named
@@ -67,13 +68,29 @@
 // chooseEndpoint returns the endpoint for the next attempt of a request, and counts the attempt
 // against its limit, if it has one. It returns nil if there is none that takes the request now.
 func (g *Gateway) chooseEndpoint(req *request, tried map[string]bool) *savorypinfleet.Endpoint {
+	return g.chooseWith(req, tried, g.picker.Choose, func(e *savorypinfleet.Endpoint) bool {
+		if g.endpointLimits.Take(e.IncarnationHash()) {
+			return true
+		}
+		g.counters.limitHeld.Inc(1)
+		return false
+	})
+}
+
+// chooseWith returns the endpoint that choose selects for the next attempt of a request and that take
+// accepts; nil if there is none.
+func (g *Gateway) chooseWith(
+	req *request,
+	tried map[string]bool,
+	choose func(savorypinpick.Query) *savorypinfleet.Endpoint,
+	take func(*savorypinfleet.Endpoint) bool,
+) *savorypinfleet.Endpoint {
 	excluded := maps.Clone(tried)
 	for {
-		e := g.picker.Choose(g.query(req, excluded))
-		if e == nil || g.endpointLimits.Take(e.IncarnationHash()) {
+		e := choose(g.query(req, excluded))
+		if e == nil || take(e) {
 			return e
 		}
-		g.counters.limitHeld.Inc(1)
 		excluded[e.ID()] = true
 	}
 }
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -37,6 +37,7 @@
 	"savorypin/internal/savorypinquarantine"
 	"savorypin/internal/savorypinrollout"
 	"savorypin/internal/savorypinseal"
+	"savorypin/internal/savorypinwhere"
 )
 
 // promptRetentionFactor multiplies Settings.MinPromptRetention, the retention that the engine
@@ -98,7 +99,9 @@
 	forecast  *savorypinforecast.Forecast
 	gossip    *savorypingossip.Gossip
 	admission *savorypinadmission.Registry
-	log       *savorypinevent.Log
+	// loadReports knows how old the other gateways' loads are that the picker uses.
+	loadReports *loadReports
+	log         *savorypinevent.Log
 	// discoveryDone is closed after the first attempt to read the list of gateways, whether it
 	// succeeded or not.
 	discoveryDone chan struct{}
@@ -133,6 +136,7 @@
 		cfg:            cfg,
 		counters:       newCounters(registry),
 		forecast:       savorypinforecast.New(savorypinforecast.Config{Now: time.Now}),
+		loadReports:    newLoadReports(time.Now),
 		log:            cfg.Log,
 		discoveryDone:  make(chan struct{}),
 		pool:           savorypinpool.New(savorypinpool.Config{}),
@@ -278,6 +282,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", savorypinmetrics.NewHandler(g.registry))
 	mux.HandleFunc("GET /state", g.serveState)
+	mux.HandleFunc("GET "+savorypinwhere.Path, g.serveWhere)
 	mux.HandleFunc("DELETE /quarantine/{subject}", g.serveRelease)
 	return mux
 }
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -104,6 +104,7 @@
 		}
 	case savorypingossip.PartLoad:
 		g.picker.SetLoads(update.Origin, update.State.Loads)
+		g.loadReports.record(update.Origin, update.Age)
 	}
 }
 
@@ -225,6 +226,7 @@
 	g.picker.RetainGateways(live)
 	g.retryBudgets.retainPeers(live)
 	g.requestShares.retainPeers(live)
+	g.loadReports.retain(live)
 }
 
 // gatewayCount returns the number of gateways that may share a limit with this one. A gateway
--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -139,6 +139,9 @@
 	if p.reported.kind == outcomeAnswered {
 		return p.reported, nil
 	}
+	if p.confinement != nil {
+		g.countConfined(p.confinement)
+	}
 	return nil, p.refusal()
 }
 
@@ -198,7 +201,7 @@
 	mayHaveRun := p.reported.kind == outcomeUnknown
 	switch {
 	case p.confinement != nil:
-		return g.confinedRefusal(p.confinement, mayHaveRun)
+		return confinedRefusal(p.confinement, mayHaveRun)
 	case p.isolated && !mayHaveRun:
 		return isolatedRefusal(p.req.whole())
 	case mayHaveRun && g.exiting.Err() != nil:
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -45,6 +45,11 @@
 	return time.Since(*at)
 }
 
+// acceptPeriod returns the time after the start of a shutdown in which new connections are accepted.
+func acceptPeriod(grace time.Duration) time.Duration {
+	return time.Duration(stopAcceptRatio * float64(grace))
+}
+
 // newCallerServer returns the server for callers, with the limits of the configuration in force.
 // Of later configurations only the limit on bodies applies.
 func (g *Gateway) newCallerServer() *http.Server {
@@ -102,8 +107,7 @@
 	grace := g.settings.Load().StopGracePeriod
 	// Callers go on sending requests on open connections; each response now tells them to
 	// close the connection.
-	acceptPeriod := time.Duration(stopAcceptRatio * float64(grace))
-	if err := wait(context.WithoutCancel(ctx), acceptPeriod); err != nil {
+	if err := wait(context.WithoutCancel(ctx), acceptPeriod(grace)); err != nil {
 		return err
 	}
 	left := grace - stopMargin - time.Since(start)
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -127,12 +127,10 @@
 			g.log.Debug("writing the error response to the caller failed", "id", s.req.call.ID, "err", err)
 		}
 	case s.confinement != nil:
-		g.refuse(s.w, s.req.call, s.req.service.Name(), g.confinedRefusal(s.confinement, s.mayHaveRun))
-	case !s.mayHaveRun && errors.Is(err, errDeadlineTooClose):
-		// No attempt can complete before the deadline.
-		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal(errDeadlineTooClose.Error(), s.req.remaining()))
+		g.countConfined(s.confinement)
+		g.refuse(s.w, s.req.call, s.req.service.Name(), confinedRefusal(s.confinement, s.mayHaveRun))
 	case !s.mayHaveRun:
-		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal("no endpoint took the request", g.retryDelay(s.req.service.Name())))
+		g.refuse(s.w, s.req.call, s.req.service.Name(), g.streamNotRunRefusal(s.req, err))
 	case g.exiting.Err() != nil:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), exitRefusal())
 	case s.req.expired():
@@ -142,6 +140,15 @@
 	}
 }
 
+// streamNotRunRefusal returns the refusal of a stream that has not run because of err.
+func (g *Gateway) streamNotRunRefusal(req *request, err error) *refusal {
+	if errors.Is(err, errDeadlineTooClose) {
+		// No attempt can complete before the deadline.
+		return notRunRefusal(errDeadlineTooClose.Error(), req.remaining())
+	}
+	return notRunRefusal("no endpoint took the request", g.retryDelay(req.service.Name()))
+}
+
 // run sends the request to endpoints until the response is complete.
 func (s *stream) run(ctx context.Context) error {
 	s.gateway.retryBudgets.forService(s.req.service.Name()).RecordFirst()
@@ -179,14 +186,20 @@
 	return lastErr
 }
 
+// minDuration returns the estimated minimum time for the rest of a stream after an event, given whether an
+// endpoint holds a copy of its KV cache.
+func (g *Gateway) minDuration(req *request, lastEventID int64, backedUp bool) time.Duration {
+	remaining := savorypinforecast.Remaining{Events: lastEventID, OutputTokens: req.call.OutputTokens}
+	if !backedUp && !g.picker.PromptCached(req.call.PromptID) {
+		remaining.PromptTokens = req.call.PromptTokens
+	}
+	return g.forecast.MinDuration(req.kind(), remaining)
+}
+
 // checkDeadline returns an error if the rest of the stream can't complete before its deadline. Now and then
 // it lets a new stream pass as a probe: if it completes, the estimate was too high.
 func (s *stream) checkDeadline() error {
-	remaining := savorypinforecast.Remaining{Events: s.lastEventID, OutputTokens: s.req.call.OutputTokens}
-	if s.backup == nil && !s.gateway.picker.PromptCached(s.req.call.PromptID) {
-		remaining.PromptTokens = s.req.call.PromptTokens
-	}
-	needed, left := s.gateway.forecast.MinDuration(s.req.kind(), remaining), s.req.remaining()
+	needed, left := s.gateway.minDuration(s.req, s.lastEventID, s.backup != nil), s.req.remaining()
 	if needed <= left {
 		return nil
 	}
--- a/internal/savorypingateway/upload.go
+++ b/internal/savorypingateway/upload.go
@@ -24,15 +24,21 @@
 		return nil
 	}
 	body, err := req.upload.read(http.MaxBytesReader(w, r.Body, req.upload.limit), r.ContentLength)
+	if err != nil {
+		return bodyRefusal(err)
+	}
+	req.call.Body = body
+	return nil
+}
+
+// bodyRefusal returns the refusal of a request whose body can't be read.
+func bodyRefusal(err error) *refusal {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errBodyBudget):
 		return notRunRefusal("no memory for the body", otherGatewayRetryDelay)
 	case errors.Is(err, errBodyTooLong), errors.As(err, &tooLarge):
 		return &refusal{reason: "body is too large", status: http.StatusRequestEntityTooLarge}
-	case err != nil:
-		return &refusal{reason: "body can't be read", status: http.StatusBadRequest}
 	}
-	req.call.Body = body
-	return nil
+	return &refusal{reason: "body can't be read", status: http.StatusBadRequest}
 }
