Add the command `savorypin where`

It asks a gateway where a request would go now, and why, and shows the answer as text, JSON or YAML.

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -17,6 +17,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypindaemon"
+	"savorypin/internal/savorypinwhere"
 )
 
 // envPrefix is the prefix of the environment variables that set flags.
@@ -57,6 +58,7 @@
 	stdin                 io.Reader
 	stdout                io.Writer
 	wait                  bool
+	where                 savorypinwhere.Query
 }
 
 // Main runs the command line and returns the exit code.
@@ -114,6 +116,7 @@
 			c.standinCmd(),
 			c.stateCmd(),
 			c.stopCmd(),
+			c.whereCmd(),
 		},
 		Description:           "Savorypin relays generations and plain calls from callers to endpoints and recovers from endpoint failures.",
 		EnableShellCompletion: true,
--- a/internal/cmd/operatorclient.go
+++ b/internal/cmd/operatorclient.go
@@ -44,10 +44,14 @@
 			Destination: &c.daemon.OperatorToken, Name: "operator-token", Sources: env("OPERATOR_TOKEN"),
 			Usage: "bearer token of the operators; set it through the environment",
 		},
-		&cli.StringFlag{
-			Destination: &c.output, Name: "output", Aliases: []string{"o"}, Value: "table",
-			Usage: "output format: json, table or yaml",
-		},
+		c.outputFlag(),
+	}
+}
+
+func (c *Config) outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Destination: &c.output, Name: "output", Aliases: []string{"o"}, Value: outputTable,
+		Usage: "output format: json, table or yaml",
 	}
 }
 
