--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"savorypin/internal/savorypinfleet"
@@ -35,6 +35,8 @@
 	priority       priority
 	route          *savorypinfleet.Route
 	service        *savorypinfleet.Service
+	// uploading counts the body at the endpoint that has no response to it yet; nil if there is none.
+	uploading *atomic.Int64
 	// deadline is the earlier of the caller's deadline and the end of the route's timeout.
 	deadline time.Time
 
@@ -114,16 +116,16 @@
 // because the gateway stops, both results are set.
 func (g *Gateway) admitHead(call *savorypinfleet.Call) (*request, *refusal) {
 	arrived := time.Now()
-	c := g.view.configuration.Load()
-	if c == nil || !g.view.listed.Load() {
+	current := g.view.current.Load()
+	if current == nil || !g.view.listed.Load() {
 		return nil, notRunRefusal("no configuration yet", storeRetryDelay)
 	}
-	path, _, _ := strings.Cut(call.URI, "?")
-	route := c.Route(call.Host, path)
+	c := current.configuration
+	route := c.Route(call.Host, call.Path())
 	if route == nil {
 		return nil, &refusal{reason: "no route", status: http.StatusNotFound}
 	}
-	organisation, refused := g.authorise(c, route, call)
+	organisation, refused := g.authorise(current, route, call)
 	if refused != nil {
 		return nil, refused
 	}
@@ -156,7 +158,8 @@
 }
 
 // authorise returns the caller's organisation, or "" if no API key is required.
-func (g *Gateway) authorise(c *savorypinfleet.Configuration, route *savorypinfleet.Route, call *savorypinfleet.Call) (string, *refusal) {
+func (g *Gateway) authorise(current *snapshot, route *savorypinfleet.Route, call *savorypinfleet.Call) (string, *refusal) {
+	c := current.configuration
 	if !c.RequiresKey() || route.Public() {
 		return "", nil
 	}
@@ -164,26 +167,27 @@
 	if o == nil {
 		return "", &refusal{reason: "unknown key", status: http.StatusUnauthorized}
 	}
-	if !g.keysConfirmed() {
+	if !g.keysConfirmed(current) {
 		return "", notRunRefusal("configuration is not confirmed", storeRetryDelay)
 	}
 	return o.Name, nil
 }
 
-// keysConfirmed reports whether the API keys of the configuration are current enough: a revoked
+// keysConfirmed reports whether the API keys of a configuration are current enough: a revoked
 // key must not be served for longer than the revocation delay, even if the store is
 // unreachable.
-func (g *Gateway) keysConfirmed() bool {
+func (g *Gateway) keysConfirmed(current *snapshot) bool {
 	s := g.settings.Load()
 	if !s.StrictRevocation {
 		return true
 	}
-	age, ok := g.view.confirmationAge(bootClock())
+	age, ok := current.confirmationAge(g.cfg.Clock())
 	return ok && age < s.RevocationDelay
 }
 
 // release returns the memory of the request's bodies to their budgets.
 func (r *request) release() {
+	r.endUpload()
 	r.bodies.release()
 	r.upload.release()
 }
--- a/internal/savorypingateway/catchup_test.go
+++ b/internal/savorypingateway/catchup_test.go
@@ -21,6 +21,7 @@
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
 	"savorypin/internal/savorypinplatform"
+	"savorypin/internal/savorypinseal"
 )
 
 const (
@@ -61,6 +62,7 @@
 	server := httptest.NewServer(h)
 	DeferCleanup(server.Close)
 	cfg := Config{
+		Clock:    bootClock,
 		Dialect:  versionOnlyDialect(),
 		Log:      savorypinevent.New(savorypinevent.Config{Logger: log.New(io.Discard)}),
 		Objects:  Objects{Configuration: savorypin.Key{Kind: "config"}, EndpointKind: endpointKind, RolloutKind: "rollouts"},
@@ -69,6 +71,7 @@
 	v := &view{}
 	v.directory.Store(savorypinfleet.NewDirectory(nil))
 	s := newStore(cfg, v, newCounters(metrics.NewRegistry()))
+	s.sealer = savorypinseal.New()
 	s.endpointsChanged = func(_, _ *savorypinfleet.Directory, _ int64) {}
 	s.notifyPeers = func() {}
 	return s
@@ -103,6 +106,25 @@
 		Expect(after.ConfirmedAt).To(BeNumerically(">", before.ConfirmedAt))
 	})
 
+	// Guards against a copy that counts as confirmed while the gateway was suspended, although the
+	// response had come before that.
+	It("doesn't take a watch as later than its timeout", func() {
+		const hold = 200 * time.Millisecond
+		var now atomic.Int64
+		now.Store(int64(time.Minute))
+		var listed atomic.Bool
+		s := newTestStore(func(w http.ResponseWriter, _ *http.Request) {
+			if listed.Swap(true) {
+				now.Add(int64(time.Hour))
+			}
+			fmt.Fprint(w, 1)
+		})
+		s.cfg.Clock = func() time.Duration { return time.Duration(now.Load()) }
+		Expect(s.list(context.Background(), endpointKind)).To(Succeed())
+		Expect(s.watchOnce(context.Background(), endpointKind, hold)).To(Succeed())
+		Expect(s.mirrors[endpointKind].State().ConfirmedAt).To(Equal(time.Minute + watchTimeout(hold, s.maxAges[endpointKind])))
+	})
+
 	It("gives up after two attempts if the store is unavailable", func() {
 		var calls atomic.Int64
 		s := newTestStore(func(w http.ResponseWriter, _ *http.Request) {
@@ -135,7 +157,7 @@
 	} {
 		It(c.name, func() {
 			s := newTestStore(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
-			s.publishEndpoints()
+			s.putInForce(endpointKind)
 			Expect(s.view.listed.Load()).To(BeFalse())
 			if c.storeFailing {
 				s.breaker.RecordFailure(bootClock(), 1)
--- a/internal/savorypingateway/dryrun.go
+++ b/internal/savorypingateway/dryrun.go
@@ -58,6 +58,9 @@
 	if refused != nil {
 		return refused
 	}
+	if e == nil {
+		return nil
+	}
 	d.answer.Endpoint = e.ID()
 	if req.service.Backups() && req.route.Kind() == savorypinfleet.RouteStreaming {
 		d.answer.Copies = ids(d.gateway.picker.BackupChoices(e, d.gateway.query(req, map[string]bool{e.ID(): true})))
@@ -98,7 +101,7 @@
 	}
 }
 
-// firstAttempt returns the endpoint of the first attempt, or a refusal.
+// firstAttempt returns the endpoint of the first attempt, or a refusal; neither if the request waits.
 func (d *dryRun) firstAttempt() (*savorypinfleet.Endpoint, *refusal) {
 	g, req := d.gateway, d.req
 	if c := d.checkQuarantine(); c != nil {
@@ -112,7 +115,12 @@
 		d.answer.Quarantine = &savorypinwhere.Quarantine{Subject: req.whole().String()}
 		return nil, isolatedRefusal(req.whole())
 	}
-	e := g.chooseWith(req, map[string]bool{}, d.choose, d.mayTake)
+	if s := (&stream{gateway: g, req: req}); streaming {
+		if q := s.queue(); q != nil {
+			return d.awaitPlace(q), nil
+		}
+	}
+	e := d.chooseEndpoint()
 	d.describeChoice()
 	switch {
 	case e != nil:
@@ -172,6 +180,11 @@
 	return d.answer.Deadline.Probe
 }
 
+// chooseEndpoint returns the endpoint for the first attempt; nil if there is none.
+func (d *dryRun) chooseEndpoint() *savorypinfleet.Endpoint {
+	return d.gateway.chooseWith(d.req, map[string]bool{}, d.choose, d.mayTake)
+}
+
 // choose selects an endpoint and keeps the explanation.
 func (d *dryRun) choose(q savorypinpick.Query) *savorypinfleet.Endpoint {
 	d.candidates = q.Candidates
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"savorypin/internal/savorypin"
 	"savorypin/internal/savorypinadmission"
+	"savorypin/internal/savorypinbuffer"
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypinforecast"
@@ -68,6 +69,9 @@
 
 // Config configures a Gateway.
 type Config struct {
+	// Clock returns the time since the host booted, including the time for which it was suspended;
+	// nil for the clock of the host.
+	Clock   func() time.Duration
 	Codec   savorypinfleet.Codec
 	Dialect savorypinplatform.Dialect
 	// Log receives the events.
@@ -106,8 +110,12 @@
 	// succeeded or not.
 	discoveryDone chan struct{}
 	peers         *savorypingossip.Table
-	picker        *savorypinpick.Picker
-	pool          *savorypinpool.Pool
+	// peersWaiting knows for which services streams wait at other gateways.
+	peersWaiting peersWaiting
+	picker       *savorypinpick.Picker
+	pool         *savorypinpool.Pool
+	// queues holds the streams that wait for an endpoint with room.
+	queues streamQueues
 	// quarantine keeps parts of prompts, and requests, that crash endpoints from them.
 	quarantine *savorypinquarantine.Registry
 	// notReadyReason is why the gateway was not ready at the last sweep; empty if it was.
@@ -123,12 +131,19 @@
 	stopStart atomic.Pointer[time.Time]
 	stopping  atomic.Bool
 	store     *store
-	streams   streamSet
-	view      view
+	// streamBudget limits the memory of the events that are buffered for slow callers.
+	streamBudget *savorypinbuffer.Budget
+	streams      streamSet
+	// uploads knows the bodies that were sent to each endpoint and have no response yet.
+	uploads uploads
+	view    view
 }
 
 // New returns a gateway that is not running yet.
 func New(cfg Config) *Gateway {
+	if cfg.Clock == nil {
+		cfg.Clock = bootClock
+	}
 	registry := metrics.NewRegistry()
 	g := &Gateway{
 		requestBudget:  newBodyBudget(cfg.Settings.MemoryBytes, requestMemoryRatio),
@@ -143,13 +158,14 @@
 		registry:       registry,
 		sealer:         savorypinseal.New(cfg.Settings.PeerKeys...),
 		slowest:        savorypinforecast.NewSlowest(),
+		streamBudget:   newStreamBudget(cfg.Settings.MemoryBytes),
 	}
 	g.exiting, g.exit = context.WithCancel(context.Background())
 	g.settings.Store(&cfg.Settings)
 	g.picker = savorypinpick.New(savorypinpick.Config{
 		Gateways:        g.gatewayCount,
 		Hazard:          savorypinhazard.New(cfg.Settings.Domains),
-		ListConfirmedAt: func() time.Time { return time.Now().Add(-g.store.age(cfg.Objects.EndpointKind)) },
+		ListConfirmedAt: func() time.Time { return time.Now().Add(-g.store.ageInForce(cfg.Objects.EndpointKind)) },
 		Now:             time.Now,
 		PromptRetention: promptRetentionFactor * cfg.Settings.MinPromptRetention,
 		Region:          cfg.Settings.Region,
@@ -172,10 +188,13 @@
 	g.endpointLimits = savorypinlimit.NewSharedRates(savorypinlimit.SharedRateConfig{
 		Busiest: g.requestShares.busiest, Now: time.Now, Share: g.requestShares.share,
 	})
+	g.queues.gateway = g
+	g.queues.maxBytes = int(waitingMemoryRatio * requestMemoryRatio * float64(cfg.Settings.MemoryBytes))
 	g.view.directory.Store(savorypinfleet.NewDirectory(nil))
 	g.gossip = g.newGossip()
 	g.store = newStore(cfg, &g.view, g.counters)
 	g.store.sealer = g.sealer
+	g.store.configurationChanged = g.configurationChanged
 	g.store.endpointsChanged = g.directoryChanged
 	g.store.notifyPeers = g.gossip.TriggerRound
 	g.store.awaitFirstList = g.awaitFirstList
@@ -308,6 +327,7 @@
 			g.retainDurations()
 			g.updatePeers()
 			g.logReadiness()
+			g.queues.loadsChanged()
 		})
 	})
 	return ctx.Err()
@@ -332,6 +352,7 @@
 			Restarted: len(restarted), Era: state.Era, Revision: state.LastChangeVersion,
 		})
 	}
+	g.queues.loadsChanged()
 }
 
 // bootClock returns the time since the host booted. Unlike the monotonic clock it includes the
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -36,7 +36,7 @@
 	}
 	return savorypingossip.New(savorypingossip.Config{
 		Address:           address,
-		Clock:             bootClock,
+		Clock:             g.cfg.Clock,
 		StateOf:           g.composeState,
 		Copies:            func() []savorypingossip.CopyStatus { return g.store.copies() },
 		OnMessage:         g.handleMessage,
@@ -73,7 +73,7 @@
 	case savorypingossip.PartRollout:
 		return savorypingossip.GatewayState{Rollouts: g.rollouts.Reports()}
 	case savorypingossip.PartLoad:
-		return savorypingossip.GatewayState{Loads: g.picker.Loads()}
+		return savorypingossip.GatewayState{Loads: g.picker.Loads(), Waiting: g.queues.report()}
 	}
 	return savorypingossip.GatewayState{}
 }
@@ -105,6 +105,8 @@
 	case savorypingossip.PartLoad:
 		g.picker.SetLoads(update.Origin, update.State.Loads)
 		g.loadReports.record(update.Origin, update.Age)
+		g.peersWaiting.set(update.Origin, update.State.Waiting)
+		g.queues.loadsChanged()
 	}
 }
 
@@ -193,7 +195,7 @@
 
 // syncServer returns the server that sends the changes of this gateway's copies to others.
 func (g *Gateway) syncServer() *savorypingossip.SyncServer {
-	return &savorypingossip.SyncServer{Address: g.peerAddress(), Clock: bootClock, Log: g.log, Mirrors: g.store.mirrors, Sealer: g.sealer}
+	return &savorypingossip.SyncServer{Address: g.peerAddress(), Clock: g.cfg.Clock, Log: g.log, Mirrors: g.store.mirrors, Sealer: g.sealer}
 }
 
 // peerAddress returns the address on which this gateway receives messages of other gateways.
@@ -227,6 +229,7 @@
 	g.retryBudgets.retainPeers(live)
 	g.requestShares.retainPeers(live)
 	g.loadReports.retain(live)
+	g.peersWaiting.retain(live)
 }
 
 // gatewayCount returns the number of gateways that may share a limit with this one. A gateway
--- a/internal/savorypingateway/ready.go
+++ b/internal/savorypingateway/ready.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorypin/internal/savorypinevent"
+	"savorypin/internal/savorypinqueue"
 )
 
 // readyMaxAgeRatio is the fraction of the revocation delay for which a gateway without a
@@ -14,10 +15,11 @@
 
 // ready reports whether the gateway is ready for new callers, and the reason if it is not.
 func (g *Gateway) ready() (string, bool) {
+	current := g.view.current.Load()
 	switch {
 	case g.stopping.Load():
 		return "stopping", false
-	case g.view.configuration.Load() == nil:
+	case current == nil:
 		return "no configuration yet", false
 	case !g.view.listed.Load():
 		return "no list of endpoints yet", false
@@ -26,7 +28,7 @@
 	if !s.StrictRevocation {
 		return "", true
 	}
-	age, ok := g.view.confirmationAge(bootClock())
+	age, ok := current.confirmationAge(g.cfg.Clock())
 	if !ok || age > time.Duration(readyMaxAgeRatio*float64(s.RevocationDelay)) {
 		return "configuration is not confirmed", false
 	}
@@ -55,6 +57,8 @@
 
 // state is the content of the state dump.
 type state struct {
+	// BufferedBytes is the memory that is reserved for the events of slow callers.
+	BufferedBytes        int64         `json:"bufferedBytes"`
 	ConfigurationVersion int64         `json:"configurationVersion"`
 	ConfirmationAge      time.Duration `json:"confirmationAgeNs"`
 	Endpoints            int           `json:"endpoints"`
@@ -72,23 +76,28 @@
 	// StoreEra is the number of times that the store was restored from an older copy.
 	StoreEra int64 `json:"storeEra"`
 	Streams  int   `json:"streams"`
+	// Waiting holds the waiting queues by service.
+	Waiting map[string]savorypinqueue.State `json:"waiting,omitempty"`
 }
 
 func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
 	s := state{
+		BufferedBytes:    g.streamBudget.Used(),
 		Endpoints:        g.view.directory.Load().Len(),
 		EndpointsHeld:    g.admission.CountNotOpen(g.view.directory.Load()),
 		LimitedEndpoints: g.endpointLimits.Len(),
 		Name:             g.settings.Load().Name,
 		StoreEra:         g.store.client.Era(),
 		Streams:          g.streams.len(),
+		Waiting:          g.queues.states(),
 	}
 	s.QuarantinedParts, s.QuarantinedRequests = g.quarantine.Count()
 	s.NotReady, _ = g.ready()
-	if c := g.view.configuration.Load(); c != nil {
-		s.ConfigurationVersion = c.Version()
+	current := g.view.current.Load()
+	if current != nil {
+		s.ConfigurationVersion = current.configuration.Version()
 	}
-	if age, ok := g.view.confirmationAge(bootClock()); ok {
+	if age, ok := current.confirmationAge(g.cfg.Clock()); ok {
 		s.ConfirmationAge = age
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -54,12 +54,13 @@
 // Of later configurations only the limit on bodies applies.
 func (g *Gateway) newCallerServer() *http.Server {
 	server := &http.Server{
+		ConnContext:       withCallerConn,
 		Handler:           g,
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    defaultMaxHeaderBytes,
 		ReadHeaderTimeout: defaultIdleTimeout,
 	}
-	c := g.view.configuration.Load()
+	c := g.view.configuration()
 	if c == nil {
 		return server
 	}
@@ -81,7 +82,7 @@
 func (g *Gateway) awaitInitialState(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, startupTimeout)
 	defer cancel()
-	for g.view.configuration.Load() == nil || !g.view.listed.Load() {
+	for g.view.configuration() == nil || !g.view.listed.Load() {
 		if err := wait(ctx, startupPollInterval); err != nil {
 			return
 		}
@@ -94,7 +95,7 @@
 	g.awaitInitialState(ctx)
 	server := g.newCallerServer()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
+	go func() { failed <- server.Serve(callerListener{l}) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve callers: %w", err)
@@ -105,6 +106,8 @@
 	g.stopStart.Store(&start)
 	g.stopping.Store(true)
 	grace := g.settings.Load().StopGracePeriod
+	g.refuseWaiting()
+	defer time.AfterFunc(loadBalancerDelay, g.refuseWaiting).Stop()
 	// Callers go on sending requests on open connections; each response now tells them to
 	// close the connection.
 	if err := wait(context.WithoutCancel(ctx), acceptPeriod(grace)); err != nil {
--- a/internal/savorypingateway/storeread.go
+++ b/internal/savorypingateway/storeread.go
@@ -46,7 +46,7 @@
 	for {
 		if age := s.age(kind); age >= interval {
 			reader := s.isReader()
-			if (reader || age >= maxAge) && s.breaker.Allow(bootClock(), s.lastConfirmed(), reader) {
+			if (reader || age >= maxAge) && s.breaker.Allow(s.cfg.Clock(), s.lastConfirmed(), reader) {
 				return ctx.Err()
 			}
 		}
@@ -67,7 +67,7 @@
 }
 
 func (s *store) readConfiguration(ctx context.Context) error {
-	sentAt := bootClock()
+	sentAt := s.cfg.Clock()
 	o, err := s.client.Get(ctx, s.cfg.Objects.Configuration)
 	if err != nil {
 		return err
@@ -80,7 +80,7 @@
 // apply applies a changed object to its copy and puts it in force.
 func (s *store) apply(o savorypin.Object) {
 	if s.mirrors[o.Kind].Apply(o) {
-		s.publish[o.Kind]()
+		s.putInForce(o.Kind)
 		s.notifyPeers()
 	}
 }
@@ -127,7 +127,12 @@
 // watchChanges waits for changes of a kind for a fraction of the maximum age of its copy.
 func (s *store) watchChanges(ctx context.Context, kind savorypin.Kind, maxAge time.Duration) error {
 	hold := time.Duration(watchHoldRatio * float64(maxAge))
-	return s.readWithin(ctx, kind, hold, hold+time.Duration(catchUpSecondRatio*float64(maxAge)))
+	return s.readWithin(ctx, kind, hold, watchTimeout(hold, maxAge))
+}
+
+// watchTimeout returns the timeout of a watch with a hold time.
+func watchTimeout(hold, maxAge time.Duration) time.Duration {
+	return hold + time.Duration(catchUpSecondRatio*float64(maxAge))
 }
 
 // readWithin calls readChanges with a timeout.
@@ -153,7 +158,7 @@
 }
 
 func (s *store) list(ctx context.Context, kind savorypin.Kind) error {
-	sentAt := bootClock()
+	sentAt := s.cfg.Clock()
 	listing, err := s.client.ListAll(ctx, kind)
 	if err != nil {
 		return err
@@ -166,13 +171,10 @@
 // clock, and puts it in force.
 func (s *store) applyList(listing savorypinplatform.Listing, kind savorypin.Kind, sentAt time.Duration) {
 	mirror := s.mirrors[kind]
-	first := mirror.State().ConfirmedAt == 0
 	changed := mirror.Replace(listing.Objects, listing.Version, listing.Era)
 	mirror.Confirm(sentAt, listing.Era)
-	if changed || first {
-		s.publish[kind]()
-	}
 	s.markListed(kind)
+	s.putInForce(kind)
 	if changed {
 		s.notifyPeers()
 	}
@@ -181,7 +183,7 @@
 // watchOnce waits up to hold for changes after the copy's version.
 func (s *store) watchOnce(ctx context.Context, kind savorypin.Kind, hold time.Duration) error {
 	mirror := s.mirrors[kind]
-	state, confirmedAt := mirror.State(), bootClock()
+	state, sentAt := mirror.State(), s.cfg.Clock()
 	changed := false
 	err := s.client.WatchFor(ctx, kind, state.Version, hold, func(o savorypin.Object) error {
 		if o.Era != state.Era {
@@ -197,17 +199,20 @@
 		return nil
 	})
 	if changed {
-		s.publish[kind]()
+		s.putInForce(kind)
 		s.notifyPeers()
 	}
 	if err == nil {
+		confirmedAt := sentAt
 		if hold > immediateHold {
 			// The store ends its response when the hold time ends or with the last change, so
-			// that the copy was complete at that time.
-			confirmedAt = bootClock()
+			// that the copy was complete at that time. Only a gateway that was suspended reads it
+			// after the timeout, when the response may be much older.
+			confirmedAt = min(s.cfg.Clock(), sentAt+watchTimeout(hold, s.maxAges[kind]))
 		}
 		mirror.Confirm(confirmedAt, state.Era)
 		s.markListed(kind)
+		s.confirmInForce(kind)
 	}
 	return err
 }
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -63,6 +63,8 @@
 	// succeeds.
 	failure *outcome
 	gateway *Gateway
+	// looks are for the endpoints whose connections broke before the answer had begun there.
+	looks looks
 	// lastEventAt is when the last event was sent to the caller, or when the request arrived
 	// if none was.
 	lastEventAt time.Time
@@ -71,10 +73,14 @@
 	// mayHaveRun is set if an endpoint may have run the request.
 	mayHaveRun bool
 	// probe is set if the request is a probe of subjects in quarantine.
-	probe    *savorypinquarantine.Probe
-	req      *request
-	rc       *http.ResponseController
-	attempts int
+	probe *savorypinquarantine.Probe
+	// place is room at an endpoint that is kept until the next attempt begins; nil if there is none.
+	place *place
+	req   *request
+	rc    *http.ResponseController
+	// repeatTaken is set if the next attempt is already counted in the retry budget.
+	repeatTaken bool
+	attempts    int
 	// sequel is set if the current attempt comes after the request may have crashed an endpoint.
 	sequel bool
 	// stalledAttempts is the number of attempts that were abandoned although their hosts
@@ -82,6 +88,8 @@
 	stalledAttempts int
 	tried           map[string]bool
 	w               http.ResponseWriter
+	// waitRefusal is the refusal of a stream that did not get a place in time; nil if it isn't one.
+	waitRefusal *refusal
 }
 
 // relayStream serves a request whose response is a sequence of events. It aborts a response
@@ -96,25 +104,44 @@
 		tried: map[string]bool{}, w: w,
 	}
 	defer g.picker.RecordStreamEnd(req.call.PromptID)
+	caller := g.bufferFor(r, req)
 	err := s.run(ctx)
 	if err == nil {
-		g.counters.answered.Inc(1)
+		// What the caller takes beyond that says nothing about the endpoint.
 		s.recordDuration()
+	}
+	if finishErr := caller.finish(); finishErr != nil && err == nil {
+		err = fmt.Errorf("%w: %w", errCallerWrite, finishErr)
+	}
+	switch {
+	case err == nil:
+		g.counters.answered.Inc(1)
 		s.logEnd(savorypinevent.KindStreamCompleted, nil)
 		return
-	}
-	if callerLeft(r) {
+	case caller.gaveWay():
+		err = errGaveWay
+	case callerLeft(r):
 		s.logEnd(savorypinevent.KindCallerLeft, nil)
+		s.abortBegun()
 		return
 	}
+	s.looks.await(ctx)
 	s.logEnd(savorypinevent.KindStreamFailed, err)
 	if s.headerSent {
 		g.counters.brokenOff.Inc(1)
-		panic(http.ErrAbortHandler)
 	}
+	s.abortBegun()
 	s.sendFailure(err)
 }
 
+// abortBegun aborts a response that has begun. Else net/http would end it, also for a caller that has
+// only closed its sending side, so that it looks complete.
+func (s *stream) abortBegun() {
+	if s.headerSent {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // sendFailure responds to a stream that failed before its response header was sent.
 func (s *stream) sendFailure(err error) {
 	g := s.gateway
@@ -129,6 +156,8 @@
 	case s.confinement != nil:
 		g.countConfined(s.confinement)
 		g.refuse(s.w, s.req.call, s.req.service.Name(), confinedRefusal(s.confinement, s.mayHaveRun))
+	case s.waitRefusal != nil:
+		g.refuse(s.w, s.req.call, s.req.service.Name(), s.waitRefusal)
 	case !s.mayHaveRun:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), g.streamNotRunRefusal(s.req, err))
 	case g.exiting.Err() != nil:
@@ -157,6 +186,7 @@
 		return errConfined
 	}
 	defer s.probe.End()
+	defer s.returnPlace()
 	lastErr := errNotRun
 	for s.attempts < s.req.route.MaxAttempts() {
 		if s.mayHaveRun && !s.req.route.Retryable() {
@@ -237,10 +267,15 @@
 func (s *stream) nextEndpoint(ctx context.Context) (*savorypinfleet.Endpoint, bool, error) {
 	if b := s.backup; b != nil {
 		s.backup = nil
-		if s.gateway.canRestore(b) && !s.gateway.picker.Suspect(b) && s.gateway.endpointLimits.Take(b.IncarnationHash()) {
+		if s.gateway.canRestore(b) && !s.gateway.picker.Suspect(b) && s.gateway.takeUpload(b, s.req) &&
+			s.gateway.endpointLimits.Take(b.IncarnationHash()) {
 			return b, true, nil
 		}
 	}
+	if q := s.queue(); q != nil {
+		e, err := s.awaitPlace(ctx, q)
+		return e, false, err
+	}
 	for {
 		if e := s.gateway.chooseEndpoint(s.req, s.tried); e != nil {
 			return e, false, nil
--- a/internal/savorypingateway/streamattempt.go
+++ b/internal/savorypingateway/streamattempt.go
@@ -19,14 +19,17 @@
 	g := s.gateway
 	s.tried[e.ID()] = true
 	s.attemptEvents = 0
+	// An attempt that does not begin leaves its place to others.
+	defer s.returnPlace()
 	conn, err := g.connectFor(ctx, e, s.req)
 	if err != nil {
 		return err
 	}
-	if s.attempts > 0 && !g.retryBudgets.forService(s.req.service.Name()).TryRepeat() {
+	if s.attempts > 0 && !s.repeatTaken && !g.retryBudgets.forService(s.req.service.Name()).TryRepeat() {
 		g.pool.Put(conn, 0)
 		return errBudgetSpent
 	}
+	s.repeatTaken = false
 	defer context.AfterFunc(ctx, conn.Close)()
 	var backup *savorypinfleet.Endpoint
 	if s.req.service.Backups() {
@@ -37,11 +40,14 @@
 		tokens = 0
 	}
 	s.fullPrefill = tokens > 0
-	waiting := g.picker.WaitingTokens(e)
+	load := g.loadOf(e)
+	s.countMemory(e, backup)
 	work := g.picker.Begin(e, backup, tokens)
 	work.Reserve(s.req.reserveTokens())
+	s.releasePlace()
+	defer g.queues.attemptEnded(s.req.service.Name())
 	defer work.End()
-	w := g.newWatchdog(ctx, s, e, conn)
+	w := g.newWatchdog(ctx, s, e, conn, backup != nil)
 	defer w.stop()
 	s.attempts++
 	s.sequel = s.attempts > 1 || g.suspects(s.req)
@@ -49,7 +55,7 @@
 		Backup: backup, Call: s.req.call, Deadline: s.req.remaining(), Endpoint: e, LastEventID: s.lastEventHeader(),
 		Organisation: s.req.organisation, Priority: s.req.priority.forAttempt(s.lastEventID > 0), RestoreFromBackup: restore,
 	}
-	s.logSent(a, waiting)
+	s.logSent(a, load)
 	start := time.Now()
 	g.rollouts.CountSent(e.Service(), e.Version())
 	err = s.exchange(conn, a, w, work.RecordPrefill)
@@ -62,12 +68,13 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	return s.handleFailure(e, w, err, time.Since(start))
+	return s.handleFailure(ctx, e, w, err, time.Since(start))
 }
 
 // handleFailure handles a failed attempt by its cause, and returns an error that names the cause.
-func (s *stream) handleFailure(e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
+func (s *stream) handleFailure(ctx context.Context, e *savorypinfleet.Endpoint, w *watchdog, err error, took time.Duration) error {
 	g := s.gateway
+	s.repeatTaken = w.repeatTaken.Load()
 	if !errors.Is(err, errReplaced) && !errors.Is(err, errNotRun) && g.quarantine.Confined(g.subjects(s.req)) == nil {
 		g.recordVersionResult(s.req, e, true, took)
 	}
@@ -90,7 +97,7 @@
 	case isProtocolError(err):
 		g.handleProtocolError(e, err.Error())
 	default:
-		s.handleBrokenConnection(e, err.Error())
+		s.handleBrokenConnection(ctx, e, err.Error())
 	}
 	return err
 }
@@ -111,6 +118,7 @@
 		return err
 	}
 	resp, err := conn.Receive(s.req.call.Method) //nolint:bodyclose // closing would wait for the rest; the connection is closed instead
+	s.req.endUpload()
 	if err != nil {
 		return err
 	}
@@ -183,7 +191,7 @@
 		if s.attemptEvents == beginEvents {
 			s.recordBegin(w)
 		}
-		w.recordEvent()
+		w.recordEvent(e.id)
 		s.gateway.picker.ClearSuspicion(a.Endpoint)
 		if e.id > s.lastEventID+1 {
 			return s.flushAfter(fmt.Errorf("%w: %d after %d", errMissingEvents, e.id, s.lastEventID))
--- a/internal/savorypingateway/where.go
+++ b/internal/savorypingateway/where.go
@@ -59,7 +59,7 @@
 			call.PromptParts = append(call.PromptParts, savorypinfleet.NewPromptPart(id))
 		}
 	}
-	c := g.view.configuration.Load()
+	c := g.view.configuration()
 	if q.Organisation == "" || c == nil {
 		return call, nil
 	}
@@ -84,7 +84,7 @@
 // whereAges returns the ages of what decisions rest on.
 func (g *Gateway) whereAges() savorypinwhere.Ages {
 	var ages savorypinwhere.Ages
-	if age, ok := g.view.confirmationAge(bootClock()); ok {
+	if age, ok := g.view.current.Load().confirmationAge(g.cfg.Clock()); ok {
 		ages.ConfigurationNs = &age
 	}
 	if g.view.listed.Load() {
--- a/internal/savorypinpick/backup.go
+++ b/internal/savorypinpick/backup.go
@@ -1,8 +1,6 @@
 package savorypinpick
 
 import (
-	"time"
-
 	"savorypin/internal/savorypinfleet"
 )
 
@@ -16,14 +14,16 @@
 	// maxCopyFraction limits the copies at an endpoint for a primary of average risk: engines run
 	// fewer requests at once the more memory copies take. maxRelativeRisk and minRelativeRisk bound
 	// how far the limit follows the risk of the primary's domain.
-	maxCopyFraction = 0.25
+	maxCopyFraction = 0.33
 	maxRelativeRisk = 2
-	minRelativeRisk = 0.5
+	minRelativeRisk = 0.7
 	// maxLoadForCopy is the reserved fraction up to which an endpoint takes a copy. The rest is for
 	// requests, which must not be preempted for copies.
 	maxLoadForCopy = 0.8
-	// maxLoadWithoutRisk replaces maxLoadForCopy while no domain is expected to fail.
-	maxLoadWithoutRisk = 0.35
+	// maxLoadWithoutRisk replaces maxLoadForCopy while no domain is expected to fail, and
+	// maxLoadForUrgentCopy for copies of the most urgent requests.
+	maxLoadWithoutRisk   = 0.35
+	maxLoadForUrgentCopy = 0.95
 )
 
 // ChooseBackup returns the endpoint that keeps a backup of the KV cache of a request on
@@ -41,10 +41,9 @@
 	risks := p.risks(now)
 	limits := newCopyLimits(risks, primary.Domain(), q)
 	var eligible, possiblyLost []*savorypinfleet.Endpoint
-	for _, e := range q.allowed(q.Candidates) {
+	for _, e := range p.backupSample(primary, q) {
 		switch {
-		case e.Domain() == primary.Domain() || p.suspect(e, now):
-		case !limits.allow(p.state(e)):
+		case p.suspect(e, now) || !limits.allow(p.state(e)):
 		case p.possiblyLost(e):
 			possiblyLost = append(possiblyLost, e)
 		default:
@@ -54,19 +53,25 @@
 	if len(eligible) == 0 {
 		eligible = possiblyLost
 	}
-	return lowestScored(p.backupSample(eligible, q, now), 0, func(e *savorypinfleet.Endpoint) float64 {
+	return lowestScored(eligible, 0, func(e *savorypinfleet.Endpoint) float64 {
 		return p.backupScore(e, q, risks)
 	})
 }
 
-// backupSample returns the endpoints to score. If memory is limited, it is a sample, as in
-// chooseStream: otherwise all gateways select the same idle endpoint before they receive each other's
-// load reports.
-func (p *Picker) backupSample(eligible []*savorypinfleet.Endpoint, q Query, now time.Time) []*savorypinfleet.Endpoint {
-	if q.MemoryTokens <= 0 || len(eligible) == 0 {
-		return eligible
+// backupSample returns the endpoints in other failure domains to select from. If memory is limited, it
+// is a sample, whether they are suspect or not: otherwise all gateways select the same few endpoints before
+// they receive each other's load reports.
+func (p *Picker) backupSample(primary *savorypinfleet.Endpoint, q Query) []*savorypinfleet.Endpoint {
+	var others []*savorypinfleet.Endpoint
+	for _, e := range q.allowed(q.Candidates) {
+		if e.Domain() != primary.Domain() {
+			others = append(others, e)
+		}
+	}
+	if q.MemoryTokens <= 0 {
+		return others
 	}
-	return p.sample(eligible, ^q.affinityHash(), now)
+	return p.rendezvousSample(others, ^q.affinityHash())
 }
 
 // backupScore returns the score of an endpoint for a backup; lower is better.
@@ -93,7 +98,8 @@
 }
 
 // newCopyLimits returns the limits for a copy of a request whose primary is in a domain, given the
-// failure risks by domain. The riskier the domain, the more memory a copy is worth.
+// failure risks by domain. The riskier the domain, the more memory a copy is worth. The most urgent
+// requests have a copy wherever it fits: those that are less urgent make room for them.
 func newCopyLimits(risks map[string]float64, domain string, q Query) copyLimits {
 	if q.MemoryTokens <= 0 {
 		return copyLimits{unlimited: true}
@@ -104,7 +110,10 @@
 	}
 	memory := float64(q.MemoryTokens)
 	limits := copyLimits{copies: memory, total: maxLoadWithoutRisk * memory, reservation: float64(q.ReserveTokens)}
-	if sum > 0 {
+	switch {
+	case q.Rank == 0:
+		limits.total = maxLoadForUrgentCopy * memory
+	case sum > 0:
 		relativeRisk := risks[domain] * float64(len(risks)) / sum
 		limits.copies = min(maxRelativeRisk, max(minRelativeRisk, relativeRisk)) * maxCopyFraction * memory
 		limits.total = maxLoadForCopy * memory
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -189,6 +189,9 @@
 	PromptID string
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
+	// Rank is the number of priorities that are higher than the request's. It matters only where
+	// memory is limited.
+	Rank int
 	// ReserveTokens is the number of tokens of KV memory that the request needs at most: those of
 	// its prompt and of its response.
 	ReserveTokens int
@@ -222,11 +225,15 @@
 	query           Query
 	// risks are the failure risks by domain.
 	risks map[string]float64
+	// suspicion is the penalty of suspect endpoints.
+	suspicion float64
 }
 
 func (p *Picker) newStreamScorer(q Query) streamScorer {
 	now := p.cfg.Now()
-	return streamScorer{exposedFraction: p.exposedFraction(q), now: now, picker: p, query: q, risks: p.risks(now)}
+	return streamScorer{
+		exposedFraction: p.exposedFraction(q), now: now, picker: p, query: q, risks: p.risks(now), suspicion: suspectScore,
+	}
 }
 
 // choose returns the endpoint with the best score, or nil if there is none. It scores the
@@ -237,16 +244,51 @@
 func (s *streamScorer) choose(score func(*savorypinfleet.Endpoint) float64) *savorypinfleet.Endpoint {
 	p, q := s.picker, s.query
 	allowed := q.allowed(q.Candidates)
-	sample := p.sample(allowed, q.affinityHash(), s.now)
+	sample := p.streamSample(allowed, q, s.now)
 	if cached := p.cachedEndpoint(allowed, q.PromptID); cached != nil {
 		sample = append(sample, cached)
 	}
-	best := firstEndpoint(lowestScored(sample, scoreMarginTokens, score))
+	best := s.best(sample, score)
 	if best == nil || p.Fits(best, q) {
 		return best
 	}
 	// None in the sample has memory left, but another endpoint may.
-	return firstEndpoint(lowestScored(allowed, scoreMarginTokens, score))
+	fitting := p.fitting(allowed, q)
+	if len(fitting) == 0 {
+		return best
+	}
+	return s.best(p.rendezvousSample(fitting, q.affinityHash()), score)
+}
+
+// best returns the endpoint with the best score, or nil if there is none. A suspect endpoint is the
+// best only if all are suspect or, where memory is limited, if most of them are and the others are full.
+func (s *streamScorer) best(endpoints []*savorypinfleet.Endpoint, score func(*savorypinfleet.Endpoint) float64) *savorypinfleet.Endpoint {
+	s.suspicion = suspectScore
+	if s.query.MemoryTokens > 0 && s.picker.mostlySuspect(endpoints, s.now) {
+		s.suspicion = suspectPenaltyTokens
+	}
+	return firstEndpoint(lowestScored(endpoints, scoreMarginTokens, score))
+}
+
+// streamSample returns the endpoints that are scored for a stream. Where memory is limited, the sample
+// contains suspect endpoints too: a gateway that is cut off suspects most endpoints and tells the others,
+// which would all use the few that are not suspect.
+func (p *Picker) streamSample(endpoints []*savorypinfleet.Endpoint, q Query, now time.Time) []*savorypinfleet.Endpoint {
+	if q.MemoryTokens > 0 {
+		return p.rendezvousSample(endpoints, q.affinityHash())
+	}
+	return p.sample(endpoints, q.affinityHash(), now)
+}
+
+// fitting returns the endpoints that have memory left for a request.
+func (p *Picker) fitting(endpoints []*savorypinfleet.Endpoint, q Query) []*savorypinfleet.Endpoint {
+	var fitting []*savorypinfleet.Endpoint
+	for _, e := range endpoints {
+		if p.Fits(e, q) {
+			fitting = append(fitting, e)
+		}
+	}
+	return fitting
 }
 
 // allowed returns the endpoints that are not excluded.
--- a/internal/savorypinpick/reservation_test.go
+++ b/internal/savorypinpick/reservation_test.go
@@ -20,7 +20,7 @@
 // limitedQuery returns a query for a request that reserves memory.
 func (f *fleet) limitedQuery() savorypinpick.Query {
 	q := f.query()
-	q.MemoryTokens, q.ReserveTokens = memoryTokens, reservedTokens
+	q.MemoryTokens, q.Rank, q.ReserveTokens = memoryTokens, 1, reservedTokens
 	return q
 }
 
@@ -147,6 +147,21 @@
 		Expect(copies["a"]).To(BeNumerically(">=", copies["b"]+copies["c"]))
 	})
 
+	// Guards against urgent streams that lose their caches, while memory is kept for others.
+	It("are kept under load for the most urgent requests", func() {
+		f := newFleet()
+		q := f.limitedQuery()
+		q.MemoryTokens, q.Rank = 10*reservedTokens, 0
+		for _, e := range f.endpoints {
+			for range 6 {
+				f.place(e, nil)
+			}
+		}
+		Expect(f.picker.ChooseBackup(f.endpoints[0], q)).NotTo(BeNil())
+		q.Rank = 1
+		Expect(f.picker.ChooseBackup(f.endpoints[0], q)).To(BeNil())
+	})
+
 	// Guards against all gateways choosing the one idle engine before they hear of each other.
 	It("are spread by gateways that don't know each other's yet", func() {
 		counts := map[string]int{}
@@ -168,3 +183,32 @@
 		}
 	})
 })
+
+var _ = Describe("Endpoints that are suspect", func() {
+	// Guards against all streams going to the few endpoints that a gateway without a sound network doesn't
+	// suspect: they run out of memory, while the others are idle.
+	It("are used where memory is limited if most are suspect and the others are full", func() {
+		f := newFleet()
+		for _, e := range f.endpoints[1:] {
+			f.picker.RecordRemoteSuspect(e)
+		}
+		used := map[string]int{}
+		for range 12 {
+			e := f.picker.Choose(f.limitedQuery())
+			used[e.ID()]++
+			f.place(e, nil)
+		}
+		Expect(used[f.endpoints[0].ID()]).To(BeNumerically("<=", 3))
+	})
+
+	// Guards against streams that are sent to a failed domain because the others have a queue.
+	It("are left alone where memory is limited while most are not suspect", func() {
+		f := newFleet()
+		f.picker.RecordRemoteSuspect(f.endpoints[0])
+		for range 12 {
+			e := f.picker.Choose(f.limitedQuery())
+			Expect(e).NotTo(Equal(f.endpoints[0]))
+			f.place(e, nil)
+		}
+	})
+})
--- a/internal/savorypinpick/score.go
+++ b/internal/savorypinpick/score.go
@@ -70,6 +70,10 @@
 // suspectScore is larger than any score of an endpoint that is not suspect.
 const suspectScore = 1e12
 
+// suspectPenaltyTokens is the score penalty, in tokens, of a suspect endpoint if most endpoints are
+// suspect. An attempt at a lost endpoint costs a connection timeout, and at worst a new prefill.
+const suspectPenaltyTokens = 8000
+
 // suspectPenalty returns the score added to a suspect endpoint.
 func (p *Picker) suspectPenalty(s *endpointState, now time.Time) float64 {
 	if p.suspectState(s, now.UnixNano()) {
@@ -97,7 +101,9 @@
 		runningRequests:     p.runningRequests(state) * runningRequestTokens,
 		failureRisk:         s.risks[e.Domain()] * s.exposedFraction * float64(q.PromptTokens),
 		overcommittedMemory: overcommitWeight * q.overcommitted(state),
-		suspicion:           p.suspectPenalty(state, s.now),
+	}
+	if p.suspectState(state, s.now.UnixNano()) {
+		t.suspicion = s.suspicion
 	}
 	if p.cfg.Regions[e.Domain()] != p.cfg.Region {
 		t.region = crossRegionPenaltyTokens
--- a/internal/savorypinwhere/answer.go
+++ b/internal/savorypinwhere/answer.go
@@ -15,8 +15,7 @@
 	OutcomeAdmitted Outcome = "admitted"
 	// OutcomeRefused means that the gateway would refuse it.
 	OutcomeRefused Outcome = "refused"
-	// OutcomeWaits means that it would wait at the gateway. Gateways without a waiting queue never
-	// answer it.
+	// OutcomeWaits means that it would wait at the gateway for an endpoint with room.
 	OutcomeWaits Outcome = "waits"
 )
 
