--- a/internal/savorypingateway/endpointlimit.go
+++ b/internal/savorypingateway/endpointlimit.go
@@ -7,6 +7,7 @@
 	"savorypin/internal/savorypinevent"
 	"savorypin/internal/savorypinfleet"
 	"savorypin/internal/savorypingossip"
+	"savorypin/internal/savorypinpick"
 )
 
 // recordLimit records the limit on requests that an endpoint named in a response, or that it named
@@ -69,21 +70,37 @@
 // chooseEndpoint returns the endpoint for the next attempt of a request, and counts the attempt
 // against its limits. It returns nil if there is none that takes the request now.
 func (g *Gateway) chooseEndpoint(req *request, tried map[string]bool) *savorypinfleet.Endpoint {
-	excluded := maps.Clone(tried)
-	for {
-		e := g.picker.Choose(g.query(req, excluded))
-		if e == nil {
-			req.endUpload()
-			return nil
-		}
-		excluded[e.ID()] = true
+	e := g.chooseWith(req, tried, g.picker.Choose, func(e *savorypinfleet.Endpoint) bool {
 		if !g.takeUpload(e, req) {
-			continue
+			return false
 		}
 		if g.endpointLimits.Take(e.IncarnationHash()) {
-			return e
+			return true
 		}
 		g.counters.limitHeld.Inc(1)
+		return false
+	})
+	if e == nil {
+		req.endUpload()
+	}
+	return e
+}
+
+// chooseWith returns the endpoint that choose selects for the next attempt of a request and that take
+// accepts; nil if there is none.
+func (g *Gateway) chooseWith(
+	req *request,
+	tried map[string]bool,
+	choose func(savorypinpick.Query) *savorypinfleet.Endpoint,
+	take func(*savorypinfleet.Endpoint) bool,
+) *savorypinfleet.Endpoint {
+	excluded := maps.Clone(tried)
+	for {
+		e := choose(g.query(req, excluded))
+		if e == nil || take(e) {
+			return e
+		}
+		excluded[e.ID()] = true
 	}
 }
 
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -104,6 +104,7 @@
 		}
 	case savorypingossip.PartLoad:
 		g.picker.SetLoads(update.Origin, update.State.Loads)
+		g.loadReports.record(update.Origin, update.Age)
 		g.peersWaiting.set(update.Origin, update.State.Waiting)
 		g.queues.loadsChanged()
 	}
@@ -227,6 +228,7 @@
 	g.picker.RetainGateways(live)
 	g.retryBudgets.retainPeers(live)
 	g.requestShares.retainPeers(live)
+	g.loadReports.retain(live)
 	g.peersWaiting.retain(live)
 }
 
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -154,14 +154,12 @@
 			g.log.Debug("writing the error response to the caller failed", "id", s.req.call.ID, "err", err)
 		}
 	case s.confinement != nil:
-		g.refuse(s.w, s.req.call, s.req.service.Name(), g.confinedRefusal(s.confinement, s.mayHaveRun))
+		g.countConfined(s.confinement)
+		g.refuse(s.w, s.req.call, s.req.service.Name(), confinedRefusal(s.confinement, s.mayHaveRun))
 	case s.waitRefusal != nil:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), s.waitRefusal)
-	case !s.mayHaveRun && errors.Is(err, errDeadlineTooClose):
-		// No attempt can complete before the deadline.
-		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal(errDeadlineTooClose.Error(), s.req.remaining()))
 	case !s.mayHaveRun:
-		g.refuse(s.w, s.req.call, s.req.service.Name(), notRunRefusal("no endpoint took the request", g.retryDelay(s.req.service.Name())))
+		g.refuse(s.w, s.req.call, s.req.service.Name(), g.streamNotRunRefusal(s.req, err))
 	case g.exiting.Err() != nil:
 		g.refuse(s.w, s.req.call, s.req.service.Name(), exitRefusal())
 	case s.req.expired():
@@ -171,6 +169,15 @@
 	}
 }
 
+// streamNotRunRefusal returns the refusal of a stream that has not run because of err.
+func (g *Gateway) streamNotRunRefusal(req *request, err error) *refusal {
+	if errors.Is(err, errDeadlineTooClose) {
+		// No attempt can complete before the deadline.
+		return notRunRefusal(errDeadlineTooClose.Error(), req.remaining())
+	}
+	return notRunRefusal("no endpoint took the request", g.retryDelay(req.service.Name()))
+}
+
 // run sends the request to endpoints until the response is complete.
 func (s *stream) run(ctx context.Context) error {
 	s.gateway.retryBudgets.forService(s.req.service.Name()).RecordFirst()
--- a/internal/savorypingateway/waiting.go
+++ b/internal/savorypingateway/waiting.go
@@ -45,19 +45,24 @@
 
 // waitingItem returns the item of a stream in its queue.
 func (s *stream) waitingItem(q *streamQueue, w *waiter) savorypinqueue.Item {
-	latest := s.req.deadline.Add(-s.gateway.minDuration(s.req, s.lastEventID, false))
+	item := s.gateway.newItem(s.req, s.lastEventID)
+	item.Owner, item.Returned = w, q.refused.take(s.req.whole)
+	return item
+}
+
+// newItem returns the item of a stream after an event, without an owner.
+func (g *Gateway) newItem(req *request, lastEventID int64) savorypinqueue.Item {
+	latest := req.deadline.Add(-g.minDuration(req, lastEventID, false))
 	if !latest.After(time.Now()) {
 		// A probe of the forecast, see checkDeadline.
-		latest = s.req.deadline
+		latest = req.deadline
 	}
 	return savorypinqueue.Item{
-		Bytes:       len(s.req.call.Body),
+		Bytes:       len(req.call.Body),
 		LatestStart: latest,
-		Owner:       w,
-		Priority:    min(s.req.priority.rank, savorypinqueue.MaxPriority),
-		Resumed:     s.req.call.LastEvent() > 0,
-		Returned:    q.refused.take(s.req.whole),
-		Tokens:      s.req.reserveTokens(),
+		Priority:    min(req.priority.rank, savorypinqueue.MaxPriority),
+		Resumed:     req.call.LastEvent() > 0,
+		Tokens:      req.reserveTokens(),
 	}
 }
 
@@ -224,13 +229,23 @@
 	return g.queues.forService(name)
 }
 
-// takePlace keeps room at an endpoint for a request. It returns nil if no endpoint has room.
-func (g *Gateway) takePlace(req *request, tried map[string]bool) *place {
+// endpointForPlace returns the endpoint that choose selects for a request, or nil if no endpoint has
+// room.
+func (g *Gateway) endpointForPlace(req *request, tried map[string]bool, choose func() *savorypinfleet.Endpoint) *savorypinfleet.Endpoint {
 	if len(g.endpointsWithRoom(req, tried)) == 0 {
 		return nil
 	}
-	e := g.chooseEndpoint(req, tried)
+	e := choose()
 	if e == nil || !g.picker.Fits(e, savorypinpick.Query{MemoryTokens: req.memoryTokens(), ReserveTokens: req.reserveTokens()}) {
+		return nil
+	}
+	return e
+}
+
+// takePlace keeps room at an endpoint for a request. It returns nil if no endpoint has room.
+func (g *Gateway) takePlace(req *request, tried map[string]bool) *place {
+	e := g.endpointForPlace(req, tried, func() *savorypinfleet.Endpoint { return g.chooseEndpoint(req, tried) })
+	if e == nil {
 		req.endUpload()
 		return nil
 	}
--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -203,31 +203,52 @@
 // a suspect endpoint only if all are suspect.
 func (p *Picker) Choose(q Query) *savorypinfleet.Endpoint {
 	if q.Plain {
-		return p.choosePlain(q)
+		now := p.cfg.Now()
+		return randomEndpoint(q.bestPlain(func(e *savorypinfleet.Endpoint) float64 { return p.plainTerms(e, now).sum() }))
 	}
-	return p.chooseStream(q)
+	s := p.newStreamScorer(q)
+	return s.choose(func(e *savorypinfleet.Endpoint) float64 { return s.terms(e).sum() })
 }
 
-// choosePlain scores all endpoints, because services with plain requests have few.
-func (p *Picker) choosePlain(q Query) *savorypinfleet.Endpoint {
-	now := p.cfg.Now()
-	return randomEndpoint(lowestScored(q.allowed(q.Candidates), 0, func(e *savorypinfleet.Endpoint) float64 {
-		return p.plainScore(e) + p.suspectPenalty(e, now)
-	}))
+// bestPlain returns the endpoints with the lowest score for a plain request. It scores all
+// endpoints, because services with plain requests have few.
+func (q Query) bestPlain(score func(*savorypinfleet.Endpoint) float64) []*savorypinfleet.Endpoint {
+	return lowestScored(q.allowed(q.Candidates), 0, score)
+}
+
+// streamScorer scores endpoints for one stream.
+type streamScorer struct {
+	// exposedFraction is that of the stream.
+	exposedFraction float64
+	now             time.Time
+	picker          *Picker
+	query           Query
+	// risks are the failure risks by domain.
+	risks map[string]float64
+	// suspicion is the penalty of suspect endpoints.
+	suspicion float64
 }
 
-// chooseStream scores the endpoint that has the prompt cached and a sample of the others
-// that is determined by the prompt. Load reports of other gateways arrive late, so if
-// every gateway scored all endpoints, all would select the same one. A repeated prompt
-// gets the same sample at every gateway and so can reach the engine that has it cached.
-func (p *Picker) chooseStream(q Query) *savorypinfleet.Endpoint {
+func (p *Picker) newStreamScorer(q Query) streamScorer {
 	now := p.cfg.Now()
+	return streamScorer{
+		exposedFraction: p.exposedFraction(q), now: now, picker: p, query: q, risks: p.risks(now), suspicion: suspectScore,
+	}
+}
+
+// choose returns the endpoint with the best score, or nil if there is none. It scores the
+// endpoint that has the prompt cached and a sample of the others that is determined by the
+// prompt. Load reports of other gateways arrive late, so if every gateway scored all
+// endpoints, all would select the same one. A repeated prompt gets the same sample at every
+// gateway and so can reach the engine that has it cached.
+func (s *streamScorer) choose(score func(*savorypinfleet.Endpoint) float64) *savorypinfleet.Endpoint {
+	p, q := s.picker, s.query
 	allowed := q.allowed(q.Candidates)
-	sample := p.streamSample(allowed, q, now)
+	sample := p.streamSample(allowed, q, s.now)
 	if cached := p.cachedEndpoint(allowed, q.PromptID); cached != nil {
 		sample = append(sample, cached)
 	}
-	best := p.bestForStream(sample, q, now)
+	best := s.best(sample, score)
 	if best == nil || p.Fits(best, q) {
 		return best
 	}
@@ -236,7 +257,17 @@
 	if len(fitting) == 0 {
 		return best
 	}
-	return p.bestForStream(p.rendezvousSample(fitting, q.affinityHash()), q, now)
+	return s.best(p.rendezvousSample(fitting, q.affinityHash()), score)
+}
+
+// best returns the endpoint with the best score, or nil if there is none. A suspect endpoint is the
+// best only if all are suspect or, where memory is limited, if most of them are and the others are full.
+func (s *streamScorer) best(endpoints []*savorypinfleet.Endpoint, score func(*savorypinfleet.Endpoint) float64) *savorypinfleet.Endpoint {
+	s.suspicion = suspectScore
+	if s.query.MemoryTokens > 0 && s.picker.mostlySuspect(endpoints, s.now) {
+		s.suspicion = suspectPenaltyTokens
+	}
+	return firstEndpoint(lowestScored(endpoints, scoreMarginTokens, score))
 }
 
 // streamSample returns the endpoints that are scored for a stream. Where memory is limited, the sample
@@ -249,24 +280,6 @@
 	return p.sample(endpoints, q.affinityHash(), now)
 }
 
-// bestForStream returns the endpoint with the best score for a stream, or nil if there is none. A suspect
-// endpoint is the best only if all are suspect or, where memory is limited, if most of them are and the
-// others are full.
-func (p *Picker) bestForStream(endpoints []*savorypinfleet.Endpoint, q Query, now time.Time) *savorypinfleet.Endpoint {
-	risks := p.risks(now)
-	penalty := float64(suspectScore)
-	if q.MemoryTokens > 0 && p.mostlySuspect(endpoints, now) {
-		penalty = suspectPenaltyTokens
-	}
-	return firstEndpoint(lowestScored(endpoints, scoreMarginTokens, func(e *savorypinfleet.Endpoint) float64 {
-		s := p.streamScore(e, q, risks)
-		if p.suspect(e, now) {
-			s += penalty
-		}
-		return s
-	}))
-}
-
 // fitting returns the endpoints that have memory left for a request.
 func (p *Picker) fitting(endpoints []*savorypinfleet.Endpoint, q Query) []*savorypinfleet.Endpoint {
 	var fitting []*savorypinfleet.Endpoint
