Limit what connections hold before a request is complete

Cause: the servers limited each connection, but not all together. Heads of small fields cost a hundred times their bytes once parsed; silent connections, bodies that never came and responses that nobody read took all descriptors; the readiness and metrics servers took heads of 1 MiB; a gateway allocated 16 MiB for each frame that a stranger announced at its peer port; refusals had no write deadline; the transport between daemons stopped accepting for good when descriptors ran out.

Change: savorypinweb.Budget wraps a server's listener and limits the number of connections and the memory of those without a complete request. At a limit it closes those that have held most for longest, never one with a request in progress; if all have one, new connections wait in order. Heads must arrive within header_timeout_ms of their first byte, and have at most 256 fields and 512 lines (431). Request bodies have a deadline (408). Socket buffers have fixed sizes. Peer ports bound what is read before a request or handshake is complete. Closed connections are counted and logged at a limited rate.

--- a/internal/cmd/daemonflags.go
+++ b/internal/cmd/daemonflags.go
@@ -44,6 +44,11 @@
 			Value: savorypindaemon.DefaultCallerGrace,
 			Usage: "how long a generation continues without a caller; 0 means the default",
 		},
+		&cli.IntFlag{
+			Destination: &s.ConnectionBytes, Name: "connection-bytes", Sources: env("CONNECTION_BYTES"),
+			Value: savorypindaemon.DefaultConnectionBytes,
+			Usage: "maximum memory for HTTP connections whose request is not complete, in bytes; beyond it those that held most for longest are closed",
+		},
 		&cli.StringFlag{
 			Destination: &s.Domain, Name: "domain", Sources: env("DOMAIN"),
 			Usage: "failure domain of the host",
@@ -104,7 +109,8 @@
 func (c *Config) checkDaemonSettings(extra ...error) error {
 	s := &c.daemon
 	errs := []error{
-		checkAnswerBytes(s.AnswerBytes),
+		checkBytes("--answer-bytes", s.AnswerBytes),
+		checkBytes("--connection-bytes", s.ConnectionBytes),
 		checkCallerGrace(s.CallerGrace),
 		checkNotEmpty("--domain", s.Domain),
 		checkAddress("--http", s.HTTP),
@@ -135,9 +141,9 @@
 	return nil
 }
 
-func checkAnswerBytes(n int) error {
+func checkBytes(flag string, n int) error {
 	if n < 0 {
-		return fmt.Errorf("--answer-bytes: %d is negative", n)
+		return fmt.Errorf("%s: %d is negative", flag, n)
 	}
 	return nil
 }
--- a/internal/savorypindaemon/daemon.go
+++ b/internal/savorypindaemon/daemon.go
@@ -44,65 +44,6 @@
 	idleTimeout       = 2 * time.Minute
 )
 
-// DefaultAnswerBytes is the default of Settings.AnswerBytes.
-const DefaultAnswerBytes = 192 << 20
-
-// DefaultCallerGrace is the default of Settings.CallerGrace.
-const DefaultCallerGrace = 10 * time.Second
-
-// Settings are the settings of a daemon from flags and environment variables.
-type Settings struct {
-	// AnswerBytes is the maximum memory of answers, in bytes; zero means
-	// DefaultAnswerBytes.
-	AnswerBytes int
-	// CallerGrace is how long a generation continues without a caller; zero means
-	// DefaultCallerGrace.
-	CallerGrace time.Duration
-	// Domain is the failure domain of the host.
-	Domain string
-	// HTTP is the address to listen on for callers, operators and metrics scrapers.
-	HTTP string
-	// Key is the shared secret with which daemons authenticate each other.
-	Key string
-	// LeaseDuration is how long a lease is valid after a renewal.
-	LeaseDuration time.Duration
-	// Listen is the address to listen on for other daemons.
-	Listen string
-	// Name is the name of the daemon, unique in the system.
-	Name string
-	// OperatorToken is the bearer token of the operators.
-	OperatorToken string
-	// Platform is the base URL of the platform.
-	Platform string
-	// PlatformToken is the bearer token for the platform.
-	PlatformToken string
-	// Region is the region of the failure domain.
-	Region string
-	// Seeds are the addresses of daemons to contact first.
-	Seeds []string
-	// StopGrace is how long running work may take to finish on a planned stop before
-	// it is handed over.
-	StopGrace time.Duration
-	// WeightLoads is the number of concurrent loads that the weight store can sustain.
-	WeightLoads int
-}
-
-// Grace returns how long a generation continues without a caller.
-func (s Settings) Grace() time.Duration {
-	if s.CallerGrace == 0 {
-		return DefaultCallerGrace
-	}
-	return s.CallerGrace
-}
-
-// AnswerMemory returns the maximum memory of answers, in bytes.
-func (s Settings) AnswerMemory() int {
-	if s.AnswerBytes == 0 {
-		return DefaultAnswerBytes
-	}
-	return s.AnswerBytes
-}
-
 // Config configures a Daemon.
 type Config struct {
 	// Dial opens connections to other daemons; nil means TCP.
@@ -194,10 +135,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for daemons on %s: %w", d.cfg.Settings.Listen, err)
 	}
-	d.httpListener, err = net.Listen("tcp", d.cfg.Settings.HTTP)
+	d.httpListener, err = savorypinweb.Listen(context.Background(), d.cfg.Settings.HTTP)
 	if err != nil {
 		d.peerListener.Close()
-		return fmt.Errorf("listen for HTTP on %s: %w", d.cfg.Settings.HTTP, err)
+		return fmt.Errorf("listen for HTTP: %w", err)
 	}
 	return nil
 }
@@ -316,7 +257,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 	d.heartbeat(ctx)
-	d.wg.Go(func() { d.serve(server) })
+	d.wg.Go(func() { d.serve(server, d.newConnections()) })
 	d.wg.Go(func() {
 		if err := d.transport.Serve(d.peerListener); err != nil {
 			d.logger.Error("Transport between daemons failed", "err", err)
@@ -353,8 +294,8 @@
 	}
 }
 
-func (d *Daemon) serve(server *http.Server) {
-	if err := server.Serve(d.httpListener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+func (d *Daemon) serve(server *http.Server, connections *savorypinweb.Budget) {
+	if err := connections.Serve(server, d.httpListener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		d.logger.Error("HTTP server failed", "err", err)
 	}
 }
--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -23,6 +23,7 @@
 	KindAttemptEnded         Kind = "attempt ended"
 	KindCallerLeft           Kind = "caller left"
 	KindConfigurationInForce Kind = "configuration in force"
+	KindConnectionsClosed    Kind = "connections closed"
 	KindDependency           Kind = "dependency"
 	KindDomainSuspect        Kind = "failure domain suspect"
 	KindEndpointCrashed      Kind = "endpoint crashed"
--- a/internal/savorypinevent/stateevents.go
+++ b/internal/savorypinevent/stateevents.go
@@ -20,6 +20,29 @@
 	return appendErr([]any{"what", e.What}, e.Err)
 }
 
+// ConnectionsClosed reports that connections without a complete request were closed, since all
+// connections of a server held too much.
+type ConnectionsClosed struct {
+	// Bytes is what the closed connections held, Connections their number.
+	Bytes       int64
+	Connections int
+	// Remote is the address of the connection that had held most for longest.
+	Remote string
+	// Server is "callers" or the address of another server of the gateway.
+	Server string
+}
+
+// Kind returns the kind of the event.
+func (ConnectionsClosed) Kind() Kind { return KindConnectionsClosed }
+
+// Level returns the level of the log line.
+func (ConnectionsClosed) Level() log.Level { return log.WarnLevel }
+
+// Fields returns the fields as alternating names and values.
+func (e ConnectionsClosed) Fields() []any {
+	return []any{"server", e.Server, "connections", e.Connections, "bytes", e.Bytes, "remote", e.Remote}
+}
+
 // HistoryLost reports that a kind has to be listed again, since the store no longer has
 // the changes that are needed to continue its watch, or was restored from an older copy
 // of itself.
--- a/internal/savorypingateway/admit.go
+++ b/internal/savorypingateway/admit.go
@@ -118,7 +118,8 @@
 	}
 	if refused := readBody(w, r, req); refused != nil {
 		req.release()
-		if r.Context().Err() != nil {
+		// net/http ends the context after a timeout too, though the caller may still read.
+		if r.Context().Err() != nil && refused.status != http.StatusRequestTimeout {
 			return nil, nil
 		}
 		return nil, refused
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -7,6 +7,8 @@
 	answered metrics.Counter
 	// brokenOff counts streams that ended incomplete after their response header was sent.
 	brokenOff metrics.Counter
+	// connectionsClosed counts the connections that were closed because all held too much.
+	connectionsClosed metrics.Counter
 	// deadlineRefused counts the streams that were not sent, or not sent again, as they were expected
 	// not to complete in time, and deadlineProbes those that were sent in spite of that.
 	deadlineRefused metrics.Counter
@@ -54,6 +56,7 @@
 	return counters{
 		answered:            metrics.GetOrRegisterCounter("gateway_answered", r),
 		brokenOff:           metrics.GetOrRegisterCounter("gateway_broken_off", r),
+		connectionsClosed:   metrics.GetOrRegisterCounter("gateway_connections_closed", r),
 		deadlineProbes:      metrics.GetOrRegisterCounter("gateway_deadline_probes", r),
 		deadlineRefused:     metrics.GetOrRegisterCounter("gateway_deadline_refused", r),
 		endpointsCrashed:    metrics.GetOrRegisterCounter("gateway_endpoints_crashed", r),
--- a/internal/savorypingateway/gateway.go
+++ b/internal/savorypingateway/gateway.go
@@ -37,6 +37,7 @@
 	"savorypin/internal/savorypinquarantine"
 	"savorypin/internal/savorypinrollout"
 	"savorypin/internal/savorypinseal"
+	"savorypin/internal/savorypinweb"
 )
 
 // promptRetentionFactor multiplies Settings.MinPromptRetention, the retention that the engine
@@ -194,15 +195,15 @@
 // or the grace period is about to end.
 func (g *Gateway) Run(ctx context.Context) error {
 	s := g.settings.Load()
-	callerListener, err := listen(s.Listen)
+	callerListener, err := savorypinweb.Listen(ctx, s.Listen)
 	if err != nil {
 		return err
 	}
-	readinessListener, err := listen(s.ReadinessListen)
+	readinessListener, err := savorypinweb.Listen(ctx, s.ReadinessListen)
 	if err != nil {
 		return err
 	}
-	introspectionListener, err := listen(net.JoinHostPort(s.Host, strconv.Itoa(s.MetricsPort)))
+	introspectionListener, err := savorypinweb.Listen(ctx, net.JoinHostPort(s.Host, strconv.Itoa(s.MetricsPort)))
 	if err != nil {
 		return err
 	}
@@ -215,8 +216,10 @@
 	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, backgroundCtx := errgroup.WithContext(backgroundCtx)
-	group.Go(func() error { return serve(backgroundCtx, readinessListener, http.HandlerFunc(g.serveReadiness)) })
-	group.Go(func() error { return serve(backgroundCtx, introspectionListener, g.introspectionHandler()) })
+	group.Go(func() error {
+		return g.serveInternal(backgroundCtx, readinessListener, http.HandlerFunc(g.serveReadiness))
+	})
+	group.Go(func() error { return g.serveInternal(backgroundCtx, introspectionListener, g.introspectionHandler()) })
 	g.store.follow(backgroundCtx, group)
 	group.Go(func() error { return g.gossip.Run(backgroundCtx) })
 	group.Go(func() error { return g.syncServer().Run(backgroundCtx) })
@@ -252,28 +255,6 @@
 	g.log.Emit(savorypinevent.Process{What: "reloaded"})
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	return l, nil
-}
-
-// serve serves HTTP until ctx is done.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout}
-	defer context.AfterFunc(ctx, func() { server.Close() })()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", l.Addr(), err)
-	}
-	return nil
-}
-
-// internalHeaderTimeout limits how long the load balancer or a metrics scraper may take to send
-// a request header.
-const internalHeaderTimeout = 5 * time.Second
-
 func (g *Gateway) introspectionHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", savorypinmetrics.NewHandler(g.registry))
--- a/internal/savorypingateway/gossip.go
+++ b/internal/savorypingateway/gossip.go
@@ -192,7 +192,10 @@
 
 // syncServer returns the server that sends the changes of this gateway's copies to others.
 func (g *Gateway) syncServer() *savorypingossip.SyncServer {
-	return &savorypingossip.SyncServer{Address: g.peerAddress(), Clock: bootClock, Log: g.log, Mirrors: g.store.mirrors, Sealer: g.sealer}
+	return &savorypingossip.SyncServer{
+		Address: g.peerAddress(), Clock: bootClock, Log: g.log, Mirrors: g.store.mirrors,
+		Requests: newConnectionLimits(g.settings.Load()).internal, Sealer: g.sealer,
+	}
 }
 
 // peerAddress returns the address on which this gateway receives messages of other gateways.
--- a/internal/savorypingateway/handler.go
+++ b/internal/savorypingateway/handler.go
@@ -25,6 +25,7 @@
 	// Only on its own writer does net/http notice that a body is too large.
 	req, refused := g.admit(w.ResponseWriter, r, call)
 	if refused != nil {
+		limitRefusedCaller(w.ResponseWriter, r)
 		g.refuse(w, call, "", refused)
 		return
 	}
--- a/internal/savorypingateway/settings.go
+++ b/internal/savorypingateway/settings.go
@@ -23,6 +23,8 @@
 	Host string
 	// Listen is the address on which callers are served.
 	Listen string
+	// MaxDescriptors is the limit on open file descriptors; zero means that of the process.
+	MaxDescriptors int
 	// MemoryBytes is the memory limit of the process; zero means none.
 	MemoryBytes int64
 	// MetricsPort is the port of the metrics and of the state dump.
--- a/internal/savorypingateway/stop.go
+++ b/internal/savorypingateway/stop.go
@@ -88,8 +88,9 @@
 func (g *Gateway) serveCallers(ctx context.Context, l net.Listener) error {
 	g.awaitInitialState(ctx)
 	server := g.newCallerServer()
+	budget := g.newCallerConnections(server.IdleTimeout)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
+	go func() { failed <- budget.Serve(server, l) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve callers: %w", err)
--- a/internal/savorypingossip/check_internal_test.go
+++ b/internal/savorypingossip/check_internal_test.go
@@ -169,6 +169,6 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var d savorypinmirror.Delta
 		// Invalid input must return an error and not panic.
-		_ = readFrame(bytes.NewReader(data), savorypinseal.New(), purposeTransfer, &d)
+		_ = readFrame(bytes.NewReader(data), savorypinseal.New(), purposeTransfer, maxFrameBytes, &d)
 	})
 }
--- a/internal/savorypingossip/compress_internal_test.go
+++ b/internal/savorypingossip/compress_internal_test.go
@@ -30,7 +30,7 @@
 		Expect(writeFrame(&buf, sealer, purposeTransfer, d)).To(Succeed())
 		Expect(buf.Len()).To(BeNumerically("<", size/4))
 		var got savorypinmirror.Delta
-		Expect(readFrame(&buf, sealer, purposeTransfer, &got)).To(Succeed())
+		Expect(readFrame(&buf, sealer, purposeTransfer, maxFrameBytes, &got)).To(Succeed())
 		Expect(got).To(Equal(d))
 	})
 
--- a/internal/savorypingossip/sync.go
+++ b/internal/savorypingossip/sync.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -24,6 +26,8 @@
 	// maxFrameBytes bounds a frame. Some hundred objects of the largest size that the
 	// platform's store accepts would need more memory than a gateway has.
 	maxFrameBytes = 16 << 20
+	// maxRequestBytes bounds a frame of a request, which anyone who reaches the port may send.
+	maxRequestBytes = 4 << 10
 	// syncTimeout bounds a transfer.
 	syncTimeout = time.Second
 	// headerBytes is the size of the length prefix of a frame.
@@ -60,8 +64,15 @@
 	Log   *savorypinevent.Log
 	// Mirrors are the mirrors by kind.
 	Mirrors map[savorypin.Kind]*savorypinmirror.Mirror
+	// Requests is the maximum number of connections whose request is not complete, and that of
+	// answers in progress. Beyond it the oldest of the former is closed, and answers wait.
+	Requests int
 	// Sealer authenticates requests and answers.
 	Sealer *savorypinseal.Sealer
+
+	mu sync.Mutex
+	// reading are the connections whose request isn't complete, the oldest first.
+	reading []net.Conn
 }
 
 // Run serves until ctx ends. It returns the error of the context, or another error if it can't
@@ -72,6 +83,7 @@
 		return fmt.Errorf("listen for changes on %s: %w", s.Address, err)
 	}
 	defer context.AfterFunc(ctx, func() { l.Close() })()
+	answers := make(chan struct{}, max(1, s.Requests))
 	for {
 		conn, err := l.Accept()
 		if ctx.Err() != nil {
@@ -86,22 +98,45 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go s.Log.RunRecovered("serve changes", func() { s.serve(conn) })
+		s.beginReading(conn)
+		go s.Log.RunRecovered("serve changes", func() { s.serve(conn, answers) })
 	}
 }
 
 // acceptRetryDelay is the delay after a failed accept.
 const acceptRetryDelay = 50 * time.Millisecond
 
+// beginReading records a connection whose request isn't complete, and closes the oldest one if there are
+// too many. An honest peer sends its request at once.
+func (s *SyncServer) beginReading(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.reading) >= max(1, s.Requests) {
+		// The peer may have closed it already.
+		_ = s.reading[0].Close()
+		s.reading = slices.Delete(s.reading, 0, 1)
+	}
+	s.reading = append(s.reading, conn)
+}
+
+func (s *SyncServer) endReading(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.reading, conn); i >= 0 {
+		s.reading = slices.Delete(s.reading, i, i+1)
+	}
+}
+
 // serve answers one request. A peer whose request or answer takes longer than syncTimeout is
 // disconnected and has to retry.
-func (s *SyncServer) serve(conn net.Conn) {
+func (s *SyncServer) serve(conn net.Conn, answers chan struct{}) {
 	defer conn.Close()
+	defer s.endReading(conn)
 	if err := conn.SetDeadline(time.Now().Add(syncTimeout)); err != nil {
 		return
 	}
 	var req changesRequest
-	if err := readFrame(conn, s.Sealer, purposeTransfer, &req); err != nil {
+	if err := readFrame(conn, s.Sealer, purposeTransfer, maxRequestBytes, &req); err != nil {
 		// The peer sees a closed connection. It may not be a gateway.
 		s.Log.Debug("failed to read a request for changes", "err", err)
 		return
@@ -110,6 +145,10 @@
 	if mirror == nil {
 		return
 	}
+	s.endReading(conn)
+	// Each answer ends within syncTimeout.
+	answers <- struct{}{}
+	defer func() { <-answers }()
 	// If the answer can't be written, the peer sees a broken connection.
 	_ = writeFrame(conn, s.Sealer, answerPurpose(req.Nonce), s.newTransfer(mirror.ChangesSince(req.Since, req.Era)))
 }
@@ -158,7 +197,7 @@
 		return Transfer{}, fmt.Errorf("request changes: %w", err)
 	}
 	var t Transfer
-	if err := readFrame(conn, sealer, answerPurpose(req.Nonce), &t); err != nil {
+	if err := readFrame(conn, sealer, answerPurpose(req.Nonce), maxFrameBytes, &t); err != nil {
 		return Transfer{}, fmt.Errorf("read changes: %w", err)
 	}
 	return t, nil
@@ -183,13 +222,13 @@
 	return err
 }
 
-func readFrame[T any](r io.Reader, sealer *savorypinseal.Sealer, purpose string, v *T) error {
+func readFrame[T any](r io.Reader, sealer *savorypinseal.Sealer, purpose string, limit uint32, v *T) error {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return err
 	}
 	n := binary.BigEndian.Uint32(header[:])
-	if n > maxFrameBytes {
+	if n > limit {
 		return errFrameTooLong
 	}
 	data := make([]byte, n)
--- a/internal/savorypinmember/transport.go
+++ b/internal/savorypinmember/transport.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,13 @@
 	"savorypin/internal/savorypinpanic"
 )
 
+const (
+	// maxHandshakes limits the accepted connections whose handshake isn't complete.
+	maxHandshakes = 64
+	// acceptRetryDelay is the delay after a failed accept.
+	acceptRetryDelay = 50 * time.Millisecond
+)
+
 // Handler serves one stream that a peer opened. Transport selects it by the kind of the first
 // frame. An error that it returns is sent to the peer.
 type Handler func(ctx context.Context, s *Stream, first Frame) error
@@ -59,7 +67,9 @@
 	retired map[*Conn]bool
 	// accepted are the connections that peers opened.
 	accepted map[*Conn]bool
-	ln       net.Listener
+	// handshakes are the accepted connections whose handshake isn't complete, the oldest first.
+	handshakes []net.Conn
+	ln         net.Listener
 }
 
 // NewTransport returns a transport without connections that does not listen yet.
@@ -164,7 +174,10 @@
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("accept member connection: %w", err)
+			// Too many open files, or a connection that was closed at once. Both are
+			// temporary.
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		if !t.startServing(conn) {
 			conn.Close()
@@ -184,10 +197,32 @@
 	return true
 }
 
+// beginHandshake records a connection whose peer isn't known yet. If there are too many, the oldest one
+// is closed: an honest peer needs less time than it takes to open maxHandshakes connections.
+func (t *Transport) beginHandshake(conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.handshakes) >= maxHandshakes {
+		t.handshakes[0].Close()
+		t.handshakes = slices.Delete(t.handshakes, 0, 1)
+	}
+	t.handshakes = append(t.handshakes, conn)
+}
+
+func (t *Transport) endHandshake(conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := slices.Index(t.handshakes, conn); i >= 0 {
+		t.handshakes = slices.Delete(t.handshakes, i, i+1)
+	}
+}
+
 // serveConn performs the handshake of an accepted connection and serves it until it ends.
 func (t *Transport) serveConn(conn net.Conn) {
+	t.beginHandshake(conn)
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	peer, err := handshake(conn, r, t.cfg.Self, t.cfg.Key, t.cfg.HandshakeTimeout)
+	t.endHandshake(conn)
 	if err != nil {
 		conn.Close()
 		return
--- a/internal/savorypinweb/limit.go
+++ b/internal/savorypinweb/limit.go
@@ -32,6 +32,9 @@
 			writeBodyError(w, err)
 			return
 		}
+		if !Begin(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		next.ServeHTTP(&deadlineWriter{ResponseWriter: w, controller: controller}, r)
 	})
