Merge the limits on what connections hold

The budget wraps the connections whose writes are queued for slow callers, so that both parts see them.

--- a/internal/savorypinevent/event.go
+++ b/internal/savorypinevent/event.go
@@ -24,6 +24,7 @@
 	KindBufferFull           Kind = "buffer full"
 	KindCallerLeft           Kind = "caller left"
 	KindConfigurationInForce Kind = "configuration in force"
+	KindConnectionsClosed    Kind = "connections closed"
 	KindDependency           Kind = "dependency"
 	KindDomainSuspect        Kind = "failure domain suspect"
 	KindEndpointCrashed      Kind = "endpoint crashed"
--- a/internal/savorypingateway/callerconn.go
+++ b/internal/savorypingateway/callerconn.go
@@ -67,6 +67,9 @@
 	return c
 }
 
+// NetConn returns the connection whose writes are queued.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite shuts down the writing side, which net/http does before it closes a connection whose
 // request it has not read whole.
 func (c *callerConn) CloseWrite() error {
--- a/internal/savorypingateway/callerlistener.go
+++ b/internal/savorypingateway/callerconncontext.go
@@ -6,20 +6,6 @@
 	"net/http"
 )
 
-// callerListener accepts connections of callers.
-type callerListener struct {
-	net.Listener
-}
-
-// Accept returns the next connection.
-func (l callerListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return newCallerConn(nc), nil
-}
-
 // callerConnKey is the key of the caller's connection in the context of a request.
 type callerConnKey struct{}
 
--- a/internal/savorypingateway/counters.go
+++ b/internal/savorypingateway/counters.go
@@ -15,6 +15,8 @@
 	// those that were sent to an endpoint without memory left.
 	copiesOmitted metrics.Counter
 	overcommitted metrics.Counter
+	// connectionsClosed counts the connections that were closed because all held too much.
+	connectionsClosed metrics.Counter
 	// deadlineRefused counts the streams that were not sent, or not sent again, as they were expected
 	// not to complete in time, and deadlineProbes those that were sent in spite of that.
 	deadlineRefused metrics.Counter
@@ -79,6 +81,7 @@
 		bufferHeldBack:      metrics.GetOrRegisterCounter("gateway_buffer_held_back", r),
 		copiesOmitted:       metrics.GetOrRegisterCounter("gateway_copies_omitted", r),
 		overcommitted:       metrics.GetOrRegisterCounter("gateway_overcommitted", r),
+		connectionsClosed:   metrics.GetOrRegisterCounter("gateway_connections_closed", r),
 		deadlineProbes:      metrics.GetOrRegisterCounter("gateway_deadline_probes", r),
 		deadlineRefused:     metrics.GetOrRegisterCounter("gateway_deadline_refused", r),
 		endpointsCrashed:    metrics.GetOrRegisterCounter("gateway_endpoints_crashed", r),
