--- a/internal/savorypinpick/picker.go
+++ b/internal/savorypinpick/picker.go
@@ -51,6 +51,10 @@
 	// runningRequestTokens is the score of a running request, in waiting prompt tokens:
 	// it slightly slows down the generation of tokens for the other requests.
 	runningRequestTokens = 400
+	// interferenceRatio replaces runningRequestTokens where memory is limited, in tokens for each token
+	// of the prompt, up to maxInterferenceTokens.
+	interferenceRatio     = 0.05
+	maxInterferenceTokens = 2000
 	// latencyWeight is the weight of a new sample in the moving averages of latency and
 	// failure rate.
 	latencyWeight = 0.1
--- a/internal/savorypinpick/score.go
+++ b/internal/savorypinpick/score.go
@@ -92,13 +92,23 @@
 	return t.waitingTokens + t.runningRequests + t.failureRisk + t.overcommittedMemory + t.region + t.cachedPrompt + t.suspicion
 }
 
+// interferenceTokens returns the score of each running request at an endpoint. While an engine prefills a
+// prompt, the requests beside it generate few tokens, so that a long prompt costs them more: it goes to an
+// engine with few of them, and a short one to an engine with few tokens waiting.
+func (q *Query) interferenceTokens() float64 {
+	if q.MemoryTokens <= 0 || q.PromptTokens <= 0 {
+		return runningRequestTokens
+	}
+	return min(maxInterferenceTokens, interferenceRatio*float64(q.PromptTokens))
+}
+
 // terms returns the terms of the score of an endpoint.
 func (s *streamScorer) terms(e *savorypinfleet.Endpoint) streamTerms {
 	p, q := s.picker, &s.query
 	state := p.state(e)
 	t := streamTerms{
 		waitingTokens:       float64(state.waitingTokens.Load() + state.remoteWaitingTokens.Load()),
-		runningRequests:     p.runningRequests(state) * runningRequestTokens,
+		runningRequests:     p.runningRequests(state) * q.interferenceTokens(),
 		failureRisk:         s.risks[e.Domain()] * s.exposedFraction * float64(q.PromptTokens),
 		overcommittedMemory: overcommitWeight * q.overcommitted(state),
 	}
