--- a/internal/savorypingateway/plain.go
+++ b/internal/savorypingateway/plain.go
@@ -110,8 +110,8 @@
 	// reasons.
 	confinement *savorypinquarantine.Confinement
 	gateway     *Gateway
-	// looks are for the endpoints whose connections broke.
-	looks looks
+	// crashChecks are those of the endpoints whose connections broke.
+	crashChecks crashChecks
 	// isolated is set if the request was not sent because it is suspect of crashing endpoints.
 	isolated bool
 	// probe is set if the request is a probe of subjects in quarantine.
@@ -139,7 +139,7 @@
 		}
 	}
 	if !p.reported.succeeded() {
-		p.looks.await(ctx)
+		p.crashChecks.await(ctx)
 	}
 	if p.reported.kind == outcomeAnswered {
 		return p.reported, nil
--- a/internal/savorypingateway/plaincrash.go
+++ b/internal/savorypingateway/plaincrash.go
@@ -22,14 +22,14 @@
 		g.abandon(c)
 		return
 	}
-	await := p.probe != nil || p.looks.begun() || g.quarantine.Watching()
+	await := p.probe != nil || p.crashChecks.begun() || g.quarantine.Watching()
 	p.sequel = true
 	g.pool.CloseIdle(e.Address())
-	p.looks.begin(g, func() {
+	p.crashChecks.begin(g, func() {
 		g.lookForEndpoint(e, result.err.Error(), func() { g.recordCrash(c) })
 	})
 	if await {
-		p.looks.await(ctx)
+		p.crashChecks.await(ctx)
 	}
 }
 
--- a/internal/savorypingateway/stream.go
+++ b/internal/savorypingateway/stream.go
@@ -63,8 +63,8 @@
 	// succeeds.
 	failure *outcome
 	gateway *Gateway
-	// looks are for the endpoints whose connections broke before the answer had begun there.
-	looks looks
+	// crashChecks are those of the endpoints whose connections broke before the answer had begun there.
+	crashChecks crashChecks
 	// lastEventAt is when the last event was sent to the caller, or when the request arrived
 	// if none was.
 	lastEventAt time.Time
@@ -125,7 +125,7 @@
 		s.abortBegun()
 		return
 	}
-	s.looks.await(ctx)
+	s.crashChecks.await(ctx)
 	s.logEnd(savorypinevent.KindStreamFailed, err)
 	if s.headerSent {
 		g.counters.brokenOff.Inc(1)
--- a/internal/savorypingateway/streamcrash.go
+++ b/internal/savorypingateway/streamcrash.go
@@ -32,10 +32,10 @@
 		go g.log.RunRecovered("look for endpoint", look)
 		return
 	}
-	await := c.probe || s.looks.begun() || g.quarantine.Suspicion(g.subjects(s.req)) > 0
-	s.looks.begin(g, look)
+	await := c.probe || s.crashChecks.begun() || g.quarantine.Suspicion(g.subjects(s.req)) > 0
+	s.crashChecks.begin(g, look)
 	if await {
-		s.looks.await(ctx)
+		s.crashChecks.await(ctx)
 	}
 }
 
